Set up the schema, tasks, HTTP layer and build

Cause: the project starts; every later part needs the schema with its generated code, the task base, HTTP in both directions and the checks.

Ruled out: ACE_Dev_Poll_Reactor, which polls with a zero timeout during the last millisecond before each timer; libmicrohttpd's own threads.

Conclusion: the layer is ready for the request path.

--- /dev/null
+++ b/src/client.h
@@ -0,0 +1,53 @@
+#ifndef COMFREYPADDLE_CLIENT_H_
+#define COMFREYPADDLE_CLIENT_H_
+
+#include <curl/curl.h>
+
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "http.h"
+#include "loop.h"
+
+namespace comfreypaddle {
+
+// HTTP client of one task, on libcurl's multi interface driven by the task's
+// loop. Connections are kept and reused unless a call asks for its own.
+class Client : public HttpPort {
+ public:
+  explicit Client(EventLoop& loop);
+  ~Client() override;
+  Client(const Client&) = delete;
+  Client& operator=(const Client&) = delete;
+
+  CallId Start(HttpCall call, HttpEvents events) override;
+  void Cancel(CallId id) override;
+
+ private:
+  struct Transfer;
+  struct Callbacks;
+  friend struct Callbacks;
+
+  void Configure(Transfer& transfer);
+  void HandleSockets();
+  void HandleTimeout();
+  void CollectFinished();
+  void Finish(CallId id, CURLcode code);
+  void EndSilentCalls();
+  void DropCancelled();
+  void SetTimer(long timeout_ms);  // NOLINT(google-runtime-int): libcurl's type
+
+  EventLoop& m_loop;
+  CURLM* m_multi;
+  int m_descriptor;
+  std::map<CallId, std::unique_ptr<Transfer>> m_transfers;
+  std::vector<CallId> m_cancelled;
+  EventLoop::TimerId m_timer = 0;
+  std::unique_ptr<PeriodicTimer> m_sweep;
+  CallId m_next_id = 1;
+};
+
+}  // namespace comfreypaddle
+
+#endif  // COMFREYPADDLE_CLIENT_H_
--- /dev/null
+++ b/src/listener.h
@@ -0,0 +1,102 @@
+#ifndef COMFREYPADDLE_LISTENER_H_
+#define COMFREYPADDLE_LISTENER_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "http.h"
+#include "loop.h"
+
+struct MHD_Connection;
+struct MHD_Daemon;
+struct MHD_Response;
+
+namespace comfreypaddle {
+
+struct ListenerOptions {
+  std::string m_address = "127.0.0.1";
+  std::uint16_t m_port = 0;
+  std::uint32_t m_max_connections = 4096;
+  std::uint32_t m_max_head_bytes = 16384;
+  std::uint32_t m_max_body_bytes = 8U << 20U;
+  // Time in which a whole request must arrive.
+  Duration m_request_timeout = std::chrono::seconds(10);
+};
+
+// HTTP server of one task, on libmicrohttpd driven by the task's loop.
+class Listener : public CallerPort {
+ public:
+  using OnRequest = std::function<void(HttpRequest request)>;
+  using OnGone = std::function<void(std::uint64_t id)>;
+
+  // on_gone is called once if the caller leaves before its answer is complete.
+  Listener(EventLoop& loop, ListenerOptions options, OnRequest on_request,
+           OnGone on_gone);
+  ~Listener() override;
+  Listener(const Listener&) = delete;
+  Listener& operator=(const Listener&) = delete;
+
+  // Listens on the address. Fails with kListenFailed.
+  std::error_code Open();
+
+  // Asks callers, by a header in each answer, to open a new connection for
+  // their next request.
+  void AnnounceClose() { m_closing = true; }
+
+  // Stops accepting connections; open ones go on.
+  void StopAccepting();
+
+  std::size_t OpenRequests() const { return m_exchanges.size(); }
+
+  void Respond(std::uint64_t id, int status, HttpFields headers,
+               std::string body) override;
+  void StartStream(std::uint64_t id, int status, HttpFields headers) override;
+  void Write(std::uint64_t id, std::string_view bytes) override;
+  void FinishStream(std::uint64_t id) override;
+  void Abort(std::uint64_t id) override;
+
+ private:
+  struct Exchange;
+  struct Connection;
+  struct Callbacks;
+  friend struct Callbacks;
+
+  Exchange* Find(std::uint64_t id);
+  int HandleUpload(Exchange& exchange, const char* data, std::size_t* size);
+  int Dispatch(Exchange& exchange);
+  int QueueAnswer(Exchange& exchange);
+  std::int64_t Read(Exchange& exchange, char* buffer, std::size_t size);
+  void Reject(Exchange& exchange, int status, const char* code,
+              const char* detail);
+  void Suspend(Exchange& exchange);
+  void Resume(Exchange& exchange);
+  void Completed(Exchange& exchange, bool answered);
+  void WatchForHangup(const Exchange& exchange);
+  void UnwatchHangup(const Exchange& exchange);
+  void HandleHangups();
+  void CloseSlowConnections();
+  void RunDaemon();
+  void ScheduleRun(Duration delay);
+
+  EventLoop& m_loop;
+  ListenerOptions m_options;
+  OnRequest m_on_request;
+  OnGone m_on_gone;
+  MHD_Daemon* m_daemon = nullptr;
+  int m_daemon_descriptor = -1;
+  int m_hangup_descriptor = -1;
+  std::map<std::uint64_t, std::unique_ptr<Exchange>> m_exchanges;
+  std::map<MHD_Connection*, Connection> m_connections;
+  std::unique_ptr<PeriodicTimer> m_sweep;
+  EventLoop::TimerId m_run_timer = 0;
+  Instant m_run_due;
+  std::uint64_t m_next_id = 1;
+  bool m_running_daemon = false;
+  bool m_closing = false;
+};
+
+}  // namespace comfreypaddle
+
+#endif  // COMFREYPADDLE_LISTENER_H_
--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,1 @@
+int main() { return 0; }
--- /dev/null
+++ b/src/sse.h
@@ -0,0 +1,47 @@
+#ifndef COMFREYPADDLE_SSE_H_
+#define COMFREYPADDLE_SSE_H_
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace comfreypaddle {
+
+// One server-sent event. The views are valid during the callback only.
+struct SseEvent {
+  std::string_view m_event;  // Empty for the default type.
+  std::string_view m_data;   // Several data lines are not joined: the last one.
+  std::uint64_t m_id = 0;    // Zero if the event has no numeric id.
+};
+
+// Splits a byte stream into server-sent events. Comment lines are dropped.
+class SseScanner {
+ public:
+  using OnEvent = std::function<void(const SseEvent& event)>;
+
+  explicit SseScanner(OnEvent on_event);
+
+  // Takes the next bytes. Returns false if a line exceeds the limit of 1 MiB;
+  // the scanner then must not be used any more.
+  bool Feed(std::string_view bytes);
+
+ private:
+  void TakeLine(std::string_view line);
+
+  OnEvent m_on_event;
+  std::string m_partial;
+  std::string m_event;
+  std::string m_data;
+  std::uint64_t m_id = 0;
+  bool m_has_field = false;
+};
+
+// Returns the text of an event with a data line, and with an id line if the
+// id is not zero and an event line if the type is not empty.
+std::string FormatSseEvent(std::string_view type, std::uint64_t id,
+                           std::string_view data);
+
+}  // namespace comfreypaddle
+
+#endif  // COMFREYPADDLE_SSE_H_
--- /dev/null
+++ b/tests/http_test.cpp
@@ -0,0 +1,221 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <arpa/inet.h>
+#include <doctest/doctest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <optional>
+
+#include "client.h"
+#include "listener.h"
+#include "sse.h"
+#include "support.h"
+
+namespace comfreypaddle {
+namespace {
+
+using testing::FreePort;
+using testing::RunUntil;
+
+constexpr Duration kLimit = std::chrono::seconds(5);
+
+// Listener and client in one loop; records what both report.
+struct Fixture {
+  explicit Fixture(ListenerOptions options = {}) {
+    options.m_port = FreePort();
+    m_url = "http://127.0.0.1:" + std::to_string(options.m_port);
+    m_port = options.m_port;
+    m_listener.emplace(
+        m_loop, options,
+        [this](const HttpRequest& request) {
+          m_requests.push_back(request);
+          if (m_handle) m_handle(request);
+        },
+        [this](std::uint64_t id) { m_gone.push_back(id); });
+    REQUIRE_FALSE(m_listener->Open());
+    m_client.emplace(m_loop);
+  }
+
+  HttpPort::CallId Call(HttpCall call) {
+    HttpEvents events;
+    events.m_on_head = [this](int status, const HttpFields& headers) {
+      m_status = status;
+      m_headers = headers;
+    };
+    events.m_on_body = [this](std::string_view bytes) { m_body += bytes; };
+    events.m_on_end = [this](const HttpResult& result) { m_result = result; };
+    return m_client->Start(std::move(call), events);
+  }
+
+  bool Ended() {
+    return RunUntil(m_loop, kLimit, [this] { return m_result.has_value(); });
+  }
+
+  EventLoop m_loop;
+  std::uint16_t m_port = 0;
+  std::string m_url;
+  std::function<void(const HttpRequest&)> m_handle;
+  std::vector<HttpRequest> m_requests;
+  std::vector<std::uint64_t> m_gone;
+  int m_status = 0;
+  HttpFields m_headers;
+  std::string m_body;
+  std::optional<HttpResult> m_result;
+  std::optional<Listener> m_listener;
+  std::optional<Client> m_client;
+};
+
+int ConnectTo(std::uint16_t port) {
+  const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(port);
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  REQUIRE(connect(descriptor, reinterpret_cast<sockaddr*>(&address),
+                  sizeof(address)) == 0);
+  return descriptor;
+}
+
+TEST_CASE("a whole answer reaches the caller") {
+  Fixture f;
+  f.m_handle = [&f](const HttpRequest& request) {
+    f.m_listener->Respond(request.m_id, 201, {{"X-Test", "yes"}},
+                          "got " + request.m_body);
+  };
+  f.Call({.m_method = "POST", .m_url = f.m_url + "/a?b=c", .m_body = "hello"});
+  REQUIRE(f.Ended());
+  CHECK(f.m_status == 201);
+  CHECK(f.m_body == "got hello");
+  CHECK(FindField(f.m_headers, "x-test") == "yes");
+  CHECK(f.m_requests.at(0).m_path == "/a");
+  CHECK(FindField(f.m_requests.at(0).m_query, "b") == "c");
+}
+
+TEST_CASE("a streamed answer arrives in pieces and ends as complete") {
+  Fixture f;
+  f.m_handle = [&f](const HttpRequest& request) {
+    f.m_loop.StartTimer(std::chrono::milliseconds(20), [&f, request] {
+      f.m_listener->StartStream(request.m_id, 200, {});
+      f.m_listener->Write(request.m_id, "one ");
+      f.m_loop.StartTimer(std::chrono::milliseconds(20), [&f, request] {
+        f.m_listener->Write(request.m_id, "two");
+        f.m_listener->FinishStream(request.m_id);
+      });
+    });
+  };
+  f.Call({.m_url = f.m_url + "/"});
+  REQUIRE(f.Ended());
+  CHECK_FALSE(f.m_result->m_error);
+  CHECK(f.m_body == "one two");
+  CHECK(RunUntil(f.m_loop, kLimit,
+                 [&f] { return f.m_listener->OpenRequests() == 0; }));
+  CHECK(f.m_gone.empty());
+}
+
+TEST_CASE("an aborted stream does not look complete to the caller") {
+  Fixture f;
+  f.m_handle = [&f](const HttpRequest& request) {
+    f.m_listener->StartStream(request.m_id, 200, {});
+    f.m_listener->Write(request.m_id, "part");
+    f.m_loop.StartTimer(std::chrono::milliseconds(30),
+                        [&f, request] { f.m_listener->Abort(request.m_id); });
+  };
+  f.Call({.m_url = f.m_url + "/"});
+  REQUIRE(f.Ended());
+  CHECK(f.m_result->m_error == HttpError::kConnectionLost);
+  CHECK(f.m_body == "part");
+}
+
+TEST_CASE("a caller that leaves while it waits is noticed") {
+  Fixture f;
+  const auto id = f.Call({.m_url = f.m_url + "/"});
+  REQUIRE(
+      RunUntil(f.m_loop, kLimit, [&f] { return f.m_requests.size() == 1; }));
+  f.m_client->Cancel(id);
+  CHECK(RunUntil(f.m_loop, kLimit, [&f] { return f.m_gone.size() == 1; }));
+  CHECK_FALSE(f.m_result.has_value());
+}
+
+TEST_CASE("a server that goes silent ends the call with its own error") {
+  Fixture f;
+  f.Call({.m_url = f.m_url + "/", .m_silence = std::chrono::milliseconds(200)});
+  REQUIRE(f.Ended());
+  CHECK(f.m_result->m_error == HttpError::kSilent);
+  CHECK(f.m_result->m_sent);
+}
+
+TEST_CASE("a refused connection counts as not sent") {
+  Fixture f;
+  f.Call({.m_url = "http://127.0.0.1:" + std::to_string(FreePort()) + "/"});
+  REQUIRE(f.Ended());
+  CHECK(f.m_result->m_error == HttpError::kConnectFailed);
+  CHECK_FALSE(f.m_result->m_sent);
+}
+
+TEST_CASE("a body over the limit is refused without being handed on") {
+  ListenerOptions options;
+  options.m_max_body_bytes = 1000;
+  Fixture f(options);
+  f.Call({.m_method = "POST",
+          .m_url = f.m_url + "/",
+          .m_body = std::string(5000, 'x')});
+  REQUIRE(f.Ended());
+  CHECK(f.m_status == 413);
+  CHECK(f.m_requests.empty());
+}
+
+TEST_CASE("a head over the limit is refused") {
+  Fixture f;
+  f.Call({.m_url = f.m_url + "/",
+          .m_headers = {{"X-Large", std::string(60000, 'x')}}});
+  REQUIRE(f.Ended());
+  CHECK(f.m_status >= 400);
+  CHECK(f.m_requests.empty());
+}
+
+TEST_CASE("a sender that never completes its request is disconnected") {
+  ListenerOptions options;
+  options.m_request_timeout = std::chrono::milliseconds(300);
+  Fixture f(options);
+  const int descriptor = ConnectTo(f.m_port);
+  const std::string half = "POST / HTTP/1.1\r\nHost: a\r\nContent-Le";
+  REQUIRE(send(descriptor, half.data(), half.size(), 0) > 0);
+  CHECK(RunUntil(f.m_loop, kLimit, [descriptor] {
+    char byte = 0;
+    return recv(descriptor, &byte, 1, MSG_DONTWAIT) == 0;
+  }));
+  close(descriptor);
+}
+
+TEST_CASE("a connection serves several requests one after the other") {
+  Fixture f;
+  f.m_handle = [&f](const HttpRequest& request) {
+    f.m_listener->Respond(request.m_id, 200, {}, "ok");
+  };
+  for (int i = 0; i < 3; ++i) {
+    f.m_result.reset();
+    f.Call({.m_url = f.m_url + "/"});
+    REQUIRE(f.Ended());
+    CHECK(f.m_status == 200);
+  }
+  CHECK(f.m_gone.empty());
+}
+
+TEST_CASE("events are found however the bytes are split") {
+  const std::string text =
+      ": heartbeat\n\nid: 7\ndata: {\"a\":1}\n\nevent: done\r\ndata: x\r\n\r\n";
+  for (std::size_t step = 1; step <= text.size(); ++step) {
+    std::string seen;
+    SseScanner scanner([&seen](const SseEvent& event) {
+      seen += std::string(event.m_event) + "|" + std::to_string(event.m_id) +
+              "|" + std::string(event.m_data) + ";";
+    });
+    for (std::size_t i = 0; i < text.size(); i += step) {
+      CHECK(scanner.Feed(std::string_view(text).substr(i, step)));
+    }
+    CHECK(seen == "|7|{\"a\":1};done|0|x;");
+  }
+}
+
+}  // namespace
+}  // namespace comfreypaddle
--- /dev/null
+++ b/tests/support.cpp
@@ -0,0 +1,33 @@
+#include "support.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace comfreypaddle::testing {
+
+bool RunUntil(EventLoop& loop, Duration limit,
+              const std::function<bool()>& condition) {
+  const Instant end = Now() + limit;
+  loop.TakeOwnership();
+  while (!condition() && Now() < end) {
+    loop.StartTimer(std::chrono::milliseconds(10), [&loop] { loop.Stop(); });
+    loop.Run();
+  }
+  return condition();
+}
+
+std::uint16_t FreePort() {
+  const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof(address);
+  (void)bind(descriptor, reinterpret_cast<sockaddr*>(&address), size);
+  getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size);
+  close(descriptor);
+  return ntohs(address.sin_port);
+}
+
+}  // namespace comfreypaddle::testing
--- /dev/null
+++ b/tests/support.h
@@ -0,0 +1,20 @@
+#ifndef COMFREYPADDLE_TESTS_SUPPORT_H_
+#define COMFREYPADDLE_TESTS_SUPPORT_H_
+
+#include <functional>
+
+#include "loop.h"
+
+namespace comfreypaddle::testing {
+
+// Runs the loop until the condition holds after some event, or the limit is
+// reached. Returns whether the condition holds.
+bool RunUntil(EventLoop& loop, Duration limit,
+              const std::function<bool()>& condition);
+
+// Returns a TCP port on the loopback address that nothing listens on.
+std::uint16_t FreePort();
+
+}  // namespace comfreypaddle::testing
+
+#endif  // COMFREYPADDLE_TESTS_SUPPORT_H_
--- /dev/null
+++ b/tools/check_layers.sh
@@ -0,0 +1,23 @@
+#!/usr/bin/env bash
+# Fails if a decision module includes a header of HTTP, JSON, protobuf, ACE,
+# sockets or threads, or a header of this project that is not a decision
+# module's. tools/decision_modules.txt lists the modules.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+status=0
+allowed=$(paste -sd'|' tools/decision_modules.txt)
+while read -r module; do
+  for file in "src/$module.h" "src/$module.cpp"; do
+    [ -e "$file" ] || continue
+    if grep -nE '#include <(ace|curl|microhttpd|google|json|jsonrpccpp|sys|netinet|arpa|unistd|thread|mutex|random_device|iostream|fstream)' "$file"; then
+      echo "$file: decision modules do no input or output"; status=1
+    fi
+    if grep -nE '#include "' "$file" | grep -vE "\"($allowed)\.h\""; then
+      echo "$file: includes a header outside the decision modules"; status=1
+    fi
+    if grep -nE 'steady_clock::now|system_clock::now|random_device' "$file"; then
+      echo "$file: decision modules get time and seeds as arguments"; status=1
+    fi
+  done
+done < tools/decision_modules.txt
+exit $status
--- /dev/null
+++ b/tools/lint.sh
@@ -0,0 +1,25 @@
+#!/usr/bin/env bash
+# Runs clang-tidy over the sources that changed since it last passed on them.
+# The result depends only on the file, the headers and the configuration, so a
+# stamp keyed by their hash stands for a pass. Usage: lint.sh [FILE...]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+build=${BUILD_DIR:-build}
+cache=${COMFREYPADDLE_LINT_CACHE:-$HOME/.cache/comfreypaddle-lint}
+mkdir -p "$cache"
+if [ $# -gt 0 ]; then
+  files=("$@")
+else
+  mapfile -t files < <(git ls-files -co --exclude-standard 'src/*.cpp' 'standins/*.cpp' 'tests/*.cpp' | grep -v '^src/gen/')
+fi
+lint_one() {
+  local file=$1 headers key
+  headers=$(g++ -std=c++20 -MM -Isrc -Istandins -Itests -isystem src/gen -isystem /usr/include/jsoncpp "$file" 2>/dev/null | tr -d '\\\n' | cut -d: -f2-)
+  # shellcheck disable=SC2086
+  key=$(cat .clang-tidy "$file" $headers 2>/dev/null | sha256sum | cut -d' ' -f1)
+  [ -e "$cache/$key" ] && return 0
+  if clang-tidy --quiet -p "$build" "$file" 2>/dev/null; then touch "$cache/$key"; else echo "lint failed: $file"; return 1; fi
+}
+export -f lint_one
+export build cache
+printf '%s\n' "${files[@]}" | xargs -P "$(nproc)" -I{} bash -c 'lint_one {}'
