--- /dev/null
+++ b/src/completion.h
@@ -0,0 +1,89 @@
+#ifndef COMFREYPADDLE_COMPLETION_H_
+#define COMFREYPADDLE_COMPLETION_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "types.h"
+
+namespace comfreypaddle {
+
+// Tokens generated when a caller names no limit.
+inline constexpr std::uint32_t kDefaultMaxTokens = 256;
+
+// Largest number of tokens that a caller may ask for.
+inline constexpr std::uint32_t kLargestMaxTokens = 131'072;
+
+// Completion request of a caller, checked.
+struct CompletionCall {
+  std::string m_model;
+  std::string m_adapter;
+  std::string m_prompt;
+  std::uint32_t m_max_tokens = kDefaultMaxTokens;
+  bool m_stream = false;
+  std::optional<Priority> m_priority;
+};
+
+// Tokens that were processed and produced for one request.
+struct TokenCounts {
+  std::uint32_t m_prompt = 0;
+  std::uint32_t m_cached = 0;
+  std::uint32_t m_output = 0;
+};
+
+// Last event of an engine's stream.
+struct GenerationEnd {
+  TokenCounts m_tokens;
+  std::string m_finish_reason;
+};
+
+// Reads the JSON body of POST /v1/completions. Unknown fields are ignored, as
+// clients send many that do not matter here. Returns nothing on success, else
+// what is wrong.
+std::optional<std::string> ParseCompletion(std::string_view body,
+                                           CompletionCall* call);
+
+// Returns the number of tokens that a prompt is expected to have, at four
+// bytes each.
+std::uint32_t EstimatePromptTokens(std::string_view prompt);
+
+// Text that is already escaped for use inside a JSON string. Tokens are kept
+// in this form from the engine to the caller, so that they are not decoded
+// and encoded again.
+using EscapedText = std::string;
+
+// Returns the token text of an engine event's data, still escaped, or nothing
+// if the data has no token.
+std::optional<std::string_view> TokenText(std::string_view data);
+
+// Reads the data of an engine's done event. Returns nothing if it is invalid.
+std::optional<GenerationEnd> ParseGenerationEnd(std::string_view data);
+
+// Returns the body of an engine's generate call. The call goes on behind the
+// tokens up to from_position, whose escaped text is prefix.
+std::string GenerateBody(const CompletionCall& call,
+                         std::string_view request_id, Priority priority,
+                         std::uint32_t from_position, std::string_view prefix);
+
+// Returns the server-sent event for one token, with its position as id.
+std::string CompletionChunk(std::string_view request_id, std::string_view model,
+                            std::uint64_t position, std::string_view text);
+
+// Returns the events that end a stream: usage and "[DONE]".
+std::string CompletionStreamEnd(std::string_view request_id,
+                                std::string_view model,
+                                const GenerationEnd& end);
+
+// Returns the whole answer to a request that is not streamed.
+std::string CompletionAnswer(std::string_view request_id,
+                             std::string_view model, std::string_view text,
+                             const GenerationEnd& end);
+
+// Returns the text as a quoted JSON string.
+std::string QuoteJson(std::string_view text);
+
+}  // namespace comfreypaddle
+
+#endif  // COMFREYPADDLE_COMPLETION_H_
