Defer HTTP calls that are started inside a libcurl callback

Cause: the end of one answer may start the next call from within libcurl's write callback, and libcurl refuses to be entered again from there.

Change: Client queues such calls and adds them when the library returns.

Ruled out: deferring all calls, which adds a round of the loop to each.

--- a/src/client.cpp
+++ b/src/client.cpp
@@ -196,12 +196,21 @@
   transfer->m_easy = curl_easy_init();
   transfer->m_last_activity = Now();
   Configure(*transfer);
-  curl_multi_add_handle(m_multi, transfer->m_easy);
   const CallId id = transfer->m_id;
   m_transfers[id] = std::move(transfer);
+  m_started.push_back(id);
+  if (!m_in_library) AddStarted();
   return id;
 }
 
+void Client::AddStarted() {
+  for (const CallId id : std::exchange(m_started, {})) {
+    const auto found = m_transfers.find(id);
+    if (found == m_transfers.end()) continue;
+    curl_multi_add_handle(m_multi, found->second->m_easy);
+  }
+}
+
 void Client::Configure(Transfer& transfer) {
   CURL* easy = transfer.m_easy;
   const HttpCall& call = transfer.m_call;
@@ -277,16 +286,22 @@
     if ((event.events & EPOLLOUT) != 0) mask |= CURL_CSELECT_OUT;
     if ((event.events & (EPOLLERR | EPOLLHUP)) != 0) mask |= CURL_CSELECT_ERR;
     int running = 0;
+    m_in_library = true;
     curl_multi_socket_action(m_multi, event.data.fd, mask, &running);
+    m_in_library = false;
   }
   CollectFinished();
+  AddStarted();
 }
 
 void Client::HandleTimeout() {
   m_timer = 0;
   int running = 0;
+  m_in_library = true;
   curl_multi_socket_action(m_multi, CURL_SOCKET_TIMEOUT, 0, &running);
+  m_in_library = false;
   CollectFinished();
+  AddStarted();
 }
 
 // NOLINTNEXTLINE(google-runtime-int): libcurl's type
--- a/src/client.h
+++ b/src/client.h
@@ -30,6 +30,7 @@
   friend struct Callbacks;
 
   void Configure(Transfer& transfer);
+  void AddStarted();
   void HandleSockets();
   void HandleTimeout();
   void CollectFinished();
@@ -43,6 +44,10 @@
   int m_descriptor;
   std::map<CallId, std::unique_ptr<Transfer>> m_transfers;
   std::vector<CallId> m_cancelled;
+  // Calls started from within a callback of libcurl, which must not be
+  // entered again from there.
+  std::vector<CallId> m_started;
+  bool m_in_library = false;
   EventLoop::TimerId m_timer = 0;
   std::unique_ptr<PeriodicTimer> m_sweep;
   CallId m_next_id = 1;
