Add the fold of the platform's log

Cause: every instance must reach the same decisions from the log's records, without the encoding of the records.

Ruled out: a tenure by holder name alone, because a process that starts again under its old name would share the fencing number of its paused predecessor; a tenure belongs to name and incarnation.

--- /dev/null
+++ b/src/claim.cpp
@@ -0,0 +1,108 @@
+#include "claim.h"
+
+#include <xxhash.h>
+
+namespace comfreypaddle {
+namespace {
+
+std::uint64_t HashText(const std::string& text) {
+  return XXH3_64bits(text.data(), text.size());
+}
+
+std::uint64_t HashWriter(const Writer& writer) {
+  return XXH3_64bits_withSeed(writer.m_name.data(), writer.m_name.size(),
+                              writer.m_incarnation);
+}
+
+// Names contain no zero byte, so the pair is encoded without ambiguity.
+ClaimId MakeId(const std::string& workspace, const std::string& key) {
+  const std::string text = workspace + '\0' + key;
+  const XXH128_hash_t hash = XXH3_128bits(text.data(), text.size());
+  return {hash.high64, hash.low64};
+}
+
+bool IsFull(const ClaimTable& table, std::uint64_t workspace) {
+  if (table.m_claims.size() >= kMaxClaims) return true;
+  const auto found = table.m_workspace_claims.find(workspace);
+  return found != table.m_workspace_claims.end() &&
+         found->second >= kMaxWorkspaceClaims;
+}
+
+void RemoveClaim(ClaimTable& table, const ClaimAge& age) {
+  const auto found = table.m_claims.find(age.m_id);
+  // A claim that took over an older one has an age entry of its own.
+  if (found == table.m_claims.end() ||
+      found->second.m_position != age.m_position) {
+    return;
+  }
+  const auto count = table.m_workspace_claims.find(found->second.m_workspace);
+  if (count != table.m_workspace_claims.end() && --count->second == 0) {
+    table.m_workspace_claims.erase(count);
+  }
+  table.m_claims.erase(found);
+}
+
+Claim MakeClaimEntry(const Writer& writer, const RequestClaim& claim,
+                     std::uint64_t workspace, Position position) {
+  Claim entry;
+  entry.m_position = position;
+  entry.m_fingerprint = claim.m_fingerprint;
+  entry.m_owner = HashWriter(writer);
+  entry.m_workspace = workspace;
+  return entry;
+}
+
+}  // namespace
+
+ClaimAnswer FoldClaim(ClaimTable& table, const Writer& writer,
+                      const RequestClaim& claim, Position position) {
+  const ClaimId id = MakeId(claim.m_workspace, claim.m_idempotency_key);
+  const std::uint64_t workspace = HashText(claim.m_workspace);
+  const auto found = table.m_claims.find(id);
+  if (found != table.m_claims.end()) {
+    Claim& current = found->second;
+    if (current.m_fingerprint != claim.m_fingerprint) {
+      return {Verdict::kConflict, current.m_outcome, current.m_status};
+    }
+    if (current.m_outcome != Outcome::kNotRun) {
+      return {Verdict::kAlreadyClaimed, current.m_outcome, current.m_status};
+    }
+    current = MakeClaimEntry(writer, claim, workspace, position);
+    table.m_ages.push_back({position, id});
+    return {Verdict::kGranted, Outcome::kUnknown, 0};
+  }
+  if (IsFull(table, workspace)) {
+    return {Verdict::kUnavailable, Outcome::kNotRun, 0};
+  }
+  table.m_claims.emplace(id,
+                         MakeClaimEntry(writer, claim, workspace, position));
+  ++table.m_workspace_claims[workspace];
+  table.m_ages.push_back({position, id});
+  return {Verdict::kGranted, Outcome::kUnknown, 0};
+}
+
+Verdict FoldOutcome(ClaimTable& table, const Writer& writer,
+                    const RequestOutcome& outcome) {
+  const auto found = table.m_claims.find(
+      MakeId(outcome.m_workspace, outcome.m_idempotency_key));
+  if (found == table.m_claims.end()) return Verdict::kNotFound;
+  Claim& claim = found->second;
+  if (claim.m_owner != HashWriter(writer) ||
+      claim.m_outcome != Outcome::kUnknown) {
+    return Verdict::kStale;
+  }
+  claim.m_outcome = outcome.m_outcome;
+  claim.m_status = static_cast<std::uint16_t>(outcome.m_status);
+  return Verdict::kStored;
+}
+
+void ExpireClaims(ClaimTable& table, std::uint64_t offset) {
+  while (!table.m_ages.empty() &&
+         table.m_ages.front().m_position / kRecordsPerOffset + kClaimOffsets <
+             offset) {
+    RemoveClaim(table, table.m_ages.front());
+    table.m_ages.pop_front();
+  }
+}
+
+}  // namespace comfreypaddle
--- /dev/null
+++ b/src/state.cpp
@@ -0,0 +1,225 @@
+#include "state.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace comfreypaddle {
+namespace {
+
+// Offsets between two rounds of forgetting old writers and instances.
+constexpr std::uint64_t kExpiryOffsets = 1024;
+
+// Folds one record after the other and collects the effects.
+struct Folder {
+  LogState& m_state;
+  const Writer& m_writer;
+  std::uint64_t m_offset;
+  Instant m_read_at;
+  std::uint32_t m_index = 0;
+  std::vector<Effect> m_effects = {};
+
+  Position At() const { return MakePosition(m_offset, m_index); }
+
+  RecordFate& Fate(Verdict verdict) {
+    RecordFate fate;
+    fate.m_index = m_index;
+    fate.m_position = At();
+    fate.m_verdict = verdict;
+    return std::get<RecordFate>(m_effects.emplace_back(fate));
+  }
+
+  void operator()(std::monostate /*unknown*/) { Fate(Verdict::kInvalid); }
+
+  void operator()(const LeaseClaim& claim) {
+    const Verdict verdict =
+        FoldLease(m_state.m_leases, m_writer, claim, At(), m_read_at);
+    Fate(verdict);
+    if (verdict != Verdict::kGranted) return;
+    m_effects.emplace_back(
+        LeaseChange{claim.m_duty, m_state.m_leases.m_leases.at(claim.m_duty)});
+  }
+
+  void operator()(const ConfigWrite& write) {
+    const bool blocked = write.m_remove &&
+                         write.m_kind == ResourceKind::kEndpoint &&
+                         HasOpenOrder(m_state.m_orders, write.m_name);
+    ConfigResult result = blocked
+                              ? RefuseConfigWrite(m_state.m_config, write,
+                                                  ConfigFault::kOrderOpen)
+                              : FoldConfigWrite(m_state.m_config, write, At());
+    RecordFate& fate = Fate(result.m_answer.m_verdict);
+    fate.m_fault = result.m_answer.m_fault;
+    fate.m_version = result.m_answer.m_version;
+    if (!result.m_change) return;
+    if (write.m_kind == ResourceKind::kEndpoint) {
+      write.m_remove ? RetireEndpoint(m_state.m_orders, write.m_name)
+                     : ReviveEndpoint(m_state.m_orders, write.m_name);
+    }
+    m_effects.emplace_back(*std::move(result.m_change));
+  }
+
+  void operator()(const OrderIntent& intent) {
+    const Verdict verdict =
+        FoldOrderIntent(m_state.m_orders, m_state.m_config.m_tables,
+                        m_state.m_leases, m_writer, intent, At());
+    Fate(verdict);
+    AddOrder(verdict, intent.m_endpoint);
+  }
+
+  void operator()(const OrderOutcome& outcome) {
+    const Verdict verdict =
+        FoldOrderOutcome(m_state.m_orders, m_state.m_config.m_tables,
+                         m_state.m_leases, m_writer, outcome);
+    Fate(verdict);
+    AddOrder(verdict, outcome.m_endpoint);
+  }
+
+  void operator()(const RequestClaim& claim) {
+    const ClaimAnswer answer =
+        FoldClaim(m_state.m_claims, m_writer, claim, At());
+    RecordFate& fate = Fate(answer.m_verdict);
+    fate.m_outcome = answer.m_outcome;
+    fate.m_status = answer.m_status;
+  }
+
+  void operator()(const RequestOutcome& outcome) {
+    Fate(FoldOutcome(m_state.m_claims, m_writer, outcome));
+  }
+
+  void operator()(const UsageFlush& flush) {
+    const Verdict verdict = FoldUsageFlush(m_state.m_usage, flush, m_offset);
+    Fate(verdict);
+    if (verdict == Verdict::kInvalid) return;
+    m_effects.emplace_back(
+        UsageFlushStored{flush.m_instance, flush.m_sequence});
+  }
+
+  void operator()(const UsageClose& close) {
+    const CloseResult result = FoldUsageClose(m_state.m_usage, m_state.m_leases,
+                                              m_writer, close, At());
+    Fate(result.m_verdict);
+    if (result.m_window == nullptr) return;
+    m_effects.emplace_back(UsageWindowClosed{*result.m_window});
+  }
+
+  void operator()(const UsageReported& reported) {
+    const Verdict verdict = FoldUsageReported(m_state.m_usage, reported);
+    Fate(verdict);
+    if (verdict != Verdict::kAccepted) return;
+    m_effects.emplace_back(UsageWindowReported{reported.m_window});
+  }
+
+  void operator()(const SuspectReport& report) {
+    Fate(Verdict::kStored);
+    if (!FoldSuspect(m_state.m_suspects, report, m_read_at)) return;
+    m_effects.emplace_back(SuspectChange{report});
+  }
+
+  // Snapshots repeat what the fold knows; only a starting process uses them.
+  void operator()(const SnapshotPart& /*part*/) { Fate(Verdict::kStored); }
+
+  void AddOrder(Verdict verdict, const std::string& endpoint) {
+    if (verdict != Verdict::kAccepted) return;
+    m_effects.emplace_back(
+        OrderChange{m_state.m_orders.m_endpoints.at(endpoint)});
+  }
+};
+
+// Whether the batch is newer than all batches of its writer so far.
+bool AdvanceWriter(LogState& state, std::uint64_t offset,
+                   const RecordBatch& batch) {
+  WriterMark& mark = state.m_writers[batch.m_writer.m_name];
+  const auto last = std::make_pair(mark.m_incarnation, mark.m_sequence);
+  const auto next =
+      std::make_pair(batch.m_writer.m_incarnation, batch.m_sequence);
+  if (next <= last) return false;
+  mark = {batch.m_writer.m_incarnation, batch.m_sequence, offset};
+  return true;
+}
+
+// Expiry depends on offsets only, except for suspects, which have no part in
+// decisions that all instances must share.
+void ForgetOld(LogState& state, std::uint64_t offset, Instant read_at) {
+  ExpireClaims(state.m_claims, offset);
+  if (offset % kExpiryOffsets != 0) return;
+  ExpireUsageInstances(state.m_usage, offset);
+  ExpireSuspects(state.m_suspects, read_at);
+  std::erase_if(state.m_writers, [offset](const auto& row) {
+    return row.second.m_offset + kWriterOffsets < offset;
+  });
+}
+
+void DiffOrders(const OrderBook& from, const OrderBook& to,
+                std::vector<Effect>& effects) {
+  for (const auto& [name, orders] : to.m_endpoints) {
+    const auto found = from.m_endpoints.find(name);
+    if (found != from.m_endpoints.end() &&
+        found->second.m_position == orders.m_position &&
+        found->second.m_open == orders.m_open) {
+      continue;
+    }
+    effects.emplace_back(OrderChange{orders});
+  }
+}
+
+void DiffUsage(const UsageState& from, const UsageState& to,
+               std::vector<Effect>& effects) {
+  for (const auto& [number, window] : to.m_unreported) {
+    if (from.m_unreported.count(number) != 0) continue;
+    effects.emplace_back(UsageWindowClosed{window});
+  }
+  for (const auto& [number, window] : from.m_unreported) {
+    if (to.m_unreported.count(number) != 0) continue;
+    effects.emplace_back(UsageWindowReported{number});
+  }
+}
+
+void DiffSuspects(const SuspectTable& from, const SuspectTable& to,
+                  std::vector<Effect>& effects) {
+  for (const auto& [fingerprint, suspect] : to.m_suspects) {
+    if (from.m_suspects.count(fingerprint) != 0) continue;
+    for (const SuspectCrash& crash : suspect.m_crashes) {
+      effects.emplace_back(SuspectChange{
+          {fingerprint, crash.m_endpoint, crash.m_crash_id, false}});
+    }
+  }
+}
+
+}  // namespace
+
+std::vector<Effect> Apply(LogState& state, std::uint64_t offset,
+                          const RecordBatch& batch, Instant read_at) {
+  SkipOffset(state, offset);
+  ForgetOld(state, offset, read_at);
+  if (!AdvanceWriter(state, offset, batch)) return {};
+  Folder folder{state, batch.m_writer, offset, read_at};
+  for (const Record& record : batch.m_records) {
+    if (folder.m_index >= kRecordsPerOffset) break;
+    std::visit(folder, record);
+    ++folder.m_index;
+  }
+  return std::move(folder.m_effects);
+}
+
+void SkipOffset(LogState& state, std::uint64_t offset) {
+  state.m_next_offset = offset + 1;
+}
+
+std::vector<Effect> DiffStates(const LogState& from, const LogState& to) {
+  std::vector<Effect> effects;
+  for (TableChange& change :
+       DiffTables(from.m_config.m_tables, to.m_config.m_tables)) {
+    effects.emplace_back(std::move(change));
+  }
+  for (const auto& [duty, lease] : to.m_leases.m_leases) {
+    const Lease* known = FindLease(from.m_leases, duty);
+    if (known != nullptr && known->m_position == lease.m_position) continue;
+    effects.emplace_back(LeaseChange{duty, lease});
+  }
+  DiffOrders(from.m_orders, to.m_orders, effects);
+  DiffUsage(from.m_usage, to.m_usage, effects);
+  DiffSuspects(from.m_suspects, to.m_suspects, effects);
+  return effects;
+}
+
+}  // namespace comfreypaddle
