Read the settings file into the schema's message

The settings of an instance have their checks as field options in schema/settings.proto. LoadSettings reads the INI file through libinih, fills schema::Settings by reflection and reports every mistake with file, line, section, key and reason.

libinih reports only the first malformed line and cuts lines at 200 bytes without a word, so the reader callback checks each line itself. A larger line buffer was ruled out because the packaged library fixes it; long lists are continued on indented lines instead.

--- /dev/null
+++ b/src/settings.cpp
@@ -0,0 +1,480 @@
+#include "settings.h"
+
+#include <arpa/inet.h>
+#include <google/protobuf/descriptor.h>
+#include <ini.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <cstring>
+#include <fstream>
+#include <limits>
+#include <map>
+#include <set>
+#include <sstream>
+#include <type_traits>
+#include <utility>
+
+namespace comfreypaddle {
+namespace {
+
+using google::protobuf::Descriptor;
+using google::protobuf::FieldDescriptor;
+using google::protobuf::Message;
+
+constexpr std::size_t kSha256HexDigits = 64;
+
+std::string_view Trim(std::string_view text) {
+  constexpr std::string_view kBlank = " \t\r\n";
+  const std::size_t first = text.find_first_not_of(kBlank);
+  if (first == std::string_view::npos) return {};
+  return text.substr(first, text.find_last_not_of(kBlank) - first + 1);
+}
+
+bool IsIpNumber(const std::string& text) {
+  in6_addr buffer{};
+  return inet_pton(AF_INET, text.c_str(), &buffer) == 1 ||
+         inet_pton(AF_INET6, text.c_str(), &buffer) == 1;
+}
+
+// Reads a number that takes up the whole text.
+template <typename T>
+std::optional<T> ParseNumber(std::string_view text) {
+  T value{};
+  const char* end = text.data() + text.size();
+  const auto result = std::from_chars(text.data(), end, value);
+  if (result.ec != std::errc() || result.ptr != end) return std::nullopt;
+  return value;
+}
+
+std::optional<Member> ParseMember(std::string_view text) {
+  const std::size_t first = text.find('/');
+  const std::size_t last = text.rfind('/');
+  if (first == std::string_view::npos || first == last) return std::nullopt;
+  const std::string_view region = text.substr(first + 1, last - first - 1);
+  const auto address = ParseSocketAddress(text.substr(last + 1));
+  if (first == 0 || region.empty() || !address) return std::nullopt;
+  if (region.find_first_of("/ \t") != std::string_view::npos) {
+    return std::nullopt;
+  }
+  return Member{std::string(text.substr(0, first)), std::string(region),
+                address->m_ip, address->m_port};
+}
+
+// Calls back for each entry of a comma-separated list. An empty list has no
+// entries.
+template <typename Callback>
+void ForEachEntry(std::string_view text, Callback callback) {
+  if (Trim(text).empty()) return;
+  for (std::size_t begin = 0; begin <= text.size();) {
+    const std::size_t end = std::min(text.find(',', begin), text.size());
+    callback(Trim(text.substr(begin, end - begin)));
+    begin = end + 1;
+  }
+}
+
+// Section of the file that a message field of Settings stands for.
+const FieldDescriptor* FindSection(const std::string& name) {
+  return schema::Settings::descriptor()->FindFieldByName(name);
+}
+
+const schema::FieldRules& RulesOf(const FieldDescriptor& field) {
+  return field.options().GetExtension(schema::rules);
+}
+
+// State of one LoadSettings call.
+struct Loader {
+  std::string m_file;
+  std::string m_text;
+  std::size_t m_offset = 0;  // Start of the next line in m_text.
+  int m_line = 0;
+  bool m_value_expected = false;  // The current line must yield a key.
+  bool m_indented = false;        // The current line may continue a value.
+  std::vector<std::pair<std::string, std::string>> m_order;
+  std::map<std::pair<std::string, std::string>, std::pair<std::string, int>>
+      m_values;  // Value and line for each section and key.
+  std::vector<SettingsMistake> m_mistakes;
+
+  void Report(SettingsFault fault, std::string section, std::string key,
+              std::string reason, int line) {
+    m_mistakes.push_back({fault, m_file, line, std::move(section),
+                          std::move(key), std::move(reason)});
+  }
+
+  // Reports a mistake at the line that set the key, or at none.
+  void ReportKey(SettingsFault fault, const std::string& section,
+                 const std::string& key, std::string reason) {
+    const auto found = m_values.find({section, key});
+    Report(fault, section, key, std::move(reason),
+           found == m_values.end() ? 0 : found->second.second);
+  }
+};
+
+// libinih reports only the first line that it cannot parse, so the reader
+// checks whether each line that should set a key did so.
+void CheckPreviousLine(Loader& loader) {
+  if (loader.m_value_expected) {
+    loader.Report(SettingsFault::kSyntax, "", "",
+                  "the line is neither [SECTION] nor KEY = VALUE",
+                  loader.m_line);
+  }
+  loader.m_value_expected = false;
+}
+
+void CheckSectionLine(Loader& loader, std::string_view line) {
+  const std::size_t end = line.find(']');
+  if (end == std::string_view::npos) {
+    loader.Report(SettingsFault::kSyntax, "", "",
+                  "the section name has no closing bracket", loader.m_line);
+    return;
+  }
+  const std::string name(line.substr(1, end - 1));
+  if (FindSection(name) == nullptr) {
+    loader.Report(SettingsFault::kUnknownSection, name, "", "unknown section",
+                  loader.m_line);
+  }
+}
+
+// Hands libinih the next line. A line that does not fit its buffer is reported
+// and left out, because libinih would cut it short.
+char* ReadLine(char* buffer, int size, void* stream) {
+  Loader& loader = *static_cast<Loader*>(stream);
+  CheckPreviousLine(loader);
+  if (loader.m_offset >= loader.m_text.size()) return nullptr;
+  const std::size_t end =
+      std::min(loader.m_text.find('\n', loader.m_offset), loader.m_text.size());
+  std::string_view line(loader.m_text);
+  line = line.substr(loader.m_offset, end - loader.m_offset);
+  loader.m_offset = end + 1;
+  ++loader.m_line;
+  if (line.size() + 2 > static_cast<std::size_t>(size)) {
+    loader.Report(SettingsFault::kSyntax, "", "",
+                  "the line is longer than " + std::to_string(size - 2) +
+                      " bytes; continue the value on indented lines",
+                  loader.m_line);
+    line = {};
+  }
+  const std::string_view content = Trim(line);
+  loader.m_indented = !content.empty() && content.data() != line.data();
+  const char first = content.empty() ? ';' : content.front();
+  if (first == '[' && !loader.m_indented) CheckSectionLine(loader, content);
+  loader.m_value_expected = first != ';' && first != '#' && first != '[';
+  std::memcpy(buffer, line.data(), line.size());
+  buffer[line.size()] = '\n';
+  buffer[line.size() + 1] = '\0';
+  return buffer;
+}
+
+// Takes one key from libinih. Indented lines continue the value of the key
+// above them and arrive under the same key.
+int TakeKey(void* user, const char* section, const char* name,
+            const char* value) {
+  Loader& loader = *static_cast<Loader*>(user);
+  loader.m_value_expected = false;
+  const std::pair<std::string, std::string> id(section, name);
+  if (loader.m_indented && !loader.m_order.empty() &&
+      loader.m_order.back() == id) {
+    loader.m_values.at(id).first += value;
+    return 1;
+  }
+  const FieldDescriptor* field = FindSection(id.first);
+  if (id.first.empty()) {
+    loader.Report(SettingsFault::kUnknownSection, "", id.second,
+                  "the key is outside any section", loader.m_line);
+  } else if (field != nullptr &&
+             field->message_type()->FindFieldByName(id.second) == nullptr) {
+    loader.Report(SettingsFault::kUnknownKey, id.first, id.second,
+                  "unknown key", loader.m_line);
+  }
+  const auto [row, fresh] =
+      loader.m_values.try_emplace(id, value, loader.m_line);
+  if (!fresh) {
+    loader.Report(SettingsFault::kRepeatedKey, id.first, id.second,
+                  "already set in line " + std::to_string(row->second.second),
+                  loader.m_line);
+    return 1;
+  }
+  loader.m_order.push_back(id);
+  return 1;
+}
+
+std::string NumberText(double value) {
+  std::array<char, 32> buffer{};
+  const auto result =
+      std::to_chars(buffer.data(), buffer.data() + buffer.size(), value);
+  return {buffer.data(), result.ptr};
+}
+
+// Returns why the number is outside the bounds of the key, or nothing.
+std::optional<std::string> FindBoundsMistake(const FieldDescriptor& field,
+                                             double value) {
+  const schema::FieldRules& rules = RulesOf(field);
+  double max = rules.max();
+  if (max == 0.0) {
+    max = field.cpp_type() == FieldDescriptor::CPPTYPE_UINT32
+              ? std::numeric_limits<std::uint32_t>::max()
+              : std::numeric_limits<double>::max();
+  }
+  if (value >= rules.min() && value <= max) return std::nullopt;
+  return "must be between " + NumberText(rules.min()) + " and " +
+         NumberText(max);
+}
+
+// Reads a number for the field and reports a wrong type or a value out of
+// bounds.
+template <typename T>
+std::optional<T> ReadNumber(Loader& loader, const std::string& section,
+                            const FieldDescriptor& field,
+                            const std::string& text) {
+  const auto value = ParseNumber<T>(text);
+  if (!value) {
+    loader.ReportKey(SettingsFault::kWrongType, section, field.name(),
+                     std::is_floating_point_v<T>
+                         ? "must be a number"
+                         : "must be a whole number that is not negative");
+    return std::nullopt;
+  }
+  const auto mistake = FindBoundsMistake(field, static_cast<double>(*value));
+  if (!mistake) return value;
+  loader.ReportKey(SettingsFault::kOutOfRange, section, field.name(), *mistake);
+  return std::nullopt;
+}
+
+// Sets a field of a section from the text of its key. The sections have only
+// fields of these three types.
+void SetField(Loader& loader, const std::string& section,
+              const FieldDescriptor& field, const std::string& text,
+              Message* message) {
+  const google::protobuf::Reflection& reflection = *message->GetReflection();
+  if (field.cpp_type() == FieldDescriptor::CPPTYPE_STRING) {
+    reflection.SetString(message, &field, text);
+  } else if (field.cpp_type() == FieldDescriptor::CPPTYPE_UINT32) {
+    const auto value = ReadNumber<std::uint64_t>(loader, section, field, text);
+    if (!value) return;
+    reflection.SetUInt32(message, &field, static_cast<std::uint32_t>(*value));
+  } else if (field.cpp_type() == FieldDescriptor::CPPTYPE_DOUBLE) {
+    const auto value = ReadNumber<double>(loader, section, field, text);
+    if (value) reflection.SetDouble(message, &field, *value);
+  }
+}
+
+// Sets all fields of one section from the file or from their defaults.
+void FillSection(Loader& loader, const FieldDescriptor& section,
+                 schema::Settings* settings) {
+  Message* message =
+      settings->GetReflection()->MutableMessage(settings, &section);
+  const Descriptor& descriptor = *section.message_type();
+  for (int i = 0; i < descriptor.field_count(); ++i) {
+    const FieldDescriptor& field = *descriptor.field(i);
+    const schema::FieldRules& rules = RulesOf(field);
+    const auto found = loader.m_values.find({section.name(), field.name()});
+    const bool present =
+        found != loader.m_values.end() && !found->second.first.empty();
+    if (present) {
+      SetField(loader, section.name(), field, found->second.first, message);
+    } else if (rules.required()) {
+      loader.ReportKey(SettingsFault::kMissing, section.name(), field.name(),
+                       "missing: " + rules.help());
+    } else if (!rules.default_value().empty()) {
+      SetField(loader, section.name(), field, rules.default_value(), message);
+    }
+  }
+}
+
+// Names appear in lists, paths and log lines, so they hold no separators.
+void CheckName(Loader& loader, const std::string& section,
+               const std::string& key, const std::string& name) {
+  const bool valid = std::none_of(name.begin(), name.end(), [](char c) {
+    return c == '/' || c == ',' || static_cast<unsigned char>(c) <= ' ';
+  });
+  if (valid) return;
+  loader.ReportKey(SettingsFault::kMalformed, section, key,
+                   "must not contain a slash, a comma or white space");
+}
+
+void CheckAddress(Loader& loader, const std::string& section,
+                  const std::string& ip) {
+  if (IsIpNumber(ip)) return;
+  loader.ReportKey(SettingsFault::kMalformed, section, "address",
+                   "must be an IP number");
+}
+
+void CheckBaseUrl(Loader& loader, const std::string& section,
+                  const std::string& url) {
+  if (url.empty() || ParseBaseUrl(url)) return;
+  loader.ReportKey(SettingsFault::kMalformed, section, "url",
+                   "must be http://IP:PORT");
+}
+
+void CheckTokenHash(Loader& loader, const std::string& hash) {
+  const bool valid =
+      hash.empty() ||
+      (hash.size() == kSha256HexDigits &&
+       hash.find_first_not_of("0123456789abcdef") == std::string::npos);
+  if (valid) return;
+  loader.ReportKey(SettingsFault::kMalformed, "operators", "token_sha256",
+                   "must be 64 hexadecimal digits in lower case");
+}
+
+// One listener of the instance.
+struct ListenerKey {
+  std::string m_section;
+  SocketAddress m_address;
+};
+
+bool Overlap(const SocketAddress& a, const SocketAddress& b) {
+  const auto any = [](const SocketAddress& address) {
+    return address.m_ip == "0.0.0.0" || address.m_ip == "::";
+  };
+  return a.m_port != 0 && a.m_port == b.m_port &&
+         (a.m_ip == b.m_ip || any(a) || any(b));
+}
+
+void CheckListeners(Loader& loader, const schema::Settings& settings) {
+  const auto listener = [](const std::string& section, const auto& message) {
+    return ListenerKey{
+        section,
+        {message.address(), static_cast<std::uint16_t>(message.port())}};
+  };
+  const std::vector<ListenerKey> listeners{
+      listener("callers", settings.callers()),
+      listener("operators", settings.operators()),
+      listener("peers", settings.peers())};
+  for (std::size_t i = 0; i < listeners.size(); ++i) {
+    CheckAddress(loader, listeners[i].m_section, listeners[i].m_address.m_ip);
+    for (std::size_t j = 0; j < i; ++j) {
+      if (!Overlap(listeners[i].m_address, listeners[j].m_address)) continue;
+      loader.ReportKey(SettingsFault::kContradictory, listeners[i].m_section,
+                       "port",
+                       "the same address and port as the listener of [" +
+                           listeners[j].m_section + "]");
+    }
+  }
+}
+
+void CheckMembers(Loader& loader, const schema::Settings& settings) {
+  std::set<std::string> taken{
+      settings.instance().name(),
+      ToText(
+          SocketAddress{settings.peers().address(),
+                        static_cast<std::uint16_t>(settings.peers().port())})};
+  ForEachEntry(settings.peers().members(), [&](std::string_view text) {
+    const auto member = ParseMember(text);
+    if (!member) {
+      loader.ReportKey(
+          SettingsFault::kMalformed, "peers", "members",
+          "\"" + std::string(text) + "\" is not NAME/REGION/IP:PORT");
+      return;
+    }
+    const std::string address = ToText({member->m_ip, member->m_port});
+    const bool new_name = taken.insert(member->m_name).second;
+    const bool new_address = taken.insert(address).second;
+    if (new_name && new_address) return;
+    loader.ReportKey(SettingsFault::kContradictory, "peers", "members",
+                     "\"" + std::string(text) +
+                         "\" repeats a name or address, or is this instance");
+  });
+}
+
+// Checks what concerns several keys or the form of a text.
+void CheckTogether(Loader& loader, const schema::Settings& settings) {
+  const schema::InstanceSettings& instance = settings.instance();
+  CheckName(loader, "instance", "name", instance.name());
+  CheckName(loader, "instance", "availability_zone",
+            instance.availability_zone());
+  CheckName(loader, "instance", "region", instance.region());
+  CheckName(loader, "instance", "deployment", instance.deployment());
+  CheckBaseUrl(loader, "log", settings.log().url());
+  CheckBaseUrl(loader, "platform", settings.platform().url());
+  CheckTokenHash(loader, settings.operators().token_sha256());
+  CheckListeners(loader, settings);
+  CheckMembers(loader, settings);
+  if (settings.lease().send_margin_ms() >= settings.lease().term_ms()) {
+    loader.ReportKey(SettingsFault::kContradictory, "lease", "send_margin_ms",
+                     "must be below lease.term_ms");
+  }
+  // Statements of peers would always be too old to count.
+  if (settings.peers().heartbeat_ms() >= settings.admission().freshness_ms()) {
+    loader.ReportKey(SettingsFault::kContradictory, "peers", "heartbeat_ms",
+                     "must be below admission.freshness_ms");
+  }
+}
+
+bool ReadFile(const std::string& path, std::string* text) {
+  std::ifstream file(path, std::ios::binary);
+  if (!file) return false;
+  std::ostringstream content;
+  content << file.rdbuf();
+  *text = content.str();
+  return !file.bad() && !content.bad();
+}
+
+}  // namespace
+
+std::string ToText(const SettingsMistake& mistake) {
+  std::string text = mistake.m_file + ":";
+  if (mistake.m_line > 0) text += std::to_string(mistake.m_line) + ":";
+  if (!mistake.m_section.empty()) text += " [" + mistake.m_section + "]";
+  if (!mistake.m_key.empty()) text += " " + mistake.m_key;
+  if (!mistake.m_section.empty() || !mistake.m_key.empty()) text += ":";
+  return text + " " + mistake.m_reason;
+}
+
+std::optional<SocketAddress> ParseSocketAddress(std::string_view text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos) return std::nullopt;
+  std::string_view ip = text.substr(0, colon);
+  const bool brackets = ip.size() > 2 && ip.front() == '[' && ip.back() == ']';
+  if (brackets) ip = ip.substr(1, ip.size() - 2);
+  const bool v6 = ip.find(':') != std::string_view::npos;
+  const auto port = ParseNumber<std::uint16_t>(text.substr(colon + 1));
+  if (brackets != v6 || !port || *port == 0) return std::nullopt;
+  SocketAddress address{std::string(ip), *port};
+  if (!IsIpNumber(address.m_ip)) return std::nullopt;
+  return address;
+}
+
+std::string ToText(const SocketAddress& address) {
+  const bool v6 = address.m_ip.find(':') != std::string::npos;
+  return (v6 ? "[" + address.m_ip + "]" : address.m_ip) + ":" +
+         std::to_string(address.m_port);
+}
+
+std::optional<SocketAddress> ParseBaseUrl(std::string_view url) {
+  constexpr std::string_view kScheme = "http://";
+  if (url.substr(0, kScheme.size()) != kScheme) return std::nullopt;
+  url.remove_prefix(kScheme.size());
+  if (!url.empty() && url.back() == '/') url.remove_suffix(1);
+  return ParseSocketAddress(url);
+}
+
+std::vector<Member> ParseMembers(std::string_view text) {
+  std::vector<Member> members;
+  ForEachEntry(text, [&members](std::string_view entry) {
+    auto member = ParseMember(entry);
+    if (member) members.push_back(std::move(*member));
+  });
+  return members;
+}
+
+std::vector<SettingsMistake> LoadSettings(const std::string& path,
+                                          schema::Settings* settings) {
+  Loader loader;
+  loader.m_file = path;
+  if (!ReadFile(path, &loader.m_text)) {
+    loader.Report(SettingsFault::kUnreadable, "", "", "the file cannot be read",
+                  0);
+    return loader.m_mistakes;
+  }
+  ini_parse_stream(ReadLine, &loader, TakeKey, &loader);
+  settings->Clear();
+  const Descriptor& descriptor = *schema::Settings::descriptor();
+  for (int i = 0; i < descriptor.field_count(); ++i) {
+    FillSection(loader, *descriptor.field(i), settings);
+  }
+  CheckTogether(loader, *settings);
+  return std::move(loader.m_mistakes);
+}
+
+}  // namespace comfreypaddle
--- /dev/null
+++ b/src/settings.h
@@ -0,0 +1,95 @@
+#ifndef COMFREYPADDLE_SETTINGS_H_
+#define COMFREYPADDLE_SETTINGS_H_
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "settings.pb.h"
+#include "types.h"
+
+namespace comfreypaddle {
+
+// Kinds of mistakes in a settings file.
+enum class SettingsFault {
+  kUnreadable,
+  kSyntax,
+  kUnknownSection,
+  kUnknownKey,
+  kRepeatedKey,
+  kWrongType,
+  kOutOfRange,
+  kMissing,
+  kMalformed,
+  kContradictory
+};
+
+template <>
+struct EnumNames<SettingsFault> {
+  static constexpr std::array<EnumName<SettingsFault>, 10> kTable{
+      {{SettingsFault::kUnreadable, "unreadable"},
+       {SettingsFault::kSyntax, "syntax"},
+       {SettingsFault::kUnknownSection, "unknown_section"},
+       {SettingsFault::kUnknownKey, "unknown_key"},
+       {SettingsFault::kRepeatedKey, "repeated_key"},
+       {SettingsFault::kWrongType, "wrong_type"},
+       {SettingsFault::kOutOfRange, "out_of_range"},
+       {SettingsFault::kMissing, "missing"},
+       {SettingsFault::kMalformed, "malformed"},
+       {SettingsFault::kContradictory, "contradictory"}}};
+};
+
+// One mistake in a settings file. Section and key are empty where the mistake
+// belongs to none; the line is zero where it belongs to no single line.
+struct SettingsMistake {
+  SettingsFault m_fault = SettingsFault::kSyntax;
+  std::string m_file;
+  int m_line = 0;
+  std::string m_section;
+  std::string m_key;
+  std::string m_reason;
+};
+
+// Returns "FILE:LINE: [SECTION] KEY: REASON" without the parts that are empty.
+std::string ToText(const SettingsMistake& mistake);
+
+// IP number and TCP port.
+struct SocketAddress {
+  std::string m_ip;  // Without the brackets of an IPv6 number.
+  std::uint16_t m_port = 0;
+};
+
+// Another entry instance, as listed in peers.members.
+struct Member {
+  std::string m_name;
+  std::string m_region;
+  std::string m_ip;
+  std::uint16_t m_port = 0;
+};
+
+// Reads "IP:PORT" or "[IPV6]:PORT". Host names are not accepted, because the
+// system resolves none.
+std::optional<SocketAddress> ParseSocketAddress(std::string_view text);
+
+// Returns "IP:PORT", with brackets around an IPv6 number.
+std::string ToText(const SocketAddress& address);
+
+// Reads "http://IP:PORT" with an optional final slash.
+std::optional<SocketAddress> ParseBaseUrl(std::string_view url);
+
+// Reads comma-separated NAME/REGION/IP:PORT. Entries that cannot be parsed are
+// left out; LoadSettings reports them.
+std::vector<Member> ParseMembers(std::string_view text);
+
+// Reads the INI file into the settings, with defaults for the keys that it
+// does not set. Returns every mistake found; the settings may be used only if
+// there is none.
+std::vector<SettingsMistake> LoadSettings(const std::string& path,
+                                          schema::Settings* settings);
+
+}  // namespace comfreypaddle
+
+#endif  // COMFREYPADDLE_SETTINGS_H_
