Build problem documents from a table of codes

Refusals to callers and operators need one place that decides status, title and Retry-After, so that the same cause looks the same from each task. MakeProblem builds status, headers and the application/problem+json body from a code and an outcome.

No functional change

--- /dev/null
+++ b/src/problem.h
@@ -0,0 +1,102 @@
+#ifndef COMFREYPADDLE_PROBLEM_H_
+#define COMFREYPADDLE_PROBLEM_H_
+
+#include <array>
+#include <string>
+#include <string_view>
+
+#include "http.h"
+#include "types.h"
+
+namespace comfreypaddle {
+
+// Reasons for which an instance answers with a problem document.
+enum class ProblemCode {
+  kUnauthorized,
+  kForbidden,
+  kNoRoute,
+  kBadRequest,
+  kBodyTooLarge,
+  kQueueFull,
+  kWorkspaceQueueFull,
+  kDeadline,
+  kNotAdmitting,
+  kDraining,
+  kNoEndpoint,
+  kEndpointFailed,
+  kEndpointRefused,
+  kRetryBudget,
+  kAlreadyRun,
+  kInProgress,
+  kSuspect,
+  kClaimUnavailable,
+  kConflict,
+  kNotFound,
+  kInvalidResource,
+  kLogUnavailable,
+  kTooLarge,
+  kMethodNotAllowed,
+  kTimeout
+};
+
+// Values of "code" in problem documents.
+template <>
+struct EnumNames<ProblemCode> {
+  static constexpr std::array<EnumName<ProblemCode>, 25> kTable{
+      {{ProblemCode::kUnauthorized, "unauthorized"},
+       {ProblemCode::kForbidden, "forbidden"},
+       {ProblemCode::kNoRoute, "no_route"},
+       {ProblemCode::kBadRequest, "bad_request"},
+       {ProblemCode::kBodyTooLarge, "body_too_large"},
+       {ProblemCode::kQueueFull, "queue_full"},
+       {ProblemCode::kWorkspaceQueueFull, "workspace_queue_full"},
+       {ProblemCode::kDeadline, "deadline"},
+       {ProblemCode::kNotAdmitting, "not_admitting"},
+       {ProblemCode::kDraining, "draining"},
+       {ProblemCode::kNoEndpoint, "no_endpoint"},
+       {ProblemCode::kEndpointFailed, "endpoint_failed"},
+       {ProblemCode::kEndpointRefused, "endpoint_refused"},
+       {ProblemCode::kRetryBudget, "retry_budget"},
+       {ProblemCode::kAlreadyRun, "already_run"},
+       {ProblemCode::kInProgress, "in_progress"},
+       {ProblemCode::kSuspect, "suspect"},
+       {ProblemCode::kClaimUnavailable, "claim_unavailable"},
+       {ProblemCode::kConflict, "conflict"},
+       {ProblemCode::kNotFound, "not_found"},
+       {ProblemCode::kInvalidResource, "invalid_resource"},
+       {ProblemCode::kLogUnavailable, "log_unavailable"},
+       {ProblemCode::kTooLarge, "too_large"},
+       {ProblemCode::kMethodNotAllowed, "method_not_allowed"},
+       {ProblemCode::kTimeout, "timeout"}}};
+};
+
+// What one occurrence of a problem says.
+struct ProblemDetails {
+  ProblemCode m_code = ProblemCode::kBadRequest;
+  Outcome m_outcome = Outcome::kNotRun;
+  std::string m_detail;
+  std::string m_request_id;
+  // Time after which the caller may try again; zero takes the code's default,
+  // which is none for problems that do not pass by themselves.
+  Duration m_retry_after{0};
+};
+
+// Answer with an application/problem+json body, ready for CallerPort.
+struct ProblemAnswer {
+  int m_status = 0;
+  HttpFields m_headers;
+  std::string m_body;
+};
+
+// Returns the HTTP status of answers with this code.
+int StatusOf(ProblemCode code);
+
+// Returns the title, which is the same for each occurrence of the code.
+std::string_view TitleOf(ProblemCode code);
+
+// Builds the answer. A Retry-After header has whole seconds, rounded up.
+ProblemAnswer MakeProblem(const ProblemDetails& details);
+
+}  // namespace comfreypaddle
+
+#endif  // COMFREYPADDLE_PROBLEM_H_
