--- /dev/null
+++ b/src/serve.h
@@ -0,0 +1,14 @@
+#ifndef COMFREYPADDLE_SERVE_H_
+#define COMFREYPADDLE_SERVE_H_
+
+#include "settings.pb.h"
+
+namespace comfreypaddle {
+
+// Runs an entry instance until a planned stop has ended. Returns the exit code
+// of the process.
+int Serve(const schema::Settings& settings);
+
+}  // namespace comfreypaddle
+
+#endif  // COMFREYPADDLE_SERVE_H_
