Add orders, instances, usage and weights to the platform stand-in

Cause: duties of the entry instances need a platform that orders endpoints, lists instances and takes usage reports. Ruled out: timers for each phase of an endpoint. Phases are a function of the time and are advanced when a request arrives. Change: PlatformModel holds the state as a plain struct; PlatformServer serves it. An order's token is idempotent, a fencing number below the highest of its fleet is refused, the first figures of a usage window are kept. A reclaimed or released endpoint is told through the fault interface of its process.

--- /dev/null
+++ b/standins/common_platform.h
@@ -0,0 +1,122 @@
+#ifndef COMFREYPADDLE_STANDINS_COMMON_PLATFORM_H_
+#define COMFREYPADDLE_STANDINS_COMMON_PLATFORM_H_
+
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "common.h"
+#include "http.pb.h"
+#include "types.h"
+
+namespace comfreypaddle::standins {
+
+// Result of an endpoint order or release.
+enum class OrderResult {
+  kCreated,
+  kRepeated,
+  kStaleFencing,
+  kNameTaken,
+  kInvalid,
+  kUnknownEndpoint
+};
+
+enum class UsageResult { kAccepted, kRepeated, kContradicts };
+
+struct PlatformModelEndpoint {
+  schema::PlatformEndpoint m_endpoint;
+  EndpointPhase m_phase = EndpointPhase::kOrdered;
+  Instant m_ordered_at;
+  Instant m_gone_at;  // Used in the draining phase.
+};
+
+// Process that an order may use once.
+struct PoolAddress {
+  std::string m_fleet;
+  std::string m_zone;
+  std::string m_address;
+  bool m_checks_fencing = false;
+  bool m_used = false;
+};
+
+struct PlatformModelInstance {
+  std::string m_zone;
+  std::optional<Instant> m_leaving_since;
+};
+
+// Endpoint orders, instances and usage reports of the platform.
+struct PlatformModel {
+  // Time from an order to the ready phase; half of it is the ordered phase.
+  Duration m_lead_time{0};
+  Duration m_release_time{0};
+  // Time after which the instance list shows that an instance is leaving.
+  Duration m_instances_lag{0};
+  bool m_orders_stall = false;
+  std::map<std::string, PlatformModelEndpoint> m_endpoints;
+  std::map<std::string, std::string> m_names_by_token;
+  std::map<std::string, std::uint64_t> m_fencing_by_fleet;
+  std::vector<PoolAddress> m_addresses;
+  std::map<std::string, PlatformModelInstance> m_instances;
+  std::vector<schema::UsageReport> m_reports;
+  std::map<std::uint64_t, schema::UsageReport> m_first_reports;
+  std::uint64_t m_usage_fencing = 0;
+  std::uint32_t m_next_name = 1;
+};
+
+// Adds FLEET/ZONE/IP:PORT, with /checks at the end if the endpoint checks
+// fencing numbers. Returns false if the text has another form.
+bool AddPoolAddress(PlatformModel& model, std::string_view text);
+
+// Lists an endpoint as ready.
+void AddReadyEndpoint(PlatformModel& model, schema::PlatformEndpoint endpoint);
+
+// Lists NAME or NAME/ZONE as live.
+void AddInstance(PlatformModel& model, std::string_view text);
+
+// Moves endpoints to the phase that is due. An order becomes ready only when
+// an address for its fleet and zone is left; a fleet for which no address was
+// ever given gets one that refuses connections.
+void Advance(PlatformModel& model, Instant now);
+
+// Takes an order. The same token again gives the first endpoint.
+OrderResult OrderEndpoint(PlatformModel& model, schema::PlatformEndpoint order,
+                          Instant now, schema::PlatformEndpoint* answer);
+
+// Starts to take an endpoint away. Repeats are accepted.
+OrderResult ReleaseEndpoint(PlatformModel& model, const std::string& name,
+                            std::uint64_t fencing_number, Instant now,
+                            schema::PlatformEndpoint* answer);
+
+// Starts to take all cheap endpoints of the zone away. Returns them.
+std::vector<schema::PlatformEndpoint> ReclaimZone(PlatformModel& model,
+                                                  std::string_view zone,
+                                                  Duration notice, Instant now);
+
+// Records the report; the first figures of a window are kept.
+UsageResult TakeReport(PlatformModel& model, const schema::UsageReport& report);
+
+schema::PlatformEndpointList ListEndpoints(const PlatformModel& model);
+
+schema::PlatformInstanceList ListInstances(const PlatformModel& model,
+                                           Instant now);
+
+}  // namespace comfreypaddle::standins
+
+namespace comfreypaddle {
+
+template <>
+struct EnumNames<standins::OrderResult> {
+  static constexpr std::array<EnumName<standins::OrderResult>, 6> kTable{
+      {{standins::OrderResult::kCreated, "created"},
+       {standins::OrderResult::kRepeated, "repeated"},
+       {standins::OrderResult::kStaleFencing, "stale_fencing"},
+       {standins::OrderResult::kNameTaken, "name_taken"},
+       {standins::OrderResult::kInvalid, "invalid_order"},
+       {standins::OrderResult::kUnknownEndpoint, "unknown_endpoint"}}};
+};
+
+}  // namespace comfreypaddle
+
+#endif  // COMFREYPADDLE_STANDINS_COMMON_PLATFORM_H_
--- a/standins/fake_platform.cpp
+++ b/standins/fake_platform.cpp
@@ -4,8 +4,13 @@
 #include <gflags/gflags.h>
 #include <glog/logging.h>
 
+#include <algorithm>
+#include <cstdlib>
+
+#include "client.h"
 #include "common.h"
 #include "common_logserver.h"
+#include "common_platformserver.h"
 #include "json.h"
 #include "listener.h"
 
@@ -15,6 +20,22 @@
 DEFINE_double(append_burst, 100, "appends that the log accepts at once");
 DEFINE_uint64(retain_records, 100'000, "records that each stream keeps");
 DEFINE_uint32(retain_s, 3600, "time for which records are kept, seconds");
+DEFINE_uint32(lead_time_ms, 2000,
+              "time from an endpoint order to the ready phase, milliseconds");
+DEFINE_uint32(release_ms, 1000,
+              "time from a release to the gone phase, milliseconds");
+DEFINE_string(instances, "", "comma-separated NAME/ZONE of live instances");
+DEFINE_uint32(instances_lag_ms, 1000,
+              "time after which the instance list shows that an instance is "
+              "leaving, milliseconds");
+DEFINE_string(addresses, "",
+              "comma-separated FLEET/ZONE/IP:PORT of processes that endpoint "
+              "orders may use, with /checks at the end if the process checks "
+              "fencing numbers");
+DEFINE_double(weights_rate, 2,
+              "reads a second that the weight store accepts; 0 for no limit");
+DEFINE_uint32(weights_read_ms, 200, "time of a weight read, milliseconds");
+DEFINE_uint32(weights_bytes, 4096, "size of the weights, bytes");
 
 namespace comfreypaddle::standins {
 namespace {
@@ -27,6 +48,30 @@
   return log;
 }
 
+// Exits with status 2 if an address has another form than the flag's help says.
+PlatformModel PlatformFromFlags() {
+  PlatformModel model;
+  model.m_lead_time = std::chrono::milliseconds(FLAGS_lead_time_ms);
+  model.m_release_time = std::chrono::milliseconds(FLAGS_release_ms);
+  model.m_instances_lag = std::chrono::milliseconds(FLAGS_instances_lag_ms);
+  for (const std::string& instance : Split(FLAGS_instances, ',')) {
+    AddInstance(model, instance);
+  }
+  for (const std::string& address : Split(FLAGS_addresses, ',')) {
+    if (!AddPoolAddress(model, address)) {
+      LOG(ERROR) << "--addresses: invalid entry " << address;
+      std::exit(2);
+    }
+  }
+  return model;
+}
+
+WeightStore WeightsFromFlags() {
+  return {
+      MakeBucket(FLAGS_weights_rate, std::max(1.0, FLAGS_weights_rate), Now()),
+      std::chrono::milliseconds(FLAGS_weights_read_ms), FLAGS_weights_bytes};
+}
+
 ListenerOptions OptionsFromFlags() {
   ListenerOptions options;
   options.m_port = static_cast<std::uint16_t>(FLAGS_port);
@@ -42,7 +87,10 @@
             m_loop, OptionsFromFlags(),
             [this](HttpRequest request) { Handle(std::move(request)); },
             [this](std::uint64_t id) { m_log.HandleGone(id); }),
+        m_client(m_loop),
         m_log(m_loop, m_listener, LogFromFlags()),
+        m_platform(m_loop, m_listener, m_client, PlatformFromFlags(),
+                   WeightsFromFlags()),
         m_termination(m_loop, [this] { m_loop.Stop(); }) {}
 
   int Run() {
@@ -66,17 +114,21 @@
     } else if (request.m_path == "/stats") {
       schema::PlatformStats stats;
       m_log.AddStats(&stats);
+      m_platform.AddStats(&stats);
       RespondJson(m_listener, request.m_id, 200, stats);
     } else {
-      RespondProblem(m_listener, request.m_id, 404, "not_found",
-                     Outcome::kNotRun, "The platform has no such path.");
+      m_platform.Handle(request);
     }
   }
 
   void HandleFaults(const HttpRequest& request) {
     schema::PlatformFaults faults;
     auto mistake = FromJson(request.m_body, UnknownFields::kReject, &faults);
-    if (!mistake && !m_log.Apply(faults)) mistake = "unknown outage mode";
+    if (!mistake && !m_log.Apply(faults)) mistake = "unknown log outage mode";
+    if (!mistake) {
+      const std::string platform_mistake = m_platform.Apply(faults);
+      if (!platform_mistake.empty()) mistake = platform_mistake;
+    }
     if (mistake) {
       RespondProblem(m_listener, request.m_id, 400, "invalid_faults",
                      Outcome::kNotRun, *mistake);
@@ -88,7 +140,9 @@
 
   EventLoop m_loop;
   Listener m_listener;
+  Client m_client;
   LogServer m_log;
+  PlatformServer m_platform;
   TerminationWatch m_termination;
 };
 
