Plan prefill, decode and mixed roles with hysteresis

Cause: the share of prefill work moves by half within minutes, and a role change costs seconds of work.

Change: roles keeps the demand of both phases over a short and a long window and plans at most one change for each zone, if the predicted gain exceeds the lost work by a factor. Dwell time and capacity of both phases are kept.

Ruled out: a proportional split of the fleet, which changes endpoints on every peak.

--- /dev/null
+++ b/src/roles.cpp
@@ -0,0 +1,167 @@
+#include "roles.h"
+
+#include <algorithm>
+#include <cmath>
+#include <optional>
+#include <set>
+
+namespace comfreypaddle {
+namespace {
+
+double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+int& CountOf(RoleCounts& counts, EndpointRole role) {
+  switch (role) {
+    case EndpointRole::kPrefill:
+      return counts.m_prefill;
+    case EndpointRole::kDecode:
+      return counts.m_decode;
+    case EndpointRole::kMixed:
+      break;
+  }
+  return counts.m_mixed;
+}
+
+void Smooth(PhaseDemand& average, const PhaseDemand& sample, double weight) {
+  average.m_prefill += weight * (sample.m_prefill - average.m_prefill);
+  average.m_decode += weight * (sample.m_decode - average.m_decode);
+}
+
+// Whether both phases keep an endpoint while one of this role changes. Until
+// the change is done its new role has no capacity either.
+bool KeepsBothPhases(RoleCounts counts, EndpointRole leaving) {
+  --CountOf(counts, leaving);
+  return counts.m_prefill + counts.m_mixed > 0 &&
+         counts.m_decode + counts.m_mixed > 0;
+}
+
+// Gain of a change over the horizon in endpoint-seconds.
+double GainOf(const RoleOptions& options, const RoleCounts& counts,
+              EndpointRole from, EndpointRole to, const PhaseDemand& demand) {
+  RoleCounts after = counts;
+  --CountOf(after, from);
+  ++CountOf(after, to);
+  const double rate = ServedDemand(options, after, demand) -
+                      ServedDemand(options, counts, demand);
+  return rate * Seconds(options.m_horizon);
+}
+
+bool Dwells(const RolePlanner& planner, const std::string& name, Instant now) {
+  const auto changed = planner.m_changed.find(name);
+  return changed != planner.m_changed.end() &&
+         now - changed->second < planner.m_options.m_dwell;
+}
+
+// Best role for the endpoint if the change pays under both windows.
+std::optional<RoleChange> BestChange(const RolePlanner& planner,
+                                     const RoleCounts& counts,
+                                     const RoleEndpoint& endpoint) {
+  const RoleOptions& options = planner.m_options;
+  const double cost = Seconds(options.m_change_cost);
+  std::optional<RoleChange> best;
+  for (const auto& row : EnumNames<EndpointRole>::kTable) {
+    if (row.m_value == endpoint.m_role) continue;
+    const double gain =
+        GainOf(options, counts, endpoint.m_role, row.m_value, planner.m_short);
+    const double steady =
+        GainOf(options, counts, endpoint.m_role, row.m_value, planner.m_long);
+    if (gain < options.m_gain_factor * cost || steady < cost) continue;
+    if (best && best->m_gain_s >= gain) continue;
+    best = RoleChange{endpoint.m_name, endpoint.m_role, row.m_value, gain};
+  }
+  return best;
+}
+
+// Counts with the changes under way taken as done, so that two zones do not
+// answer the same demand twice.
+RoleCounts CountPlanned(const std::vector<RoleEndpoint>& endpoints) {
+  RoleCounts counts;
+  for (const RoleEndpoint& endpoint : endpoints) {
+    if (endpoint.m_ready) ++CountOf(counts, endpoint.m_role);
+  }
+  return counts;
+}
+
+// Best change over all endpoints that may change now.
+std::optional<RoleChange> PickChange(const RolePlanner& planner,
+                                     const std::vector<RoleEndpoint>& endpoints,
+                                     const std::set<std::string>& busy_zones,
+                                     Instant now) {
+  const RoleCounts serving = CountRoles(endpoints);
+  const RoleCounts planned = CountPlanned(endpoints);
+  std::optional<RoleChange> best;
+  for (const RoleEndpoint& endpoint : endpoints) {
+    if (!endpoint.m_ready || endpoint.m_changing) continue;
+    if (busy_zones.contains(endpoint.m_zone)) continue;
+    if (Dwells(planner, endpoint.m_name, now)) continue;
+    if (!KeepsBothPhases(serving, endpoint.m_role)) continue;
+    const auto change = BestChange(planner, planned, endpoint);
+    if (change && (!best || change->m_gain_s > best->m_gain_s)) best = change;
+  }
+  return best;
+}
+
+}  // namespace
+
+double ServedDemand(const RoleOptions& options, const RoleCounts& counts,
+                    const PhaseDemand& demand) {
+  const double usable = options.m_target_utilisation;
+  const double prefill = std::min(demand.m_prefill, usable * counts.m_prefill);
+  const double decode = std::min(demand.m_decode, usable * counts.m_decode);
+  const double rest = demand.m_prefill - prefill + demand.m_decode - decode;
+  const double mixed = usable * options.m_mixed_efficiency * counts.m_mixed;
+  return prefill + decode + std::min(rest, mixed);
+}
+
+RoleCounts CountRoles(const std::vector<RoleEndpoint>& endpoints) {
+  RoleCounts counts;
+  for (const RoleEndpoint& endpoint : endpoints) {
+    if (endpoint.m_ready && !endpoint.m_changing) {
+      ++CountOf(counts, endpoint.m_role);
+    }
+  }
+  return counts;
+}
+
+void ObserveDemand(RolePlanner& planner, const PhaseDemand& demand,
+                   Instant now) {
+  if (!planner.m_has_demand) {
+    planner.m_short = planner.m_long = demand;
+    planner.m_has_demand = true;
+  } else {
+    const double elapsed = std::max(0.0, Seconds(now - planner.m_observed));
+    const RoleOptions& options = planner.m_options;
+    Smooth(planner.m_short, demand,
+           1.0 - std::exp(-elapsed / Seconds(options.m_short_window)));
+    Smooth(planner.m_long, demand,
+           1.0 - std::exp(-elapsed / Seconds(options.m_long_window)));
+  }
+  planner.m_observed = now;
+}
+
+std::vector<RoleChange> PlanRoles(RolePlanner& planner,
+                                  std::vector<RoleEndpoint> endpoints,
+                                  Instant now) {
+  std::vector<RoleChange> plan;
+  if (!planner.m_has_demand) return plan;
+  std::set<std::string> busy_zones;
+  for (const RoleEndpoint& endpoint : endpoints) {
+    if (endpoint.m_changing) busy_zones.insert(endpoint.m_zone);
+  }
+  while (const auto change = PickChange(planner, endpoints, busy_zones, now)) {
+    const auto endpoint = std::find_if(
+        endpoints.begin(), endpoints.end(), [&](const RoleEndpoint& candidate) {
+          return candidate.m_name == change->m_endpoint;
+        });
+    endpoint->m_changing = true;
+    endpoint->m_role = change->m_to;
+    busy_zones.insert(endpoint->m_zone);
+    planner.m_changed[change->m_endpoint] = now;
+    plan.push_back(*change);
+  }
+  return plan;
+}
+
+}  // namespace comfreypaddle
