Plan endpoint orders by availability zone and class

Cause: cheap endpoints are reclaimed a zone at a time, and ordered endpoints arrive late or not at all.

Change: capacity turns demand, hourly profile and margin into create, drain and abandon orders. No zone holds more cheap endpoints than the rest can take over. An overdue order is given up and placed in another zone. The fleet shrinks by draining after a delay.

Ruled out: a fixed cheap share, which breaks the takeover at high demand.

--- /dev/null
+++ b/src/capacity.h
@@ -0,0 +1,102 @@
+#ifndef COMFREYPADDLE_CAPACITY_H_
+#define COMFREYPADDLE_CAPACITY_H_
+
+#include <array>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "types.h"
+
+namespace comfreypaddle {
+
+enum class CapacityOrderKind { kCreate, kDrain, kAbandon };
+
+template <>
+struct EnumNames<CapacityOrderKind> {
+  static constexpr std::array<EnumName<CapacityOrderKind>, 3> kTable{
+      {{CapacityOrderKind::kCreate, "create"},
+       {CapacityOrderKind::kDrain, "drain"},
+       {CapacityOrderKind::kAbandon, "abandon"}}};
+};
+
+inline constexpr std::size_t kHoursPerDay = 24;
+
+struct CapacityOptions {
+  std::vector<std::string> m_zones;
+  int m_min_endpoints = 3;
+  int m_max_endpoints = 12;
+  // Upper bound of the share of endpoints in the cheap class.
+  double m_cheap_share = 0.0;
+  // Time from an order until the endpoint is ready.
+  Duration m_lead_time = std::chrono::seconds(30);
+  // An order that is not ready after this multiple of the lead time is given
+  // up, and its zone and class get no order for the same time.
+  double m_overdue_factor = 2.0;
+  // Added to the demand for what the windows do not show.
+  double m_margin = 0.15;
+  double m_target_utilisation = 0.85;
+  // Utilisation that the remaining endpoints may reach while they take over
+  // the work of a reclaimed zone. Above the target, because the deadline
+  // leaves time to work off a short queue.
+  double m_takeover_utilisation = 0.95;
+  // The fleet shrinks only after the demand was below it for this long.
+  Duration m_shrink_delay = std::chrono::seconds(90);
+};
+
+// Endpoint as the planner sees it. Instants of phases that are not reached
+// yet are unused.
+struct CapacityEndpoint {
+  std::string m_name;
+  std::string m_zone;
+  EndpointClass m_class = EndpointClass::kOnDemand;
+  EndpointPhase m_phase = EndpointPhase::kReady;
+  Instant m_ordered{};
+  double m_work = 0.0;  // Work under way; the least loaded drains first.
+};
+
+// Order to the platform. A create order has a zone and a class; the others
+// name the endpoint.
+struct CapacityOrder {
+  CapacityOrderKind m_kind = CapacityOrderKind::kCreate;
+  std::string m_zone;
+  EndpointClass m_class = EndpointClass::kOnDemand;
+  std::string m_endpoint;
+};
+
+// State of the planner of one fleet.
+struct CapacityPlanner {
+  CapacityOptions m_options;
+  // Highest demand of each hour in endpoint-seconds per second. Zero means
+  // that the hour is not known.
+  std::array<double, kHoursPerDay> m_profile{};
+  std::optional<Instant> m_surplus_since;
+  // Time of the last order that did not come, by zone and class.
+  std::map<std::pair<std::string, EndpointClass>, Instant> m_failed;
+};
+
+// Raises the profile of the hour to the demand.
+void LearnProfile(CapacityPlanner& planner, std::size_t hour, double demand);
+
+// Number of endpoints for this demand and the profile of the hour in which an
+// order of now becomes ready.
+int EndpointsNeeded(const CapacityPlanner& planner, double demand,
+                    std::size_t hour_after_lead_time);
+
+// Most cheap endpoints that one zone may hold in a fleet of this size, so that
+// the others can take over the demand when the zone is reclaimed.
+int CheapLimitPerZone(const CapacityOptions& options, int endpoints,
+                      double demand);
+
+// Plans the orders of now: gives up orders that do not come, orders what is
+// missing in the zones with the fewest endpoints, drains what is left over for
+// the shrink delay, and replaces cheap endpoints that the rest could not take
+// over. Draining and abandoned endpoints do not count as capacity.
+std::vector<CapacityOrder> PlanCapacity(
+    CapacityPlanner& planner, const std::vector<CapacityEndpoint>& endpoints,
+    double demand, std::size_t hour_after_lead_time, Instant now);
+
+}  // namespace comfreypaddle
+
+#endif  // COMFREYPADDLE_CAPACITY_H_
