--- /dev/null
+++ b/src/admit.cpp
@@ -0,0 +1,541 @@
+#include "admit.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace comfreypaddle {
+namespace {
+
+// An urgent request passes requests of other workspaces that are ahead by up
+// to this many average requests. The charge is the same, so that the
+// advantage is used up and does not change the shares.
+constexpr double kUrgentRequests = 4.0;
+
+// Bound of what service given elsewhere can hold a workspace back here:
+// seconds of the fleet's recent service, at least some average requests. A
+// few heartbeat periods are needed for the correction to reach across
+// instances; more would punish the use of capacity that was idle.
+constexpr double kLeadSeconds = 5.0;
+constexpr double kLeadRequests = 32.0;
+
+// After this long without waiting requests the past service is forgotten:
+// the fleet was not contended here, so that nobody lost by it.
+constexpr Duration kIdleReset = std::chrono::seconds(1);
+
+// Time constant of the service rate, and the observed time below which no
+// rate is taken as known.
+constexpr double kRateSeconds = 10.0;
+constexpr double kLeastRateSeconds = 0.5;
+
+// Weight of a new request in the moving average of costs.
+constexpr double kCostGain = 0.05;
+
+constexpr Duration kLeastRetryAfter = std::chrono::seconds(1);
+constexpr Duration kMostRetryAfter = std::chrono::seconds(60);
+
+// A peer's demand counts for this long. It spans several heartbeat periods,
+// and ends soon after a peer died.
+constexpr Duration kDemandAge = std::chrono::seconds(3);
+
+// Part of an even division among instances that each may use in any case, so
+// that demand which arrives between two updates is not held up.
+constexpr double kLeastShare = 0.5;
+
+double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+Duration FromSeconds(double seconds) {
+  constexpr double kMostSeconds = 86400.0;
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(std::min(seconds, kMostSeconds)));
+}
+
+int RankOf(Priority priority) {
+  return static_cast<int>(Priority::kUrgent) - static_cast<int>(priority);
+}
+
+QueueKey KeyOf(const Waiting& request) {
+  return {RankOf(request.m_priority), request.m_sequence};
+}
+
+// Advances the decayed sums of the service rate. Time counts only while
+// requests wait: otherwise the rate would show the load, not the capacity.
+void AdvanceRate(FleetQueue& queue, Instant now) {
+  if (now <= queue.m_rate_updated) return;
+  if (!queue.m_order.empty()) {
+    const double seconds = Seconds(now - queue.m_rate_updated);
+    const double decay = std::exp(-seconds / kRateSeconds);
+    queue.m_recent_work *= decay;
+    queue.m_recent_other *= decay;
+    queue.m_recent_time = queue.m_recent_time * decay + seconds;
+  }
+  queue.m_rate_updated = now;
+}
+
+// Returns the work taken per second by this instance, or zero if unknown.
+double ServiceRate(const FleetQueue& queue) {
+  if (queue.m_recent_time < kLeastRateSeconds) return 0.0;
+  return queue.m_recent_work / queue.m_recent_time;
+}
+
+// Returns how far, in virtual time, a flow may be ahead of the others.
+double MaxLead(const FleetQueue& queue, const Flow& flow) {
+  double work = kLeadRequests * queue.m_mean_cost;
+  if (queue.m_recent_time >= kLeastRateSeconds) {
+    const double rate =
+        (queue.m_recent_work + queue.m_recent_other) / queue.m_recent_time;
+    work = std::max(work, kLeadSeconds * rate);
+  }
+  return work / flow.m_weight;
+}
+
+// Takes a flow out of the service order before its requests change.
+void Unlink(FleetQueue& queue, const std::string& name, Flow& flow) {
+  if (queue.m_order.erase({flow.m_key, name}) == 0) return;
+  queue.m_active_weight -= flow.m_weight;
+  if (queue.m_order.empty()) queue.m_active_weight = 0.0;
+}
+
+// Puts a flow into the service order if it has waiting requests.
+void Link(FleetQueue& queue, const std::string& name, Flow& flow) {
+  queue.m_max_start = std::max(queue.m_max_start, flow.m_start);
+  if (flow.m_requests.empty()) return;
+  const bool urgent = flow.m_requests.begin()->first.m_rank == 0;
+  const double advantage =
+      urgent ? kUrgentRequests * queue.m_mean_cost / flow.m_weight : 0.0;
+  flow.m_key = flow.m_start - advantage;
+  queue.m_order.insert({flow.m_key, name});
+  queue.m_active_weight += flow.m_weight;
+}
+
+// Moves the virtual start of a flow.
+void Shift(FleetQueue& queue, const std::string& name, Flow& flow,
+           double work) {
+  Unlink(queue, name, flow);
+  flow.m_start += work / flow.m_weight;
+  flow.m_start = std::min(flow.m_start, queue.m_virtual + MaxLead(queue, flow));
+  Link(queue, name, flow);
+}
+
+// Brings the virtual start of a flow that becomes backlogged into bounds:
+// time without waiting requests earns no credit.
+void Activate(FleetQueue& queue, Flow& flow) {
+  flow.m_start = std::clamp(flow.m_start, queue.m_virtual,
+                            queue.m_virtual + MaxLead(queue, flow));
+}
+
+FleetQueue& FleetOf(AdmitState& state, std::string_view name) {
+  const auto found = state.m_fleets.find(name);
+  if (found != state.m_fleets.end()) return found->second;
+  return state.m_fleets[std::string(name)];
+}
+
+Flow& FlowOf(AdmitState& state, FleetQueue& queue, std::string_view name) {
+  const auto found = queue.m_flows.find(name);
+  if (found != queue.m_flows.end()) return found->second;
+  Flow& flow = queue.m_flows[std::string(name)];
+  const auto workspace = state.m_workspaces.find(name);
+  if (workspace != state.m_workspaces.end()) {
+    flow.m_weight = workspace->second.m_weight;
+  }
+  flow.m_start = queue.m_virtual;
+  return flow;
+}
+
+double RelativeLength(const WorkspaceQueue& workspace) {
+  return static_cast<double>(workspace.m_requests.size()) / workspace.m_weight;
+}
+
+// Keeps the order of workspaces by queue length while one of them changes.
+template <typename Change>
+void ChangeWorkspace(AdmitState& state, const std::string& name,
+                     Change change) {
+  WorkspaceQueue& workspace = state.m_workspaces[name];
+  if (!workspace.m_requests.empty()) {
+    state.m_lengths.erase({RelativeLength(workspace), name});
+  }
+  change(workspace);
+  if (!workspace.m_requests.empty()) {
+    state.m_lengths.insert({RelativeLength(workspace), name});
+  }
+}
+
+// Puts a request into all indexes.
+void Insert(AdmitState& state, Waiting request, Instant now) {
+  FleetQueue& queue = FleetOf(state, request.m_fleet);
+  AdvanceRate(queue, now);
+  Flow& flow = FlowOf(state, queue, request.m_workspace);
+  const QueueKey key = KeyOf(request);
+  const std::string name = request.m_workspace;
+  ChangeWorkspace(state, name, [&](WorkspaceQueue& workspace) {
+    workspace.m_requests[key] = request.m_id;
+  });
+  state.m_places[request.m_id] = {request.m_fleet, name, request.m_key,
+                                  request.m_deadline, key};
+  state.m_deadlines.insert({request.m_deadline, request.m_id});
+  if (!request.m_key.empty()) {
+    state.m_keys.insert({request.m_key, request.m_id});
+  }
+  Unlink(queue, name, flow);
+  flow.m_queued += request.m_cost;
+  flow.m_queued_by_rank[static_cast<std::size_t>(key.m_rank)] += request.m_cost;
+  queue.m_queued += request.m_cost;
+  ++queue.m_requests;
+  flow.m_requests[key] = std::move(request);
+  Link(queue, name, flow);
+}
+
+// Takes a request out of all indexes.
+Waiting Extract(AdmitState& state, std::uint64_t id, Instant now) {
+  const auto found = state.m_places.find(id);
+  const QueuePlace place = std::move(found->second);
+  state.m_places.erase(found);
+  state.m_deadlines.erase({place.m_deadline, id});
+  state.m_keys.erase({place.m_key, id});
+  ChangeWorkspace(state, place.m_workspace, [&](WorkspaceQueue& workspace) {
+    workspace.m_requests.erase(place.m_place);
+  });
+  FleetQueue& queue = FleetOf(state, place.m_fleet);
+  AdvanceRate(queue, now);
+  Flow& flow = FlowOf(state, queue, place.m_workspace);
+  Unlink(queue, place.m_workspace, flow);
+  auto node = flow.m_requests.extract(place.m_place);
+  Waiting request = std::move(node.mapped());
+  flow.m_queued -= request.m_cost;
+  flow.m_queued_by_rank[static_cast<std::size_t>(place.m_place.m_rank)] -=
+      request.m_cost;
+  if (flow.m_requests.empty()) {
+    flow.m_queued = 0.0;
+    flow.m_queued_by_rank.fill(0.0);
+  }
+  queue.m_queued -= request.m_cost;
+  if (--queue.m_requests == 0) {
+    queue.m_queued = 0.0;
+    queue.m_idle_since = now;
+  }
+  Link(queue, place.m_workspace, flow);
+  return request;
+}
+
+// Returns the seconds until a request of this cost would be taken. Ahead of
+// it are its workspace's requests of the same or a higher priority, and what
+// the other workspaces get meanwhile, at most all waiting work.
+double ExpectedWait(const FleetQueue& queue, const Flow& flow, int rank) {
+  const double rate = ServiceRate(queue);
+  if (rate <= 0.0) return 0.0;
+  double own = 0.0;
+  for (int i = 0; i <= rank; ++i) {
+    own += flow.m_queued_by_rank[static_cast<std::size_t>(i)];
+  }
+  const double weights =
+      queue.m_active_weight + (flow.m_requests.empty() ? flow.m_weight : 0.0);
+  const double lead =
+      std::max(0.0, flow.m_start - queue.m_virtual) * queue.m_active_weight;
+  const double ahead =
+      std::min(queue.m_queued, own * weights / flow.m_weight + lead);
+  return ahead / rate;
+}
+
+Duration RetryAfter(Duration wait) {
+  return std::clamp(wait, kLeastRetryAfter, kMostRetryAfter);
+}
+
+std::uint32_t QueueBound(const AdmitState& state, const AdmitLimits& limits,
+                         const std::string& name) {
+  const auto found = state.m_workspaces.find(name);
+  if (found == state.m_workspaces.end() ||
+      found->second.m_queue_requests == 0) {
+    return limits.m_workspace_requests;
+  }
+  return found->second.m_queue_requests;
+}
+
+// Makes room in a full queue: the workspace with the longest queue for its
+// weight loses its last request. Without this a few large workspaces could
+// fill the queue and the others would be refused. Nothing is displaced if the
+// arriving request's workspace would then have the longest queue itself.
+std::optional<Waiting> Displace(AdmitState& state, const std::string& name,
+                                Instant now) {
+  if (state.m_lengths.empty()) return std::nullopt;
+  const auto& [length, longest] = *state.m_lengths.rbegin();
+  const WorkspaceQueue& own = state.m_workspaces[name];
+  const double own_length =
+      (static_cast<double>(own.m_requests.size()) + 1.0) / own.m_weight;
+  if (longest == name || own_length >= length) return std::nullopt;
+  const auto& requests = state.m_workspaces[longest].m_requests;
+  return Extract(state, requests.rbegin()->second, now);
+}
+
+// Work that a workspace wants at all instances and at this one.
+struct Demand {
+  double m_weight = 1.0;
+  double m_total = 0.0;
+  double m_own = 0.0;
+};
+
+// Adds up the demand of a flow and notes the peers with recent demand.
+Demand DemandOf(const Flow& flow, Instant now,
+                std::set<std::string_view>& peers) {
+  Demand demand{flow.m_weight, 0.0, flow.m_queued + flow.m_running};
+  demand.m_total = demand.m_own;
+  for (const auto& [peer, service] : flow.m_peers) {
+    if (now - service.m_heard > kDemandAge) continue;
+    demand.m_total += service.m_waiting;
+    if (service.m_waiting > 0.0) peers.insert(peer);
+  }
+  return demand;
+}
+
+// Divides the capacity among the workspaces, max-min fair by weight, and
+// returns the part that falls to this instance: of each workspace's part, the
+// portion of its demand that waits here.
+double OwnShare(std::vector<Demand>& demands, double capacity) {
+  std::sort(demands.begin(), demands.end(),
+            [](const Demand& a, const Demand& b) {
+              return a.m_total * b.m_weight < b.m_total * a.m_weight;
+            });
+  double weights = 0.0;
+  for (const Demand& demand : demands) weights += demand.m_weight;
+  double own = 0.0;
+  for (const Demand& demand : demands) {
+    const double part =
+        std::min(demand.m_total, capacity * demand.m_weight / weights);
+    capacity -= part;
+    weights -= demand.m_weight;
+    if (demand.m_total > 0.0) own += part * demand.m_own / demand.m_total;
+  }
+  return own;
+}
+
+}  // namespace
+
+void SetWorkspace(AdmitState& state, const std::string& name, double weight,
+                  std::uint32_t queue_requests) {
+  const double positive = weight > 0.0 ? weight : 1.0;
+  ChangeWorkspace(state, name, [&](WorkspaceQueue& workspace) {
+    workspace.m_weight = positive;
+    workspace.m_queue_requests = queue_requests;
+  });
+  for (auto& [fleet, queue] : state.m_fleets) {
+    const auto flow = queue.m_flows.find(name);
+    if (flow == queue.m_flows.end()) continue;
+    Unlink(queue, name, flow->second);
+    flow->second.m_weight = positive;
+    Link(queue, name, flow->second);
+  }
+}
+
+void ForgetWorkspace(AdmitState& state, std::string_view name) {
+  const auto workspace = state.m_workspaces.find(name);
+  if (workspace == state.m_workspaces.end() ||
+      !workspace->second.m_requests.empty()) {
+    return;
+  }
+  state.m_workspaces.erase(workspace);
+  for (auto& [fleet, queue] : state.m_fleets) {
+    const auto flow = queue.m_flows.find(name);
+    if (flow != queue.m_flows.end() && flow->second.m_running <= 0.0) {
+      queue.m_flows.erase(flow);
+    }
+  }
+}
+
+void SetFleetSlots(AdmitState& state, const std::string& fleet, double slots) {
+  FleetOf(state, fleet).m_slots = slots;
+}
+
+AdmitDecision Enqueue(AdmitState& state, const AdmitLimits& limits,
+                      Waiting request, Instant now) {
+  AdmitDecision decision;
+  request.m_cost = std::max(request.m_cost, kLeastCost);
+  FleetQueue& queue = FleetOf(state, request.m_fleet);
+  Flow& flow = FlowOf(state, queue, request.m_workspace);
+  AdvanceRate(queue, now);
+  const Duration wait =
+      FromSeconds(ExpectedWait(queue, flow, RankOf(request.m_priority)));
+  decision.m_expected_wait = wait;
+  decision.m_retry_after = RetryAfter(wait);
+  if (now + wait >= request.m_deadline) {
+    decision.m_verdict = AdmitVerdict::kDeadline;
+    decision.m_retry_after =
+        RetryAfter(wait - std::max(request.m_deadline - now, Duration{0}));
+    return decision;
+  }
+  const std::string& name = request.m_workspace;
+  if (state.m_workspaces[name].m_requests.size() >=
+      QueueBound(state, limits, name)) {
+    decision.m_verdict = AdmitVerdict::kWorkspaceFull;
+    return decision;
+  }
+  if (state.m_places.size() >= limits.m_instance_requests) {
+    decision.m_displaced = Displace(state, name, now);
+    if (!decision.m_displaced) {
+      decision.m_verdict = AdmitVerdict::kInstanceFull;
+      return decision;
+    }
+  }
+  queue.m_mean_cost += (queue.m_mean_cost == 0.0 ? 1.0 : kCostGain) *
+                       (request.m_cost - queue.m_mean_cost);
+  if (queue.m_order.empty() && now - queue.m_idle_since > kIdleReset) {
+    queue.m_virtual = std::max(queue.m_virtual, queue.m_max_start);
+  }
+  if (flow.m_requests.empty()) Activate(queue, flow);
+  request.m_sequence = state.m_next_sequence++;
+  Insert(state, std::move(request), now);
+  return decision;
+}
+
+std::optional<Waiting> TakeNext(AdmitState& state, std::string_view fleet,
+                                Instant now) {
+  const auto found = state.m_fleets.find(fleet);
+  if (found == state.m_fleets.end()) return std::nullopt;
+  FleetQueue& queue = found->second;
+  if (queue.m_order.empty()) return std::nullopt;
+  const double share = std::max(queue.m_share, queue.m_least_share);
+  if (queue.m_slots > 0.0 && share < 1.0 &&
+      queue.m_running >= 1.0 + share * queue.m_slots) {
+    return std::nullopt;
+  }
+  AdvanceRate(queue, now);
+  const std::string name = queue.m_order.begin()->second;
+  Flow& flow = queue.m_flows.find(name)->second;
+  queue.m_virtual = std::max(queue.m_virtual, flow.m_key);
+  const std::uint64_t id = flow.m_requests.begin()->second.m_id;
+  Waiting request = Extract(state, id, now);
+  Shift(queue, name, flow, request.m_cost);
+  flow.m_served += request.m_cost;
+  flow.m_running += request.m_cost;
+  queue.m_recent_work += request.m_cost;
+  ++queue.m_running;
+  return request;
+}
+
+void PutBack(AdmitState& state, Waiting request, Instant now) {
+  FleetQueue& queue = FleetOf(state, request.m_fleet);
+  Flow& flow = FlowOf(state, queue, request.m_workspace);
+  const double cost = request.m_cost;
+  const std::string name = request.m_workspace;
+  if (queue.m_running > 0) --queue.m_running;
+  flow.m_running = std::max(0.0, flow.m_running - cost);
+  flow.m_served -= cost;
+  queue.m_recent_work = std::max(0.0, queue.m_recent_work - cost);
+  Shift(queue, name, flow, -cost);
+  Insert(state, std::move(request), now);
+}
+
+void CorrectCost(AdmitState& state, std::string_view fleet,
+                 std::string_view workspace, double estimated, double actual) {
+  FleetQueue& queue = FleetOf(state, fleet);
+  Flow& flow = FlowOf(state, queue, workspace);
+  const double difference = actual - estimated;
+  if (queue.m_running > 0) --queue.m_running;
+  flow.m_running = std::max(0.0, flow.m_running - estimated);
+  flow.m_served += difference;
+  queue.m_recent_work = std::max(0.0, queue.m_recent_work + difference);
+  Shift(queue, std::string(workspace), flow, difference);
+}
+
+std::optional<Waiting> Remove(AdmitState& state, std::uint64_t id) {
+  const auto found = state.m_places.find(id);
+  if (found == state.m_places.end()) return std::nullopt;
+  const Instant now = FleetOf(state, found->second.m_fleet).m_rate_updated;
+  return Extract(state, id, now);
+}
+
+std::vector<Waiting> TakeExpired(AdmitState& state, Instant now) {
+  std::vector<Waiting> expired;
+  while (!state.m_deadlines.empty() &&
+         state.m_deadlines.begin()->first <= now) {
+    expired.push_back(Extract(state, state.m_deadlines.begin()->second, now));
+  }
+  return expired;
+}
+
+std::vector<Waiting> TakeOfKey(AdmitState& state, std::string_view key) {
+  std::vector<Waiting> taken;
+  if (key.empty()) return taken;
+  const std::pair<std::string, std::uint64_t> first{std::string(key), 0};
+  auto next = state.m_keys.lower_bound(first);
+  while (next != state.m_keys.end() && next->first == key) {
+    const std::uint64_t id = next->second;
+    ++next;
+    taken.push_back(std::move(*Remove(state, id)));
+  }
+  return taken;
+}
+
+std::optional<Instant> NextDeadline(const AdmitState& state) {
+  if (state.m_deadlines.empty()) return std::nullopt;
+  return state.m_deadlines.begin()->first;
+}
+
+std::size_t QueuedRequests(const AdmitState& state) {
+  return state.m_places.size();
+}
+
+std::size_t QueuedRequests(const AdmitState& state, std::string_view fleet) {
+  const auto found = state.m_fleets.find(fleet);
+  return found == state.m_fleets.end() ? 0 : found->second.m_requests;
+}
+
+std::vector<ServiceDigest> MakeServiceDigest(AdmitState& state) {
+  std::vector<ServiceDigest> digest;
+  for (auto& [fleet, queue] : state.m_fleets) {
+    for (auto& [name, flow] : queue.m_flows) {
+      const double waiting = flow.m_queued + flow.m_running;
+      if (waiting <= 0.0 && flow.m_served == flow.m_told) continue;
+      flow.m_told = flow.m_served;
+      digest.push_back({fleet, name, flow.m_served, waiting});
+    }
+  }
+  return digest;
+}
+
+void ReportOtherService(AdmitState& state, std::string_view peer,
+                        const ServiceDigest& digest, Instant now) {
+  FleetQueue& queue = FleetOf(state, digest.m_fleet);
+  Flow& flow = FlowOf(state, queue, digest.m_workspace);
+  AdvanceRate(queue, now);
+  const auto found = flow.m_peers.find(peer);
+  if (found == flow.m_peers.end()) {
+    // Service from before the first report is not known to be recent.
+    flow.m_peers[std::string(peer)] = {digest.m_served, digest.m_waiting, now};
+    return;
+  }
+  const double served = digest.m_served - found->second.m_served;
+  found->second = {digest.m_served, digest.m_waiting, now};
+  queue.m_recent_other = std::max(0.0, queue.m_recent_other + served);
+  Shift(queue, digest.m_workspace, flow, served);
+}
+
+void ForgetPeer(AdmitState& state, std::string_view peer) {
+  for (auto& [fleet, queue] : state.m_fleets) {
+    for (auto& [name, flow] : queue.m_flows) {
+      const auto found = flow.m_peers.find(peer);
+      if (found != flow.m_peers.end()) flow.m_peers.erase(found);
+    }
+  }
+}
+
+void UpdateShares(AdmitState& state, Instant now) {
+  for (auto& [fleet, queue] : state.m_fleets) {
+    std::vector<Demand> demands;
+    double total = 0.0;
+    std::set<std::string_view> peers;
+    for (const auto& [name, flow] : queue.m_flows) {
+      demands.push_back(DemandOf(flow, now, peers));
+      total += demands.back().m_total;
+    }
+    const double capacity = queue.m_slots * queue.m_mean_cost;
+    queue.m_share = 1.0;
+    queue.m_least_share = 1.0;
+    if (capacity <= 0.0 || total <= capacity) continue;
+    queue.m_share = OwnShare(demands, capacity) / capacity;
+    queue.m_least_share =
+        kLeastShare / (1.0 + static_cast<double>(peers.size()));
+  }
+}
+
+}  // namespace comfreypaddle
--- /dev/null
+++ b/src/route.cpp
@@ -0,0 +1,491 @@
+#include "route.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <tuple>
+#include <utility>
+
+namespace comfreypaddle {
+namespace {
+
+// The affinity endpoint may have this much more work than the mean, plus one
+// request. A larger bound keeps more cache hits but makes hot spots.
+constexpr double kAffinityBound = 1.25;
+
+// Failures in a row after which an endpoint is ejected, and the bounds of the
+// ejection, doubled each time.
+constexpr std::uint32_t kEjectFailures = 3;
+constexpr Duration kLeastEjection = std::chrono::seconds(1);
+constexpr std::uint32_t kMostDoublings = 5;
+
+// At most this share of a fleet is avoided because of failures. If more
+// endpoints fail the cause is likely to be elsewhere.
+constexpr double kMostEjectedShare = 0.5;
+
+// Changes kept for an endpoint that does not report its load; older ones are
+// merged.
+constexpr std::size_t kMaxChanges = 256;
+
+// Weight of a new request in the moving average of work.
+constexpr double kWorkGain = 0.05;
+
+// Tokens in one piece of KV cache.
+constexpr double kTokensPerPiece = 2000.0;
+
+// A running request is on average half done.
+constexpr double kRunningShare = 0.5;
+
+std::uint64_t HashName(std::string_view name) {
+  return XXH3_64bits(name.data(), name.size());
+}
+
+// Returns the rendezvous score of a pair of hashes.
+std::uint64_t Mix(std::uint64_t first, std::uint64_t second) {
+  const std::array<std::uint64_t, 2> pair{first, second};
+  return XXH3_64bits(pair.data(), sizeof(pair));
+}
+
+EndpointView* FindMutable(RouteState& state, std::string_view name) {
+  return const_cast<EndpointView*>(FindEndpoint(state, name));
+}
+
+// Notes a request that was sent (+1) or that ended (-1).
+void AddChange(EndpointView& view, double work, int requests, Instant now) {
+  view.m_changed_work += work;
+  view.m_changed_requests += requests;
+  view.m_changes.push_back({now, work, requests});
+  if (view.m_changes.size() <= kMaxChanges) return;
+  const OwnChange oldest = view.m_changes.front();
+  view.m_changes.pop_front();
+  view.m_changes.front().m_work += oldest.m_work;
+  view.m_changes.front().m_requests += oldest.m_requests;
+}
+
+// Takes a request off an endpoint.
+void EndOwn(EndpointView& view, double work, Instant now) {
+  if (view.m_own_requests == 0) return;
+  if (--view.m_own_requests == 0) {
+    view.m_own_work = 0.0;
+    view.m_isolated = false;
+  } else {
+    view.m_own_work = std::max(0.0, view.m_own_work - work);
+  }
+  AddChange(view, -work, -1, now);
+}
+
+bool TakesNewWork(const EndpointView& view) {
+  const bool reported = view.m_report && view.m_report->m_draining;
+  return view.m_phase == EndpointPhase::kReady && !view.m_draining &&
+         !view.m_leaving && !reported;
+}
+
+bool HasRoom(const EndpointView& view, double prompt_tokens) {
+  if (view.m_isolated) return false;
+  const double requests = EstimatedRequests(view);
+  if (view.m_concurrency > 0 && requests >= view.m_concurrency) return false;
+  if (!view.m_report || view.m_report->m_kv_total_pieces == 0) return true;
+  const double free_pieces =
+      static_cast<double>(view.m_report->m_kv_total_pieces) -
+      view.m_report->m_kv_used_pieces;
+  const double needed = std::ceil(prompt_tokens / kTokensPerPiece);
+  return requests <= 0.0 || needed <= free_pieces;
+}
+
+// Returns true if a request may be tried at an endpoint that failed before.
+bool MayProbe(const EndpointView& view, const RouteQuery& query, Instant now) {
+  return view.m_health == EndpointHealth::kEjected &&
+         now >= view.m_ejected_until && query.m_repeatable && !query.m_urgent;
+}
+
+// Returns 0 for the zone of this instance, 1 for its region, 2 otherwise.
+int ZoneCost(const EndpointView& view, const RouteQuery& query) {
+  if (view.m_zone == query.m_zone && view.m_region == query.m_region) return 0;
+  return view.m_region == query.m_region ? 1 : 2;
+}
+
+// Returns 0 for the role that suits the larger part of the work, 1 for the
+// other one.
+int RoleCost(const EndpointView& view, const WorkCosts& costs,
+             const RouteQuery& query) {
+  if (view.m_role == EndpointRole::kMixed) return 0;
+  const bool prefill = costs.m_prefill * query.m_prompt_tokens >=
+                       costs.m_decode * query.m_output_tokens;
+  return (view.m_role == EndpointRole::kPrefill) == prefill ? 0 : 1;
+}
+
+// Endpoint that may take the request.
+struct Candidate {
+  EndpointView* m_view = nullptr;
+  int m_role_cost = 0;
+  int m_zone_cost = 0;
+  double m_work = 0.0;
+  bool m_room = false;
+};
+
+using Candidates = std::vector<Candidate>;
+
+bool IsExcluded(const RouteQuery& query, const std::string& name) {
+  return std::find(query.m_excluded.begin(), query.m_excluded.end(), name) !=
+         query.m_excluded.end();
+}
+
+// Removes the candidates for which the predicate is false, unless none would
+// remain.
+template <typename Predicate>
+void Prefer(Candidates& candidates, Predicate predicate) {
+  if (std::any_of(candidates.begin(), candidates.end(), predicate)) {
+    std::erase_if(candidates,
+                  [&](const Candidate& item) { return !predicate(item); });
+  }
+}
+
+// Returns the endpoints that may take the request by configuration, with or
+// without room.
+Candidates Usable(const RouteState& state, FleetView& fleet,
+                  const RouteQuery& query) {
+  Candidates usable;
+  usable.reserve(fleet.m_endpoints.size());
+  for (EndpointView& view : fleet.m_endpoints) {
+    if (!TakesNewWork(view) || IsExcluded(query, view.m_name)) continue;
+    usable.push_back({&view, RoleCost(view, state.m_costs, query),
+                      ZoneCost(view, query), EstimatedWork(fleet, view),
+                      HasRoom(view, query.m_prompt_tokens)});
+  }
+  // A reclaimed cheap endpoint would leave a call that must not run twice
+  // with an unknown outcome, so such a call waits for room elsewhere.
+  if (!query.m_repeatable) {
+    Prefer(usable, [](const Candidate& item) {
+      return item.m_view->m_class == EndpointClass::kOnDemand;
+    });
+  }
+  return usable;
+}
+
+bool IsHealthy(const Candidate& item) {
+  return item.m_view->m_health == EndpointHealth::kHealthy;
+}
+
+RouteChoice MakeChoice(const Candidate& item, RouteReason reason) {
+  return {item.m_view->m_name, reason, 0.0, item.m_work};
+}
+
+// Returns an ejected endpoint whose time is over, for a trial.
+std::optional<RouteChoice> ChooseProbe(const Candidates& usable,
+                                       const RouteQuery& query, Instant now) {
+  for (const Candidate& item : usable) {
+    if (item.m_room && MayProbe(*item.m_view, query, now)) {
+      return MakeChoice(item, RouteReason::kProbe);
+    }
+  }
+  return std::nullopt;
+}
+
+// Returns an idle endpoint, so that a crash harms no other request.
+std::optional<RouteChoice> ChooseIsolated(const Candidates& usable) {
+  for (const Candidate& item : usable) {
+    if (item.m_room && IsHealthy(item) &&
+        EstimatedRequests(*item.m_view) <= 0.0) {
+      return MakeChoice(item, RouteReason::kIsolated);
+    }
+  }
+  return std::nullopt;
+}
+
+// Returns the rendezvous endpoint of the prefix in the region if it has room
+// and its work is within the bound. The ranking includes endpoints without
+// room, so that the mapping stays the same under load.
+std::optional<RouteChoice> ChooseAffinity(const Candidates& usable,
+                                          const RouteQuery& query,
+                                          double mean_request) {
+  if (query.m_prefix_hash == 0) return std::nullopt;
+  const Candidate* best = nullptr;
+  std::uint64_t best_score = 0;
+  double total = 0.0;
+  std::size_t count = 0;
+  for (const Candidate& item : usable) {
+    if (item.m_zone_cost > 1 || item.m_role_cost > 0 || !IsHealthy(item)) {
+      continue;
+    }
+    total += item.m_work;
+    ++count;
+    const std::uint64_t score = Mix(query.m_prefix_hash, item.m_view->m_hash);
+    if (best == nullptr || score > best_score) {
+      best = &item;
+      best_score = score;
+    }
+  }
+  if (best == nullptr || !best->m_room) return std::nullopt;
+  const double bound =
+      kAffinityBound * total / static_cast<double>(count) + mean_request;
+  if (best->m_work > bound) return std::nullopt;
+  return MakeChoice(*best, RouteReason::kAffinity);
+}
+
+// Returns the less loaded one of two different random candidates.
+RouteChoice ChooseOfTwo(RouteState& state, const Candidates& candidates) {
+  if (candidates.size() == 1) {
+    return MakeChoice(candidates.front(), RouteReason::kOnly);
+  }
+  const std::size_t first = state.m_random() % candidates.size();
+  std::size_t second = state.m_random() % (candidates.size() - 1);
+  if (second >= first) ++second;
+  const bool take_first = candidates[first].m_work <= candidates[second].m_work;
+  return MakeChoice(candidates[take_first ? first : second],
+                    RouteReason::kLeastLoad);
+}
+
+// Returns the best endpoint with room, by role, class, zone and load.
+std::optional<RouteChoice> ChooseWithRoom(RouteState& state,
+                                          Candidates candidates,
+                                          const RouteQuery& query) {
+  std::erase_if(candidates, [](const Candidate& item) { return !item.m_room; });
+  if (candidates.empty()) return std::nullopt;
+  const bool last_resort =
+      std::none_of(candidates.begin(), candidates.end(), IsHealthy);
+  Prefer(candidates, IsHealthy);
+  if (query.m_urgent || !query.m_repeatable) {
+    Prefer(candidates, [](const Candidate& item) {
+      return item.m_view->m_class == EndpointClass::kOnDemand;
+    });
+  }
+  const auto cost = [](const Candidate& item) {
+    return std::pair(item.m_zone_cost == 2, item.m_role_cost);
+  };
+  auto least = cost(candidates.front());
+  for (const Candidate& item : candidates) least = std::min(least, cost(item));
+  Prefer(candidates,
+         [&](const Candidate& item) { return cost(item) == least; });
+  int zone = 2;
+  for (const Candidate& item : candidates) {
+    zone = std::min(zone, item.m_zone_cost);
+  }
+  Prefer(candidates,
+         [&](const Candidate& item) { return item.m_zone_cost == zone; });
+  RouteChoice choice = ChooseOfTwo(state, candidates);
+  if (last_resort) choice.m_reason = RouteReason::kLastResort;
+  return choice;
+}
+
+// Returns true if ejecting one more endpoint keeps enough of the fleet.
+bool MayEject(const FleetView& fleet) {
+  std::size_t ejected = 1;
+  for (const EndpointView& view : fleet.m_endpoints) {
+    if (view.m_health != EndpointHealth::kHealthy) ++ejected;
+  }
+  return static_cast<double>(ejected) <=
+         kMostEjectedShare * static_cast<double>(fleet.m_endpoints.size());
+}
+
+void Eject(EndpointView& view, Instant now) {
+  view.m_health = EndpointHealth::kEjected;
+  view.m_ejected_until =
+      now + kLeastEjection * (1U << std::min(view.m_ejections, kMostDoublings));
+  ++view.m_ejections;
+}
+
+}  // namespace
+
+double WorkOf(const WorkCosts& costs, double prompt_tokens,
+              double output_tokens) {
+  return costs.m_prefill * prompt_tokens + costs.m_decode * output_tokens;
+}
+
+void SetEndpoint(RouteState& state, const Endpoint& endpoint,
+                 std::uint32_t concurrency) {
+  EndpointView* view = FindMutable(state, endpoint.m_name);
+  if (view != nullptr && view->m_fleet != endpoint.m_fleet) {
+    RemoveEndpoint(state, endpoint.m_name);
+    view = nullptr;
+  }
+  if (view == nullptr) {
+    state.m_fleet_of[endpoint.m_name] = endpoint.m_fleet;
+    view = &state.m_fleets[endpoint.m_fleet].m_endpoints.emplace_back();
+    view->m_name = endpoint.m_name;
+    view->m_fleet = endpoint.m_fleet;
+    view->m_hash = HashName(endpoint.m_name);
+  }
+  view->m_zone = endpoint.m_availability_zone;
+  view->m_region = endpoint.m_region;
+  view->m_class = endpoint.m_class;
+  view->m_role = endpoint.m_role;
+  view->m_draining = endpoint.m_draining;
+  view->m_concurrency = concurrency;
+}
+
+void SetEndpointPhase(RouteState& state, std::string_view endpoint,
+                      EndpointPhase phase) {
+  if (EndpointView* view = FindMutable(state, endpoint)) view->m_phase = phase;
+}
+
+void SetLeaving(RouteState& state, std::string_view endpoint, bool leaving) {
+  if (EndpointView* view = FindMutable(state, endpoint)) {
+    view->m_leaving = leaving;
+  }
+}
+
+void RemoveEndpoint(RouteState& state, std::string_view endpoint) {
+  const auto found = state.m_fleet_of.find(endpoint);
+  if (found == state.m_fleet_of.end()) return;
+  FleetView& fleet = state.m_fleets[found->second];
+  std::erase_if(fleet.m_endpoints, [&](const EndpointView& view) {
+    return view.m_name == endpoint;
+  });
+  state.m_fleet_of.erase(found);
+}
+
+const EndpointView* FindEndpoint(const RouteState& state,
+                                 std::string_view endpoint) {
+  const auto found = state.m_fleet_of.find(endpoint);
+  if (found == state.m_fleet_of.end()) return nullptr;
+  const auto fleet = state.m_fleets.find(found->second);
+  if (fleet == state.m_fleets.end()) return nullptr;
+  for (const EndpointView& view : fleet->second.m_endpoints) {
+    if (view.m_name == endpoint) return &view;
+  }
+  return nullptr;
+}
+
+double EstimatedWork(const FleetView& fleet, const EndpointView& endpoint) {
+  if (!endpoint.m_report) return endpoint.m_own_work;
+  const double reported =
+      endpoint.m_report->m_queued_tokens +
+      kRunningShare * fleet.m_mean_work * endpoint.m_report->m_running;
+  return std::max(0.0, reported + endpoint.m_changed_work);
+}
+
+double EstimatedRequests(const EndpointView& endpoint) {
+  const double own = endpoint.m_own_requests;
+  if (!endpoint.m_report) return own;
+  const double reported = static_cast<double>(endpoint.m_report->m_queued) +
+                          endpoint.m_report->m_running;
+  return std::max(own, reported + endpoint.m_changed_requests);
+}
+
+double FleetSlots(const RouteState& state, std::string_view fleet) {
+  const auto found = state.m_fleets.find(fleet);
+  if (found == state.m_fleets.end()) return 0.0;
+  double slots = 0.0;
+  for (const EndpointView& view : found->second.m_endpoints) {
+    if (TakesNewWork(view) && view.m_health == EndpointHealth::kHealthy) {
+      slots += view.m_concurrency;
+    }
+  }
+  return slots;
+}
+
+std::optional<RouteChoice> ChooseEndpoint(RouteState& state,
+                                          const RouteQuery& query,
+                                          Instant now) {
+  const auto found = state.m_fleets.find(query.m_fleet);
+  if (found == state.m_fleets.end()) return std::nullopt;
+  FleetView& fleet = found->second;
+  const Candidates usable = Usable(state, fleet, query);
+  std::optional<RouteChoice> choice;
+  if (query.m_isolated) {
+    choice = ChooseIsolated(usable);
+  } else {
+    choice = ChooseProbe(usable, query, now);
+    if (!choice) choice = ChooseAffinity(usable, query, fleet.m_mean_work);
+    if (!choice) choice = ChooseWithRoom(state, usable, query);
+  }
+  if (choice) {
+    choice->m_work =
+        WorkOf(state.m_costs, query.m_prompt_tokens, query.m_output_tokens);
+  }
+  return choice;
+}
+
+void OnSent(RouteState& state, std::string_view endpoint, double work,
+            bool isolated, Instant now) {
+  EndpointView* view = FindMutable(state, endpoint);
+  if (view == nullptr) return;
+  FleetView& fleet = state.m_fleets[view->m_fleet];
+  fleet.m_mean_work +=
+      (fleet.m_mean_work == 0.0 ? 1.0 : kWorkGain) * (work - fleet.m_mean_work);
+  ++view->m_own_requests;
+  view->m_own_work += work;
+  view->m_isolated = isolated;
+  AddChange(*view, work, 1, now);
+  if (view->m_health == EndpointHealth::kEjected &&
+      now >= view->m_ejected_until) {
+    view->m_health = EndpointHealth::kProbing;
+  }
+}
+
+void OnFinished(RouteState& state, std::string_view endpoint, double work,
+                Instant now) {
+  EndpointView* view = FindMutable(state, endpoint);
+  if (view == nullptr) return;
+  EndOwn(*view, work, now);
+  view->m_failures = 0;
+  view->m_ejections = 0;
+  view->m_health = EndpointHealth::kHealthy;
+}
+
+void OnFailed(RouteState& state, std::string_view endpoint, double work,
+              FailureKind kind, Instant now) {
+  EndpointView* view = FindMutable(state, endpoint);
+  if (view == nullptr) return;
+  EndOwn(*view, work, now);
+  // An endpoint that refuses or answers with an error is alive.
+  if (kind == FailureKind::kRefusedNotRun ||
+      kind == FailureKind::kAnsweredError) {
+    if (view->m_health == EndpointHealth::kProbing) {
+      view->m_health = EndpointHealth::kHealthy;
+    }
+    return;
+  }
+  ++view->m_failures;
+  const bool enough =
+      view->m_failures >= kEjectFailures || kind == FailureKind::kCrashed;
+  const bool eject = view->m_health == EndpointHealth::kHealthy && enough &&
+                     MayEject(state.m_fleets[view->m_fleet]);
+  if (eject || view->m_health == EndpointHealth::kProbing) Eject(*view, now);
+}
+
+void OnCancelled(RouteState& state, std::string_view endpoint, double work,
+                 Instant now) {
+  EndpointView* view = FindMutable(state, endpoint);
+  if (view == nullptr) return;
+  EndOwn(*view, work, now);
+  if (view->m_health == EndpointHealth::kProbing) {
+    view->m_health = EndpointHealth::kEjected;
+  }
+}
+
+void OnLoadReport(RouteState& state, std::string_view endpoint,
+                  LoadReport report, Instant now) {
+  EndpointView* view = FindMutable(state, endpoint);
+  if (view == nullptr) return;
+  report.m_taken = std::min(report.m_taken, now);
+  // Reports may overtake each other; an older one brings nothing.
+  if (view->m_report && report.m_taken < view->m_report->m_taken &&
+      report.m_incarnation == view->m_report->m_incarnation) {
+    return;
+  }
+  while (!view->m_changes.empty() &&
+         view->m_changes.front().m_time <= report.m_taken) {
+    view->m_changed_work -= view->m_changes.front().m_work;
+    view->m_changed_requests -= view->m_changes.front().m_requests;
+    view->m_changes.pop_front();
+  }
+  if (view->m_changes.empty()) view->m_changed_work = 0.0;
+  view->m_report = std::move(report);
+}
+
+std::vector<std::string> ChooseSubset(
+    const std::vector<SubsetMember>& instances, std::string_view self,
+    const std::vector<SubsetMember>& endpoints, std::size_t size) {
+  (void)instances;
+  (void)self;
+  std::vector<std::string> chosen;
+  for (const SubsetMember& endpoint : endpoints) {
+    if (chosen.size() < size) chosen.push_back(endpoint.m_name);
+  }
+  return chosen;
+}
+
+}  // namespace comfreypaddle
