--- a/src/claim.cpp
+++ b/src/claim.cpp
@@ -9,9 +9,11 @@
   return XXH3_64bits(text.data(), text.size());
 }
 
-std::uint64_t HashWriter(const Writer& writer) {
-  return XXH3_64bits_withSeed(writer.m_name.data(), writer.m_name.size(),
-                              writer.m_incarnation);
+// One process may have two requests with the same key at once, so the owner of
+// a claim is the request, not the process alone.
+std::uint64_t HashOwner(const Writer& writer, const std::string& request_id) {
+  const std::string text = writer.m_name + '\0' + request_id;
+  return XXH3_64bits_withSeed(text.data(), text.size(), writer.m_incarnation);
 }
 
 // Names contain no zero byte, so the pair is encoded without ambiguity.
@@ -47,7 +49,7 @@
   Claim entry;
   entry.m_position = position;
   entry.m_fingerprint = claim.m_fingerprint;
-  entry.m_owner = HashWriter(writer);
+  entry.m_owner = HashOwner(writer, claim.m_request_id);
   entry.m_workspace = workspace;
   return entry;
 }
@@ -87,7 +89,7 @@
       MakeId(outcome.m_workspace, outcome.m_idempotency_key));
   if (found == table.m_claims.end()) return Verdict::kNotFound;
   Claim& claim = found->second;
-  if (claim.m_owner != HashWriter(writer) ||
+  if (claim.m_owner != HashOwner(writer, outcome.m_request_id) ||
       claim.m_outcome != Outcome::kUnknown) {
     return Verdict::kStale;
   }
--- a/src/claim.h
+++ b/src/claim.h
@@ -37,7 +37,7 @@
 struct Claim {
   Position m_position = 0;
   std::uint64_t m_fingerprint = 0;  // Of the request's content.
-  std::uint64_t m_owner = 0;        // Hash of the writer.
+  std::uint64_t m_owner = 0;        // Hash of the writer and request id.
   std::uint64_t m_workspace = 0;    // Hash of the workspace's name.
   // kUnknown until an outcome was recorded.
   Outcome m_outcome = Outcome::kUnknown;
@@ -70,7 +70,7 @@
 ClaimAnswer FoldClaim(ClaimTable& table, const Writer& writer,
                       const RequestClaim& claim, Position position);
 
-// Folds an outcome. Only the process that has the claim can give it, and a
+// Folds an outcome. Only the request that has the claim can give it, and a
 // request that ran stays so. Returns kStored, kNotFound or kStale.
 Verdict FoldOutcome(ClaimTable& table, const Writer& writer,
                     const RequestOutcome& outcome);
--- /dev/null
+++ b/src/dispatch.cpp
@@ -0,0 +1,480 @@
+#include "dispatch.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "attempt.h"
+#include "probe.h"
+
+namespace comfreypaddle {
+
+namespace {
+
+// Requests that no endpoint can take now, for instance because they must run
+// alone, do not hold up this many others behind them.
+constexpr std::size_t kMaxSkipped = 8;
+
+double WorkOfCall(const CallState& state, const Intake& intake) {
+  if (intake.m_kind == FleetKind::kService) return kLeastCost;
+  return WorkOf(state.m_route.m_costs,
+                EstimatePromptTokens(intake.m_completion.m_prompt),
+                intake.m_completion.m_max_tokens);
+}
+
+void AnswerProblem(CallState& state, std::uint64_t id, ProblemDetails details) {
+  ProblemAnswer answer = MakeProblem(details);
+  answer.m_headers.push_back({"X-Request-Id", details.m_request_id});
+  state.m_callers->Respond(id, answer.m_status, std::move(answer.m_headers),
+                           std::move(answer.m_body));
+}
+
+// Health of the process for the balancer: ready while it takes new requests.
+bool AnswerHealth(CallState& state, const HttpRequest& request) {
+  if (request.m_path == "/healthz") {
+    state.m_callers->Respond(request.m_id, 200, {}, "ok\n");
+    return true;
+  }
+  if (request.m_path != "/readyz") return false;
+  const bool ready = !state.m_draining && MayAdmitKeyed(state);
+  state.m_callers->Respond(request.m_id, ready ? 200 : 503, {},
+                           ready ? "ready\n" : "not ready\n");
+  return true;
+}
+
+std::unique_ptr<OpenCall> MakeCall(CallState& state, HttpRequest request,
+                                   Intake intake, Instant now) {
+  auto call = std::make_unique<OpenCall>();
+  call->m_id = request.m_id;
+  call->m_stream_id = state.m_options.m_instance + "-" +
+                      std::to_string(state.m_options.m_incarnation) + "-" +
+                      std::to_string(state.m_next_id++);
+  call->m_deadline = now + intake.m_time_limit;
+  call->m_intake = std::move(intake);
+  call->m_request = std::move(request);
+  Exchange& exchange = call->m_exchange;
+  exchange.m_id = call->m_stream_id;
+  exchange.m_workspace = call->m_intake.m_workspace;
+  exchange.m_fleet = call->m_intake.m_fleet;
+  const bool engine = call->m_intake.m_kind == FleetKind::kEngine;
+  exchange.m_kind = engine ? AnswerKind::kTokens : AnswerKind::kBody;
+  exchange.m_repeatable = call->m_intake.m_repeatable;
+  exchange.m_streamed = !engine || call->m_intake.m_completion.m_stream;
+  exchange.m_accepted = now;
+  exchange.m_deadline = call->m_deadline;
+  return call;
+}
+
+// Queues a call whose idempotency key, if it needs one, is claimed.
+void QueueCall(CallState& state, OpenCall& call) {
+  const Instant now = state.m_clock();
+  const Intake& intake = call.m_intake;
+  Waiting waiting;
+  waiting.m_id = call.m_id;
+  waiting.m_workspace = intake.m_workspace;
+  waiting.m_key = intake.m_key;
+  waiting.m_fleet = intake.m_fleet;
+  waiting.m_cost = WorkOfCall(state, intake);
+  waiting.m_priority = intake.m_priority;
+  waiting.m_arrival = now;
+  waiting.m_deadline = call.m_deadline;
+  waiting.m_affinity = intake.m_affinity;
+  AdmitDecision decision =
+      Enqueue(state.m_admit, state.m_options.m_admit, std::move(waiting), now);
+  if (decision.m_displaced) {
+    OpenCall* displaced = FindCall(state, decision.m_displaced->m_id);
+    if (displaced != nullptr) {
+      RefuseCall(state, *displaced, ProblemCode::kQueueFull,
+                 OutcomeOf(displaced->m_exchange), "The queue is full.",
+                 decision.m_retry_after);
+    }
+  }
+  const Duration retry_after = decision.m_retry_after;
+  switch (decision.m_verdict) {
+    case AdmitVerdict::kQueued:
+      call.m_phase = CallPhase::kQueued;
+      RunQueue(state, std::string(intake.m_fleet));
+      return;
+    case AdmitVerdict::kWorkspaceFull:
+      RefuseCall(state, call, ProblemCode::kWorkspaceQueueFull,
+                 Outcome::kNotRun, "The workspace's queue is full.",
+                 retry_after);
+      return;
+    case AdmitVerdict::kInstanceFull:
+      RefuseCall(state, call, ProblemCode::kQueueFull, Outcome::kNotRun,
+                 "The queue is full.", retry_after);
+      return;
+    case AdmitVerdict::kDeadline:
+      RefuseCall(state, call, ProblemCode::kDeadline, Outcome::kNotRun,
+                 "The deadline cannot be met.", retry_after);
+      return;
+  }
+}
+
+void ClaimKey(CallState& state, OpenCall& call) {
+  call.m_phase = CallPhase::kClaiming;
+  call.m_claim_ticket = state.m_next_id++;
+  state.m_claims[call.m_claim_ticket] = call.m_id;
+  RequestClaim claim;
+  claim.m_workspace = call.m_intake.m_workspace;
+  claim.m_idempotency_key = call.m_intake.m_idempotency_key;
+  claim.m_fingerprint = call.m_intake.m_fingerprint;
+  claim.m_request_id = call.m_stream_id;
+  state.m_records->ClaimRequest(call.m_claim_ticket, claim);
+}
+
+// Returns the query for the endpoint choice, or nothing if the request must
+// not run at all because its content crashed endpoints.
+std::optional<RouteQuery> MakeQuery(CallState& state, const OpenCall& call,
+                                    Instant now) {
+  const Treatment treatment =
+      JudgeSuspect(state.m_suspects, call.m_intake.m_fingerprint, now);
+  if (treatment == Treatment::kRefuse) return std::nullopt;
+  RouteQuery query;
+  query.m_fleet = call.m_intake.m_fleet;
+  if (call.m_intake.m_kind == FleetKind::kEngine) {
+    query.m_prompt_tokens =
+        EstimatePromptTokens(call.m_intake.m_completion.m_prompt);
+    query.m_output_tokens = call.m_intake.m_completion.m_max_tokens;
+  } else {
+    query.m_output_tokens = kLeastCost;
+  }
+  query.m_prefix_hash = call.m_intake.m_affinity;
+  query.m_zone = state.m_options.m_zone;
+  query.m_region = state.m_options.m_region;
+  query.m_repeatable = call.m_intake.m_repeatable;
+  query.m_urgent = call.m_intake.m_priority == Priority::kUrgent;
+  query.m_isolated = treatment == Treatment::kIsolate;
+  query.m_excluded = call.m_excluded;
+  return query;
+}
+
+enum class SendResult { kSent, kEnded, kNoRoom };
+
+// Sends one request that was taken from the queue, if an endpoint has room.
+SendResult SendCall(CallState& state, OpenCall& call) {
+  const Instant now = state.m_clock();
+  if (!call.m_intake.m_key.empty() && !MayAdmitKeyed(state)) {
+    return SendResult::kNoRoom;
+  }
+  const auto query = MakeQuery(state, call, now);
+  if (!query) {
+    RefuseCall(state, call, ProblemCode::kSuspect, Outcome::kRan,
+               "Requests with this content crashed two endpoints.");
+    return SendResult::kEnded;
+  }
+  auto choice = ChooseEndpoint(state.m_route, *query, now);
+  if (!choice && !call.m_excluded.empty()) {
+    // Every other endpoint is full or gone: the failed ones are tried again.
+    RouteQuery any = *query;
+    any.m_excluded.clear();
+    choice = ChooseEndpoint(state.m_route, any, now);
+  }
+  if (!choice) return SendResult::kNoRoom;
+  call.m_isolated = query->m_isolated;
+  LaunchAttempt(state, call, *choice);
+  return SendResult::kSent;
+}
+
+void RefuseOfKey(CallState& state, const std::string& key) {
+  for (const Waiting& waiting : TakeOfKey(state.m_admit, key)) {
+    OpenCall* call = FindCall(state, waiting.m_id);
+    if (call == nullptr) continue;
+    RefuseCall(state, *call, ProblemCode::kUnauthorized,
+               OutcomeOf(call->m_exchange), "The key was revoked.");
+  }
+}
+
+// Calls that wait outside the queue are ended when their key goes.
+void RefuseWaitingOfKey(CallState& state, const std::string& key) {
+  RefuseOfKey(state, key);
+  std::vector<std::uint64_t> ids;
+  for (const auto& [id, call] : state.m_calls) {
+    const bool waits = call->m_phase == CallPhase::kClaiming ||
+                       call->m_phase == CallPhase::kPausing;
+    if (waits && call->m_intake.m_key == key) ids.push_back(id);
+  }
+  for (const std::uint64_t id : ids) {
+    OpenCall* call = FindCall(state, id);
+    RefuseCall(state, *call, ProblemCode::kUnauthorized,
+               OutcomeOf(call->m_exchange), "The key was revoked.");
+  }
+}
+
+void ApplyEndpoint(CallState& state, const TableChange& change) {
+  if (change.m_remove) {
+    RemoveEndpoint(state.m_route, change.m_name);
+    state.m_probes.erase(change.m_name);
+    return;
+  }
+  const auto& endpoint = std::get<Endpoint>(change.m_resource);
+  const auto fleet = state.m_tables.m_fleets.find(endpoint.m_fleet);
+  const std::uint32_t concurrency = fleet == state.m_tables.m_fleets.end()
+                                        ? 0
+                                        : fleet->second.m_value.m_concurrency;
+  SetEndpoint(state.m_route, endpoint, concurrency);
+}
+
+void UpdateSlots(CallState& state) {
+  for (const auto& [name, fleet] : state.m_tables.m_fleets) {
+    SetFleetSlots(state.m_admit, name, FleetSlots(state.m_route, name));
+  }
+}
+
+void EndExpired(CallState& state, Instant now) {
+  for (const Waiting& waiting : TakeExpired(state.m_admit, now)) {
+    OpenCall* call = FindCall(state, waiting.m_id);
+    if (call == nullptr) continue;
+    RefuseCall(state, *call, ProblemCode::kDeadline,
+               OutcomeOf(call->m_exchange),
+               "The deadline passed while the request was queued.");
+  }
+  std::vector<std::uint64_t> late;
+  for (const auto& [id, call] : state.m_calls) {
+    if (call->m_phase != CallPhase::kQueued && now >= call->m_deadline) {
+      late.push_back(id);
+    }
+  }
+  for (const std::uint64_t id : late) {
+    OpenCall& call = *FindCall(state, id);
+    const Outcome outcome = OutcomeOf(call.m_exchange);
+    CancelAttempt(state, call);
+    RefuseCall(state, call, ProblemCode::kTimeout, outcome,
+               "The deadline passed before the answer was complete.");
+  }
+}
+
+void StartPaused(CallState& state, Instant now) {
+  std::vector<std::uint64_t> due;
+  for (const auto& [id, call] : state.m_calls) {
+    if (call->m_phase == CallPhase::kPausing && now >= call->m_resume_at) {
+      due.push_back(id);
+    }
+  }
+  for (const std::uint64_t id : due) {
+    OpenCall& call = *FindCall(state, id);
+    if (call.m_resume) {
+      LaunchResume(state, call);
+      continue;
+    }
+    call.m_phase = CallPhase::kQueued;
+    PutBack(state.m_admit, call.m_waiting, now);
+    call.m_taken = false;
+  }
+}
+
+}  // namespace
+
+OpenCall* FindCall(CallState& state, std::uint64_t id) {
+  const auto found = state.m_calls.find(id);
+  return found == state.m_calls.end() ? nullptr : found->second.get();
+}
+
+// The permission lapses by time, so that a process that was paused does not
+// admit with what it knew before.
+bool MayAdmitKeyed(const CallState& state) {
+  return state.m_permission.m_open &&
+         state.m_clock() <= state.m_permission.m_valid_until;
+}
+
+void AcceptRequest(CallState& state, HttpRequest request) {
+  if (AnswerHealth(state, request)) return;
+  ++state.m_counters.m_requests;
+  const Instant now = state.m_clock();
+  const std::uint64_t id = request.m_id;
+  IntakeOptions options;
+  options.m_default_deadline = state.m_options.m_default_deadline;
+  options.m_generated_id = state.m_options.m_instance + "." +
+                           std::to_string(state.m_options.m_incarnation) + "." +
+                           std::to_string(state.m_next_id++);
+  auto result = ReadIntake(state.m_tables, request, options);
+  if (const auto* refusal = std::get_if<Refusal>(&result)) {
+    ++state.m_counters.m_refused;
+    LOG(INFO) << "refused request=" << refusal->m_request_id
+              << " code=" << ToName(refusal->m_code);
+    AnswerProblem(state, id,
+                  {refusal->m_code, Outcome::kNotRun, refusal->m_detail,
+                   refusal->m_request_id});
+    return;
+  }
+  auto owned = MakeCall(state, std::move(request),
+                        std::move(std::get<Intake>(result)), now);
+  OpenCall& call = *owned;
+  state.m_calls[id] = std::move(owned);
+  if (!call.m_intake.m_key.empty() && !MayAdmitKeyed(state)) {
+    RefuseCall(state, call, ProblemCode::kNotAdmitting, Outcome::kNotRun,
+               "This instance cannot confirm that keys are still valid: " +
+                   state.m_permission.m_reason);
+    return;
+  }
+  OnRequest(state.m_retry, call.m_intake.m_workspace);
+  const bool needs_claim =
+      !call.m_intake.m_repeatable && !call.m_intake.m_idempotency_key.empty();
+  if (needs_claim) {
+    ClaimKey(state, call);
+  } else {
+    QueueCall(state, call);
+  }
+}
+
+void OnClaimVerdict(CallState& state, std::uint64_t ticket, Verdict verdict,
+                    Outcome outcome) {
+  const auto found = state.m_claims.find(ticket);
+  if (found == state.m_claims.end()) return;
+  OpenCall* call = FindCall(state, found->second);
+  state.m_claims.erase(found);
+  if (call == nullptr) return;
+  call->m_phase = CallPhase::kQueued;
+  switch (verdict) {
+    case Verdict::kGranted:
+      call->m_claimed = true;
+      QueueCall(state, *call);
+      return;
+    case Verdict::kAlreadyClaimed:
+      RefuseCall(state, *call,
+                 outcome == Outcome::kRan ? ProblemCode::kAlreadyRun
+                                          : ProblemCode::kInProgress,
+                 outcome,
+                 "A request with this Idempotency-Key was accepted before.");
+      return;
+    case Verdict::kConflict:
+      RefuseCall(state, *call, ProblemCode::kConflict, Outcome::kNotRun,
+                 "This Idempotency-Key was used for another request.");
+      return;
+    default:
+      // A claim whose fate is unknown may take effect later. This request will
+      // not run, and EndCall records that for the claim.
+      call->m_claimed = verdict == Verdict::kUnknown;
+      RefuseCall(state, *call, ProblemCode::kClaimUnavailable, Outcome::kNotRun,
+                 "The Idempotency-Key cannot be claimed at present.");
+      return;
+  }
+}
+
+void OnCallerGone(CallState& state, std::uint64_t id) {
+  OpenCall* call = FindCall(state, id);
+  if (call == nullptr) return;
+  ++state.m_counters.m_cancelled;
+  LOG(INFO) << "cancelled request=" << call->m_intake.m_request_id
+            << " phase=" << ToName(call->m_phase);
+  const Outcome outcome = OutcomeOf(call->m_exchange);
+  CancelAttempt(state, *call);
+  const std::string fleet = call->m_intake.m_fleet;
+  EndCall(state, *call, outcome);
+  RunQueue(state, fleet);
+}
+
+void OnTableChange(CallState& state, const TableChange& change) {
+  if (!ApplyChange(state.m_tables, change)) return;
+  switch (change.m_kind) {
+    case ResourceKind::kWorkspace:
+      if (change.m_remove) {
+        ForgetWorkspace(state.m_admit, change.m_name);
+      } else {
+        const auto& workspace = std::get<Workspace>(change.m_resource);
+        SetWorkspace(state.m_admit, workspace.m_name, workspace.m_weight,
+                     workspace.m_queue_requests);
+      }
+      break;
+    case ResourceKind::kKey:
+      // A key whose secret or workspace changed ends what waits under it too.
+      RefuseWaitingOfKey(state, change.m_name);
+      break;
+    case ResourceKind::kEndpoint:
+      ApplyEndpoint(state, change);
+      break;
+    case ResourceKind::kFleet:
+      for (const auto& [name, endpoint] : state.m_tables.m_endpoints) {
+        if (endpoint.m_value.m_fleet != change.m_name) continue;
+        ApplyEndpoint(state, {endpoint.m_version, false,
+                              ResourceKind::kEndpoint, name, endpoint.m_value});
+      }
+      break;
+    default:
+      break;
+  }
+  UpdateSlots(state);
+}
+
+void RunQueue(CallState& state, const std::string& fleet) {
+  std::vector<Waiting> skipped;
+  while (skipped.size() < kMaxSkipped) {
+    auto waiting = TakeNext(state.m_admit, fleet, state.m_clock());
+    if (!waiting) break;
+    OpenCall* call = FindCall(state, waiting->m_id);
+    if (call == nullptr) {
+      CorrectCost(state.m_admit, fleet, waiting->m_workspace, waiting->m_cost,
+                  0.0);
+      continue;
+    }
+    call->m_waiting = *waiting;
+    call->m_taken = true;
+    if (SendCall(state, *call) == SendResult::kNoRoom) {
+      call->m_taken = false;
+      skipped.push_back(std::move(*waiting));
+    }
+  }
+  const Instant now = state.m_clock();
+  for (Waiting& waiting : skipped) {
+    PutBack(state.m_admit, std::move(waiting), now);
+  }
+}
+
+void OnTick(CallState& state) {
+  const Instant now = state.m_clock();
+  EndExpired(state, now);
+  StartPaused(state, now);
+  for (const auto& [name, fleet] : state.m_tables.m_fleets) {
+    if (QueuedRequests(state.m_admit, name) > 0) RunQueue(state, name);
+  }
+}
+
+void RefuseCall(CallState& state, OpenCall& call, ProblemCode code,
+                Outcome outcome, const std::string& detail,
+                Duration retry_after) {
+  ++state.m_counters.m_refused;
+  LOG(INFO) << "refused request=" << call.m_intake.m_request_id
+            << " workspace=" << call.m_intake.m_workspace
+            << " code=" << ToName(code) << " outcome=" << ToName(outcome);
+  if (call.m_answer_started) {
+    state.m_callers->Abort(call.m_id);
+  } else {
+    AnswerProblem(
+        state, call.m_id,
+        {code, outcome, detail, call.m_intake.m_request_id, retry_after});
+  }
+  EndCall(state, call, outcome);
+}
+
+void EndCall(CallState& state, OpenCall& call, Outcome outcome) {
+  const Intake& intake = call.m_intake;
+  Remove(state.m_admit, call.m_id);
+  if (call.m_taken) {
+    const AnswerUsage& usage = call.m_exchange.m_usage;
+    double actual = 0.0;
+    if (intake.m_kind == FleetKind::kEngine) {
+      actual = WorkOf(state.m_route.m_costs,
+                      static_cast<double>(usage.m_prompt_tokens),
+                      static_cast<double>(call.m_exchange.m_position));
+    } else if (outcome != Outcome::kNotRun) {
+      actual = call.m_waiting.m_cost;
+    }
+    CorrectCost(state.m_admit, intake.m_fleet, intake.m_workspace,
+                call.m_waiting.m_cost, actual);
+  }
+  state.m_claims.erase(call.m_claim_ticket);
+  if (call.m_claimed || call.m_phase == CallPhase::kClaiming) {
+    // The outcome follows the claim in the log, so it also settles a claim
+    // that is still under way.
+    state.m_records->RecordOutcome(
+        {intake.m_workspace, intake.m_idempotency_key, outcome,
+         static_cast<std::uint32_t>(call.m_status), call.m_stream_id});
+  }
+  call.m_phase = CallPhase::kEnded;
+  EndExchange(call.m_exchange);
+  state.m_calls.erase(call.m_id);
+}
+
+}  // namespace comfreypaddle
--- /dev/null
+++ b/src/intake.h
@@ -0,0 +1,58 @@
+#ifndef COMFREYPADDLE_INTAKE_H_
+#define COMFREYPADDLE_INTAKE_H_
+
+#include <cstdint>
+#include <string>
+#include <variant>
+
+#include "completion.h"
+#include "http.h"
+#include "problem.h"
+#include "replay.h"
+#include "types.h"
+
+namespace comfreypaddle {
+
+// Workspace under which requests without a key are queued and counted.
+inline constexpr std::string_view kOpenWorkspace = "open";
+
+// Request that was checked against the configuration and may be queued.
+struct Intake {
+  std::string m_request_id;  // The caller's, or one made here.
+  std::string m_workspace;
+  std::string m_key;  // Name of the key; empty on open routes without one.
+  std::string m_route;
+  std::string m_fleet;
+  FleetKind m_kind = FleetKind::kEngine;
+  bool m_repeatable = false;
+  std::string m_idempotency_key;
+  Priority m_priority = Priority::kNormal;
+  Duration m_time_limit{0};         // From arrival to the end of the answer.
+  CompletionCall m_completion;      // For engines.
+  std::uint64_t m_affinity = 0;     // Hash of the first prompt blocks.
+  std::uint64_t m_fingerprint = 0;  // Hash of the content.
+};
+
+// Request that is answered with a problem without having run.
+struct Refusal {
+  ProblemCode m_code = ProblemCode::kBadRequest;
+  std::string m_detail;
+  std::string m_request_id;
+};
+
+struct IntakeOptions {
+  Duration m_default_deadline = std::chrono::seconds(60);
+  // Used as request id if the caller gave none.
+  std::string m_generated_id;
+};
+
+// Finds route, key and workspace of a request and checks its fields. The
+// configuration decides alone: permission to admit and queue bounds come
+// later.
+std::variant<Intake, Refusal> ReadIntake(const Tables& tables,
+                                         const HttpRequest& request,
+                                         const IntakeOptions& options);
+
+}  // namespace comfreypaddle
+
+#endif  // COMFREYPADDLE_INTAKE_H_
--- /dev/null
+++ b/src/probe.cpp
@@ -0,0 +1,134 @@
+#include "probe.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "attempt.h"
+#include "http.pb.h"
+#include "json.h"
+
+namespace comfreypaddle {
+
+namespace {
+
+constexpr Duration kProbeTimeout = std::chrono::seconds(1);
+
+constexpr int kOk = 200;
+
+// Notes a load report and returns whether the endpoint restarted since the
+// last one.
+ProbeResult TakeReport(CallState& state, const std::string& name,
+                       EndpointProbe& probe, const std::string& body) {
+  schema::EndpointLoad load;
+  if (FromJson(body, UnknownFields::kIgnore, &load)) return ProbeResult::kAlive;
+  const Instant now = state.m_clock();
+  LoadReport report;
+  report.m_taken = now - std::chrono::milliseconds(load.age_ms());
+  report.m_queued = load.queued();
+  report.m_running = load.running();
+  report.m_queued_tokens = load.queued_tokens();
+  report.m_kv_used_pieces = load.kv_used_pieces();
+  report.m_kv_total_pieces = load.kv_total_pieces();
+  report.m_draining = load.draining();
+  report.m_incarnation = load.incarnation();
+  OnLoadReport(state.m_route, name, report, now);
+  const bool restarted =
+      !probe.m_incarnation.empty() && probe.m_incarnation != load.incarnation();
+  probe.m_incarnation = load.incarnation();
+  return restarted ? ProbeResult::kRestarted : ProbeResult::kAlive;
+}
+
+// Reports what was running when the endpoint crashed, then lets the calls
+// that waited for the probe go on. The report is applied here at once, so
+// that the retry of this very call already counts it.
+void Conclude(CallState& state, const std::string& name, EndpointProbe& probe,
+              ProbeResult result, const std::string& crash_id) {
+  const std::vector<std::uint64_t> waiting = std::exchange(probe.m_waiting, {});
+  const bool crashed = result != ProbeResult::kAlive;
+  const Instant now = state.m_clock();
+  for (const std::uint64_t id : waiting) {
+    OpenCall* call = FindCall(state, id);
+    if (call == nullptr || !crashed) continue;
+    const SuspectReport report{call->m_intake.m_fingerprint, name, crash_id,
+                               false};
+    ReportCrash(state.m_suspects, report, now);
+    state.m_records->ReportSuspect(report);
+    LOG(WARNING) << "endpoint crashed endpoint=" << name
+                 << " request=" << call->m_intake.m_request_id;
+  }
+  for (const std::uint64_t id : waiting) {
+    OpenCall* call = FindCall(state, id);
+    if (call == nullptr || call->m_phase != CallPhase::kProbing) continue;
+    DecideAfterFailure(state, *call, crashed);
+  }
+}
+
+void OnProbeEnd(CallState& state, const std::string& name,
+                const std::string& body, const HttpResult& result) {
+  const auto found = state.m_probes.find(name);
+  if (found == state.m_probes.end()) return;
+  EndpointProbe& probe = found->second;
+  probe.m_call = 0;
+  const std::string crash_id = name + "/" + probe.m_incarnation;
+  ProbeResult verdict = ProbeResult::kAlive;
+  if (result.m_error == HttpError::kConnectFailed) {
+    verdict = ProbeResult::kGone;
+  } else if (!result.m_error && result.m_status == kOk) {
+    verdict = TakeReport(state, name, probe, body);
+  }
+  Conclude(state, name, probe, verdict, crash_id);
+}
+
+// Starts a probe unless one is under way that began after the failure.
+void StartProbe(CallState& state, const std::string& name,
+                const std::string& address) {
+  EndpointProbe& probe = state.m_probes[name];
+  if (probe.m_call != 0) state.m_endpoints->Cancel(probe.m_call);
+  probe.m_started = state.m_clock();
+  HttpCall call;
+  call.m_url = "http://" + address + "/v1/load";
+  call.m_connect_timeout = state.m_options.m_connect_timeout;
+  call.m_timeout = kProbeTimeout;
+  // A pooled connection to a process that is gone would only be found broken.
+  call.m_fresh_connection = !probe.m_waiting.empty();
+  auto body = std::make_shared<std::string>();
+  HttpEvents events;
+  events.m_on_body = [body](std::string_view bytes) { body->append(bytes); };
+  events.m_on_end = [&state, name, body](const HttpResult& result) {
+    OnProbeEnd(state, name, *body, result);
+  };
+  probe.m_call = state.m_endpoints->Start(std::move(call), std::move(events));
+}
+
+bool IsEngine(const CallState& state, const Endpoint& endpoint) {
+  const auto fleet = state.m_tables.m_fleets.find(endpoint.m_fleet);
+  return fleet != state.m_tables.m_fleets.end() &&
+         fleet->second.m_value.m_kind == FleetKind::kEngine;
+}
+
+}  // namespace
+
+void PollLoads(CallState& state) {
+  for (const auto& [name, endpoint] : state.m_tables.m_endpoints) {
+    if (!IsEngine(state, endpoint.m_value)) continue;
+    const EndpointProbe& probe = state.m_probes[name];
+    if (probe.m_call != 0) continue;
+    StartProbe(state, name, endpoint.m_value.m_address);
+  }
+}
+
+void ProbeEndpoint(CallState& state, OpenCall& call) {
+  const std::string& name = call.m_choice.m_endpoint;
+  const auto endpoint = state.m_tables.m_endpoints.find(name);
+  if (endpoint == state.m_tables.m_endpoints.end()) {
+    DecideAfterFailure(state, call, false);
+    return;
+  }
+  call.m_phase = CallPhase::kProbing;
+  state.m_probes[name].m_waiting.push_back(call.m_id);
+  StartProbe(state, name, endpoint->second.m_value.m_address);
+}
+
+}  // namespace comfreypaddle
--- a/src/record.h
+++ b/src/record.h
@@ -108,6 +108,7 @@
   std::string m_idempotency_key;
   Outcome m_outcome = Outcome::kUnknown;
   std::uint32_t m_status = 0;
+  std::string m_request_id;  // As in the claim.
 };
 
 struct UsageDelta {
