Add the gateway and admin tasks and metrics

Cause: the modules of the request path and of the operators' API need tasks that own their sockets and state.

Change: gateway.h owns the callers' listener, the endpoint connections and the call state; admin.h owns the operators' listener; metrics.h keeps durations in Boost.Accumulators and writes the Prometheus text format.

Ruled out: a second process for the operators' API; no instance is set aside for control.

--- /dev/null
+++ b/src/admin.h
@@ -0,0 +1,41 @@
+#ifndef COMFREYPADDLE_ADMIN_H_
+#define COMFREYPADDLE_ADMIN_H_
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "api.h"
+#include "listener.h"
+#include "messages.pb.h"
+#include "settings.pb.h"
+#include "task.h"
+
+namespace comfreypaddle {
+
+// Task of the operators' API, with health and metrics. It owns the operators'
+// listener and a copy of the resources.
+class Admin : public Task<schema::AdminMessage> {
+ public:
+  Admin(const schema::Settings& settings, std::uint64_t incarnation,
+        Port<schema::JournalMessage>* journal);
+
+ private:
+  void Start() override;
+  void Receive(schema::AdminMessage message) override;
+  void Finish() override;
+
+  void TakeLease(const schema::LeaseChange& change);
+
+  schema::Settings m_settings;
+  ApiState m_state;
+  std::set<std::string> m_duties;  // Held by this process.
+  std::string m_gateway_metrics;
+  std::optional<Listener> m_listener;
+  std::unique_ptr<PeriodicTimer> m_heartbeat;
+};
+
+}  // namespace comfreypaddle
+
+#endif  // COMFREYPADDLE_ADMIN_H_
--- a/src/api.cpp
+++ b/src/api.cpp
@@ -96,8 +96,8 @@
   }
   const schema::Resource* resource = FindResource(state, path);
   if (resource == nullptr) {
-    AnswerProblem(state, request.m_id, ProblemCode::kNotFound,
-                  Outcome::kNotRun, "There is no such resource.");
+    AnswerProblem(state, request.m_id, ProblemCode::kNotFound, Outcome::kNotRun,
+                  "There is no such resource.");
     return;
   }
   AnswerJson(state, request.m_id, *resource);
@@ -144,16 +144,15 @@
                   Outcome::kNotRun, "Lists can only be read.");
     return false;
   }
-  if (FindField(request.m_headers, "x-request-token").size() >
-      kMaxTokenBytes) {
+  if (FindField(request.m_headers, "x-request-token").size() > kMaxTokenBytes) {
     AnswerProblem(state, request.m_id, ProblemCode::kBadRequest,
                   Outcome::kNotRun,
                   "X-Request-Token has more than 128 characters.");
     return false;
   }
   if (state.m_status.draining()) {
-    AnswerProblem(state, request.m_id, ProblemCode::kDraining,
-                  Outcome::kNotRun, "This instance is being stopped.");
+    AnswerProblem(state, request.m_id, ProblemCode::kDraining, Outcome::kNotRun,
+                  "This instance is being stopped.");
     return false;
   }
   if (!state.m_writes_open || !state.m_status.log_reachable()) {
@@ -198,8 +197,7 @@
 }
 
 std::string FormatWatchEvent(const schema::WatchEvent& event) {
-  return FormatSseEvent({}, event.resource().resource_version(),
-                        ToJson(event));
+  return FormatSseEvent({}, event.resource().resource_version(), ToJson(event));
 }
 
 void HandleWatch(ApiState& state, const HttpRequest& request) {
@@ -247,9 +245,9 @@
     return true;
   }
   if (request.m_path == "/metrics") {
-    state.m_callers->Respond(
-        request.m_id, kOk,
-        {{"Content-Type", "text/plain; version=0.0.4"}}, state.m_metrics());
+    state.m_callers->Respond(request.m_id, kOk,
+                             {{"Content-Type", "text/plain; version=0.0.4"}},
+                             state.m_metrics());
     return true;
   }
   return false;
@@ -258,8 +256,8 @@
 void HandleResource(ApiState& state, const HttpRequest& request) {
   const ResourcePath path = SplitPath(request.m_path);
   if (!FromName<ResourceKind>(path.m_kind)) {
-    AnswerProblem(state, request.m_id, ProblemCode::kNotFound,
-                  Outcome::kNotRun, "There is no such kind of resource.");
+    AnswerProblem(state, request.m_id, ProblemCode::kNotFound, Outcome::kNotRun,
+                  "There is no such kind of resource.");
   } else if (request.m_method == "GET") {
     HandleGet(state, request, path);
   } else if (request.m_method == "PUT") {
@@ -293,7 +291,8 @@
                   "X-Request-Token.");
   } else {
     AnswerProblem(state, request, ProblemCode::kInvalidResource,
-                  Outcome::kNotRun, "The write is invalid: " + verdict.reason());
+                  Outcome::kNotRun,
+                  "The write is invalid: " + verdict.reason());
   }
 }
 
@@ -302,8 +301,8 @@
 void HandleApiRequest(ApiState& state, const HttpRequest& request) {
   if (HandleOpenPath(state, request)) return;
   if (request.m_path.compare(0, kPrefix.size(), kPrefix) != 0) {
-    AnswerProblem(state, request.m_id, ProblemCode::kNotFound,
-                  Outcome::kNotRun, "The API is below /api/v1/.");
+    AnswerProblem(state, request.m_id, ProblemCode::kNotFound, Outcome::kNotRun,
+                  "The API is below /api/v1/.");
   } else if (!IsAuthorized(state, request)) {
     AnswerProblem(state, request.m_id, ProblemCode::kUnauthorized,
                   Outcome::kNotRun, "The operators' token is missing.");
--- a/src/attempt.cpp
+++ b/src/attempt.cpp
@@ -121,6 +121,17 @@
   RunQueue(state, fleet);
 }
 
+void CountToken(CallState& state, OpenCall& call) {
+  ++state.m_counters.m_tokens;
+  const Instant now = state.m_clock();
+  if (call.m_exchange.m_position == 1) {
+    state.m_timings.m_first_token.Add(now - call.m_exchange.m_accepted);
+  } else {
+    state.m_timings.m_token_gap.Add(now - call.m_last_token);
+  }
+  call.m_last_token = now;
+}
+
 void HandleToken(CallState& state, OpenCall& call, const SseEvent& event) {
   const auto text = TokenText(event.m_data);
   if (!text) {
@@ -131,7 +142,7 @@
                                        event.m_id, *text, state.m_clock());
   if (verdict == EventVerdict::kBroken) call.m_broken = FailureKind::kBadAnswer;
   if (verdict != EventVerdict::kPass) return;
-  ++state.m_counters.m_tokens;
+  CountToken(state, call);
   if (!call.m_intake.m_completion.m_stream) return;
   StartAnswer(
       state, call,
@@ -372,6 +383,9 @@
 
 void LaunchAttempt(CallState& state, OpenCall& call,
                    const RouteChoice& choice) {
+  if (call.m_exchange.m_attempts == 0) {
+    state.m_timings.m_queue.Add(state.m_clock() - call.m_exchange.m_accepted);
+  }
   call.m_choice = choice;
   call.m_at_endpoint = true;
   call.m_endpoint_id =
--- a/src/calls.h
+++ b/src/calls.h
@@ -13,6 +13,7 @@
 #include "exchange.h"
 #include "http.h"
 #include "intake.h"
+#include "metrics.h"
 #include "replay.h"
 #include "retry.h"
 #include "route.h"
@@ -81,6 +82,7 @@
   Instant m_resume_at{};
 
   bool m_answer_started = false;  // The caller got a status line.
+  Instant m_last_token{};
 };
 
 // Counters since the start of the process.
@@ -95,6 +97,13 @@
   std::uint64_t m_tokens = 0;
 };
 
+// Times of requests since the start of the process.
+struct CallTimings {
+  DurationStats m_queue;        // From acceptance to the first attempt.
+  DurationStats m_first_token;  // From acceptance to the first token.
+  DurationStats m_token_gap;
+};
+
 // Usage that was not handed to the journal yet, by workspace and route.
 struct PendingUsage {
   std::uint64_t m_requests = 0;
@@ -171,6 +180,7 @@
   std::map<std::string, EndpointProbe, std::less<>> m_probes;
   std::map<std::pair<std::string, std::string>, PendingUsage> m_usage;
   CallCounters m_counters;
+  CallTimings m_timings;
   std::uint64_t m_next_id = 1;
 };
 
--- a/src/codec.cpp
+++ b/src/codec.cpp
@@ -214,6 +214,7 @@
     out.set_idempotency_key(value.m_idempotency_key);
     out.set_outcome(Name(ToName(value.m_outcome)));
     out.set_status(value.m_status);
+    out.set_request_id(value.m_request_id);
   }
 
   void operator()(const UsageFlush& value) const {
@@ -273,7 +274,7 @@
   const std::optional<Outcome> outcome = FromName<Outcome>(in.outcome());
   if (!outcome) return std::monostate();
   return RequestOutcome{in.workspace(), in.idempotency_key(), *outcome,
-                        in.status()};
+                        in.status(), in.request_id()};
 }
 
 }  // namespace
--- a/src/exchange.cpp
+++ b/src/exchange.cpp
@@ -11,7 +11,9 @@
 
 void KeepText(Exchange& exchange, std::string_view text) {
   if (!exchange.m_text_whole) return;
-  if (exchange.m_text.size() + text.size() > kMaxKeptText) {
+  // An answer that is not streamed is sent from this text, so all of it stays.
+  if (exchange.m_streamed &&
+      exchange.m_text.size() + text.size() > kMaxKeptText) {
     exchange.m_text_whole = false;
     exchange.m_text.clear();
     exchange.m_text.shrink_to_fit();
--- /dev/null
+++ b/src/gateway.h
@@ -0,0 +1,60 @@
+#ifndef COMFREYPADDLE_GATEWAY_H_
+#define COMFREYPADDLE_GATEWAY_H_
+
+#include <memory>
+#include <optional>
+
+#include "calls.h"
+#include "client.h"
+#include "listener.h"
+#include "messages.pb.h"
+#include "settings.pb.h"
+#include "task.h"
+
+namespace comfreypaddle {
+
+// Tasks that the gateway talks to. None is owned; null ports are skipped.
+struct GatewayPorts {
+  Port<schema::JournalMessage>* m_journal = nullptr;
+  Port<schema::AdminMessage>* m_admin = nullptr;
+  Port<schema::PeersMessage>* m_peers = nullptr;
+  Port<schema::DutiesMessage>* m_duties = nullptr;
+  Port<schema::ServeMessage>* m_serve = nullptr;
+};
+
+// Task between callers and endpoints. It owns the callers' listener, the
+// connections to endpoints, the queues and the routing state.
+class Gateway : public Task<schema::GatewayMessage>, private RecordPort {
+ public:
+  Gateway(const schema::Settings& settings, std::uint64_t incarnation,
+          const GatewayPorts& ports);
+
+ private:
+  void Start() override;
+  void Receive(schema::GatewayMessage message) override;
+  void Finish() override;
+
+  void ClaimRequest(std::uint64_t ticket, const RequestClaim& claim) override;
+  void RecordOutcome(const RequestOutcome& outcome) override;
+  void ReportSuspect(const SuspectReport& report) override;
+
+  void Submit(std::uint64_t ticket, Duration timeout, schema::Record record);
+  void TakePeer(const schema::PeerState& peer);
+  void StartDrain();
+  void CheckDrained();
+  void FlushUsage();
+  void SendStatus();
+
+  schema::Settings m_settings;
+  GatewayPorts m_ports;
+  CallState m_state;
+  std::optional<Listener> m_listener;
+  std::optional<Client> m_client;
+  std::vector<std::unique_ptr<PeriodicTimer>> m_timers;
+  bool m_accepting = true;
+  bool m_drained = false;
+};
+
+}  // namespace comfreypaddle
+
+#endif  // COMFREYPADDLE_GATEWAY_H_
--- /dev/null
+++ b/src/metrics.cpp
@@ -0,0 +1,70 @@
+#include "metrics.h"
+
+#include <array>
+
+namespace comfreypaddle {
+
+namespace {
+
+constexpr std::array<double, 3> kQuantiles = {0.5, 0.95, 0.99};
+
+// Below this many samples the estimator has no quantiles yet.
+constexpr std::size_t kMinSamples = 5;
+
+}  // namespace
+
+DurationStats::DurationStats()
+    : m_accumulators(boost::accumulators::extended_p_square_probabilities =
+                         kQuantiles) {}
+
+void DurationStats::Add(Duration duration) {
+  m_accumulators(std::chrono::duration<double>(duration).count());
+}
+
+std::size_t DurationStats::Count() const {
+  return boost::accumulators::count(m_accumulators);
+}
+
+double DurationStats::Sum() const {
+  return boost::accumulators::sum(m_accumulators);
+}
+
+double DurationStats::Quantile(double quantile) const {
+  if (Count() < kMinSamples) return 0.0;
+  return boost::accumulators::quantile(
+      m_accumulators, boost::accumulators::quantile_probability = quantile);
+}
+
+void MetricsText::Head(std::string_view name, std::string_view help,
+                       std::string_view type) {
+  m_text.append("# HELP ").append(name).append(" ").append(help).append("\n");
+  m_text.append("# TYPE ").append(name).append(" ").append(type).append("\n");
+}
+
+void MetricsText::Counter(std::string_view name, std::string_view help,
+                          std::uint64_t value) {
+  Head(name, help, "counter");
+  m_text.append(name).append(" ").append(std::to_string(value)).append("\n");
+}
+
+void MetricsText::Gauge(std::string_view name, std::string_view help,
+                        double value) {
+  Head(name, help, "gauge");
+  m_text.append(name).append(" ").append(std::to_string(value)).append("\n");
+}
+
+void MetricsText::Summary(std::string_view name, std::string_view help,
+                          const DurationStats& stats) {
+  Head(name, help, "summary");
+  for (const double quantile : kQuantiles) {
+    m_text.append(name).append("{quantile=\"");
+    m_text.append(std::to_string(quantile).substr(0, 4)).append("\"} ");
+    m_text.append(std::to_string(stats.Quantile(quantile))).append("\n");
+  }
+  m_text.append(name).append("_sum ");
+  m_text.append(std::to_string(stats.Sum())).append("\n");
+  m_text.append(name).append("_count ");
+  m_text.append(std::to_string(stats.Count())).append("\n");
+}
+
+}  // namespace comfreypaddle
--- /dev/null
+++ b/src/metrics.h
@@ -0,0 +1,68 @@
+#ifndef COMFREYPADDLE_METRICS_H_
+#define COMFREYPADDLE_METRICS_H_
+
+// clang-format off
+// The quantile header uses std::ostringstream without including it.
+#include <sstream>
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+// clang-format on
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "types.h"
+
+namespace comfreypaddle {
+
+// Distribution of durations in seconds, with estimates of its 50th, 95th and
+// 99th percentile that take constant memory.
+class DurationStats {
+ public:
+  DurationStats();
+
+  void Add(Duration duration);
+
+  std::size_t Count() const;
+
+  // Sum of all durations, seconds.
+  double Sum() const;
+
+  // Estimate of the quantile, seconds; 0.5, 0.95 and 0.99 are kept.
+  double Quantile(double quantile) const;
+
+ private:
+  using Accumulators = boost::accumulators::accumulator_set<
+      double,
+      boost::accumulators::stats<
+          boost::accumulators::tag::count, boost::accumulators::tag::sum,
+          boost::accumulators::tag::extended_p_square_quantile>>;
+
+  Accumulators m_accumulators;
+};
+
+// Writer of the Prometheus text format.
+class MetricsText {
+ public:
+  void Counter(std::string_view name, std::string_view help,
+               std::uint64_t value);
+  void Gauge(std::string_view name, std::string_view help, double value);
+  void Summary(std::string_view name, std::string_view help,
+               const DurationStats& stats);
+
+  const std::string& Text() const { return m_text; }
+
+ private:
+  void Head(std::string_view name, std::string_view help,
+            std::string_view type);
+
+  std::string m_text;
+};
+
+}  // namespace comfreypaddle
+
+#endif  // COMFREYPADDLE_METRICS_H_
