Use the extended P-square estimator without interpolation

Cause: Boost's quantile header has an uninitialized member that fails the build with warnings as errors.

Change: DurationStats reads the estimator's own quantiles by index.

No functional change

--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -1,13 +1,9 @@
 #include "metrics.h"
 
-#include <array>
-
 namespace comfreypaddle {
 
 namespace {
 
-constexpr std::array<double, 3> kQuantiles = {0.5, 0.95, 0.99};
-
 // Below this many samples the estimator has no quantiles yet.
 constexpr std::size_t kMinSamples = 5;
 
@@ -29,10 +25,10 @@
   return boost::accumulators::sum(m_accumulators);
 }
 
-double DurationStats::Quantile(double quantile) const {
+double DurationStats::Quantile(std::size_t index) const {
   if (Count() < kMinSamples) return 0.0;
-  return boost::accumulators::quantile(
-      m_accumulators, boost::accumulators::quantile_probability = quantile);
+  const auto quantiles = boost::accumulators::extended_p_square(m_accumulators);
+  return quantiles[static_cast<std::ptrdiff_t>(index)];
 }
 
 void MetricsText::Head(std::string_view name, std::string_view help,
@@ -56,10 +52,11 @@
 void MetricsText::Summary(std::string_view name, std::string_view help,
                           const DurationStats& stats) {
   Head(name, help, "summary");
-  for (const double quantile : kQuantiles) {
+  for (std::size_t i = 0; i < kQuantiles.size(); ++i) {
     m_text.append(name).append("{quantile=\"");
-    m_text.append(std::to_string(quantile).substr(0, 4)).append("\"} ");
-    m_text.append(std::to_string(stats.Quantile(quantile))).append("\n");
+    m_text.append(std::to_string(kQuantiles.at(i)).substr(0, 4));
+    m_text.append("\"} ").append(std::to_string(stats.Quantile(i)));
+    m_text.append("\n");
   }
   m_text.append(name).append("_sum ");
   m_text.append(std::to_string(stats.Sum())).append("\n");
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -1,16 +1,12 @@
 #ifndef COMFREYPADDLE_METRICS_H_
 #define COMFREYPADDLE_METRICS_H_
 
-// clang-format off
-// The quantile header uses std::ostringstream without including it.
-#include <sstream>
-
+#include <array>
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
-#include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
+#include <boost/accumulators/statistics/extended_p_square.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
-// clang-format on
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -19,6 +15,9 @@
 
 namespace comfreypaddle {
 
+// Quantiles that are kept for each distribution.
+inline constexpr std::array<double, 3> kQuantiles = {0.5, 0.95, 0.99};
+
 // Distribution of durations in seconds, with estimates of its 50th, 95th and
 // 99th percentile that take constant memory.
 class DurationStats {
@@ -32,15 +31,15 @@
   // Sum of all durations, seconds.
   double Sum() const;
 
-  // Estimate of the quantile, seconds; 0.5, 0.95 and 0.99 are kept.
-  double Quantile(double quantile) const;
+  // Estimate of a quantile, seconds. The index is that in kQuantiles.
+  double Quantile(std::size_t index) const;
 
  private:
   using Accumulators = boost::accumulators::accumulator_set<
       double,
-      boost::accumulators::stats<
-          boost::accumulators::tag::count, boost::accumulators::tag::sum,
-          boost::accumulators::tag::extended_p_square_quantile>>;
+      boost::accumulators::stats<boost::accumulators::tag::count,
+                                 boost::accumulators::tag::sum,
+                                 boost::accumulators::tag::extended_p_square>>;
 
   Accumulators m_accumulators;
 };
