Add the subcommands of the program and of its operators

The program had no command line. command.h holds the table of subcommands with summary, help text and flags; main only dispatches. check reports the mistakes of settings files; get, apply, delete, watch and status speak the operators' API over the client's HttpPort.

gflags' own parser was ruled out: it takes the flags of every subcommand and library and ends with code 1 on a mistake, where code 2 is promised. Each flag is set through gflags by name instead.

A write keeps its X-Request-Token over all attempts and uses a fresh connection, because libcurl repeats a request by itself when a reused connection turns out to be closed (seen in the test as a third request). Problem documents carry current_version on a conflict, and schema::StatusReport is the answer of GET /api/v1/status.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,1 +1,5 @@
-int main() { return 0; }
+#include "command.h"
+
+int main(int argc, char** argv) {
+  return comfreypaddle::RunProgram(argc, argv);
+}
--- a/src/problem.cpp
+++ b/src/problem.cpp
@@ -81,6 +81,9 @@
   problem.set_code(std::string(ToName(details.m_code)));
   problem.set_outcome(std::string(ToName(details.m_outcome)));
   problem.set_request_id(details.m_request_id);
+  if (details.m_current_version) {
+    problem.set_current_version(*details.m_current_version);
+  }
   ProblemAnswer answer{row.m_status,
                        {{"Content-Type", "application/problem+json"}},
                        ToJson(problem)};
--- a/src/problem.h
+++ b/src/problem.h
@@ -2,6 +2,7 @@
 #define COMFREYPADDLE_PROBLEM_H_
 
 #include <array>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -79,6 +80,8 @@
   // Time after which the caller may try again; zero takes the code's default,
   // which is none for problems that do not pass by themselves.
   Duration m_retry_after{0};
+  // Version in force of a resource whose write conflicted.
+  std::optional<Position> m_current_version;
 };
 
 // Answer with an application/problem+json body, ready for CallerPort.
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -16,6 +16,8 @@
 #include <type_traits>
 #include <utility>
 
+#include "sha256.h"
+
 namespace comfreypaddle {
 namespace {
 
@@ -23,8 +25,6 @@
 using google::protobuf::FieldDescriptor;
 using google::protobuf::Message;
 
-constexpr std::size_t kSha256HexDigits = 64;
-
 std::string_view Trim(std::string_view text) {
   constexpr std::string_view kBlank = " \t\r\n";
   const std::size_t first = text.find_first_not_of(kBlank);
@@ -308,11 +308,7 @@
 }
 
 void CheckTokenHash(Loader& loader, const std::string& hash) {
-  const bool valid =
-      hash.empty() ||
-      (hash.size() == kSha256HexDigits &&
-       hash.find_first_not_of("0123456789abcdef") == std::string::npos);
-  if (valid) return;
+  if (hash.empty() || IsSha256Hex(hash)) return;
   loader.ReportKey(SettingsFault::kMalformed, "operators", "token_sha256",
                    "must be 64 hexadecimal digits in lower case");
 }
--- a/tests/problem_test.cpp
+++ b/tests/problem_test.cpp
@@ -36,6 +36,7 @@
   CHECK(problem.code() == "workspace_queue_full");
   CHECK(problem.outcome() == "not_run");
   CHECK(problem.request_id() == "r-1");
+  CHECK(answer.m_body.find("current_version") == std::string::npos);
   CHECK(problem.detail() == "500 \"requests\" wait");
   CHECK(FindField(answer.m_headers, "Retry-After") == "3");
   CHECK(FindField(answer.m_headers, "Content-Type") ==
