--- a/src/http.h
+++ b/src/http.h
@@ -45,6 +45,8 @@
 // Request read completely by a listener.
 struct HttpRequest {
   std::uint64_t m_id = 0;  // Names the request in calls to CallerPort.
+  // Names the connection; later connections have higher numbers.
+  std::uint64_t m_connection = 0;
   std::string m_method;
   std::string m_path;
   HttpFields m_query;
--- a/src/listener.cpp
+++ b/src/listener.cpp
@@ -72,6 +72,7 @@
   int m_socket = -1;
   bool m_reading = true;
   Instant m_close_after;
+  std::uint64_t m_number = 0;
 };
 
 // Functions that libmicrohttpd calls.
@@ -105,6 +106,7 @@
             ->connect_fd;
     HttpRequest& request = exchange->m_request;
     request.m_id = self.m_next_id++;
+    request.m_connection = self.m_connections[connection].m_number;
     request.m_method = method;
     request.m_path = url;
     MHD_get_connection_values(connection, MHD_HEADER_KIND, &CollectField,
@@ -143,7 +145,8 @@
         MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)
             ->connect_fd;
     self->m_connections[connection] = {
-        socket, true, Now() + self->m_options.m_request_timeout};
+        socket, true, Now() + self->m_options.m_request_timeout,
+        self->m_next_connection++};
   }
 };
 
--- a/src/listener.h
+++ b/src/listener.h
@@ -93,6 +93,7 @@
   EventLoop::TimerId m_run_timer = 0;
   Instant m_run_due;
   std::uint64_t m_next_id = 1;
+  std::uint64_t m_next_connection = 1;
   bool m_running_daemon = false;
   bool m_closing = false;
 };
