--- a/src/admin.cpp
+++ b/src/admin.cpp
@@ -14,11 +14,9 @@
 
 }  // namespace
 
-Admin::Admin(const schema::Settings& settings, std::uint64_t incarnation,
-             Port<schema::JournalMessage>* journal)
+Admin::Admin(const schema::Settings& settings, std::uint64_t incarnation)
     : m_settings(settings) {
   m_state.m_settings.m_token_sha256 = settings.operators().token_sha256();
-  m_state.m_journal = journal;
   m_state.m_metrics = [this] {
     MetricsText text;
     text.Gauge("comfreypaddle_log_next_offset", "Next log offset to be read.",
--- a/src/admin.h
+++ b/src/admin.h
@@ -18,8 +18,12 @@
 // listener and a copy of the resources.
 class Admin : public Task<schema::AdminMessage> {
  public:
-  Admin(const schema::Settings& settings, std::uint64_t incarnation,
-        Port<schema::JournalMessage>* journal);
+  Admin(const schema::Settings& settings, std::uint64_t incarnation);
+
+  // Names the journal that writes go to. Call before Launch.
+  void Connect(Port<schema::JournalMessage>* journal) {
+    m_state.m_journal = journal;
+  }
 
  private:
   void Start() override;
--- a/src/api.cpp
+++ b/src/api.cpp
@@ -11,6 +11,7 @@
 #include "forward.h"
 #include "json.h"
 #include "loop.h"
+#include "sha256.h"
 #include "sse.h"
 
 namespace comfreypaddle {
--- /dev/null
+++ b/src/duties.h
@@ -0,0 +1,51 @@
+#ifndef COMFREYPADDLE_DUTIES_H_
+#define COMFREYPADDLE_DUTIES_H_
+
+#include <memory>
+#include <optional>
+
+#include "client.h"
+#include "duty.h"
+#include "messages.pb.h"
+#include "settings.pb.h"
+#include "task.h"
+
+namespace comfreypaddle {
+
+// Tasks that the duties task talks to. None is owned.
+struct DutiesPorts {
+  Port<schema::JournalMessage>* m_journal = nullptr;
+  Port<schema::GatewayMessage>* m_gateway = nullptr;
+  Port<schema::ServeMessage>* m_serve = nullptr;
+};
+
+// Task of what one instance at a time does for all: orders to endpoints and to
+// the platform, usage reports, snapshots. It owns the connections for orders.
+class Duties : public Task<schema::DutiesMessage> {
+ public:
+  Duties(const schema::Settings& settings, std::uint64_t incarnation);
+
+  // Names the tasks to talk to. Call before Launch.
+  void Connect(const DutiesPorts& ports);
+
+ private:
+  void Start() override;
+  void Receive(schema::DutiesMessage message) override;
+  void Finish() override;
+
+  void OnTick();
+  void TakeVerdict(const schema::RecordVerdict& verdict);
+  void TakeLogStatus(const schema::LogStatus& status);
+  void MaintainSnapshots();
+  void CheckReleased();
+
+  DutiesPorts m_ports;
+  DutyState m_state;
+  std::optional<Client> m_client;
+  std::unique_ptr<PeriodicTimer> m_tick;
+  bool m_drained = false;
+};
+
+}  // namespace comfreypaddle
+
+#endif  // COMFREYPADDLE_DUTIES_H_
--- /dev/null
+++ b/src/duty.h
@@ -0,0 +1,85 @@
+#ifndef COMFREYPADDLE_DUTY_H_
+#define COMFREYPADDLE_DUTY_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "http.h"
+#include "lease.h"
+#include "messages.pb.h"
+#include "replay.h"
+#include "task.h"
+#include "types.h"
+
+namespace comfreypaddle {
+
+struct DutyOptions {
+  Writer m_self;
+  LeaseOptions m_lease;
+  // Longest time that an order may be under way. A successor waits this long
+  // before its first order.
+  Duration m_order_timeout = std::chrono::seconds(1);
+  Duration m_usage_window = std::chrono::seconds(60);
+  // Time after a window's end at which it is closed, so that work that ended
+  // in it is in the log.
+  Duration m_close_delay = std::chrono::seconds(2);
+  std::uint64_t m_snapshot_offsets = 2000;
+  std::string m_platform_url;
+};
+
+// What this process knows about the lease of one duty.
+struct Tenure {
+  Lease m_lease;
+  bool m_claimed = false;  // A claim of anybody's was read.
+  // Time before the claim in force was sent, if this process sent it.
+  Instant m_claimed_at{};
+  // When this process read the first claim of the tenure.
+  Instant m_started{};
+  std::uint64_t m_ticket = 0;  // Of a claim or release under way; zero if none.
+};
+
+// Closed usage window that is not known to be reported.
+struct WindowReport {
+  schema::UsageWindow m_window;
+  HttpPort::CallId m_call = 0;  // Report under way.
+  Instant m_retry_at{};
+  bool m_accepted = false;  // The platform has it; the record is under way.
+};
+
+// State of the duties task. The functions of tenure.h, report.h, ordering.h
+// and provision.h work on it; ports are not owned.
+struct DutyState {
+  DutyOptions m_options;
+  HttpPort* m_http = nullptr;
+  Port<schema::JournalMessage>* m_journal = nullptr;
+  std::function<Instant()> m_clock;
+  // Wall clock, seconds since the epoch. It only numbers the usage windows.
+  std::function<std::int64_t()> m_wall_clock_s;
+
+  Tables m_tables;
+  std::vector<std::string> m_members;  // Entry instances, this one included.
+  std::map<std::string, Instant> m_heard;  // Last heartbeat by peer.
+  std::map<std::string, Tenure, std::less<>> m_tenures;  // By duty.
+  Instant m_caught_up_at{};
+  bool m_caught_up = false;
+  bool m_draining = false;
+  bool m_log_reachable = false;
+  std::uint64_t m_next_offset = 1;
+  std::uint64_t m_last_snapshot = 0;  // Offset at which one was asked for.
+
+  std::map<std::uint64_t, WindowReport> m_windows;
+  std::uint64_t m_last_window = 0;
+  std::uint64_t m_close_ticket = 0;  // Of a close under way; zero if none.
+  std::uint64_t m_next_ticket = 1;
+};
+
+// Hands a record to the journal and returns the ticket of its verdict.
+std::uint64_t SubmitDutyRecord(DutyState& state, schema::Record record,
+                               Duration timeout);
+
+}  // namespace comfreypaddle
+
+#endif  // COMFREYPADDLE_DUTY_H_
--- a/src/forward.cpp
+++ b/src/forward.cpp
@@ -1,7 +1,5 @@
 #include "forward.h"
 
-#include <openssl/evp.h>
-
 #include <algorithm>
 #include <array>
 
@@ -47,20 +45,6 @@
   return std::string(value.substr(kScheme.size()));
 }
 
-std::string Sha256Hex(std::string_view text) {
-  constexpr std::string_view kDigits = "0123456789abcdef";
-  std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
-  unsigned int size = 0;
-  EVP_Digest(text.data(), text.size(), digest.data(), &size, EVP_sha256(),
-             nullptr);
-  std::string hex;
-  for (unsigned int i = 0; i < size; ++i) {
-    hex += kDigits[digest.at(i) >> 4U];
-    hex += kDigits[digest.at(i) & 15U];
-  }
-  return hex;
-}
-
 // A caller may repeat its key in an allowed field by mistake; such a field is
 // left out as well.
 HttpFields EndpointHeaders(const HttpRequest& request,
--- a/src/forward.h
+++ b/src/forward.h
@@ -10,9 +10,6 @@
 // Returns the bearer key of a request, or an empty string if there is none.
 std::string BearerKey(const HttpRequest& request);
 
-// Returns the lower-case hex SHA-256 of the text.
-std::string Sha256Hex(std::string_view text);
-
 // Returns the fields that may go on to an endpoint, by an allow list, so that
 // a key in any other field stays here.
 HttpFields EndpointHeaders(const HttpRequest& request,
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -91,9 +91,8 @@
 
 }  // namespace
 
-Gateway::Gateway(const schema::Settings& settings, std::uint64_t incarnation,
-                 const GatewayPorts& ports)
-    : m_settings(settings), m_ports(ports) {
+Gateway::Gateway(const schema::Settings& settings, std::uint64_t incarnation)
+    : m_settings(settings) {
   m_state.m_options = MakeOptions(settings, incarnation);
   m_state.m_clock = [] { return Now(); };
   m_state.m_records = this;
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -26,8 +26,10 @@
 // connections to endpoints, the queues and the routing state.
 class Gateway : public Task<schema::GatewayMessage>, private RecordPort {
  public:
-  Gateway(const schema::Settings& settings, std::uint64_t incarnation,
-          const GatewayPorts& ports);
+  Gateway(const schema::Settings& settings, std::uint64_t incarnation);
+
+  // Names the tasks to talk to. Call before Launch.
+  void Connect(const GatewayPorts& ports) { m_ports = ports; }
 
  private:
   void Start() override;
--- a/src/intake.cpp
+++ b/src/intake.cpp
@@ -7,6 +7,7 @@
 #include <optional>
 
 #include "forward.h"
+#include "sha256.h"
 
 namespace comfreypaddle {
 
