Add the batcher of submitted records and the log store

Cause: records of all tasks share the append budget, and answers of the log get lost after the append took effect.

Change: batch.h offers Submit, NextSendAt, BeginSend, EndSend, TakeRead and GiveUp over a plain Batcher: one append under way, the same batch again until its fate is known, not_stored only for records that were never sent. logstore.h offers the LogStore interface, LogError and HttpLogStore over HttpPort; after a failed call the next one uses a connection of its own.

Ruled out: using the number of a batch again after a refusal, because a wrong refusal would make the fold drop other records under that number.

--- /dev/null
+++ b/src/batch.cpp
@@ -0,0 +1,155 @@
+#include "batch.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace comfreypaddle {
+namespace {
+
+// Bytes of a batch that are not records, with some to spare.
+constexpr std::size_t kHeadBytes = 512;
+
+bool Fits(const Batcher& batcher, std::size_t records, std::size_t bytes) {
+  return records <= batcher.m_options.m_max_records &&
+         bytes + kHeadBytes <= batcher.m_options.m_max_bytes;
+}
+
+Flight FormFlight(Batcher& batcher, Instant now) {
+  Flight flight;
+  flight.m_sequence = batcher.m_next_sequence++;
+  flight.m_first_sent = now;
+  std::size_t bytes = 0;
+  const auto take = [&](std::deque<Submission>& queue) {
+    const std::size_t added = bytes + queue.front().m_bytes;
+    if (!Fits(batcher, flight.m_submissions.size() + 1, added)) return false;
+    bytes = added;
+    flight.m_submissions.push_back(std::move(queue.front()));
+    queue.pop_front();
+    return true;
+  };
+  while (!batcher.m_waiting.empty() && take(batcher.m_waiting)) {
+  }
+  if (!batcher.m_background.empty()) take(batcher.m_background);
+  return flight;
+}
+
+// Puts the submissions back in their order. Those that were given up in the
+// meantime are dropped.
+void ReturnToQueue(Batcher& batcher) {
+  std::vector<Submission>& submissions = batcher.m_open->m_submissions;
+  for (auto it = submissions.rbegin(); it != submissions.rend(); ++it) {
+    if (!it->m_answered) batcher.m_waiting.push_front(std::move(*it));
+  }
+  batcher.m_open.reset();
+}
+
+void GiveUpFlight(Flight& flight, Instant now, std::vector<GivenUp>& given_up) {
+  for (Submission& submission : flight.m_submissions) {
+    if (submission.m_answered || submission.m_deadline > now) continue;
+    submission.m_answered = true;
+    given_up.push_back(
+        {submission.m_sender, submission.m_ticket, Verdict::kUnknown});
+  }
+}
+
+bool HasDeadline(const Submission& submission) {
+  return !submission.m_answered && submission.m_deadline != kNoDeadline;
+}
+
+bool HasDeadline(const Flight& flight) {
+  return std::any_of(
+      flight.m_submissions.begin(), flight.m_submissions.end(),
+      [](const Submission& submission) { return HasDeadline(submission); });
+}
+
+}  // namespace
+
+bool Submit(Batcher& batcher, Submission submission) {
+  if (batcher.m_waiting.size() >= batcher.m_options.m_max_waiting ||
+      !Fits(batcher, 1, submission.m_bytes)) {
+    return false;
+  }
+  batcher.m_waiting.push_back(std::move(submission));
+  return true;
+}
+
+void SubmitInBackground(Batcher& batcher, Submission submission) {
+  batcher.m_background.push_back(std::move(submission));
+}
+
+std::optional<Instant> NextSendAt(const Batcher& batcher) {
+  if (batcher.m_call_open) return std::nullopt;
+  if (!batcher.m_open && batcher.m_waiting.empty() &&
+      batcher.m_background.empty()) {
+    return std::nullopt;
+  }
+  return batcher.m_next_send;
+}
+
+const Flight& BeginSend(Batcher& batcher, Instant now) {
+  if (!batcher.m_open) batcher.m_open = FormFlight(batcher, now);
+  batcher.m_call_open = true;
+  batcher.m_next_send = now + batcher.m_options.m_period;
+  return *batcher.m_open;
+}
+
+void EndSend(Batcher& batcher, AppendEnd end, Instant now) {
+  batcher.m_call_open = false;
+  if (end == AppendEnd::kStored) {
+    batcher.m_backoff = Duration(0);
+    if (!batcher.m_open) return;
+    const std::uint64_t sequence = batcher.m_open->m_sequence;
+    batcher.m_stored.emplace(sequence, *std::move(batcher.m_open));
+    batcher.m_open.reset();
+    return;
+  }
+  const BatchOptions& options = batcher.m_options;
+  batcher.m_backoff = std::clamp(batcher.m_backoff * 2, options.m_first_backoff,
+                                 options.m_max_backoff);
+  batcher.m_next_send = std::max(batcher.m_next_send, now + batcher.m_backoff);
+  if (!batcher.m_open) return;
+  if (end == AppendEnd::kUnknown) batcher.m_open->m_may_be_stored = true;
+  if (!batcher.m_open->m_may_be_stored) ReturnToQueue(batcher);
+}
+
+std::optional<Flight> TakeRead(Batcher& batcher, std::uint64_t sequence) {
+  if (batcher.m_open && batcher.m_open->m_sequence == sequence) {
+    return std::exchange(batcher.m_open, std::nullopt);
+  }
+  const auto found = batcher.m_stored.find(sequence);
+  if (found == batcher.m_stored.end()) return std::nullopt;
+  Flight flight = std::move(found->second);
+  batcher.m_stored.erase(found);
+  return flight;
+}
+
+std::vector<GivenUp> GiveUp(Batcher& batcher, Instant now) {
+  std::vector<GivenUp> given_up;
+  std::erase_if(batcher.m_waiting, [now, &given_up](const Submission& waiting) {
+    if (waiting.m_deadline > now) return false;
+    given_up.push_back(
+        {waiting.m_sender, waiting.m_ticket, Verdict::kNotStored});
+    return true;
+  });
+  if (batcher.m_open) GiveUpFlight(*batcher.m_open, now, given_up);
+  for (auto& [sequence, flight] : batcher.m_stored) {
+    GiveUpFlight(flight, now, given_up);
+  }
+  return given_up;
+}
+
+bool HasDeadlines(const Batcher& batcher) {
+  return std::any_of(
+             batcher.m_waiting.begin(), batcher.m_waiting.end(),
+             [](const Submission& waiting) { return HasDeadline(waiting); }) ||
+         (batcher.m_open && HasDeadline(*batcher.m_open)) ||
+         std::any_of(batcher.m_stored.begin(), batcher.m_stored.end(),
+                     [](const auto& row) { return HasDeadline(row.second); });
+}
+
+bool IsIdle(const Batcher& batcher) {
+  return batcher.m_waiting.empty() && batcher.m_background.empty() &&
+         !batcher.m_open && batcher.m_stored.empty();
+}
+
+}  // namespace comfreypaddle
--- /dev/null
+++ b/src/logstore.cpp
@@ -0,0 +1,141 @@
+#include "logstore.h"
+
+#include <memory>
+#include <utility>
+
+#include "http.pb.h"
+#include "json.h"
+
+namespace comfreypaddle {
+namespace {
+
+constexpr int kStatusOk = 200;
+constexpr int kStatusGone = 410;
+constexpr int kStatusTooMany = 429;
+constexpr int kStatusUnavailable = 503;
+constexpr std::int64_t kMicrosPerMilli = 1000;
+
+class Category : public std::error_category {
+ public:
+  const char* name() const noexcept override { return "log"; }
+
+  std::string message(int value) const override {
+    switch (static_cast<LogError>(value)) {
+      case LogError::kOk:
+        return "no error";
+      case LogError::kNotSent:
+        return "the log service cannot be reached";
+      case LogError::kNoAnswer:
+        return "the log service did not answer";
+      case LogError::kRateLimited:
+        return "the log service refused the call above its rate";
+      case LogError::kOutage:
+        return "the log service is out of order";
+      case LogError::kNotKept:
+        return "the log does not keep the offset any more";
+      case LogError::kBadAnswer:
+        return "the log service's answer does not follow the protocol";
+    }
+    return "unknown error";
+  }
+};
+
+// Error of a call by how it ended and its status.
+LogError ErrorOf(const HttpResult& result) {
+  if (result.m_error) {
+    return result.m_sent ? LogError::kNoAnswer : LogError::kNotSent;
+  }
+  switch (result.m_status) {
+    case kStatusOk:
+      return LogError::kOk;
+    case kStatusGone:
+      return LogError::kNotKept;
+    case kStatusTooMany:
+      return LogError::kRateLimited;
+    case kStatusUnavailable:
+      return LogError::kOutage;
+    default:
+      return LogError::kBadAnswer;
+  }
+}
+
+std::string Number(std::int64_t value) { return std::to_string(value); }
+
+}  // namespace
+
+const std::error_category& LogCategory() {
+  static const Category category;
+  return category;
+}
+
+std::error_code make_error_code(LogError error) {
+  return {static_cast<int>(error), LogCategory()};
+}
+
+HttpLogStore::HttpLogStore(HttpPort& http, HttpLogStoreOptions options)
+    : m_http(http), m_options(std::move(options)) {}
+
+HttpLogStore::~HttpLogStore() {
+  for (const HttpPort::CallId id : m_calls) m_http.Cancel(id);
+}
+
+void HttpLogStore::Append(std::string body, AppendCallback on_end) {
+  HttpCall call;
+  call.m_method = "POST";
+  call.m_url = m_options.m_url + "/log/v1/streams/" +
+               PercentEncode(m_options.m_stream) + "/append";
+  call.m_headers = {{"content-type", "application/octet-stream"}};
+  call.m_body = std::move(body);
+  call.m_timeout = m_options.m_append_timeout;
+  Start(std::move(call), [on_end = std::move(on_end)](const HttpResult& result,
+                                                      const std::string& body) {
+    LogError error = ErrorOf(result);
+    schema::AppendAnswer answer;
+    if (error == LogError::kOk &&
+        (FromJson(body, UnknownFields::kIgnore, &answer) ||
+         answer.offset() == 0)) {
+      error = LogError::kBadAnswer;
+    }
+    on_end(error, answer.offset());
+  });
+}
+
+void HttpLogStore::Read(std::uint64_t from, std::uint32_t max, Duration wait,
+                        ReadCallback on_end) {
+  HttpCall call;
+  call.m_url =
+      m_options.m_url + "/log/v1/streams/" + PercentEncode(m_options.m_stream) +
+      "/records?from=" + std::to_string(from) + "&max=" + std::to_string(max) +
+      "&wait_ms=" + Number(wait.count() / kMicrosPerMilli);
+  call.m_silence = wait + m_options.m_read_slack;
+  Start(std::move(call), [on_end = std::move(on_end)](const HttpResult& result,
+                                                      const std::string& body) {
+    LogError error = ErrorOf(result);
+    schema::LogBatch batch;
+    const bool has_batch =
+        error == LogError::kOk || error == LogError::kNotKept;
+    if (has_batch && !batch.ParseFromString(body)) {
+      batch.Clear();
+      if (error == LogError::kOk) error = LogError::kBadAnswer;
+    }
+    on_end(error, std::move(batch));
+  });
+}
+
+void HttpLogStore::Start(HttpCall call, EndCallback on_end) {
+  call.m_fresh_connection = m_distrust_connections;
+  auto body = std::make_shared<std::string>();
+  auto id = std::make_shared<HttpPort::CallId>(0);
+  HttpEvents events;
+  events.m_on_body = [body](std::string_view bytes) { body->append(bytes); };
+  events.m_on_end = [this, body, id,
+                     on_end = std::move(on_end)](const HttpResult& result) {
+    m_calls.erase(*id);
+    m_distrust_connections = static_cast<bool>(result.m_error);
+    on_end(result, *body);
+  };
+  *id = m_http.Start(std::move(call), std::move(events));
+  m_calls.insert(*id);
+}
+
+}  // namespace comfreypaddle
--- /dev/null
+++ b/src/logstore.h
@@ -0,0 +1,90 @@
+#ifndef COMFREYPADDLE_LOGSTORE_H_
+#define COMFREYPADDLE_LOGSTORE_H_
+
+#include <cstdint>
+#include <functional>
+#include <set>
+#include <string>
+#include <system_error>
+
+#include "http.h"
+#include "records.pb.h"
+#include "types.h"
+
+namespace comfreypaddle {
+
+// Errors of the log service as the journal sees them.
+enum class LogError {
+  kOk = 0,
+  kNotSent,      // No connection; nothing was sent.
+  kNoAnswer,     // The answer did not arrive; an append may be stored.
+  kRateLimited,  // Refused above the service's rate.
+  kOutage,       // Refused because the service is out of order.
+  kNotKept,      // The offset is not kept any more.
+  kBadAnswer,    // The answer does not follow the protocol.
+};
+
+const std::error_category& LogCategory();
+
+std::error_code make_error_code(LogError error);
+
+// The platform's append-only log. Callbacks never come from within the calls.
+class LogStore {
+ public:
+  using AppendCallback =
+      std::function<void(std::error_code error, std::uint64_t offset)>;
+  using ReadCallback =
+      std::function<void(std::error_code error, schema::LogBatch batch)>;
+
+  virtual ~LogStore() = default;
+
+  // Appends one body.
+  virtual void Append(std::string body, AppendCallback on_end) = 0;
+
+  // Reads at most max entries from the offset on. If there is none yet the
+  // log waits for one, at most for the given time. With kNotKept the batch
+  // holds the first offset that is kept, if the log told it.
+  virtual void Read(std::uint64_t from, std::uint32_t max, Duration wait,
+                    ReadCallback on_end) = 0;
+};
+
+struct HttpLogStoreOptions {
+  std::string m_url;     // Base URL of the service, without a trailing slash.
+  std::string m_stream;  // Name of the stream.
+  Duration m_append_timeout{1'000'000};
+  // Time that a read may be silent beyond its wait.
+  Duration m_read_slack{700'000};
+};
+
+// The log over its HTTP protocol. After an error the next call opens a
+// connection of its own, because an open connection may be silent for good
+// while new ones work.
+class HttpLogStore : public LogStore {
+ public:
+  HttpLogStore(HttpPort& http, HttpLogStoreOptions options);
+  ~HttpLogStore() override;
+  HttpLogStore(const HttpLogStore&) = delete;
+  HttpLogStore& operator=(const HttpLogStore&) = delete;
+
+  void Append(std::string body, AppendCallback on_end) override;
+  void Read(std::uint64_t from, std::uint32_t max, Duration wait,
+            ReadCallback on_end) override;
+
+ private:
+  using EndCallback =
+      std::function<void(const HttpResult& result, const std::string& body)>;
+
+  void Start(HttpCall call, EndCallback on_end);
+
+  HttpPort& m_http;
+  HttpLogStoreOptions m_options;
+  std::set<HttpPort::CallId> m_calls;
+  bool m_distrust_connections = false;
+};
+
+}  // namespace comfreypaddle
+
+template <>
+struct std::is_error_code_enum<comfreypaddle::LogError> : std::true_type {};
+
+#endif  // COMFREYPADDLE_LOGSTORE_H_
--- a/src/snapshot.h
+++ b/src/snapshot.h
@@ -14,7 +14,7 @@
 namespace comfreypaddle {
 
 // Size of one part; a batch of 1 MiB holds several with other records.
-inline constexpr std::size_t kSnapshotPartBytes = 256 * 1024;
+inline constexpr std::size_t kSnapshotPartBytes = 262'144;
 
 // Serialized state. The instants in it are stored as ages at now.
 std::string EncodeSnapshot(const LogState& state, Instant now);
--- a/src/usage.cpp
+++ b/src/usage.cpp
@@ -58,6 +58,16 @@
   return Verdict::kStored;
 }
 
+bool IsFlushStored(const UsageState& state, const Writer& instance,
+                   std::uint64_t sequence) {
+  const auto found = state.m_instances.find(instance.m_name);
+  if (found == state.m_instances.end()) return false;
+  const auto seen = found->second.m_seen.find(instance.m_incarnation);
+  if (seen == found->second.m_seen.end()) return false;
+  return sequence <= seen->second.m_floor ||
+         seen->second.m_above.count(sequence) != 0;
+}
+
 CloseResult FoldUsageClose(UsageState& state, const LeaseTable& leases,
                            const Writer& writer, const UsageClose& close,
                            Position position) {
--- a/src/usage.h
+++ b/src/usage.h
@@ -82,6 +82,10 @@
 Verdict FoldUsageFlush(UsageState& state, const UsageFlush& flush,
                        std::uint64_t offset);
 
+// Whether the log holds the flush, as far as it was read.
+bool IsFlushStored(const UsageState& state, const Writer& instance,
+                   std::uint64_t sequence);
+
 // Closes the open window if the writer has the usage lease by the fold.
 CloseResult FoldUsageClose(UsageState& state, const LeaseTable& leases,
                            const Writer& writer, const UsageClose& close,
