--- /dev/null
+++ b/tests/journal_test.cpp
@@ -0,0 +1,451 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include <trompeloeil.hpp>
+
+#include "codec.h"
+#include "journalcore.h"
+#include "snapshot.h"
+
+namespace comfreypaddle {
+namespace {
+
+using std::chrono::milliseconds;
+using trompeloeil::_;
+
+class MockLog : public LogStore {
+ public:
+  MAKE_MOCK2(Append, void(std::string, AppendCallback), override);
+  MAKE_MOCK4(Read, void(std::uint64_t, std::uint32_t, Duration, ReadCallback),
+             override);
+};
+
+template <typename Message>
+struct RecordingPort : Port<Message> {
+  void Post(Message message) override { m_messages.push_back(message); }
+
+  // Messages for which the test holds.
+  template <typename Test>
+  std::vector<Message> Select(Test test) const {
+    std::vector<Message> found;
+    for (const Message& message : m_messages) {
+      if (test(message)) found.push_back(message);
+    }
+    return found;
+  }
+
+  std::vector<Message> m_messages;
+};
+
+// Log service of a test: bodies by offset, the first one kept, and the log's
+// answer at the next calls.
+struct StoredLog {
+  std::vector<std::string> m_bodies;
+  std::uint64_t m_first = 1;
+
+  schema::LogBatch ReadFrom(std::uint64_t from, std::uint32_t max) const {
+    schema::LogBatch batch;
+    batch.set_first_retained(m_first);
+    batch.set_next_offset(m_bodies.size() + 1);
+    for (std::uint64_t at = from; at <= m_bodies.size(); ++at) {
+      if (batch.entries_size() == static_cast<int>(max)) break;
+      schema::LogEntry& entry = *batch.add_entries();
+      entry.set_offset(at);
+      entry.set_body(m_bodies[at - 1]);
+    }
+    return batch;
+  }
+};
+
+struct PendingRead {
+  std::uint64_t m_from;
+  std::uint32_t m_max;
+  Duration m_wait;
+  LogStore::ReadCallback m_end;
+};
+
+struct PendingAppend {
+  std::string m_body;
+  LogStore::AppendCallback m_end;
+};
+
+// Journal core with a mock of the log and ports that record.
+struct Fixture {
+  explicit Fixture(StoredLog& stored, std::uint64_t incarnation = 1,
+                   BatchOptions batch = {})
+      : m_stored(stored) {
+    JournalOptions options;
+    options.m_self = {"a", incarnation};
+    options.m_batch = batch;
+    options.m_snapshot_offsets = 10;
+    m_core.emplace(options, m_log,
+                   JournalPorts{&m_gateway, &m_admin, &m_duties, &m_peers},
+                   JournalCore::Host{[this] { return m_now; },
+                                     [this](Instant at) { m_alarm = at; },
+                                     [this] { m_stopped = true; }});
+    m_core->Start();
+  }
+
+  void Advance(Duration span) {
+    m_now += span;
+    m_core->Tick();
+  }
+
+  // Answers the read under way as the log would, if it answers at once.
+  bool ServeRead() {
+    if (m_reads.empty()) return false;
+    const PendingRead read = m_reads.front();
+    if (read.m_wait.count() > 0 && read.m_from > m_stored.m_bodies.size() &&
+        m_confirmed_from == read.m_from) {
+      return false;
+    }
+    if (read.m_wait.count() > 0) m_confirmed_from = read.m_from;
+    m_reads.pop_front();
+    const bool kept = read.m_from >= m_stored.m_first;
+    read.m_end(kept ? LogError::kOk : LogError::kNotKept,
+               kept ? m_stored.ReadFrom(read.m_from, read.m_max)
+                    : m_stored.ReadFrom(m_stored.m_bodies.size() + 1, 0));
+    return true;
+  }
+
+  // Stores the batch under way and answers with the error.
+  void ServeAppend(LogError error = LogError::kOk, bool store = true) {
+    REQUIRE_FALSE(m_appends.empty());
+    const PendingAppend append = m_appends.front();
+    m_appends.pop_front();
+    if (store) m_stored.m_bodies.push_back(append.m_body);
+    append.m_end(error, error == LogError::kOk ? m_stored.m_bodies.size() : 0);
+  }
+
+  // Lets time pass and the log answer until nothing happens any more.
+  void Settle() {
+    for (int quiet = 0; quiet < 5; ++quiet) {
+      Advance(milliseconds(30));
+      while (!m_appends.empty()) {
+        ServeAppend();
+        quiet = 0;
+      }
+      while (ServeRead()) quiet = 0;
+    }
+  }
+
+  void SubmitWorkspace(const std::string& name, std::uint64_t ticket,
+                       std::uint32_t timeout_ms = 0) {
+    ConfigWrite write;
+    write.m_token = name + std::to_string(ticket);
+    write.m_name = name;
+    write.m_resource = Workspace{name};
+    SubmitRecord(write, ticket, timeout_ms);
+  }
+
+  void SubmitRecord(const Record& record, std::uint64_t ticket,
+                    std::uint32_t timeout_ms = 0) {
+    schema::JournalMessage message;
+    schema::SubmitRecord& submit = *message.mutable_submit();
+    submit.set_sender(schema::TASK_ADMIN);
+    submit.set_ticket(ticket);
+    submit.set_timeout_ms(timeout_ms);
+    *submit.mutable_record() = EncodeRecord(record);
+    m_core->Receive(message);
+  }
+
+  void SendUsage(std::uint64_t requests) {
+    schema::JournalMessage message;
+    schema::UsageDelta& delta = *message.mutable_usage()->add_deltas();
+    delta.set_workspace("w");
+    delta.set_target("r");
+    delta.set_requests(requests);
+    m_core->Receive(message);
+  }
+
+  // "ticket:verdict " of each verdict that the admin task got.
+  std::string Verdicts() const {
+    std::string text;
+    for (const schema::AdminMessage& message : m_admin.m_messages) {
+      if (!message.has_verdict()) continue;
+      text += std::to_string(message.verdict().ticket()) + ":" +
+              message.verdict().verdict() + " ";
+    }
+    return text;
+  }
+
+  std::string Snapshot() const { return EncodeSnapshot(m_core->State(), {}); }
+
+  StoredLog& m_stored;
+  MockLog m_log;
+  std::deque<PendingRead> m_reads;
+  std::deque<PendingAppend> m_appends;
+  std::uint64_t m_confirmed_from = 0;
+  std::unique_ptr<trompeloeil::expectation> m_on_read =
+      NAMED_ALLOW_CALL(m_log, Read(_, _, _, _))
+          .LR_SIDE_EFFECT(m_reads.push_back({_1, _2, _3, _4}));
+  std::unique_ptr<trompeloeil::expectation> m_on_append =
+      NAMED_ALLOW_CALL(m_log, Append(_, _))
+          .LR_SIDE_EFFECT(m_appends.push_back({_1, _2}));
+  RecordingPort<schema::GatewayMessage> m_gateway;
+  RecordingPort<schema::AdminMessage> m_admin;
+  RecordingPort<schema::DutiesMessage> m_duties;
+  RecordingPort<schema::PeersMessage> m_peers;
+  Instant m_now{std::chrono::seconds(1000)};
+  Instant m_alarm{};
+  bool m_stopped = false;
+  std::optional<JournalCore> m_core;
+};
+
+bool IsStatus(const schema::PeersMessage& message) {
+  return message.has_log_status();
+}
+
+// Guards against changes that reach the tables of some tasks only, and against
+// a verdict before the write was read back.
+TEST_CASE("an accepted write reaches all tables and its sender") {
+  StoredLog stored;
+  Fixture f(stored);
+  f.Settle();
+  f.SubmitWorkspace("w", 7);
+  f.ServeAppend();
+  CHECK(f.Verdicts().empty());
+  f.Settle();
+  CHECK(f.Verdicts() == "7:accepted ");
+  const auto is_change = [](const auto& m) { return m.has_table_change(); };
+  CHECK(f.m_gateway.Select(is_change).size() == 1);
+  CHECK(f.m_duties.Select(is_change).size() == 1);
+  const auto changes = f.m_admin.Select(is_change);
+  REQUIRE(changes.size() == 1);
+  CHECK(changes[0].table_change().resource().workspace().name() == "w");
+  CHECK(changes[0].table_change().version() == MakePosition(1, 0));
+}
+
+// Guards against a second effect of a batch whose answer was lost after it
+// was stored.
+TEST_CASE("a batch without an answer is sent again and counts once") {
+  StoredLog stored;
+  Fixture f(stored);
+  f.Settle();
+  f.SendUsage(5);
+  const std::string body = f.m_appends.front().m_body;
+  f.ServeAppend(LogError::kNoAnswer);
+  f.Advance(milliseconds(100));
+  REQUIRE(f.m_appends.size() == 1);
+  CHECK(f.m_appends.front().m_body == body);
+  f.ServeAppend();
+  f.Settle();
+  CHECK(stored.m_bodies.size() == 2);
+  CHECK(f.m_core->State().m_usage.m_open.at({"w", "r"}).m_requests == 5);
+}
+
+// Guards against not_stored for a record that the log may hold.
+TEST_CASE("a record gets a truthful verdict at its time limit") {
+  StoredLog stored;
+  Fixture f(stored);
+  f.Settle();
+  f.SubmitWorkspace("sent", 1, 200);
+  REQUIRE(f.m_appends.size() == 1);
+  f.SubmitWorkspace("waiting", 2, 200);
+  f.Advance(milliseconds(300));
+  CHECK(f.Verdicts() == "2:not_stored 1:unknown ");
+  f.ServeAppend(LogError::kNoAnswer);
+  f.Settle();
+  CHECK(f.Verdicts() == "2:not_stored 1:unknown ");
+  CHECK(f.m_core->State().m_config.m_tables.m_workspaces.size() == 1);
+}
+
+TEST_CASE("a refused record goes back to the queue and can be given up") {
+  StoredLog stored;
+  Fixture f(stored);
+  f.Settle();
+  f.SubmitWorkspace("w", 1, 100);
+  f.ServeAppend(LogError::kOutage, false);
+  f.Advance(milliseconds(200));
+  // Sent again before its deadline was checked, or dropped; never both.
+  CHECK(f.Verdicts() == "1:not_stored ");
+  f.Settle();
+  CHECK(stored.m_bodies.empty());
+}
+
+// Guards against more appends than the log's budget allows.
+TEST_CASE("records wait for the append under way and for the period") {
+  StoredLog stored;
+  BatchOptions options;
+  options.m_max_records = 3;
+  Fixture f(stored, 1, options);
+  f.Settle();
+  for (std::uint64_t i = 0; i < 5; ++i) f.SubmitWorkspace("w", i);
+  REQUIRE(f.m_appends.size() == 1);
+  f.Advance(milliseconds(500));
+  CHECK(f.m_appends.size() == 1);
+  f.ServeAppend();
+  REQUIRE(f.m_appends.size() == 1);
+  CHECK(ParseBatch(f.m_appends.front().m_body)->m_records.size() == 3);
+  f.ServeAppend();
+  CHECK(f.m_appends.empty());
+  f.Advance(milliseconds(25));
+  CHECK(f.m_appends.size() == 1);
+}
+
+// Guards against an instance that cannot start, or that differs from the
+// others, after the log dropped its oldest records.
+TEST_CASE("a start from a snapshot gives the state of a full fold") {
+  StoredLog stored;
+  Fixture f(stored);
+  f.Settle();
+  for (std::uint64_t i = 0; i < 30; ++i) {
+    f.SubmitWorkspace("w" + std::to_string(i), i);
+    f.SendUsage(i);
+    f.Settle();
+  }
+  schema::JournalMessage snapshot;
+  snapshot.mutable_write_snapshot();
+  f.m_core->Receive(snapshot);
+  f.Settle();
+  f.SubmitWorkspace("last", 99);
+  f.Settle();
+  stored.m_first = stored.m_bodies.size() - 5;
+
+  Fixture late(stored, 2);
+  late.Settle();
+  CHECK(late.Snapshot() == f.Snapshot());
+  const auto changes = late.m_admin.Select(
+      [](const schema::AdminMessage& m) { return m.has_table_change(); });
+  REQUIRE(changes.size() == 31);
+  CHECK(changes.front().table_change().from_snapshot());
+  CHECK_FALSE(changes.back().table_change().from_snapshot());
+}
+
+TEST_CASE("without a snapshot a shortened log does not give a wrong state") {
+  StoredLog stored;
+  Fixture f(stored);
+  f.Settle();
+  for (std::uint64_t i = 0; i < 30; ++i) {
+    f.SubmitWorkspace("w" + std::to_string(i), i);
+    f.Settle();
+  }
+  stored.m_first = 20;
+  Fixture late(stored, 2);
+  late.Settle();
+  CHECK(late.m_core->State().m_config.m_tables.m_workspaces.empty());
+  CHECK_FALSE(late.m_peers.Select(IsStatus).back().log_status().caught_up());
+}
+
+// Guards against a status that claims to be fresher than the answer behind it.
+TEST_CASE("the log's end is confirmed as of the time the read was sent") {
+  StoredLog stored;
+  Fixture f(stored);
+  f.ServeRead();
+  const Instant sent = f.m_now;
+  f.m_now += milliseconds(300);
+  f.ServeRead();
+  const auto status = f.m_peers.Select(IsStatus).back().log_status();
+  CHECK(status.confirmed_us() == EncodeInstant(sent));
+  CHECK(status.caught_up());
+  CHECK(status.reachable());
+  const PendingRead read = f.m_reads.front();
+  f.m_reads.pop_front();
+  read.m_end(LogError::kNoAnswer, {});
+  const auto failed = f.m_peers.Select(IsStatus).back().log_status();
+  CHECK_FALSE(failed.reachable());
+  CHECK(failed.confirmed_us() == EncodeInstant(sent));
+}
+
+// Guards against a gap in the fold when entries come from a peer.
+TEST_CASE("relayed entries are folded only without a gap") {
+  StoredLog stored;
+  Fixture origin(stored);
+  origin.Settle();
+  for (std::uint64_t i = 0; i < 4; ++i) {
+    origin.SubmitWorkspace("w" + std::to_string(i), i);
+    origin.Settle();
+  }
+  StoredLog empty;
+  Fixture f(empty, 2);
+  f.Settle();
+  schema::JournalMessage wanted;
+  wanted.mutable_records_wanted()->set_from(1);
+  wanted.mutable_records_wanted()->set_limit(100);
+  origin.m_core->Receive(wanted);
+  schema::LogBatch batch = origin.m_peers
+                               .Select([](const schema::PeersMessage& m) {
+                                 return m.has_records_found();
+                               })
+                               .back()
+                               .records_found()
+                               .batch();
+  REQUIRE(batch.entries_size() == 4);
+  batch.mutable_entries()->DeleteSubrange(2, 1);
+  schema::JournalMessage relayed;
+  *relayed.mutable_relayed()->mutable_batch() = batch;
+  f.m_core->Receive(relayed);
+  CHECK(f.m_core->State().m_next_offset == 3);
+}
+
+// Guards against usage that is counted twice when a peer appends its copy.
+TEST_CASE("usage is held by peers until it is stored, and counted once") {
+  StoredLog stored;
+  Fixture f(stored);
+  f.Settle();
+  f.SendUsage(3);
+  const auto pending = f.m_peers.Select(
+      [](const schema::PeersMessage& m) { return m.has_usage_pending(); });
+  REQUIRE(pending.size() == 1);
+  f.Settle();
+  const auto is_stored = [](const schema::PeersMessage& m) {
+    return m.has_usage_stored();
+  };
+  CHECK(f.m_peers.Select(is_stored).size() == 1);
+  schema::JournalMessage held;
+  *held.mutable_held_usage() = pending[0].usage_pending();
+  f.m_core->Receive(held);
+  f.Settle();
+  CHECK(f.m_peers.Select(is_stored).size() == 2);
+  CHECK(stored.m_bodies.size() == 1);
+  CHECK(f.m_core->State().m_usage.m_open.at({"w", "r"}).m_requests == 3);
+}
+
+// Guards against a paused process that goes on writing after another one took
+// over its name.
+TEST_CASE("records of a replaced process get the verdict stale") {
+  StoredLog stored;
+  Fixture old(stored, 1);
+  old.Settle();
+  Fixture replacement(stored, 2);
+  replacement.Settle();
+  replacement.SubmitWorkspace("w", 1);
+  replacement.Settle();
+  old.SubmitWorkspace("w", 2);
+  old.Settle();
+  CHECK(old.Verdicts() == "2:stale ");
+}
+
+// Guards against a holder that counts its term from after its claim was sent.
+TEST_CASE("a lease change tells when the claim was first sent") {
+  StoredLog stored;
+  Fixture f(stored);
+  f.Settle();
+  const Instant sent = f.m_now;
+  f.SubmitRecord(LeaseClaim{"usage", "a", 0, milliseconds(3000), false}, 1);
+  f.ServeAppend(LogError::kNoAnswer);
+  f.Advance(milliseconds(100));
+  f.ServeAppend();
+  f.Settle();
+  const auto changes = f.m_duties.Select(
+      [](const schema::DutiesMessage& m) { return m.has_lease_change(); });
+  REQUIRE(changes.size() == 1);
+  CHECK(changes[0].lease_change().sent_us() == EncodeInstant(sent));
+  CHECK(changes[0].lease_change().incarnation() == 1);
+}
+
+TEST_CASE("a stop waits until what was submitted is stored") {
+  StoredLog stored;
+  Fixture f(stored);
+  f.Settle();
+  f.SendUsage(1);
+  schema::JournalMessage stop;
+  stop.mutable_stop();
+  f.m_core->Receive(stop);
+  CHECK_FALSE(f.m_stopped);
+  f.Settle();
+  CHECK(f.m_stopped);
+}
+
+}  // namespace
+}  // namespace comfreypaddle
