--- a/src/api.cpp
+++ b/src/api.cpp
@@ -27,11 +27,11 @@
 
 constexpr int kOk = 200;
 
-const HttpFields kJsonHeaders = {{"Content-Type", "application/json"}};
+HttpFields JsonHeaders() { return {{"Content-Type", "application/json"}}; }
 
 void AnswerJson(ApiState& state, std::uint64_t request,
                 const google::protobuf::Message& message) {
-  state.m_callers->Respond(request, kOk, kJsonHeaders, ToJson(message) + "\n");
+  state.m_callers->Respond(request, kOk, JsonHeaders(), ToJson(message) + "\n");
 }
 
 void AnswerProblem(ApiState& state, std::uint64_t request, ProblemCode code,
@@ -210,7 +210,7 @@
   }
   if (*from < state.m_history_since) {
     state.m_callers->Respond(
-        request.m_id, 410, kJsonHeaders,
+        request.m_id, 410, JsonHeaders(),
         R"({"code":"version_too_old","outcome":"not_run"})");
     return;
   }
--- a/src/dispatch.cpp
+++ b/src/dispatch.cpp
@@ -24,7 +24,8 @@
                 intake.m_completion.m_max_tokens);
 }
 
-void AnswerProblem(CallState& state, std::uint64_t id, ProblemDetails details) {
+void AnswerProblem(CallState& state, std::uint64_t id,
+                   const ProblemDetails& details) {
   ProblemAnswer answer = MakeProblem(details);
   answer.m_headers.push_back({"X-Request-Id", details.m_request_id});
   state.m_callers->Respond(id, answer.m_status, std::move(answer.m_headers),
