Read the first kept offset from the log's 410 answer

Cause: the log client took the body of a 410 answer for a protobuf LogBatch, while the log answers with the JSON object {"first_retained": N}. The offset was lost, and an instance that started after the first records had been dropped asked for them for ever. Ruled out: a protobuf body in the stand-in; the log's protocol says JSON. Change: the client reads the JSON object. A test reads from the log stand-in over HTTP after entries were dropped. Conclusion: client and stand-in agree.

--- a/src/logstore.cpp
+++ b/src/logstore.cpp
@@ -112,11 +112,14 @@
                                                       const std::string& body) {
     LogError error = ErrorOf(result);
     schema::LogBatch batch;
-    const bool has_batch =
-        error == LogError::kOk || error == LogError::kNotKept;
-    if (has_batch && !batch.ParseFromString(body)) {
+    if (error == LogError::kOk && !batch.ParseFromString(body)) {
+      batch.Clear();
+      error = LogError::kBadAnswer;
+    }
+    // The answer 410 is the JSON object {"first_retained": N}.
+    if (error == LogError::kNotKept &&
+        FromJson(body, UnknownFields::kIgnore, &batch)) {
       batch.Clear();
-      if (error == LogError::kOk) error = LogError::kBadAnswer;
     }
     on_end(error, std::move(batch));
   });
--- a/tests/standins_test.cpp
+++ b/tests/standins_test.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "client.h"
 #include "common_engine.h"
 #include "common_engineserver.h"
 #include "common_load.h"
@@ -12,6 +13,8 @@
 #include "common_orders.h"
 #include "common_platform.h"
 #include "json.h"
+#include "listener.h"
+#include "logstore.h"
 #include "records.pb.h"
 #include "support.h"
 
@@ -366,6 +369,45 @@
   CHECK_FALSE(server.Apply(faults));
 }
 
+// Guards against a log client that cannot find the start of a log whose first
+// records are not kept any more, and would then ask for them for ever.
+TEST_CASE("the log client learns the first offset that the log keeps") {
+  EventLoop loop;
+  ListenerOptions options;
+  options.m_port = testing::FreePort();
+  std::optional<LogServer> server;
+  Listener listener(
+      loop, options,
+      [&server](const HttpRequest& request) { server->Handle(request); },
+      [](std::uint64_t /*id*/) {});
+  server.emplace(loop, listener, MakeLog(0, 0));
+  REQUIRE_FALSE(listener.Open());
+  Client client(loop);
+  HttpLogStoreOptions store_options;
+  store_options.m_url = "http://127.0.0.1:" + std::to_string(options.m_port);
+  store_options.m_stream = "s";
+  HttpLogStore store(client, store_options);
+  std::vector<std::uint64_t> offsets;
+  for (int i = 0; i < 5; ++i) {
+    store.Append("body",
+                 [&offsets](std::error_code error, std::uint64_t offset) {
+                   CHECK_FALSE(error);
+                   offsets.push_back(offset);
+                 });
+  }
+  const Duration limit = std::chrono::seconds(5);
+  REQUIRE(testing::RunUntil(loop, limit, [&] { return offsets.size() == 5; }));
+  std::optional<schema::LogBatch> batch;
+  std::error_code result;
+  store.Read(1, 10, Duration(0), [&](std::error_code error, auto answer) {
+    result = error;
+    batch = answer;
+  });
+  REQUIRE(testing::RunUntil(loop, limit, [&] { return batch.has_value(); }));
+  CHECK(result == LogError::kNotKept);
+  CHECK(batch->first_retained() == 3);
+}
+
 // Engine server without sockets. Each request comes over its own connection.
 struct ServerFixture {
   ServerFixture() {
