Decide admission and heartbeats from what peers say

Statements in answers count from when the call was sent, because an answer may have been held up; statements in calls have no such bound and only ever close admission. The property test of a world with outages, cut links, pauses and late answers found a gap in the rule as written: a revocation that only another region read before the log went down everywhere was not covered by "the log does not answer here either". Admission during an outage now also needs that no instance is known to have read more than this one (reason behind).

Above 16 instances each sends to two ring neighbours of its region and to one instance of each other region. A full mesh at 380 instances was ruled out by the traffic budget.

--- /dev/null
+++ b/src/member.cpp
@@ -0,0 +1,317 @@
+#include "member.h"
+
+#include <algorithm>
+#include <set>
+#include <tuple>
+#include <utility>
+
+namespace comfreypaddle {
+namespace {
+
+// Neighbours in the region that get heartbeats when not all instances do.
+constexpr std::size_t kRingNeighbours = 2;
+constexpr std::size_t kHolders = 2;
+// Time after which a peer that did not answer is tried again in its rank.
+constexpr Duration kRetryFailed = std::chrono::seconds(10);
+
+// FNV-1a, so that all instances and versions rank alike.
+std::uint64_t Hash(std::string_view text) {
+  std::uint64_t hash = 14695981039346656037ULL;
+  for (const char c : text) {
+    hash = (hash ^ static_cast<unsigned char>(c)) * 1099511628211ULL;
+  }
+  // FNV mixes the last bytes too little for comparing; this finishes it.
+  hash ^= hash >> 33U;
+  hash *= 0xff51afd7ed558ccdULL;
+  return hash ^ (hash >> 33U);
+}
+
+bool Within(std::optional<Instant> time, Duration span, Instant now) {
+  return time && now - *time < span;
+}
+
+void RaiseTo(std::optional<Instant>& time, Instant value) {
+  if (!time || *time < value) time = value;
+}
+
+// Notes that an instance of the region said at this time that the log answers.
+void RaiseLogAnswers(MemberState& state, const std::string& region,
+                     Instant time) {
+  Instant& known = state.m_log_answers.try_emplace(region, time).first->second;
+  known = std::max(known, time);
+}
+
+// Takes what does not depend on whether the peer called or answered. Returns
+// null for a report of this instance itself or of an earlier incarnation.
+MemberPeer* TakeReport(MemberState& state, const PeerReport& report,
+                       Instant now) {
+  if (report.m_name == state.m_options.m_name) return nullptr;
+  MemberPeer& peer = state.m_peers[report.m_name];
+  if (report.m_incarnation < peer.m_incarnation) return nullptr;
+  if (!peer.m_listed) peer.m_region = report.m_region;
+  peer.m_incarnation = report.m_incarnation;
+  peer.m_draining = report.m_draining;
+  peer.m_heard = now;
+  state.m_known_offset = std::max(
+      {state.m_known_offset, report.m_next_offset, report.m_known_offset});
+  if (report.m_log_reachable) RaiseLogAnswers(state, peer.m_region, now);
+  for (const RegionLog& region : report.m_regions) {
+    RaiseLogAnswers(state, region.m_region, now - region.m_age);
+  }
+  return &peer;
+}
+
+bool HasListedPeers(const MemberState& state) {
+  return std::any_of(state.m_peers.begin(), state.m_peers.end(),
+                     [](const auto& entry) { return entry.second.m_listed; });
+}
+
+// Latest time at which a peer of the region is known to have said that the
+// log does not answer there.
+std::optional<Instant> LogDownSince(const MemberState& state,
+                                    const std::string& region) {
+  std::optional<Instant> latest;
+  for (const auto& [name, peer] : state.m_peers) {
+    if (!peer.m_listed || peer.m_region != region) continue;
+    if (peer.m_log_down && peer.m_answered) RaiseTo(latest, *peer.m_answered);
+  }
+  return latest;
+}
+
+// Decides for an instance that did not confirm the log's end in time: it may
+// go on only if nobody else can have read or written the log either.
+Admission DecideWithoutLog(const MemberState& state, Instant now) {
+  const Duration freshness = state.m_options.m_freshness;
+  if (!HasListedPeers(state)) {
+    return {true, AdmitReason::kOnlyMember, now + freshness};
+  }
+  if (state.m_log_reachable) return {false, AdmitReason::kLogAnswers, {}};
+  for (const auto& [region, time] : state.m_log_answers) {
+    if (now - time < freshness) {
+      return {false, AdmitReason::kLogAnswers, {}};
+    }
+  }
+  // The log may have answered elsewhere before it went down, so statements
+  // that it is down do not cover entries that only others have read.
+  if (state.m_known_offset > state.m_next_offset) {
+    return {false, AdmitReason::kBehind, {}};
+  }
+  Instant until = Instant::max();
+  for (const auto& [name, peer] : state.m_peers) {
+    if (!peer.m_listed) continue;
+    const auto down = LogDownSince(state, peer.m_region);
+    if (!Within(down, freshness, now)) {
+      return {false, AdmitReason::kRegionSilent, {}};
+    }
+    until = std::min(until, *down + freshness);
+  }
+  return {true, AdmitReason::kLogDown, until};
+}
+
+// Peers that failed lately come after the others, the longest failed first.
+bool FailedLately(const MemberPeer& peer, Instant now) {
+  return Within(peer.m_failed, kRetryFailed, now);
+}
+
+// Names in the order of their rank for this instance: for a ring, the
+// distance from its own place; else a hash of both names.
+struct Ranked {
+  bool m_failed = false;
+  std::uint64_t m_rank = 0;
+  std::string m_name;
+};
+
+void SortRanked(std::vector<Ranked>& peers) {
+  std::sort(peers.begin(), peers.end(), [](const Ranked& a, const Ranked& b) {
+    return std::tie(a.m_failed, a.m_rank, a.m_name) <
+           std::tie(b.m_failed, b.m_rank, b.m_name);
+  });
+}
+
+std::map<std::string, std::vector<Ranked>> RankByRegion(
+    const MemberState& state, Instant now) {
+  const std::string& own = state.m_options.m_name;
+  std::map<std::string, std::vector<Ranked>> regions;
+  for (const auto& [name, peer] : state.m_peers) {
+    if (!peer.m_listed) continue;
+    const bool ring = peer.m_region == state.m_options.m_region;
+    const std::uint64_t rank =
+        ring ? Hash(name) - Hash(own) : Hash(own + "/" + name);
+    regions[peer.m_region].push_back({FailedLately(peer, now), rank, name});
+  }
+  for (auto& [region, peers] : regions) SortRanked(peers);
+  return regions;
+}
+
+}  // namespace
+
+MemberState MakeMembers(MemberOptions options,
+                        const std::vector<ListedPeer>& peers) {
+  MemberState state;
+  state.m_options = std::move(options);
+  for (const ListedPeer& listed : peers) {
+    MemberPeer& peer = state.m_peers[listed.m_name];
+    peer.m_region = listed.m_region;
+    peer.m_listed = true;
+  }
+  return state;
+}
+
+void TakeOwnLog(MemberState& state, const OwnLog& log) {
+  state.m_next_offset = log.m_next_offset;
+  state.m_known_offset = std::max(state.m_known_offset, log.m_next_offset);
+  state.m_log_reachable = log.m_reachable;
+  if (log.m_confirmed) RaiseTo(state.m_confirmed, *log.m_confirmed);
+  state.m_caught_up = log.m_caught_up;
+}
+
+void TakeCall(MemberState& state, const PeerReport& report, Instant now) {
+  TakeReport(state, report, now);
+}
+
+void TakeAnswer(MemberState& state, const PeerReport& report, Instant sent,
+                Instant now) {
+  MemberPeer* peer = TakeReport(state, report, now);
+  if (peer == nullptr) return;
+  if (peer->m_answered && sent < *peer->m_answered) return;
+  peer->m_answered = sent;
+  peer->m_failed.reset();
+  peer->m_log_down = !report.m_log_reachable;
+  peer->m_next_offset = report.m_next_offset;
+  if (!report.m_log_age) return;
+  peer->m_confirmed = sent - *report.m_log_age;
+  peer->m_confirmed_offset = report.m_next_offset;
+}
+
+void TakeFailure(MemberState& state, const std::string& peer, Instant now) {
+  const auto found = state.m_peers.find(peer);
+  if (found != state.m_peers.end()) found->second.m_failed = now;
+}
+
+std::optional<Instant> LastConfirmed(const MemberState& state) {
+  std::optional<Instant> latest = state.m_confirmed;
+  for (const auto& [name, peer] : state.m_peers) {
+    if (!peer.m_confirmed) continue;
+    if (peer.m_confirmed_offset > state.m_next_offset) continue;
+    RaiseTo(latest, *peer.m_confirmed);
+  }
+  return latest;
+}
+
+Admission DecideAdmission(const MemberState& state, Instant now) {
+  if (!state.m_caught_up) return {false, AdmitReason::kNotCaughtUp, {}};
+  const auto confirmed = LastConfirmed(state);
+  if (Within(confirmed, state.m_options.m_freshness, now)) {
+    return {true, AdmitReason::kFresh,
+            *confirmed + state.m_options.m_freshness};
+  }
+  return DecideWithoutLog(state, now);
+}
+
+bool MayAcceptWrites(const MemberState& state, Instant now) {
+  const Duration freshness = state.m_options.m_freshness;
+  if (!state.m_caught_up || !state.m_log_reachable) return false;
+  if (!Within(state.m_confirmed, freshness, now)) return false;
+  if (!HasListedPeers(state)) return true;
+  return std::any_of(state.m_peers.begin(), state.m_peers.end(),
+                     [&](const auto& entry) {
+                       return Within(entry.second.m_answered, freshness, now);
+                     });
+}
+
+PeerPhase PhaseOf(const MemberState& state, const std::string& peer,
+                  Instant now) {
+  const auto found = state.m_peers.find(peer);
+  if (found == state.m_peers.end() || !found->second.m_heard) {
+    return PeerPhase::kUnknown;
+  }
+  if (!Within(found->second.m_heard, state.m_options.m_silence, now)) {
+    return PeerPhase::kSilent;
+  }
+  return found->second.m_draining ? PeerPhase::kDraining : PeerPhase::kHeard;
+}
+
+std::vector<std::string> HeartbeatTargets(const MemberState& state,
+                                          Instant now) {
+  const auto regions = RankByRegion(state, now);
+  std::size_t listed = 0;
+  for (const auto& [region, peers] : regions) listed += peers.size();
+  std::vector<std::string> targets;
+  for (const auto& [region, peers] : regions) {
+    const bool own = region == state.m_options.m_region;
+    std::size_t wanted = own ? kRingNeighbours : 1;
+    if (listed + 1 <= kFullMesh) wanted = peers.size();
+    wanted = std::min(wanted, peers.size());
+    for (std::size_t i = 0; i < wanted; ++i) targets.push_back(peers[i].m_name);
+  }
+  return targets;
+}
+
+std::vector<std::string> HoldTargets(const MemberState& state, Instant now) {
+  std::vector<std::string> candidates;
+  for (const std::string& name : HeartbeatTargets(state, now)) {
+    if (PhaseOf(state, name, now) == PeerPhase::kHeard) {
+      candidates.push_back(name);
+    }
+  }
+  const auto region_of = [&state](const std::string& name) {
+    return state.m_peers.at(name).m_region;
+  };
+  std::sort(candidates.begin(), candidates.end(),
+            [&](const std::string& a, const std::string& b) {
+              const std::string& own = state.m_options.m_region;
+              return std::make_tuple(region_of(a) != own, Hash(a)) <
+                     std::make_tuple(region_of(b) != own, Hash(b));
+            });
+  // First one of each region, then whoever is left.
+  std::vector<std::string> holders;
+  std::set<std::string> regions;
+  for (const bool any_region : {false, true}) {
+    for (const std::string& name : candidates) {
+      if (holders.size() == kHolders) return holders;
+      const bool taken = std::count(holders.begin(), holders.end(), name) > 0;
+      if (taken) continue;
+      if (regions.insert(region_of(name)).second || any_region) {
+        holders.push_back(name);
+      }
+    }
+  }
+  return holders;
+}
+
+std::optional<std::string> RelaySource(const MemberState& state, Instant now) {
+  const Duration freshness = state.m_options.m_freshness;
+  // Half of the time, so that the entries arrive before freshness ends.
+  if (Within(state.m_confirmed, freshness / 2, now)) return std::nullopt;
+  std::optional<std::string> best;
+  std::uint64_t best_offset = state.m_next_offset;
+  for (const auto& [name, peer] : state.m_peers) {
+    if (!peer.m_listed || !Within(peer.m_answered, freshness, now)) continue;
+    if (peer.m_next_offset <= best_offset) continue;
+    best = name;
+    best_offset = peer.m_next_offset;
+  }
+  return best;
+}
+
+PeerReport OwnReport(const MemberState& state, std::uint64_t incarnation,
+                     Instant now) {
+  PeerReport report;
+  report.m_name = state.m_options.m_name;
+  report.m_region = state.m_options.m_region;
+  report.m_incarnation = incarnation;
+  report.m_next_offset = state.m_next_offset;
+  report.m_known_offset = state.m_known_offset;
+  report.m_log_reachable = state.m_log_reachable;
+  if (const auto confirmed = LastConfirmed(state)) {
+    report.m_log_age = std::max(now - *confirmed, Duration(0));
+  }
+  report.m_draining = state.m_draining;
+  for (const auto& [region, time] : state.m_log_answers) {
+    if (now - time >= state.m_options.m_freshness) continue;
+    report.m_regions.push_back({region, std::max(now - time, Duration(0))});
+  }
+  return report;
+}
+
+}  // namespace comfreypaddle
--- /dev/null
+++ b/src/member.h
@@ -0,0 +1,191 @@
+#ifndef COMFREYPADDLE_MEMBER_H_
+#define COMFREYPADDLE_MEMBER_H_
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "types.h"
+
+namespace comfreypaddle {
+
+// Why an instance admits keyed requests or does not.
+enum class AdmitReason {
+  kFresh,        // The log's end was confirmed within the freshness time.
+  kOnlyMember,   // No other instance could have accepted a revocation.
+  kLogDown,      // The log answers in no region.
+  kNotCaughtUp,  // The tables have not been read since the start.
+  kLogAnswers,   // There may be changes that were not read here.
+  kBehind,       // A peer read entries that were not read here.
+  kRegionSilent  // No instance of some region said that the log is down.
+};
+
+template <>
+struct EnumNames<AdmitReason> {
+  static constexpr std::array<EnumName<AdmitReason>, 7> kTable{
+      {{AdmitReason::kFresh, "fresh"},
+       {AdmitReason::kOnlyMember, "only_member"},
+       {AdmitReason::kLogDown, "log_down"},
+       {AdmitReason::kNotCaughtUp, "not_caught_up"},
+       {AdmitReason::kLogAnswers, "log_answers"},
+       {AdmitReason::kBehind, "behind"},
+       {AdmitReason::kRegionSilent, "region_silent"}}};
+};
+
+// How a peer is seen from here.
+enum class PeerPhase { kUnknown, kHeard, kDraining, kSilent };
+
+template <>
+struct EnumNames<PeerPhase> {
+  static constexpr std::array<EnumName<PeerPhase>, 4> kTable{
+      {{PeerPhase::kUnknown, "unknown"},
+       {PeerPhase::kHeard, "heard"},
+       {PeerPhase::kDraining, "draining"},
+       {PeerPhase::kSilent, "silent"}}};
+};
+
+// When an instance of a region last said that the log answers there. It is
+// passed on, so that it reaches instances without a connection to the region.
+struct RegionLog {
+  std::string m_region;
+  Duration m_age{0};
+};
+
+// What a peer says about itself.
+struct PeerReport {
+  std::string m_name;
+  std::string m_region;
+  std::uint64_t m_incarnation = 0;
+  std::uint64_t m_next_offset = 0;  // Next log offset that it will read.
+  // Highest next offset of any instance that it knows of.
+  std::uint64_t m_known_offset = 0;
+  bool m_log_reachable = false;
+  // Age of its last confirmation of the log's end, itself or by relay.
+  std::optional<Duration> m_log_age;
+  bool m_draining = false;
+  std::vector<RegionLog> m_regions;
+};
+
+// What is known about one peer.
+struct MemberPeer {
+  std::string m_region;
+  bool m_listed = false;  // It is in the settings; others only call here.
+  std::uint64_t m_incarnation = 0;
+  bool m_draining = false;
+  std::optional<Instant> m_heard;  // Last call or answer.
+  // Last answered call, counted from before it was sent, because the answer
+  // may have been held up for any time on its way.
+  std::optional<Instant> m_answered;
+  bool m_log_down = false;          // It said so in that answer.
+  std::uint64_t m_next_offset = 0;  // In that answer.
+  // Up to which offset, and when, the peer's answer confirmed the log's end.
+  std::uint64_t m_confirmed_offset = 0;
+  std::optional<Instant> m_confirmed;
+  std::optional<Instant> m_failed;  // Last call without an answer.
+};
+
+// Constants of one instance's membership.
+struct MemberOptions {
+  std::string m_name;
+  std::string m_region;
+  Duration m_freshness = std::chrono::seconds(2);
+  // A peer that is not heard for this time counts as silent.
+  Duration m_silence = std::chrono::seconds(1);
+};
+
+// Membership as one instance sees it.
+struct MemberState {
+  MemberOptions m_options;
+  std::map<std::string, MemberPeer> m_peers;
+  // When an instance of a region last said that the log answers there.
+  std::map<std::string, Instant> m_log_answers;
+  std::uint64_t m_next_offset = 0;
+  std::uint64_t m_known_offset = 0;  // Highest next offset of any instance.
+  bool m_log_reachable = false;
+  std::optional<Instant> m_confirmed;  // By this instance's own read.
+  bool m_caught_up = false;
+  bool m_draining = false;
+};
+
+// Peer in the settings.
+struct ListedPeer {
+  std::string m_name;
+  std::string m_region;
+};
+
+// What this instance's journal says about the log.
+struct OwnLog {
+  std::uint64_t m_next_offset = 0;
+  bool m_reachable = false;
+  std::optional<Instant> m_confirmed;
+  bool m_caught_up = false;
+};
+
+// Permission to admit keyed requests. An open one lapses at m_until if no
+// further report arrives.
+struct Admission {
+  bool m_open = false;
+  AdmitReason m_reason = AdmitReason::kNotCaughtUp;
+  Instant m_until{};
+};
+
+MemberState MakeMembers(MemberOptions options,
+                        const std::vector<ListedPeer>& peers);
+
+void TakeOwnLog(MemberState& state, const OwnLog& log);
+
+// Takes what a peer said when it called here.
+void TakeCall(MemberState& state, const PeerReport& report, Instant now);
+
+// Takes a peer's answer to the call that was sent at the given time. Reports
+// of an earlier incarnation are ignored.
+void TakeAnswer(MemberState& state, const PeerReport& report, Instant sent,
+                Instant now);
+
+// Takes note of a call that got no answer.
+void TakeFailure(MemberState& state, const std::string& peer, Instant now);
+
+// Returns when the log's end was last confirmed, by this instance or by a
+// peer whose entries have all been read here.
+std::optional<Instant> LastConfirmed(const MemberState& state);
+
+// Decides whether keyed requests may be admitted.
+Admission DecideAdmission(const MemberState& state, Instant now);
+
+// Decides whether configuration writes may be accepted: the log must answer
+// here, and a peer must too, so that an instance that was cut off from all
+// others does not take writes, unless there are no others.
+bool MayAcceptWrites(const MemberState& state, Instant now);
+
+PeerPhase PhaseOf(const MemberState& state, const std::string& peer,
+                  Instant now);
+
+// Returns the peers to send heartbeats to. Up to kFullMesh instances all send
+// to all. Above that each sends to two neighbours in the ring of its region
+// and to one instance of each other region, because a full mesh would exceed
+// the traffic allowed for control. Peers that did not answer lately are
+// replaced by the next in rank.
+std::vector<std::string> HeartbeatTargets(const MemberState& state,
+                                          Instant now);
+
+inline constexpr std::size_t kFullMesh = 16;
+
+// Returns up to two of the heartbeat targets that are heard and not draining,
+// to hold usage: if possible one in this region and one in another.
+std::vector<std::string> HoldTargets(const MemberState& state, Instant now);
+
+// Returns the peer to ask for log entries: the one that is furthest ahead, if
+// this instance's own reads do not confirm the log's end.
+std::optional<std::string> RelaySource(const MemberState& state, Instant now);
+
+// Returns what this instance says about itself.
+PeerReport OwnReport(const MemberState& state, std::uint64_t incarnation,
+                     Instant now);
+
+}  // namespace comfreypaddle
+
+#endif  // COMFREYPADDLE_MEMBER_H_
--- /dev/null
+++ b/tests/member_test.cpp
@@ -0,0 +1,328 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "member.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <random>
+#include <set>
+
+namespace comfreypaddle {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Instant kStart{std::chrono::hours(1)};
+constexpr Duration kFreshness = milliseconds(2000);
+
+MemberState Make(const std::string& name, const std::string& region,
+                 const std::vector<ListedPeer>& all) {
+  std::vector<ListedPeer> peers;
+  std::copy_if(all.begin(), all.end(), std::back_inserter(peers),
+               [&](const ListedPeer& peer) { return peer.m_name != name; });
+  return MakeMembers({.m_name = name, .m_region = region}, peers);
+}
+
+// Instances a1, a2, b1, b2, ... in this many regions.
+std::vector<ListedPeer> Instances(int regions, int per_region) {
+  std::vector<ListedPeer> all;
+  for (int r = 0; r < regions; ++r) {
+    for (int i = 1; i <= per_region; ++i) {
+      const std::string region(1, static_cast<char>('a' + r));
+      all.push_back({region + std::to_string(i), region});
+    }
+  }
+  return all;
+}
+
+PeerReport Says(const std::string& name, bool reachable,
+                std::uint64_t incarnation = 1) {
+  PeerReport report;
+  report.m_name = name;
+  report.m_region = name.substr(0, 1);
+  report.m_incarnation = incarnation;
+  report.m_log_reachable = reachable;
+  return report;
+}
+
+// State of a1 in two regions of two, once caught up, without the log.
+MemberState CutOff() {
+  MemberState state = Make("a1", "a", Instances(2, 2));
+  TakeOwnLog(state, {.m_next_offset = 5, .m_caught_up = true});
+  return state;
+}
+
+TEST_CASE("an outage of the log everywhere does not stop admission") {
+  MemberState state = CutOff();
+  CHECK(DecideAdmission(state, kStart).m_reason == AdmitReason::kRegionSilent);
+  TakeAnswer(state, Says("a2", false), kStart, kStart);
+  CHECK_FALSE(DecideAdmission(state, kStart).m_open);
+  TakeAnswer(state, Says("b1", false), kStart, kStart);
+  CHECK(DecideAdmission(state, kStart).m_reason == AdmitReason::kLogDown);
+  CHECK(DecideAdmission(state, kStart).m_open);
+  CHECK_FALSE(DecideAdmission(state, kStart + kFreshness).m_open);
+  TakeCall(state, Says("b2", true), kStart);
+  CHECK(DecideAdmission(state, kStart).m_reason == AdmitReason::kLogAnswers);
+}
+
+TEST_CASE("a statement that was held up counts from when it was asked for") {
+  MemberState state = CutOff();
+  const Instant now = kStart + kFreshness;
+  TakeAnswer(state, Says("a2", false), now, now);
+  TakeAnswer(state, Says("b1", false), kStart, now);
+  CHECK_FALSE(DecideAdmission(state, now).m_open);
+}
+
+TEST_CASE("a statement that the log answers reaches instances by hearsay") {
+  MemberState state = CutOff();
+  PeerReport report = Says("a2", false);
+  report.m_regions.push_back({"c", milliseconds(100)});
+  TakeAnswer(state, report, kStart, kStart);
+  TakeAnswer(state, Says("b1", false), kStart, kStart);
+  CHECK(DecideAdmission(state, kStart).m_reason == AdmitReason::kLogAnswers);
+  CHECK(OwnReport(state, 1, kStart).m_regions.at(0).m_age == milliseconds(100));
+}
+
+TEST_CASE("a relay makes an instance fresh once it has read the entries") {
+  MemberState state = CutOff();
+  PeerReport report = Says("b1", true);
+  report.m_next_offset = 9;
+  report.m_log_age = milliseconds(500);
+  TakeAnswer(state, report, kStart, kStart);
+  CHECK_FALSE(DecideAdmission(state, kStart).m_open);
+  CHECK(RelaySource(state, kStart) == "b1");
+  TakeOwnLog(state, {.m_next_offset = 9, .m_caught_up = true});
+  const Admission admission = DecideAdmission(state, kStart);
+  CHECK(admission.m_reason == AdmitReason::kFresh);
+  CHECK(admission.m_until == kStart + milliseconds(1500));
+  CHECK_FALSE(RelaySource(state, kStart).has_value());
+}
+
+TEST_CASE("an outage does not hide what peers read before it") {
+  MemberState state = CutOff();
+  TakeAnswer(state, Says("a2", false), kStart, kStart);
+  PeerReport ahead = Says("b1", false);
+  ahead.m_next_offset = 6;
+  TakeAnswer(state, ahead, kStart, kStart);
+  CHECK(DecideAdmission(state, kStart).m_reason == AdmitReason::kBehind);
+  CHECK(RelaySource(state, kStart) == "b1");
+  TakeOwnLog(state, {.m_next_offset = 6, .m_caught_up = true});
+  CHECK(DecideAdmission(state, kStart).m_reason == AdmitReason::kLogDown);
+}
+
+TEST_CASE("a report of an earlier incarnation is ignored") {
+  MemberState state = CutOff();
+  TakeCall(state, Says("a2", false, 7), kStart);
+  TakeAnswer(state, Says("a2", true, 6), kStart, kStart);
+  CHECK(state.m_log_answers.empty());
+}
+
+TEST_CASE("an instance that hears no peer accepts no writes, alone it does") {
+  MemberState state = CutOff();
+  const OwnLog log{5, true, kStart, true};
+  TakeOwnLog(state, log);
+  CHECK(DecideAdmission(state, kStart).m_open);
+  CHECK_FALSE(MayAcceptWrites(state, kStart));
+  TakeCall(state, Says("b1", true), kStart);
+  CHECK_FALSE(MayAcceptWrites(state, kStart));
+  TakeAnswer(state, Says("b1", true), kStart, kStart);
+  CHECK(MayAcceptWrites(state, kStart));
+  MemberState alone = Make("a1", "a", {});
+  TakeOwnLog(alone, log);
+  CHECK(MayAcceptWrites(alone, kStart));
+  CHECK(DecideAdmission(alone, kStart + kFreshness).m_open);
+}
+
+TEST_CASE("phases follow what was heard") {
+  MemberState state = CutOff();
+  CHECK(PhaseOf(state, "a2", kStart) == PeerPhase::kUnknown);
+  PeerReport report = Says("a2", true);
+  TakeCall(state, report, kStart);
+  CHECK(PhaseOf(state, "a2", kStart) == PeerPhase::kHeard);
+  report.m_draining = true;
+  TakeCall(state, report, kStart);
+  CHECK(PhaseOf(state, "a2", kStart) == PeerPhase::kDraining);
+  CHECK(PhaseOf(state, "a2", kStart + milliseconds(1000)) ==
+        PeerPhase::kSilent);
+}
+
+TEST_CASE("usage is held in two regions, by peers that are heard") {
+  MemberState state = CutOff();
+  CHECK(HoldTargets(state, kStart).empty());
+  for (const char* name : {"a2", "b1", "b2"}) {
+    TakeCall(state, Says(name, true), kStart);
+  }
+  const auto holders = HoldTargets(state, kStart);
+  REQUIRE(holders.size() == 2);
+  CHECK(holders[0] == "a2");
+  CHECK(holders[1][0] == 'b');
+}
+
+TEST_CASE("at 380 instances heartbeats go to a few and reach everyone") {
+  const auto all = Instances(5, 76);
+  std::map<std::string, std::set<std::string>> callers;
+  for (const ListedPeer& self : all) {
+    const MemberState state = Make(self.m_name, self.m_region, all);
+    const auto targets = HeartbeatTargets(state, kStart);
+    CHECK(targets.size() == 6);
+    for (const auto& target : targets) callers[target].insert(self.m_name);
+  }
+  std::size_t most = 0;
+  for (const ListedPeer& instance : all) {
+    // Two neighbours in the ring of the region.
+    CHECK(callers[instance.m_name].size() >= 2);
+    most = std::max(most, callers[instance.m_name].size());
+  }
+  CHECK(most <= 24);
+}
+
+TEST_CASE("a target that does not answer is replaced for a while") {
+  const auto all = Instances(5, 76);
+  MemberState state = Make("a1", "a", all);
+  const auto before = HeartbeatTargets(state, kStart);
+  TakeFailure(state, before.back(), kStart);
+  const auto after = HeartbeatTargets(state, kStart);
+  CHECK(after.size() == before.size());
+  CHECK(std::count(after.begin(), after.end(), before.back()) == 0);
+  CHECK(HeartbeatTargets(state, kStart + std::chrono::seconds(10)) == before);
+}
+
+// World of six instances in three regions for the property below. The log
+// answers or not for each region, links between regions are cut, instances
+// are paused, and answers are held up.
+struct World {
+  static constexpr Duration kStep = milliseconds(100);
+
+  struct Letter {
+    std::size_t m_to = 0;
+    PeerReport m_report;
+    Instant m_sent;
+    Instant m_due;
+  };
+
+  explicit World(std::uint64_t seed) : m_random(seed) {
+    m_all = Instances(3, 2);
+    for (const ListedPeer& self : m_all) {
+      m_states.push_back(Make(self.m_name, self.m_region, m_all));
+    }
+  }
+
+  int Random(int below) {
+    return static_cast<int>(m_random() % static_cast<std::uint64_t>(below));
+  }
+
+  bool Linked(std::size_t a, std::size_t b) const {
+    return a / 2 == b / 2 || !m_cut[a / 2 + b / 2 - 1];
+  }
+
+  bool LogUp(std::size_t region) const {
+    return !m_log_down[region] && !m_outage;
+  }
+
+  // Time of the first record that the instance has not read.
+  Instant FirstUnread(std::size_t i) const {
+    const std::size_t read = m_states[i].m_next_offset;
+    return read < m_appended.size() ? m_appended[read] : Instant::max();
+  }
+
+  void StepInstance(std::size_t i) {
+    MemberState& state = m_states[i];
+    const bool up = LogUp(i / 2);
+    if (up) {
+      TakeOwnLog(state, {m_appended.size(), true, m_now, true});
+    } else {
+      TakeOwnLog(state, {state.m_next_offset, false, {}, state.m_caught_up});
+    }
+    for (auto& letter : m_letters) {
+      if (letter.m_to != i || letter.m_due > m_now) continue;
+      TakeAnswer(state, letter.m_report, letter.m_sent, m_now);
+      letter.m_due = Instant::max();
+    }
+    if (const auto source = RelaySource(state, m_now)) {
+      const std::size_t from = static_cast<std::size_t>(
+          std::find_if(m_all.begin(), m_all.end(),
+                       [&](const auto& p) { return p.m_name == *source; }) -
+          m_all.begin());
+      if (Linked(i, from) && !m_paused[from]) {
+        state.m_next_offset =
+            std::max(state.m_next_offset, m_states[from].m_next_offset);
+      }
+    }
+  }
+
+  void Exchange(std::size_t from, std::size_t to, Duration held_up) {
+    if (from == to || m_paused[from] || m_paused[to] || !Linked(from, to)) {
+      return;
+    }
+    TakeCall(m_states[to], OwnReport(m_states[from], 1, m_now), m_now);
+    m_letters.push_back(
+        {from, OwnReport(m_states[to], 1, m_now), m_now, m_now + held_up});
+  }
+
+  std::mt19937_64 m_random;
+  std::vector<ListedPeer> m_all;
+  std::vector<MemberState> m_states;
+  std::vector<Letter> m_letters;
+  std::vector<Instant> m_appended;  // Times of all records.
+  bool m_outage = false;            // The log answers nowhere.
+  std::array<bool, 3> m_log_down{};
+  std::array<bool, 3> m_cut{};
+  std::array<bool, 6> m_paused{};
+  Instant m_now = kStart;
+};
+
+void ChangeWorld(World& world) {
+  // Faults are rarer than repairs, so that all states are met.
+  const auto change = [&world](bool& fault) {
+    fault = world.Random(fault ? 25 : 80) == 0 ? !fault : fault;
+  };
+  if (world.Random(40) == 0) world.m_outage = !world.m_outage;
+  for (bool& down : world.m_log_down) change(down);
+  for (bool& cut : world.m_cut) change(cut);
+  // One instance of each region is never paused: if the only instance that
+  // read a record is lost together with the log, no other can know of it.
+  for (std::size_t i = 0; i < 6; i += 2) change(world.m_paused[i]);
+  const bool any_up = world.LogUp(0) || world.LogUp(1) || world.LogUp(2);
+  if (any_up && world.Random(4) == 0) world.m_appended.push_back(world.m_now);
+}
+
+TEST_CASE("an instance admits only with all changes older than 2 s read") {
+  int admitted = 0;
+  int admitted_without_log = 0;
+  CHECK(rc::check("revocations stop admission in time", [&] {
+    World world(*rc::gen::resize(rc::kNominalSize,
+                                 rc::gen::arbitrary<std::uint64_t>()));
+    for (int step = 0; step < 150; ++step) {
+      world.m_now += World::kStep;
+      ChangeWorld(world);
+      for (std::size_t i = 0; i < 6; ++i) {
+        if (world.m_paused[i]) continue;
+        world.StepInstance(i);
+        const Admission admission =
+            DecideAdmission(world.m_states[i], world.m_now);
+        if (!admission.m_open) continue;
+        ++admitted;
+        if (admission.m_reason == AdmitReason::kLogDown) {
+          ++admitted_without_log;
+        }
+        RC_ASSERT(world.FirstUnread(i) >=
+                  world.m_now - kFreshness - World::kStep);
+        RC_ASSERT(admission.m_until > world.m_now);
+        RC_ASSERT(
+            DecideAdmission(world.m_states[i], admission.m_until).m_reason !=
+            admission.m_reason);
+      }
+      if (step % 5 != 0) continue;
+      for (std::size_t i = 0; i < 36; ++i) {
+        world.Exchange(i / 6, i % 6,
+                       milliseconds(world.Random(3) == 0 ? 3000 : 0));
+      }
+    }
+  }));
+  CHECK(admitted > 1000);
+  CHECK(admitted_without_log > 100);
+}
+
+}  // namespace
+}  // namespace comfreypaddle
