--- /dev/null
+++ b/tests/history_test.cpp
@@ -0,0 +1,41 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include "support_history.h"
+
+namespace comfreypaddle::testing {
+namespace {
+
+Instant At(int millis) { return Instant(std::chrono::milliseconds(millis)); }
+
+// Guards against a checker that finds nothing in a bad history.
+TEST_CASE("the checker reports two holders at once") {
+  const HeldSpan a{{"a", 1}, "usage", 10, At(0), At(100)};
+  const HeldSpan next{{"b", 1}, "usage", 20, At(100), At(200)};
+  CHECK(CheckLeaseHistory({a, next}).empty());
+  const HeldSpan early{{"b", 1}, "usage", 20, At(99), At(200)};
+  CHECK(CheckLeaseHistory({a, early}).size() == 1);
+  const HeldSpan restarted{{"a", 2}, "usage", 20, At(99), At(200)};
+  CHECK(CheckLeaseHistory({a, restarted}).size() == 1);
+  const HeldSpan lower{{"b", 1}, "usage", 9, At(100), At(200)};
+  CHECK(CheckLeaseHistory({a, lower}).size() == 1);
+  const HeldSpan other_duty{{"b", 1}, "capacity", 20, At(0), At(200)};
+  CHECK(CheckLeaseHistory({a, other_duty}).empty());
+}
+
+TEST_CASE("the checker reports figures and reporters that differ") {
+  const ReportedUsage first{{"a", 1}, 7, 100, 10, {{"w", "r", 1, 2, 3}}};
+  ReportedUsage again = first;
+  again.m_reporter = {"b", 1};
+  again.m_fencing_number = 50;
+  CHECK(CheckUsageHistory({first, again}).empty());
+  ReportedUsage other = again;
+  other.m_figures[0].m_requests = 2;
+  CHECK(CheckUsageHistory({first, other}).size() == 1);
+  ReportedUsage same_number = again;
+  same_number.m_fencing_number = 10;
+  CHECK(CheckUsageHistory({first, same_number}).size() == 1);
+}
+
+}  // namespace
+}  // namespace comfreypaddle::testing
--- /dev/null
+++ b/tests/support_history.cpp
@@ -0,0 +1,59 @@
+#include "support_history.h"
+
+#include <map>
+
+namespace comfreypaddle::testing {
+namespace {
+
+std::string Describe(const HeldSpan& span) {
+  return span.m_holder.m_name + "/" +
+         std::to_string(span.m_holder.m_incarnation) + " with number " +
+         std::to_string(span.m_fencing_number) + " at " +
+         std::to_string(span.m_from.time_since_epoch().count()) + " us";
+}
+
+}  // namespace
+
+std::vector<std::string> CheckLeaseHistory(const std::vector<HeldSpan>& spans) {
+  std::vector<std::string> faults;
+  for (const HeldSpan& a : spans) {
+    for (const HeldSpan& b : spans) {
+      if (a.m_duty != b.m_duty || a.m_holder == b.m_holder) continue;
+      const bool overlap = a.m_from < b.m_to && b.m_from < a.m_to;
+      if (overlap && &a < &b) {
+        faults.push_back("two holders of " + a.m_duty + ": " + Describe(a) +
+                         " and " + Describe(b));
+      }
+      if (a.m_to <= b.m_from && a.m_fencing_number >= b.m_fencing_number) {
+        faults.push_back("number of " + a.m_duty + " does not grow: " +
+                         Describe(a) + " before " + Describe(b));
+      }
+    }
+  }
+  return faults;
+}
+
+std::vector<std::string> CheckUsageHistory(
+    const std::vector<ReportedUsage>& reports) {
+  std::vector<std::string> faults;
+  std::map<std::uint64_t, const ReportedUsage*> by_window;
+  std::map<Position, const ReportedUsage*> by_number;
+  for (const ReportedUsage& report : reports) {
+    const ReportedUsage& first =
+        *by_window.emplace(report.m_window, &report).first->second;
+    if (first.m_figures != report.m_figures ||
+        first.m_token != report.m_token) {
+      faults.push_back("window " + std::to_string(report.m_window) +
+                       " was reported with different figures");
+    }
+    const ReportedUsage& holder =
+        *by_number.emplace(report.m_fencing_number, &report).first->second;
+    if (!(holder.m_reporter == report.m_reporter)) {
+      faults.push_back("two processes reported with number " +
+                       std::to_string(report.m_fencing_number));
+    }
+  }
+  return faults;
+}
+
+}  // namespace comfreypaddle::testing
