--- /dev/null
+++ b/src/fleet.h
@@ -0,0 +1,134 @@
+#ifndef COMFREYPADDLE_FLEET_H_
+#define COMFREYPADDLE_FLEET_H_
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "types.h"
+
+namespace comfreypaddle {
+
+// Fake fleet of model engines for `bench`. Work is counted in seconds that a
+// dedicated engine needs (engine-seconds).
+
+// Figures of an engine. They are part of the model, not tunables of a policy.
+struct EngineModel {
+  double m_prefill_s = 0.00025;  // Per prompt token: 4,000 tokens/s.
+  double m_decode_s = 0.001;     // Per output token: 1,000 tokens/s in a batch.
+  double m_stream_rate = 50.0;   // Most output tokens per second of one stream.
+  // Speed of both phases on a mixed engine, and of the other phase on a
+  // dedicated one, relative to a dedicated engine.
+  double m_mixed_speed = 0.8;
+  double m_other_speed = 0.5;
+  // Part of a step that a prefill engine gives to prompts while streams wait.
+  double m_prefill_part = 0.8;
+  std::uint32_t m_concurrency = 24;
+  std::uint32_t m_kv_pieces = 80;
+  double m_tokens_per_piece = 2000.0;
+  Duration m_role_change = std::chrono::seconds(4);
+  Duration m_lead_time = std::chrono::seconds(20);
+  Duration m_lead_jitter = std::chrono::seconds(10);
+  double m_never_comes = 0.1;      // Probability that an order does not come.
+  double m_on_demand_price = 1.0;  // Per second.
+  double m_cheap_price = 0.4;
+};
+
+// Request at an engine, with the work that is left.
+struct EngineRequest {
+  std::uint64_t m_id = 0;
+  double m_prefill_left_s = 0.0;
+  double m_decode_left_s = 0.0;
+  std::uint32_t m_pieces = 1;
+};
+
+// Load of an engine at one time, for reports that lag.
+struct LoadSample {
+  Instant m_taken{};
+  std::uint32_t m_queued = 0;
+  std::uint32_t m_running = 0;
+  double m_queued_s = 0.0;  // Work of queued requests.
+  std::uint32_t m_used_pieces = 0;
+};
+
+struct FakeEngine {
+  std::string m_name;
+  std::uint32_t m_zone = 0;
+  EndpointClass m_class = EndpointClass::kOnDemand;
+  EndpointRole m_role = EndpointRole::kMixed;
+  EndpointPhase m_phase = EndpointPhase::kReady;
+  std::optional<Instant> m_changing_until;
+  EndpointRole m_next_role = EndpointRole::kMixed;
+  Instant m_ordered{};
+  Instant m_ready_at{};
+  bool m_never_comes = false;
+  bool m_dead = false;  // Crashed or reclaimed; the platform may not know.
+  Instant m_ended{};
+  std::vector<EngineRequest> m_running;
+  std::deque<EngineRequest> m_queue;
+  std::uint32_t m_used_pieces = 0;
+  std::deque<LoadSample> m_samples;
+};
+
+struct FakeFleet {
+  EngineModel m_model;
+  std::vector<FakeEngine> m_engines;  // Engines that ended stay in place.
+  std::mt19937_64 m_random{1};
+  double m_spend = 0.0;
+  double m_cheap_work_s = 0.0;
+  double m_total_work_s = 0.0;
+};
+
+// Work given to a request in one step.
+struct Progress {
+  std::uint64_t m_id = 0;
+  std::uint32_t m_engine = 0;
+  double m_work_s = 0.0;
+  bool m_finished = false;
+};
+
+// Adds an engine that is ready at once.
+void AddEngine(FakeFleet& fleet, std::uint32_t zone, EndpointClass kind,
+               EndpointRole role, Instant now);
+
+// Orders an engine. It becomes ready after the lead time, or never.
+void OrderEngine(FakeFleet& fleet, std::uint32_t zone, EndpointClass kind,
+                 Instant now);
+
+// Starts a role change. The engine does no work until it is done; its
+// requests stay.
+void StartRoleChange(FakeFleet& fleet, std::uint32_t engine, EndpointRole role,
+                     Instant now);
+
+// Hands a request to an engine. Returns false if the engine is dead.
+bool SendRequest(FakeFleet& fleet, std::uint32_t engine, EngineRequest request);
+
+// Takes a request off its engine. Returns what was left of it.
+std::optional<EngineRequest> CancelRequest(FakeFleet& fleet,
+                                           std::uint32_t engine,
+                                           std::uint64_t id);
+
+// Ends an engine. Returns the requests that were there.
+std::vector<EngineRequest> KillEngine(FakeFleet& fleet, std::uint32_t engine,
+                                      Instant now);
+
+// Advances all engines by one step and appends the progress made. Draining
+// engines without requests end.
+void StepFleet(FakeFleet& fleet, Instant now, Duration step,
+               std::vector<Progress>& progress);
+
+// Records the load of all engines for later reports.
+void SampleLoads(FakeFleet& fleet, Instant now);
+
+// Returns the newest sample that is at least this old, or null.
+const LoadSample* LoadAt(const FakeEngine& engine, Instant now, Duration lag);
+
+// Whether the engine takes work and is not dead.
+bool IsServing(const FakeEngine& engine);
+
+}  // namespace comfreypaddle
+
+#endif  // COMFREYPADDLE_FLEET_H_
