Measure the decisions with bench

Cause: no policy change may go in without a measured gain.

Change: bench runs the policy `current` (admit, route, retry, roles and capacity), four baselines and the clairvoyant bound on six scenarios of both deployments, and prints seven measures and a signature of all decisions. Usage reports go through the folds of lease and usage.

Ruled out: rating workspaces by the work done in a window, which counts a request under way at its end as unfair; service is booked by time of arrival.

--- /dev/null
+++ b/src/benchplan.cpp
@@ -0,0 +1,236 @@
+#include "benchplan.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace comfreypaddle {
+namespace {
+
+constexpr std::uint32_t kDecisionRole = 0x30000;
+constexpr std::uint32_t kDecisionCapacity = 0x40000;
+
+// Time after which the policies that keep the fleet's size give up an order.
+constexpr Duration kReplaceAfter = std::chrono::seconds(60);
+
+std::string ZoneName(std::uint32_t zone) { return std::to_string(zone); }
+
+EndpointRole FirstRole(BenchPolicy policy, std::uint32_t index) {
+  switch (policy) {
+    case BenchPolicy::kFixedRoles:
+      return index % 2 == 0 ? EndpointRole::kPrefill : EndpointRole::kDecode;
+    case BenchPolicy::kRoundRobin:
+    case BenchPolicy::kLeastReportedLoad:
+      return EndpointRole::kMixed;
+    case BenchPolicy::kCurrent:
+    case BenchPolicy::kGreedyRoles:
+    case BenchPolicy::kClairvoyant:
+      break;
+  }
+  constexpr std::array<EndpointRole, 3> kRoles{
+      EndpointRole::kPrefill, EndpointRole::kDecode, EndpointRole::kMixed};
+  return kRoles[index / 4];
+}
+
+// Role of an engine that replaces or extends the fleet.
+EndpointRole RoleOfOrdered(const World& world) {
+  if (world.m_options.m_policy != BenchPolicy::kFixedRoles) {
+    return EndpointRole::kMixed;
+  }
+  const auto prefill = std::count_if(
+      world.m_fleet.m_engines.begin(), world.m_fleet.m_engines.end(),
+      [](const FakeEngine& engine) {
+        return IsServing(engine) && engine.m_role == EndpointRole::kPrefill;
+      });
+  return prefill < kBenchEndpoints / 2 ? EndpointRole::kPrefill
+                                       : EndpointRole::kDecode;
+}
+
+void Order(World& world, std::uint32_t zone, EndpointClass kind, Instant now) {
+  OrderEngine(world.m_fleet, zone, kind, now);
+  FakeEngine& engine = world.m_fleet.m_engines.back();
+  engine.m_role = RoleOfOrdered(world);
+  if (kind == EndpointClass::kCheap && world.m_blocked_zone == zone) {
+    engine.m_never_comes = true;
+  }
+  NoteDecision(world.m_tally,
+               kDecisionCapacity + zone * 2 + static_cast<std::uint64_t>(kind));
+}
+
+void Change(World& world, std::uint32_t engine, EndpointRole role,
+            Instant now) {
+  StartRoleChange(world.m_fleet, engine, role, now);
+  ++world.m_tally.m_role_changes;
+  NoteDecision(world.m_tally,
+               kDecisionRole + engine * 4 + static_cast<std::uint64_t>(role));
+}
+
+void PlanCurrentRoles(World& world, Instant now) {
+  std::vector<RoleEndpoint> view;
+  std::vector<std::uint32_t> index;
+  for (std::uint32_t i = 0; i < world.m_fleet.m_engines.size(); ++i) {
+    const FakeEngine& engine = world.m_fleet.m_engines[i];
+    if (!IsServing(engine)) continue;
+    const bool changing = engine.m_changing_until.has_value();
+    view.push_back({engine.m_name, ZoneName(engine.m_zone),
+                    changing ? engine.m_next_role : engine.m_role, true,
+                    changing});
+    index.push_back(i);
+  }
+  for (const RoleChange& change : PlanRoles(world.m_roles, view, now)) {
+    for (std::size_t i = 0; i < view.size(); ++i) {
+      if (view[i].m_name != change.m_endpoint) continue;
+      Change(world, index[i], change.m_to, now);
+    }
+  }
+}
+
+// Divides the serving engines in proportion to the demand of the last seconds.
+void PlanGreedyRoles(World& world, Instant now) {
+  const PhaseDemand& demand = world.m_roles.m_short;
+  const double total = demand.m_prefill + demand.m_decode;
+  if (total <= 0.0) return;
+  std::vector<std::uint32_t> engines;
+  int prefill = 0;
+  for (std::uint32_t i = 0; i < world.m_fleet.m_engines.size(); ++i) {
+    const FakeEngine& engine = world.m_fleet.m_engines[i];
+    if (!IsServing(engine)) continue;
+    engines.push_back(i);
+    const EndpointRole role =
+        engine.m_changing_until ? engine.m_next_role : engine.m_role;
+    if (role == EndpointRole::kPrefill) ++prefill;
+  }
+  if (engines.size() < 2) return;
+  const int count = static_cast<int>(engines.size());
+  int wanted = static_cast<int>(std::lround(demand.m_prefill / total * count));
+  wanted = std::clamp(wanted, 1, count - 1);
+  for (const std::uint32_t i : engines) {
+    const FakeEngine& engine = world.m_fleet.m_engines[i];
+    if (engine.m_changing_until) continue;
+    if (engine.m_role != EndpointRole::kPrefill && prefill < wanted) {
+      Change(world, i, EndpointRole::kPrefill, now);
+      ++prefill;
+    } else if (engine.m_role == EndpointRole::kPrefill && prefill > wanted) {
+      Change(world, i, EndpointRole::kDecode, now);
+      --prefill;
+    } else if (engine.m_role == EndpointRole::kMixed) {
+      Change(world, i, EndpointRole::kDecode, now);
+    }
+  }
+}
+
+double WorkAt(const FakeEngine& engine) {
+  double work = 0.0;
+  for (const EngineRequest& request : engine.m_running) {
+    work += request.m_prefill_left_s + request.m_decode_left_s;
+  }
+  return work;
+}
+
+void PlanCurrentCapacity(World& world, Instant now) {
+  std::vector<CapacityEndpoint> view;
+  std::vector<std::uint32_t> index;
+  for (std::uint32_t i = 0; i < world.m_fleet.m_engines.size(); ++i) {
+    const FakeEngine& engine = world.m_fleet.m_engines[i];
+    if (engine.m_dead || engine.m_phase == EndpointPhase::kGone) continue;
+    view.push_back({engine.m_name, ZoneName(engine.m_zone), engine.m_class,
+                    engine.m_phase, engine.m_ordered, WorkAt(engine)});
+    index.push_back(i);
+  }
+  const PhaseDemand& fast = world.m_roles.m_short;
+  const PhaseDemand& slow = world.m_roles.m_long;
+  const double demand =
+      std::max(fast.m_prefill + fast.m_decode, slow.m_prefill + slow.m_decode);
+  for (const CapacityOrder& order :
+       PlanCapacity(world.m_capacity, view, demand, 0, now)) {
+    if (order.m_kind == CapacityOrderKind::kCreate) {
+      Order(world, static_cast<std::uint32_t>(std::stoul(order.m_zone)),
+            order.m_class, now);
+      continue;
+    }
+    for (std::size_t i = 0; i < view.size(); ++i) {
+      if (view[i].m_name != order.m_endpoint) continue;
+      FakeEngine& engine = world.m_fleet.m_engines[index[i]];
+      engine.m_phase = order.m_kind == CapacityOrderKind::kDrain &&
+                               engine.m_phase == EndpointPhase::kReady
+                           ? EndpointPhase::kDraining
+                           : EndpointPhase::kGone;
+      NoteDecision(world.m_tally, kDecisionCapacity + 0x1000 + index[i]);
+    }
+  }
+}
+
+// Replaces engines that ended by on-demand ones of the same number.
+void KeepFleetSize(World& world, Instant now) {
+  std::array<int, kBenchZones> count{};
+  for (FakeEngine& engine : world.m_fleet.m_engines) {
+    if (engine.m_phase == EndpointPhase::kOrdered &&
+        now - engine.m_ordered >= kReplaceAfter) {
+      engine.m_phase = EndpointPhase::kGone;
+    }
+    const bool coming = engine.m_phase == EndpointPhase::kOrdered ||
+                        engine.m_phase == EndpointPhase::kReady;
+    if (!engine.m_dead && coming) ++count[engine.m_zone];
+  }
+  for (std::uint32_t zone = 0; zone < kBenchZones; ++zone) {
+    constexpr int kPerZone = kBenchEndpoints / static_cast<int>(kBenchZones);
+    for (; count[zone] < kPerZone; ++count[zone]) {
+      Order(world, zone, EndpointClass::kOnDemand, now);
+    }
+  }
+}
+
+}  // namespace
+
+void CreateFleet(World& world, Instant now) {
+  world.m_fleet.m_random.seed(world.m_options.m_seed + 77);
+  for (std::uint32_t i = 0; i < kBenchEndpoints; ++i) {
+    const std::uint32_t zone = i % kBenchZones;
+    const auto kind = (i / kBenchZones) % 2 == 0 ? EndpointClass::kOnDemand
+                                                 : EndpointClass::kCheap;
+    AddEngine(world.m_fleet, zone, kind, FirstRole(world.m_options.m_policy, i),
+              now);
+  }
+  CapacityOptions& options = world.m_capacity.m_options;
+  for (std::uint32_t zone = 0; zone < kBenchZones; ++zone) {
+    options.m_zones.push_back(ZoneName(zone));
+  }
+  options.m_min_endpoints = kBenchLeastEndpoints;
+  options.m_max_endpoints = kBenchEndpoints;
+  options.m_cheap_share = kBenchCheapShare;
+  options.m_lead_time = world.m_fleet.m_model.m_lead_time;
+  world.m_roles.m_options.m_change_cost = world.m_fleet.m_model.m_role_change;
+  world.m_roles.m_options.m_mixed_efficiency =
+      world.m_fleet.m_model.m_mixed_speed;
+  if (world.m_options.m_policy == BenchPolicy::kGreedyRoles) {
+    world.m_roles.m_options.m_short_window = std::chrono::seconds(2);
+  }
+}
+
+void ObserveArrivals(World& world, Duration elapsed, Instant now) {
+  const double seconds = ToSeconds(elapsed);
+  ObserveDemand(
+      world.m_roles,
+      {world.m_arrived.m_prefill / seconds, world.m_arrived.m_decode / seconds},
+      now);
+  world.m_arrived = {};
+}
+
+void PlanFleetRoles(World& world, Instant now) {
+  if (world.m_log_down) return;
+  if (world.m_options.m_policy == BenchPolicy::kCurrent) {
+    PlanCurrentRoles(world, now);
+  } else if (world.m_options.m_policy == BenchPolicy::kGreedyRoles) {
+    PlanGreedyRoles(world, now);
+  }
+}
+
+void PlanFleetCapacity(World& world, Instant now) {
+  if (world.m_log_down) return;
+  if (world.m_options.m_policy == BenchPolicy::kCurrent) {
+    PlanCurrentCapacity(world, now);
+  } else {
+    KeepFleetSize(world, now);
+  }
+}
+
+}  // namespace comfreypaddle
--- /dev/null
+++ b/src/benchrun.cpp
@@ -0,0 +1,208 @@
+#include "benchrun.h"
+
+#include <algorithm>
+
+#include "benchentry.h"
+#include "benchplan.h"
+#include "benchusage.h"
+#include "bound.h"
+
+namespace comfreypaddle {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr Duration kHeartbeat = seconds(1);
+constexpr Duration kRolePeriod = seconds(2);
+constexpr Duration kCapacityPeriod = seconds(5);
+
+// Times of the faults within a run.
+constexpr Duration kReclaimAt = seconds(55);
+constexpr Duration kSecondReclaimAt = seconds(105);
+constexpr Duration kReclaimNotice = seconds(5);
+constexpr Duration kEngineLostAt = seconds(40);
+constexpr Duration kEngineLostLatest = seconds(90);
+constexpr Duration kOutageFrom = seconds(40);
+constexpr Duration kOutageTo = seconds(110);
+
+// Time after which a silent connection or a crash is noticed.
+constexpr Duration kSilence = seconds(2);
+constexpr Duration kBrokenConnection = std::chrono::milliseconds(100);
+
+// Time after the last arrival until every request has ended.
+constexpr Duration kTail = seconds(120);
+
+// Requests of a workspace that got less than this are not rated.
+constexpr double kLeastDueSeconds = 10.0;
+
+bool IsEvery(Duration period, Duration elapsed) {
+  return elapsed % period < kBenchStep;
+}
+
+bool IsAt(Duration time, Duration elapsed) {
+  return time <= elapsed && elapsed < time + kBenchStep;
+}
+
+// Ends the cheap engines of a zone. With notice they drain before.
+void ReclaimZone(World& world, std::uint32_t zone, bool noticed, Instant now) {
+  world.m_blocked_zone = zone;
+  for (std::uint32_t i = 0; i < world.m_fleet.m_engines.size(); ++i) {
+    const FakeEngine& engine = world.m_fleet.m_engines[i];
+    const bool live =
+        !engine.m_dead && (engine.m_phase == EndpointPhase::kReady ||
+                           engine.m_phase == EndpointPhase::kDraining);
+    if (engine.m_zone != zone || engine.m_class != EndpointClass::kCheap ||
+        !live) {
+      continue;
+    }
+    LoseEngine(world, i, noticed, noticed ? kBrokenConnection : kSilence, now);
+  }
+}
+
+void NoticeReclaim(World& world, std::uint32_t zone) {
+  for (FakeEngine& engine : world.m_fleet.m_engines) {
+    if (engine.m_zone == zone && engine.m_class == EndpointClass::kCheap &&
+        IsServing(engine)) {
+      engine.m_phase = EndpointPhase::kDraining;
+    }
+  }
+}
+
+// Ends the first engine that changes its role, or any if none does for long.
+void LoseChangingEngine(World& world, Duration elapsed, Instant now) {
+  for (std::uint32_t i = 0; i < world.m_fleet.m_engines.size(); ++i) {
+    const FakeEngine& engine = world.m_fleet.m_engines[i];
+    if (!IsServing(engine)) continue;
+    if (!engine.m_changing_until && elapsed < kEngineLostLatest) continue;
+    world.m_options.m_scenario = Scenario::kRatioSwings;  // Only once.
+    LoseEngine(world, i, false, kSilence, now);
+    return;
+  }
+}
+
+void InjectFaults(World& world, Duration elapsed, Instant now) {
+  const Scenario scenario = world.m_options.m_scenario;
+  const auto zone =
+      static_cast<std::uint32_t>(world.m_options.m_seed % kBenchZones);
+  const std::uint32_t other = (zone + 1) % kBenchZones;
+  if (scenario == Scenario::kCheapReclaim && world.m_options.m_reclaim) {
+    if (IsAt(kReclaimAt - kReclaimNotice, elapsed)) NoticeReclaim(world, zone);
+    if (IsAt(kReclaimAt, elapsed)) ReclaimZone(world, zone, true, now);
+    if (IsAt(kSecondReclaimAt, elapsed)) ReclaimZone(world, other, false, now);
+  }
+  if (scenario == Scenario::kEngineLost && elapsed >= kEngineLostAt) {
+    LoseChangingEngine(world, elapsed, now);
+  }
+  world.m_log_down = scenario == Scenario::kLogOutage &&
+                     elapsed >= kOutageFrom && elapsed < kOutageTo;
+}
+
+void StepPeriodic(World& world, UsageRun& usage, Duration elapsed,
+                  Instant now) {
+  if (IsEvery(kHeartbeat, elapsed)) {
+    SampleLoads(world.m_fleet, now);
+    TellEngines(world);
+    DeliverReports(world, now);
+    ExchangeDigests(world, now);
+    if (elapsed > Duration{0}) ObserveArrivals(world, kHeartbeat, now);
+    StepUsage(usage, world.m_log_down, now);
+  }
+  if (IsEvery(kRolePeriod, elapsed)) PlanFleetRoles(world, now);
+  if (IsEvery(kCapacityPeriod, elapsed)) PlanFleetCapacity(world, now);
+}
+
+World CreateWorld(const RunOptions& options) {
+  World world;
+  world.m_options = options;
+  world.m_arrivals = MakeArrivals(options.m_deployment, options.m_scenario,
+                                  options.m_seed, options.m_length);
+  world.m_live.resize(world.m_arrivals.size());
+  world.m_random.seed(options.m_seed + 999);
+  if (options.m_scenario == Scenario::kLaggingReports) {
+    world.m_report_lag = seconds(3);
+    world.m_report_loss = 0.3;
+  }
+  CreateEntries(world);
+  CreateFleet(world, kBenchStart);
+  return world;
+}
+
+RunResult RunOnce(const RunOptions& options) {
+  World world = CreateWorld(options);
+  UsageRun usage;
+  usage.m_random.seed(options.m_seed);
+  std::vector<Progress> progress;
+  double spend = 0.0;
+  Duration elapsed{0};
+  for (; elapsed < options.m_length + kTail; elapsed += kBenchStep) {
+    const Instant now = kBenchStart + elapsed;
+    const bool arriving = elapsed < options.m_length;
+    // Spend and service count while requests arrive; afterwards the run only
+    // ends what is under way.
+    if (!arriving && world.m_first_open == world.m_arrivals.size()) break;
+    if (arriving) {
+      InjectFaults(world, elapsed, now);
+      spend = world.m_fleet.m_spend;
+    }
+    TakeArrivals(world, now);
+    progress.clear();
+    StepFleet(world.m_fleet, now, kBenchStep, progress);
+    for (const Progress& item : progress) {
+      if (item.m_finished) BookUsage(usage, world.m_arrivals[item.m_id - 1]);
+    }
+    TakeProgress(world, progress, now);
+    RetryLost(world, now);
+    EndExpired(world, now);
+    StepPeriodic(world, usage, elapsed, now);
+    DispatchAll(world, now);
+  }
+  const Tally& tally = world.m_tally;
+  RunResult result;
+  result.m_goodput = tally.m_on_time_work_s / ToSeconds(options.m_length);
+  result.m_role_changes = static_cast<double>(tally.m_role_changes);
+  result.m_worst_served = WorstServed(tally, kLeastDueSeconds);
+  result.m_spend = spend / std::max(1.0, tally.m_on_time_work_s);
+  result.m_wrong_reports =
+      static_cast<double>(FinishUsage(usage, kBenchStart + elapsed));
+  result.m_cheap_share = world.m_fleet.m_cheap_work_s /
+                         std::max(1.0, world.m_fleet.m_total_work_s);
+  result.m_unserved = static_cast<double>(tally.m_unserved);
+  result.m_cut = static_cast<double>(tally.m_cut);
+  result.m_signature = tally.m_signature;
+  return result;
+}
+
+RunResult RunBound(const RunOptions& options) {
+  BoundOptions bound_options;
+  bound_options.m_endpoints = kBenchEndpoints;
+  bound_options.m_least_endpoints = kBenchLeastEndpoints;
+  bound_options.m_cheap_share = kBenchCheapShare;
+  bound_options.m_zones = kBenchZones;
+  bound_options.m_length = options.m_length;
+  const Bound bound = ComputeBound(
+      bound_options, MakeArrivals(options.m_deployment, options.m_scenario,
+                                  options.m_seed, options.m_length));
+  RunResult result;
+  result.m_goodput = bound.m_goodput;
+  result.m_role_changes = bound.m_role_changes;
+  result.m_worst_served = 1.0;
+  result.m_spend = bound.m_spend;
+  result.m_cheap_share = bound.m_cheap_share;
+  return result;
+}
+
+}  // namespace
+
+RunResult RunScenario(const RunOptions& options) {
+  if (options.m_policy == BenchPolicy::kClairvoyant) return RunBound(options);
+  RunResult result = RunOnce(options);
+  if (options.m_scenario == Scenario::kCheapReclaim) {
+    RunOptions without = options;
+    without.m_reclaim = false;
+    const RunResult other = RunOnce(without);
+    result.m_cheap_harm = std::max(0.0, result.m_unserved - other.m_unserved);
+  }
+  return result;
+}
+
+}  // namespace comfreypaddle
--- /dev/null
+++ b/src/benchtally.cpp
@@ -0,0 +1,74 @@
+#include "benchtally.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace comfreypaddle {
+namespace {
+
+ServiceWindow& WindowOf(Tally& tally, const Arrival& arrival) {
+  const auto index =
+      static_cast<std::size_t>((arrival.m_time - kBenchStart) / kServiceWindow);
+  if (tally.m_windows.size() <= index) tally.m_windows.resize(index + 1);
+  return tally.m_windows[index];
+}
+
+}  // namespace
+
+void NoteDecision(Tally& tally, std::uint64_t value) {
+  // FNV-1a over the eight bytes of the value.
+  for (int i = 0; i < 8; ++i) {
+    tally.m_signature ^= (value >> (8 * i)) & 0xffU;
+    tally.m_signature *= 0x100000001b3U;
+  }
+}
+
+void NoteArrived(Tally& tally, const Arrival& arrival, double work_s) {
+  WindowOf(tally, arrival).m_arrived[arrival.m_workspace] += work_s;
+}
+
+void NoteServed(Tally& tally, const Arrival& arrival, double work_s) {
+  WindowOf(tally, arrival).m_served[arrival.m_workspace] += work_s;
+  tally.m_on_time_work_s += work_s;
+}
+
+std::array<double, kBenchWorkspaces> FairDue(const ServiceWindow& window) {
+  std::array<std::uint32_t, kBenchWorkspaces> order{};
+  std::iota(order.begin(), order.end(), 0U);
+  std::sort(order.begin(), order.end(), [&](auto a, auto b) {
+    return window.m_arrived[a] < window.m_arrived[b];
+  });
+  double left =
+      std::accumulate(window.m_served.begin(), window.m_served.end(), 0.0);
+  std::array<double, kBenchWorkspaces> due{};
+  std::size_t claimants = kBenchWorkspaces;
+  for (const std::uint32_t workspace : order) {
+    due[workspace] = std::min(window.m_arrived[workspace],
+                              left / static_cast<double>(claimants));
+    left -= due[workspace];
+    --claimants;
+  }
+  return due;
+}
+
+double WorstServed(const Tally& tally, double least_due_s) {
+  constexpr double kRounding = 1e-9;
+  std::array<double, kBenchWorkspaces> received{};
+  std::array<double, kBenchWorkspaces> due{};
+  for (const ServiceWindow& window : tally.m_windows) {
+    const auto window_due = FairDue(window);
+    for (std::uint32_t i = 0; i < kBenchWorkspaces; ++i) {
+      if (window.m_served[i] >= window.m_arrived[i] - kRounding) continue;
+      received[i] += window.m_served[i];
+      due[i] += window_due[i];
+    }
+  }
+  double worst = 1.0;
+  for (std::uint32_t i = 0; i < kBenchWorkspaces; ++i) {
+    if (due[i] < least_due_s) continue;
+    worst = std::min(worst, received[i] / due[i]);
+  }
+  return worst;
+}
+
+}  // namespace comfreypaddle
--- /dev/null
+++ b/src/benchusage.cpp
@@ -0,0 +1,145 @@
+#include "benchusage.h"
+
+#include <utility>
+
+namespace comfreypaddle {
+namespace {
+
+constexpr Duration kWindow = std::chrono::seconds(30);
+constexpr Duration kLateAfter = std::chrono::seconds(5);
+
+// One in this many answers is lost, and one in this many flushes is appended
+// by a peer as well.
+constexpr std::uint64_t kAnswerLoss = 20;
+constexpr std::uint64_t kPeerAppend = 10;
+
+constexpr std::uint64_t kIncarnation = 1;
+
+Writer WriterOf(std::uint64_t instance) {
+  return {"entry-" + std::to_string(instance), kIncarnation};
+}
+
+bool OneIn(UsageRun& run, std::uint64_t count) {
+  return run.m_random() % count == 0;
+}
+
+void Add(UsageFigures& sum, const UsageDelta& delta) {
+  sum.m_requests += delta.m_requests;
+  sum.m_prompt_tokens += delta.m_prompt_tokens;
+  sum.m_output_tokens += delta.m_output_tokens;
+}
+
+void MakeFlushes(UsageRun& run) {
+  for (std::uint64_t i = 0; i < kBenchInstances; ++i) {
+    if (run.m_pending[i].empty()) continue;
+    UsageFlush flush{WriterOf(i), ++run.m_sequence[i], {}};
+    for (auto& [name, delta] : run.m_pending[i]) {
+      flush.m_deltas.push_back(delta);
+    }
+    run.m_pending[i].clear();
+    run.m_unstored.push_back(std::move(flush));
+  }
+}
+
+// Appends all flushes. Those whose answer is lost stay and are sent again.
+void AppendFlushes(UsageRun& run) {
+  std::deque<UsageFlush> again;
+  for (const UsageFlush& flush : run.m_unstored) {
+    FoldUsageFlush(run.m_fold, flush, ++run.m_offset);
+    if (OneIn(run, kPeerAppend)) {
+      FoldUsageFlush(run.m_fold, flush, ++run.m_offset);
+    }
+    if (OneIn(run, kAnswerLoss)) again.push_back(flush);
+  }
+  run.m_unstored = std::move(again);
+}
+
+// Takes or renews the usage lease. After an outage the next instance holds it.
+Writer HoldLease(UsageRun& run, Instant now) {
+  const Lease* lease = FindLease(run.m_leases, kUsageDuty);
+  Writer holder = WriterOf(0);
+  if (lease != nullptr) {
+    holder = lease->m_holder;
+    if (now > FollowerDeadline(*lease)) {
+      holder = WriterOf(1 + run.m_random() % (kBenchInstances - 1));
+    }
+  }
+  const LeaseClaim claim = MakeClaim(lease, kUsageDuty, holder, LeaseOptions{});
+  FoldLease(run.m_leases, holder, claim, MakePosition(++run.m_offset, 0), now);
+  return holder;
+}
+
+// Sends a report. The same token must always carry the same figures.
+void Report(UsageRun& run, const ClosedWindow& window) {
+  const auto [known, added] =
+      run.m_reports.emplace(window.m_position, window.m_figures);
+  if (!added) {
+    if (known->second != window.m_figures) ++run.m_wrong;
+    return;
+  }
+  for (const UsageDelta& delta : window.m_figures) {
+    Add(run.m_reported[delta.m_workspace], delta);
+  }
+}
+
+void CloseWindow(UsageRun& run, Instant now) {
+  const Writer holder = HoldLease(run, now);
+  const Position number = FindLease(run.m_leases, kUsageDuty)->m_fencing_number;
+  const auto close = [&](const Writer& writer, Position fencing_number) {
+    return FoldUsageClose(run.m_fold, run.m_leases, writer,
+                          {run.m_window, fencing_number},
+                          MakePosition(++run.m_offset, 0));
+  };
+  close({"entry-9", kIncarnation}, number - 1);
+  const CloseResult result = close(holder, number);
+  if (result.m_verdict != Verdict::kAccepted) {
+    ++run.m_wrong;
+    return;
+  }
+  Report(run, *result.m_window);
+  if (OneIn(run, kAnswerLoss)) Report(run, *result.m_window);
+  FoldUsageReported(run.m_fold, {run.m_window});
+  ++run.m_window;
+}
+
+}  // namespace
+
+void BookUsage(UsageRun& run, const Arrival& arrival) {
+  const std::string name = "workspace-" + std::to_string(arrival.m_workspace);
+  UsageDelta& delta = run.m_pending[arrival.m_instance][name];
+  const UsageDelta one{name, "models", 1,
+                       static_cast<std::uint64_t>(arrival.m_prompt_tokens),
+                       static_cast<std::uint64_t>(arrival.m_output_tokens)};
+  delta.m_workspace = one.m_workspace;
+  delta.m_target = one.m_target;
+  delta.m_requests += one.m_requests;
+  delta.m_prompt_tokens += one.m_prompt_tokens;
+  delta.m_output_tokens += one.m_output_tokens;
+  Add(run.m_truth[name], one);
+}
+
+void StepUsage(UsageRun& run, bool log_down, Instant now) {
+  MakeFlushes(run);
+  if (run.m_log_down && !log_down) run.m_writable_since = now;
+  run.m_log_down = log_down;
+  if (log_down) return;
+  AppendFlushes(run);
+  HoldLease(run, now);
+  const Instant end =
+      kBenchStart + kWindow * static_cast<std::int64_t>(run.m_window);
+  if (now < end) return;
+  if (now - std::max(end, run.m_writable_since) > kLateAfter) ++run.m_wrong;
+  CloseWindow(run, now);
+}
+
+std::uint64_t FinishUsage(UsageRun& run, Instant now) {
+  MakeFlushes(run);
+  while (!run.m_unstored.empty()) AppendFlushes(run);
+  CloseWindow(run, now);
+  for (const auto& [name, figures] : run.m_truth) {
+    if (run.m_reported[name] != figures) ++run.m_wrong;
+  }
+  return run.m_wrong;
+}
+
+}  // namespace comfreypaddle
--- /dev/null
+++ b/src/benchworld.h
@@ -0,0 +1,126 @@
+#ifndef COMFREYPADDLE_BENCHWORLD_H_
+#define COMFREYPADDLE_BENCHWORLD_H_
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "admit.h"
+#include "arrivals.h"
+#include "benchtally.h"
+#include "capacity.h"
+#include "fleet.h"
+#include "retry.h"
+#include "roles.h"
+#include "route.h"
+
+namespace comfreypaddle {
+
+enum class BenchPolicy {
+  kCurrent,
+  kFixedRoles,
+  kGreedyRoles,
+  kRoundRobin,
+  kLeastReportedLoad,
+  kClairvoyant
+};
+
+template <>
+struct EnumNames<BenchPolicy> {
+  static constexpr std::array<EnumName<BenchPolicy>, 6> kTable{
+      {{BenchPolicy::kCurrent, "current"},
+       {BenchPolicy::kFixedRoles, "fixed-roles"},
+       {BenchPolicy::kGreedyRoles, "greedy-roles"},
+       {BenchPolicy::kRoundRobin, "round-robin"},
+       {BenchPolicy::kLeastReportedLoad, "least-reported-load"},
+       {BenchPolicy::kClairvoyant, "clairvoyant"}}};
+};
+
+// Size of the fleet of design section 1.3, and the operators' bounds.
+inline constexpr int kBenchEndpoints = 12;
+inline constexpr int kBenchLeastEndpoints = 6;
+inline constexpr double kBenchCheapShare = 0.6;
+inline constexpr const char* kBenchFleet = "models";
+
+// Step of the fleet model and of all decisions.
+inline constexpr Duration kBenchStep = std::chrono::milliseconds(100);
+
+// One run of one policy.
+struct RunOptions {
+  BenchPolicy m_policy = BenchPolicy::kCurrent;
+  Deployment m_deployment = Deployment::kHagerstrom;
+  Scenario m_scenario = Scenario::kRatioSwings;
+  std::uint64_t m_seed = 1;
+  Duration m_length = std::chrono::seconds(150);
+  bool m_reclaim = true;  // False leaves out the reclaim of cheap endpoints.
+};
+
+struct EntryInstance {
+  std::string m_name;
+  std::uint32_t m_zone = 0;
+  AdmitState m_admit;
+  RouteState m_route;
+  RetryState m_retry;
+};
+
+enum class LiveState { kComing, kQueued, kRunning, kLost, kEnded };
+
+// A request from its arrival to its end.
+struct LiveRequest {
+  LiveState m_state = LiveState::kComing;
+  std::uint32_t m_engine = 0;
+  std::uint32_t m_attempts = 0;
+  double m_route_work = 0.0;  // As noted with OnSent, tokens of work.
+  double m_decode_left_s = 0.0;
+  Waiting m_waiting;  // As taken from the queue.
+};
+
+// Request that was lost with its engine, and when its instance notices.
+struct LostRequest {
+  Instant m_noticed{};
+  std::uint64_t m_id = 0;
+  FailureKind m_kind = FailureKind::kConnectionLost;
+  bool m_leaving = false;
+};
+
+// What the instances were told about an engine.
+struct ToldEngine {
+  bool m_known = false;
+  EndpointRole m_role = EndpointRole::kMixed;
+  EndpointPhase m_phase = EndpointPhase::kGone;
+};
+
+// State of one run.
+struct World {
+  RunOptions m_options;
+  std::vector<Arrival> m_arrivals;
+  std::size_t m_next_arrival = 0;
+  std::size_t m_first_open = 0;     // Earlier requests have ended.
+  std::vector<LiveRequest> m_live;  // By id - 1.
+  FakeFleet m_fleet;
+  std::vector<EntryInstance> m_entries;
+  std::vector<LostRequest> m_lost;
+  std::multimap<Instant, std::uint64_t> m_deadlines;  // Of running requests.
+  std::vector<ToldEngine> m_told;
+  Tally m_tally;
+  PhaseDemand m_arrived;  // Engine-seconds since the last heartbeat.
+  RolePlanner m_roles;
+  CapacityPlanner m_capacity;
+  std::optional<std::uint32_t> m_blocked_zone;  // No cheap engines there.
+  std::size_t m_round_robin = 0;
+  bool m_dirty = true;  // Something changed that may let a request start.
+  bool m_log_down = false;
+  Duration m_report_lag = std::chrono::milliseconds(300);
+  double m_report_loss = 0.0;
+  std::mt19937_64 m_random{1};
+};
+
+inline double ToSeconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+}  // namespace comfreypaddle
+
+#endif  // COMFREYPADDLE_BENCHWORLD_H_
