Let the class of endpoints follow the sustained demand

The cheap limit followed the peak demand of seconds, so that a burst drained cheap endpoints and ordered on-demand ones, and the fleet missed their capacity for the lead time. A first measurement of one second also stood for the whole window.

Ruled out: delaying the limit, which would leave a zone that the rest cannot take over at a demand that lasts.

Change: PlanCapacity takes the peak for the number and the average over two minutes for the class of endpoints. Demand windows hold the plain mean until they are full.

--- a/src/benchplan.cpp
+++ b/src/benchplan.cpp
@@ -12,6 +12,9 @@
 // Time after which the policies that keep the fleet's size give up an order.
 constexpr Duration kReplaceAfter = std::chrono::seconds(60);
 
+// Window of the demand that the class of endpoints follows.
+constexpr Duration kSustainedWindow = std::chrono::seconds(120);
+
 std::string ZoneName(std::uint32_t zone) { return std::to_string(zone); }
 
 EndpointRole FirstRole(BenchPolicy policy, std::uint32_t index) {
@@ -138,8 +141,10 @@
   }
   const PhaseDemand& fast = world.m_roles.m_short;
   const PhaseDemand& slow = world.m_roles.m_long;
-  const double demand =
-      std::max(fast.m_prefill + fast.m_decode, slow.m_prefill + slow.m_decode);
+  const PhaseDemand& average = world.m_sustained.m_long;
+  const CapacityDemand demand{
+      std::max(fast.m_prefill + fast.m_decode, slow.m_prefill + slow.m_decode),
+      average.m_prefill + average.m_decode};
   for (const CapacityOrder& order :
        PlanCapacity(world.m_capacity, view, demand, 0, now)) {
     if (order.m_kind == CapacityOrderKind::kCreate) {
@@ -201,6 +206,7 @@
   world.m_roles.m_options.m_change_cost = world.m_fleet.m_model.m_role_change;
   world.m_roles.m_options.m_mixed_efficiency =
       world.m_fleet.m_model.m_mixed_speed;
+  world.m_sustained.m_options.m_long_window = kSustainedWindow;
   if (world.m_options.m_policy == BenchPolicy::kGreedyRoles) {
     world.m_roles.m_options.m_short_window = std::chrono::seconds(2);
   }
--- a/src/capacity.cpp
+++ b/src/capacity.cpp
@@ -210,16 +210,18 @@
 
 std::vector<CapacityOrder> PlanCapacity(
     CapacityPlanner& planner, const std::vector<CapacityEndpoint>& endpoints,
-    double demand, std::size_t hour_after_lead_time, Instant now) {
+    const CapacityDemand& demand, std::size_t hour_after_lead_time,
+    Instant now) {
   const CapacityOptions& options = planner.m_options;
   std::vector<CapacityOrder> orders;
   if (options.m_zones.empty()) return orders;
   Endpoints view = endpoints;
   AbandonOverdue(planner, view, now, orders);
   Census census = TakeCensus(options, view);
-  const int target = EndpointsNeeded(planner, demand, hour_after_lead_time);
-  const int limit =
-      CheapLimitPerZone(options, std::max(target, census.m_total), demand);
+  const int target =
+      EndpointsNeeded(planner, demand.m_peak, hour_after_lead_time);
+  const int limit = CheapLimitPerZone(options, std::max(target, census.m_total),
+                                      demand.m_sustained);
   while (census.m_total < target) {
     OrderOne(planner, census, target, limit, now, orders);
   }
@@ -228,13 +230,14 @@
     if (!planner.m_surplus_since) planner.m_surplus_since = now;
     if (now - *planner.m_surplus_since >= options.m_shrink_delay) {
       while (census.m_total > target) {
-        ShrinkOne(options, census, view, demand, orders);
+        ShrinkOne(options, census, view, demand.m_sustained, orders);
       }
     }
   }
-  EnforceCheapLimit(planner, census, view,
-                    CheapLimitPerZone(options, census.m_total, demand), now,
-                    orders);
+  EnforceCheapLimit(
+      planner, census, view,
+      CheapLimitPerZone(options, census.m_total, demand.m_sustained), now,
+      orders);
   return orders;
 }
 
--- a/src/capacity.h
+++ b/src/capacity.h
@@ -45,6 +45,15 @@
   Duration m_shrink_delay = std::chrono::seconds(90);
 };
 
+// Demand in endpoint-seconds of work per second.
+struct CapacityDemand {
+  // What the fleet must be able to serve soon; follows rises quickly.
+  double m_peak = 0.0;
+  // Average over minutes. The class of endpoints follows this one, because a
+  // replacement costs the lead time and a burst is over by then.
+  double m_sustained = 0.0;
+};
+
 // Endpoint as the planner sees it. Instants of phases that are not reached
 // yet are unused.
 struct CapacityEndpoint {
@@ -92,10 +101,12 @@
 // Plans the orders of now: gives up orders that do not come, orders what is
 // missing in the zones with the fewest endpoints, drains what is left over for
 // the shrink delay, and replaces cheap endpoints that the rest could not take
-// over. Draining and abandoned endpoints do not count as capacity.
+// over at the sustained demand. Draining and abandoned endpoints do not count
+// as capacity.
 std::vector<CapacityOrder> PlanCapacity(
     CapacityPlanner& planner, const std::vector<CapacityEndpoint>& endpoints,
-    double demand, std::size_t hour_after_lead_time, Instant now);
+    const CapacityDemand& demand, std::size_t hour_after_lead_time,
+    Instant now);
 
 }  // namespace comfreypaddle
 
--- a/src/roles.cpp
+++ b/src/roles.cpp
@@ -29,6 +29,15 @@
   average.m_decode += weight * (sample.m_decode - average.m_decode);
 }
 
+// Weight of a measurement of now in the average over a window. A first
+// measurement of a short time would otherwise stand for the whole window.
+double WeightOf(const RolePlanner& planner, Duration window, Instant now) {
+  const double elapsed = std::max(0.0, Seconds(now - planner.m_observed));
+  if (elapsed <= 0.0) return 0.0;
+  const double total = Seconds(now - planner.m_first) + elapsed;
+  return std::max(1.0 - std::exp(-elapsed / Seconds(window)), elapsed / total);
+}
+
 // Whether both phases keep an endpoint while one of this role changes. Until
 // the change is done its new role has no capacity either.
 bool KeepsBothPhases(RoleCounts counts, EndpointRole leaving) {
@@ -130,13 +139,13 @@
   if (!planner.m_has_demand) {
     planner.m_short = planner.m_long = demand;
     planner.m_has_demand = true;
+    planner.m_first = now;
   } else {
-    const double elapsed = std::max(0.0, Seconds(now - planner.m_observed));
     const RoleOptions& options = planner.m_options;
     Smooth(planner.m_short, demand,
-           1.0 - std::exp(-elapsed / Seconds(options.m_short_window)));
+           WeightOf(planner, options.m_short_window, now));
     Smooth(planner.m_long, demand,
-           1.0 - std::exp(-elapsed / Seconds(options.m_long_window)));
+           WeightOf(planner, options.m_long_window, now));
   }
   planner.m_observed = now;
 }
--- a/src/roles.h
+++ b/src/roles.h
@@ -56,7 +56,8 @@
   RoleOptions m_options;
   PhaseDemand m_short;
   PhaseDemand m_long;
-  Instant m_observed{};
+  Instant m_first{};     // First measurement.
+  Instant m_observed{};  // Last measurement.
   bool m_has_demand = false;
   std::map<std::string, Instant> m_changed;  // Last change by endpoint.
 };
@@ -77,7 +78,8 @@
 // Returns the counts of endpoints that are ready and not changing.
 RoleCounts CountRoles(const std::vector<RoleEndpoint>& endpoints);
 
-// Takes a measurement of the demand into both windows.
+// Takes a measurement of the demand into both windows. Until a window has
+// passed since the first measurement it holds the plain mean of all of them.
 void ObserveDemand(RolePlanner& planner, const PhaseDemand& demand,
                    Instant now);
 
--- a/tests/capacity_test.cpp
+++ b/tests/capacity_test.cpp
@@ -49,7 +49,8 @@
     for (int step = 0; step < 20; ++step) {
       now += seconds(*rc::gen::inRange(1, 60));
       const double demand = *rc::gen::inRange(0, 130) * 0.1;
-      Apply(endpoints, PlanCapacity(planner, endpoints, demand, 0, now), now);
+      Apply(endpoints,
+            PlanCapacity(planner, endpoints, {demand, demand}, 0, now), now);
       const int total = static_cast<int>(endpoints.size());
       RC_ASSERT(total >= options.m_min_endpoints);
       RC_ASSERT(total <= options.m_max_endpoints);
@@ -70,7 +71,8 @@
 TEST_CASE("half of the fleet is cheap when the demand leaves room for it") {
   auto planner = MakePlanner(0.5);
   Endpoints endpoints;
-  Apply(endpoints, PlanCapacity(planner, endpoints, 8.0, 0, kStart), kStart);
+  Apply(endpoints, PlanCapacity(planner, endpoints, {8.0, 8.0}, 0, kStart),
+        kStart);
   CHECK(endpoints.size() == 11);
   CHECK(std::count_if(endpoints.begin(), endpoints.end(),
                       [](const auto& endpoint) {
@@ -81,14 +83,16 @@
 TEST_CASE("an order that does not come is given up and placed elsewhere") {
   auto planner = MakePlanner(0.0);
   Endpoints endpoints;
-  Apply(endpoints, PlanCapacity(planner, endpoints, 0.0, 0, kStart), kStart);
-  Apply(endpoints, PlanCapacity(planner, endpoints, 2.5, 0, kStart), kStart,
-        EndpointPhase::kOrdered);
+  Apply(endpoints, PlanCapacity(planner, endpoints, {0.0, 0.0}, 0, kStart),
+        kStart);
+  Apply(endpoints, PlanCapacity(planner, endpoints, {2.5, 2.5}, 0, kStart),
+        kStart, EndpointPhase::kOrdered);
   REQUIRE(endpoints.size() == 4);
   const CapacityEndpoint late = endpoints.back();
-  CHECK(PlanCapacity(planner, endpoints, 2.5, 0, kStart + seconds(30)).empty());
+  CHECK(PlanCapacity(planner, endpoints, {2.5, 2.5}, 0, kStart + seconds(30))
+            .empty());
   const auto orders =
-      PlanCapacity(planner, endpoints, 2.5, 0, kStart + seconds(61));
+      PlanCapacity(planner, endpoints, {2.5, 2.5}, 0, kStart + seconds(61));
   REQUIRE(orders.size() == 2);
   CHECK(orders[0].m_kind == CapacityOrderKind::kAbandon);
   CHECK(orders[0].m_endpoint == late.m_name);
@@ -99,13 +103,16 @@
 TEST_CASE("the fleet shrinks only after the shrink delay and by draining") {
   auto planner = MakePlanner(0.0);
   Endpoints endpoints;
-  Apply(endpoints, PlanCapacity(planner, endpoints, 8.0, 0, kStart), kStart);
-  CHECK(PlanCapacity(planner, endpoints, 3.0, 0, kStart + seconds(10)).empty());
-  CHECK(PlanCapacity(planner, endpoints, 8.0, 0, kStart + seconds(80)).empty());
-  CHECK(
-      PlanCapacity(planner, endpoints, 3.0, 0, kStart + seconds(110)).empty());
+  Apply(endpoints, PlanCapacity(planner, endpoints, {8.0, 8.0}, 0, kStart),
+        kStart);
+  CHECK(PlanCapacity(planner, endpoints, {3.0, 3.0}, 0, kStart + seconds(10))
+            .empty());
+  CHECK(PlanCapacity(planner, endpoints, {8.0, 8.0}, 0, kStart + seconds(80))
+            .empty());
+  CHECK(PlanCapacity(planner, endpoints, {3.0, 3.0}, 0, kStart + seconds(110))
+            .empty());
   const auto orders =
-      PlanCapacity(planner, endpoints, 3.0, 0, kStart + seconds(200));
+      PlanCapacity(planner, endpoints, {3.0, 3.0}, 0, kStart + seconds(200));
   CHECK(orders.size() == 6);
   for (const auto& order : orders) {
     CHECK(order.m_kind == CapacityOrderKind::kDrain);
