Change no role before the long window has passed

Ruled out: giving the first measurement the weight of a window, which brings back the noise of one second at the start.

Change: PlanRoles plans nothing until the long window has passed once.

--- a/src/roles.cpp
+++ b/src/roles.cpp
@@ -154,7 +154,10 @@
                                   std::vector<RoleEndpoint> endpoints,
                                   Instant now) {
   std::vector<RoleChange> plan;
-  if (!planner.m_has_demand) return plan;
+  if (!planner.m_has_demand ||
+      planner.m_observed - planner.m_first < planner.m_options.m_long_window) {
+    return plan;
+  }
   std::set<std::string> busy_zones;
   for (const RoleEndpoint& endpoint : endpoints) {
     if (endpoint.m_changing) busy_zones.insert(endpoint.m_zone);
--- a/src/roles.h
+++ b/src/roles.h
@@ -88,6 +88,8 @@
 // at least equals its cost under the long one, so that a peak of a few seconds
 // moves no endpoint. Endpoints within their dwell time and zones with a change
 // under way are left alone, and no change leaves a phase without capacity.
+// Nothing changes before the long window has passed once, because until then
+// the averages are those of a few measurements.
 // The planned changes count as made.
 std::vector<RoleChange> PlanRoles(RolePlanner& planner,
                                   std::vector<RoleEndpoint> endpoints,
