--- a/src/command.cpp
+++ b/src/command.cpp
@@ -7,11 +7,13 @@
 #include <iostream>
 #include <sstream>
 
+#include "bench.h"
 #include "operator.h"
 #include "serve.h"
 #include "settings.h"
 
 DEFINE_string(config, "", "settings file of the instance (INI)");
+DEFINE_int32(seeds, 1, "number of seeds, reported as mean with confidence");
 
 namespace comfreypaddle {
 namespace {
@@ -19,6 +21,15 @@
 constexpr std::string_view kVersion = "0.1.0";
 constexpr std::size_t kHelpWidth = 78;
 
+constexpr std::string_view kBenchHelp =
+    "Runs the decision modules and the policies that they are compared with "
+    "on\n"
+    "seeded arrivals of both deployments. Prints a line\n"
+    "\"measure=NAME deployment=NAME policy=NAME value=V unit=U\" for each\n"
+    "measure, deployment and policy, then \"Bench: N\", a signature of all\n"
+    "decisions. The same binary and seeds always give the same output. With\n"
+    "more than one seed the bounds of the 95% confidence interval follow.\n";
+
 constexpr std::string_view kServeHelp =
     "Runs an entry instance with the settings of the file until SIGTERM. On "
     "SIGTERM the instance tells the load balancer, stops its intake, finishes "
@@ -68,6 +79,15 @@
   return mistakes.empty();
 }
 
+int RunBenchCommand(const std::vector<std::string>& arguments) {
+  if (!arguments.empty() || FLAGS_seeds < 1) {
+    std::cerr << "bench: --seeds must be at least 1; see comfreypaddle bench "
+                 "--help\n";
+    return Code(ExitCode::kUsage);
+  }
+  return Bench(FLAGS_seeds);
+}
+
 int RunServe(const std::vector<std::string>& arguments) {
   if (!arguments.empty() || FLAGS_config.empty()) {
     std::cerr << "serve: give the settings file with --config FILE.ini\n";
@@ -199,6 +219,12 @@
        kCheckHelp,
        {},
        RunCheck},
+      {"bench",
+       "",
+       "measure the decisions on seeded inputs",
+       kBenchHelp,
+       {"seeds"},
+       RunBenchCommand},
       {"get",
        "KIND [NAME]",
        "show one resource or all of a kind",
