Give orders to engines from the holder of the fleet's order duty

Cause: roles of engines must follow the mix of prompt and output work, no request may be cut by a change and no two processes may order one engine.

Change: gateways count arrived work, which heartbeats spread; demand.h turns it into replica-seconds; ordering.h plans role changes and carries each order through intent, idle endpoint, order and outcome. A gateway stops sending work to an endpoint with an open order. Fleets carry the speed of a replica.

Ruled out: sending the order at once and letting the engine finish its streams, because some engines change their role under running streams.

--- a/src/calls.h
+++ b/src/calls.h
@@ -111,6 +111,12 @@
   std::uint64_t m_output_tokens = 0;
 };
 
+// Work that arrived for a fleet of engines since the start, in tokens.
+struct ArrivedWork {
+  double m_prompt_tokens = 0.0;
+  double m_output_tokens = 0.0;
+};
+
 // Result of a probe of an endpoint.
 enum class ProbeResult { kAlive, kRestarted, kGone };
 
@@ -179,6 +185,7 @@
   std::unordered_map<std::uint64_t, std::uint64_t> m_claims;  // By ticket.
   std::map<std::string, EndpointProbe, std::less<>> m_probes;
   std::map<std::pair<std::string, std::string>, PendingUsage> m_usage;
+  std::map<std::string, ArrivedWork> m_arrived;  // By fleet.
   CallCounters m_counters;
   CallTimings m_timings;
   std::uint64_t m_next_id = 1;
--- a/src/codec.cpp
+++ b/src/codec.cpp
@@ -86,6 +86,9 @@
     for (const std::string& zone : value.m_zones) out.add_zones(zone);
     out.set_concurrency(value.m_concurrency);
     out.set_prefill_share(value.m_prefill_share);
+    out.set_prefill_tokens_per_s(value.m_prefill_tokens_per_s);
+    out.set_decode_tokens_per_s(value.m_decode_tokens_per_s);
+    out.set_min_replicas(value.m_min_replicas);
   }
 
   void operator()(const Endpoint& value) const {
@@ -145,6 +148,9 @@
   fleet.m_zones.assign(in.zones().begin(), in.zones().end());
   fleet.m_concurrency = in.concurrency();
   fleet.m_prefill_share = in.prefill_share();
+  fleet.m_prefill_tokens_per_s = in.prefill_tokens_per_s();
+  fleet.m_decode_tokens_per_s = in.decode_tokens_per_s();
+  fleet.m_min_replicas = in.min_replicas();
   return fleet;
 }
 
--- a/src/dispatch.cpp
+++ b/src/dispatch.cpp
@@ -114,6 +114,15 @@
   }
 }
 
+// The demand that roles and capacity are planned from counts requests that
+// the queue refuses as well.
+void CountArrival(CallState& state, const Intake& intake) {
+  if (intake.m_kind != FleetKind::kEngine) return;
+  ArrivedWork& arrived = state.m_arrived[intake.m_fleet];
+  arrived.m_prompt_tokens += EstimatePromptTokens(intake.m_completion.m_prompt);
+  arrived.m_output_tokens += intake.m_completion.m_max_tokens;
+}
+
 void ClaimKey(CallState& state, OpenCall& call) {
   call.m_phase = CallPhase::kClaiming;
   call.m_claim_ticket = state.m_next_id++;
@@ -311,6 +320,7 @@
     return;
   }
   OnRequest(state.m_retry, call.m_intake.m_workspace);
+  CountArrival(state, call.m_intake);
   const bool needs_claim =
       !call.m_intake.m_repeatable && !call.m_intake.m_idempotency_key.empty();
   if (needs_claim) {
--- a/src/duties.cpp
+++ b/src/duties.cpp
@@ -5,6 +5,8 @@
 #include <utility>
 
 #include "codec.h"
+#include "demand.h"
+#include "ordering.h"
 #include "report.h"
 #include "settings.h"
 #include "tenure.h"
@@ -69,6 +71,7 @@
 void Duties::OnTick() {
   MaintainTenures(m_state);
   MaintainReports(m_state);
+  MaintainOrders(m_state);
   MaintainSnapshots();
   CheckReleased();
 }
@@ -95,8 +98,22 @@
     case schema::DutiesMessage::kUsageReported:
       OnWindowReported(m_state, message.usage_reported());
       return;
+    case schema::DutiesMessage::kOrderChange:
+      OnOrderChange(m_state, message.order_change());
+      return;
+    case schema::DutiesMessage::kGatewayStatus:
+      for (const schema::FleetDemand& demand :
+           message.gateway_status().demands()) {
+        OnDemand(m_state, m_state.m_options.m_self, demand);
+      }
+      return;
     case schema::DutiesMessage::kPeer:
       m_state.m_heard[message.peer().instance()] = Now();
+      for (const schema::FleetDemand& demand : message.peer().demands()) {
+        OnDemand(m_state,
+                 {message.peer().instance(), message.peer().incarnation()},
+                 demand);
+      }
       return;
     case schema::DutiesMessage::kDrain:
       LOG(INFO) << "releasing duties";
@@ -105,8 +122,6 @@
     case schema::DutiesMessage::kStop:
       Loop().Stop();
       return;
-    case schema::DutiesMessage::kOrderChange:
-    case schema::DutiesMessage::kGatewayStatus:
     case schema::DutiesMessage::BODY_NOT_SET:
       return;
   }
@@ -114,7 +129,8 @@
 
 void Duties::TakeVerdict(const schema::RecordVerdict& verdict) {
   if (OnTenureVerdict(m_state, verdict)) return;
-  OnReportVerdict(m_state, verdict);
+  if (OnReportVerdict(m_state, verdict)) return;
+  OnOrderVerdict(m_state, verdict);
 }
 
 void Duties::TakeLogStatus(const schema::LogStatus& status) {
--- a/src/duty.h
+++ b/src/duty.h
@@ -11,6 +11,7 @@
 #include "lease.h"
 #include "messages.pb.h"
 #include "replay.h"
+#include "roles.h"
 #include "task.h"
 #include "types.h"
 
@@ -49,6 +50,39 @@
   bool m_accepted = false;  // The platform has it; the record is under way.
 };
 
+// Last order of an endpoint by the log, and what this process does about it.
+struct EndpointOrder {
+  schema::OrderIntent m_intent;
+  bool m_open = false;
+  Instant m_read_at{};          // When the intent was read here.
+  std::uint64_t m_ticket = 0;   // Of an intent or outcome under way.
+  HttpPort::CallId m_call = 0;  // To the endpoint, for this order.
+  bool m_sent = false;          // Sent by this process in this tenure.
+  Instant m_sent_at{};
+  Instant m_next_at{};  // Earliest time of the next call.
+};
+
+// Last load report of an engine, as far as orders need it.
+struct EngineView {
+  bool m_known = false;
+  EndpointRole m_role = EndpointRole::kMixed;
+  bool m_idle = false;
+  bool m_draining = false;
+  Instant m_read_at{};
+  HttpPort::CallId m_call = 0;
+};
+
+// Counters of the work that arrived at one instance for one fleet, and the
+// rates between the last two readings.
+struct DemandCounter {
+  std::uint64_t m_incarnation = 0;
+  double m_prompt_tokens = 0.0;
+  double m_output_tokens = 0.0;
+  Instant m_read_at{};
+  double m_prompt_rate = 0.0;  // Tokens a second.
+  double m_output_rate = 0.0;
+};
+
 // State of the duties task. The functions of tenure.h, report.h, ordering.h
 // and provision.h work on it; ports are not owned.
 struct DutyState {
@@ -70,6 +104,14 @@
   std::uint64_t m_next_offset = 1;
   std::uint64_t m_last_snapshot = 0;  // Offset at which one was asked for.
 
+  // Orders and roles of engines.
+  std::map<std::string, EndpointOrder, std::less<>> m_orders;
+  std::map<std::string, EngineView, std::less<>> m_engines;
+  std::map<std::string, RolePlanner, std::less<>> m_role_planners;  // By fleet.
+  Instant m_polled_at{};
+  // Demand of each fleet by the counters of each instance.
+  std::map<std::pair<std::string, std::string>, DemandCounter> m_demands;
+
   std::map<std::uint64_t, WindowReport> m_windows;
   std::uint64_t m_last_window = 0;
   std::uint64_t m_close_ticket = 0;  // Of a close under way; zero if none.
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -164,6 +164,12 @@
     case schema::GatewayMessage::kPeer:
       TakePeer(message.peer());
       return;
+    case schema::GatewayMessage::kOrderChange:
+      // An endpoint with an open order gets no new work, so that the order
+      // can wait until it is idle and cuts no request.
+      SetOrdered(m_state.m_route, message.order_change().intent().endpoint(),
+                 !message.order_change().has_outcome());
+      return;
     case schema::GatewayMessage::kDrain:
       StartDrain();
       return;
@@ -278,6 +284,12 @@
     service->set_served(digest.m_served);
     service->set_waiting(digest.m_waiting);
   }
+  for (const auto& [fleet, arrived] : m_state.m_arrived) {
+    schema::FleetDemand* demand = status.add_demands();
+    demand->set_fleet(fleet);
+    demand->set_prompt_tokens(arrived.m_prompt_tokens);
+    demand->set_output_tokens(arrived.m_output_tokens);
+  }
   if (m_ports.m_peers != nullptr) {
     schema::PeersMessage message;
     *message.mutable_gateway_status() = status;
--- a/src/journalsend.cpp
+++ b/src/journalsend.cpp
@@ -31,6 +31,9 @@
     Send(m_ports.m_duties, [order](schema::DutiesMessage& message) {
       *message.mutable_order_change() = EncodeOrderChange(*order);
     });
+    Send(m_ports.m_gateway, [order](schema::GatewayMessage& message) {
+      *message.mutable_order_change() = EncodeOrderChange(*order);
+    });
   } else if (const auto* closed = std::get_if<UsageWindowClosed>(&effect)) {
     Send(m_ports.m_duties, [closed](schema::DutiesMessage& message) {
       *message.mutable_usage_window() = EncodeUsageWindow(closed->m_window);
--- a/src/probe.cpp
+++ b/src/probe.cpp
@@ -34,6 +34,9 @@
   report.m_draining = load.draining();
   report.m_incarnation = load.incarnation();
   OnLoadReport(state.m_route, name, report, now);
+  if (const auto role = FromName<EndpointRole>(load.role())) {
+    SetRole(state.m_route, name, *role);
+  }
   const bool restarted =
       !probe.m_incarnation.empty() && probe.m_incarnation != load.incarnation();
   probe.m_incarnation = load.incarnation();
--- a/src/replay.cpp
+++ b/src/replay.cpp
@@ -183,6 +183,11 @@
   if (!IsShare(value.m_cheap_share) || !(value.m_prefill_share <= 1.0)) {
     return ConfigFault::kBadNumber;
   }
+  if (!(value.m_prefill_tokens_per_s >= 0.0) ||
+      !(value.m_decode_tokens_per_s >= 0.0) ||
+      value.m_min_replicas > value.m_replicas) {
+    return ConfigFault::kBadNumber;
+  }
   for (const std::string& zone : value.m_zones) {
     if (!IsResourceName(zone)) return ConfigFault::kBadZone;
   }
--- a/src/route.cpp
+++ b/src/route.cpp
@@ -79,7 +79,7 @@
 bool TakesNewWork(const EndpointView& view) {
   const bool reported = view.m_report && view.m_report->m_draining;
   return view.m_phase == EndpointPhase::kReady && !view.m_draining &&
-         !view.m_leaving && !reported;
+         !view.m_leaving && !view.m_ordered && !reported;
 }
 
 bool HasRoom(const EndpointView& view, double prompt_tokens) {
@@ -326,6 +326,16 @@
   }
 }
 
+void SetOrdered(RouteState& state, std::string_view endpoint, bool ordered) {
+  if (EndpointView* view = FindMutable(state, endpoint)) {
+    view->m_ordered = ordered;
+  }
+}
+
+void SetRole(RouteState& state, std::string_view endpoint, EndpointRole role) {
+  if (EndpointView* view = FindMutable(state, endpoint)) view->m_role = role;
+}
+
 void RemoveEndpoint(RouteState& state, std::string_view endpoint) {
   const auto found = state.m_fleet_of.find(endpoint);
   if (found == state.m_fleet_of.end()) return;
--- a/src/route.h
+++ b/src/route.h
@@ -56,6 +56,7 @@
   EndpointPhase m_phase = EndpointPhase::kReady;
   bool m_draining = false;  // By configuration.
   bool m_leaving = false;   // By the platform or by a peer.
+  bool m_ordered = false;   // An order to it is open; it is to become idle.
   std::uint32_t m_concurrency = 0;
   std::uint64_t m_hash = 0;  // Of the name, for rendezvous hashing.
   std::optional<LoadReport> m_report;
@@ -150,6 +151,12 @@
 // Marks an endpoint that is known to be leaving, or takes the mark back.
 void SetLeaving(RouteState& state, std::string_view endpoint, bool leaving);
 
+// Marks an endpoint with an open order, or takes the mark back.
+void SetOrdered(RouteState& state, std::string_view endpoint, bool ordered);
+
+// Sets the role that the endpoint has now.
+void SetRole(RouteState& state, std::string_view endpoint, EndpointRole role);
+
 void RemoveEndpoint(RouteState& state, std::string_view endpoint);
 
 // Returns the view of an endpoint, or null.
--- a/src/types.h
+++ b/src/types.h
@@ -218,6 +218,10 @@
   std::vector<std::string> m_zones;
   std::uint32_t m_concurrency = 0;
   double m_prefill_share = -1.0;  // Negative: roles are planned.
+  // Speed of one replica; zero: not known, then nothing is planned.
+  double m_prefill_tokens_per_s = 0.0;
+  double m_decode_tokens_per_s = 0.0;
+  std::uint32_t m_min_replicas = 0;  // Zero: as many as m_replicas.
 };
 
 // Replica of a model engine or of a plain service.
