Order and release endpoints at the platform from the capacity duty

Cause: fleets whose endpoints the platform provides must follow the demand, and a withdrawn endpoint must be drained before it goes.

Change: provision.h adopts what the platform lists, plans orders, drains through the configuration, releases an idle endpoint and removes it. Orders carry a token of tenure and number; a new holder acts only on a list that it read itself.

Ruled out: a token of the wall clock, which a successor could not tell apart.

--- a/src/duties.cpp
+++ b/src/duties.cpp
@@ -7,6 +7,7 @@
 #include "codec.h"
 #include "demand.h"
 #include "ordering.h"
+#include "provision.h"
 #include "report.h"
 #include "settings.h"
 #include "tenure.h"
@@ -37,6 +38,8 @@
   options.m_usage_window = std::chrono::seconds(settings.usage().window_s());
   options.m_snapshot_offsets = settings.log().snapshot_records();
   options.m_platform_url = settings.platform().url();
+  options.m_platform_poll =
+      std::chrono::milliseconds(settings.platform().poll_ms());
   return options;
 }
 
@@ -72,6 +75,7 @@
   MaintainTenures(m_state);
   MaintainReports(m_state);
   MaintainOrders(m_state);
+  MaintainCapacity(m_state);
   MaintainSnapshots();
   CheckReleased();
 }
@@ -130,7 +134,8 @@
 void Duties::TakeVerdict(const schema::RecordVerdict& verdict) {
   if (OnTenureVerdict(m_state, verdict)) return;
   if (OnReportVerdict(m_state, verdict)) return;
-  OnOrderVerdict(m_state, verdict);
+  if (OnOrderVerdict(m_state, verdict)) return;
+  OnCapacityVerdict(m_state, verdict);
 }
 
 void Duties::TakeLogStatus(const schema::LogStatus& status) {
--- a/src/duty.h
+++ b/src/duty.h
@@ -7,7 +7,9 @@
 #include <string>
 #include <vector>
 
+#include "capacity.h"
 #include "http.h"
+#include "http.pb.h"
 #include "lease.h"
 #include "messages.pb.h"
 #include "replay.h"
@@ -29,6 +31,7 @@
   Duration m_close_delay = std::chrono::seconds(2);
   std::uint64_t m_snapshot_offsets = 2000;
   std::string m_platform_url;
+  Duration m_platform_poll = std::chrono::seconds(1);
 };
 
 // What this process knows about the lease of one duty.
@@ -83,6 +86,33 @@
   double m_output_rate = 0.0;
 };
 
+// Order of an endpoint at the platform that is not known to be taken.
+struct PendingCreate {
+  std::string m_token;
+  std::string m_zone;
+  EndpointClass m_class = EndpointClass::kOnDemand;
+  Instant m_ordered{};
+  HttpPort::CallId m_call = 0;
+};
+
+// Capacity of one fleet whose endpoints the platform provides.
+struct FleetCapacity {
+  CapacityPlanner m_planner;
+  RolePlanner m_sustained;  // Only its windows are used.
+  std::vector<PendingCreate> m_creates;
+};
+
+// What this process does about one endpoint of such a fleet.
+struct ProvidedEndpoint {
+  schema::PlatformEndpoint m_platform;
+  bool m_listed = false;  // In the platform's last list.
+  int m_missing = 0;      // Lists in a row without it.
+  Instant m_first_seen{};
+  std::uint64_t m_ticket = 0;  // Of a configuration write under way.
+  Instant m_drain_seen{};      // When the drain was read from the log.
+  HttpPort::CallId m_release = 0;
+};
+
 // State of the duties task. The functions of tenure.h, report.h, ordering.h
 // and provision.h work on it; ports are not owned.
 struct DutyState {
@@ -112,6 +142,13 @@
   // Demand of each fleet by the counters of each instance.
   std::map<std::pair<std::string, std::string>, DemandCounter> m_demands;
 
+  // Endpoints that the platform provides.
+  std::map<std::string, FleetCapacity, std::less<>> m_capacity;  // By fleet.
+  std::map<std::string, ProvidedEndpoint, std::less<>> m_provided;
+  HttpPort::CallId m_list_call = 0;
+  Instant m_listed_at{};
+  Position m_listed_tenure = 0;  // Fencing number under which it was read.
+
   std::map<std::uint64_t, WindowReport> m_windows;
   std::uint64_t m_last_window = 0;
   std::uint64_t m_close_ticket = 0;  // Of a close under way; zero if none.
--- a/src/ordering.cpp
+++ b/src/ordering.cpp
@@ -2,12 +2,12 @@
 
 #include <glog/logging.h>
 
-#include <algorithm>
-#include <memory>
+#include <optional>
 #include <utility>
 
 #include "codec.h"
 #include "demand.h"
+#include "enginepoll.h"
 #include "http.pb.h"
 #include "json.h"
 #include "tenure.h"
@@ -18,13 +18,6 @@
 
 constexpr Duration kRecordTimeout = std::chrono::seconds(1);
 
-// Period of load reports and of questions about an order under way.
-constexpr Duration kPollPeriod = std::chrono::milliseconds(500);
-
-// Time after an intent was read here during which other instances may still
-// send work to the endpoint, because they read it later.
-constexpr Duration kSpreadTime = std::chrono::seconds(2);
-
 // An endpoint that does not become idle in this time keeps its role: the
 // order is given up without having been sent.
 constexpr Duration kIdleLimit = std::chrono::minutes(2);
@@ -52,54 +45,6 @@
              : "http://" + found->second.m_value.m_address;
 }
 
-// Every call for an order uses a connection of its own and ends before the
-// lease, so that no byte of it can arrive under the next holder.
-HttpCall MakeCall(const DutyState& state, const std::string& duty,
-                  std::string url) {
-  HttpCall call;
-  call.m_url = std::move(url);
-  call.m_timeout =
-      std::min<Duration>(ActDeadline(state, duty) - state.m_clock(),
-                         state.m_options.m_order_timeout);
-  call.m_fresh_connection = true;
-  return call;
-}
-
-HttpEvents CollectBody(
-    std::function<void(const HttpResult&, const std::string&)> on_end) {
-  auto body = std::make_shared<std::string>();
-  HttpEvents events;
-  events.m_on_body = [body](std::string_view bytes) { body->append(bytes); };
-  events.m_on_end = [body, on_end = std::move(on_end)](
-                        const HttpResult& result) { on_end(result, *body); };
-  return events;
-}
-
-void PollEngine(DutyState& state, const Endpoint& endpoint) {
-  EngineView& view = state.m_engines[endpoint.m_name];
-  if (view.m_call != 0) return;
-  HttpCall call;
-  call.m_url = "http://" + endpoint.m_address + "/v1/load";
-  call.m_timeout = state.m_options.m_order_timeout;
-  const std::string name = endpoint.m_name;
-  view.m_call = state.m_http->Start(
-      std::move(call), CollectBody([&state, name](const HttpResult& result,
-                                                  const std::string& body) {
-        EngineView& engine = state.m_engines[name];
-        engine.m_call = 0;
-        schema::EndpointLoad load;
-        engine.m_known = !result.m_error && result.m_status == kOk &&
-                         !FromJson(body, UnknownFields::kIgnore, &load);
-        if (!engine.m_known) return;
-        engine.m_role =
-            FromName<EndpointRole>(load.role()).value_or(EndpointRole::kMixed);
-        engine.m_idle = load.running() == 0 && load.queued() == 0;
-        engine.m_draining = load.draining();
-        engine.m_read_at =
-            state.m_clock() - std::chrono::milliseconds(load.age_ms());
-      }));
-}
-
 void SubmitIntent(DutyState& state, const std::string& duty,
                   const RoleChange& change) {
   OrderIntent intent;
@@ -158,7 +103,7 @@
   if (found == state.m_orders.end()) return;
   EndpointOrder& order = found->second;
   order.m_call = 0;
-  order.m_next_at = state.m_clock() + kPollPeriod;
+  order.m_next_at = state.m_clock() + kDutyPollPeriod;
   if (!order.m_open || order.m_intent.order_id() != order_id) return;
   const auto outcome = JudgeAnswer(result, body);
   if (outcome && order.m_ticket == 0) SubmitOutcome(state, order, *outcome);
@@ -185,7 +130,7 @@
   body.set_kind(intent.kind());
   body.set_argument(intent.argument());
   HttpCall call =
-      MakeCall(state, duty, UrlOf(state, intent.endpoint()) + "/v1/orders");
+      MakeDutyCall(state, duty, UrlOf(state, intent.endpoint()) + "/v1/orders");
   call.m_method = "POST";
   call.m_headers = {{"content-type", "application/json"}};
   call.m_body = ToJson(body);
@@ -202,18 +147,9 @@
                    EndpointOrder& order) {
   StartOrderCall(
       state, order,
-      MakeCall(state, duty,
-               UrlOf(state, order.m_intent.endpoint()) + "/v1/orders/" +
-                   PercentEncode(order.m_intent.order_id())));
-}
-
-// Whether nothing runs at the endpoint by a report from after the time at
-// which all instances knew that it must get no work.
-bool IsIdle(const DutyState& state, const EndpointOrder& order) {
-  const auto view = state.m_engines.find(order.m_intent.endpoint());
-  return view != state.m_engines.end() && view->second.m_known &&
-         view->second.m_idle &&
-         view->second.m_read_at >= order.m_read_at + kSpreadTime;
+      MakeDutyCall(state, duty,
+                   UrlOf(state, order.m_intent.endpoint()) + "/v1/orders/" +
+                       PercentEncode(order.m_intent.order_id())));
 }
 
 // Carries an open order one step further.
@@ -234,7 +170,7 @@
     }
     return;
   }
-  if (IsIdle(state, order)) {
+  if (IsIdleSince(state, order.m_intent.endpoint(), order.m_read_at)) {
     SendOrder(state, duty, order);
   } else if (now - order.m_read_at > kIdleLimit) {
     SubmitOutcome(state, order, OrderState::kFailed);
@@ -292,7 +228,7 @@
 
 void MaintainOrders(DutyState& state) {
   const Instant now = state.m_clock();
-  const bool poll = now - state.m_polled_at >= kPollPeriod;
+  const bool poll = now - state.m_polled_at >= kDutyPollPeriod;
   if (poll) state.m_polled_at = now;
   for (const auto& [name, fleet] : state.m_tables.m_fleets) {
     if (fleet.m_value.m_kind == FleetKind::kEngine) {
--- /dev/null
+++ b/src/provision.cpp
@@ -0,0 +1,385 @@
+#include "provision.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "codec.h"
+#include "demand.h"
+#include "enginepoll.h"
+#include "http.pb.h"
+#include "json.h"
+#include "tenure.h"
+
+namespace comfreypaddle {
+
+namespace {
+
+constexpr Duration kRecordTimeout = std::chrono::seconds(2);
+
+// The list lags, so an endpoint counts as gone only if it is missing in this
+// many lists in a row.
+constexpr int kMissingLists = 3;
+
+constexpr Duration kSustainedWindow = std::chrono::seconds(120);
+
+constexpr int kOk = 200;
+constexpr int kFirstServerError = 500;
+
+constexpr std::int64_t kSecondsPerHour = 3600;
+
+bool IsProvided(const Fleet& fleet) {
+  return fleet.m_kind == FleetKind::kEngine && !fleet.m_zones.empty();
+}
+
+const Fleet* FindFleet(const DutyState& state, std::string_view name) {
+  const auto found = state.m_tables.m_fleets.find(name);
+  return found == state.m_tables.m_fleets.end() ? nullptr
+                                                : &found->second.m_value;
+}
+
+// Region of the endpoints of a zone, by those already configured; an unknown
+// zone is a region of its own.
+std::string RegionOfZone(const DutyState& state, const std::string& zone) {
+  for (const auto& [name, endpoint] : state.m_tables.m_endpoints) {
+    if (endpoint.m_value.m_availability_zone == zone) {
+      return endpoint.m_value.m_region;
+    }
+  }
+  return zone;
+}
+
+// Writes an endpoint of this duty. The token is made of the version that the
+// write replaces, so that a repeated write is the same one.
+void WriteEndpoint(DutyState& state, ProvidedEndpoint& provided,
+                   const Endpoint& endpoint, Position version, bool remove) {
+  ConfigWrite write;
+  write.m_token = "capacity/" + endpoint.m_name + "/" +
+                  std::to_string(version) + "/" +
+                  std::to_string(FencingNumber(state, kCapacityDuty)) +
+                  (remove ? "/remove" : "/put");
+  write.m_kind = ResourceKind::kEndpoint;
+  write.m_name = endpoint.m_name;
+  write.m_expected_version = version;
+  write.m_remove = remove;
+  write.m_resource = endpoint;
+  LOG(INFO) << "capacity writes endpoint=" << endpoint.m_name
+            << " zone=" << endpoint.m_availability_zone << " remove=" << remove
+            << " draining=" << endpoint.m_draining;
+  provided.m_ticket =
+      SubmitDutyRecord(state, EncodeRecord(write), kRecordTimeout);
+}
+
+Endpoint MakeEndpoint(const DutyState& state,
+                      const schema::PlatformEndpoint& platform) {
+  Endpoint endpoint;
+  endpoint.m_name = platform.name();
+  endpoint.m_fleet = platform.fleet();
+  endpoint.m_availability_zone = platform.availability_zone();
+  endpoint.m_region = RegionOfZone(state, platform.availability_zone());
+  endpoint.m_address = platform.address();
+  endpoint.m_class = FromName<EndpointClass>(platform.endpoint_class())
+                         .value_or(EndpointClass::kOnDemand);
+  endpoint.m_checks_fencing = platform.checks_fencing();
+  return endpoint;
+}
+
+EndpointPhase PhaseOf(const schema::PlatformEndpoint& platform) {
+  return FromName<EndpointPhase>(platform.phase())
+      .value_or(EndpointPhase::kOrdered);
+}
+
+// Tells the platform to take an endpoint back. Repeating it is harmless.
+void Release(DutyState& state, ProvidedEndpoint& provided) {
+  if (provided.m_release != 0) return;
+  const std::string name = provided.m_platform.name();
+  const Position fencing = FencingNumber(state, kCapacityDuty);
+  HttpCall call = MakeDutyCall(
+      state, kCapacityDuty,
+      state.m_options.m_platform_url + "/platform/v1/endpoints/" +
+          PercentEncode(name) + "?fencing_number=" + std::to_string(fencing));
+  call.m_method = "DELETE";
+  LOG(INFO) << "releasing endpoint=" << name << " fencing_number=" << fencing;
+  provided.m_release = state.m_http->Start(
+      std::move(call), CollectBody([&state, name](const HttpResult& /*result*/,
+                                                  const std::string& /*body*/) {
+        const auto found = state.m_provided.find(name);
+        if (found != state.m_provided.end()) found->second.m_release = 0;
+      }));
+}
+
+// Brings configuration and platform closer together for one endpoint.
+void ReconcileEndpoint(DutyState& state, ProvidedEndpoint& provided) {
+  if (provided.m_ticket != 0) return;
+  const std::string& name = provided.m_platform.name();
+  const auto found = state.m_tables.m_endpoints.find(name);
+  const EndpointPhase phase = PhaseOf(provided.m_platform);
+  const bool gone =
+      phase == EndpointPhase::kGone || provided.m_missing >= kMissingLists;
+  if (found == state.m_tables.m_endpoints.end()) {
+    if (phase == EndpointPhase::kReady && !gone) {
+      WriteEndpoint(state, provided, MakeEndpoint(state, provided.m_platform),
+                    0, false);
+    }
+    return;
+  }
+  Endpoint endpoint = found->second.m_value;
+  const Position version = found->second.m_version;
+  if (gone) {
+    WriteEndpoint(state, provided, endpoint, version, true);
+    return;
+  }
+  if (!endpoint.m_draining) {
+    provided.m_drain_seen = {};
+    if (phase != EndpointPhase::kDraining) return;
+    endpoint.m_draining = true;
+    WriteEndpoint(state, provided, endpoint, version, false);
+    return;
+  }
+  if (provided.m_drain_seen == Instant{})
+    provided.m_drain_seen = state.m_clock();
+  PollEngine(state, endpoint);
+  if (phase == EndpointPhase::kReady &&
+      IsIdleSince(state, name, provided.m_drain_seen)) {
+    Release(state, provided);
+  }
+}
+
+void TakeList(DutyState& state, const schema::PlatformEndpointList& list) {
+  for (auto& [name, provided] : state.m_provided) provided.m_listed = false;
+  for (const schema::PlatformEndpoint& platform : list.endpoints()) {
+    const Fleet* fleet = FindFleet(state, platform.fleet());
+    if (fleet == nullptr || !IsProvided(*fleet)) continue;
+    ProvidedEndpoint& provided = state.m_provided[platform.name()];
+    if (provided.m_platform.name().empty()) {
+      provided.m_first_seen = state.m_clock();
+    }
+    provided.m_platform = platform;
+    provided.m_listed = true;
+    provided.m_missing = 0;
+  }
+  // Endpoints of provided fleets that are configured but not listed any more.
+  for (const auto& [name, endpoint] : state.m_tables.m_endpoints) {
+    const Fleet* fleet = FindFleet(state, endpoint.m_value.m_fleet);
+    if (fleet == nullptr || !IsProvided(*fleet)) continue;
+    ProvidedEndpoint& provided = state.m_provided[name];
+    if (provided.m_platform.name().empty()) {
+      provided.m_platform.set_name(name);
+      provided.m_platform.set_fleet(endpoint.m_value.m_fleet);
+    }
+  }
+  for (auto& [name, provided] : state.m_provided) {
+    if (!provided.m_listed) ++provided.m_missing;
+  }
+  std::erase_if(state.m_provided, [&state](const auto& entry) {
+    const bool configured = state.m_tables.m_endpoints.count(entry.first) != 0;
+    return !entry.second.m_listed && !configured &&
+           entry.second.m_ticket == 0 && entry.second.m_release == 0;
+  });
+}
+
+void ReadList(DutyState& state) {
+  if (state.m_list_call != 0) return;
+  const Position tenure = FencingNumber(state, kCapacityDuty);
+  HttpCall call =
+      MakeDutyCall(state, kCapacityDuty,
+                   state.m_options.m_platform_url + "/platform/v1/endpoints");
+  state.m_list_call = state.m_http->Start(
+      std::move(call), CollectBody([&state, tenure](const HttpResult& result,
+                                                    const std::string& body) {
+        state.m_list_call = 0;
+        schema::PlatformEndpointList list;
+        if (result.m_error || result.m_status != kOk ||
+            FromJson(body, UnknownFields::kIgnore, &list)) {
+          return;
+        }
+        TakeList(state, list);
+        state.m_listed_tenure = tenure;
+      }));
+}
+
+PendingCreate* FindCreate(DutyState& state, const std::string& fleet,
+                          const std::string& token) {
+  for (PendingCreate& create : state.m_capacity[fleet].m_creates) {
+    if (create.m_token == token) return &create;
+  }
+  return nullptr;
+}
+
+// The endpoint counts from now on, although the list shows it later. An order
+// that the platform refused is planned anew.
+void OnCreateEnd(DutyState& state, const std::string& fleet,
+                 const std::string& token, const HttpResult& result,
+                 const std::string& body) {
+  PendingCreate* create = FindCreate(state, fleet, token);
+  if (create == nullptr) return;
+  create->m_call = 0;
+  const bool answered = !result.m_error && result.m_status < kFirstServerError;
+  if (!answered) return;
+  schema::PlatformEndpoint platform;
+  if (!FromJson(body, UnknownFields::kIgnore, &platform) &&
+      !platform.name().empty()) {
+    ProvidedEndpoint& provided = state.m_provided[platform.name()];
+    provided.m_platform = platform;
+    provided.m_first_seen = state.m_clock();
+  }
+  std::erase_if(
+      state.m_capacity[fleet].m_creates,
+      [&token](const PendingCreate& other) { return other.m_token == token; });
+}
+
+// An order whose answer was lost is sent again under its token, which the
+// platform takes as the same order.
+void SendCreate(DutyState& state, const std::string& fleet,
+                PendingCreate& create) {
+  if (create.m_call != 0) return;
+  schema::PlatformEndpoint order;
+  order.set_token(create.m_token);
+  order.set_fleet(fleet);
+  order.set_availability_zone(create.m_zone);
+  order.set_endpoint_class(std::string(ToName(create.m_class)));
+  order.set_fencing_number(FencingNumber(state, kCapacityDuty));
+  HttpCall call =
+      MakeDutyCall(state, kCapacityDuty,
+                   state.m_options.m_platform_url + "/platform/v1/endpoints");
+  call.m_method = "POST";
+  call.m_headers = {{"content-type", "application/json"}};
+  call.m_body = ToJson(order);
+  LOG(INFO) << "ordering endpoint fleet=" << fleet << " zone=" << create.m_zone
+            << " class=" << ToName(create.m_class)
+            << " token=" << create.m_token;
+  const std::string token = create.m_token;
+  create.m_call = state.m_http->Start(
+      std::move(call),
+      CollectBody([&state, fleet, token](const HttpResult& result,
+                                         const std::string& body) {
+        OnCreateEnd(state, fleet, token, result, body);
+      }));
+}
+
+std::vector<CapacityEndpoint> CapacityView(const DutyState& state,
+                                           const std::string& fleet,
+                                           const FleetCapacity& capacity) {
+  std::vector<CapacityEndpoint> view;
+  for (const auto& [name, provided] : state.m_provided) {
+    const schema::PlatformEndpoint& platform = provided.m_platform;
+    if (platform.fleet() != fleet || provided.m_missing >= kMissingLists) {
+      continue;
+    }
+    CapacityEndpoint endpoint;
+    endpoint.m_name = name;
+    endpoint.m_zone = platform.availability_zone();
+    endpoint.m_class = FromName<EndpointClass>(platform.endpoint_class())
+                           .value_or(EndpointClass::kOnDemand);
+    endpoint.m_phase = PhaseOf(platform);
+    endpoint.m_ordered = provided.m_first_seen;
+    const auto configured = state.m_tables.m_endpoints.find(name);
+    if (configured != state.m_tables.m_endpoints.end() &&
+        configured->second.m_value.m_draining) {
+      endpoint.m_phase = EndpointPhase::kDraining;
+    }
+    if (endpoint.m_phase != EndpointPhase::kGone) view.push_back(endpoint);
+  }
+  for (const PendingCreate& create : capacity.m_creates) {
+    view.push_back({create.m_token, create.m_zone, create.m_class,
+                    EndpointPhase::kOrdered, create.m_ordered, 0.0});
+  }
+  return view;
+}
+
+void CarryOut(DutyState& state, const std::string& fleet,
+              FleetCapacity& capacity, const CapacityOrder& order) {
+  const Instant now = state.m_clock();
+  if (order.m_kind == CapacityOrderKind::kCreate) {
+    const std::string token =
+        "capacity-" + std::to_string(FencingNumber(state, kCapacityDuty)) +
+        "-" + std::to_string(state.m_next_ticket++);
+    capacity.m_creates.push_back({token, order.m_zone, order.m_class, now});
+    return;
+  }
+  const auto found = state.m_provided.find(order.m_endpoint);
+  if (found == state.m_provided.end() || found->second.m_ticket != 0) return;
+  const auto configured = state.m_tables.m_endpoints.find(order.m_endpoint);
+  LOG(INFO) << "capacity order kind=" << ToName(order.m_kind)
+            << " fleet=" << fleet << " endpoint=" << order.m_endpoint;
+  if (configured == state.m_tables.m_endpoints.end()) {
+    Release(state, found->second);  // It never took any work.
+    return;
+  }
+  Endpoint endpoint = configured->second.m_value;
+  if (endpoint.m_draining) return;
+  endpoint.m_draining = true;
+  WriteEndpoint(state, found->second, endpoint, configured->second.m_version,
+                false);
+}
+
+void PlanFleetCapacity(DutyState& state, const Fleet& fleet) {
+  FleetCapacity& capacity = state.m_capacity[fleet.m_name];
+  CapacityOptions& options = capacity.m_planner.m_options;
+  options.m_zones = fleet.m_zones;
+  options.m_max_endpoints = static_cast<int>(fleet.m_replicas);
+  options.m_min_endpoints = static_cast<int>(
+      fleet.m_min_replicas == 0 ? fleet.m_replicas : fleet.m_min_replicas);
+  options.m_cheap_share = fleet.m_cheap_share;
+  const Instant now = state.m_clock();
+  capacity.m_sustained.m_options.m_long_window = kSustainedWindow;
+  ObserveDemand(capacity.m_sustained, FleetDemand(state, fleet), now);
+  const PhaseDemand& fast = capacity.m_sustained.m_short;
+  const PhaseDemand& slow = capacity.m_sustained.m_long;
+  const CapacityDemand demand{
+      std::max(fast.m_prefill + fast.m_decode, slow.m_prefill + slow.m_decode),
+      slow.m_prefill + slow.m_decode};
+  const std::int64_t hour = state.m_wall_clock_s() / kSecondsPerHour;
+  const auto slot = static_cast<std::size_t>(hour) % kHoursPerDay;
+  LearnProfile(capacity.m_planner, slot, demand.m_sustained);
+  const auto orders = PlanCapacity(capacity.m_planner,
+                                   CapacityView(state, fleet.m_name, capacity),
+                                   demand, slot, now);
+  for (const CapacityOrder& order : orders) {
+    CarryOut(state, fleet.m_name, capacity, order);
+  }
+  for (PendingCreate& create : capacity.m_creates) {
+    SendCreate(state, fleet.m_name, create);
+  }
+}
+
+}  // namespace
+
+void MaintainCapacity(DutyState& state) {
+  if (!MayOrder(state, kCapacityDuty)) return;
+  const Instant now = state.m_clock();
+  if (now - state.m_listed_at < state.m_options.m_platform_poll) return;
+  state.m_listed_at = now;
+  const bool any = std::any_of(
+      state.m_tables.m_fleets.begin(), state.m_tables.m_fleets.end(),
+      [](const auto& entry) { return IsProvided(entry.second.m_value); });
+  if (!any) return;
+  ReadList(state);
+  // Nothing is done by a list from an earlier tenure: another holder may have
+  // ordered since.
+  if (state.m_listed_tenure != FencingNumber(state, kCapacityDuty)) {
+    for (auto& [fleet, capacity] : state.m_capacity) {
+      capacity.m_creates.clear();
+    }
+    return;
+  }
+  for (auto& [name, provided] : state.m_provided) {
+    ReconcileEndpoint(state, provided);
+  }
+  if (state.m_draining) return;
+  for (const auto& [name, fleet] : state.m_tables.m_fleets) {
+    if (IsProvided(fleet.m_value)) PlanFleetCapacity(state, fleet.m_value);
+  }
+}
+
+bool OnCapacityVerdict(DutyState& state, const schema::RecordVerdict& verdict) {
+  for (auto& [name, provided] : state.m_provided) {
+    if (provided.m_ticket != verdict.ticket()) continue;
+    provided.m_ticket = 0;
+    return true;
+  }
+  return false;
+}
+
+}  // namespace comfreypaddle
--- a/src/report.cpp
+++ b/src/report.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include "codec.h"
+#include "enginepoll.h"
 #include "http.pb.h"
 #include "json.h"
 #include "tenure.h"
@@ -79,16 +80,12 @@
 }
 
 void SendReport(DutyState& state, WindowReport& report) {
-  const Duration left = ActDeadline(state, kUsageDuty) - state.m_clock();
   const std::uint64_t number = report.m_window.window();
-  HttpCall call;
+  HttpCall call = MakeDutyCall(
+      state, kUsageDuty, state.m_options.m_platform_url + "/platform/v1/usage");
   call.m_method = "POST";
-  call.m_url = state.m_options.m_platform_url + "/platform/v1/usage";
   call.m_headers = {{"content-type", "application/json"}};
   call.m_body = ReportBody(report.m_window, FencingNumber(state, kUsageDuty));
-  call.m_timeout = std::min(left, state.m_options.m_order_timeout);
-  // A kept connection could hold the report back until after the lease.
-  call.m_fresh_connection = true;
   LOG(INFO) << "reporting usage window=" << number
             << " token=" << report.m_window.position();
   HttpEvents events;
