Take a refused connection as not run

Cause: OnSending marks an attempt as sent before the call starts, and only an endpoint's own refusal undid that. A refused connection, where no byte left, therefore counted as a possible run: the outcome was "unknown", a call that is not repeatable was not retried, and a resume was sent to the dead endpoint. Ruled out: calling OnSending only after the connection is made. The client reports only at the end whether a byte was sent, and a process that stops in between must count the attempt as sent. Change: connect_failed, which the client reports only if no byte was sent, does not count as a run. Earlier attempts of the request still count. Figures: the new test failed before the change and passes after it. Conclusion: the outcome is true and as precise as what is known.

--- a/src/exchange.cpp
+++ b/src/exchange.cpp
@@ -138,9 +138,9 @@
   if (!IsCurrent(exchange, attempt)) return std::nullopt;
   Attempt& current = exchange.m_attempt;
   current.m_open = false;
-  if (current.m_sent && kind != FailureKind::kRefusedNotRun) {
-    exchange.m_may_have_run = true;
-  }
+  const bool not_run = kind == FailureKind::kRefusedNotRun ||
+                       kind == FailureKind::kConnectFailed;
+  if (current.m_sent && !not_run) exchange.m_may_have_run = true;
   if (kind == FailureKind::kAnsweredError) exchange.m_answer_seen = true;
   FailureFacts facts;
   facts.m_kind = kind;
--- a/tests/exchange_test.cpp
+++ b/tests/exchange_test.cpp
@@ -25,5 +25,26 @@
   CHECK(exchange.m_text == "ab");
 }
 
+// Guards against the outcome "unknown", a useless resume or a refused retry
+// when an endpoint only refused the connection.
+TEST_CASE("a refused connection is not taken for a run of the request") {
+  Exchange exchange;
+  std::uint32_t attempt = StartAttempt(exchange, "e0", false, kStart);
+  OnSending(exchange, attempt);
+  auto facts = OnAttemptFailed(exchange, attempt, FailureKind::kConnectFailed);
+  REQUIRE(facts.has_value());
+  CHECK_FALSE(facts->m_may_have_run);
+  CHECK(OutcomeOf(exchange) == Outcome::kNotRun);
+  attempt = StartAttempt(exchange, "e1", false, kStart);
+  OnSending(exchange, attempt);
+  OnAttemptFailed(exchange, attempt, FailureKind::kConnectionLost);
+  attempt = StartAttempt(exchange, "e1", true, kStart);
+  OnSending(exchange, attempt);
+  facts = OnAttemptFailed(exchange, attempt, FailureKind::kConnectFailed);
+  // The attempt before this one may still have run.
+  CHECK(facts->m_may_have_run);
+  CHECK(OutcomeOf(exchange) == Outcome::kUnknown);
+}
+
 }  // namespace
 }  // namespace comfreypaddle
