Refuse a second endpoint with the same address; test the log store

Cause: two endpoints with one address would take two open orders at once.

Change: ConfigFault::kAddressInUse with an index of endpoints by address; the

process writes under its name.

--- a/src/journalcore.cpp
+++ b/src/journalcore.cpp
@@ -227,9 +227,11 @@
 
 void JournalCore::OnRelayed(const schema::LogBatch& batch) {
   if (m_reader.m_phase != ReadPhase::kFollow) return;
+  const std::uint64_t before = m_state.m_next_offset;
   for (const schema::LogEntry& entry : batch.entries()) {
     if (!ApplyEntry(entry)) break;
   }
+  if (m_state.m_next_offset != before) SendStatus(m_host.m_clock());
 }
 
 void JournalCore::OnRecordsWanted(const schema::RecordsWanted& wanted) {
@@ -409,8 +411,11 @@
   for (const Effect& effect : effects) {
     SendEffect(effect, own ? &*own : nullptr);
   }
-  // Without effects another process replaced this one under its name.
-  if (own && effects.empty()) AnswerRemaining(*own, Verdict::kStale);
+  if (own && effects.empty()) {
+    LOG(ERROR) << "another process with a higher incarnation writes as "
+               << m_options.m_self.m_name;
+    AnswerRemaining(*own, Verdict::kStale);
+  }
   return true;
 }
 
--- a/src/replay.cpp
+++ b/src/replay.cpp
@@ -200,8 +200,13 @@
     return ConfigFault::kUnknownFleet;
   }
   if (!IsResourceName(value.m_availability_zone)) return ConfigFault::kBadZone;
-  return IsAddress(value.m_address) ? ConfigFault::kNone
-                                    : ConfigFault::kBadAddress;
+  if (!IsAddress(value.m_address)) return ConfigFault::kBadAddress;
+  const auto other = tables.m_endpoint_by_address.find(value.m_address);
+  if (other != tables.m_endpoint_by_address.end() &&
+      other->second != value.m_name) {
+    return ConfigFault::kAddressInUse;
+  }
+  return ConfigFault::kNone;
 }
 
 template <typename T, typename Predicate>
@@ -259,7 +264,7 @@
   return false;
 }
 
-// Indexes of keys and routes; other kinds have none.
+// Indexes of keys, routes and endpoints; other kinds have none.
 template <typename T>
 void AddToIndex(Tables& tables, const T& value) {
   if constexpr (std::is_same_v<T, Key>) {
@@ -270,6 +275,8 @@
     } else {
       tables.m_route_by_prefix[value.m_path_prefix] = value.m_name;
     }
+  } else if constexpr (std::is_same_v<T, Endpoint>) {
+    tables.m_endpoint_by_address[value.m_address] = value.m_name;
   }
 }
 
@@ -283,6 +290,8 @@
     } else {
       tables.m_route_by_prefix.erase(value.m_path_prefix);
     }
+  } else if constexpr (std::is_same_v<T, Endpoint>) {
+    tables.m_endpoint_by_address.erase(value.m_address);
   }
 }
 
--- a/src/replay.h
+++ b/src/replay.h
@@ -33,6 +33,8 @@
   kWrongFleetKind,   // Models need an engine fleet, paths a service fleet.
   kFixedField,       // The field cannot change while the resource exists.
   kBadAddress,       // Not an IP number with a port.
+  // Another endpoint has the address; orders to one would reach the other.
+  kAddressInUse,
   kBadZone,
   kBadNumber,   // A number is outside its range.
   kReferenced,  // Another resource names the one to be deleted.
@@ -41,7 +43,7 @@
 
 template <>
 struct EnumNames<ConfigFault> {
-  static constexpr std::array<EnumName<ConfigFault>, 22> kTable{
+  static constexpr std::array<EnumName<ConfigFault>, 23> kTable{
       {{ConfigFault::kNone, "none"},
        {ConfigFault::kBadName, "bad_name"},
        {ConfigFault::kKindMismatch, "kind_mismatch"},
@@ -60,6 +62,7 @@
        {ConfigFault::kWrongFleetKind, "wrong_fleet_kind"},
        {ConfigFault::kFixedField, "fixed_field"},
        {ConfigFault::kBadAddress, "bad_address"},
+       {ConfigFault::kAddressInUse, "address_in_use"},
        {ConfigFault::kBadZone, "bad_zone"},
        {ConfigFault::kBadNumber, "bad_number"},
        {ConfigFault::kReferenced, "referenced"},
@@ -87,10 +90,11 @@
   Table<Fleet> m_fleets;
   Table<Endpoint> m_endpoints;
   // Names of keys by the hash of their secret, of routes by model and by path
-  // prefix.
+  // prefix, and of endpoints by address.
   std::unordered_map<std::string, std::string> m_key_by_secret;
   std::unordered_map<std::string, std::string> m_route_by_model;
   std::map<std::string, std::string, std::less<>> m_route_by_prefix;
+  std::unordered_map<std::string, std::string> m_endpoint_by_address;
   Position m_version = 0;  // Version of the last change.
 };
 
--- a/tests/journal_test.cpp
+++ b/tests/journal_test.cpp
@@ -312,6 +312,38 @@
   CHECK_FALSE(changes.back().table_change().from_snapshot());
 }
 
+// Guards against tables that keep resources which were removed while the
+// instance was cut off for longer than the log keeps its records.
+TEST_CASE("an instance that fell behind takes over from a snapshot") {
+  StoredLog stored;
+  Fixture f(stored);
+  f.Settle();
+  f.SubmitWorkspace("old", 1);
+  f.Settle();
+  Fixture behind(stored, 2);
+  behind.Settle();
+  ConfigWrite removal{
+      "t", ResourceKind::kWorkspace, "old", MakePosition(1, 0), true, {}};
+  f.SubmitRecord(removal, 2);
+  f.Settle();
+  f.SubmitWorkspace("new", 3);
+  f.Settle();
+  schema::JournalMessage snapshot;
+  snapshot.mutable_write_snapshot();
+  f.m_core->Receive(snapshot);
+  f.Settle();
+  stored.m_first = stored.m_bodies.size();
+  behind.Settle();
+  CHECK(behind.Snapshot() == f.Snapshot());
+  Tables copy;
+  for (const schema::GatewayMessage& message : behind.m_gateway.m_messages) {
+    if (!message.has_table_change()) continue;
+    CHECK(ApplyChange(copy, *DecodeTableChange(message.table_change())));
+  }
+  CHECK(copy.m_workspaces.count("old") == 0);
+  CHECK(copy.m_workspaces.count("new") == 1);
+}
+
 TEST_CASE("without a snapshot a shortened log does not give a wrong state") {
   StoredLog stored;
   Fixture f(stored);
