Settle the headers of the decision modules

Endpoint views are found by an index. Zones and classes are weighed against load in average requests: a strict order of zones would fill the last endpoint of a zone that lost the others. The rate of service counts only work that had to wait, and own work is never cut by the bound on service given elsewhere.

--- a/src/admit.cpp
+++ b/src/admit.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 
 namespace comfreypaddle {
 namespace {
@@ -28,20 +27,16 @@
 constexpr double kRateSeconds = 10.0;
 constexpr double kLeastRateSeconds = 0.5;
 
+// Requests that are taken within this time after the queue was empty found a
+// free endpoint. They say nothing about the service rate.
+constexpr Duration kLeastBusy = std::chrono::milliseconds(1);
+
 // Weight of a new request in the moving average of costs.
 constexpr double kCostGain = 0.05;
 
 constexpr Duration kLeastRetryAfter = std::chrono::seconds(1);
 constexpr Duration kMostRetryAfter = std::chrono::seconds(60);
 
-// A peer's demand counts for this long. It spans several heartbeat periods,
-// and ends soon after a peer died.
-constexpr Duration kDemandAge = std::chrono::seconds(3);
-
-// Part of an even division among instances that each may use in any case, so
-// that demand which arrives between two updates is not held up.
-constexpr double kLeastShare = 0.5;
-
 double Seconds(Duration duration) {
   return std::chrono::duration<double>(duration).count();
 }
@@ -64,13 +59,12 @@
 // requests wait: otherwise the rate would show the load, not the capacity.
 void AdvanceRate(FleetQueue& queue, Instant now) {
   if (now <= queue.m_rate_updated) return;
-  if (!queue.m_order.empty()) {
-    const double seconds = Seconds(now - queue.m_rate_updated);
-    const double decay = std::exp(-seconds / kRateSeconds);
-    queue.m_recent_work *= decay;
-    queue.m_recent_other *= decay;
-    queue.m_recent_time = queue.m_recent_time * decay + seconds;
-  }
+  const double seconds = Seconds(now - queue.m_rate_updated);
+  const double decay = std::exp(-seconds / kRateSeconds);
+  queue.m_recent_work *= decay;
+  queue.m_recent_other *= decay;
+  queue.m_recent_time *= decay;
+  if (!queue.m_order.empty()) queue.m_recent_time += seconds;
   queue.m_rate_updated = now;
 }
 
@@ -110,20 +104,18 @@
   queue.m_active_weight += flow.m_weight;
 }
 
-// Moves the virtual start of a flow.
-void Shift(FleetQueue& queue, const std::string& name, Flow& flow,
-           double work) {
+// Charges work to a flow.
+void Charge(FleetQueue& queue, const std::string& name, Flow& flow,
+            double work) {
   Unlink(queue, name, flow);
   flow.m_start += work / flow.m_weight;
-  flow.m_start = std::min(flow.m_start, queue.m_virtual + MaxLead(queue, flow));
   Link(queue, name, flow);
 }
 
-// Brings the virtual start of a flow that becomes backlogged into bounds:
-// time without waiting requests earns no credit.
-void Activate(FleetQueue& queue, Flow& flow) {
-  flow.m_start = std::clamp(flow.m_start, queue.m_virtual,
-                            queue.m_virtual + MaxLead(queue, flow));
+// Returns the part of work done elsewhere that keeps a flow within its lead.
+double WithinLead(const FleetQueue& queue, const Flow& flow, double work) {
+  const double room = queue.m_virtual + MaxLead(queue, flow) - flow.m_start;
+  return std::min(work, std::max(0.0, room * flow.m_weight));
 }
 
 FleetQueue& FleetOf(AdmitState& state, std::string_view name) {
@@ -268,47 +260,6 @@
   return Extract(state, requests.rbegin()->second, now);
 }
 
-// Work that a workspace wants at all instances and at this one.
-struct Demand {
-  double m_weight = 1.0;
-  double m_total = 0.0;
-  double m_own = 0.0;
-};
-
-// Adds up the demand of a flow and notes the peers with recent demand.
-Demand DemandOf(const Flow& flow, Instant now,
-                std::set<std::string_view>& peers) {
-  Demand demand{flow.m_weight, 0.0, flow.m_queued + flow.m_running};
-  demand.m_total = demand.m_own;
-  for (const auto& [peer, service] : flow.m_peers) {
-    if (now - service.m_heard > kDemandAge) continue;
-    demand.m_total += service.m_waiting;
-    if (service.m_waiting > 0.0) peers.insert(peer);
-  }
-  return demand;
-}
-
-// Divides the capacity among the workspaces, max-min fair by weight, and
-// returns the part that falls to this instance: of each workspace's part, the
-// portion of its demand that waits here.
-double OwnShare(std::vector<Demand>& demands, double capacity) {
-  std::sort(demands.begin(), demands.end(),
-            [](const Demand& a, const Demand& b) {
-              return a.m_total * b.m_weight < b.m_total * a.m_weight;
-            });
-  double weights = 0.0;
-  for (const Demand& demand : demands) weights += demand.m_weight;
-  double own = 0.0;
-  for (const Demand& demand : demands) {
-    const double part =
-        std::min(demand.m_total, capacity * demand.m_weight / weights);
-    capacity -= part;
-    weights -= demand.m_weight;
-    if (demand.m_total > 0.0) own += part * demand.m_own / demand.m_total;
-  }
-  return own;
-}
-
 }  // namespace
 
 void SetWorkspace(AdmitState& state, const std::string& name, double weight,
@@ -378,10 +329,16 @@
   }
   queue.m_mean_cost += (queue.m_mean_cost == 0.0 ? 1.0 : kCostGain) *
                        (request.m_cost - queue.m_mean_cost);
-  if (queue.m_order.empty() && now - queue.m_idle_since > kIdleReset) {
-    queue.m_virtual = std::max(queue.m_virtual, queue.m_max_start);
+  if (queue.m_order.empty()) {
+    if (now - queue.m_idle_since > kIdleReset) {
+      queue.m_virtual = std::max(queue.m_virtual, queue.m_max_start);
+    }
+    queue.m_busy_since = now;
+  }
+  // Time without waiting requests earns no credit.
+  if (flow.m_requests.empty()) {
+    flow.m_start = std::max(flow.m_start, queue.m_virtual);
   }
-  if (flow.m_requests.empty()) Activate(queue, flow);
   request.m_sequence = state.m_next_sequence++;
   Insert(state, std::move(request), now);
   return decision;
@@ -404,10 +361,12 @@
   queue.m_virtual = std::max(queue.m_virtual, flow.m_key);
   const std::uint64_t id = flow.m_requests.begin()->second.m_id;
   Waiting request = Extract(state, id, now);
-  Shift(queue, name, flow, request.m_cost);
+  Charge(queue, name, flow, request.m_cost);
   flow.m_served += request.m_cost;
   flow.m_running += request.m_cost;
-  queue.m_recent_work += request.m_cost;
+  if (now - queue.m_busy_since >= kLeastBusy) {
+    queue.m_recent_work += request.m_cost;
+  }
   ++queue.m_running;
   return request;
 }
@@ -421,7 +380,7 @@
   flow.m_running = std::max(0.0, flow.m_running - cost);
   flow.m_served -= cost;
   queue.m_recent_work = std::max(0.0, queue.m_recent_work - cost);
-  Shift(queue, name, flow, -cost);
+  Charge(queue, name, flow, -cost);
   Insert(state, std::move(request), now);
 }
 
@@ -434,7 +393,7 @@
   flow.m_running = std::max(0.0, flow.m_running - estimated);
   flow.m_served += difference;
   queue.m_recent_work = std::max(0.0, queue.m_recent_work + difference);
-  Shift(queue, std::string(workspace), flow, difference);
+  Charge(queue, std::string(workspace), flow, difference);
 }
 
 std::optional<Waiting> Remove(AdmitState& state, std::uint64_t id) {
@@ -480,19 +439,6 @@
   return found == state.m_fleets.end() ? 0 : found->second.m_requests;
 }
 
-std::vector<ServiceDigest> MakeServiceDigest(AdmitState& state) {
-  std::vector<ServiceDigest> digest;
-  for (auto& [fleet, queue] : state.m_fleets) {
-    for (auto& [name, flow] : queue.m_flows) {
-      const double waiting = flow.m_queued + flow.m_running;
-      if (waiting <= 0.0 && flow.m_served == flow.m_told) continue;
-      flow.m_told = flow.m_served;
-      digest.push_back({fleet, name, flow.m_served, waiting});
-    }
-  }
-  return digest;
-}
-
 void ReportOtherService(AdmitState& state, std::string_view peer,
                         const ServiceDigest& digest, Instant now) {
   FleetQueue& queue = FleetOf(state, digest.m_fleet);
@@ -507,35 +453,7 @@
   const double served = digest.m_served - found->second.m_served;
   found->second = {digest.m_served, digest.m_waiting, now};
   queue.m_recent_other = std::max(0.0, queue.m_recent_other + served);
-  Shift(queue, digest.m_workspace, flow, served);
-}
-
-void ForgetPeer(AdmitState& state, std::string_view peer) {
-  for (auto& [fleet, queue] : state.m_fleets) {
-    for (auto& [name, flow] : queue.m_flows) {
-      const auto found = flow.m_peers.find(peer);
-      if (found != flow.m_peers.end()) flow.m_peers.erase(found);
-    }
-  }
-}
-
-void UpdateShares(AdmitState& state, Instant now) {
-  for (auto& [fleet, queue] : state.m_fleets) {
-    std::vector<Demand> demands;
-    double total = 0.0;
-    std::set<std::string_view> peers;
-    for (const auto& [name, flow] : queue.m_flows) {
-      demands.push_back(DemandOf(flow, now, peers));
-      total += demands.back().m_total;
-    }
-    const double capacity = queue.m_slots * queue.m_mean_cost;
-    queue.m_share = 1.0;
-    queue.m_least_share = 1.0;
-    if (capacity <= 0.0 || total <= capacity) continue;
-    queue.m_share = OwnShare(demands, capacity) / capacity;
-    queue.m_least_share =
-        kLeastShare / (1.0 + static_cast<double>(peers.size()));
-  }
+  Charge(queue, digest.m_workspace, flow, WithinLead(queue, flow, served));
 }
 
 }  // namespace comfreypaddle
--- a/src/admit.h
+++ b/src/admit.h
@@ -21,7 +21,7 @@
 // Request that waits in the queue of this instance for an endpoint. Nothing
 // of it was sent yet unless the caller put it back for another attempt.
 struct Waiting {
-  std::uint64_t m_id = 0;
+  std::uint64_t m_id = 0;  // Unique in this instance.
   std::string m_workspace;
   std::string m_key;  // Name of the key; empty on open routes.
   std::string m_fleet;
@@ -113,12 +113,14 @@
   std::uint32_t m_requests = 0;  // Waiting.
   std::uint32_t m_running = 0;   // Taken and not finished.
   // Work taken and time passed while requests waited, both with exponential
-  // decay. Their quotient is the service rate.
+  // decay. Their quotient is the service rate. Without waiting requests it
+  // would show the load, not the capacity.
   double m_recent_work = 0.0;
   double m_recent_time = 0.0;   // Seconds.
   double m_recent_other = 0.0;  // Work that peers reported.
   Instant m_rate_updated{};
   Instant m_idle_since{};  // Time at which the last request left the queue.
+  Instant m_busy_since{};  // Time at which the first request entered it.
   // Requests that all endpoints of the fleet can run at once; 0: not known.
   double m_slots = 0.0;
   // Share of the slots that this instance may use; see UpdateShares.
@@ -213,10 +215,6 @@
 // Returns the number of waiting requests of a fleet.
 std::size_t QueuedRequests(const AdmitState& state, std::string_view fleet);
 
-// Returns the digest for the next heartbeat: flows with waiting or running
-// requests, and flows served since the last digest.
-std::vector<ServiceDigest> MakeServiceDigest(AdmitState& state);
-
 // Takes in what a peer reported about the service that it gave. The peer's
 // name must change when the peer restarts (name and incarnation), because
 // served counts from its start. The service counts like service of this
@@ -224,13 +222,6 @@
 void ReportOtherService(AdmitState& state, std::string_view peer,
                         const ServiceDigest& digest, Instant now);
 
-// Forgets a peer that left or restarted.
-void ForgetPeer(AdmitState& state, std::string_view peer);
-
-// Computes for each fleet the share of its slots that this instance may use.
-// To be called once each heartbeat period.
-void UpdateShares(AdmitState& state, Instant now);
-
 }  // namespace comfreypaddle
 
 #endif  // COMFREYPADDLE_ADMIT_H_
--- a/src/route.cpp
+++ b/src/route.cpp
@@ -29,6 +29,21 @@
 // merged.
 constexpr std::size_t kMaxChanges = 256;
 
+// A request goes to another zone, region or class if that saves more work than
+// this many average requests. Between zones only 0.5 ms are lost; traffic
+// between regions is slow and billed. On-demand endpoints keep room for the
+// work that must not run on cheap ones.
+constexpr double kOtherZoneRequests = 0.5;
+constexpr double kOtherRegionRequests = 4.0;
+constexpr double kOnDemandRequests = 1.0;
+
+// Combinations of zone cost (0 to 2) and class.
+constexpr std::size_t kGroups = 6;
+
+// An endpoint whose last report arrived longer ago is avoided. It is several
+// times the period of load reports.
+constexpr Duration kReportAge = std::chrono::seconds(3);
+
 // Weight of a new request in the moving average of work.
 constexpr double kWorkGain = 0.05;
 
@@ -123,10 +138,15 @@
   int m_zone_cost = 0;
   double m_work = 0.0;
   bool m_room = false;
+  bool m_healthy = false;
 };
 
 using Candidates = std::vector<Candidate>;
 
+bool IsOnDemand(const Candidate& item) {
+  return item.m_view->m_class == EndpointClass::kOnDemand;
+}
+
 bool IsExcluded(const RouteQuery& query, const std::string& name) {
   return std::find(query.m_excluded.begin(), query.m_excluded.end(), name) !=
          query.m_excluded.end();
@@ -142,32 +162,39 @@
   }
 }
 
+// Returns true unless the endpoint failed or stopped reporting.
+bool IsHealthy(const EndpointView& view, Instant now) {
+  return view.m_health == EndpointHealth::kHealthy &&
+         (!view.m_report || now - view.m_heard <= kReportAge);
+}
+
 // Returns the endpoints that may take the request by configuration, with or
 // without room.
 Candidates Usable(const RouteState& state, FleetView& fleet,
-                  const RouteQuery& query) {
+                  const RouteQuery& query, Instant now) {
   Candidates usable;
   usable.reserve(fleet.m_endpoints.size());
   for (EndpointView& view : fleet.m_endpoints) {
     if (!TakesNewWork(view) || IsExcluded(query, view.m_name)) continue;
     usable.push_back({&view, RoleCost(view, state.m_costs, query),
                       ZoneCost(view, query), EstimatedWork(fleet, view),
-                      HasRoom(view, query.m_prompt_tokens)});
+                      HasRoom(view, query.m_prompt_tokens),
+                      IsHealthy(view, now)});
   }
   // A reclaimed cheap endpoint would leave a call that must not run twice
   // with an unknown outcome, so such a call waits for room elsewhere.
   if (!query.m_repeatable) {
-    Prefer(usable, [](const Candidate& item) {
-      return item.m_view->m_class == EndpointClass::kOnDemand;
-    });
+    Prefer(usable, IsOnDemand);
+  } else if (query.m_urgent) {
+    const bool room =
+        std::any_of(usable.begin(), usable.end(), [](const Candidate& item) {
+          return IsOnDemand(item) && item.m_room && item.m_healthy;
+        });
+    if (room) Prefer(usable, IsOnDemand);
   }
   return usable;
 }
 
-bool IsHealthy(const Candidate& item) {
-  return item.m_view->m_health == EndpointHealth::kHealthy;
-}
-
 RouteChoice MakeChoice(const Candidate& item, RouteReason reason) {
   return {item.m_view->m_name, reason, 0.0, item.m_work};
 }
@@ -183,15 +210,23 @@
   return std::nullopt;
 }
 
-// Returns an idle endpoint, so that a crash harms no other request.
-std::optional<RouteChoice> ChooseIsolated(const Candidates& usable) {
+// Returns the endpoint with the fewest requests, so that a crash harms few
+// others. Only an idle one will do until the request is overdue.
+std::optional<RouteChoice> ChooseIsolated(const Candidates& usable,
+                                          const RouteQuery& query) {
+  const Candidate* best = nullptr;
+  double least = 0.0;
   for (const Candidate& item : usable) {
-    if (item.m_room && IsHealthy(item) &&
-        EstimatedRequests(*item.m_view) <= 0.0) {
-      return MakeChoice(item, RouteReason::kIsolated);
-    }
+    if (!item.m_room || !item.m_healthy) continue;
+    const double requests = EstimatedRequests(*item.m_view);
+    if (best != nullptr && requests >= least) continue;
+    best = &item;
+    least = requests;
   }
-  return std::nullopt;
+  if (best == nullptr || (least > 0.0 && !query.m_isolation_overdue)) {
+    return std::nullopt;
+  }
+  return MakeChoice(*best, RouteReason::kIsolated);
 }
 
 // Returns the rendezvous endpoint of the prefix in the region if it has room
@@ -206,7 +241,7 @@
   double total = 0.0;
   std::size_t count = 0;
   for (const Candidate& item : usable) {
-    if (item.m_zone_cost > 1 || item.m_role_cost > 0 || !IsHealthy(item)) {
+    if (item.m_zone_cost > 1 || item.m_role_cost > 0 || !item.m_healthy) {
       continue;
     }
     total += item.m_work;
@@ -224,49 +259,59 @@
   return MakeChoice(*best, RouteReason::kAffinity);
 }
 
-// Returns the less loaded one of two different random candidates.
-RouteChoice ChooseOfTwo(RouteState& state, const Candidates& candidates) {
-  if (candidates.size() == 1) {
-    return MakeChoice(candidates.front(), RouteReason::kOnly);
+// Returns the work of a candidate plus what its zone, region and class cost,
+// in tokens of work.
+double Score(const Candidate& item, const RouteQuery& query,
+             double mean_request) {
+  double requests = 0.0;
+  if (item.m_zone_cost == 1) requests += kOtherZoneRequests;
+  if (item.m_zone_cost == 2) requests += kOtherRegionRequests;
+  if (IsOnDemand(item) && query.m_repeatable && !query.m_urgent) {
+    requests += kOnDemandRequests;
   }
-  const std::size_t first = state.m_random() % candidates.size();
-  std::size_t second = state.m_random() % (candidates.size() - 1);
-  if (second >= first) ++second;
-  const bool take_first = candidates[first].m_work <= candidates[second].m_work;
-  return MakeChoice(candidates[take_first ? first : second],
-                    RouteReason::kLeastLoad);
+  return item.m_work + requests * mean_request;
 }
 
-// Returns the best endpoint with room, by role, class, zone and load.
+// Returns the best of two random candidates of each zone cost and class.
+// Choosing at random keeps instances with the same old reports from all
+// sending to the same endpoint.
+const Candidate& ChooseOfTwo(RouteState& state, Candidates& candidates,
+                             const RouteQuery& query, double mean_request) {
+  std::array<std::vector<const Candidate*>, kGroups> groups;
+  for (const Candidate& item : candidates) {
+    const auto group = static_cast<std::size_t>(2 * item.m_zone_cost) +
+                       (IsOnDemand(item) ? 0U : 1U);
+    groups[group].push_back(&item);
+  }
+  const Candidate* best = nullptr;
+  double least = 0.0;
+  for (const auto& group : groups) {
+    for (int i = 0; i < 2 && !group.empty(); ++i) {
+      const Candidate* item = group[state.m_random() % group.size()];
+      const double score = Score(*item, query, mean_request);
+      if (best != nullptr && score >= least) continue;
+      best = item;
+      least = score;
+    }
+  }
+  return *best;
+}
+
+// Returns the best endpoint with room, by health, role, zone, class and load.
 std::optional<RouteChoice> ChooseWithRoom(RouteState& state,
                                           Candidates candidates,
-                                          const RouteQuery& query) {
+                                          const RouteQuery& query,
+                                          double mean_request) {
   std::erase_if(candidates, [](const Candidate& item) { return !item.m_room; });
   if (candidates.empty()) return std::nullopt;
-  const bool last_resort =
-      std::none_of(candidates.begin(), candidates.end(), IsHealthy);
-  Prefer(candidates, IsHealthy);
-  if (query.m_urgent || !query.m_repeatable) {
-    Prefer(candidates, [](const Candidate& item) {
-      return item.m_view->m_class == EndpointClass::kOnDemand;
-    });
-  }
-  const auto cost = [](const Candidate& item) {
-    return std::pair(item.m_zone_cost == 2, item.m_role_cost);
-  };
-  auto least = cost(candidates.front());
-  for (const Candidate& item : candidates) least = std::min(least, cost(item));
+  Prefer(candidates, [](const Candidate& item) { return item.m_healthy; });
   Prefer(candidates,
-         [&](const Candidate& item) { return cost(item) == least; });
-  int zone = 2;
-  for (const Candidate& item : candidates) {
-    zone = std::min(zone, item.m_zone_cost);
-  }
-  Prefer(candidates,
-         [&](const Candidate& item) { return item.m_zone_cost == zone; });
-  RouteChoice choice = ChooseOfTwo(state, candidates);
-  if (last_resort) choice.m_reason = RouteReason::kLastResort;
-  return choice;
+         [](const Candidate& item) { return item.m_role_cost == 0; });
+  RouteReason reason = RouteReason::kLeastLoad;
+  if (candidates.size() == 1) reason = RouteReason::kOnly;
+  if (!candidates.front().m_healthy) reason = RouteReason::kLastResort;
+  return MakeChoice(ChooseOfTwo(state, candidates, query, mean_request),
+                    reason);
 }
 
 // Returns true if ejecting one more endpoint keeps enough of the fleet.
@@ -301,8 +346,9 @@
     view = nullptr;
   }
   if (view == nullptr) {
-    state.m_fleet_of[endpoint.m_name] = endpoint.m_fleet;
-    view = &state.m_fleets[endpoint.m_fleet].m_endpoints.emplace_back();
+    auto& views = state.m_fleets[endpoint.m_fleet].m_endpoints;
+    state.m_places[endpoint.m_name] = {endpoint.m_fleet, views.size()};
+    view = &views.emplace_back();
     view->m_name = endpoint.m_name;
     view->m_fleet = endpoint.m_fleet;
     view->m_hash = HashName(endpoint.m_name);
@@ -327,25 +373,24 @@
 }
 
 void RemoveEndpoint(RouteState& state, std::string_view endpoint) {
-  const auto found = state.m_fleet_of.find(endpoint);
-  if (found == state.m_fleet_of.end()) return;
-  FleetView& fleet = state.m_fleets[found->second];
-  std::erase_if(fleet.m_endpoints, [&](const EndpointView& view) {
-    return view.m_name == endpoint;
-  });
-  state.m_fleet_of.erase(found);
+  const auto found = state.m_places.find(endpoint);
+  if (found == state.m_places.end()) return;
+  auto& views = state.m_fleets[found->second.m_fleet].m_endpoints;
+  const std::size_t index = found->second.m_index;
+  state.m_places.erase(found);
+  if (index + 1 < views.size()) {
+    views[index] = std::move(views.back());
+    state.m_places[views[index].m_name].m_index = index;
+  }
+  views.pop_back();
 }
 
 const EndpointView* FindEndpoint(const RouteState& state,
                                  std::string_view endpoint) {
-  const auto found = state.m_fleet_of.find(endpoint);
-  if (found == state.m_fleet_of.end()) return nullptr;
-  const auto fleet = state.m_fleets.find(found->second);
-  if (fleet == state.m_fleets.end()) return nullptr;
-  for (const EndpointView& view : fleet->second.m_endpoints) {
-    if (view.m_name == endpoint) return &view;
-  }
-  return nullptr;
+  const auto found = state.m_places.find(endpoint);
+  if (found == state.m_places.end()) return nullptr;
+  const auto fleet = state.m_fleets.find(found->second.m_fleet);
+  return &fleet->second.m_endpoints[found->second.m_index];
 }
 
 double EstimatedWork(const FleetView& fleet, const EndpointView& endpoint) {
@@ -382,14 +427,15 @@
   const auto found = state.m_fleets.find(query.m_fleet);
   if (found == state.m_fleets.end()) return std::nullopt;
   FleetView& fleet = found->second;
-  const Candidates usable = Usable(state, fleet, query);
+  Candidates usable = Usable(state, fleet, query, now);
+  const double mean = fleet.m_mean_work;
   std::optional<RouteChoice> choice;
   if (query.m_isolated) {
-    choice = ChooseIsolated(usable);
+    choice = ChooseIsolated(usable, query);
   } else {
     choice = ChooseProbe(usable, query, now);
-    if (!choice) choice = ChooseAffinity(usable, query, fleet.m_mean_work);
-    if (!choice) choice = ChooseWithRoom(state, usable, query);
+    if (!choice) choice = ChooseAffinity(usable, query, mean);
+    if (!choice) choice = ChooseWithRoom(state, std::move(usable), query, mean);
   }
   if (choice) {
     choice->m_work =
@@ -466,6 +512,12 @@
       report.m_incarnation == view->m_report->m_incarnation) {
     return;
   }
+  // After a restart nothing of what was sent before is there.
+  const bool restarted =
+      view->m_report && report.m_incarnation != view->m_report->m_incarnation;
+  if (restarted && view->m_health == EndpointHealth::kEjected) {
+    view->m_ejected_until = now;
+  }
   while (!view->m_changes.empty() &&
          view->m_changes.front().m_time <= report.m_taken) {
     view->m_changed_work -= view->m_changes.front().m_work;
@@ -473,19 +525,8 @@
     view->m_changes.pop_front();
   }
   if (view->m_changes.empty()) view->m_changed_work = 0.0;
+  view->m_heard = now;
   view->m_report = std::move(report);
 }
 
-std::vector<std::string> ChooseSubset(
-    const std::vector<SubsetMember>& instances, std::string_view self,
-    const std::vector<SubsetMember>& endpoints, std::size_t size) {
-  (void)instances;
-  (void)self;
-  std::vector<std::string> chosen;
-  for (const SubsetMember& endpoint : endpoints) {
-    if (chosen.size() < size) chosen.push_back(endpoint.m_name);
-  }
-  return chosen;
-}
-
 }  // namespace comfreypaddle
--- a/src/route.h
+++ b/src/route.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "retry.h"
+#include "subset.h"
 #include "types.h"
 
 namespace comfreypaddle {
@@ -59,6 +60,7 @@
   std::uint32_t m_concurrency = 0;
   std::uint64_t m_hash = 0;  // Of the name, for rendezvous hashing.
   std::optional<LoadReport> m_report;
+  Instant m_heard{};  // Arrival of m_report.
   // Requests of this instance that run there now.
   std::uint32_t m_own_requests = 0;
   double m_own_work = 0.0;
@@ -87,9 +89,15 @@
   double m_decode = 1.0;    // For each output token.
 };
 
+// Where an endpoint's view is.
+struct EndpointPlace {
+  std::string m_fleet;
+  std::size_t m_index = 0;
+};
+
 struct RouteState {
   std::map<std::string, FleetView, std::less<>> m_fleets;
-  std::map<std::string, std::string, std::less<>> m_fleet_of;  // By endpoint.
+  std::map<std::string, EndpointPlace, std::less<>> m_places;  // By endpoint.
   WorkCosts m_costs;
   std::mt19937_64 m_random{1};
 };
@@ -104,7 +112,11 @@
   std::string m_region;
   bool m_repeatable = true;
   bool m_urgent = false;
-  bool m_isolated = false;  // Must run alone on its endpoint.
+  // Suspected of crashing endpoints: runs alone on its endpoint.
+  bool m_isolated = false;
+  // The isolated request has waited too long for an idle endpoint and takes
+  // the one with the fewest requests.
+  bool m_isolation_overdue = false;
   std::vector<std::string> m_excluded;
 };
 
@@ -193,20 +205,6 @@
 void OnLoadReport(RouteState& state, std::string_view endpoint,
                   LoadReport report, Instant now);
 
-// Entry instance or endpoint, for ChooseSubset.
-struct SubsetMember {
-  std::string m_name;
-  std::string m_region;
-};
-
-// Returns the names of the endpoints that an instance connects to. All
-// instances compute the same assignment. Each endpoint gets about the same
-// number of instances, and each instance about `size` endpoints, if possible
-// of its own region. All endpoints are returned if there are at most `size`.
-std::vector<std::string> ChooseSubset(
-    const std::vector<SubsetMember>& instances, std::string_view self,
-    const std::vector<SubsetMember>& endpoints, std::size_t size);
-
 }  // namespace comfreypaddle
 
 #endif  // COMFREYPADDLE_ROUTE_H_
