Divide a contended fleet among the instances by open requests

Six instances share the slots of a fleet, and the instance at which a request ends is the first to use the free slot. Virtual times alone cannot correct this: an instance whose workspaces are all ahead has nobody else to serve.

Each instance now computes the max-min fair slots of each workspace from the open requests in the digests and takes the portion that matches its own open requests. Shares by estimated work were tried first and dropped: the estimates differ between instances, and their sums did not match. The digest carries the number of open requests for this. The bound on the lead that service given elsewhere can cause goes from 5 to 0.5 seconds of the fleet's service, because a long memory held workspaces back for what they got before the others came.

--- a/src/admit.cpp
+++ b/src/admit.cpp
@@ -15,9 +15,12 @@
 // seconds of the fleet's recent service, at least some average requests. A
 // few heartbeat periods are needed for the correction to reach across
 // instances; more would punish the use of capacity that was idle.
-constexpr double kLeadSeconds = 5.0;
+constexpr double kLeadSeconds = 0.5;
 constexpr double kLeadRequests = 32.0;
 
+// Bound of what a flow that was served too little elsewhere is ahead here.
+constexpr double kCreditRequests = 16.0;
+
 // After this long without waiting requests the past service is forgotten:
 // the fleet was not contended here, so that nobody lost by it.
 constexpr Duration kIdleReset = std::chrono::seconds(1);
@@ -112,6 +115,22 @@
   Link(queue, name, flow);
 }
 
+// Takes a request off those that were taken and not finished.
+void EndRunning(FleetQueue& queue, Flow& flow, double cost) {
+  if (flow.m_running_requests == 0) return;
+  --queue.m_running;
+  flow.m_running = std::max(0.0, flow.m_running - cost);
+  if (--flow.m_running_requests == 0) flow.m_running = 0.0;
+}
+
+// Returns the least virtual start of a flow that becomes backlogged. Time
+// without requests earns no credit. A flow that has requests at a peer is not
+// idle: it keeps a bounded part of what it is behind.
+double LeastStart(const FleetQueue& queue, const Flow& flow, Instant now) {
+  if (now >= flow.m_elsewhere_until) return queue.m_virtual;
+  return queue.m_virtual - kCreditRequests * queue.m_mean_cost / flow.m_weight;
+}
+
 // Returns the part of work done elsewhere that keeps a flow within its lead.
 double WithinLead(const FleetQueue& queue, const Flow& flow, double work) {
   const double room = queue.m_virtual + MaxLead(queue, flow) - flow.m_start;
@@ -230,6 +249,15 @@
   return ahead / rate;
 }
 
+// Returns true if this instance runs as many requests as its share of a
+// contended fleet allows. Half a request is added so that the shares of all
+// instances together use all slots after rounding.
+bool UsesItsShare(const FleetQueue& queue) {
+  if (queue.m_slots <= 0.0 || queue.m_share >= 1.0) return false;
+  const double bound = std::max(1.0, queue.m_share * queue.m_slots);
+  return queue.m_running >= bound;
+}
+
 Duration RetryAfter(Duration wait) {
   return std::clamp(wait, kLeastRetryAfter, kMostRetryAfter);
 }
@@ -335,9 +363,8 @@
     }
     queue.m_busy_since = now;
   }
-  // Time without waiting requests earns no credit.
   if (flow.m_requests.empty()) {
-    flow.m_start = std::max(flow.m_start, queue.m_virtual);
+    flow.m_start = std::max(flow.m_start, LeastStart(queue, flow, now));
   }
   request.m_sequence = state.m_next_sequence++;
   Insert(state, std::move(request), now);
@@ -350,11 +377,7 @@
   if (found == state.m_fleets.end()) return std::nullopt;
   FleetQueue& queue = found->second;
   if (queue.m_order.empty()) return std::nullopt;
-  const double share = std::max(queue.m_share, queue.m_least_share);
-  if (queue.m_slots > 0.0 && share < 1.0 &&
-      queue.m_running >= 1.0 + share * queue.m_slots) {
-    return std::nullopt;
-  }
+  if (UsesItsShare(queue)) return std::nullopt;
   AdvanceRate(queue, now);
   const std::string name = queue.m_order.begin()->second;
   Flow& flow = queue.m_flows.find(name)->second;
@@ -364,6 +387,7 @@
   Charge(queue, name, flow, request.m_cost);
   flow.m_served += request.m_cost;
   flow.m_running += request.m_cost;
+  ++flow.m_running_requests;
   if (now - queue.m_busy_since >= kLeastBusy) {
     queue.m_recent_work += request.m_cost;
   }
@@ -376,8 +400,7 @@
   Flow& flow = FlowOf(state, queue, request.m_workspace);
   const double cost = request.m_cost;
   const std::string name = request.m_workspace;
-  if (queue.m_running > 0) --queue.m_running;
-  flow.m_running = std::max(0.0, flow.m_running - cost);
+  EndRunning(queue, flow, cost);
   flow.m_served -= cost;
   queue.m_recent_work = std::max(0.0, queue.m_recent_work - cost);
   Charge(queue, name, flow, -cost);
@@ -389,8 +412,7 @@
   FleetQueue& queue = FleetOf(state, fleet);
   Flow& flow = FlowOf(state, queue, workspace);
   const double difference = actual - estimated;
-  if (queue.m_running > 0) --queue.m_running;
-  flow.m_running = std::max(0.0, flow.m_running - estimated);
+  EndRunning(queue, flow, estimated);
   flow.m_served += difference;
   queue.m_recent_work = std::max(0.0, queue.m_recent_work + difference);
   Charge(queue, std::string(workspace), flow, difference);
@@ -444,14 +466,15 @@
   FleetQueue& queue = FleetOf(state, digest.m_fleet);
   Flow& flow = FlowOf(state, queue, digest.m_workspace);
   AdvanceRate(queue, now);
+  if (digest.m_requests > 0) flow.m_elsewhere_until = now + kDemandAge;
   const auto found = flow.m_peers.find(peer);
   if (found == flow.m_peers.end()) {
     // Service from before the first report is not known to be recent.
-    flow.m_peers[std::string(peer)] = {digest.m_served, digest.m_waiting, now};
+    flow.m_peers[std::string(peer)] = {digest.m_served, digest.m_requests, now};
     return;
   }
   const double served = digest.m_served - found->second.m_served;
-  found->second = {digest.m_served, digest.m_waiting, now};
+  found->second = {digest.m_served, digest.m_requests, now};
   queue.m_recent_other = std::max(0.0, queue.m_recent_other + served);
   Charge(queue, digest.m_workspace, flow, WithinLead(queue, flow, served));
 }
--- a/src/admit.h
+++ b/src/admit.h
@@ -72,6 +72,10 @@
 // Number of values of Priority.
 inline constexpr std::size_t kPriorityRanks = 3;
 
+// A peer's word that a workspace has open requests counts for this long. It
+// spans several heartbeat periods, and ends soon after a peer died.
+inline constexpr Duration kDemandAge = std::chrono::seconds(3);
+
 // Place of a request within its workspace: priority rank, then arrival.
 struct QueueKey {
   int m_rank = 0;  // 0 is served first.
@@ -84,8 +88,8 @@
 
 // What a peer said about one workspace at one fleet.
 struct PeerService {
-  double m_served = 0.0;   // Since the peer's start, tokens of work.
-  double m_waiting = 0.0;  // Queued and running, tokens of work.
+  double m_served = 0.0;         // Since the peer's start, tokens of work.
+  std::uint32_t m_requests = 0;  // Queued and running.
   Instant m_heard{};
 };
 
@@ -98,6 +102,8 @@
   double m_told = 0.0;     // Value of m_served in the last digest.
   double m_queued = 0.0;   // Cost of waiting requests.
   double m_running = 0.0;  // Cost of requests taken and not finished.
+  std::uint32_t m_running_requests = 0;
+  Instant m_elsewhere_until{};  // Up to here it has requests at a peer.
   std::array<double, kPriorityRanks> m_queued_by_rank{};
   std::map<QueueKey, Waiting> m_requests;
   std::map<std::string, PeerService, std::less<>> m_peers;
@@ -125,7 +131,6 @@
   double m_slots = 0.0;
   // Share of the slots that this instance may use; see UpdateShares.
   double m_share = 1.0;
-  double m_least_share = 1.0;  // Floor, for demand since the last update.
   std::map<std::string, Flow, std::less<>> m_flows;
   std::set<std::pair<double, std::string>> m_order;  // Backlogged flows.
 };
@@ -162,8 +167,9 @@
 struct ServiceDigest {
   std::string m_fleet;
   std::string m_workspace;
-  double m_served = 0.0;   // Since the sender's start, tokens of work.
-  double m_waiting = 0.0;  // Queued and running now, tokens of work.
+  double m_served = 0.0;         // Since the sender's start, tokens of work.
+  double m_waiting = 0.0;        // Queued and running now, tokens of work.
+  std::uint32_t m_requests = 0;  // Queued and running now.
 };
 
 // Sets weight and queue bound of a workspace. Workspaces that were never set
--- a/src/exchange.cpp
+++ b/src/exchange.cpp
@@ -11,7 +11,8 @@
 
 void KeepText(Exchange& exchange, std::string_view text) {
   if (!exchange.m_text_whole) return;
-  if (exchange.m_text.size() + text.size() > kMaxKeptText) {
+  const std::size_t limit = exchange.m_streamed ? kMaxKeptText : kMaxHeldText;
+  if (exchange.m_text.size() + text.size() > limit) {
     exchange.m_text_whole = false;
     exchange.m_text.clear();
     exchange.m_text.shrink_to_fit();
@@ -88,6 +89,7 @@
   if (position <= exchange.m_position) return EventVerdict::kDuplicate;
   exchange.m_position = position;
   exchange.m_answer_seen = true;
+  exchange.m_attempts = 1;
   exchange.m_resumes = 0;
   ++exchange.m_attempt.m_tokens;
   KeepText(exchange, text);
@@ -146,6 +148,7 @@
   facts.m_repeatable = exchange.m_repeatable;
   facts.m_may_have_run = exchange.m_may_have_run;
   facts.m_answer_seen = exchange.m_answer_seen;
+  facts.m_sent = current.m_sent;
   facts.m_resumable = exchange.m_kind == AnswerKind::kTokens;
   facts.m_caller_has_part = CallerHasPart(exchange);
   facts.m_has_text = exchange.m_kind == AnswerKind::kTokens &&
@@ -168,7 +171,10 @@
   return exchange.m_may_have_run || open ? Outcome::kUnknown : Outcome::kNotRun;
 }
 
-bool IsComplete(const Exchange& exchange) { return exchange.m_done; }
+bool IsComplete(const Exchange& exchange) {
+  const bool held = exchange.m_streamed || exchange.m_text_whole;
+  return exchange.m_done && held;
+}
 
 void EndExchange(Exchange& exchange) {
   exchange.m_ended = true;
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -12,8 +12,10 @@
 
 namespace comfreypaddle {
 
-// Bytes of answer text that are kept for another endpoint to go on behind.
+// Bytes of answer text that are kept for another endpoint to go on behind, and
+// bytes that are held for a caller who gets the answer in one piece.
 inline constexpr std::size_t kMaxKeptText = std::size_t{1} << 20;
+inline constexpr std::size_t kMaxHeldText = std::size_t{8} << 20;
 
 // How the answer of a request is checked for being whole.
 enum class AnswerKind {
@@ -78,8 +80,8 @@
 
   Attempt m_attempt;
   std::uint32_t m_last_number = 0;
-  std::uint32_t m_attempts = 0;  // Resumes not counted.
-  std::uint32_t m_resumes = 0;   // In a row without a new token.
+  std::uint32_t m_attempts = 0;  // See FailureFacts.
+  std::uint32_t m_resumes = 0;
   bool m_may_have_run = false;
   bool m_answer_seen = false;
 
@@ -141,8 +143,8 @@
 // Returns what may be reported about the request if it ends now.
 Outcome OutcomeOf(const Exchange& exchange);
 
-// Returns true if the whole answer was seen, so that the caller may be told
-// that it is complete.
+// Returns true if the whole answer was seen, and is held if the caller gets it
+// in one piece, so that the caller may be told that it is complete.
 bool IsComplete(const Exchange& exchange);
 
 // Ends the request. Later events are stale.
--- a/src/retry.cpp
+++ b/src/retry.cpp
@@ -28,19 +28,16 @@
 
 // Returns true if the same endpoint may still hold the stream.
 bool MayResume(const FailureFacts& facts) {
-  if (!facts.m_resumable || !facts.m_may_have_run) return false;
+  if (!facts.m_resumable || !facts.m_sent) return false;
   if (facts.m_resumes >= kMaxResumes) return false;
   return facts.m_kind == FailureKind::kConnectionLost ||
-         facts.m_kind == FailureKind::kSilent ||
-         facts.m_kind == FailureKind::kConnectFailed;
+         facts.m_kind == FailureKind::kSilent;
 }
 
 // Returns the reason against any further attempt, or kAllowed.
 RetryReason Objection(const RetryState& state, const FailureFacts& facts,
                       Instant now) {
-  if (now >= facts.m_deadline || facts.m_kind == FailureKind::kTimeout) {
-    return RetryReason::kDeadline;
-  }
+  if (now >= facts.m_deadline) return RetryReason::kDeadline;
   if (facts.m_kind == FailureKind::kAnsweredError) return RetryReason::kFinal;
   if (facts.m_poison) return RetryReason::kPoison;
   if (!facts.m_repeatable && facts.m_may_have_run) {
@@ -87,9 +84,7 @@
                           Instant now) {
   RetryDecision decision;
   decision.m_outcome = OutcomeOf(facts);
-  const bool in_time =
-      now < facts.m_deadline && facts.m_kind != FailureKind::kTimeout;
-  if (in_time && MayResume(facts)) {
+  if (now < facts.m_deadline && MayResume(facts)) {
     decision.m_action = RetryAction::kResume;
     return decision;
   }
--- a/src/retry.h
+++ b/src/retry.h
@@ -50,6 +50,8 @@
   bool m_may_have_run = false;
   // True if a part of an answer was seen in any attempt.
   bool m_answer_seen = false;
+  // True if a byte of the failed attempt may have reached its endpoint.
+  bool m_sent = false;
   // True for engine streams, which can be resumed by position.
   bool m_resumable = false;
   // True if the caller got a part of the answer, so that another attempt must
@@ -65,8 +67,10 @@
   // True if the request is suspected of crashing endpoints and must not run
   // again.
   bool m_poison = false;
-  std::uint32_t m_attempts = 0;  // Made so far, resumes not counted.
-  std::uint32_t m_resumes = 0;   // In a row without a new token.
+  // Attempts and resumes in a row that brought no new token. An attempt that
+  // did counts as one.
+  std::uint32_t m_attempts = 0;
+  std::uint32_t m_resumes = 0;
   Instant m_deadline{};
 };
 
