--- a/src/admit.h
+++ b/src/admit.h
@@ -64,8 +64,9 @@
   // For refusals: time after which another attempt is likely to be queued.
   Duration m_retry_after{0};
   // Request that lost its place to this one because the instance's queue was
-  // full and its workspace had the longest queue. The caller refuses it with
-  // kInstanceFull and m_retry_after.
+  // full and its workspace had the longest queue. The caller refuses it like
+  // kInstanceFull. Its outcome is `not_run` unless it was put back after an
+  // attempt; see OutcomeOf in exchange.h.
   std::optional<Waiting> m_displaced;
 };
 
--- a/src/subset.cpp
+++ b/src/subset.cpp
@@ -13,14 +13,14 @@
 namespace {
 
 // An instance gets at most this multiple of the mean number of endpoints.
-constexpr double kBound = 1.25;
+// Those below the other multiple of their part so far are chosen first. Closer
+// bounds would move more endpoints when the members change.
+constexpr double kMost = 1.1;
+constexpr double kLeast = 0.9;
 
 // Share of an instance's endpoints that are in other regions.
 constexpr double kRemoteShare = 0.125;
 
-// Endpoints assigned before an instance may reach its bound by chance only.
-constexpr std::size_t kBoundSlack = 1;
-
 struct Member {
   const SubsetMember* m_member = nullptr;
   std::uint64_t m_hash = 0;
@@ -31,7 +31,9 @@
 struct Pool {
   std::vector<Member*> m_instances;
   std::size_t m_each = 0;
-  std::size_t m_bound = 0;
+  double m_mean = 0.0;      // Endpoints for each instance, in the end.
+  double m_expected = 0.0;  // The same so far.
+  double m_step = 0.0;      // Added to m_expected by each endpoint.
 };
 
 std::uint64_t HashName(const std::string& name) {
@@ -66,24 +68,28 @@
   const auto total = static_cast<double>(endpoints);
   pool.m_each = static_cast<std::size_t>(
       std::clamp(std::ceil(size * count / total), 1.0, count));
-  const double mean = static_cast<double>(pool.m_each) * total / count;
-  pool.m_bound =
-      static_cast<std::size_t>(std::ceil(kBound * mean)) + kBoundSlack;
+  pool.m_step = static_cast<double>(pool.m_each) / count;
+  pool.m_mean = pool.m_step * total;
   pool.m_instances = std::move(instances);
   return pool;
 }
 
-// Assigns the highest-ranked instances below the bound to an endpoint.
+// Returns 0 for an instance that has its bound, 2 for one that has too few.
+std::uint64_t Need(const Pool& pool, const Member& instance) {
+  const auto assigned = static_cast<double>(instance.m_assigned);
+  if (assigned >= kMost * pool.m_mean) return 0;
+  return assigned < kLeast * pool.m_expected ? 2 : 1;
+}
+
+// Assigns the highest-ranked instances to an endpoint, those in need first.
 // Returns true if `self` is among them.
 bool Assign(Pool& pool, std::uint64_t endpoint, std::string_view self) {
   std::vector<std::pair<std::uint64_t, Member*>> ranked;
   ranked.reserve(pool.m_instances.size());
+  pool.m_expected += pool.m_step;
   for (Member* instance : pool.m_instances) {
-    // Instances at the bound come last, and are used if all are there.
-    const std::uint64_t score = Mix(endpoint, instance->m_hash) >> 1U;
-    const bool open = instance->m_assigned < pool.m_bound;
-    ranked.emplace_back(open ? score | (std::uint64_t{1} << 63U) : score,
-                        instance);
+    const std::uint64_t score = Mix(endpoint, instance->m_hash) >> 2U;
+    ranked.emplace_back(score | (Need(pool, *instance) << 62U), instance);
   }
   const auto last = ranked.begin() + static_cast<std::ptrdiff_t>(pool.m_each);
   std::nth_element(
--- a/tests/admit_test.cpp
+++ b/tests/admit_test.cpp
@@ -4,6 +4,8 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <set>
+
 namespace comfreypaddle {
 namespace {
 
@@ -108,5 +110,183 @@
   CHECK_FALSE(TakeNext(state, "models", kStart));
 }
 
+// Guards against urgent requests that wait behind others, and against a
+// workspace that gets more than its share by calling all its requests urgent.
+TEST_CASE("urgent requests go first but do not change the shares") {
+  AdmitState state;
+  std::uint64_t id = 0;
+  for (int i = 0; i < 200; ++i) {
+    Enqueue(state, {}, Request(++id, "a"), kStart);
+    Waiting urgent = Request(++id, "b");
+    urgent.m_priority = Priority::kUrgent;
+    Enqueue(state, {}, urgent, kStart);
+  }
+  int urgent = 0;
+  for (int i = 0; i < 100; ++i) {
+    const bool of_b = TakeNext(state, "models", kStart)->m_workspace == "b";
+    urgent += of_b ? 1 : 0;
+    if (i < 4) CHECK(of_b);
+  }
+  CHECK(urgent >= 50);
+  CHECK(urgent <= 54);
+}
+
+// Guards against a request that loses its place or is charged twice because
+// no endpoint had room for it.
+TEST_CASE("a request that is put back keeps its place and costs nothing") {
+  AdmitState state;
+  for (std::uint64_t id = 1; id <= 4; ++id) {
+    Enqueue(state, {}, Request(id, id % 2 == 0 ? "b" : "a"), kStart);
+  }
+  for (int i = 0; i < 5; ++i) {
+    PutBack(state, *TakeNext(state, "models", kStart), kStart);
+  }
+  for (const std::uint64_t id : {1U, 2U, 3U, 4U}) {
+    CHECK(TakeNext(state, "models", kStart)->m_id == id);
+  }
+}
+
+// Guards against a workspace that is served too much because its service at
+// other instances is not seen, and against one that is held back without end.
+TEST_CASE("service at other instances counts within a bound") {
+  AdmitState state;
+  std::uint64_t id = 0;
+  for (int i = 0; i < 200; ++i) {
+    Enqueue(state, {}, Request(++id, "a"), kStart);
+    Enqueue(state, {}, Request(++id, "b"), kStart);
+  }
+  ReportOtherService(state, "p", {"models", "a", 5000.0, 0.0, 0}, kStart);
+  ReportOtherService(state, "p", {"models", "a", 6000.0, 0.0, 0}, kStart);
+  for (int i = 0; i < 10; ++i) {
+    CHECK(TakeNext(state, "models", kStart)->m_workspace == "b");
+  }
+  ReportOtherService(state, "p", {"models", "a", 1e9, 0.0, 0}, kStart);
+  int others = 0;
+  while (TakeNext(state, "models", kStart)->m_workspace == "b") ++others;
+  CHECK(others <= 40);
+}
+
+// Guards against credit for time in which a workspace asked for nothing.
+TEST_CASE("an idle workspace earns no credit") {
+  AdmitState state;
+  std::uint64_t id = 0;
+  for (int i = 0; i < 400; ++i) Enqueue(state, {}, Request(++id, "a"), kStart);
+  for (int i = 0; i < 200; ++i) TakeNext(state, "models", kStart);
+  for (int i = 0; i < 100; ++i) Enqueue(state, {}, Request(++id, "b"), kStart);
+  int late = 0;
+  for (int i = 0; i < 100; ++i) {
+    late += TakeNext(state, "models", kStart)->m_workspace == "b" ? 1 : 0;
+  }
+  CHECK(late <= 51);
+}
+
+// Guards against a difference of service beyond the bound of start-time fair
+// queueing: one largest request of each of the two workspaces.
+TEST_CASE("backlogged workspaces stay within one request of each other") {
+  CHECK(rc::check([] {
+    AdmitState state;
+    const int count = *rc::gen::inRange(2, 6);
+    std::vector<double> weights;
+    std::vector<double> largest(static_cast<std::size_t>(count), 0.0);
+    std::uint64_t id = 0;
+    for (int w = 0; w < count; ++w) {
+      weights.push_back(*rc::gen::inRange(1, 5));
+      SetWorkspace(state, std::to_string(w), weights.back(), 0);
+      for (int i = 0; i < 60; ++i) {
+        const double cost = *rc::gen::inRange(1, 500);
+        auto& most = largest[static_cast<std::size_t>(w)];
+        most = std::max(most, cost);
+        Enqueue(state, {}, Request(++id, std::to_string(w), cost), kStart);
+      }
+    }
+    std::vector<double> served(weights.size(), 0.0);
+    for (int i = 0; i < 50; ++i) {
+      const Waiting taken = *TakeNext(state, "models", kStart);
+      served[std::stoul(taken.m_workspace)] += taken.m_cost;
+      for (std::size_t a = 0; a < served.size(); ++a) {
+        for (std::size_t b = 0; b < served.size(); ++b) {
+          RC_ASSERT(served[a] / weights[a] - served[b] / weights[b] <=
+                    largest[a] / weights[a] + largest[b] / weights[b] + 1e-6);
+        }
+      }
+    }
+  }));
+}
+
+// Guards against requests that are lost, answered twice or left in an index.
+TEST_CASE("each request leaves exactly once in any order of calls") {
+  CHECK(rc::check([] {
+    AdmitState state;
+    const AdmitLimits limits{.m_instance_requests = 30,
+                             .m_workspace_requests = 12};
+    std::multiset<std::uint64_t> left;
+    std::uint64_t id = 0;
+    Instant now = kStart;
+    const auto leave = [&](const Waiting& request) {
+      left.insert(request.m_id);
+    };
+    for (int step = 0; step < 200; ++step) {
+      now += milliseconds(*rc::gen::inRange(0, 100));
+      const std::string name = std::to_string(*rc::gen::inRange(0, 5));
+      const int action = *rc::gen::inRange(0, 10);
+      if (action < 6) {
+        Waiting request = Request(++id, name);
+        request.m_priority = static_cast<Priority>(*rc::gen::inRange(0, 3));
+        request.m_deadline = now + milliseconds(*rc::gen::inRange(1, 9000));
+        const auto decision = Enqueue(state, limits, request, now);
+        if (decision.m_verdict != AdmitVerdict::kQueued) leave(request);
+        if (decision.m_displaced) leave(*decision.m_displaced);
+      } else if (action < 8) {
+        auto taken = TakeNext(state, "models", now);
+        if (taken && action == 6) {
+          PutBack(state, *taken, now);
+        } else if (taken) {
+          CorrectCost(state, "models", taken->m_workspace, taken->m_cost, 50);
+          leave(*taken);
+        }
+      } else if (action == 8) {
+        for (const Waiting& item : TakeExpired(state, now)) leave(item);
+      } else {
+        for (const Waiting& item : TakeOfKey(state, name + "-key")) leave(item);
+      }
+      RC_ASSERT(QueuedRequests(state) <= limits.m_instance_requests);
+      RC_ASSERT(QueuedRequests(state) + left.size() == id);
+    }
+    while (auto taken = TakeNext(state, "models", now)) leave(*taken);
+    RC_ASSERT(left.size() == id);
+    RC_ASSERT(std::set(left.begin(), left.end()).size() == id);
+    RC_ASSERT(state.m_deadlines.empty() && state.m_keys.empty() &&
+              state.m_lengths.empty() && state.m_places.empty());
+  }));
+}
+
+// Guards against costs that grow with the number of workspaces. The bound is
+// generous: the load of two years is 17 requests/s for each instance.
+TEST_CASE("enqueue and take with 2,000 queued requests") {
+  for (const int workspaces : {8, 1500}) {
+    AdmitState state;
+    const AdmitLimits limits{.m_workspace_requests = 2000};
+    std::uint64_t id = 0;
+    const auto next = [&] {
+      ++id;
+      const double cost = static_cast<double>(1 + id % 97);
+      return Request(id, "w" + std::to_string(id % workspaces), cost);
+    };
+    for (int i = 0; i < 1900; ++i) Enqueue(state, limits, next(), kStart);
+    constexpr int kRounds = 20000;
+    const auto begin = std::chrono::steady_clock::now();
+    for (int i = 0; i < kRounds; ++i) {
+      Enqueue(state, limits, next(), kStart);
+      const auto taken = TakeNext(state, "models", kStart);
+      CorrectCost(state, "models", taken->m_workspace, taken->m_cost, 50.0);
+    }
+    const std::chrono::duration<double> time =
+        std::chrono::steady_clock::now() - begin;
+    MESSAGE(workspaces << " workspaces: " << kRounds / time.count()
+                       << " enqueue, take and finish per second");
+    CHECK(kRounds / time.count() > 5000.0);
+  }
+}
+
 }  // namespace
 }  // namespace comfreypaddle
--- a/tests/retry_test.cpp
+++ b/tests/retry_test.cpp
@@ -33,5 +33,88 @@
       RetryAction::kStartAgain);
 }
 
+// Guards against a broken connection that costs the work done so far.
+TEST_CASE("a stream is resumed once, then continued, then started again") {
+  RetryState state;
+  FailureFacts facts = Facts(FailureKind::kSilent);
+  facts.m_repeatable = true;
+  facts.m_resumable = true;
+  facts.m_sent = true;
+  facts.m_may_have_run = true;
+  facts.m_has_text = true;
+  CHECK(DecideRetry(state, facts, kStart).m_action == RetryAction::kResume);
+  facts.m_resumes = 1;
+  CHECK(DecideRetry(state, facts, kStart).m_action == RetryAction::kContinue);
+  facts.m_has_text = false;
+  CHECK(DecideRetry(state, facts, kStart).m_action == RetryAction::kStartAgain);
+  // The caller has a part that no other endpoint can go on behind.
+  facts.m_caller_has_part = true;
+  CHECK(DecideRetry(state, facts, kStart).m_reason == RetryReason::kTextLost);
+}
+
+// Guards against retries that multiply the load of an outage, and against
+// budgets that one workspace uses up for all.
+TEST_CASE("retries are bounded for a workspace and do not touch others") {
+  RetryState state;
+  FailureFacts facts = Facts(FailureKind::kConnectFailed);
+  int retries = 0;
+  for (int i = 0; i < 1000; ++i) {
+    OnRequest(state, "a");
+    const RetryDecision decision = DecideRetry(state, facts, kStart);
+    if (decision.m_action != RetryAction::kGiveUp) ++retries;
+    CHECK(decision.m_outcome == Outcome::kNotRun);
+  }
+  CHECK(retries >= 100);
+  CHECK(retries <= 110);
+  facts.m_workspace = "b";
+  CHECK(DecideRetry(state, facts, kStart).m_action == RetryAction::kStartAgain);
+  // A planned move is free.
+  facts.m_workspace = "a";
+  facts.m_endpoint_leaving = true;
+  for (int i = 0; i < 100; ++i) {
+    CHECK(DecideRetry(state, facts, kStart).m_charged == 0.0);
+  }
+}
+
+// Guards against a second run of a call that must not repeat, a false
+// not_run, work after the deadline, and budgets that are overdrawn.
+TEST_CASE("decisions keep the rules for any facts") {
+  CHECK(rc::check([] {
+    RetryState state;
+    double charged = 0.0;
+    for (int i = 0; i < 60; ++i) {
+      FailureFacts facts =
+          Facts(static_cast<FailureKind>(*rc::gen::inRange(0, 9)));
+      facts.m_repeatable = *rc::gen::arbitrary<bool>();
+      facts.m_sent = *rc::gen::arbitrary<bool>();
+      facts.m_may_have_run = *rc::gen::arbitrary<bool>();
+      facts.m_answer_seen = *rc::gen::arbitrary<bool>();
+      facts.m_resumable = *rc::gen::arbitrary<bool>();
+      facts.m_caller_has_part = *rc::gen::arbitrary<bool>();
+      facts.m_has_text = *rc::gen::arbitrary<bool>();
+      facts.m_made_progress = *rc::gen::arbitrary<bool>();
+      facts.m_poison = *rc::gen::arbitrary<bool>();
+      facts.m_attempts = *rc::gen::inRange(1, 8);
+      facts.m_resumes = *rc::gen::inRange(0, 3);
+      facts.m_deadline = kStart + seconds(*rc::gen::inRange(-1, 3));
+      const RetryDecision decision = DecideRetry(state, facts, kStart);
+      charged += decision.m_charged;
+      const bool second_send = decision.m_action == RetryAction::kContinue ||
+                               decision.m_action == RetryAction::kStartAgain;
+      RC_ASSERT(!second_send || facts.m_repeatable || !facts.m_may_have_run);
+      RC_ASSERT(!second_send || !facts.m_poison);
+      RC_ASSERT(!second_send || !facts.m_caller_has_part || facts.m_has_text);
+      RC_ASSERT((decision.m_outcome == Outcome::kNotRun) ==
+                (!facts.m_may_have_run && !facts.m_answer_seen));
+      if (facts.m_deadline <= kStart) {
+        RC_ASSERT(decision.m_action == RetryAction::kGiveUp);
+      } else {
+        RC_ASSERT(kStart + decision.m_wait < facts.m_deadline);
+      }
+      RC_ASSERT(charged <= state.m_limits.m_burst + 1e-9);
+    }
+  }));
+}
+
 }  // namespace
 }  // namespace comfreypaddle
--- a/tests/route_test.cpp
+++ b/tests/route_test.cpp
@@ -60,5 +60,181 @@
   CHECK(EstimatedRequests(*FindEndpoint(state, "e0")) == 1.0);
 }
 
+// Guards against lost cache hits, and against hot spots because of them.
+TEST_CASE("requests with the same prefix share an endpoint within the bound") {
+  RouteState state = MakeFleet(12, 100);
+  RouteQuery query = Query();
+  query.m_prefix_hash = 7;
+  const std::string first = ChooseEndpoint(state, query, kStart)->m_endpoint;
+  int there = 0;
+  for (int i = 0; i < 120; ++i) {
+    const auto choice = ChooseEndpoint(state, query, kStart);
+    if (choice->m_reason == RouteReason::kAffinity) {
+      CHECK(choice->m_endpoint == first);
+      ++there;
+    }
+    OnSent(state, choice->m_endpoint, choice->m_work, false, kStart);
+  }
+  // The mean is ten requests at the end; 1.25 times ten and two more.
+  CHECK(there >= 10);
+  CHECK(FindEndpoint(state, first)->m_own_requests <= 15);
+}
+
+// Guards against traffic across regions while there is room in the own one,
+// and against a full region that does not get help.
+TEST_CASE("other regions are used only when the own one is loaded") {
+  RouteState state = MakeFleet(3, 8);
+  Endpoint remote;
+  remote.m_name = "remote";
+  remote.m_fleet = "models";
+  remote.m_region = "other";
+  SetEndpoint(state, remote, 8);
+  int sent = 0;
+  for (;; ++sent) {
+    const auto choice = ChooseEndpoint(state, Query(), kStart);
+    if (!choice) break;
+    if (sent < 9) CHECK(choice->m_endpoint != "remote");
+    OnSent(state, choice->m_endpoint, choice->m_work, false, kStart);
+  }
+  CHECK(sent == 32);
+}
+
+// Guards against endpoints that fail each request they get, and against
+// trials that fail many requests at once.
+TEST_CASE("a failing endpoint is ejected and tried with one request") {
+  RouteState state = MakeFleet(4);
+  for (int i = 0; i < 3; ++i) {
+    OnSent(state, "e0", 10.0, false, kStart);
+    OnFailed(state, "e0", 10.0, FailureKind::kConnectFailed, kStart);
+  }
+  for (int i = 0; i < 20; ++i) {
+    CHECK(ChooseEndpoint(state, Query(), kStart)->m_endpoint != "e0");
+  }
+  const Instant later = kStart + seconds(2);
+  RouteQuery once = Query();
+  once.m_repeatable = false;
+  CHECK(ChooseEndpoint(state, once, later)->m_reason != RouteReason::kProbe);
+  const auto probe = ChooseEndpoint(state, Query(), later);
+  CHECK(probe->m_reason == RouteReason::kProbe);
+  OnSent(state, probe->m_endpoint, 10.0, false, later);
+  CHECK(ChooseEndpoint(state, Query(), later)->m_reason != RouteReason::kProbe);
+  OnFinished(state, "e0", 10.0, later);
+  CHECK(FindEndpoint(state, "e0")->m_health == EndpointHealth::kHealthy);
+}
+
+// Guards against a suspected request that takes others down with it.
+TEST_CASE("a suspected request has its endpoint to itself") {
+  RouteState state = MakeFleet(2);
+  OnSent(state, "e0", 10.0, false, kStart);
+  RouteQuery query = Query();
+  query.m_isolated = true;
+  CHECK(ChooseEndpoint(state, query, kStart)->m_endpoint == "e1");
+  OnSent(state, "e1", 10.0, true, kStart);
+  for (int i = 0; i < 5; ++i) {
+    CHECK(ChooseEndpoint(state, Query(), kStart)->m_endpoint == "e0");
+  }
+  CHECK_FALSE(ChooseEndpoint(state, query, kStart));
+  query.m_isolation_overdue = true;
+  CHECK(ChooseEndpoint(state, query, kStart)->m_endpoint == "e0");
+}
+
+// Guards against choices that a reclaim, a planned stop, a full endpoint or an
+// earlier failure of the request rules out.
+TEST_CASE("no choice breaks a constraint") {
+  CHECK(rc::check([] {
+    RouteState state = MakeFleet(*rc::gen::inRange(1, 12), 3);
+    state.m_random.seed(*rc::gen::arbitrary<std::uint64_t>());
+    for (EndpointView& view : state.m_fleets["models"].m_endpoints) {
+      view.m_class = static_cast<EndpointClass>(*rc::gen::inRange(0, 2));
+      view.m_role = static_cast<EndpointRole>(*rc::gen::inRange(0, 3));
+      view.m_leaving = *rc::gen::inRange(0, 4) == 0;
+      view.m_draining = *rc::gen::inRange(0, 4) == 0;
+      const int sent = *rc::gen::inRange(0, 4);
+      for (int i = 0; i < sent; ++i) {
+        OnSent(state, view.m_name, 100.0, false, kStart);
+      }
+    }
+    RouteQuery query = Query();
+    query.m_repeatable = *rc::gen::arbitrary<bool>();
+    query.m_urgent = *rc::gen::arbitrary<bool>();
+    query.m_prefix_hash = *rc::gen::inRange(0, 5);
+    query.m_excluded = {"e0"};
+    const auto choice = ChooseEndpoint(state, query, kStart);
+    bool on_demand = false;
+    bool any_on_demand = false;
+    bool any = false;
+    for (const auto& view : state.m_fleets["models"].m_endpoints) {
+      if (view.m_leaving || view.m_draining || view.m_name == "e0") continue;
+      const bool room = view.m_own_requests < 3;
+      any = any || room;
+      if (view.m_class != EndpointClass::kOnDemand) continue;
+      any_on_demand = true;
+      on_demand = on_demand || room;
+    }
+    if (!choice) {
+      RC_ASSERT(!any || (!query.m_repeatable && any_on_demand && !on_demand));
+      return;
+    }
+    const EndpointView& view = *FindEndpoint(state, choice->m_endpoint);
+    RC_ASSERT(!view.m_leaving && !view.m_draining && view.m_name != "e0");
+    RC_ASSERT(view.m_own_requests < 3);
+    if (query.m_urgent || !query.m_repeatable) {
+      RC_ASSERT(!on_demand || view.m_class == EndpointClass::kOnDemand);
+    }
+  }));
+}
+
+// Guards against drift of the load estimate when reports are late, overtake
+// each other or cut the list of own changes.
+TEST_CASE("estimates follow the truth in any order of reports") {
+  CHECK(rc::check([] {
+    RouteState state = MakeFleet(1, 0);
+    std::deque<std::pair<Instant, std::uint32_t>> truth{{kStart, 0}};
+    Instant now = kStart;
+    for (int step = 0; step < 100; ++step) {
+      now += milliseconds(1);
+      const std::uint32_t running = truth.back().second;
+      if (*rc::gen::inRange(0, 3) > 0 || running == 0) {
+        OnSent(state, "e0", 10.0, false, now);
+        truth.emplace_back(now, running + 1);
+      } else {
+        OnFinished(state, "e0", 10.0, now);
+        truth.emplace_back(now, running - 1);
+      }
+      if (*rc::gen::inRange(0, 5) == 0) {
+        const auto& [taken, count] = truth[static_cast<std::size_t>(
+            *rc::gen::inRange(0, static_cast<int>(truth.size())))];
+        LoadReport report;
+        report.m_taken = taken;
+        report.m_running = count;
+        OnLoadReport(state, "e0", report, now);
+      }
+      RC_ASSERT(EstimatedRequests(*FindEndpoint(state, "e0")) ==
+                truth.back().second);
+    }
+  }));
+}
+
+// Guards against decisions that cost more than the request path can bear.
+TEST_CASE("decisions per second") {
+  for (const int endpoints : {12, 400}) {
+    RouteState state = MakeFleet(endpoints, 64);
+    RouteQuery query = Query();
+    constexpr int kRounds = 5000;
+    const auto begin = std::chrono::steady_clock::now();
+    for (int i = 0; i < kRounds; ++i) {
+      query.m_prefix_hash = static_cast<std::uint64_t>(i % 50);
+      const auto choice = ChooseEndpoint(state, query, kStart);
+      OnSent(state, choice->m_endpoint, choice->m_work, false, kStart);
+      if (i >= 100) OnFinished(state, choice->m_endpoint, 200.0, kStart);
+    }
+    const std::chrono::duration<double> time =
+        std::chrono::steady_clock::now() - begin;
+    MESSAGE(endpoints << " endpoints: " << kRounds / time.count()
+                      << " decisions per second");
+    CHECK(kRounds / time.count() > 1000.0);
+  }
+}
+
 }  // namespace
 }  // namespace comfreypaddle
