--- a/src/admit.h
+++ b/src/admit.h
@@ -21,7 +21,7 @@
 // Request that waits in the queue of this instance for an endpoint. Nothing
 // of it was sent yet unless the caller put it back for another attempt.
 struct Waiting {
-  std::uint64_t m_id = 0;
+  std::uint64_t m_id = 0;  // Unique in this instance.
   std::string m_workspace;
   std::string m_key;  // Name of the key; empty on open routes.
   std::string m_fleet;
@@ -64,14 +64,19 @@
   // For refusals: time after which another attempt is likely to be queued.
   Duration m_retry_after{0};
   // Request that lost its place to this one because the instance's queue was
-  // full and its workspace had the longest queue. The caller refuses it with
-  // kInstanceFull and m_retry_after.
+  // full and its workspace had the longest queue. The caller refuses it like
+  // kInstanceFull. Its outcome is `not_run` unless it was put back after an
+  // attempt; see OutcomeOf in exchange.h.
   std::optional<Waiting> m_displaced;
 };
 
 // Number of values of Priority.
 inline constexpr std::size_t kPriorityRanks = 3;
 
+// A peer's word that a workspace has open requests counts for this long. It
+// spans several heartbeat periods, and ends soon after a peer died.
+inline constexpr Duration kDemandAge = std::chrono::seconds(3);
+
 // Place of a request within its workspace: priority rank, then arrival.
 struct QueueKey {
   int m_rank = 0;  // 0 is served first.
@@ -84,8 +89,8 @@
 
 // What a peer said about one workspace at one fleet.
 struct PeerService {
-  double m_served = 0.0;   // Since the peer's start, tokens of work.
-  double m_waiting = 0.0;  // Queued and running, tokens of work.
+  double m_served = 0.0;         // Since the peer's start, tokens of work.
+  std::uint32_t m_requests = 0;  // Queued and running.
   Instant m_heard{};
 };
 
@@ -98,6 +103,8 @@
   double m_told = 0.0;     // Value of m_served in the last digest.
   double m_queued = 0.0;   // Cost of waiting requests.
   double m_running = 0.0;  // Cost of requests taken and not finished.
+  std::uint32_t m_running_requests = 0;
+  Instant m_elsewhere_until{};  // Up to here it has requests at a peer.
   std::array<double, kPriorityRanks> m_queued_by_rank{};
   std::map<QueueKey, Waiting> m_requests;
   std::map<std::string, PeerService, std::less<>> m_peers;
@@ -113,17 +120,18 @@
   std::uint32_t m_requests = 0;  // Waiting.
   std::uint32_t m_running = 0;   // Taken and not finished.
   // Work taken and time passed while requests waited, both with exponential
-  // decay. Their quotient is the service rate.
+  // decay. Their quotient is the service rate. Without waiting requests it
+  // would show the load, not the capacity.
   double m_recent_work = 0.0;
   double m_recent_time = 0.0;   // Seconds.
   double m_recent_other = 0.0;  // Work that peers reported.
   Instant m_rate_updated{};
   Instant m_idle_since{};  // Time at which the last request left the queue.
+  Instant m_busy_since{};  // Time at which the first request entered it.
   // Requests that all endpoints of the fleet can run at once; 0: not known.
   double m_slots = 0.0;
   // Share of the slots that this instance may use; see UpdateShares.
   double m_share = 1.0;
-  double m_least_share = 1.0;  // Floor, for demand since the last update.
   std::map<std::string, Flow, std::less<>> m_flows;
   std::set<std::pair<double, std::string>> m_order;  // Backlogged flows.
 };
@@ -160,8 +168,9 @@
 struct ServiceDigest {
   std::string m_fleet;
   std::string m_workspace;
-  double m_served = 0.0;   // Since the sender's start, tokens of work.
-  double m_waiting = 0.0;  // Queued and running now, tokens of work.
+  double m_served = 0.0;         // Since the sender's start, tokens of work.
+  double m_waiting = 0.0;        // Queued and running now, tokens of work.
+  std::uint32_t m_requests = 0;  // Queued and running now.
 };
 
 // Sets weight and queue bound of a workspace. Workspaces that were never set
@@ -213,10 +222,6 @@
 // Returns the number of waiting requests of a fleet.
 std::size_t QueuedRequests(const AdmitState& state, std::string_view fleet);
 
-// Returns the digest for the next heartbeat: flows with waiting or running
-// requests, and flows served since the last digest.
-std::vector<ServiceDigest> MakeServiceDigest(AdmitState& state);
-
 // Takes in what a peer reported about the service that it gave. The peer's
 // name must change when the peer restarts (name and incarnation), because
 // served counts from its start. The service counts like service of this
@@ -224,13 +229,6 @@
 void ReportOtherService(AdmitState& state, std::string_view peer,
                         const ServiceDigest& digest, Instant now);
 
-// Forgets a peer that left or restarted.
-void ForgetPeer(AdmitState& state, std::string_view peer);
-
-// Computes for each fleet the share of its slots that this instance may use.
-// To be called once each heartbeat period.
-void UpdateShares(AdmitState& state, Instant now);
-
 }  // namespace comfreypaddle
 
 #endif  // COMFREYPADDLE_ADMIT_H_
