Predict the gain of a role change over what is left of a swing

The gain was predicted over 60 s, while the mix swings every 25 to 60 s and is seen after 10 to 30 s, and the prediction took dedicated endpoints as idle when their phase is.

Ruled out: a larger gain factor alone, which keeps the wrong comparison.

Change: the horizon is 20 s; dedicated endpoints with time left count at half speed for the other phase. Runs start with mixed engines, the default role, for all policies but fixed-roles; the clairvoyant plan starts the same way.

--- a/src/benchplan.cpp
+++ b/src/benchplan.cpp
@@ -17,21 +17,10 @@
 
 std::string ZoneName(std::uint32_t zone) { return std::to_string(zone); }
 
+// Engines are mixed when nothing else is ordered.
 EndpointRole FirstRole(BenchPolicy policy, std::uint32_t index) {
-  switch (policy) {
-    case BenchPolicy::kFixedRoles:
-      return index % 2 == 0 ? EndpointRole::kPrefill : EndpointRole::kDecode;
-    case BenchPolicy::kRoundRobin:
-    case BenchPolicy::kLeastReportedLoad:
-      return EndpointRole::kMixed;
-    case BenchPolicy::kCurrent:
-    case BenchPolicy::kGreedyRoles:
-    case BenchPolicy::kClairvoyant:
-      break;
-  }
-  constexpr std::array<EndpointRole, 3> kRoles{
-      EndpointRole::kPrefill, EndpointRole::kDecode, EndpointRole::kMixed};
-  return kRoles[index / 4];
+  if (policy != BenchPolicy::kFixedRoles) return EndpointRole::kMixed;
+  return index % 2 == 0 ? EndpointRole::kPrefill : EndpointRole::kDecode;
 }
 
 // Role of an engine that replaces or extends the fleet.
@@ -206,6 +195,8 @@
   world.m_roles.m_options.m_change_cost = world.m_fleet.m_model.m_role_change;
   world.m_roles.m_options.m_mixed_efficiency =
       world.m_fleet.m_model.m_mixed_speed;
+  world.m_roles.m_options.m_other_efficiency =
+      world.m_fleet.m_model.m_other_speed;
   world.m_sustained.m_options.m_long_window = kSustainedWindow;
   if (world.m_options.m_policy == BenchPolicy::kGreedyRoles) {
     world.m_roles.m_options.m_short_window = std::chrono::seconds(2);
--- a/src/bound.cpp
+++ b/src/bound.cpp
@@ -123,8 +123,7 @@
                         const std::vector<Arrival>& arrivals) {
   const auto splits = AllSplits(options.m_endpoints);
   const double change_s = Seconds(options.m_model.m_role_change);
-  const int third = options.m_endpoints / 3;
-  const Split first{third, third, options.m_endpoints - 2 * third};
+  const Split first{0, 0, options.m_endpoints};
   const auto step = [&](const Plan& plan, const Split& from, const Split& to) {
     const int changes = ChangesBetween(from, to);
     return Plan{plan.m_loss_s + change_s * changes, plan.m_changes + changes};
--- a/src/bound.h
+++ b/src/bound.h
@@ -22,9 +22,9 @@
 //   can take over the cheap engines of any one zone. Prices are convex in the
 //   work, so that averaging over the run only lowers the figure.
 // - Role changes: those of the plan that loses the least work, changes
-//   included, over intervals of 20 s with known demand, from the same first
-//   roles as `current`. This is an offline optimum, not a lower bound: a policy
-//   may change less and lose work.
+//   included, over intervals of 20 s with known demand. It starts from mixed
+//   engines, as `current` does. This is an offline optimum, not a lower bound:
+//   a policy may change less and lose work.
 // - Worst-served workspace, harm and reports: 1, 0 and 0 by definition.
 struct Bound {
   double m_goodput = 0.0;  // Engine-seconds of work per second.
--- a/src/roles.cpp
+++ b/src/roles.cpp
@@ -121,7 +121,10 @@
   const double decode = std::min(demand.m_decode, usable * counts.m_decode);
   const double rest = demand.m_prefill - prefill + demand.m_decode - decode;
   const double mixed = usable * options.m_mixed_efficiency * counts.m_mixed;
-  return prefill + decode + std::min(rest, mixed);
+  const double idle =
+      usable * (counts.m_prefill + counts.m_decode) - prefill - decode;
+  return prefill + decode +
+         std::min(rest, mixed + options.m_other_efficiency * idle);
 }
 
 RoleCounts CountRoles(const std::vector<RoleEndpoint>& endpoints) {
--- a/src/roles.h
+++ b/src/roles.h
@@ -19,8 +19,9 @@
 struct RoleOptions {
   Duration m_short_window = std::chrono::seconds(10);
   Duration m_long_window = std::chrono::seconds(30);
-  // Time over which the gain of a change is predicted.
-  Duration m_horizon = std::chrono::seconds(60);
+  // Time over which the gain of a change is predicted. The mix swings within
+  // a minute and is seen after a window, so that little of a swing is left.
+  Duration m_horizon = std::chrono::seconds(20);
   // Time for which a changing endpoint does no work.
   Duration m_change_cost = std::chrono::seconds(4);
   // Shortest time between two changes of one endpoint.
@@ -31,6 +32,8 @@
   // Work that a mixed endpoint does relative to a dedicated one: prefill
   // steps delay the decode steps that share a batch with them.
   double m_mixed_efficiency = 0.8;
+  // The same for a dedicated endpoint on the other phase.
+  double m_other_efficiency = 0.5;
   // Utilisation above which queueing delays break deadlines.
   double m_target_utilisation = 0.85;
 };
@@ -71,7 +74,8 @@
 
 // Returns the endpoint-seconds of work per second that these endpoints can
 // serve of the demand, each used up to the target utilisation. Mixed
-// endpoints take what the dedicated ones leave.
+// endpoints take what the dedicated ones leave, and dedicated endpoints with
+// time left take work of the other phase.
 double ServedDemand(const RoleOptions& options, const RoleCounts& counts,
                     const PhaseDemand& demand);
 
