Halve the load difference at which a request leaves its region

Requests stayed in their region until its endpoints had four average requests more than others, and a prompt of 2 s of work waited for them although another region had free endpoints.

Change: kOtherRegionRequests is 2.

--- a/src/route.cpp
+++ b/src/route.cpp
@@ -34,7 +34,7 @@
 // between regions is slow and billed. On-demand endpoints keep room for the
 // work that must not run on cheap ones.
 constexpr double kOtherZoneRequests = 0.5;
-constexpr double kOtherRegionRequests = 4.0;
+constexpr double kOtherRegionRequests = 2.0;
 constexpr double kOnDemandRequests = 1.0;
 
 // Combinations of zone cost (0 to 2) and class.
