--- a/src/attempt.cpp
+++ b/src/attempt.cpp
@@ -204,6 +204,11 @@
   if (!call.m_scanner->Feed(bytes)) call.m_broken = FailureKind::kBadAnswer;
   if (IsComplete(call.m_exchange)) {
     state.m_endpoints->Cancel(call.m_http);
+    if (!call.m_exchange.m_streamed && !call.m_exchange.m_text_whole) {
+      RefuseCall(state, call, ProblemCode::kTooLarge, Outcome::kRan,
+                 "The answer is too large to be sent whole; ask for a stream.");
+      return;
+    }
     AnswerCompletion(state, call);
     CompleteCall(state, call);
     return;
