Name the fleet's model in requests to engines

The request to the engine carried the route's name, which no engine has loaded, so each such request ended with 503. Ruled out: engines that accept any name; the protocol lets an engine refuse work for a model that it has not loaded. Change: intake keeps the model of the route's fleet, and the engine gets that name. Answers to callers keep the name that they asked for. The demonstration sends such a request.

--- a/src/attempt.cpp
+++ b/src/attempt.cpp
@@ -325,7 +325,8 @@
   http.m_headers = {{"content-type", "application/json"},
                     {"accept", "text/event-stream"}};
   http.m_body = GenerateBody(
-      call.m_intake.m_completion, call.m_endpoint_id, call.m_intake.m_priority,
+      call.m_intake.m_completion, call.m_intake.m_engine_model,
+      call.m_endpoint_id, call.m_intake.m_priority,
       static_cast<std::uint32_t>(exchange.m_position), exchange.m_text);
   http.m_silence = state.m_options.m_silence;
   return http;
--- a/src/completion.cpp
+++ b/src/completion.cpp
@@ -92,12 +92,13 @@
 }
 
 std::string GenerateBody(const CompletionCall& call,
+                         std::string_view engine_model,
                          std::string_view request_id, Priority priority,
                          std::uint32_t from_position, std::string_view prefix) {
   std::string json;
   json.reserve(call.m_prompt.size() + prefix.size() + 256);
   json.append(R"({"request_id":)").append(QuoteJson(request_id));
-  json.append(R"(,"model":)").append(QuoteJson(call.m_model));
+  json.append(R"(,"model":)").append(QuoteJson(engine_model));
   if (!call.m_adapter.empty()) {
     json.append(R"(,"adapter":)").append(QuoteJson(call.m_adapter));
   }
--- a/src/completion.h
+++ b/src/completion.h
@@ -61,9 +61,12 @@
 // Reads the data of an engine's done event. Returns nothing if it is invalid.
 std::optional<GenerationEnd> ParseGenerationEnd(std::string_view data);
 
-// Returns the body of an engine's generate call. The call goes on behind the
-// tokens up to from_position, whose escaped text is prefix.
+// Returns the body of an engine's generate call. engine_model is the name
+// under which the engine knows the model; the caller's name may be that of a
+// route. The call goes on behind the tokens up to from_position, whose escaped
+// text is prefix.
 std::string GenerateBody(const CompletionCall& call,
+                         std::string_view engine_model,
                          std::string_view request_id, Priority priority,
                          std::uint32_t from_position, std::string_view prefix);
 
--- a/src/intake.cpp
+++ b/src/intake.cpp
@@ -82,6 +82,7 @@
     return Refuse(reader, ProblemCode::kNoRoute, "The route has no fleet.");
   }
   intake.m_kind = fleet->second.m_value.m_kind;
+  intake.m_engine_model = fleet->second.m_value.m_model;
   intake.m_route = route->m_name;
   intake.m_fleet = route->m_fleet;
   intake.m_repeatable = route->m_repeatable;
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -149,6 +149,10 @@
   http://127.0.0.1:7103/v1/completions \
   -H "Authorization: Bearer $key" -H 'X-Request-Id: demo-stream' \
   -d '{"model": "caption", "prompt": "Frame 1042: taxiing.", "max_tokens": 4, "stream": true}'
+ask "completion with an adapter, by the name of its route, through instance 4" \
+  http://127.0.0.1:7104/v1/completions \
+  -H "Authorization: Bearer $key" -H 'X-Request-Id: demo-adapter' \
+  -d '{"model": "captions-sv", "prompt": "Frame 1043: parked.", "max_tokens": 6}'
 ask "non-idempotent service call, through instance 5" \
   http://127.0.0.1:7105/orders/1 -H "Authorization: Bearer $key" \
   -H 'X-Request-Id: demo-order' -H 'Idempotency-Key: demo-order-1' -d '{"item": 1}'
