--- a/src/benchentry.cpp
+++ b/src/benchentry.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <charconv>
 
+#include "share.h"
+
 namespace comfreypaddle {
 namespace {
 
