--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -7,6 +7,7 @@
 #include "codec.h"
 #include "dispatch.h"
 #include "probe.h"
+#include "share.h"
 
 namespace comfreypaddle {
 
