List existing endpoints in the platform stand-in

Cause: the capacity duty takes an endpoint that the platform does not list for gone and removes it from the configuration. The stand-in listed only what had been ordered from it, and gave orders of a fleet without processes an address that refuses connections, so all requests failed. Ruled out: a capacity duty that leaves unlisted endpoints alone; a missing endpoint is how the platform shows that it is gone. An order without a process stays in the starting phase. The demonstration lists the engines of its configuration. Conclusion: configuration and platform agree at the start.

--- a/standins/common_platform.cpp
+++ b/standins/common_platform.cpp
@@ -7,9 +7,6 @@
 
 namespace {
 
-// Nothing listens on this port of the loopback address.
-constexpr const char* kRefusingAddress = "127.0.0.1:1";
-
 void SetPhase(PlatformModelEndpoint& endpoint, EndpointPhase phase) {
   endpoint.m_phase = phase;
   endpoint.m_endpoint.set_phase(std::string(ToName(phase)));
@@ -18,11 +15,9 @@
 // Gives the endpoint an address. Returns false if none is left.
 bool AssignAddress(PlatformModel& model, schema::PlatformEndpoint& endpoint) {
   if (!endpoint.address().empty()) return true;
-  bool fleet_has_pool = false;
   for (PoolAddress& candidate : model.m_addresses) {
-    if (candidate.m_fleet != endpoint.fleet()) continue;
-    fleet_has_pool = true;
-    if (candidate.m_used || candidate.m_zone != endpoint.availability_zone()) {
+    if (candidate.m_used || candidate.m_fleet != endpoint.fleet() ||
+        candidate.m_zone != endpoint.availability_zone()) {
       continue;
     }
     candidate.m_used = true;
@@ -30,8 +25,7 @@
     endpoint.set_checks_fencing(candidate.m_checks_fencing);
     return true;
   }
-  if (!fleet_has_pool) endpoint.set_address(kRefusingAddress);
-  return !fleet_has_pool;
+  return false;
 }
 
 void AdvanceOne(PlatformModel& model, PlatformModelEndpoint& endpoint,
@@ -100,6 +94,23 @@
   SetPhase(added, EndpointPhase::kReady);
 }
 
+bool AddListedEndpoint(PlatformModel& model, std::string_view text) {
+  const std::vector<std::string> parts = Split(text, '/');
+  const bool checks = parts.size() == 6 && parts[5] == "checks";
+  if ((parts.size() != 5 && !checks) || !FromName<EndpointClass>(parts[3])) {
+    return false;
+  }
+  schema::PlatformEndpoint endpoint;
+  endpoint.set_name(parts[0]);
+  endpoint.set_fleet(parts[1]);
+  endpoint.set_availability_zone(parts[2]);
+  endpoint.set_endpoint_class(parts[3]);
+  endpoint.set_address(parts[4]);
+  endpoint.set_checks_fencing(checks);
+  AddReadyEndpoint(model, std::move(endpoint));
+  return true;
+}
+
 void AddInstance(PlatformModel& model, std::string_view text) {
   const std::vector<std::string> parts = Split(text, '/');
   if (parts.empty()) return;
--- a/standins/common_platform.h
+++ b/standins/common_platform.h
@@ -72,12 +72,15 @@
 // Lists an endpoint as ready.
 void AddReadyEndpoint(PlatformModel& model, schema::PlatformEndpoint endpoint);
 
+// Lists NAME/FLEET/ZONE/CLASS/IP:PORT as ready, with /checks at the end if the
+// endpoint checks fencing numbers. Returns false if the text has another form.
+bool AddListedEndpoint(PlatformModel& model, std::string_view text);
+
 // Lists NAME or NAME/ZONE as live.
 void AddInstance(PlatformModel& model, std::string_view text);
 
 // Moves endpoints to the phase that is due. An order becomes ready only when
-// an address for its fleet and zone is left; a fleet for which no address was
-// ever given gets one that refuses connections.
+// an address for its fleet and zone is left.
 void Advance(PlatformModel& model, Instant now);
 
 // Takes an order. The same token again gives the first endpoint.
--- a/standins/fake_platform.cpp
+++ b/standins/fake_platform.cpp
@@ -28,10 +28,15 @@
 DEFINE_uint32(instances_lag_ms, 1000,
               "time after which the instance list shows that an instance is "
               "leaving, milliseconds");
+DEFINE_string(endpoints, "",
+              "comma-separated NAME/FLEET/ZONE/CLASS/IP:PORT of endpoints that "
+              "are ready from the start, with /checks at the end if the "
+              "endpoint checks fencing numbers");
 DEFINE_string(addresses, "",
               "comma-separated FLEET/ZONE/IP:PORT of processes that endpoint "
               "orders may use, with /checks at the end if the process checks "
-              "fencing numbers");
+              "fencing numbers; an order without an address stays in the "
+              "starting phase");
 DEFINE_double(weights_rate, 2,
               "reads a second that the weight store accepts; 0 for no limit");
 DEFINE_uint32(weights_read_ms, 200, "time of a weight read, milliseconds");
@@ -48,7 +53,7 @@
   return log;
 }
 
-// Exits with status 2 if an address has another form than the flag's help says.
+// Exits with status 2 if an entry has another form than the flag's help says.
 PlatformModel PlatformFromFlags() {
   PlatformModel model;
   model.m_lead_time = std::chrono::milliseconds(FLAGS_lead_time_ms);
@@ -57,6 +62,12 @@
   for (const std::string& instance : Split(FLAGS_instances, ',')) {
     AddInstance(model, instance);
   }
+  for (const std::string& endpoint : Split(FLAGS_endpoints, ',')) {
+    if (!AddListedEndpoint(model, endpoint)) {
+      LOG(ERROR) << "--endpoints: invalid entry " << endpoint;
+      std::exit(2);
+    }
+  }
   for (const std::string& address : Split(FLAGS_addresses, ',')) {
     if (!AddPoolAddress(model, address)) {
       LOG(ERROR) << "--addresses: invalid entry " << address;
--- a/tests/standins_test.cpp
+++ b/tests/standins_test.cpp
@@ -259,6 +259,19 @@
   CHECK(phases(std::chrono::seconds(5)) == "gone gone");
 }
 
+// Guards against a platform that seems to have lost endpoints which existed
+// before it was asked.
+TEST_CASE("endpoints named at the start are listed as ready") {
+  PlatformModel model;
+  CHECK_FALSE(AddListedEndpoint(model, "e/f/z/pricey/127.0.0.1:2000"));
+  CHECK_FALSE(AddListedEndpoint(model, "e/f/z/cheap"));
+  REQUIRE(AddListedEndpoint(model, "e/f/z/cheap/127.0.0.1:2000/checks"));
+  const schema::PlatformEndpoint listed = ListEndpoints(model).endpoints(0);
+  CHECK(listed.phase() == "ready");
+  CHECK(listed.address() == "127.0.0.1:2000");
+  CHECK(listed.checks_fencing());
+}
+
 // Guards against a check that misses a window reported with other figures.
 TEST_CASE("contradicting usage reports are told from repeats") {
   PlatformModel model;
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -110,7 +110,13 @@
 names=()
 for file in "$examples"/*.ini; do names+=("$(basename "$file" .ini)"); done
 listed=$(for name in "${names[@]}"; do echo "$name/${name%-*}-a"; done | paste -sd,)
-start_standin platform build/fake_platform --port 7400 --instances "$listed"
+existing=$(endpoints caption-models | while read -r name zone port class checks; do
+  entry=$name/caption-models/$zone/$class/127.0.0.1:$port
+  if [ "$checks" = true ]; then entry=$entry/checks; fi
+  echo "$entry"
+done | paste -sd,)
+start_standin platform build/fake_platform --port 7400 --instances "$listed" \
+  --endpoints "$existing"
 while read -r name zone port class checks; do
   start_standin "$name" build/fake_engine --port "$port" --model caption \
     --adapters captions-sv,frames --zone "$zone" --class "$class" \
