--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -110,7 +110,13 @@
 names=()
 for file in "$examples"/*.ini; do names+=("$(basename "$file" .ini)"); done
 listed=$(for name in "${names[@]}"; do echo "$name/${name%-*}-a"; done | paste -sd,)
-start_standin platform build/fake_platform --port 7400 --instances "$listed"
+existing=$(endpoints caption-models | while read -r name zone port class checks; do
+  entry=$name/caption-models/$zone/$class/127.0.0.1:$port
+  if [ "$checks" = true ]; then entry=$entry/checks; fi
+  echo "$entry"
+done | paste -sd,)
+start_standin platform build/fake_platform --port 7400 --instances "$listed" \
+  --endpoints "$existing"
 while read -r name zone port class checks; do
   start_standin "$name" build/fake_engine --port "$port" --model caption \
     --adapters captions-sv,frames --zone "$zone" --class "$class" \
@@ -149,6 +155,10 @@
   http://127.0.0.1:7103/v1/completions \
   -H "Authorization: Bearer $key" -H 'X-Request-Id: demo-stream' \
   -d '{"model": "caption", "prompt": "Frame 1042: taxiing.", "max_tokens": 4, "stream": true}'
+ask "completion with an adapter, by the name of its route, through instance 4" \
+  http://127.0.0.1:7104/v1/completions \
+  -H "Authorization: Bearer $key" -H 'X-Request-Id: demo-adapter' \
+  -d '{"model": "captions-sv", "prompt": "Frame 1043: parked.", "max_tokens": 6}'
 ask "non-idempotent service call, through instance 5" \
   http://127.0.0.1:7105/orders/1 -H "Authorization: Bearer $key" \
   -H 'X-Request-Id: demo-order' -H 'Idempotency-Key: demo-order-1' -d '{"item": 1}'
