--- a/tests/journal_test.cpp
+++ b/tests/journal_test.cpp
@@ -1,6 +1,9 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
+#include <rapidcheck.h>
 
+#include <map>
+#include <random>
 #include <trompeloeil.hpp>
 
 #include "codec.h"
@@ -72,10 +75,10 @@
 // Journal core with a mock of the log and ports that record.
 struct Fixture {
   explicit Fixture(StoredLog& stored, std::uint64_t incarnation = 1,
-                   BatchOptions batch = {})
+                   BatchOptions batch = {}, const std::string& name = "a")
       : m_stored(stored) {
     JournalOptions options;
-    options.m_self = {"a", incarnation};
+    options.m_self = {name, incarnation};
     options.m_batch = batch;
     options.m_snapshot_offsets = 10;
     m_core.emplace(options, m_log,
@@ -466,6 +469,76 @@
   CHECK(changes[0].lease_change().incarnation() == 1);
 }
 
+// Ends the append under way in one of the ways in which the log can.
+void EndAppend(Fixture& f, int way) {
+  switch (way) {
+    case 0:
+      return f.ServeAppend(LogError::kNoAnswer, true);
+    case 1:
+      return f.ServeAppend(LogError::kNoAnswer, false);
+    case 2:
+      return f.ServeAppend(LogError::kOutage, false);
+    case 3:
+      return f.ServeAppend(LogError::kNotSent, false);
+    default:
+      return f.ServeAppend();
+  }
+}
+
+// Guards against verdicts that are missing, doubled or untrue when answers are
+// lost and appends are repeated, and against instances that differ afterwards.
+TEST_CASE("every record gets one true verdict whatever the log does") {
+  CHECK(rc::check([](std::uint32_t seed) {
+    std::mt19937 random(seed);
+    const auto pick = [&random](int below) {
+      return std::uniform_int_distribution<>(0, below - 1)(random);
+    };
+    StoredLog stored;
+    Fixture fixtures[2] = {Fixture(stored, 1), Fixture(stored, 2, {}, "b")};
+    std::uint64_t ticket = 0;
+    std::map<std::uint64_t, std::string> names;
+    for (int step = 0; step < 200; ++step) {
+      Fixture& f = fixtures[pick(2)];
+      switch (pick(5)) {
+        case 0:
+          ++ticket;
+          names[ticket] = "w" + std::to_string(ticket);
+          f.SubmitWorkspace(names[ticket], ticket, 100 + pick(400));
+          break;
+        case 1:
+          if (!f.m_appends.empty()) EndAppend(f, pick(8));
+          break;
+        case 2:
+          f.ServeRead();
+          break;
+        default:
+          f.Advance(milliseconds(pick(60)));
+      }
+    }
+    for (int round = 0; round < 20; ++round) {
+      for (Fixture& f : fixtures) f.Settle();
+    }
+    RC_ASSERT(fixtures[0].Snapshot() == fixtures[1].Snapshot());
+    const Tables& tables = fixtures[0].m_core->State().m_config.m_tables;
+    std::map<std::uint64_t, std::string> verdicts;
+    for (const Fixture& f : fixtures) {
+      for (const schema::AdminMessage& message : f.m_admin.m_messages) {
+        if (!message.has_verdict()) continue;
+        const schema::RecordVerdict& verdict = message.verdict();
+        RC_ASSERT(verdicts.emplace(verdict.ticket(), verdict.verdict()).second);
+      }
+    }
+    RC_ASSERT(verdicts.size() == names.size());
+    for (const auto& [number, verdict] : verdicts) {
+      const bool exists = tables.m_workspaces.count(names[number]) != 0;
+      if (verdict == "accepted") RC_ASSERT(exists);
+      if (verdict == "not_stored") RC_ASSERT(!exists);
+      RC_ASSERT(verdict == "accepted" || verdict == "not_stored" ||
+                verdict == "unknown");
+    }
+  }));
+}
+
 TEST_CASE("a stop waits until what was submitted is stored") {
   StoredLog stored;
   Fixture f(stored);
