--- a/src/catchup.cpp
+++ b/src/catchup.cpp
@@ -19,7 +19,6 @@
   reader.m_scan_from = std::max({reader.m_first_retained, next_offset, back});
   reader.m_scan_next = reader.m_scan_from;
   reader.m_collector = {};
-  reader.m_entries.clear();
 }
 
 }  // namespace
@@ -55,8 +54,9 @@
     if (const auto records = ParseBatch(entry.body())) {
       CollectParts(reader.m_collector, *records);
     }
-    reader.m_entries.push_back(entry);
   }
+  reader.m_first_retained =
+      std::max(reader.m_first_retained, batch.first_retained());
   if (reader.m_scan_next < batch.next_offset()) return CatchUpStep::kReadOn;
   if (FoundSnapshot(reader, next_offset)) return CatchUpStep::kRestore;
   if (reader.m_first_retained <= next_offset) {
@@ -72,7 +72,7 @@
 std::optional<std::string> FoundSnapshot(const CatchUp& reader,
                                          std::uint64_t next_offset) {
   return NewestSnapshot(reader.m_collector,
-                        std::max(reader.m_scan_from, next_offset + 1));
+                        std::max(reader.m_first_retained, next_offset + 1));
 }
 
 void Restart(CatchUp& reader, std::uint64_t first_retained) {
--- a/src/catchup.h
+++ b/src/catchup.h
@@ -2,7 +2,6 @@
 #define COMFREYPADDLE_CATCHUP_H_
 
 #include <cstdint>
-#include <deque>
 #include <optional>
 
 #include "records.pb.h"
@@ -27,8 +26,9 @@
 };
 
 // Progress of a reader from its start, or from having fallen behind, to the
-// end of the log. A snapshot counts if all entries from the offset that it
-// covers on were read.
+// end of the log. A snapshot counts if the log still keeps the offset that it
+// covers; the reader follows from there. The entries of a scan are not kept,
+// because their size has no bound.
 struct CatchUp {
   ReadPhase m_phase = ReadPhase::kProbe;
   std::uint64_t m_window = 4000;  // Offsets before the end that are scanned.
@@ -37,7 +37,6 @@
   std::uint64_t m_scan_from = 0;
   std::uint64_t m_scan_next = 0;
   SnapshotCollector m_collector;
-  std::deque<schema::LogEntry> m_entries;  // From m_scan_from on.
 };
 
 struct ReadRequest {
@@ -49,7 +48,7 @@
 // What to do after an answer.
 enum class CatchUpStep {
   kReadOn,   // Send the next read.
-  kRestore,  // A snapshot was found: take the state and fold m_entries.
+  kRestore,  // A snapshot was found: take its state and follow from there.
   kStuck,    // The log keeps neither the next offset nor a snapshot.
 };
 
--- a/src/journalcore.cpp
+++ b/src/journalcore.cpp
@@ -64,6 +64,18 @@
   return EncodeFate(fate, ticket);
 }
 
+// Logs an error once when it begins and once when it has ended.
+void LogErrorChange(std::string_view call, const std::error_code& error,
+                    std::error_code& last) {
+  if (error == last || (!error && !last)) return;
+  if (error) {
+    LOG(WARNING) << call << " of the log failed: " << error.message();
+  } else {
+    LOG(INFO) << call << " of the log succeeds again";
+  }
+  last = error;
+}
+
 UsageFlush MakeFlush(const std::map<UsageKey, UsageFigures>& usage) {
   UsageFlush flush;
   flush.m_deltas.reserve(usage.size());
@@ -285,7 +297,7 @@
 }
 
 void JournalCore::OnAppended(const std::error_code& error) {
-  if (error) LOG(WARNING) << "append failed: " << error.message();
+  LogErrorChange("append", error, m_append_error);
   EndSend(m_batcher, EndOf(error), m_host.m_clock());
   Tick();
 }
@@ -306,6 +318,7 @@
                          const schema::LogBatch& batch, Instant sent_at) {
   m_read_open = false;
   m_next_read = m_host.m_clock();
+  LogErrorChange("read", error, m_read_error);
   if (error) {
     OnReadFailed(error, batch);
   } else {
@@ -319,7 +332,6 @@
 void JournalCore::OnReadFailed(const std::error_code& error,
                                const schema::LogBatch& batch) {
   const Instant now = m_host.m_clock();
-  LOG(WARNING) << "read of the log failed: " << error.message();
   m_read_backoff =
       std::clamp(m_read_backoff * 2, kFirstReadBackoff, kMaxReadBackoff);
   m_next_read = now + m_read_backoff;
@@ -358,7 +370,6 @@
       FoundSnapshot(m_reader, m_state.m_next_offset);
   std::optional<LogState> restored =
       DecodeSnapshot(data.value_or(""), m_host.m_clock());
-  const std::deque<schema::LogEntry> entries = std::move(m_reader.m_entries);
   if (!restored || restored->m_next_offset <= m_state.m_next_offset) {
     LOG(ERROR) << "the newest snapshot in the log does not decode";
     Restart(m_reader, m_reader.m_first_retained);
@@ -375,7 +386,6 @@
   for (const Effect& effect : effects) SendEffect(effect, nullptr);
   Restart(m_reader, 0);
   m_reader.m_phase = ReadPhase::kFollow;
-  for (const schema::LogEntry& entry : entries) ApplyEntry(entry);
 }
 
 void JournalCore::Follow(const schema::LogBatch& batch, Instant sent_at) {
--- a/src/journalcore.h
+++ b/src/journalcore.h
@@ -110,6 +110,8 @@
   bool m_read_open = false;
   Instant m_next_read{};
   Duration m_read_backoff{0};
+  std::error_code m_read_error;    // Of the last read.
+  std::error_code m_append_error;  // Of the last append.
   bool m_reachable = false;
   bool m_caught_up = false;
   Instant m_confirmed{};
