Weigh shares of slots by the slot time of each workspace's work

Equal work needs more slots when requests hold them longer, as long answers do compared with long prompts. Shares by open requests alone left it to the virtual times to correct this, which they cannot do at an instance where the workspace is alone. Each instance now measures slot time for each token of work from running requests and service in the digests.

--- a/src/admit.cpp
+++ b/src/admit.cpp
@@ -115,6 +115,12 @@
   Link(queue, name, flow);
 }
 
+// Counts work of this instance.
+void AddServed(Flow& flow, double work) {
+  flow.m_served += work;
+  flow.m_recent_work += work;
+}
+
 // Takes a request off those that were taken and not finished.
 void EndRunning(FleetQueue& queue, Flow& flow, double cost) {
   if (flow.m_running_requests == 0) return;
@@ -385,7 +391,7 @@
   const std::uint64_t id = flow.m_requests.begin()->second.m_id;
   Waiting request = Extract(state, id, now);
   Charge(queue, name, flow, request.m_cost);
-  flow.m_served += request.m_cost;
+  AddServed(flow, request.m_cost);
   flow.m_running += request.m_cost;
   ++flow.m_running_requests;
   if (now - queue.m_busy_since >= kLeastBusy) {
@@ -401,7 +407,7 @@
   const double cost = request.m_cost;
   const std::string name = request.m_workspace;
   EndRunning(queue, flow, cost);
-  flow.m_served -= cost;
+  AddServed(flow, -cost);
   queue.m_recent_work = std::max(0.0, queue.m_recent_work - cost);
   Charge(queue, name, flow, -cost);
   Insert(state, std::move(request), now);
@@ -413,7 +419,7 @@
   Flow& flow = FlowOf(state, queue, workspace);
   const double difference = actual - estimated;
   EndRunning(queue, flow, estimated);
-  flow.m_served += difference;
+  AddServed(flow, difference);
   queue.m_recent_work = std::max(0.0, queue.m_recent_work + difference);
   Charge(queue, std::string(workspace), flow, difference);
 }
@@ -470,11 +476,13 @@
   const auto found = flow.m_peers.find(peer);
   if (found == flow.m_peers.end()) {
     // Service from before the first report is not known to be recent.
-    flow.m_peers[std::string(peer)] = {digest.m_served, digest.m_requests, now};
+    flow.m_peers[std::string(peer)] = {digest.m_served, digest.m_requests,
+                                       digest.m_running, now};
     return;
   }
   const double served = digest.m_served - found->second.m_served;
-  found->second = {digest.m_served, digest.m_requests, now};
+  found->second = {digest.m_served, digest.m_requests, digest.m_running, now};
+  flow.m_recent_work += served;
   queue.m_recent_other = std::max(0.0, queue.m_recent_other + served);
   Charge(queue, digest.m_workspace, flow, WithinLead(queue, flow, served));
 }
--- a/src/admit.h
+++ b/src/admit.h
@@ -91,6 +91,7 @@
 struct PeerService {
   double m_served = 0.0;         // Since the peer's start, tokens of work.
   std::uint32_t m_requests = 0;  // Queued and running.
+  std::uint32_t m_running = 0;
   Instant m_heard{};
 };
 
@@ -104,6 +105,11 @@
   double m_queued = 0.0;   // Cost of waiting requests.
   double m_running = 0.0;  // Cost of requests taken and not finished.
   std::uint32_t m_running_requests = 0;
+  // Work served and time for which slots were held, at all instances, with
+  // exponential decay by UpdateShares. A request of long answers holds its
+  // slot longer for the same work than one of long prompts.
+  double m_recent_work = 0.0;
+  double m_recent_slots = 0.0;  // Slot seconds.
   Instant m_elsewhere_until{};  // Up to here it has requests at a peer.
   std::array<double, kPriorityRanks> m_queued_by_rank{};
   std::map<QueueKey, Waiting> m_requests;
@@ -132,6 +138,7 @@
   double m_slots = 0.0;
   // Share of the slots that this instance may use; see UpdateShares.
   double m_share = 1.0;
+  Instant m_share_updated{};
   std::map<std::string, Flow, std::less<>> m_flows;
   std::set<std::pair<double, std::string>> m_order;  // Backlogged flows.
 };
@@ -171,6 +178,7 @@
   double m_served = 0.0;         // Since the sender's start, tokens of work.
   double m_waiting = 0.0;        // Queued and running now, tokens of work.
   std::uint32_t m_requests = 0;  // Queued and running now.
+  std::uint32_t m_running = 0;
 };
 
 // Sets weight and queue bound of a workspace. Workspaces that were never set
--- a/src/share.cpp
+++ b/src/share.cpp
@@ -1,6 +1,7 @@
 #include "share.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 #include <string>
 
@@ -11,14 +12,24 @@
 // use, so that requests which arrive between two updates are not held up.
 constexpr double kIdleShare = 0.5;
 
-// Requests that a workspace has open at all instances and at this one.
+// Time constant of the measured slot time for each token of work, and the work
+// below which the fleet's mean counts for more, in average requests.
+constexpr double kSlotTimeSeconds = 30.0;
+constexpr double kPriorRequests = 4.0;
+
+// Bound of a workspace's slot time relative to the fleet's mean.
+constexpr double kMostSlotTime = 16.0;
+
+// Requests that a workspace has open at all instances and at this one. The
+// weight is the part of the slots that it is due: equal work needs more slots
+// for requests that hold them longer.
 struct Demand {
   double m_weight = 1.0;
   double m_total = 0.0;
   double m_own = 0.0;
 };
 
-// Adds up the demand of a flow and notes the peers with recent demand.
+// Returns the open requests of a flow and notes the peers that have some.
 Demand DemandOf(const Flow& flow, Instant now,
                 std::set<std::string_view>& peers) {
   const auto own =
@@ -32,6 +43,42 @@
   return demand;
 }
 
+// Adds the slots held since the last update, at all instances.
+void CountSlots(Flow& flow, double seconds, Instant now) {
+  double running = flow.m_running_requests;
+  for (const auto& [peer, service] : flow.m_peers) {
+    if (now - service.m_heard <= kDemandAge) running += service.m_running;
+  }
+  const double decay = std::exp(-seconds / kSlotTimeSeconds);
+  flow.m_recent_work = std::max(0.0, flow.m_recent_work * decay);
+  flow.m_recent_slots = flow.m_recent_slots * decay + running * seconds;
+}
+
+// Returns the slot time of a flow relative to the mean of the fleet.
+double SlotTime(const Flow& flow, double mean, double prior_work) {
+  if (mean <= 0.0) return 1.0;
+  const double time = (flow.m_recent_slots + prior_work * mean) /
+                      (flow.m_recent_work + prior_work);
+  return std::clamp(time / mean, 1.0 / kMostSlotTime, kMostSlotTime);
+}
+
+// Returns the mean slot time for each token of work, after bringing the sums
+// of all flows up to now.
+double MeanSlotTime(FleetQueue& queue, Instant now) {
+  const bool first = queue.m_share_updated == Instant{};
+  const double seconds =
+      std::chrono::duration<double>(now - queue.m_share_updated).count();
+  queue.m_share_updated = now;
+  double slots = 0.0;
+  double work = 0.0;
+  for (auto& [name, flow] : queue.m_flows) {
+    if (!first) CountSlots(flow, seconds, now);
+    slots += flow.m_recent_slots;
+    work += flow.m_recent_work;
+  }
+  return work > 0.0 ? slots / work : 0.0;
+}
+
 // Divides the slots among the workspaces, max-min fair by weight, and returns
 // those that fall to this instance: of each workspace's slots, the portion of
 // its demand that is here.
@@ -54,14 +101,17 @@
 }
 
 // Returns the share of the slots that this instance may use.
-double ShareOf(const FleetQueue& queue, Instant now) {
+double ShareOf(FleetQueue& queue, Instant now) {
+  const double mean = MeanSlotTime(queue, now);
+  const double prior_work = kPriorRequests * queue.m_mean_cost + kLeastCost;
   std::vector<Demand> demands;
   std::set<std::string_view> peers;
   double total = 0.0;
   double own = 0.0;
   for (const auto& [name, flow] : queue.m_flows) {
-    const Demand demand = DemandOf(flow, now, peers);
+    Demand demand = DemandOf(flow, now, peers);
     if (demand.m_total <= 0.0) continue;
+    demand.m_weight *= SlotTime(flow, mean, prior_work);
     demands.push_back(demand);
     total += demand.m_total;
     own += demand.m_own;
@@ -82,7 +132,8 @@
       if (requests == 0 && flow.m_served == flow.m_told) continue;
       flow.m_told = flow.m_served;
       digest.push_back({fleet, name, flow.m_served,
-                        flow.m_queued + flow.m_running, requests});
+                        flow.m_queued + flow.m_running, requests,
+                        flow.m_running_requests});
     }
   }
   return digest;
--- a/tests/admit_test.cpp
+++ b/tests/admit_test.cpp
@@ -66,6 +66,11 @@
   REQUIRE(decision.m_displaced);
   CHECK(decision.m_displaced->m_id == 9);
   CHECK(QueuedRequests(state) == 10);
+  for (int i = 0; i < 3; ++i) {
+    CHECK(Enqueue(state, limits, Request(++id, "small"), kStart).m_displaced);
+  }
+  CHECK(Enqueue(state, limits, Request(++id, "small"), kStart).m_verdict ==
+        AdmitVerdict::kInstanceFull);
 }
 
 // Guards against requests that wait only to miss their deadline.
@@ -170,6 +175,7 @@
 TEST_CASE("an idle workspace earns no credit") {
   AdmitState state;
   std::uint64_t id = 0;
+  Enqueue(state, {}, Request(++id, "b"), kStart);
   for (int i = 0; i < 400; ++i) Enqueue(state, {}, Request(++id, "a"), kStart);
   for (int i = 0; i < 200; ++i) TakeNext(state, "models", kStart);
   for (int i = 0; i < 100; ++i) Enqueue(state, {}, Request(++id, "b"), kStart);
