Count requests without a first step as queued in the fake load reports

The fake engine reported every request of its batch as running, up to 24, although its prompts are served one after another. Routing takes a running request as half done, so that an engine with ten waiting prompts looked half as loaded.

Change: a request counts as queued until its prompt has begun, as in a batching engine's own queue. This corrects the model for all policies. least-reported-load uses the sum of both and is not affected.

--- a/src/fleet.cpp
+++ b/src/fleet.cpp
@@ -40,6 +40,7 @@
   for (std::size_t i = 0; i < engine.m_running.size() && left > 0.0; ++i) {
     EngineRequest& request = engine.m_running[i];
     const double work = std::min(request.m_prefill_left_s, left * speed);
+    request.m_started = request.m_started || work > 0.0;
     request.m_prefill_left_s -= work;
     done[i] += work;
     left -= work / speed;
@@ -238,12 +239,17 @@
   for (FakeEngine& engine : fleet.m_engines) {
     if (!IsPaid(engine)) continue;
     LoadSample sample{.m_taken = now};
-    sample.m_queued = static_cast<std::uint32_t>(engine.m_queue.size());
-    sample.m_running = static_cast<std::uint32_t>(engine.m_running.size());
     sample.m_used_pieces = engine.m_used_pieces;
-    for (const EngineRequest& request : engine.m_queue) {
+    const auto count = [&](const EngineRequest& request) {
+      if (request.m_started) {
+        ++sample.m_running;
+        return;
+      }
+      ++sample.m_queued;
       sample.m_queued_s += request.m_prefill_left_s + request.m_decode_left_s;
-    }
+    };
+    std::for_each(engine.m_running.begin(), engine.m_running.end(), count);
+    std::for_each(engine.m_queue.begin(), engine.m_queue.end(), count);
     engine.m_samples.push_back(sample);
     while (now - engine.m_samples.front().m_taken > kSampleHistory) {
       engine.m_samples.pop_front();
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -43,9 +43,11 @@
   double m_prefill_left_s = 0.0;
   double m_decode_left_s = 0.0;
   std::uint32_t m_pieces = 1;
+  bool m_started = false;  // Its prompt work has begun.
 };
 
-// Load of an engine at one time, for reports that lag.
+// Load of an engine at one time, for reports that lag. A request in the batch
+// whose prompt has not begun counts as queued, as it waits for its first step.
 struct LoadSample {
   Instant m_taken{};
   std::uint32_t m_queued = 0;
