Avoid a reclaimed zone when ordering cheap endpoints

After a reclaim the planner ordered cheap endpoints in the same zone again; they do not come, and each order was given up only after 40 s, during which the fleet missed the capacity.

Ruled out: more endpoints in reserve, which costs spend in all runs.

Change: NoteReclaim makes cheap orders avoid the zone for ten minutes, also from the notice on. The fake platform now keeps both reclaimed zones closed for cheap orders; before, the second reclaim opened the first zone again.

--- a/src/benchplan.cpp
+++ b/src/benchplan.cpp
@@ -41,7 +41,7 @@
   OrderEngine(world.m_fleet, zone, kind, now);
   FakeEngine& engine = world.m_fleet.m_engines.back();
   engine.m_role = RoleOfOrdered(world);
-  if (kind == EndpointClass::kCheap && world.m_blocked_zone == zone) {
+  if (kind == EndpointClass::kCheap && world.m_blocked_zones[zone]) {
     engine.m_never_comes = true;
   }
   NoteDecision(world.m_tally,
--- a/src/benchrun.cpp
+++ b/src/benchrun.cpp
@@ -45,7 +45,8 @@
 
 // Ends the cheap engines of a zone. With notice they drain before.
 void ReclaimZone(World& world, std::uint32_t zone, bool noticed, Instant now) {
-  world.m_blocked_zone = zone;
+  world.m_blocked_zones[zone] = true;
+  NoteReclaim(world.m_capacity, std::to_string(zone), now);
   for (std::uint32_t i = 0; i < world.m_fleet.m_engines.size(); ++i) {
     const FakeEngine& engine = world.m_fleet.m_engines[i];
     const bool live =
@@ -59,7 +60,8 @@
   }
 }
 
-void NoticeReclaim(World& world, std::uint32_t zone) {
+void NoticeReclaim(World& world, std::uint32_t zone, Instant now) {
+  NoteReclaim(world.m_capacity, std::to_string(zone), now);
   for (FakeEngine& engine : world.m_fleet.m_engines) {
     if (engine.m_zone == zone && engine.m_class == EndpointClass::kCheap &&
         IsServing(engine)) {
@@ -86,7 +88,9 @@
       static_cast<std::uint32_t>(world.m_options.m_seed % kBenchZones);
   const std::uint32_t other = (zone + 1) % kBenchZones;
   if (scenario == Scenario::kCheapReclaim && world.m_options.m_reclaim) {
-    if (IsAt(kReclaimAt - kReclaimNotice, elapsed)) NoticeReclaim(world, zone);
+    if (IsAt(kReclaimAt - kReclaimNotice, elapsed)) {
+      NoticeReclaim(world, zone, now);
+    }
     if (IsAt(kReclaimAt, elapsed)) ReclaimZone(world, zone, true, now);
     if (IsAt(kSecondReclaimAt, elapsed)) ReclaimZone(world, other, false, now);
   }
--- a/src/benchworld.h
+++ b/src/benchworld.h
@@ -108,8 +108,8 @@
   PhaseDemand m_arrived;  // Engine-seconds since the last heartbeat.
   RolePlanner m_roles;
   CapacityPlanner m_capacity;
-  RolePlanner m_sustained;                      // Only its long window is used.
-  std::optional<std::uint32_t> m_blocked_zone;  // No cheap engines there.
+  RolePlanner m_sustained;  // Only its long window is used.
+  std::array<bool, kBenchZones> m_blocked_zones{};  // No cheap engines there.
   std::size_t m_round_robin = 0;
   bool m_dirty = true;  // Something changed that may let a request start.
   bool m_log_down = false;
--- a/src/capacity.cpp
+++ b/src/capacity.cpp
@@ -60,6 +60,11 @@
 
 bool FailedLately(const CapacityPlanner& planner, const std::string& zone,
                   EndpointClass kind, Instant now) {
+  const auto reclaimed = planner.m_reclaimed.find(zone);
+  if (kind == EndpointClass::kCheap && reclaimed != planner.m_reclaimed.end() &&
+      now - reclaimed->second < planner.m_options.m_reclaim_hold) {
+    return true;
+  }
   const auto failed = planner.m_failed.find({zone, kind});
   return failed != planner.m_failed.end() &&
          now - failed->second < OverdueAfter(planner.m_options);
@@ -208,6 +213,11 @@
   return std::max(0, endpoints - static_cast<int>(rest));
 }
 
+void NoteReclaim(CapacityPlanner& planner, const std::string& zone,
+                 Instant now) {
+  planner.m_reclaimed[zone] = now;
+}
+
 std::vector<CapacityOrder> PlanCapacity(
     CapacityPlanner& planner, const std::vector<CapacityEndpoint>& endpoints,
     const CapacityDemand& demand, std::size_t hour_after_lead_time,
--- a/src/capacity.h
+++ b/src/capacity.h
@@ -34,6 +34,9 @@
   // An order that is not ready after this multiple of the lead time is given
   // up, and its zone and class get no order for the same time.
   double m_overdue_factor = 2.0;
+  // Cheap orders to a zone that was reclaimed rarely come, and each costs the
+  // overdue time, so that the zone is avoided for this long.
+  Duration m_reclaim_hold = std::chrono::minutes(10);
   // Added to the demand for what the windows do not show.
   double m_margin = 0.15;
   double m_target_utilisation = 0.85;
@@ -83,6 +86,7 @@
   std::optional<Instant> m_surplus_since;
   // Time of the last order that did not come, by zone and class.
   std::map<std::pair<std::string, EndpointClass>, Instant> m_failed;
+  std::map<std::string, Instant> m_reclaimed;  // Last reclaim by zone.
 };
 
 // Raises the profile of the hour to the demand.
@@ -98,6 +102,11 @@
 int CheapLimitPerZone(const CapacityOptions& options, int endpoints,
                       double demand);
 
+// Notes that the platform takes back the cheap endpoints of a zone. Cheap
+// orders avoid the zone for the reclaim hold.
+void NoteReclaim(CapacityPlanner& planner, const std::string& zone,
+                 Instant now);
+
 // Plans the orders of now: gives up orders that do not come, orders what is
 // missing in the zones with the fewest endpoints, drains what is left over for
 // the shrink delay, and replaces cheap endpoints that the rest could not take
--- a/tests/capacity_test.cpp
+++ b/tests/capacity_test.cpp
@@ -100,6 +100,19 @@
   CHECK(orders[1].m_zone != late.m_zone);
 }
 
+// Guards against orders that wait for endpoints that do not come.
+TEST_CASE("cheap orders avoid a zone that was reclaimed") {
+  auto planner = MakePlanner(0.6);
+  NoteReclaim(planner, "a", kStart);
+  const auto orders =
+      PlanCapacity(planner, {}, {5.0, 5.0}, 0, kStart + seconds(60));
+  REQUIRE(orders.size() == 7);
+  for (const CapacityOrder& order : orders) {
+    CHECK_FALSE(
+        (order.m_zone == "a" && order.m_class == EndpointClass::kCheap));
+  }
+}
+
 TEST_CASE("the fleet shrinks only after the shrink delay and by draining") {
   auto planner = MakePlanner(0.0);
   Endpoints endpoints;
