Add the task of the other entry instances

The peers task sends heartbeats, decides the permission to admit with member.h and publishes it with the time at which it lapses, relays log entries while this instance cannot read the log, and keeps usage for two other instances until it is in the log. hold.h decides who holds usage and when a holder appends it for an owner that is silent or was started again; a flush that is appended twice counts once.

Releases travel with the next heartbeat.

--- /dev/null
+++ b/src/hold.cpp
@@ -0,0 +1,67 @@
+#include "hold.h"
+
+#include <utility>
+
+namespace comfreypaddle {
+namespace {
+
+// An hour of outage with the flushes of 5 peers at one a second each. With 1 KB
+// a flush this is 20 MB.
+constexpr std::size_t kMaxHeld = 20'000;
+constexpr Duration kHandOverAgain = std::chrono::seconds(10);
+
+}  // namespace
+
+bool HoldFlush(HoldState& state, const FlushId& id, std::string bytes) {
+  if (state.m_held.size() >= kMaxHeld && state.m_held.count(id) == 0) {
+    return false;
+  }
+  state.m_held[id].m_bytes = std::move(bytes);
+  return true;
+}
+
+std::vector<std::string> ReleaseFlush(HoldState& state, const FlushId& id) {
+  state.m_held.erase(id);
+  const auto own = state.m_own.find(id);
+  if (own == state.m_own.end()) return {};
+  std::set<std::string> holders = std::move(own->second.m_holders);
+  holders.insert(own->second.m_asked.begin(), own->second.m_asked.end());
+  state.m_own.erase(own);
+  return {holders.begin(), holders.end()};
+}
+
+void AddOwnFlush(HoldState& state, const FlushId& id, std::string bytes) {
+  state.m_own[id].m_bytes = std::move(bytes);
+}
+
+std::vector<std::string> AskHolders(
+    OwnFlush& flush, const std::vector<std::string>& candidates) {
+  std::vector<std::string> asked;
+  for (const std::string& peer : candidates) {
+    if (flush.m_holders.size() + flush.m_asked.size() >= kFlushHolders) break;
+    if (flush.m_holders.count(peer) > 0) continue;
+    if (flush.m_asked.insert(peer).second) asked.push_back(peer);
+  }
+  return asked;
+}
+
+void TakeHolderAnswer(HoldState& state, const FlushId& id,
+                      const std::string& peer, bool held) {
+  const auto own = state.m_own.find(id);
+  if (own == state.m_own.end()) return;
+  own->second.m_asked.erase(peer);
+  if (held) own->second.m_holders.insert(peer);
+}
+
+bool TakeOrphan(HeldFlush& flush, const FlushId& id, const OwnerView& owner,
+                Instant now) {
+  if (!owner.m_silent && owner.m_incarnation <= id.m_incarnation) return false;
+  if (flush.m_handed_over != Instant{} &&
+      now - flush.m_handed_over < kHandOverAgain) {
+    return false;
+  }
+  flush.m_handed_over = now;
+  return true;
+}
+
+}  // namespace comfreypaddle
--- /dev/null
+++ b/src/peers.h
@@ -0,0 +1,114 @@
+#ifndef COMFREYPADDLE_PEERS_H_
+#define COMFREYPADDLE_PEERS_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "client.h"
+#include "hold.h"
+#include "listener.h"
+#include "member.h"
+#include "messages.pb.h"
+#include "peerstate.h"
+#include "rpc.h"
+#include "settings.pb.h"
+#include "task.h"
+
+namespace comfreypaddle {
+
+// Tasks that the peers task talks to. None is owned; null ports are skipped.
+struct PeersPorts {
+  Port<schema::JournalMessage>* m_journal = nullptr;
+  Port<schema::GatewayMessage>* m_gateway = nullptr;
+  Port<schema::AdminMessage>* m_admin = nullptr;
+  Port<schema::DutiesMessage>* m_duties = nullptr;
+};
+
+// Task of the other entry instances. It owns the listener and the client for
+// them, sends heartbeats, decides the permission to admit, relays log entries
+// while the log does not answer, and keeps usage for others until it is in the
+// log.
+class Peers : public Task<schema::PeersMessage>, private RpcHandler {
+ public:
+  Peers(const schema::Settings& settings, std::uint64_t incarnation);
+
+  // Names the tasks to talk to. Call before Launch.
+  void Connect(const PeersPorts& ports) { m_ports = ports; }
+
+ private:
+  using OnResults = std::function<void(const std::vector<RpcResult>& results)>;
+
+  // Call of records that waits for the journal.
+  struct RecordsRequest {
+    std::uint64_t m_id = 0;  // Of the HTTP request.
+    std::string m_body;
+    Instant m_due;
+  };
+
+  void Start() override;
+  void Receive(schema::PeersMessage message) override;
+  void Finish() override;
+
+  std::string Heartbeat(const std::string& state) override;
+  std::string Records(std::uint64_t from, int limit) override;
+  bool Hold(const std::string& usage) override;
+  bool Release(const std::string& instance, std::uint64_t incarnation,
+               std::uint64_t sequence) override;
+
+  void HandleRequest(const HttpRequest& request);
+  void TakeRecords(const schema::RecordsFound& found);
+  void TakeLogStatus(const schema::LogStatus& status);
+  void TakeUsagePending(const schema::UsageFlush& flush);
+  void TakeUsageStored(const schema::UsageStored& stored);
+
+  void Tick();
+  schema::PeerState OwnState(Instant now) const;
+  schema::PeerState HeartbeatState(Instant now);
+  void SendHeartbeat(const std::string& peer, const std::string& state);
+  void TakeAnswers(const std::string& peer, Instant sent,
+                   const std::vector<RpcCall>& calls,
+                   const std::vector<RpcResult>& results);
+  void AskHoldersOf(const FlushId& id, OwnFlush& flush);
+  void HandOverOrphans(Instant now);
+  void AskForRecords(Instant now);
+  void TakeRelayed(const std::vector<RpcResult>& results);
+  void ExpireRecordsRequests(Instant now);
+  void Call(const std::string& peer, const std::vector<RpcCall>& calls,
+            OnResults on_results);
+  void ForwardState(const schema::PeerState& state);
+  void PublishPermission(Instant now);
+  void PublishPhases(Instant now);
+
+  schema::Settings m_settings;
+  std::uint64_t m_incarnation;
+  PeersPorts m_ports;
+  MemberState m_members;
+  HoldState m_hold;
+  ServiceDigestState m_told;
+  Instant m_next_services{};
+  Instant m_next_refresh{};
+  schema::GatewayStatus m_gateway_status;
+  schema::EndpointsLeaving m_leaving;
+  std::map<std::string, std::string> m_urls;  // Of the listed peers.
+  std::set<std::string> m_calling;            // Peers with an open heartbeat.
+  std::map<std::string, std::vector<RpcCall>> m_releases;
+  std::map<std::uint64_t, RecordsRequest> m_records_requests;
+  std::uint64_t m_next_ticket = 1;
+  std::string m_records;  // Answer for the call that is being carried out.
+  bool m_relaying = false;
+  schema::AdmitPermission m_permission;  // Last one published.
+  std::map<std::string, PeerPhase> m_phases;
+  RpcServer m_rpc;
+  std::optional<Listener> m_listener;
+  std::optional<Client> m_client;
+  std::optional<PeriodicTimer> m_timer;
+};
+
+}  // namespace comfreypaddle
+
+#endif  // COMFREYPADDLE_PEERS_H_
--- /dev/null
+++ b/tests/hold_test.cpp
@@ -0,0 +1,41 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "hold.h"
+
+#include <doctest/doctest.h>
+
+namespace comfreypaddle {
+namespace {
+
+constexpr Instant kStart{std::chrono::hours(1)};
+
+TEST_CASE("two peers are asked, and another one when one does not hold") {
+  HoldState state;
+  const FlushId id{"a1", 1, 1};
+  AddOwnFlush(state, id, "x");
+  const std::vector<std::string> peers{"b1", "c1", "d1"};
+  CHECK(AskHolders(state.m_own.at(id), peers).size() == 2);
+  CHECK(AskHolders(state.m_own.at(id), peers).empty());
+  TakeHolderAnswer(state, id, "b1", true);
+  TakeHolderAnswer(state, id, "c1", false);
+  CHECK(AskHolders(state.m_own.at(id), {"b1", "d1"}) ==
+        std::vector<std::string>{"d1"});
+  // A peer whose answer is still on its way may hold the flush too.
+  CHECK(ReleaseFlush(state, id) == std::vector<std::string>{"b1", "d1"});
+  CHECK(state.m_own.empty());
+}
+
+TEST_CASE("held usage is appended for a dead owner until it is in the log") {
+  HoldState state;
+  const FlushId id{"a1", 5, 1};
+  REQUIRE(HoldFlush(state, id, "x"));
+  HeldFlush& flush = state.m_held.at(id);
+  CHECK_FALSE(TakeOrphan(flush, id, {false, 5}, kStart));
+  CHECK(TakeOrphan(flush, id, {true, 5}, kStart));
+  CHECK_FALSE(TakeOrphan(flush, id, {true, 5}, kStart));
+  CHECK(TakeOrphan(flush, id, {false, 6}, kStart + std::chrono::seconds(10)));
+  CHECK(ReleaseFlush(state, id).empty());
+  CHECK(state.m_held.empty());
+}
+
+}  // namespace
+}  // namespace comfreypaddle
