--- a/src/calls.h
+++ b/src/calls.h
@@ -136,6 +136,11 @@
   Instant m_valid_until{};
 };
 
+// Keyed requests wait this long in the queue after the permission lapsed
+// before they are refused. It spans the time at the start of a log outage in
+// which instances do not yet know that the log answers nobody.
+inline constexpr Duration kPermissionGrace = std::chrono::seconds(3);
+
 struct CallOptions {
   std::string m_instance;
   std::uint64_t m_incarnation = 0;
@@ -179,6 +184,7 @@
   RetryState m_retry;
   SuspectTable m_suspects;
   Permission m_permission;
+  Instant m_last_admitted{};  // Last time at which the permission held.
   bool m_draining = false;
 
   std::unordered_map<std::uint64_t, std::unique_ptr<OpenCall>> m_calls;
--- a/src/codec.cpp
+++ b/src/codec.cpp
@@ -102,6 +102,7 @@
     out.set_checks_fencing(value.m_checks_fencing);
     out.set_role(Name(ToName(value.m_role)));
     out.set_draining(value.m_draining);
+    out.set_provided(value.m_provided);
   }
 };
 
@@ -166,6 +167,7 @@
   endpoint.m_checks_fencing = in.checks_fencing();
   endpoint.m_role = ReadEnum(in.role(), EndpointRole::kMixed, "role", mistake);
   endpoint.m_draining = in.draining();
+  endpoint.m_provided = in.provided();
   return endpoint;
 }
 
--- a/src/dispatch.cpp
+++ b/src/dispatch.cpp
@@ -114,6 +114,20 @@
   }
 }
 
+// Whether a keyed request may wait for the permission to be renewed. It is
+// sent only once the permission holds again.
+bool MayQueueKeyed(const CallState& state, Instant now) {
+  return MayAdmitKeyed(state) ||
+         now <= state.m_last_admitted + kPermissionGrace;
+}
+
+void RefuseUnconfirmed(CallState& state, OpenCall& call) {
+  RefuseCall(state, call, ProblemCode::kNotAdmitting,
+             OutcomeOf(call.m_exchange),
+             "This instance cannot confirm that keys are still valid: " +
+                 state.m_permission.m_reason);
+}
+
 // The demand that roles and capacity are planned from counts requests that
 // the queue refuses as well.
 void CountArrival(CallState& state, const Intake& intake) {
@@ -256,6 +270,22 @@
   }
 }
 
+// Refuses keyed requests that wait in the queue once the permission has not
+// been renewed for the time of grace.
+void EndUnconfirmed(CallState& state, Instant now) {
+  if (MayAdmitKeyed(state)) state.m_last_admitted = now;
+  if (MayQueueKeyed(state, now)) return;
+  std::vector<std::uint64_t> ids;
+  for (const auto& [id, call] : state.m_calls) {
+    if (call->m_phase == CallPhase::kQueued && !call->m_intake.m_key.empty()) {
+      ids.push_back(id);
+    }
+  }
+  for (const std::uint64_t id : ids) {
+    RefuseUnconfirmed(state, *FindCall(state, id));
+  }
+}
+
 void StartPaused(CallState& state, Instant now) {
   std::vector<std::uint64_t> due;
   for (const auto& [id, call] : state.m_calls) {
@@ -313,10 +343,8 @@
                         std::move(std::get<Intake>(result)), now);
   OpenCall& call = *owned;
   state.m_calls[id] = std::move(owned);
-  if (!call.m_intake.m_key.empty() && !MayAdmitKeyed(state)) {
-    RefuseCall(state, call, ProblemCode::kNotAdmitting, Outcome::kNotRun,
-               "This instance cannot confirm that keys are still valid: " +
-                   state.m_permission.m_reason);
+  if (!call.m_intake.m_key.empty() && !MayQueueKeyed(state, now)) {
+    RefuseUnconfirmed(state, call);
     return;
   }
   OnRequest(state.m_retry, call.m_intake.m_workspace);
@@ -436,6 +464,7 @@
 void OnTick(CallState& state) {
   const Instant now = state.m_clock();
   EndExpired(state, now);
+  EndUnconfirmed(state, now);
   StartPaused(state, now);
   for (const auto& [name, fleet] : state.m_tables.m_fleets) {
     if (QueuedRequests(state.m_admit, name) > 0) RunQueue(state, name);
--- a/src/duty.h
+++ b/src/duty.h
@@ -146,6 +146,8 @@
   std::map<std::string, FleetCapacity, std::less<>> m_capacity;  // By fleet.
   std::map<std::string, ProvidedEndpoint, std::less<>> m_provided;
   HttpPort::CallId m_list_call = 0;
+  HttpPort::CallId m_instances_call = 0;
+  std::map<std::string, std::uint64_t> m_drain_tickets;  // By endpoint.
   Instant m_listed_at{};
   Position m_listed_tenure = 0;  // Fencing number under which it was read.
 
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -218,10 +218,11 @@
   const std::string name =
       peer.instance() + "/" + std::to_string(peer.incarnation());
   for (const schema::WorkspaceService& service : peer.services()) {
-    ReportOtherService(m_state.m_admit, name,
-                       {service.fleet(), service.workspace(), service.served(),
-                        service.waiting()},
-                       now);
+    ReportOtherService(
+        m_state.m_admit, name,
+        {service.fleet(), service.workspace(), service.served(),
+         service.waiting(), service.requests(), service.running()},
+        now);
   }
   for (const std::string& endpoint : peer.leaving_endpoints()) {
     SetLeaving(m_state.m_route, endpoint, true);
@@ -284,6 +285,8 @@
     service->set_workspace(digest.m_workspace);
     service->set_served(digest.m_served);
     service->set_waiting(digest.m_waiting);
+    service->set_requests(digest.m_requests);
+    service->set_running(digest.m_running);
   }
   for (const auto& [fleet, arrived] : m_state.m_arrived) {
     schema::FleetDemand* demand = status.add_demands();
--- a/src/provision.cpp
+++ b/src/provision.cpp
@@ -29,8 +29,10 @@
 
 constexpr std::int64_t kSecondsPerHour = 3600;
 
+// Capacity is planned for fleets of engines with zones and a known speed.
 bool IsProvided(const Fleet& fleet) {
-  return fleet.m_kind == FleetKind::kEngine && !fleet.m_zones.empty();
+  return fleet.m_kind == FleetKind::kEngine && !fleet.m_zones.empty() &&
+         HasKnownSpeed(fleet);
 }
 
 const Fleet* FindFleet(const DutyState& state, std::string_view name) {
@@ -82,6 +84,7 @@
   endpoint.m_class = FromName<EndpointClass>(platform.endpoint_class())
                          .value_or(EndpointClass::kOnDemand);
   endpoint.m_checks_fencing = platform.checks_fencing();
+  endpoint.m_provided = true;
   return endpoint;
 }
 
@@ -126,6 +129,7 @@
   }
   Endpoint endpoint = found->second.m_value;
   const Position version = found->second.m_version;
+  if (!endpoint.m_provided) return;
   if (gone) {
     WriteEndpoint(state, provided, endpoint, version, true);
     return;
@@ -159,10 +163,12 @@
     provided.m_listed = true;
     provided.m_missing = 0;
   }
-  // Endpoints of provided fleets that are configured but not listed any more.
+  // Endpoints that were adopted and are not listed any more. Those that an
+  // operator configured are left alone.
   for (const auto& [name, endpoint] : state.m_tables.m_endpoints) {
     const Fleet* fleet = FindFleet(state, endpoint.m_value.m_fleet);
     if (fleet == nullptr || !IsProvided(*fleet)) continue;
+    if (!endpoint.m_value.m_provided) continue;
     ProvidedEndpoint& provided = state.m_provided[name];
     if (provided.m_platform.name().empty()) {
       provided.m_platform.set_name(name);
@@ -199,6 +205,40 @@
       }));
 }
 
+// Drains an endpoint whose instance the platform lists as leaving, of
+// whatever fleet, if it is not drained already.
+void DrainLeaving(DutyState& state, const std::string& name) {
+  const auto found = state.m_tables.m_endpoints.find(name);
+  if (found == state.m_tables.m_endpoints.end()) return;
+  if (found->second.m_value.m_draining) return;
+  if (state.m_drain_tickets.count(name) != 0) return;
+  ProvidedEndpoint write;
+  Endpoint endpoint = found->second.m_value;
+  endpoint.m_draining = true;
+  WriteEndpoint(state, write, endpoint, found->second.m_version, false);
+  state.m_drain_tickets[name] = write.m_ticket;
+}
+
+void ReadInstances(DutyState& state) {
+  if (state.m_instances_call != 0) return;
+  HttpCall call =
+      MakeDutyCall(state, kCapacityDuty,
+                   state.m_options.m_platform_url + "/platform/v1/instances");
+  state.m_instances_call = state.m_http->Start(
+      std::move(call),
+      CollectBody([&state](const HttpResult& result, const std::string& body) {
+        state.m_instances_call = 0;
+        schema::PlatformInstanceList list;
+        if (result.m_error || result.m_status != kOk ||
+            FromJson(body, UnknownFields::kIgnore, &list)) {
+          return;
+        }
+        for (const schema::PlatformInstance& instance : list.instances()) {
+          if (instance.leaving()) DrainLeaving(state, instance.name());
+        }
+      }));
+}
+
 PendingCreate* FindCreate(DutyState& state, const std::string& fleet,
                           const std::string& token) {
   for (PendingCreate& create : state.m_capacity[fleet].m_creates) {
@@ -281,6 +321,17 @@
     }
     if (endpoint.m_phase != EndpointPhase::kGone) view.push_back(endpoint);
   }
+  for (const auto& [name, configured] : state.m_tables.m_endpoints) {
+    const Endpoint& endpoint = configured.m_value;
+    if (endpoint.m_fleet != fleet || endpoint.m_provided) continue;
+    view.push_back(
+        {name,
+         endpoint.m_availability_zone,
+         endpoint.m_class,
+         endpoint.m_draining ? EndpointPhase::kDraining : EndpointPhase::kReady,
+         {},
+         0.0});
+  }
   for (const PendingCreate& create : capacity.m_creates) {
     view.push_back({create.m_token, create.m_zone, create.m_class,
                     EndpointPhase::kOrdered, create.m_ordered, 0.0});
@@ -308,7 +359,7 @@
     return;
   }
   Endpoint endpoint = configured->second.m_value;
-  if (endpoint.m_draining) return;
+  if (endpoint.m_draining || !endpoint.m_provided) return;
   endpoint.m_draining = true;
   WriteEndpoint(state, found->second, endpoint, configured->second.m_version,
                 false);
@@ -351,6 +402,7 @@
   const Instant now = state.m_clock();
   if (now - state.m_listed_at < state.m_options.m_platform_poll) return;
   state.m_listed_at = now;
+  ReadInstances(state);
   const bool any = std::any_of(
       state.m_tables.m_fleets.begin(), state.m_tables.m_fleets.end(),
       [](const auto& entry) { return IsProvided(entry.second.m_value); });
@@ -379,6 +431,11 @@
     provided.m_ticket = 0;
     return true;
   }
+  for (const auto& [name, ticket] : state.m_drain_tickets) {
+    if (ticket != verdict.ticket()) continue;
+    state.m_drain_tickets.erase(name);
+    return true;
+  }
   return false;
 }
 
--- a/src/types.h
+++ b/src/types.h
@@ -235,6 +235,7 @@
   bool m_checks_fencing = false;
   EndpointRole m_role = EndpointRole::kMixed;
   bool m_draining = false;
+  bool m_provided = false;  // Ordered or adopted at the platform.
 };
 
 }  // namespace comfreypaddle
