--- a/src/snapshot.cpp
+++ b/src/snapshot.cpp
@@ -308,7 +308,12 @@
     if (part == nullptr) continue;
     const SnapshotCollector::Key key{part->m_covers, batch.m_writer.m_name,
                                      batch.m_writer.m_incarnation};
-    collector.m_parts[key][part->m_part] = *part;
+    auto& parts = collector.m_parts[key];
+    parts[part->m_part] = *part;
+    if (parts.size() < part->m_parts) continue;
+    // A complete snapshot makes those that cover less needless.
+    collector.m_parts.erase(collector.m_parts.begin(),
+                            collector.m_parts.find(key));
   }
 }
 
--- a/src/snapshot.h
+++ b/src/snapshot.h
@@ -35,7 +35,8 @@
   std::map<Key, std::map<std::uint32_t, SnapshotPart>> m_parts;
 };
 
-// Adds the parts among the records of a batch.
+// Adds the parts among the records of a batch. Snapshots that cover less than
+// one that is complete are dropped.
 void CollectParts(SnapshotCollector& collector, const RecordBatch& batch);
 
 // Data of the complete snapshot that covers the most, provided that it covers
