End an append when its batch is read back

Cause: when the answer of an append was lost, the next batch waited for the time limit of the append even if the batch had been read back already. That held up lease renewals and claims by up to append_timeout_ms.

Change: TakeRead ends the append under way, and EndSend takes the number of the append, so that its late end has no effect on the next one.

Conclusion: a lost answer costs no more than the read of the batch.

--- a/src/batch.cpp
+++ b/src/batch.cpp
@@ -88,16 +88,17 @@
 
 const Flight& BeginSend(Batcher& batcher, Instant now) {
   if (!batcher.m_open) batcher.m_open = FormFlight(batcher, now);
+  ++batcher.m_call;
   batcher.m_call_open = true;
   batcher.m_next_send = now + batcher.m_options.m_period;
   return *batcher.m_open;
 }
 
-void EndSend(Batcher& batcher, AppendEnd end, Instant now) {
+void EndSend(Batcher& batcher, std::uint64_t call, AppendEnd end, Instant now) {
+  if (!batcher.m_call_open || call != batcher.m_call) return;
   batcher.m_call_open = false;
   if (end == AppendEnd::kStored) {
     batcher.m_backoff = Duration(0);
-    if (!batcher.m_open) return;
     const std::uint64_t sequence = batcher.m_open->m_sequence;
     batcher.m_stored.emplace(sequence, *std::move(batcher.m_open));
     batcher.m_open.reset();
@@ -107,13 +108,13 @@
   batcher.m_backoff = std::clamp(batcher.m_backoff * 2, options.m_first_backoff,
                                  options.m_max_backoff);
   batcher.m_next_send = std::max(batcher.m_next_send, now + batcher.m_backoff);
-  if (!batcher.m_open) return;
   if (end == AppendEnd::kUnknown) batcher.m_open->m_may_be_stored = true;
   if (!batcher.m_open->m_may_be_stored) ReturnToQueue(batcher);
 }
 
 std::optional<Flight> TakeRead(Batcher& batcher, std::uint64_t sequence) {
   if (batcher.m_open && batcher.m_open->m_sequence == sequence) {
+    batcher.m_call_open = false;
     return std::exchange(batcher.m_open, std::nullopt);
   }
   const auto found = batcher.m_stored.find(sequence);
--- a/src/batch.h
+++ b/src/batch.h
@@ -66,7 +66,8 @@
   std::deque<Submission> m_background;
   std::optional<Flight> m_open;              // Not known to be stored.
   std::map<std::uint64_t, Flight> m_stored;  // Stored, not read back yet.
-  bool m_call_open = false;                  // An append is under way.
+  std::uint64_t m_call = 0;                  // Number of the last append.
+  bool m_call_open = false;                  // It is under way.
   std::uint64_t m_next_sequence = 1;
   Instant m_next_send{};
   Duration m_backoff{0};
@@ -97,12 +98,14 @@
 // it only when an append is due. The reference is valid until the next call.
 const Flight& BeginSend(Batcher& batcher, Instant now);
 
-// Notes how the append ended. A batch that is known not to be stored goes
-// back to the queue.
-void EndSend(Batcher& batcher, AppendEnd end, Instant now);
+// Notes how the append with this number ended. A batch that is known not to be
+// stored goes back to the queue. An append whose batch was read back before
+// has ended already, and its end has no effect.
+void EndSend(Batcher& batcher, std::uint64_t call, AppendEnd end, Instant now);
 
 // Takes the batch with this number when it was read back; nothing if it was
-// read back before.
+// read back before. The answer of its append is not waited for any more,
+// because a lost one would hold up the next batch for the append's time limit.
 std::optional<Flight> TakeRead(Batcher& batcher, std::uint64_t sequence);
 
 // Gives up submissions whose deadline has passed: kNotStored for those that
--- a/src/journalcore.cpp
+++ b/src/journalcore.cpp
@@ -291,14 +291,15 @@
     batch.m_records.push_back(submission.m_record);
   }
   m_log.Append(SerializeBatch(batch),
-               [this](std::error_code error, std::uint64_t /*offset*/) {
-                 OnAppended(error);
+               [this, call = m_batcher.m_call](std::error_code error,
+                                               std::uint64_t /*offset*/) {
+                 OnAppended(call, error);
                });
 }
 
-void JournalCore::OnAppended(const std::error_code& error) {
+void JournalCore::OnAppended(std::uint64_t call, const std::error_code& error) {
   LogErrorChange("append", error, m_append_error);
-  EndSend(m_batcher, EndOf(error), m_host.m_clock());
+  EndSend(m_batcher, call, EndOf(error), m_host.m_clock());
   Tick();
 }
 
--- a/src/journalcore.h
+++ b/src/journalcore.h
@@ -74,7 +74,7 @@
   void SendUsage(Instant now);
   void QueueUsage(UsageFlush flush);
   void SendBatch(Instant now);
-  void OnAppended(const std::error_code& error);
+  void OnAppended(std::uint64_t call, const std::error_code& error);
   void SendRead();
   void OnRead(const std::error_code& error, const schema::LogBatch& batch,
               Instant sent_at);
--- a/tests/journal_test.cpp
+++ b/tests/journal_test.cpp
@@ -237,6 +237,29 @@
   CHECK(f.m_core->State().m_usage.m_open.at({"w", "r"}).m_requests == 5);
 }
 
+// Guards against a lost answer that holds up later records, such as the
+// renewal of a lease, for the time limit of an append.
+TEST_CASE("a batch that was read back does not wait for its answer") {
+  StoredLog stored;
+  Fixture f(stored);
+  f.Settle();
+  f.SubmitWorkspace("w", 1);
+  const PendingAppend first = f.m_appends.front();
+  f.m_appends.pop_front();
+  stored.m_bodies.push_back(first.m_body);
+  f.ServeRead();
+  CHECK(f.Verdicts() == "1:accepted ");
+  f.SubmitWorkspace("v", 2);
+  f.Advance(milliseconds(30));
+  REQUIRE(f.m_appends.size() == 1);
+  first.m_end(LogError::kNoAnswer, 0);
+  f.Advance(milliseconds(2000));
+  CHECK(f.m_appends.size() == 1);
+  f.Settle();
+  CHECK(f.Verdicts() == "1:accepted 2:accepted ");
+  CHECK(stored.m_bodies.size() == 2);
+}
+
 // Guards against not_stored for a record that the log may hold.
 TEST_CASE("a record gets a truthful verdict at its time limit") {
   StoredLog stored;
