--- a/src/member.cpp
+++ b/src/member.cpp
@@ -272,16 +272,22 @@
   return found->second.m_draining ? PeerPhase::kDraining : PeerPhase::kHeard;
 }
 
+bool IsFullMesh(const MemberState& state) {
+  const auto listed =
+      std::count_if(state.m_peers.begin(), state.m_peers.end(),
+                    [](const auto& entry) { return entry.second.m_listed; });
+  return static_cast<std::size_t>(listed) + 1 <= kFullMesh;
+}
+
 std::vector<std::string> HeartbeatTargets(const MemberState& state,
                                           Instant now) {
   const auto regions = RankByRegion(state, now);
-  std::size_t listed = 0;
-  for (const auto& [region, peers] : regions) listed += peers.size();
+  const bool full_mesh = IsFullMesh(state);
   std::vector<std::string> targets;
   for (const auto& [region, peers] : regions) {
     const bool own = region == state.m_options.m_region;
     std::size_t wanted = own ? kRingNeighbours : 1;
-    if (listed + 1 <= kFullMesh) wanted = peers.size();
+    if (full_mesh) wanted = peers.size();
     wanted = std::min(wanted, peers.size());
     for (std::size_t i = 0; i < wanted; ++i) targets.push_back(peers[i].m_name);
   }
--- a/src/member.h
+++ b/src/member.h
@@ -186,6 +186,9 @@
 
 inline constexpr std::size_t kFullMesh = 16;
 
+// Tells whether all instances send heartbeats to all.
+bool IsFullMesh(const MemberState& state);
+
 // Returns up to two of the heartbeat targets that are heard and not draining,
 // to hold usage: if possible one in this region and one in another.
 std::vector<std::string> HoldTargets(const MemberState& state, Instant now);
--- a/src/peers.cpp
+++ b/src/peers.cpp
@@ -20,10 +20,13 @@
 constexpr Duration kRecordsTimeout = std::chrono::seconds(2);
 constexpr int kRecordsLimit = 500;
 constexpr std::uint32_t kMaxBodyBytes = 16U << 20U;
-// Digests of service change the fairness over seconds, not heartbeats.
+// Digests of service change the fairness over seconds, not heartbeats. In a
+// large deployment, a digest each second alone would use up the traffic for
+// control.
 constexpr Duration kServicesPeriod = std::chrono::seconds(1);
+constexpr Duration kServicesPeriodLarge = std::chrono::seconds(5);
 // A peer that started later learns all services within this time.
-constexpr Duration kServicesRefresh = std::chrono::seconds(10);
+constexpr Duration kServicesRefresh = std::chrono::seconds(30);
 // An owner that is silent for this time will not append its usage soon.
 constexpr Duration kOrphanAfter = std::chrono::seconds(5);
 // A permission that lapses only a little later is not published again.
@@ -252,7 +255,8 @@
 schema::PeerState Peers::HeartbeatState(Instant now) {
   schema::PeerState state = OwnState(now);
   if (now < m_next_services) return state;
-  m_next_services = now + kServicesPeriod;
+  m_next_services =
+      now + (IsFullMesh(m_members) ? kServicesPeriod : kServicesPeriodLarge);
   if (now >= m_next_refresh) {
     m_next_refresh = now + kServicesRefresh;
     m_told.m_told.clear();
