Let a request without a suitable endpoint be passed over

A request that must not run on a cheap endpoint waits for room on an on-demand one. Taking and putting it back would hold up all other workspaces behind it and charge the queue twice for each try. TakeFitting asks for each of the next requests whether an endpoint has room for it and takes the first that fits.

--- a/src/admit.cpp
+++ b/src/admit.cpp
@@ -264,6 +264,22 @@
   return queue.m_running >= bound;
 }
 
+// Takes a waiting request and charges it.
+Waiting Take(AdmitState& state, FleetQueue& queue, std::uint64_t id,
+             Instant now) {
+  Waiting request = Extract(state, id, now);
+  Flow& flow = queue.m_flows.find(request.m_workspace)->second;
+  Charge(queue, request.m_workspace, flow, request.m_cost);
+  AddServed(flow, request.m_cost);
+  flow.m_running += request.m_cost;
+  ++flow.m_running_requests;
+  if (now - queue.m_busy_since >= kLeastBusy) {
+    queue.m_recent_work += request.m_cost;
+  }
+  ++queue.m_running;
+  return request;
+}
+
 Duration RetryAfter(Duration wait) {
   return std::clamp(wait, kLeastRetryAfter, kMostRetryAfter);
 }
@@ -379,26 +395,29 @@
 
 std::optional<Waiting> TakeNext(AdmitState& state, std::string_view fleet,
                                 Instant now) {
+  return TakeFitting(
+      state, fleet, now, [](const Waiting&) { return true; }, 1);
+}
+
+std::optional<Waiting> TakeFitting(
+    AdmitState& state, std::string_view fleet, Instant now,
+    const std::function<bool(const Waiting&)>& fits, std::size_t limit) {
   const auto found = state.m_fleets.find(fleet);
   if (found == state.m_fleets.end()) return std::nullopt;
   FleetQueue& queue = found->second;
-  if (queue.m_order.empty()) return std::nullopt;
-  if (UsesItsShare(queue)) return std::nullopt;
+  if (queue.m_order.empty() || UsesItsShare(queue)) return std::nullopt;
   AdvanceRate(queue, now);
-  const std::string name = queue.m_order.begin()->second;
-  Flow& flow = queue.m_flows.find(name)->second;
-  queue.m_virtual = std::max(queue.m_virtual, flow.m_key);
-  const std::uint64_t id = flow.m_requests.begin()->second.m_id;
-  Waiting request = Extract(state, id, now);
-  Charge(queue, name, flow, request.m_cost);
-  AddServed(flow, request.m_cost);
-  flow.m_running += request.m_cost;
-  ++flow.m_running_requests;
-  if (now - queue.m_busy_since >= kLeastBusy) {
-    queue.m_recent_work += request.m_cost;
+  for (const auto& [key, name] : queue.m_order) {
+    if (limit-- == 0) break;
+    const Flow& flow = queue.m_flows.find(name)->second;
+    const Waiting& request = flow.m_requests.begin()->second;
+    if (!fits(request)) continue;
+    // Flows that were passed over must not fall behind new ones.
+    const double least = queue.m_order.begin()->first;
+    queue.m_virtual = std::max(queue.m_virtual, least);
+    return Take(state, queue, request.m_id, now);
   }
-  ++queue.m_running;
-  return request;
+  return std::nullopt;
 }
 
 void PutBack(AdmitState& state, Waiting request, Instant now) {
--- a/src/admit.h
+++ b/src/admit.h
@@ -199,11 +199,20 @@
 
 // Takes the request to be sent next and charges its cost to its workspace.
 // Returns nothing if none waits at the fleet, or if this instance already
-// uses its share of a contended fleet. Each taken request must be ended by
-// exactly one PutBack or CorrectCost.
+// uses its share of a contended fleet; a further try makes sense after a
+// request of the fleet has ended, after Enqueue and after UpdateShares. Each
+// taken request must be ended by exactly one PutBack or CorrectCost.
 std::optional<Waiting> TakeNext(AdmitState& state, std::string_view fleet,
                                 Instant now);
 
+// Does the same with the first request for which `fits` is true, among the
+// next requests of the first `limit` workspaces. A request that no endpoint
+// has room for, for instance because it must not run on a cheap one, then
+// does not hold up other workspaces. `fits` must not change the state.
+std::optional<Waiting> TakeFitting(
+    AdmitState& state, std::string_view fleet, Instant now,
+    const std::function<bool(const Waiting&)>& fits, std::size_t limit);
+
 // Returns a taken request to its former place and takes the charge back. The
 // bounds are not checked again.
 void PutBack(AdmitState& state, Waiting request, Instant now);
--- a/tests/admit_test.cpp
+++ b/tests/admit_test.cpp
@@ -153,6 +153,18 @@
   }
 }
 
+// Guards against a request without a suitable endpoint that holds up others.
+TEST_CASE("a request that does not fit does not hold up other workspaces") {
+  AdmitState state;
+  for (std::uint64_t id = 1; id <= 3; ++id) {
+    Enqueue(state, {}, Request(id, "w" + std::to_string(id)), kStart);
+  }
+  const auto not_first = [](const Waiting& item) { return item.m_id != 1; };
+  CHECK_FALSE(TakeFitting(state, "models", kStart, not_first, 1));
+  CHECK(TakeFitting(state, "models", kStart, not_first, 2)->m_id == 2);
+  CHECK(TakeNext(state, "models", kStart)->m_id == 1);
+}
+
 // Guards against a workspace that is served too much because its service at
 // other instances is not seen, and against one that is held back without end.
 TEST_CASE("service at other instances counts within a bound") {
