Tell peers the end of a workspace's last request

A digest left out a flow whose last request ended at its estimated cost, so that peers counted the request for three more seconds. The digest now has the flow once more. The estimate of an endpoint's work also cannot fall below what this instance's running requests still need.

--- a/src/admit.h
+++ b/src/admit.h
@@ -98,10 +98,12 @@
 // Requests and virtual time of one workspace at one fleet.
 struct Flow {
   double m_weight = 1.0;
-  double m_start = 0.0;    // Virtual start time of the next request.
-  double m_key = 0.0;      // Place in FleetQueue::m_order while backlogged.
-  double m_served = 0.0;   // By this instance since its start.
-  double m_told = 0.0;     // Value of m_served in the last digest.
+  double m_start = 0.0;   // Virtual start time of the next request.
+  double m_key = 0.0;     // Place in FleetQueue::m_order while backlogged.
+  double m_served = 0.0;  // By this instance since its start.
+  // Service and open requests in the last digest.
+  double m_told_served = 0.0;
+  std::uint32_t m_told_requests = 0;
   double m_queued = 0.0;   // Cost of waiting requests.
   double m_running = 0.0;  // Cost of requests taken and not finished.
   std::uint32_t m_running_requests = 0;
--- a/src/route.cpp
+++ b/src/route.cpp
@@ -398,7 +398,9 @@
   const double reported =
       endpoint.m_report->m_queued_tokens +
       kRunningShare * fleet.m_mean_work * endpoint.m_report->m_running;
-  return std::max(0.0, reported + endpoint.m_changed_work);
+  // What finished since the report was counted there with a part of its work.
+  return std::max(kRunningShare * endpoint.m_own_work,
+                  reported + endpoint.m_changed_work);
 }
 
 double EstimatedRequests(const EndpointView& endpoint) {
--- a/src/share.cpp
+++ b/src/share.cpp
@@ -129,8 +129,14 @@
     for (auto& [name, flow] : queue.m_flows) {
       const auto requests = static_cast<std::uint32_t>(flow.m_requests.size() +
                                                        flow.m_running_requests);
-      if (requests == 0 && flow.m_served == flow.m_told) continue;
-      flow.m_told = flow.m_served;
+      // The end of the last request is told as well, so that peers do not
+      // count it until it is too old.
+      if (requests == 0 && flow.m_told_requests == 0 &&
+          flow.m_served == flow.m_told_served) {
+        continue;
+      }
+      flow.m_told_served = flow.m_served;
+      flow.m_told_requests = requests;
       digest.push_back({fleet, name, flow.m_served,
                         flow.m_queued + flow.m_running, requests,
                         flow.m_running_requests});
--- a/tests/admit_test.cpp
+++ b/tests/admit_test.cpp
@@ -6,6 +6,8 @@
 
 #include <set>
 
+#include "share.h"
+
 namespace comfreypaddle {
 namespace {
 
@@ -185,6 +187,18 @@
   CHECK(others <= 40);
 }
 
+// Guards against peers that count requests which have ended.
+TEST_CASE("a digest tells the end of the last request once") {
+  AdmitState state;
+  Enqueue(state, {}, Request(1, "a"), kStart);
+  CHECK(MakeServiceDigest(state).at(0).m_requests == 1);
+  TakeNext(state, "models", kStart);
+  CHECK(MakeServiceDigest(state).at(0).m_running == 1);
+  CorrectCost(state, "models", "a", 100.0, 100.0);
+  CHECK(MakeServiceDigest(state).at(0).m_requests == 0);
+  CHECK(MakeServiceDigest(state).empty());
+}
+
 // Guards against credit for time in which a workspace asked for nothing.
 TEST_CASE("an idle workspace earns no credit") {
   AdmitState state;
