--- a/src/admit.h
+++ b/src/admit.h
@@ -98,10 +98,12 @@
 // Requests and virtual time of one workspace at one fleet.
 struct Flow {
   double m_weight = 1.0;
-  double m_start = 0.0;    // Virtual start time of the next request.
-  double m_key = 0.0;      // Place in FleetQueue::m_order while backlogged.
-  double m_served = 0.0;   // By this instance since its start.
-  double m_told = 0.0;     // Value of m_served in the last digest.
+  double m_start = 0.0;   // Virtual start time of the next request.
+  double m_key = 0.0;     // Place in FleetQueue::m_order while backlogged.
+  double m_served = 0.0;  // By this instance since its start.
+  // Service and open requests in the last digest.
+  double m_told_served = 0.0;
+  std::uint32_t m_told_requests = 0;
   double m_queued = 0.0;   // Cost of waiting requests.
   double m_running = 0.0;  // Cost of requests taken and not finished.
   std::uint32_t m_running_requests = 0;
@@ -199,11 +201,20 @@
 
 // Takes the request to be sent next and charges its cost to its workspace.
 // Returns nothing if none waits at the fleet, or if this instance already
-// uses its share of a contended fleet. Each taken request must be ended by
-// exactly one PutBack or CorrectCost.
+// uses its share of a contended fleet; a further try makes sense after a
+// request of the fleet has ended, after Enqueue and after UpdateShares. Each
+// taken request must be ended by exactly one PutBack or CorrectCost.
 std::optional<Waiting> TakeNext(AdmitState& state, std::string_view fleet,
                                 Instant now);
 
+// Does the same with the first request for which `fits` is true, among the
+// next requests of the first `limit` workspaces. A request that no endpoint
+// has room for, for instance because it must not run on a cheap one, then
+// does not hold up other workspaces. `fits` must not change the state.
+std::optional<Waiting> TakeFitting(
+    AdmitState& state, std::string_view fleet, Instant now,
+    const std::function<bool(const Waiting&)>& fits, std::size_t limit);
+
 // Returns a taken request to its former place and takes the charge back. The
 // bounds are not checked again.
 void PutBack(AdmitState& state, Waiting request, Instant now);
--- a/tests/admit_test.cpp
+++ b/tests/admit_test.cpp
@@ -6,6 +6,8 @@
 
 #include <set>
 
+#include "share.h"
+
 namespace comfreypaddle {
 namespace {
 
@@ -153,6 +155,18 @@
   }
 }
 
+// Guards against a request without a suitable endpoint that holds up others.
+TEST_CASE("a request that does not fit does not hold up other workspaces") {
+  AdmitState state;
+  for (std::uint64_t id = 1; id <= 3; ++id) {
+    Enqueue(state, {}, Request(id, "w" + std::to_string(id)), kStart);
+  }
+  const auto not_first = [](const Waiting& item) { return item.m_id != 1; };
+  CHECK_FALSE(TakeFitting(state, "models", kStart, not_first, 1));
+  CHECK(TakeFitting(state, "models", kStart, not_first, 2)->m_id == 2);
+  CHECK(TakeNext(state, "models", kStart)->m_id == 1);
+}
+
 // Guards against a workspace that is served too much because its service at
 // other instances is not seen, and against one that is held back without end.
 TEST_CASE("service at other instances counts within a bound") {
@@ -173,6 +187,18 @@
   CHECK(others <= 40);
 }
 
+// Guards against peers that count requests which have ended.
+TEST_CASE("a digest tells the end of the last request once") {
+  AdmitState state;
+  Enqueue(state, {}, Request(1, "a"), kStart);
+  CHECK(MakeServiceDigest(state).at(0).m_requests == 1);
+  TakeNext(state, "models", kStart);
+  CHECK(MakeServiceDigest(state).at(0).m_running == 1);
+  CorrectCost(state, "models", "a", 100.0, 100.0);
+  CHECK(MakeServiceDigest(state).at(0).m_requests == 0);
+  CHECK(MakeServiceDigest(state).empty());
+}
+
 // Guards against credit for time in which a workspace asked for nothing.
 TEST_CASE("an idle workspace earns no credit") {
   AdmitState state;
