Exchange on-demand endpoints for cheap ones up to the share

The fleet stayed at six cheap endpoints of twelve although the operators allow 0.6, because classes were only chosen when endpoints were ordered.

Change: while nothing else is to do and the sustained demand leaves an endpoint to spare, one on-demand endpoint at a time is drained and a cheap one ordered.

--- a/src/capacity.cpp
+++ b/src/capacity.cpp
@@ -189,6 +189,49 @@
   }
 }
 
+// Whether the fleet does its sustained work with one endpoint less, with the
+// margin, and nothing is under way.
+bool MayExchange(const CapacityPlanner& planner, const Census& census,
+                 const Endpoints& endpoints, double demand,
+                 std::size_t hour_after_lead_time) {
+  const bool settled = std::all_of(
+      endpoints.begin(), endpoints.end(), [](const CapacityEndpoint& endpoint) {
+        return endpoint.m_phase == EndpointPhase::kReady ||
+               endpoint.m_phase == EndpointPhase::kGone;
+      });
+  return settled && EndpointsNeeded(planner, demand, hour_after_lead_time) <
+                        census.m_total;
+}
+
+// Drains an on-demand endpoint and orders a cheap one in its zone, if the share
+// and the limit allow one more.
+void ExchangeOne(const CapacityPlanner& planner, Census& census,
+                 Endpoints& endpoints, double demand, Instant now,
+                 std::vector<CapacityOrder>& orders) {
+  const CapacityOptions& options = planner.m_options;
+  if (!CheapFits(options, census, census.m_total)) return;
+  const int limit = CheapLimitPerZone(options, census.m_total,
+                                      demand * options.m_exchange_factor);
+  const auto kind = EndpointClass::kCheap;
+  CapacityEndpoint* best = nullptr;
+  for (const std::string& zone : options.m_zones) {
+    if (FailedLately(planner, zone, kind, now)) continue;
+    const int cheap = census.m_cheap_by_zone[zone];
+    if (cheap >= limit) continue;
+    CapacityEndpoint* pick =
+        PickDrain(endpoints, zone, EndpointClass::kOnDemand);
+    if (pick == nullptr) continue;
+    if (best != nullptr && cheap >= census.m_cheap_by_zone[best->m_zone]) {
+      continue;
+    }
+    best = pick;
+  }
+  if (best == nullptr) return;
+  Drain(census, *best, orders);
+  Add(census, best->m_zone, kind, 1);
+  orders.push_back({CapacityOrderKind::kCreate, best->m_zone, kind, {}});
+}
+
 }  // namespace
 
 void LearnProfile(CapacityPlanner& planner, std::size_t hour, double demand) {
@@ -248,6 +291,10 @@
       planner, census, view,
       CheapLimitPerZone(options, census.m_total, demand.m_sustained), now,
       orders);
+  if (orders.empty() && MayExchange(planner, census, view, demand.m_sustained,
+                                    hour_after_lead_time)) {
+    ExchangeOne(planner, census, view, demand.m_sustained, now, orders);
+  }
   return orders;
 }
 
--- a/src/capacity.h
+++ b/src/capacity.h
@@ -44,6 +44,10 @@
   // the work of a reclaimed zone. Above the target, because the deadline
   // leaves time to work off a short queue.
   double m_takeover_utilisation = 0.95;
+  // An on-demand endpoint is exchanged for a cheap one only if the cheap limit
+  // holds at this multiple of the sustained demand, so that a small rise does
+  // not undo the exchange.
+  double m_exchange_factor = 1.15;
   // The fleet shrinks only after the demand was below it for this long.
   Duration m_shrink_delay = std::chrono::seconds(90);
 };
@@ -110,8 +114,10 @@
 // Plans the orders of now: gives up orders that do not come, orders what is
 // missing in the zones with the fewest endpoints, drains what is left over for
 // the shrink delay, and replaces cheap endpoints that the rest could not take
-// over at the sustained demand. Draining and abandoned endpoints do not count
-// as capacity.
+// over at the sustained demand. If nothing else is to do, one on-demand
+// endpoint at a time is exchanged for a cheap one while the sustained demand
+// leaves an endpoint to spare. Draining and abandoned endpoints do not count as
+// capacity.
 std::vector<CapacityOrder> PlanCapacity(
     CapacityPlanner& planner, const std::vector<CapacityEndpoint>& endpoints,
     const CapacityDemand& demand, std::size_t hour_after_lead_time,
--- a/tests/capacity_test.cpp
+++ b/tests/capacity_test.cpp
@@ -113,6 +113,25 @@
   }
 }
 
+// Guards against a fleet that stays on-demand after a time of high demand.
+TEST_CASE("on-demand endpoints are exchanged one at a time up to the share") {
+  auto planner = MakePlanner(0.0);
+  Endpoints endpoints;
+  Apply(endpoints, PlanCapacity(planner, endpoints, {9.0, 5.0}, 0, kStart),
+        kStart);
+  REQUIRE(endpoints.size() == 12);
+  planner.m_options.m_cheap_share = 0.5;
+  for (int step = 1; step <= 10; ++step) {
+    const Instant now = kStart + seconds(step * 5);
+    const auto orders = PlanCapacity(planner, endpoints, {9.0, 5.0}, 0, now);
+    REQUIRE(orders.size() == (step <= 6 ? 2 : 0));
+    if (orders.empty()) break;
+    CHECK(orders[0].m_kind == CapacityOrderKind::kDrain);
+    CHECK(orders[1].m_class == EndpointClass::kCheap);
+    Apply(endpoints, orders, now);
+  }
+}
+
 TEST_CASE("the fleet shrinks only after the shrink delay and by draining") {
   auto planner = MakePlanner(0.0);
   Endpoints endpoints;
