--- a/src/benchentry.cpp
+++ b/src/benchentry.cpp
@@ -14,8 +14,12 @@
 constexpr std::uint32_t kDecisionRefused = 0x10000;
 constexpr std::uint32_t kDecisionRetry = 0x20000;
 
-// Requests that an operator lets one endpoint run at once.
-constexpr std::uint32_t kFleetConcurrency = 16;
+// Requests that the operators let one endpoint run at once. Long prompts are
+// served one after another, so that more of them would only wait at the
+// endpoint, where the fair queue has no say.
+std::uint32_t FleetConcurrency(Deployment deployment) {
+  return deployment == Deployment::kHagerstrom ? 12 : 16;
+}
 
 std::string ZoneName(std::uint32_t zone) {
   return "zone-" + std::to_string(zone);
@@ -279,7 +283,7 @@
 }
 
 void TellOne(EntryInstance& entry, const FakeEngine& engine,
-             const ToldEngine& told) {
+             const ToldEngine& told, std::uint32_t concurrency) {
   if (!told.m_known) {
     RemoveEndpoint(entry.m_route, engine.m_name);
     return;
@@ -291,7 +295,7 @@
   endpoint.m_region = endpoint.m_availability_zone;
   endpoint.m_class = engine.m_class;
   endpoint.m_role = told.m_role;
-  SetEndpoint(entry.m_route, endpoint, kFleetConcurrency);
+  SetEndpoint(entry.m_route, endpoint, concurrency);
   SetEndpointPhase(entry.m_route, engine.m_name, told.m_phase);
 }
 
@@ -459,7 +463,10 @@
       continue;
     }
     told = next;
-    for (EntryInstance& entry : world.m_entries) TellOne(entry, engine, told);
+    for (EntryInstance& entry : world.m_entries) {
+      TellOne(entry, engine, told,
+              FleetConcurrency(world.m_options.m_deployment));
+    }
     world.m_dirty = true;
   }
 }
