--- a/src/roles.cpp
+++ b/src/roles.cpp
@@ -29,11 +29,6 @@
   average.m_decode += weight * (sample.m_decode - average.m_decode);
 }
 
-double PrefillShare(const PhaseDemand& demand) {
-  const double total = demand.m_prefill + demand.m_decode;
-  return total > 0.0 ? demand.m_prefill / total : 0.5;
-}
-
 // Weight of a measurement of now in the average over a window. A first
 // measurement of a short time would otherwise stand for the whole window.
 double WeightOf(const RolePlanner& planner, Duration window, Instant now) {
@@ -53,14 +48,13 @@
 
 // Gain of a change over the horizon in endpoint-seconds.
 double GainOf(const RoleOptions& options, const RoleCounts& counts,
-              EndpointRole from, EndpointRole to, const PhaseDemand& demand,
-              Duration horizon) {
+              EndpointRole from, EndpointRole to, const PhaseDemand& demand) {
   RoleCounts after = counts;
   --CountOf(after, from);
   ++CountOf(after, to);
   const double rate = ServedDemand(options, after, demand) -
                       ServedDemand(options, counts, demand);
-  return rate * Seconds(horizon);
+  return rate * Seconds(options.m_horizon);
 }
 
 bool Dwells(const RolePlanner& planner, const std::string& name, Instant now) {
@@ -72,17 +66,16 @@
 // Best role for the endpoint if the change pays under both windows.
 std::optional<RoleChange> BestChange(const RolePlanner& planner,
                                      const RoleCounts& counts,
-                                     const RoleEndpoint& endpoint,
-                                     Duration horizon) {
+                                     const RoleEndpoint& endpoint) {
   const RoleOptions& options = planner.m_options;
   const double cost = Seconds(options.m_change_cost);
   std::optional<RoleChange> best;
   for (const auto& row : EnumNames<EndpointRole>::kTable) {
     if (row.m_value == endpoint.m_role) continue;
-    const double gain = GainOf(options, counts, endpoint.m_role, row.m_value,
-                               planner.m_short, horizon);
-    const double steady = GainOf(options, counts, endpoint.m_role, row.m_value,
-                                 planner.m_long, horizon);
+    const double gain =
+        GainOf(options, counts, endpoint.m_role, row.m_value, planner.m_short);
+    const double steady =
+        GainOf(options, counts, endpoint.m_role, row.m_value, planner.m_long);
     if (gain < options.m_gain_factor * cost || steady < cost) continue;
     if (best && best->m_gain_s >= gain) continue;
     best = RoleChange{endpoint.m_name, endpoint.m_role, row.m_value, gain};
@@ -113,8 +106,7 @@
     if (busy_zones.contains(endpoint.m_zone)) continue;
     if (Dwells(planner, endpoint.m_name, now)) continue;
     if (!KeepsBothPhases(serving, endpoint.m_role)) continue;
-    const auto change =
-        BestChange(planner, planned, endpoint, HorizonOf(planner, now));
+    const auto change = BestChange(planner, planned, endpoint);
     if (change && (!best || change->m_gain_s > best->m_gain_s)) best = change;
   }
   return best;
@@ -159,17 +151,6 @@
            WeightOf(planner, options.m_long_window, now));
   }
   planner.m_observed = now;
-  const double difference =
-      PrefillShare(planner.m_short) - PrefillShare(planner.m_long);
-  if (std::abs(difference) > planner.m_options.m_share_tolerance) {
-    planner.m_changed_mix = now;
-  }
-}
-
-Duration HorizonOf(const RolePlanner& planner, Instant now) {
-  const Instant since = std::max(planner.m_first, planner.m_changed_mix);
-  return std::clamp(now - since, planner.m_options.m_horizon,
-                    planner.m_options.m_longest_horizon);
 }
 
 std::vector<RoleChange> PlanRoles(RolePlanner& planner,
--- a/src/roles.h
+++ b/src/roles.h
@@ -19,14 +19,9 @@
 struct RoleOptions {
   Duration m_short_window = std::chrono::seconds(10);
   Duration m_long_window = std::chrono::seconds(30);
-  // Bounds of the time over which the gain of a change is predicted: a mix is
-  // expected to last as long as it has lasted. The mix swings within a minute
-  // and is seen after a window, so that little of a short swing is left.
+  // Time over which the gain of a change is predicted. The mix swings within
+  // a minute and is seen after a window, so that little of a swing is left.
   Duration m_horizon = std::chrono::seconds(20);
-  Duration m_longest_horizon = std::chrono::seconds(300);
-  // The mix has changed if the share of prefill differs by more than this
-  // between the windows.
-  double m_share_tolerance = 0.15;
   // Time for which a changing endpoint does no work.
   Duration m_change_cost = std::chrono::seconds(4);
   // Shortest time between two changes of one endpoint.
@@ -64,9 +59,8 @@
   RoleOptions m_options;
   PhaseDemand m_short;
   PhaseDemand m_long;
-  Instant m_first{};        // First measurement.
-  Instant m_observed{};     // Last measurement.
-  Instant m_changed_mix{};  // Last time at which the mix changed.
+  Instant m_first{};     // First measurement.
+  Instant m_observed{};  // Last measurement.
   bool m_has_demand = false;
   std::map<std::string, Instant> m_changed;  // Last change by endpoint.
 };
@@ -93,9 +87,6 @@
 void ObserveDemand(RolePlanner& planner, const PhaseDemand& demand,
                    Instant now);
 
-// Returns the time for which the present mix is expected to last.
-Duration HorizonOf(const RolePlanner& planner, Instant now);
-
 // Plans at most one change for each zone. A change is made only if its gain
 // over the horizon exceeds its cost by the factor under the short window, and
 // at least equals its cost under the long one, so that a peak of a few seconds
