Order no cheap endpoint for a while after a reclaim

The endpoints lost in the first zone were replaced by cheap ones in the other zones, and the reclaim of the next zone took up to four of twelve at once, more than the rest takes over while on-demand endpoints are on their way.

Change: after a reclaim no cheap endpoint is ordered in any zone for the reclaim hold. The test of the zone now expects this for all zones and that cheap orders return after the hold.

--- a/src/capacity.cpp
+++ b/src/capacity.cpp
@@ -58,13 +58,17 @@
   }
 }
 
+// Whether cheap endpoints of some zone were taken back lately.
+bool ReclaimedLately(const CapacityPlanner& planner, Instant now) {
+  return std::any_of(planner.m_reclaimed.begin(), planner.m_reclaimed.end(),
+                     [&](const auto& reclaimed) {
+                       return now - reclaimed.second <
+                              planner.m_options.m_reclaim_hold;
+                     });
+}
+
 bool FailedLately(const CapacityPlanner& planner, const std::string& zone,
                   EndpointClass kind, Instant now) {
-  const auto reclaimed = planner.m_reclaimed.find(zone);
-  if (kind == EndpointClass::kCheap && reclaimed != planner.m_reclaimed.end() &&
-      now - reclaimed->second < planner.m_options.m_reclaim_hold) {
-    return true;
-  }
   const auto failed = planner.m_failed.find({zone, kind});
   return failed != planner.m_failed.end() &&
          now - failed->second < OverdueAfter(planner.m_options);
@@ -106,7 +110,8 @@
               std::vector<CapacityOrder>& orders) {
   EndpointClass kind = EndpointClass::kCheap;
   std::string zone;
-  if (CheapFits(planner.m_options, census, target) && cheap_limit > 0) {
+  if (CheapFits(planner.m_options, census, target) && cheap_limit > 0 &&
+      !ReclaimedLately(planner, now)) {
     zone = PickZone(planner, census, kind, cheap_limit, now);
   }
   if (zone.empty()) {
@@ -209,7 +214,10 @@
                  Endpoints& endpoints, double demand, Instant now,
                  std::vector<CapacityOrder>& orders) {
   const CapacityOptions& options = planner.m_options;
-  if (!CheapFits(options, census, census.m_total)) return;
+  if (!CheapFits(options, census, census.m_total) ||
+      ReclaimedLately(planner, now)) {
+    return;
+  }
   const int limit = CheapLimitPerZone(options, census.m_total,
                                       demand * options.m_exchange_factor);
   const auto kind = EndpointClass::kCheap;
--- a/src/capacity.h
+++ b/src/capacity.h
@@ -34,8 +34,8 @@
   // An order that is not ready after this multiple of the lead time is given
   // up, and its zone and class get no order for the same time.
   double m_overdue_factor = 2.0;
-  // Cheap orders to a zone that was reclaimed rarely come, and each costs the
-  // overdue time, so that the zone is avoided for this long.
+  // Cheap orders to a zone that was reclaimed rarely come, and reclaims of
+  // other zones follow, so that no cheap endpoint is ordered for this long.
   Duration m_reclaim_hold = std::chrono::minutes(10);
   // Added to the demand for what the windows do not show.
   double m_margin = 0.15;
--- a/tests/capacity_test.cpp
+++ b/tests/capacity_test.cpp
@@ -100,17 +100,21 @@
   CHECK(orders[1].m_zone != late.m_zone);
 }
 
-// Guards against orders that wait for endpoints that do not come.
-TEST_CASE("cheap orders avoid a zone that was reclaimed") {
+// Guards against orders that do not come, and against replacements that the
+// reclaim of the next zone takes at once.
+TEST_CASE("no cheap endpoint is ordered for a while after a reclaim") {
   auto planner = MakePlanner(0.6);
   NoteReclaim(planner, "a", kStart);
-  const auto orders =
-      PlanCapacity(planner, {}, {5.0, 5.0}, 0, kStart + seconds(60));
-  REQUIRE(orders.size() == 7);
-  for (const CapacityOrder& order : orders) {
-    CHECK_FALSE(
-        (order.m_zone == "a" && order.m_class == EndpointClass::kCheap));
+  for (const CapacityOrder& order :
+       PlanCapacity(planner, {}, {5.0, 5.0}, 0, kStart + seconds(60))) {
+    CHECK(order.m_class == EndpointClass::kOnDemand);
   }
+  const auto later = PlanCapacity(planner, {}, {5.0, 5.0}, 0,
+                                  kStart + planner.m_options.m_reclaim_hold);
+  REQUIRE(later.size() == 7);
+  CHECK(std::count_if(later.begin(), later.end(), [](const auto& order) {
+          return order.m_class == EndpointClass::kCheap;
+        }) == 3);  // One in each zone can be taken over.
 }
 
 // Guards against a fleet that stays on-demand after a time of high demand.
