--- a/src/benchentry.cpp
+++ b/src/benchentry.cpp
@@ -391,9 +391,7 @@
     LiveRequest& live = LiveOf(world, request.m_id);
     live.m_state = LiveState::kLost;
     live.m_decode_left_s = request.m_decode_left_s;
-    const FailureKind kind =
-        was_leaving ? FailureKind::kConnectionLost : FailureKind::kCrashed;
-    world.m_lost.push_back({now + delay, request.m_id, kind, was_leaving});
+    world.m_lost.push_back({now + delay, request.m_id, was_leaving});
   }
 }
 
@@ -405,10 +403,7 @@
     return true;
   });
   for (const LostRequest& lost : noticed) {
-    FailureKind kind = lost.m_kind;
-    // Resuming at the same engine fails, because the engine is gone.
-    if (kind == FailureKind::kConnectionLost) kind = FailureKind::kCrashed;
-    Fail(world, lost.m_id, kind, lost.m_leaving, now);
+    Fail(world, lost.m_id, FailureKind::kCrashed, lost.m_leaving, now);
   }
 }
 
--- a/src/benchrun.cpp
+++ b/src/benchrun.cpp
@@ -76,7 +76,7 @@
     const FakeEngine& engine = world.m_fleet.m_engines[i];
     if (!IsServing(engine)) continue;
     if (!engine.m_changing_until && elapsed < kEngineLostLatest) continue;
-    world.m_options.m_scenario = Scenario::kRatioSwings;  // Only once.
+    world.m_engine_lost = true;
     LoseEngine(world, i, false, kSilence, now);
     return;
   }
@@ -94,7 +94,8 @@
     if (IsAt(kReclaimAt, elapsed)) ReclaimZone(world, zone, true, now);
     if (IsAt(kSecondReclaimAt, elapsed)) ReclaimZone(world, other, false, now);
   }
-  if (scenario == Scenario::kEngineLost && elapsed >= kEngineLostAt) {
+  if (scenario == Scenario::kEngineLost && !world.m_engine_lost &&
+      elapsed >= kEngineLostAt) {
     LoseChangingEngine(world, elapsed, now);
   }
   world.m_log_down = scenario == Scenario::kLogOutage &&
--- a/src/benchworld.h
+++ b/src/benchworld.h
@@ -81,7 +81,6 @@
 struct LostRequest {
   Instant m_noticed{};
   std::uint64_t m_id = 0;
-  FailureKind m_kind = FailureKind::kConnectionLost;
   bool m_leaving = false;
 };
 
@@ -113,6 +112,7 @@
   std::size_t m_round_robin = 0;
   bool m_dirty = true;  // Something changed that may let a request start.
   bool m_log_down = false;
+  bool m_engine_lost = false;
   Duration m_report_lag = std::chrono::milliseconds(300);
   double m_report_loss = 0.0;
   std::mt19937_64 m_random{1};
