--- a/src/capacity.cpp
+++ b/src/capacity.cpp
@@ -58,13 +58,17 @@
   }
 }
 
+// Whether cheap endpoints of some zone were taken back lately.
+bool ReclaimedLately(const CapacityPlanner& planner, Instant now) {
+  return std::any_of(planner.m_reclaimed.begin(), planner.m_reclaimed.end(),
+                     [&](const auto& reclaimed) {
+                       return now - reclaimed.second <
+                              planner.m_options.m_reclaim_hold;
+                     });
+}
+
 bool FailedLately(const CapacityPlanner& planner, const std::string& zone,
                   EndpointClass kind, Instant now) {
-  const auto reclaimed = planner.m_reclaimed.find(zone);
-  if (kind == EndpointClass::kCheap && reclaimed != planner.m_reclaimed.end() &&
-      now - reclaimed->second < planner.m_options.m_reclaim_hold) {
-    return true;
-  }
   const auto failed = planner.m_failed.find({zone, kind});
   return failed != planner.m_failed.end() &&
          now - failed->second < OverdueAfter(planner.m_options);
@@ -106,7 +110,8 @@
               std::vector<CapacityOrder>& orders) {
   EndpointClass kind = EndpointClass::kCheap;
   std::string zone;
-  if (CheapFits(planner.m_options, census, target) && cheap_limit > 0) {
+  if (CheapFits(planner.m_options, census, target) && cheap_limit > 0 &&
+      !ReclaimedLately(planner, now)) {
     zone = PickZone(planner, census, kind, cheap_limit, now);
   }
   if (zone.empty()) {
@@ -189,6 +194,52 @@
   }
 }
 
+// Whether the fleet does its sustained work with one endpoint less, with the
+// margin, and nothing is under way.
+bool MayExchange(const CapacityPlanner& planner, const Census& census,
+                 const Endpoints& endpoints, double demand,
+                 std::size_t hour_after_lead_time) {
+  const bool settled = std::all_of(
+      endpoints.begin(), endpoints.end(), [](const CapacityEndpoint& endpoint) {
+        return endpoint.m_phase == EndpointPhase::kReady ||
+               endpoint.m_phase == EndpointPhase::kGone;
+      });
+  return settled && EndpointsNeeded(planner, demand, hour_after_lead_time) <
+                        census.m_total;
+}
+
+// Drains an on-demand endpoint and orders a cheap one in its zone, if the share
+// and the limit allow one more.
+void ExchangeOne(const CapacityPlanner& planner, Census& census,
+                 Endpoints& endpoints, double demand, Instant now,
+                 std::vector<CapacityOrder>& orders) {
+  const CapacityOptions& options = planner.m_options;
+  if (!CheapFits(options, census, census.m_total) ||
+      ReclaimedLately(planner, now)) {
+    return;
+  }
+  const int limit = CheapLimitPerZone(options, census.m_total,
+                                      demand * options.m_exchange_factor);
+  const auto kind = EndpointClass::kCheap;
+  CapacityEndpoint* best = nullptr;
+  for (const std::string& zone : options.m_zones) {
+    if (FailedLately(planner, zone, kind, now)) continue;
+    const int cheap = census.m_cheap_by_zone[zone];
+    if (cheap >= limit) continue;
+    CapacityEndpoint* pick =
+        PickDrain(endpoints, zone, EndpointClass::kOnDemand);
+    if (pick == nullptr) continue;
+    if (best != nullptr && cheap >= census.m_cheap_by_zone[best->m_zone]) {
+      continue;
+    }
+    best = pick;
+  }
+  if (best == nullptr) return;
+  Drain(census, *best, orders);
+  Add(census, best->m_zone, kind, 1);
+  orders.push_back({CapacityOrderKind::kCreate, best->m_zone, kind, {}});
+}
+
 }  // namespace
 
 void LearnProfile(CapacityPlanner& planner, std::size_t hour, double demand) {
@@ -248,6 +299,10 @@
       planner, census, view,
       CheapLimitPerZone(options, census.m_total, demand.m_sustained), now,
       orders);
+  if (orders.empty() && MayExchange(planner, census, view, demand.m_sustained,
+                                    hour_after_lead_time)) {
+    ExchangeOne(planner, census, view, demand.m_sustained, now, orders);
+  }
   return orders;
 }
 
