Hand usage to peers each second in an outage; pause endpoints that refuse

Cause: while the log was down usage was flushed each 5 s, so an instance that died took up to 5 s of answered work with it.

Ruled out: a free retry after a refusal, which would let refused requests loop.

Change: the period is 1 s in an outage as well; an endpoint that refused a request gets none for 500 ms, the period of load reports.

--- a/src/journalcore.cpp
+++ b/src/journalcore.cpp
@@ -26,7 +26,7 @@
 
 // Usage is flushed less often while the log does not answer, because each
 // flush stays in memory here and at two peers until the log is back.
-constexpr Duration kOutageUsagePeriod = seconds(5);
+constexpr Duration kOutageUsagePeriod = seconds(1);
 
 // Longest time that a planned stop waits for records to be stored.
 constexpr Duration kStopLimit = seconds(3);
--- a/src/route.cpp
+++ b/src/route.cpp
@@ -29,6 +29,10 @@
 // merged.
 constexpr std::size_t kMaxChanges = 256;
 
+// An endpoint that refused a request gets none for the period of load reports:
+// the next report tells whether it has room again.
+constexpr Duration kRefusalPause = std::chrono::milliseconds(500);
+
 // A request goes to another zone, region or class if that saves more work than
 // this many average requests. Between zones only 0.5 ms are lost; traffic
 // between regions is slow and billed. On-demand endpoints keep room for the
@@ -176,10 +180,11 @@
   usable.reserve(fleet.m_endpoints.size());
   for (EndpointView& view : fleet.m_endpoints) {
     if (!TakesNewWork(view) || IsExcluded(query, view.m_name)) continue;
-    usable.push_back({&view, RoleCost(view, state.m_costs, query),
-                      ZoneCost(view, query), EstimatedWork(fleet, view),
-                      HasRoom(view, query.m_prompt_tokens),
-                      IsHealthy(view, now)});
+    usable.push_back(
+        {&view, RoleCost(view, state.m_costs, query), ZoneCost(view, query),
+         EstimatedWork(fleet, view),
+         HasRoom(view, query.m_prompt_tokens) && now >= view.m_refused_until,
+         IsHealthy(view, now)});
   }
   // A reclaimed cheap endpoint would leave a call that must not run twice
   // with an unknown outcome, so such a call waits for room elsewhere.
@@ -488,6 +493,10 @@
   EndpointView* view = FindMutable(state, endpoint);
   if (view == nullptr) return;
   EndOwn(*view, work, now);
+  // Other requests would be refused as well and use up the retry budgets.
+  if (kind == FailureKind::kRefusedNotRun) {
+    view->m_refused_until = now + kRefusalPause;
+  }
   // An endpoint that refuses or answers with an error is alive.
   if (kind == FailureKind::kRefusedNotRun ||
       kind == FailureKind::kAnsweredError) {
--- a/src/route.h
+++ b/src/route.h
@@ -74,6 +74,8 @@
   std::uint32_t m_failures = 0;
   std::uint32_t m_ejections = 0;  // In a row.
   Instant m_ejected_until{};
+  // It refused a request that did not run, and gets none before this time.
+  Instant m_refused_until{};
   // True while a request runs there in isolation.
   bool m_isolated = false;
 };
--- a/tests/route_test.cpp
+++ b/tests/route_test.cpp
@@ -101,6 +101,21 @@
   CHECK(sent == 32);
 }
 
+// Guards against retries that an endpoint which refuses all work uses up,
+// because it is the affinity endpoint or looks idle.
+TEST_CASE("an endpoint that refused a request gets none for a while") {
+  RouteState state = MakeFleet(2);
+  OnSent(state, "e0", 10.0, false, kStart);
+  OnFailed(state, "e0", 10.0, FailureKind::kRefusedNotRun, kStart);
+  for (int i = 0; i < 20; ++i) {
+    CHECK(ChooseEndpoint(state, Query(), kStart)->m_endpoint == "e1");
+  }
+  OnSent(state, "e1", 10.0, false, kStart);
+  OnFailed(state, "e1", 10.0, FailureKind::kRefusedNotRun, kStart);
+  CHECK_FALSE(ChooseEndpoint(state, Query(), kStart).has_value());
+  CHECK(ChooseEndpoint(state, Query(), kStart + std::chrono::seconds(1)));
+}
+
 // Guards against endpoints that fail each request they get, and against
 // trials that fail many requests at once.
 TEST_CASE("a failing endpoint is ejected and tried with one request") {
