--- a/tests/support_process.cpp
+++ b/tests/support_process.cpp
@@ -11,6 +11,7 @@
 
 #include <array>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 
 #include "completion.h"
@@ -188,6 +189,8 @@
 Cluster::Cluster(const std::string& name)
     : m_folder(BuildFolder() + "/system/" + name), m_client(m_loop) {
   mkdir((BuildFolder() + "/system").c_str(), 0755);
+  // Logs of an earlier run would be appended to.
+  std::filesystem::remove_all(m_folder);
   mkdir(m_folder.c_str(), 0755);
 }
 
@@ -216,13 +219,20 @@
                                      std::vector<std::string> flags) {
   const std::uint16_t port = FreePort();
   flags.insert(flags.begin(), {"--port", std::to_string(port)});
-  m_endpoints[port] = std::make_unique<Process>(
-      program, flags, LogPath(program + "-" + std::to_string(port)));
+  m_endpoint_starts[port] = {program, flags};
+  RestartEndpoint(port);
   Until([this, port] { return Answers(LocalUrl(port) + "/stats"); },
         kStartLimit);
   return port;
 }
 
+void Cluster::RestartEndpoint(std::uint16_t port) {
+  const EndpointStart& start = m_endpoint_starts.at(port);
+  m_endpoints[port] = std::make_unique<Process>(
+      start.m_program, start.m_flags,
+      LogPath(start.m_program + "-" + std::to_string(port)));
+}
+
 std::uint16_t Cluster::StartEngine(const std::vector<std::string>& flags) {
   std::vector<std::string> all = {"--model", "m"};
   all.insert(all.end(), flags.begin(), flags.end());
--- a/tests/support_process.h
+++ b/tests/support_process.h
@@ -98,6 +98,9 @@
   std::uint16_t StartEngine(const std::vector<std::string>& flags = {});
   std::uint16_t StartService(const std::vector<std::string>& flags = {});
 
+  // Starts an endpoint that ended again, at its port and with its flags.
+  void RestartEndpoint(std::uint16_t port);
+
   // Starts entry instances entry-1 to entry-N in zones z1 to z3, each a region
   // of its own, and waits until all admit requests.
   void StartEntries(int count, const ExtraSettings& extra = {});
@@ -156,6 +159,12 @@
   };
 
   std::string WriteSettings(int index, const ExtraSettings& extra) const;
+  // Program and flags of an endpoint, to start it again.
+  struct EndpointStart {
+    std::string m_program;
+    std::vector<std::string> m_flags;
+  };
+
   std::uint16_t StartEndpoint(const std::string& program,
                               std::vector<std::string> flags);
   bool Answers(const std::string& url);
@@ -167,6 +176,7 @@
   std::uint16_t m_platform_route = 0;
   std::unique_ptr<Process> m_platform;
   std::map<std::uint16_t, std::unique_ptr<Process>> m_endpoints;
+  std::map<std::uint16_t, EndpointStart> m_endpoint_starts;
   std::map<int, EntryPorts> m_ports;
   std::map<int, ExtraSettings> m_extra;
   std::map<int, std::unique_ptr<Process>> m_entries;
