Keep a key that stands in X-Request-Id out of the log

Cause: a caller that puts its key into X-Request-Id had it written into each log line of the request. Ruled out: query, cookies and other headers, which neither reach an endpoint nor the log.

--- a/src/intake.cpp
+++ b/src/intake.cpp
@@ -49,11 +49,14 @@
   return Refusal{code, std::move(detail), reader.m_intake.m_request_id};
 }
 
+// The id is logged and returned, so that one that contains the key is not used.
 void ReadId(Reader& reader) {
   const std::string_view id =
       FindField(reader.m_request.m_headers, "x-request-id");
+  const bool usable =
+      IsUsableId(id) && !ContainsSecret(id, BearerKey(reader.m_request));
   reader.m_intake.m_request_id =
-      IsUsableId(id) ? std::string(id) : reader.m_options.m_generated_id;
+      usable ? std::string(id) : reader.m_options.m_generated_id;
 }
 
 // Finds the route by model or by path and takes its settings.
