Count crashes of restarted endpoints, and none of leaving ones

Cause: a crash counted once for each endpoint, so that in a fleet of one endpoint a poison request crashed it again after each restart. Streams of an endpoint that left with notice were taken for suspects of a crash and went on one at a time. Ruled out: the retry decision, which chose to continue at once; the wait was for an endpoint without other work. Change: a request that ran alone has its crash to itself, so crashes are told apart by their id only. An endpoint that is known to leave, also by its own report, does not crash when it goes, and leaving it costs no retry budget. The fold's test held that a second crash of the same endpoint does not count; that is the fault, and the check is replaced by both cases.

--- a/src/attempt.cpp
+++ b/src/attempt.cpp
@@ -437,8 +437,7 @@
   if (!facts) return;
   const EndpointView* endpoint =
       FindEndpoint(state.m_route, call.m_choice.m_endpoint);
-  facts->m_endpoint_leaving =
-      endpoint == nullptr || endpoint->m_draining || endpoint->m_leaving;
+  facts->m_endpoint_leaving = endpoint == nullptr || IsLeaving(*endpoint);
   facts->m_poison = JudgeSuspect(state.m_suspects, call.m_intake.m_fingerprint,
                                  now) == Treatment::kRefuse;
   const RetryDecision decision = DecideRetry(state.m_retry, *facts, now);
--- a/src/probe.cpp
+++ b/src/probe.cpp
@@ -43,19 +43,36 @@
   return restarted ? ProbeResult::kRestarted : ProbeResult::kAlive;
 }
 
+// Returns the id under which a crash counts against the call. Crashes of one
+// endpoint under requests that shared it count once, because several instances
+// may report the same one. A request that ran alone has its crash to itself;
+// without an id of its own, a fleet of one endpoint would restart and crash
+// under the same request for ever.
+std::string CrashId(const OpenCall& call, const std::string& endpoint) {
+  return call.m_isolated ? endpoint + "/" + call.m_endpoint_id : endpoint;
+}
+
+// An endpoint that was known to leave did not crash when it goes. Its streams
+// would otherwise be isolated, which lets them go on only one at a time.
+bool LeftAsPlanned(const CallState& state, const std::string& name) {
+  const EndpointView* endpoint = FindEndpoint(state.m_route, name);
+  return endpoint != nullptr && IsLeaving(*endpoint);
+}
+
 // Reports what was running when the endpoint crashed, then lets the calls
 // that waited for the probe go on. The report is applied here at once, so
 // that the retry of this very call already counts it.
 void Conclude(CallState& state, const std::string& name, EndpointProbe& probe,
-              ProbeResult result, const std::string& crash_id) {
+              ProbeResult result) {
   const std::vector<std::uint64_t> waiting = std::exchange(probe.m_waiting, {});
   const bool crashed = result != ProbeResult::kAlive;
+  const bool suspicious = crashed && !LeftAsPlanned(state, name);
   const Instant now = state.m_clock();
   for (const std::uint64_t id : waiting) {
     OpenCall* call = FindCall(state, id);
-    if (call == nullptr || !crashed) continue;
-    const SuspectReport report{call->m_intake.m_fingerprint, name, crash_id,
-                               false};
+    if (call == nullptr || !suspicious) continue;
+    const SuspectReport report{call->m_intake.m_fingerprint, name,
+                               CrashId(*call, name), false};
     ReportCrash(state.m_suspects, report, now);
     state.m_records->ReportSuspect(report);
     LOG(WARNING) << "endpoint crashed endpoint=" << name
@@ -74,14 +91,13 @@
   if (found == state.m_probes.end()) return;
   EndpointProbe& probe = found->second;
   probe.m_call = 0;
-  const std::string crash_id = name + "/" + probe.m_incarnation;
   ProbeResult verdict = ProbeResult::kAlive;
   if (result.m_error == HttpError::kConnectFailed) {
     verdict = ProbeResult::kGone;
   } else if (!result.m_error && result.m_status == kOk) {
     verdict = TakeReport(state, name, probe, body);
   }
-  Conclude(state, name, probe, verdict, crash_id);
+  Conclude(state, name, probe, verdict);
 }
 
 // Starts a probe unless one is under way that began after the failure.
--- a/src/route.cpp
+++ b/src/route.cpp
@@ -92,9 +92,8 @@
 }
 
 bool TakesNewWork(const EndpointView& view) {
-  const bool reported = view.m_report && view.m_report->m_draining;
-  return view.m_phase == EndpointPhase::kReady && !view.m_draining &&
-         !view.m_leaving && !view.m_ordered && !reported;
+  return view.m_phase == EndpointPhase::kReady && !IsLeaving(view) &&
+         !view.m_ordered;
 }
 
 bool HasRoom(const EndpointView& view, double prompt_tokens) {
@@ -333,6 +332,11 @@
 
 }  // namespace
 
+bool IsLeaving(const EndpointView& view) {
+  const bool reported = view.m_report && view.m_report->m_draining;
+  return view.m_draining || view.m_leaving || reported;
+}
+
 double WorkOf(const WorkCosts& costs, double prompt_tokens,
               double output_tokens) {
   return costs.m_prefill * prompt_tokens + costs.m_decode * output_tokens;
--- a/src/route.h
+++ b/src/route.h
@@ -78,6 +78,10 @@
   bool m_isolated = false;
 };
 
+// Returns whether the endpoint is known to leave or drain, by configuration,
+// by the platform, by a peer or by its own report.
+bool IsLeaving(const EndpointView& view);
+
 // Endpoints of a fleet.
 struct FleetView {
   std::vector<EndpointView> m_endpoints;
--- a/src/suspect.cpp
+++ b/src/suspect.cpp
@@ -41,8 +41,7 @@
   const bool listed =
       std::any_of(suspect.m_crashes.begin(), suspect.m_crashes.end(),
                   [&report](const SuspectCrash& crash) {
-                    return crash.m_endpoint == report.m_endpoint ||
-                           crash.m_crash_id == report.m_crash_id;
+                    return crash.m_crash_id == report.m_crash_id;
                   });
   suspect.m_last_crash = now;
   if (listed || suspect.m_crashes.size() >= kRefusedCrashes) return false;
--- a/src/suspect.h
+++ b/src/suspect.h
@@ -36,8 +36,8 @@
   std::string m_crash_id;
 };
 
-// Request content that was running when endpoints crashed. Crashes of an
-// endpoint that is listed already are not added.
+// Request content that was running when endpoints crashed. A crash whose id is
+// listed already is not added.
 struct Suspect {
   std::vector<SuspectCrash> m_crashes;
   Instant m_last_crash{};
@@ -61,8 +61,8 @@
 bool ReportCompletion(SuspectTable& table, std::uint64_t fingerprint,
                       const std::string& endpoint);
 
-// Decides how the request runs: alone after one crash, not at all after
-// crashes of two different endpoints.
+// Decides how the request runs: alone after one crash, not at all after two,
+// be they of one endpoint that restarted.
 Treatment JudgeSuspect(const SuspectTable& table, std::uint64_t fingerprint,
                        Instant now);
 
--- a/tests/fold_test.cpp
+++ b/tests/fold_test.cpp
@@ -277,9 +277,14 @@
   CHECK_FALSE(ReportCompletion(table, 2, "e1"));
   CHECK(ReportCompletion(table, 2, "e2"));
   CHECK(judge(2) == Treatment::kNormal);
-  CHECK_FALSE(ReportCrash(table, {1, "e1", "c2"}, now));
+  CHECK_FALSE(ReportCrash(table, {1, "e1", "c1"}, now));
   CHECK(judge(1) == Treatment::kIsolate);
-  CHECK(ReportCrash(table, {1, "e2", "c3"}, now));
+  SUBCASE("another endpoint") {
+    CHECK(ReportCrash(table, {1, "e2", "c2"}, now));
+  }
+  SUBCASE("the same endpoint, restarted") {
+    CHECK(ReportCrash(table, {1, "e1", "c2"}, now));
+  }
   CHECK(judge(1) == Treatment::kRefuse);
   CHECK_FALSE(ReportCompletion(table, 1, "e3"));
   const Instant later = now + kSuspectLifetime + Duration(1);
