--- a/tests/history_test.cpp
+++ b/tests/history_test.cpp
@@ -37,5 +37,47 @@
   CHECK(CheckUsageHistory({first, same_number}).size() == 1);
 }
 
+// Guards against a checker of requests that finds nothing in a bad history.
+TEST_CASE("the checker reports calls that break a guarantee") {
+  CallerEvent whole;
+  whole.m_request = "a";
+  whole.m_positions = {1, 2, 3};
+  whole.m_tokens = 3;
+  CHECK(CheckRequestHistory({whole}, {{"a", 1}}).empty());
+  CHECK(CheckRequestHistory({whole}, {{"a", 1}, {"a", 1}}).empty());
+  CHECK(CheckRequestHistory({whole}, {}).size() == 1);
+  CallerEvent bad = whole;
+  SUBCASE("ran twice") {
+    bad.m_repeatable = false;
+    CHECK(CheckRequestHistory({bad}, {{"a", 1}}).empty());
+    CHECK(CheckRequestHistory({bad}, {{"a", 1}, {"a", 1}}).size() == 1);
+    CHECK(CheckRequestHistory({bad, bad}, {{"a", 1}}).size() == 1);
+  }
+  SUBCASE("answers that are not whole") {
+    for (const std::vector<std::uint64_t>& positions :
+         {std::vector<std::uint64_t>{1, 2},
+          {1, 3, 2},
+          {1, 2, 2},
+          {1, 2, 3, 3}}) {
+      bad.m_positions = positions;
+      CHECK(CheckRequestHistory({bad}, {{"a", 1}}).size() == 1);
+    }
+    bad = whole;
+    bad.m_text_matches = false;
+    CHECK(CheckRequestHistory({bad}, {{"a", 1}}).size() == 1);
+    bad.m_end = CallerEnd::kBrokenOff;
+    CHECK(CheckRequestHistory({bad}, {{"a", 1}}).empty());
+  }
+  SUBCASE("a false refusal") {
+    bad.m_end = CallerEnd::kRefused;
+    bad.m_outcome = Outcome::kUnknown;
+    CHECK(CheckRequestHistory({bad}, {{"a", 1}}).empty());
+    bad.m_outcome = Outcome::kNotRun;
+    CHECK(CheckRequestHistory({bad}, {{"a", 1}}).size() == 1);
+    CHECK(CheckRequestHistory({bad}, {}).empty());
+    CHECK(CheckRequestHistory({bad, whole}, {{"a", 1}}).empty());
+  }
+}
+
 }  // namespace
 }  // namespace comfreypaddle::testing
--- a/tests/support_history.cpp
+++ b/tests/support_history.cpp
@@ -12,6 +12,20 @@
          std::to_string(span.m_from.time_since_epoch().count()) + " us";
 }
 
+bool IsWhole(const CallerEvent& event) {
+  if (!event.m_text_matches) return false;
+  if (event.m_positions.size() != event.m_tokens) return false;
+  for (std::uint64_t i = 0; i < event.m_tokens; ++i) {
+    if (event.m_positions[i] != i + 1) return false;
+  }
+  return true;
+}
+
+bool SaysNotRun(const CallerEvent& event) {
+  return event.m_end == CallerEnd::kRefused &&
+         event.m_outcome == Outcome::kNotRun;
+}
+
 }  // namespace
 
 std::vector<std::string> CheckLeaseHistory(const std::vector<HeldSpan>& spans) {
@@ -56,4 +70,37 @@
   return faults;
 }
 
+std::vector<std::string> CheckRequestHistory(
+    const std::vector<CallerEvent>& callers,
+    const std::vector<EndpointEvent>& endpoints) {
+  std::vector<std::string> faults;
+  std::map<std::string, std::uint32_t> runs;
+  for (const EndpointEvent& event : endpoints) {
+    runs[event.m_request] += event.m_runs;
+  }
+  std::map<std::string, bool> may_have_run;
+  for (const CallerEvent& event : callers) {
+    may_have_run[event.m_request] |= !SaysNotRun(event);
+  }
+  std::map<std::string, std::uint32_t> whole;
+  for (const CallerEvent& event : callers) {
+    const std::string& name = event.m_request;
+    if (!event.m_repeatable && runs[name] > 1) {
+      faults.push_back(name + " ran more than once");
+    }
+    if (event.m_end == CallerEnd::kWhole) {
+      ++whole[name];
+      if (!IsWhole(event)) faults.push_back(name + " looks whole and is not");
+      if (runs[name] == 0) faults.push_back(name + " was answered unrun");
+      if (!event.m_repeatable && whole[name] > 1) {
+        faults.push_back(name + " was answered twice");
+      }
+    }
+    if (SaysNotRun(event) && runs[name] > 0 && !may_have_run[name]) {
+      faults.push_back(name + " was refused as not run and ran");
+    }
+  }
+  return faults;
+}
+
 }  // namespace comfreypaddle::testing
--- a/tests/support_history.h
+++ b/tests/support_history.h
@@ -36,6 +36,34 @@
 std::vector<std::string> CheckUsageHistory(
     const std::vector<ReportedUsage>& reports);
 
+// How a request ended for its caller.
+enum class CallerEnd { kWhole, kBrokenOff, kRefused };
+
+// What a caller saw of one request.
+struct CallerEvent {
+  std::string m_request;  // Prompt or path; one for each piece of work.
+  bool m_repeatable = true;
+  CallerEnd m_end = CallerEnd::kWhole;
+  Outcome m_outcome = Outcome::kRan;  // Of a refusal.
+  std::vector<std::uint64_t> m_positions;
+  std::uint64_t m_tokens = 0;  // Length of the whole answer.
+  bool m_text_matches = true;
+};
+
+// Executions of one request at all endpoints.
+struct EndpointEvent {
+  std::string m_request;
+  std::uint32_t m_runs = 0;
+};
+
+// Returns a description of each request that is not repeatable and ran twice,
+// of each answer that looks whole and is not, and of each refusal as not run
+// of a request that ran. A request may be sent several times; a refusal of one
+// sending is true if another sending accounts for the run.
+std::vector<std::string> CheckRequestHistory(
+    const std::vector<CallerEvent>& callers,
+    const std::vector<EndpointEvent>& endpoints);
+
 }  // namespace comfreypaddle::testing
 
 #endif  // COMFREYPADDLE_TESTS_SUPPORT_HISTORY_H_
