--- a/tests/support.cpp
+++ b/tests/support.cpp
@@ -11,7 +11,7 @@
               const std::function<bool()>& condition) {
   const Instant end = Now() + limit;
   loop.TakeOwnership();
-  // The condition may act, so it is not asked again once it held.
+  // The condition may itself make a call, so one that held is not asked again.
   while (!condition()) {
     if (Now() >= end) return false;
     loop.StartTimer(std::chrono::milliseconds(10), [&loop] { loop.Stop(); });
