--- a/tests/mixed_system_test.cpp
+++ b/tests/mixed_system_test.cpp
@@ -18,21 +18,21 @@
 // Faults of engines and services, of which one is set after each tenth
 // request.
 const std::vector<std::string>& EngineFaultBodies() {
-  static const std::vector<std::string> kBodies = {
+  static const std::vector<std::string> bodies = {
       R"({"drop_after_tokens":5,"drop_streams":3})",
       R"({"lose_answers":2})",
       R"({"duplicate_every":3})",
       R"({"refuse":true})",
       R"({"refuse":false})",
       R"({"silence_open_connections":true})"};
-  return kBodies;
+  return bodies;
 }
 
 const std::vector<std::string>& ServiceFaultBodies() {
-  static const std::vector<std::string> kBodies = {R"({"refuse_calls":2})",
-                                                   R"({"lose_answers":1})",
-                                                   R"({"answer_delay_ms":50})"};
-  return kBodies;
+  static const std::vector<std::string> bodies = {R"({"refuse_calls":2})",
+                                                  R"({"lose_answers":1})",
+                                                  R"({"answer_delay_ms":50})"};
+  return bodies;
 }
 
 // One request as it was sent.
