Try suspected requests one after the other without waiting for idle endpoints

Ruled out: running overdue suspects together, after which a second crash could not tell the guilty one from the others; waiting for completion before the next suspect starts.

A bystander that runs beside a suspect through another instance still gets a strike.

--- a/src/attempt.cpp
+++ b/src/attempt.cpp
@@ -15,6 +15,11 @@
 
 namespace {
 
+// A suspected request that brought this many tokens on its next endpoint has
+// passed the point at which it was when the last one crashed, and the next
+// suspect may follow. Its crash still counts until it completes.
+constexpr std::uint64_t kIsolationTokens = 3;
+
 // Bytes kept of an endpoint's error answer.
 constexpr std::size_t kMaxErrorBytes = 4096;
 
@@ -63,10 +68,18 @@
   state.m_endpoints->Start(std::move(http), {});
 }
 
+// Lets other requests join a suspected one on its endpoint.
+void LeaveIsolation(CallState& state, OpenCall& call) {
+  if (!call.m_isolated) return;
+  call.m_isolated = false;
+  EndIsolation(state.m_route, call.m_choice.m_endpoint);
+}
+
 // Takes the endpoint out of the call's account after an attempt.
 void LeaveEndpoint(CallState& state, OpenCall& call, FailureKind kind) {
   if (!call.m_at_endpoint) return;
   call.m_at_endpoint = false;
+  LeaveIsolation(state, call);
   OnFailed(state.m_route, call.m_choice.m_endpoint, call.m_choice.m_work, kind,
            state.m_clock());
 }
@@ -103,6 +116,7 @@
   const Intake& intake = call.m_intake;
   if (call.m_at_endpoint) {
     call.m_at_endpoint = false;
+    LeaveIsolation(state, call);
     OnFinished(state.m_route, call.m_choice.m_endpoint, call.m_choice.m_work,
                state.m_clock());
   }
@@ -202,6 +216,11 @@
   OnActivity(call.m_exchange, attempt, state.m_clock());
   call.m_broken = FailureKind::kConnectionLost;
   if (!call.m_scanner->Feed(bytes)) call.m_broken = FailureKind::kBadAnswer;
+  if (call.m_isolated &&
+      call.m_exchange.m_attempt.m_tokens >= kIsolationTokens) {
+    LeaveIsolation(state, call);
+    RunQueue(state, std::string(call.m_intake.m_fleet));
+  }
   if (IsComplete(call.m_exchange)) {
     state.m_endpoints->Cancel(call.m_http);
     if (!call.m_exchange.m_streamed && !call.m_exchange.m_text_whole) {
@@ -471,6 +490,7 @@
   call.m_http = 0;
   if (!call.m_at_endpoint) return;
   call.m_at_endpoint = false;
+  LeaveIsolation(state, call);
   OnCancelled(state.m_route, call.m_choice.m_endpoint, call.m_choice.m_work,
               state.m_clock());
   CancelStream(state, call);
--- a/src/probe.cpp
+++ b/src/probe.cpp
@@ -59,6 +59,15 @@
   return endpoint != nullptr && IsLeaving(*endpoint);
 }
 
+// Whether one of the calls was on trial on its endpoint. The crash is then its
+// fault: the others had run beside each other before.
+bool AnyIsolated(CallState& state, const std::vector<std::uint64_t>& ids) {
+  return std::any_of(ids.begin(), ids.end(), [&state](std::uint64_t id) {
+    const OpenCall* call = FindCall(state, id);
+    return call != nullptr && call->m_isolated;
+  });
+}
+
 // Reports what was running when the endpoint crashed, then lets the calls
 // that waited for the probe go on. The report is applied here at once, so
 // that the retry of this very call already counts it.
@@ -67,10 +76,12 @@
   const std::vector<std::uint64_t> waiting = std::exchange(probe.m_waiting, {});
   const bool crashed = result != ProbeResult::kAlive;
   const bool suspicious = crashed && !LeftAsPlanned(state, name);
+  const bool on_trial = AnyIsolated(state, waiting);
   const Instant now = state.m_clock();
   for (const std::uint64_t id : waiting) {
     OpenCall* call = FindCall(state, id);
     if (call == nullptr || !suspicious) continue;
+    if (on_trial && !call->m_isolated) continue;
     const SuspectReport report{call->m_intake.m_fingerprint, name,
                                CrashId(*call, name), false};
     ReportCrash(state.m_suspects, report, now);
--- a/src/route.cpp
+++ b/src/route.cpp
@@ -215,9 +215,9 @@
 }
 
 // Returns the endpoint with the fewest requests, so that a crash harms few
-// others. Only an idle one will do until the request is overdue.
-std::optional<RouteChoice> ChooseIsolated(const Candidates& usable,
-                                          const RouteQuery& query) {
+// others. Requests that already run there become suspects if it crashes, but
+// waiting for an idle endpoint would stop all streams of a crashed one.
+std::optional<RouteChoice> ChooseIsolated(const Candidates& usable) {
   const Candidate* best = nullptr;
   double least = 0.0;
   for (const Candidate& item : usable) {
@@ -227,9 +227,7 @@
     best = &item;
     least = requests;
   }
-  if (best == nullptr || (least > 0.0 && !query.m_isolation_overdue)) {
-    return std::nullopt;
-  }
+  if (best == nullptr) return std::nullopt;
   return MakeChoice(*best, RouteReason::kIsolated);
 }
 
@@ -452,7 +450,7 @@
   const double mean = fleet.m_mean_work;
   std::optional<RouteChoice> choice;
   if (query.m_isolated) {
-    choice = ChooseIsolated(usable, query);
+    choice = ChooseIsolated(usable);
   } else {
     choice = ChooseProbe(usable, query, now);
     if (!choice) choice = ChooseAffinity(usable, query, mean);
@@ -482,6 +480,12 @@
   }
 }
 
+void EndIsolation(RouteState& state, std::string_view endpoint) {
+  if (EndpointView* view = FindMutable(state, endpoint)) {
+    view->m_isolated = false;
+  }
+}
+
 void OnFinished(RouteState& state, std::string_view endpoint, double work,
                 Instant now) {
   EndpointView* view = FindMutable(state, endpoint);
--- a/src/route.h
+++ b/src/route.h
@@ -119,11 +119,9 @@
   std::string m_region;
   bool m_repeatable = true;
   bool m_urgent = false;
-  // Suspected of crashing endpoints: runs alone on its endpoint.
+  // Suspected of crashing endpoints: no other request joins it on its endpoint
+  // until EndIsolation.
   bool m_isolated = false;
-  // The isolated request has waited too long for an idle endpoint and takes
-  // the one with the fewest requests.
-  bool m_isolation_overdue = false;
   std::vector<std::string> m_excluded;
 };
 
@@ -202,6 +200,9 @@
 void OnSent(RouteState& state, std::string_view endpoint, double work,
             bool isolated, Instant now);
 
+// Lets other requests join an isolated one on its endpoint.
+void EndIsolation(RouteState& state, std::string_view endpoint);
+
 // Records that a request sent before ended with an answer.
 void OnFinished(RouteState& state, std::string_view endpoint, double work,
                 Instant now);
