--- a/src/admin.cpp
+++ b/src/admin.cpp
@@ -24,7 +24,7 @@
     text.Gauge("comfreypaddle_log_reachable", "Whether the log answers.",
                m_state.m_status.log_reachable() ? 1.0 : 0.0);
     text.Gauge("comfreypaddle_duties_held", "Duties whose lease is held here.",
-               static_cast<double>(m_duties.size()));
+               static_cast<double>(HeldDuties(m_state, Now())));
     return m_gateway_metrics + text.Text();
   };
   schema::StatusReport& status = m_state.m_status;
@@ -82,7 +82,7 @@
           std::move(*message.mutable_gateway_status()->mutable_metrics_text());
       return;
     case schema::AdminMessage::kLeaseChange:
-      TakeLease(message.lease_change());
+      OnApiLease(m_state, message.lease_change());
       return;
     case schema::AdminMessage::kDrain:
       status.set_draining(true);
@@ -103,16 +103,4 @@
   m_listener.reset();
 }
 
-void Admin::TakeLease(const schema::LeaseChange& change) {
-  schema::StatusReport& status = m_state.m_status;
-  if (change.holder() == status.name() &&
-      change.incarnation() == status.incarnation()) {
-    m_duties.insert(change.duty());
-  } else {
-    m_duties.erase(change.duty());
-  }
-  status.clear_duties();
-  for (const std::string& duty : m_duties) status.add_duties(duty);
-}
-
 }  // namespace comfreypaddle
--- a/src/admin.h
+++ b/src/admin.h
@@ -3,7 +3,6 @@
 
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 
 #include "api.h"
@@ -30,11 +29,8 @@
   void Receive(schema::AdminMessage message) override;
   void Finish() override;
 
-  void TakeLease(const schema::LeaseChange& change);
-
   schema::Settings m_settings;
   ApiState m_state;
-  std::set<std::string> m_duties;  // Held by this process.
   std::string m_gateway_metrics;
   std::optional<Listener> m_listener;
   std::unique_ptr<PeriodicTimer> m_heartbeat;
--- a/src/api.cpp
+++ b/src/api.cpp
@@ -225,11 +225,15 @@
   state.m_watches.insert(request.m_id);
 }
 
-// The permission lapses by time, like the gateway's.
+// Permission and leases lapse by time, so that an outage of the log shows.
 void HandleStatus(ApiState& state, const HttpRequest& request) {
   schema::StatusReport report = state.m_status;
-  const auto now_us = Now().time_since_epoch().count();
+  const Instant now = Now();
+  const auto now_us = now.time_since_epoch().count();
   report.set_admits(report.admits() && now_us <= state.m_admit_until_us);
+  for (const auto& [duty, until] : state.m_duties) {
+    if (now <= until) report.add_duties(duty);
+  }
   AnswerJson(state, request.m_id, report);
 }
 
@@ -375,6 +379,23 @@
   }
 }
 
+void OnApiLease(ApiState& state, const schema::LeaseChange& change) {
+  const schema::StatusReport& self = state.m_status;
+  if (change.holder() != self.name() ||
+      change.incarnation() != self.incarnation()) {
+    state.m_duties.erase(change.duty());
+    return;
+  }
+  state.m_duties[change.duty()] = Instant(Duration(change.read_us())) +
+                                  std::chrono::milliseconds(change.term_ms());
+}
+
+std::size_t HeldDuties(const ApiState& state, Instant now) {
+  return static_cast<std::size_t>(
+      std::count_if(state.m_duties.begin(), state.m_duties.end(),
+                    [now](const auto& entry) { return now <= entry.second; }));
+}
+
 void EndWatches(ApiState& state) {
   const std::set<std::uint64_t> watches = std::exchange(state.m_watches, {});
   for (const std::uint64_t watch : watches) {
--- a/src/api.h
+++ b/src/api.h
@@ -51,6 +51,8 @@
   std::uint64_t m_next_ticket = 1;
 
   schema::StatusReport m_status;
+  // Duties that this process holds, and when each lease ends unless renewed.
+  std::map<std::string, Instant> m_duties;
   std::int64_t m_admit_until_us = 0;
   bool m_writes_open = false;
   bool m_caught_up = false;
@@ -72,6 +74,12 @@
 // configuration from a dead connection.
 void SendWatchHeartbeats(ApiState& state);
 
+// Notes who holds a duty.
+void OnApiLease(ApiState& state, const schema::LeaseChange& change);
+
+// Number of duties that this process holds at this instant.
+std::size_t HeldDuties(const ApiState& state, Instant now);
+
 // Ends all watches, because this instance stops.
 void EndWatches(ApiState& state);
 
--- a/src/command.cpp
+++ b/src/command.cpp
@@ -144,7 +144,7 @@
   if (line.size() > indent) out << line << "\n";
 }
 
-// Flag as it is written on the command line: one dash for a single letter.
+// Flag as it is written on the command line: one dash for a one-character name.
 std::string FlagText(std::string_view name) {
   return (name.size() == 1 ? "-" : "--") + std::string(name);
 }
--- a/tests/control_system_test.cpp
+++ b/tests/control_system_test.cpp
@@ -100,7 +100,7 @@
 }
 
 // Guards against a write that is in force on one instance only, or later than
-// promised, and against two operators who both believe that they won.
+// promised, and against two operators who are both told that they won.
 TEST_CASE(
     "an accepted write is in force everywhere and a race has one winner") {
   Cluster cluster("config");
--- a/tests/member_test.cpp
+++ b/tests/member_test.cpp
@@ -201,7 +201,7 @@
 struct World {
   static constexpr Duration kStep = milliseconds(100);
 
-  struct Letter {
+  struct Delivery {
     std::size_t m_to = 0;
     PeerReport m_report;
     Instant m_sent;
@@ -241,16 +241,16 @@
     } else {
       TakeOwnLog(state, {state.m_next_offset, false, {}, state.m_caught_up});
     }
-    for (auto& letter : m_letters) {
-      if (letter.m_to != i || letter.m_due > m_now) continue;
-      TakeAnswer(state, letter.m_report, letter.m_sent, m_now);
-      letter.m_due = Instant::max();
+    for (auto& delivery : m_deliveries) {
+      if (delivery.m_to != i || delivery.m_due > m_now) continue;
+      TakeAnswer(state, delivery.m_report, delivery.m_sent, m_now);
+      delivery.m_due = Instant::max();
     }
-    m_letters.erase(std::remove_if(m_letters.begin(), m_letters.end(),
-                                   [](const Letter& letter) {
-                                     return letter.m_due == Instant::max();
-                                   }),
-                    m_letters.end());
+    m_deliveries.erase(std::remove_if(m_deliveries.begin(), m_deliveries.end(),
+                                      [](const Delivery& delivery) {
+                                        return delivery.m_due == Instant::max();
+                                      }),
+                       m_deliveries.end());
     if (const auto source = RelaySource(state, m_now)) {
       const std::size_t from = static_cast<std::size_t>(
           std::find_if(m_all.begin(), m_all.end(),
@@ -268,14 +268,14 @@
       return;
     }
     TakeCall(m_states[to], OwnReport(m_states[from], 1, m_now), m_now);
-    m_letters.push_back(
+    m_deliveries.push_back(
         {from, OwnReport(m_states[to], 1, m_now), m_now, m_now + held_up});
   }
 
   std::mt19937_64 m_random;
   std::vector<ListedPeer> m_all;
   std::vector<MemberState> m_states;
-  std::vector<Letter> m_letters;
+  std::vector<Delivery> m_deliveries;
   std::vector<Instant> m_appended;  // Times of all records.
   bool m_outage = false;            // The log answers nowhere.
   std::array<bool, 3> m_log_down{};
