Require an operators' token on addresses beyond loopback

Cause: without a token everybody who reaches the operators' listener may change the configuration, and check said nothing about it.

Change: a settings file with an operators' address beyond loopback and no token is contradictory; settings_test has the case.

--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -373,6 +373,18 @@
   });
 }
 
+// Without a token everybody who reaches the listener may change the
+// configuration, which is tolerable on the loopback address only.
+void CheckOperatorAccess(Loader& loader,
+                         const schema::OperatorsSettings& operators) {
+  const bool loopback = operators.address().compare(0, 4, "127.") == 0 ||
+                        operators.address() == "::1";
+  if (loopback || !operators.token_sha256().empty()) return;
+  loader.ReportKey(
+      SettingsFault::kContradictory, "operators", "token_sha256",
+      "must be set unless operators.address is a loopback address");
+}
+
 // Checks what concerns several keys or the form of a text.
 void CheckTogether(Loader& loader, const schema::Settings& settings) {
   const schema::InstanceSettings& instance = settings.instance();
@@ -386,6 +398,7 @@
   CheckTokenHash(loader, settings.operators().token_sha256());
   CheckListeners(loader, settings);
   CheckMembers(loader, settings);
+  CheckOperatorAccess(loader, settings.operators());
   if (settings.lease().send_margin_ms() >= settings.lease().term_ms()) {
     loader.ReportKey(SettingsFault::kContradictory, "lease", "send_margin_ms",
                      "must be below lease.term_ms");
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -94,6 +94,8 @@
                    "operators", "port");
   CheckOnlyMistake(With("port = 7301", "port = 7101\naddress = 0.0.0.0"),
                    F::kContradictory, "peers", "port");
+  CheckOnlyMistake(With("port = 7201", "port = 7201\naddress = 192.0.2.1"),
+                   F::kContradictory, "operators", "token_sha256");
   CheckOnlyMistake(std::string(kGood) + "[lease]\nterm_ms = 500\n",
                    F::kContradictory, "lease", "send_margin_ms");
   CheckOnlyMistake(With("a2/r/127.0.0.1:7302", "a2/r"), F::kMalformed, "peers",
