Tell the true outcome of a request refused as a suspect

Cause: a request whose content crashed two endpoints was refused with outcome ran although this request was never sent.

Change: the outcome is that of the refused request itself.

--- a/src/dispatch.cpp
+++ b/src/dispatch.cpp
@@ -185,7 +185,7 @@
   }
   const auto query = MakeQuery(state, call, now);
   if (!query) {
-    RefuseCall(state, call, ProblemCode::kSuspect, Outcome::kRan,
+    RefuseCall(state, call, ProblemCode::kSuspect, OutcomeOf(call.m_exchange),
                "Requests with this content crashed two endpoints.");
     return SendResult::kEnded;
   }
