Wait for full endpoints before failed ones are tried again

Cause: poison_system_test failed in about every second run: a stream whose engine had crashed went three times to an engine that was gone, because the others were full for the moment, and used up its attempts.

Ruled out: a second strike against the bystander; the log shows no second crash report for it.

Change: endpoints at which a call failed are tried again only if no other usable one is left, not while the others are full.

--- a/src/dispatch.cpp
+++ b/src/dispatch.cpp
@@ -175,6 +175,22 @@
   return query;
 }
 
+// Whether the call failed at every endpoint that could serve it. Only then are
+// the failed ones tried again: while others are merely full, the call waits
+// for them and does not use up its attempts at an endpoint that is gone.
+bool AllExcluded(const CallState& state, const OpenCall& call) {
+  const auto fleet = state.m_route.m_fleets.find(call.m_intake.m_fleet);
+  if (fleet == state.m_route.m_fleets.end()) return true;
+  const auto& excluded = call.m_excluded;
+  return std::all_of(
+      fleet->second.m_endpoints.begin(), fleet->second.m_endpoints.end(),
+      [&excluded](const EndpointView& view) {
+        return IsLeaving(view) || view.m_health == EndpointHealth::kEjected ||
+               std::find(excluded.begin(), excluded.end(), view.m_name) !=
+                   excluded.end();
+      });
+}
+
 enum class SendResult { kSent, kEnded, kNoRoom };
 
 // Sends one request that was taken from the queue, if an endpoint has room.
@@ -190,8 +206,7 @@
     return SendResult::kEnded;
   }
   auto choice = ChooseEndpoint(state.m_route, *query, now);
-  if (!choice && !call.m_excluded.empty()) {
-    // Every other endpoint is full or gone: the failed ones are tried again.
+  if (!choice && !call.m_excluded.empty() && AllExcluded(state, call)) {
     RouteQuery any = *query;
     any.m_excluded.clear();
     choice = ChooseEndpoint(state.m_route, any, now);
