--- /dev/null
+++ b/src/balance.cpp
@@ -0,0 +1,319 @@
+#include "balance.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace comfreypaddle {
+
+namespace {
+
+// Pause of an endpoint that rejected a request as full.
+constexpr Duration kFullPause = std::chrono::milliseconds(60);
+
+// Pause of an endpoint after its first failure; it doubles with each further
+// one up to the longest.
+constexpr Duration kFirstPause = std::chrono::milliseconds(300);
+constexpr Duration kLongestPause = std::chrono::seconds(5);
+
+// Estimated cost of a call to another region, milliseconds: the way there and
+// back, and its price in bytes.
+constexpr double kOtherRegionMs = 30;
+constexpr double kOtherZoneMs = 2;
+
+// A decode endpoint reads prompts at this part of a prefill endpoint's speed.
+constexpr double kDecodePrefillSpeed = 0.5;
+
+// Fixed time of a move of a KV cache, milliseconds.
+constexpr double kMoveSetupMs = 12;
+
+// Time of a request at a plain service, milliseconds, as far as it matters for
+// the comparison of endpoints.
+constexpr double kServiceMs = 60;
+
+// Work of other instances at an endpoint for each unit of one's own. The own
+// part is noisy, so only a part of the other instances is added.
+constexpr double kOthersFactor = 2.0;
+
+// Samples of the prefill speed: the weight of a new one.
+constexpr double kSpeedWeight = 0.1;
+
+bool IsExcluded(const BalanceQuery& query, const std::string& id) {
+  return std::find(query.m_excluded.begin(), query.m_excluded.end(), id) !=
+         query.m_excluded.end();
+}
+
+bool HasRoom(const BalanceState& state, const BalanceEndpoint& endpoint,
+             Instant now) {
+  if (endpoint.m_draining || now < endpoint.m_full_until) return false;
+  // Each instance may fill an endpoint by itself: the others may be idle.
+  (void)state;
+  return endpoint.m_running < endpoint.m_slots;
+}
+
+double DistanceMs(const BalanceState& state, const BalanceEndpoint& endpoint) {
+  if (endpoint.m_zone == state.m_zone) return 0;
+  return endpoint.m_region == state.m_region ? kOtherZoneMs : kOtherRegionMs;
+}
+
+// Rank of an endpoint for a shared part: the highest is its home. All
+// instances compute the same.
+std::uint64_t RendezvousRank(const BalanceEndpoint& endpoint,
+                             std::uint64_t part) {
+  std::uint64_t x = endpoint.m_hash ^ part;
+  x ^= x >> 33U;
+  x *= 0xff51afd7ed558ccdULL;
+  x ^= x >> 33U;
+  x *= 0xc4ceb9fe1a85ec53ULL;
+  return x ^ x >> 33U;
+}
+
+using Candidates = std::vector<const BalanceEndpoint*>;
+
+// Endpoints of the stage that may take the request. Those that failed lately
+// are left out unless there are no others.
+Candidates FindCandidates(const BalanceState& state, const BalanceQuery& query,
+                          EngineStage stage, Instant now, bool* last_resort) {
+  Candidates good;
+  Candidates failed;
+  for (const auto& [id, endpoint] : state.m_endpoints) {
+    if (endpoint.m_service != query.m_service || endpoint.m_stage != stage) {
+      continue;
+    }
+    if (!HasRoom(state, endpoint, now) || IsExcluded(query, id)) continue;
+    (now < endpoint.m_avoid_until ? failed : good).push_back(&endpoint);
+  }
+  *last_resort = good.empty();
+  return good.empty() ? failed : good;
+}
+
+EngineSpeed SpeedOf(const BalanceState& state, const std::string& service) {
+  const auto found = state.m_speeds.find(service);
+  return found == state.m_speeds.end() ? EngineSpeed{} : found->second;
+}
+
+// Estimated time of reading the prompt at an endpoint.
+struct PrefillEstimate {
+  double m_wait_ms = 0;
+  double m_work_ms = 0;
+
+  double Total() const { return m_wait_ms + m_work_ms; }
+};
+
+PrefillEstimate EstimatePrefill(const BalanceEndpoint& endpoint,
+                                const BalanceQuery& query,
+                                const EngineSpeed& speed, bool is_home) {
+  const double tokens =
+      query.m_own_tokens + (is_home ? 0 : query.m_shared_tokens);
+  const double factor =
+      endpoint.m_stage == EngineStage::kPrefill ? 1 : kDecodePrefillSpeed;
+  return {kOthersFactor * endpoint.m_prefill_ms,
+          tokens / (speed.m_prefill_tokens_per_ms * factor)};
+}
+
+// Best endpoint of the candidates for reading the prompt.
+struct PrefillPlace {
+  const BalanceEndpoint* m_endpoint = nullptr;
+  bool m_is_home = false;
+  PrefillEstimate m_estimate;
+  double m_total_ms = std::numeric_limits<double>::max();
+};
+
+PrefillPlace FindPrefillPlace(const BalanceState& state,
+                              const BalanceQuery& query,
+                              const Candidates& candidates,
+                              const EngineSpeed& speed) {
+  const BalanceEndpoint* home = nullptr;
+  std::uint64_t best_rank = 0;
+  for (const BalanceEndpoint* endpoint : candidates) {
+    const std::uint64_t rank = RendezvousRank(*endpoint, query.m_shared_hash);
+    if (home != nullptr && rank <= best_rank) continue;
+    home = endpoint;
+    best_rank = rank;
+  }
+  PrefillPlace best;
+  for (const BalanceEndpoint* endpoint : candidates) {
+    const bool is_home = endpoint == home && query.m_shared_hash != 0;
+    const PrefillEstimate estimate =
+        EstimatePrefill(*endpoint, query, speed, is_home);
+    const double total = estimate.Total() + DistanceMs(state, *endpoint) +
+                         static_cast<double>(endpoint->m_running) /
+                             std::max(endpoint->m_slots, 1.0);
+    if (total >= best.m_total_ms) continue;
+    best = {endpoint, is_home, estimate, total};
+  }
+  return best;
+}
+
+double MoveMs(const BalanceEndpoint& from, const BalanceEndpoint& to,
+              const BalanceQuery& query, const EngineSpeed& speed) {
+  if (speed.m_link_mbps <= 0) return kMoveSetupMs;
+  constexpr double kBitsPerByte = 8;
+  constexpr double kBitsPerMsAndMbps = 1000;
+  const double tokens = query.m_own_tokens + query.m_shared_tokens;
+  double ms = tokens * speed.m_kv_token_bytes * kBitsPerByte /
+              (speed.m_link_mbps * kBitsPerMsAndMbps);
+  if (from.m_region != to.m_region) {
+    constexpr double kRegionFactor = 10;
+    ms *= kRegionFactor;
+  } else if (from.m_zone != to.m_zone) {
+    constexpr double kZoneFactor = 2;
+    ms *= kZoneFactor;
+  }
+  return ms + kMoveSetupMs;
+}
+
+// Decode endpoint with the least estimated time for a prompt read at `from`.
+const BalanceEndpoint* FindDecode(const BalanceState& state,
+                                  const BalanceQuery& query,
+                                  const BalanceEndpoint* from,
+                                  const Candidates& candidates,
+                                  const EngineSpeed& speed, double* total_ms) {
+  const BalanceEndpoint* best = nullptr;
+  *total_ms = std::numeric_limits<double>::max();
+  for (const BalanceEndpoint* endpoint : candidates) {
+    double total = DistanceMs(state, *endpoint) + endpoint->m_prefill_ms +
+                   kOthersFactor * endpoint->m_running;
+    if (from != nullptr) total += MoveMs(*from, *endpoint, query, speed);
+    if (total >= *total_ms) continue;
+    best = endpoint;
+    *total_ms = total;
+  }
+  return best;
+}
+
+std::optional<BalanceChoice> ChooseService(const BalanceState& state,
+                                           const BalanceQuery& query,
+                                           Instant now) {
+  bool last_resort = false;
+  const Candidates candidates =
+      FindCandidates(state, query, EngineStage::kNone, now, &last_resort);
+  const BalanceEndpoint* best = nullptr;
+  double best_ms = 0;
+  for (const BalanceEndpoint* endpoint : candidates) {
+    const double load = static_cast<double>(endpoint->m_running) /
+                        std::max(endpoint->m_slots, 1.0);
+    const double total = DistanceMs(state, *endpoint) +
+                         kOthersFactor * kServiceMs * load +
+                         (endpoint->m_cold ? kServiceMs : 0);
+    if (best != nullptr && total >= best_ms) continue;
+    best = endpoint;
+    best_ms = total;
+  }
+  if (best == nullptr) return std::nullopt;
+  return BalanceChoice{
+      best->m_id, "",
+      last_resort ? BalanceReason::kLastResort : BalanceReason::kLeastLoad,
+      best_ms, 0};
+}
+
+BalanceReason ReasonOf(bool last_resort, bool is_home) {
+  if (last_resort) return BalanceReason::kLastResort;
+  return is_home ? BalanceReason::kAffinity : BalanceReason::kLeastLoad;
+}
+
+BalanceEndpoint* Find(BalanceState& state, const std::string& id) {
+  const auto found = state.m_endpoints.find(id);
+  return found == state.m_endpoints.end() ? nullptr : &found->second;
+}
+
+}  // namespace
+
+std::optional<BalanceChoice> ChooseRun(const BalanceState& state,
+                                       const BalanceQuery& query, Instant now) {
+  if (!query.m_is_prompt) return ChooseService(state, query, now);
+  bool decode_last = false;
+  const Candidates decoders =
+      FindCandidates(state, query, EngineStage::kDecode, now, &decode_last);
+  if (decoders.empty()) return std::nullopt;
+  const EngineSpeed speed = SpeedOf(state, query.m_service);
+  const PrefillPlace whole = FindPrefillPlace(state, query, decoders, speed);
+  BalanceChoice choice{whole.m_endpoint->m_id, "",
+                       ReasonOf(decode_last, whole.m_is_home), whole.m_total_ms,
+                       whole.m_estimate.m_work_ms};
+  if (!query.m_allow_split) return choice;
+  bool prefill_last = false;
+  const Candidates readers =
+      FindCandidates(state, query, EngineStage::kPrefill, now, &prefill_last);
+  if (readers.empty() || prefill_last) return choice;
+  const PrefillPlace split = FindPrefillPlace(state, query, readers, speed);
+  double decode_ms = 0;
+  const BalanceEndpoint* decoder =
+      FindDecode(state, query, split.m_endpoint, decoders, speed, &decode_ms);
+  const double total = split.m_total_ms + decode_ms;
+  if (total >= choice.m_estimate_ms) return choice;
+  return BalanceChoice{decoder->m_id, split.m_endpoint->m_id,
+                       ReasonOf(false, split.m_is_home), total,
+                       split.m_estimate.m_work_ms};
+}
+
+std::optional<std::string> ChooseDecode(const BalanceState& state,
+                                        const BalanceQuery& query,
+                                        Instant now) {
+  bool last_resort = false;
+  const Candidates candidates =
+      FindCandidates(state, query, EngineStage::kDecode, now, &last_resort);
+  double total_ms = 0;
+  const BalanceEndpoint* best =
+      FindDecode(state, query, nullptr, candidates,
+                 SpeedOf(state, query.m_service), &total_ms);
+  if (best == nullptr) return std::nullopt;
+  return best->m_id;
+}
+
+void OnRunSent(BalanceState& state, const std::string& endpoint,
+               double work_ms) {
+  BalanceEndpoint* found = Find(state, endpoint);
+  if (found == nullptr) return;
+  ++found->m_running;
+  found->m_prefill_ms += work_ms;
+}
+
+void OnPrefillDone(BalanceState& state, const std::string& endpoint,
+                   double work_ms) {
+  BalanceEndpoint* found = Find(state, endpoint);
+  if (found == nullptr) return;
+  found->m_prefill_ms = std::max(0.0, found->m_prefill_ms - work_ms);
+}
+
+void OnRunEnded(BalanceState& state, const std::string& endpoint) {
+  BalanceEndpoint* found = Find(state, endpoint);
+  if (found != nullptr && found->m_running > 0) --found->m_running;
+}
+
+void OnEndpointAnswered(BalanceState& state, const std::string& endpoint) {
+  BalanceEndpoint* found = Find(state, endpoint);
+  if (found == nullptr) return;
+  found->m_failures = 0;
+  found->m_avoid_until = {};
+}
+
+void OnEndpointFull(BalanceState& state, const std::string& endpoint,
+                    Instant now) {
+  BalanceEndpoint* found = Find(state, endpoint);
+  if (found != nullptr) found->m_full_until = now + kFullPause;
+}
+
+void OnEndpointFailed(BalanceState& state, const std::string& endpoint,
+                      Instant now) {
+  BalanceEndpoint* found = Find(state, endpoint);
+  if (found == nullptr) return;
+  constexpr std::uint32_t kMaxDoublings = 5;
+  const std::uint32_t doublings = std::min(found->m_failures, kMaxDoublings);
+  const Duration pause = kFirstPause * (1U << doublings);
+  found->m_avoid_until = now + std::min(pause, kLongestPause);
+  ++found->m_failures;
+}
+
+void OnPrefillTimed(BalanceState& state, const std::string& service,
+                    double tokens, double milliseconds) {
+  // Short reads say more about fixed times than about the speed.
+  constexpr double kMinTokens = 2000;
+  if (tokens < kMinTokens || milliseconds <= 1) return;
+  double& speed = state.m_speeds[service].m_prefill_tokens_per_ms;
+  speed += kSpeedWeight * (tokens / milliseconds - speed);
+  constexpr double kSlowest = 10;
+  constexpr double kFastest = 1000;
+  speed = std::clamp(speed, kSlowest, kFastest);
+}
+
+}  // namespace comfreypaddle
--- /dev/null
+++ b/src/channel.cpp
@@ -0,0 +1,140 @@
+#include "channel.h"
+
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+
+namespace comfreypaddle {
+
+namespace {
+
+// Bytes read from a socket in one turn.
+constexpr std::size_t kReadBytes = 32 * 1024;
+
+bool WouldBlock() { return errno == EAGAIN || errno == EWOULDBLOCK; }
+
+}  // namespace
+
+Channel::Channel(SocketSet& sockets, int descriptor, State state,
+                 ChannelOwner& owner)
+    : m_sockets(sockets),
+      m_owner(owner),
+      m_descriptor(descriptor),
+      m_state(state) {
+  m_events = state == State::kConnecting ? EPOLLOUT : EPOLLIN;
+  m_ticket = m_sockets.Add(descriptor, m_events,
+                           [this](std::uint32_t events) { OnEvents(events); });
+}
+
+Channel::~Channel() {
+  m_sockets.Remove(m_ticket);
+  close(m_descriptor);
+}
+
+void Channel::Write(std::string_view bytes) {
+  m_output.append(bytes);
+  if (m_state == State::kOpen) Flush();
+  UpdateEvents();
+}
+
+void Channel::FinishWriting() {
+  m_finish = true;
+  if (Pending() == 0) shutdown(m_descriptor, SHUT_WR);
+}
+
+void Channel::ResetOnClose() {
+  const linger reset{1, 0};
+  setsockopt(m_descriptor, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+}
+
+void Channel::SetReading(bool reading) {
+  m_reading = reading;
+  UpdateEvents();
+}
+
+bool Channel::HasUnreadInput() const {
+  char byte = 0;
+  const ssize_t count = recv(m_descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return count >= 0 || !WouldBlock();
+}
+
+void Channel::OnEvents(std::uint32_t events) {
+  if (m_state == State::kConnecting) {
+    HandleConnected();
+    return;
+  }
+  if ((events & EPOLLOUT) != 0) {
+    const bool drained = Flush();
+    UpdateEvents();
+    if (drained && (events & (EPOLLIN | EPOLLHUP | EPOLLERR)) == 0) {
+      m_owner.OnDrained(*this);
+      return;
+    }
+  }
+  if ((events & (EPOLLIN | EPOLLHUP | EPOLLERR)) != 0) HandleInput();
+}
+
+void Channel::HandleConnected() {
+  int error = 0;
+  socklen_t size = sizeof(error);
+  getsockopt(m_descriptor, SOL_SOCKET, SO_ERROR, &error, &size);
+  if (error != 0) {
+    m_owner.OnEnd(*this, ChannelEnd::kReset);
+    return;
+  }
+  m_state = State::kOpen;
+  Flush();
+  UpdateEvents();
+  m_owner.OnConnected(*this);
+}
+
+void Channel::HandleInput() {
+  std::array<char, kReadBytes> buffer;
+  const ssize_t count = recv(m_descriptor, buffer.data(), buffer.size(), 0);
+  if (count > 0) {
+    m_owner.OnBytes(*this, {buffer.data(), static_cast<std::size_t>(count)});
+  } else if (count == 0) {
+    m_owner.OnEnd(*this, m_failed ? ChannelEnd::kReset : ChannelEnd::kClosed);
+  } else if (!WouldBlock() && errno != EINTR) {
+    m_owner.OnEnd(*this, ChannelEnd::kReset);
+  }
+}
+
+// Hands buffered output to the kernel. Returns whether this emptied the
+// buffer.
+bool Channel::Flush() {
+  if (Pending() == 0 || m_failed) return false;
+  while (Pending() > 0) {
+    const ssize_t count = send(m_descriptor, m_output.data() + m_written,
+                               Pending(), MSG_NOSIGNAL);
+    if (count < 0) {
+      // The error event that follows reports the failure to the owner.
+      m_failed = !WouldBlock() && errno != EINTR;
+      return false;
+    }
+    m_any_sent = true;
+    m_written += static_cast<std::size_t>(count);
+  }
+  m_output.clear();
+  m_written = 0;
+  if (m_finish) shutdown(m_descriptor, SHUT_WR);
+  return true;
+}
+
+void Channel::UpdateEvents() {
+  std::uint32_t events = 0;
+  if (m_state == State::kConnecting) {
+    events = EPOLLOUT;
+  } else {
+    if (m_reading || m_failed) events |= EPOLLIN;
+    if (Pending() > 0 && !m_failed) events |= EPOLLOUT;
+  }
+  if (events == m_events) return;
+  m_events = events;
+  m_sockets.Change(m_ticket, events);
+}
+
+}  // namespace comfreypaddle
--- a/src/command.cpp
+++ b/src/command.cpp
@@ -4,15 +4,19 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <cstdlib>
 #include <iostream>
 #include <sstream>
 
 #include "bench.h"
+#include "entry.h"
 #include "operator.h"
+#include "platform/adapter.h"
 #include "serve.h"
 #include "settings.h"
 
 DEFINE_string(config, "", "settings file of the instance (INI)");
+DEFINE_bool(entry, false, "check settings of `entry`");
 DEFINE_int32(seeds, 1, "number of seeds, reported as mean with confidence");
 
 namespace comfreypaddle {
@@ -35,9 +39,17 @@
     "SIGTERM the instance tells the load balancer, stops its intake, finishes "
     "the open requests, hands over its duties and ends.";
 
+constexpr std::string_view kEntryHelp =
+    "Runs an entry instance on the users' platform with the settings of the "
+    "file until SIGTERM. Without --config the path is taken from the "
+    "platform's environment variable. On SIGTERM the instance tells the load "
+    "balancer, finishes the open requests, hands over its duties and ends. On "
+    "SIGHUP it checks the file again and logs the result.";
+
 constexpr std::string_view kCheckHelp =
     "Reads the settings files and reports each mistake with file, line, "
-    "section, key and reason. Nothing is started.";
+    "section, key and reason. Nothing is started. With --entry the files are "
+    "those of `entry`.";
 
 constexpr std::string_view kGetHelp =
     "Shows the resource with this name, or all resources of the kind, with "
@@ -101,6 +113,37 @@
   return Serve(settings);
 }
 
+// Path of the settings file of `entry`; empty if there is none.
+std::string EntrySettingsPath() {
+  if (!FLAGS_config.empty()) return FLAGS_config;
+  const char* path = std::getenv(platform::kSettingsVariable);
+  return path == nullptr ? "" : path;
+}
+
+int RunEntryCommand(const std::vector<std::string>& arguments) {
+  const std::string path = EntrySettingsPath();
+  if (!arguments.empty() || path.empty()) {
+    std::cerr << "entry: give the settings file with --config FILE.ini\n";
+    return Code(ExitCode::kUsage);
+  }
+  schema::RelaySettings settings;
+  const auto mistakes = LoadRelaySettings(path, &settings);
+  for (const SettingsMistake& mistake : mistakes) {
+    std::cerr << ToText(mistake) << "\n";
+  }
+  if (!mistakes.empty()) return Code(ExitCode::kMistake);
+  FLAGS_logtostderr = true;
+  google::InitGoogleLogging("comfreypaddle");
+  return RunEntry(path, settings);
+}
+
+std::vector<SettingsMistake> FindMistakes(const std::string& path) {
+  schema::Settings settings;
+  schema::RelaySettings entry_settings;
+  return FLAGS_entry ? LoadRelaySettings(path, &entry_settings)
+                     : LoadSettings(path, &settings);
+}
+
 int RunCheck(const std::vector<std::string>& arguments) {
   if (arguments.empty()) {
     std::cerr << "check: name at least one settings file\n";
@@ -108,12 +151,12 @@
   }
   bool good = true;
   for (const std::string& path : arguments) {
-    schema::Settings settings;
-    if (LoadOrReport(path, &settings)) {
-      std::cout << path << ": ok\n";
-    } else {
-      good = false;
+    const auto mistakes = FindMistakes(path);
+    for (const SettingsMistake& mistake : mistakes) {
+      std::cerr << ToText(mistake) << "\n";
     }
+    if (mistakes.empty()) std::cout << path << ": ok\n";
+    good = good && mistakes.empty();
   }
   return Code(good ? ExitCode::kOk : ExitCode::kMistake);
 }
@@ -213,11 +256,17 @@
 const std::vector<Command>& Commands() {
   static const auto* const commands = new std::vector<Command>{
       {"serve", "", "run an entry instance", kServeHelp, {"config"}, RunServe},
+      {"entry",
+       "",
+       "run an entry instance on the users' platform",
+       kEntryHelp,
+       {"config"},
+       RunEntryCommand},
       {"check",
        "FILE.ini...",
        "check settings files",
        kCheckHelp,
-       {},
+       {"entry"},
        RunCheck},
       {"bench",
        "",
--- /dev/null
+++ b/src/control.cpp
@@ -0,0 +1,136 @@
+#include "control.h"
+
+#include <glog/logging.h>
+
+#include <utility>
+
+#include "eventlog.h"
+#include "follow.h"
+#include "neighbours.h"
+#include "reporter.h"
+#include "settings.h"
+
+namespace comfreypaddle {
+
+namespace {
+
+// Period of the checks of what is due.
+constexpr Duration kTick = std::chrono::milliseconds(100);
+
+// Instances that would claim a free lease at once wait up to this long.
+constexpr std::uint64_t kClaimSteps = 8;
+constexpr Duration kClaimStep = std::chrono::milliseconds(60);
+
+}  // namespace
+
+Control::Control(const schema::RelaySettings& settings,
+                 std::uint64_t incarnation, Duration unix_at_zero)
+    : m_settings(settings),
+      m_incarnation(incarnation),
+      m_unix_at_zero(unix_at_zero) {}
+
+Control::~Control() = default;
+
+void Control::Start() {
+  m_sockets = std::make_unique<SocketSet>(Loop());
+  m_client = std::make_unique<HttpClient>(*m_sockets);
+  m_adapter = std::make_unique<platform::Adapter>(
+      *m_client, m_settings.platform().store(), m_settings.platform().orders());
+  m_state = std::make_unique<ControlState>();
+  ControlState& state = *m_state;
+  state.m_options.m_name = m_settings.instance().name();
+  state.m_options.m_peers = m_settings.listen().peers();
+  state.m_options.m_incarnation = m_incarnation;
+  state.m_options.m_poll =
+      std::chrono::milliseconds(m_settings.platform().poll_ms());
+  state.m_options.m_watch =
+      std::chrono::milliseconds(m_settings.platform().watch_ms());
+  state.m_store = &m_adapter->Store();
+  state.m_duty_calls = &m_adapter->Duties();
+  state.m_records = &m_adapter->Records();
+  state.m_peers = m_client.get();
+  state.m_relay = m_ports.m_relay;
+  state.m_clock = Now;
+  state.m_unix_at_zero = m_unix_at_zero;
+  state.m_store_answered = Now();
+  HolderOptions& holder = state.m_holder.m_options;
+  holder.m_name = m_settings.instance().name();
+  holder.m_incarnation = m_incarnation;
+  holder.m_lease = std::chrono::milliseconds(m_settings.duties().lease_ms());
+  holder.m_send_margin =
+      std::chrono::milliseconds(m_settings.duties().send_margin_ms());
+  holder.m_claim_wait =
+      kClaimStep * (std::hash<std::string>()(holder.m_name) % kClaimSteps);
+  state.m_tally.m_options.m_window =
+      std::chrono::seconds(m_settings.duties().usage_window_s());
+  HttpServerEvents events;
+  events.m_on_request = [this](const HttpRequest& request) {
+    AnswerPeer(request);
+  };
+  events.m_on_gone = [](std::uint64_t) {};
+  events.m_on_refused = [](int status, ParseError error) {
+    LogLine("peer_refused").Add("status", status).Add("error", ToName(error));
+  };
+  m_peers = std::make_unique<HttpServer>(*m_sockets, std::move(events));
+  const auto address = ParseSocketAddress(m_settings.listen().peers());
+  const auto error = m_peers->Listen(address->m_ip, address->m_port);
+  CHECK(!error) << "peers: " << m_settings.listen().peers() << ": "
+                << error.message();
+  m_tick = std::make_unique<PeriodicTimer>(Loop(), kTick, [this] { Tick(); });
+  Tick();
+}
+
+void Control::Receive(schema::ControlMessage message) {
+  switch (message.kind_case()) {
+    case schema::ControlMessage::kUsage:
+      TakeUsage(*m_state, message.usage());
+      break;
+    case schema::ControlMessage::kCrash:
+      SpreadCrash(*m_state, message.crash());
+      break;
+    case schema::ControlMessage::kDrain:
+      m_state->m_stopping = true;
+      break;
+    case schema::ControlMessage::kStop:
+      Loop().Stop();
+      break;
+    default:
+      break;
+  }
+}
+
+void Control::Finish() {
+  m_tick.reset();
+  m_peers.reset();
+  m_client.reset();
+  m_adapter.reset();
+  m_sockets.reset();
+}
+
+void Control::Tick() {
+  ControlState& state = *m_state;
+  FollowStore(state);
+  RegisterInstance(state);
+  QueryNeighbours(state);
+  RunDuties(state);
+  if (!state.m_stopping || m_told_done || !IsHandedOver(state)) return;
+  m_told_done = true;
+  schema::SupervisorMessage done;
+  done.mutable_control_done();
+  m_ports.m_supervisor->Post(std::move(done));
+}
+
+void Control::AnswerPeer(const HttpRequest& request) {
+  constexpr int kOk = 200;
+  constexpr int kBadRequest = 400;
+  schema::InstanceQuery query;
+  if (request.m_target != kNeighbourTarget ||
+      !query.ParseFromString(request.m_body)) {
+    m_peers->Respond(request.m_id, kBadRequest, {}, "");
+    return;
+  }
+  const schema::InstanceState answer = AnswerNeighbour(*m_state, query);
+  m_peers->Respond(request.m_id, kOk, {}, answer.SerializeAsString());
+}
+
+}  // namespace comfreypaddle
--- /dev/null
+++ b/src/control.h
@@ -0,0 +1,55 @@
+#ifndef COMFREYPADDLE_CONTROL_H_
+#define COMFREYPADDLE_CONTROL_H_
+
+#include <memory>
+
+#include "controlstate.h"
+#include "httpclient.h"
+#include "httpserver.h"
+#include "platform/adapter.h"
+#include "relaysettings.pb.h"
+#include "task.h"
+
+namespace comfreypaddle {
+
+// Ports of the task to the others.
+struct ControlPorts {
+  Port<schema::RelayMessage>* m_relay = nullptr;
+  Port<schema::SupervisorMessage>* m_supervisor = nullptr;
+};
+
+// Task that follows the platform's store, answers other instances and holds
+// duties.
+class Control : public Task<schema::ControlMessage> {
+ public:
+  // unix_at_zero is the Unix time at the zero of the clock since boot.
+  Control(const schema::RelaySettings& settings, std::uint64_t incarnation,
+          Duration unix_at_zero);
+  ~Control() override;
+
+  void Connect(const ControlPorts& ports) { m_ports = ports; }
+
+ private:
+  void Start() override;
+  void Receive(schema::ControlMessage message) override;
+  void Finish() override;
+
+  void Tick();
+  void AnswerPeer(const HttpRequest& request);
+
+  schema::RelaySettings m_settings;
+  std::uint64_t m_incarnation;
+  Duration m_unix_at_zero;
+  ControlPorts m_ports;
+  std::unique_ptr<SocketSet> m_sockets;
+  std::unique_ptr<HttpClient> m_client;
+  std::unique_ptr<HttpServer> m_peers;
+  std::unique_ptr<platform::Adapter> m_adapter;
+  std::unique_ptr<ControlState> m_state;
+  std::unique_ptr<PeriodicTimer> m_tick;
+  bool m_told_done = false;
+};
+
+}  // namespace comfreypaddle
+
+#endif  // COMFREYPADDLE_CONTROL_H_
--- /dev/null
+++ b/src/controlstate.h
@@ -0,0 +1,101 @@
+#ifndef COMFREYPADDLE_CONTROLSTATE_H_
+#define COMFREYPADDLE_CONTROLSTATE_H_
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "directory.h"
+#include "holder.h"
+#include "http.h"
+#include "tally.h"
+#include "task.h"
+
+namespace comfreypaddle {
+
+// Where one stream of the store is read from.
+struct Follower {
+  bool m_known = false;  // The newest records have been read.
+  bool m_busy = false;   // A read is under way.
+  std::uint64_t m_next = 0;
+  Instant m_due{};  // Next read.
+};
+
+// Counts that are on their way to the store.
+struct UsageFlush {
+  std::map<std::pair<std::uint64_t, std::string>, std::uint64_t> m_counts;
+  std::string m_sent;  // Record that is repeated until its fate is known.
+  std::uint64_t m_sequence = 1;
+  bool m_busy = false;
+  Instant m_due{};
+};
+
+// A report that was made or tried.
+struct ReportState {
+  bool m_busy = false;
+  Instant m_due{};
+  std::uint64_t m_accepted = 0;  // Newest window that the platform accepted.
+};
+
+struct KnownInstance {
+  schema::InstanceRecord m_record;
+  Instant m_asked{};
+};
+
+struct ControlOptions {
+  std::string m_name;
+  std::string m_peers;  // IP:PORT of this instance for others.
+  std::uint64_t m_incarnation = 0;
+  Duration m_poll = std::chrono::milliseconds(600);
+  Duration m_watch = std::chrono::milliseconds(1500);
+};
+
+struct ControlCounters {
+  std::uint64_t m_store_calls = 0;
+  std::uint64_t m_store_faults = 0;
+  std::uint64_t m_unreadable = 0;  // Records of others.
+  std::uint64_t m_reports = 0;
+  std::uint64_t m_report_faults = 0;
+  std::uint64_t m_peer_queries = 0;
+};
+
+// State of the task that follows the platform and holds duties. Ports are not
+// owned.
+struct ControlState {
+  ControlOptions m_options;
+  StreamPort* m_store = nullptr;
+  DutyPort* m_duty_calls = nullptr;
+  const RecordFormat* m_records = nullptr;
+  HttpPort* m_peers = nullptr;
+  Port<schema::RelayMessage>* m_relay = nullptr;
+  std::function<Instant()> m_clock;
+  Duration m_unix_at_zero{0};
+
+  std::optional<schema::Catalog> m_catalog;
+  Directory m_directory;
+  Follower m_follow_catalog;
+  Follower m_follow_endpoints;
+  Follower m_follow_instances;
+  Follower m_follow_duties;
+  Follower m_follow_usage;
+  HolderState m_holder;
+  TallyState m_tally;
+  UsageFlush m_flush;
+  ReportState m_report;
+  std::map<std::string, KnownInstance, std::less<>> m_instances;
+  bool m_registered = false;
+  bool m_registering = false;
+  Instant m_next_query{};
+  std::size_t m_query_turn = 0;
+  Instant m_store_answered{};
+  bool m_store_lost = false;
+  ControlCounters m_counters;
+  bool m_stopping = false;
+  bool m_was_holder = false;
+};
+
+}  // namespace comfreypaddle
+
+#endif  // COMFREYPADDLE_CONTROLSTATE_H_
--- /dev/null
+++ b/src/entry.cpp
@@ -0,0 +1,151 @@
+#include "entry.h"
+
+#include <signal.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <memory>
+
+#include "control.h"
+#include "eventlog.h"
+#include "relay.h"
+#include "settings.h"
+#include "signals.h"
+
+namespace comfreypaddle {
+
+namespace {
+
+// Part of the stop's time limit that is left for the last handover.
+constexpr Duration kStopReserve = std::chrono::milliseconds(700);
+
+// Longest wait for duties and usage to be handed over.
+constexpr Duration kHandoverTime = std::chrono::milliseconds(1500);
+
+// Unix time at the zero of the clock since boot. It is taken once, so that a
+// step of the time of day does not move usage windows.
+Duration UnixAtZero() {
+  const auto unix_time = std::chrono::duration_cast<Duration>(
+      std::chrono::system_clock::now().time_since_epoch());
+  return unix_time - Now().time_since_epoch();
+}
+
+// The tasks of one entry instance and the order of its planned stop: callers
+// first, then duties and usage.
+class EntryInstance {
+ public:
+  EntryInstance(std::string file, const schema::RelaySettings& settings)
+      : m_file(std::move(file)),
+        m_settings(settings),
+        m_unix_at_zero(UnixAtZero()),
+        m_signals(OpenSignalDescriptor()) {}
+
+  void Run() {
+    const auto incarnation = static_cast<std::uint64_t>(
+        (Now().time_since_epoch() + m_unix_at_zero).count());
+    LogLine("start")
+        .Add("instance", m_settings.instance().name())
+        .Add("zone", m_settings.instance().availability_zone())
+        .Add("incarnation", static_cast<std::int64_t>(incarnation));
+    m_relay = std::make_unique<Relay>(m_settings, m_unix_at_zero);
+    m_control =
+        std::make_unique<Control>(m_settings, incarnation, m_unix_at_zero);
+    m_relay->Connect({&m_control->Inbox(), &m_mailbox});
+    m_control->Connect({&m_relay->Inbox(), &m_mailbox});
+    m_relay->Launch();
+    m_control->Launch();
+    m_loop.Watch(m_signals, [this] { OnSignal(); });
+    m_loop.Watch(m_mailbox.Descriptor(), [this] {
+      for (const schema::SupervisorMessage& message : m_mailbox.TakeAll()) {
+        OnMessage(message);
+      }
+    });
+    m_loop.Run();
+    StopTasks();
+    m_loop.Unwatch(m_signals);
+    m_loop.Unwatch(m_mailbox.Descriptor());
+    close(m_signals);
+    LogLine("stop").Add("instance", m_settings.instance().name());
+  }
+
+ private:
+  void OnSignal() {
+    for (std::uint32_t signal = TakeSignal(m_signals); signal != 0;
+         signal = TakeSignal(m_signals)) {
+      if (signal == SIGHUP) {
+        Reload();
+      } else if (!m_stopping) {
+        BeginStop();
+      }
+    }
+  }
+
+  // The settings in use are those of the start: addresses and limits of a
+  // running instance do not change. A changed file is checked and reported.
+  void Reload() {
+    schema::RelaySettings fresh;
+    const auto mistakes = LoadRelaySettings(m_file, &fresh);
+    const bool same = mistakes.empty() && fresh.SerializeAsString() ==
+                                              m_settings.SerializeAsString();
+    LogLine("reload")
+        .Add("mistakes", static_cast<std::int64_t>(mistakes.size()))
+        .Add("changed", same ? 0 : 1)
+        .Add("first", mistakes.empty() ? "" : ToText(mistakes.front()));
+  }
+
+  void BeginStop() {
+    m_stopping = true;
+    LogLine("stop_begins").Add("instance", m_settings.instance().name());
+    schema::RelayMessage drain;
+    drain.mutable_drain();
+    m_relay->Inbox().Post(std::move(drain));
+    const Duration limit = std::chrono::seconds(m_settings.stop().grace_s());
+    m_loop.StartTimer(limit - kStopReserve, [this] {
+      LogLine("stop_limit_reached");
+      m_loop.Stop();
+    });
+  }
+
+  void OnMessage(const schema::SupervisorMessage& message) {
+    if (message.has_relay_idle()) {
+      schema::ControlMessage drain;
+      drain.mutable_drain();
+      m_control->Inbox().Post(std::move(drain));
+      m_loop.StartTimer(kHandoverTime, [this] { m_loop.Stop(); });
+    } else {
+      m_loop.Stop();
+    }
+  }
+
+  void StopTasks() {
+    schema::RelayMessage stop_relay;
+    stop_relay.mutable_stop();
+    m_relay->Inbox().Post(std::move(stop_relay));
+    m_relay->Join();
+    schema::ControlMessage stop_control;
+    stop_control.mutable_stop();
+    m_control->Inbox().Post(std::move(stop_control));
+    m_control->Join();
+  }
+
+  std::string m_file;
+  schema::RelaySettings m_settings;
+  Duration m_unix_at_zero;
+  int m_signals;
+  EventLoop m_loop;
+  Mailbox<schema::SupervisorMessage> m_mailbox;
+  std::unique_ptr<Relay> m_relay;
+  std::unique_ptr<Control> m_control;
+  bool m_stopping = false;
+};
+
+}  // namespace
+
+int RunEntry(const std::string& file, const schema::RelaySettings& settings) {
+  SetLogLimit(settings.log().lines_per_s());
+  EntryInstance instance(file, settings);
+  instance.Run();
+  return 0;
+}
+
+}  // namespace comfreypaddle
--- /dev/null
+++ b/src/eventcut.h
@@ -0,0 +1,33 @@
+#ifndef COMFREYPADDLE_EVENTCUT_H_
+#define COMFREYPADDLE_EVENTCUT_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace comfreypaddle {
+
+// One server-sent event.
+struct CutEvent {
+  std::string m_bytes;  // As received, with the final blank line.
+  std::optional<std::uint64_t> m_id;
+};
+
+// Cuts a byte stream into whole server-sent events without changing a byte.
+class EventCutter {
+ public:
+  // Takes the next bytes and returns the events that they complete.
+  std::vector<CutEvent> Feed(std::string_view bytes);
+
+  // Whether the stream stopped in the middle of an event.
+  bool HasPartial() const { return !m_partial.empty(); }
+
+ private:
+  std::string m_partial;
+};
+
+}  // namespace comfreypaddle
+
+#endif  // COMFREYPADDLE_EVENTCUT_H_
--- /dev/null
+++ b/src/eventlog.cpp
@@ -0,0 +1,118 @@
+#include "eventlog.h"
+
+#include <poll.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <mutex>
+
+#include "loop.h"
+
+namespace comfreypaddle {
+
+namespace {
+
+// Writer of the lines of all tasks.
+struct Writer {
+  std::mutex m_mutex;
+  double m_rate = 1000;  // Lines a second; up to one second's are saved up.
+  double m_tokens = 1000;
+  Instant m_refilled{};
+  std::uint64_t m_lost = 0;
+  std::uint64_t m_told = 0;  // Lost lines that were logged.
+};
+
+Writer& TheWriter() {
+  static auto* const writer = new Writer();
+  return *writer;
+}
+
+// Whether standard output takes bytes now.
+bool IsWritable() {
+  pollfd output{STDOUT_FILENO, POLLOUT, 0};
+  return poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
+}
+
+bool TakeToken(Writer& writer) {
+  const Instant now = Now();
+  const double passed =
+      std::chrono::duration<double>(now - writer.m_refilled).count();
+  writer.m_refilled = now;
+  writer.m_tokens =
+      std::min(writer.m_rate, writer.m_tokens + passed * writer.m_rate);
+  if (writer.m_tokens < 1) return false;
+  writer.m_tokens -= 1;
+  return true;
+}
+
+void WriteOut(const std::string& text) {
+  // A short write to a pipe would only cut this line.
+  [[maybe_unused]] const ssize_t count =
+      write(STDOUT_FILENO, text.data(), text.size());
+}
+
+}  // namespace
+
+LogLine::LogLine(std::string_view event) {
+  m_text = "event=";
+  m_text += event;
+}
+
+LogLine::~LogLine() {
+  m_text += '\n';
+  Writer& writer = TheWriter();
+  const std::lock_guard<std::mutex> guard(writer.m_mutex);
+  if (!TakeToken(writer) || !IsWritable()) {
+    ++writer.m_lost;
+    return;
+  }
+  if (writer.m_lost > writer.m_told) {
+    WriteOut("event=log_lines_lost total=" + std::to_string(writer.m_lost) +
+             "\n");
+    writer.m_told = writer.m_lost;
+  }
+  WriteOut(m_text);
+}
+
+LogLine& LogLine::Add(std::string_view key, std::string_view value) {
+  m_text += ' ';
+  m_text += key;
+  m_text += '=';
+  if (value.find_first_of(" \"\n\r") == std::string_view::npos) {
+    m_text += value;
+    return *this;
+  }
+  m_text += '"';
+  for (const char c : value) m_text += c == '"' || c < ' ' ? '_' : c;
+  m_text += '"';
+  return *this;
+}
+
+LogLine& LogLine::Add(std::string_view key, std::int64_t value) {
+  return Add(key, std::to_string(value));
+}
+
+LogLine& LogLine::AddMs(std::string_view key, Duration value) {
+  std::array<char, 32> text;
+  const int size = std::snprintf(text.data(), text.size(), "%.1f",
+                                 static_cast<double>(value.count()) / 1000.0);
+  return Add(key,
+             std::string_view(text.data(), static_cast<std::size_t>(size)));
+}
+
+void SetLogLimit(std::uint32_t lines_per_s) {
+  Writer& writer = TheWriter();
+  const std::lock_guard<std::mutex> guard(writer.m_mutex);
+  writer.m_rate = lines_per_s;
+  writer.m_tokens = lines_per_s;
+}
+
+std::uint64_t LostLogLines() {
+  Writer& writer = TheWriter();
+  const std::lock_guard<std::mutex> guard(writer.m_mutex);
+  return writer.m_lost;
+}
+
+}  // namespace comfreypaddle
--- /dev/null
+++ b/src/follow.h
@@ -0,0 +1,26 @@
+#ifndef COMFREYPADDLE_FOLLOW_H_
+#define COMFREYPADDLE_FOLLOW_H_
+
+#include "controlstate.h"
+
+namespace comfreypaddle {
+
+// Starts the reads of configuration, endpoints and instances that are due.
+void FollowStore(ControlState& state);
+
+// Puts a configuration in force unless a newer one is. source says where it
+// came from.
+void AdoptCatalog(ControlState& state, const schema::Catalog& catalog,
+                  std::string_view source);
+
+// Hands the list of endpoints to the task that serves callers.
+void PublishEndpoints(ControlState& state);
+
+// Notes how a call to the store ended. Logs when the store is lost and when it
+// is back.
+void NoteStoreCall(ControlState& state, StoreFault fault,
+                   std::string_view detail);
+
+}  // namespace comfreypaddle
+
+#endif  // COMFREYPADDLE_FOLLOW_H_
--- a/src/http.cpp
+++ b/src/http.cpp
@@ -19,6 +19,8 @@
         return "no connection could be made";
       case HttpError::kConnectionLost:
         return "the connection broke before the answer was complete";
+      case HttpError::kBadAnswer:
+        return "the bytes of the server are no answer";
       case HttpError::kTimeout:
         return "the call took longer than its time limit";
       case HttpError::kSilent:
--- a/src/http.h
+++ b/src/http.h
@@ -33,6 +33,7 @@
   kConnectFailed,   // No connection; no byte was sent.
   kConnectionLost,  // The connection broke before the answer was complete.
   kTimeout,         // The call's time limit was reached.
+  kBadAnswer,       // The server's bytes are no answer.
   kSilent,          // Nothing arrived for longer than the silence limit.
   kCancelled,       // The owner cancelled the call.
   kListenFailed,    // The address cannot be listened on.
@@ -52,6 +53,9 @@
   HttpFields m_query;
   HttpFields m_headers;
   std::string m_body;
+  // Path and query as the caller sent them. Only HttpServer fills it in, and
+  // leaves m_path and m_query empty.
+  std::string m_target;
 };
 
 // Where answers to requests go. Calls with the id of a request that has ended
@@ -89,6 +93,10 @@
   // Uses a connection of its own, so that the library never sends the request
   // a second time after a reused connection turned out to be closed.
   bool m_fresh_connection = false;
+  // Tells whether an answer with these header fields belongs to this call; one
+  // that does not is read to its end and dropped. Unset: every answer does.
+  // Only HttpClient asks it.
+  std::function<bool(const HttpFields& headers)> m_belongs;
 };
 
 // How a call ended.
--- /dev/null
+++ b/src/httpclient.cpp
@@ -0,0 +1,365 @@
+#include "httpclient.h"
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+#include <utility>
+
+#include "settings.h"
+
+namespace comfreypaddle {
+
+namespace {
+
+// Period of the checks of time limits.
+constexpr Duration kSweepPeriod = std::chrono::milliseconds(50);
+
+// Time before a server's announced idle limit at which a kept connection is
+// not used any more, so that the request does not cross the server's close.
+constexpr Duration kIdleMargin = std::chrono::milliseconds(700);
+
+// Longest reuse of a connection whose server announces no idle limit.
+constexpr Duration kUnannouncedIdle = std::chrono::milliseconds(300);
+
+// Longest time for which a connection is kept, whatever the server announces.
+constexpr Duration kMaxIdle = std::chrono::seconds(20);
+
+// Kept connections of one address.
+constexpr std::size_t kMaxIdlePerAddress = 32;
+
+// Splits "http://IP:PORT/TARGET" at the target.
+std::pair<std::string, std::string> SplitUrl(const std::string& url) {
+  constexpr std::size_t kSchemeSize = 7;
+  const std::size_t slash = url.find('/', kSchemeSize);
+  if (slash == std::string::npos) return {url.substr(kSchemeSize), "/"};
+  return {url.substr(kSchemeSize, slash - kSchemeSize), url.substr(slash)};
+}
+
+// Returns for how long the connection may be used after an answer with these
+// fields.
+Duration IdleLimit(const HttpHead& head) {
+  if (!head.m_keep_alive) return Duration(0);
+  const std::string* value = FindFieldAnyCase(head.m_fields, "Keep-Alive");
+  if (value == nullptr) return kUnannouncedIdle;
+  constexpr std::string_view kTimeout = "timeout=";
+  const std::size_t at = value->find(kTimeout);
+  if (at == std::string::npos) return kUnannouncedIdle;
+  std::int64_t seconds = 0;
+  const char* begin = value->data() + at + kTimeout.size();
+  std::from_chars(begin, value->data() + value->size(), seconds);
+  const Duration limit = std::chrono::seconds(seconds) - kIdleMargin;
+  return std::clamp(limit, kUnannouncedIdle, kMaxIdle);
+}
+
+}  // namespace
+
+// One connection, with the call that uses it if there is one.
+class HttpClient::Connection : public ChannelOwner, public HttpSink {
+ public:
+  Connection(HttpClient& client, std::string address, int descriptor)
+      : m_client(client),
+        m_address(std::move(address)),
+        m_parser(HttpSide::kAnswer, ParseLimits{}, *this) {
+    m_channel.emplace(client.m_sockets, descriptor, Channel::State::kConnecting,
+                      *this);
+  }
+
+  void Begin(CallId id, const HttpCall& call, const std::string& target,
+             HttpEvents events) {
+    m_id = id;
+    m_events = std::make_shared<HttpEvents>(std::move(events));
+    m_belongs = call.m_belongs;
+    m_head_request = call.m_method == "HEAD";
+    m_started = Now();
+    m_last_byte = m_started;
+    m_connect_limit = call.m_connect_timeout;
+    m_limit = call.m_timeout;
+    m_silence = call.m_silence;
+    m_parser.Reset(ParseLimits{});
+    m_head_seen = false;
+    m_channel->Write(RequestText(call, target));
+    // Bytes that left count as this request's only from here on.
+    m_written = true;
+  }
+
+  void OnConnected(Channel& /*channel*/) override {
+    m_connected = true;
+    m_last_byte = Now();
+  }
+
+  void OnDrained(Channel& /*channel*/) override {}
+
+  void OnBytes(Channel& /*channel*/, std::string_view bytes) override {
+    if (m_id == 0) {  // Bytes that no call waits for.
+      m_client.RemoveIdle(this);
+      return;
+    }
+    m_last_byte = Now();
+    HttpClient& client = m_client;
+    const CallId id = m_id;
+    while (!bytes.empty()) {
+      const std::size_t used = m_parser.Put(bytes);
+      bytes.remove_prefix(used);
+      // A callback may have cancelled the call.
+      if (client.m_active.count(id) == 0) return;
+      if (m_parser.Error() != ParseError::kNone) {
+        client.Fail(id, HttpError::kBadAnswer);
+        return;
+      }
+      if (!m_parser.IsDone()) continue;
+      if (!m_skipping) {
+        m_clean = bytes.empty() && m_channel->Pending() == 0;
+        client.Keep(id);
+        return;
+      }
+      m_parser.Reset(ParseLimits{});
+      m_skipping = false;
+    }
+  }
+
+  void OnEnd(Channel& /*channel*/, ChannelEnd end) override {
+    if (m_id == 0) {
+      m_client.RemoveIdle(this);
+      return;
+    }
+    const bool complete = end == ChannelEnd::kClosed && m_head_seen &&
+                          m_ends_with_connection && m_parser.PutEnd();
+    if (complete) {
+      m_clean = false;
+      m_client.Keep(m_id);
+      return;
+    }
+    m_client.Fail(m_id, m_connected ? HttpError::kConnectionLost
+                                    : HttpError::kConnectFailed);
+  }
+
+  void OnHead(HttpHead head) override {
+    const bool interim = head.m_status < 200;
+    m_skipping = interim || (m_belongs && !m_belongs(head.m_fields));
+    if (m_skipping) {
+      if (!interim) ++m_client.m_counters.m_dropped;
+      return;
+    }
+    m_head_seen = true;
+    m_idle_limit = IdleLimit(head);
+    m_ends_with_connection = head.m_ends_with_connection;
+    m_status = head.m_status;
+    const auto events = m_events;
+    if (events->m_on_head) events->m_on_head(head.m_status, head.m_fields);
+  }
+
+  void OnBody(std::string_view bytes) override {
+    const auto events = m_events;
+    if (m_skipping || m_closed) return;
+    if (events->m_on_body) events->m_on_body(bytes);
+  }
+
+  // Ends the use of the connection by its call and returns the call's events.
+  std::shared_ptr<HttpEvents> End() {
+    m_id = 0;
+    m_idle_since = Now();
+    return std::exchange(m_events, nullptr);
+  }
+
+  // Returns which limit the call has reached, or kOk.
+  HttpError Overdue(Instant now) const {
+    if (!m_connected && now - m_started > m_connect_limit) {
+      return HttpError::kConnectFailed;
+    }
+    if (m_limit > Duration(0) && now - m_started > m_limit) {
+      return HttpError::kTimeout;
+    }
+    if (m_silence > Duration(0) && now - m_last_byte > m_silence) {
+      return HttpError::kSilent;
+    }
+    return HttpError::kOk;
+  }
+
+  bool IsReusable(Instant now) const {
+    return m_clean && m_idle_limit > Duration(0) &&
+           now - m_idle_since < m_idle_limit && !m_channel->HasUnreadInput();
+  }
+
+  bool IsStale(Instant now) const { return now - m_idle_since >= m_idle_limit; }
+
+  bool Clean() const { return m_clean && m_idle_limit > Duration(0); }
+  bool Sent() const { return m_written && m_channel->AnySent(); }
+  int Status() const { return m_status; }
+  const std::string& Address() const { return m_address; }
+
+  // Closes the channel, so that the server notices at once.
+  void Close() {
+    m_closed = true;
+    m_channel.reset();
+  }
+
+ private:
+  std::string RequestText(const HttpCall& call,
+                          const std::string& target) const {
+    std::string text = call.m_method + " " + target + " HTTP/1.1\r\n";
+    if (FindFieldAnyCase(call.m_headers, "Host") == nullptr) {
+      text += "Host: " + m_address + "\r\n";
+    }
+    for (const HttpField& field : call.m_headers) {
+      text += field.m_name;
+      text += ": ";
+      text += field.m_value;
+      text += "\r\n";
+    }
+    const bool bodyless = call.m_method == "GET" || call.m_method == "HEAD" ||
+                          call.m_method == "DELETE";
+    if (!call.m_body.empty() || !bodyless) {
+      text += "Content-Length: " + std::to_string(call.m_body.size()) + "\r\n";
+    }
+    text += "\r\n";
+    text += call.m_body;
+    return text;
+  }
+
+  HttpClient& m_client;
+  std::string m_address;
+  CallId m_id = 0;  // Zero: the connection is idle.
+  std::shared_ptr<HttpEvents> m_events;
+  std::function<bool(const HttpFields&)> m_belongs;
+  HttpParser m_parser;
+  int m_status = 0;
+  bool m_head_request = false;
+  bool m_connected = false;
+  bool m_written = false;
+  bool m_head_seen = false;
+  bool m_skipping = false;
+  bool m_ends_with_connection = false;
+  bool m_clean = false;
+  Instant m_started{};
+  Instant m_last_byte{};
+  Instant m_idle_since{};
+  Duration m_connect_limit{0};
+  Duration m_limit{0};
+  Duration m_silence{0};
+  Duration m_idle_limit{0};
+  bool m_closed = false;
+  std::optional<Channel> m_channel;
+};
+
+HttpClient::HttpClient(SocketSet& sockets)
+    : m_sockets(sockets),
+      m_sweep(std::make_unique<PeriodicTimer>(sockets.Loop(), kSweepPeriod,
+                                              [this] { Sweep(); })) {}
+
+HttpClient::~HttpClient() = default;
+
+HttpPort::CallId HttpClient::Start(HttpCall call, HttpEvents events) {
+  const CallId id = m_next_id++;
+  const auto [address, target] = SplitUrl(call.m_url);
+  std::unique_ptr<Connection> connection;
+  if (!call.m_fresh_connection) connection = TakeIdle(address);
+  if (connection != nullptr) {
+    ++m_counters.m_reused;
+  } else {
+    const auto place = ParseSocketAddress(address);
+    const int descriptor = place ? ConnectTcp(place->m_ip, place->m_port) : -1;
+    if (descriptor < 0) {
+      m_sockets.Loop().StartTimer(Duration(0), [events = std::move(events)] {
+        events.m_on_end({HttpError::kConnectFailed, 0, false});
+      });
+      return id;
+    }
+    ++m_counters.m_opened;
+    connection = std::make_unique<Connection>(*this, address, descriptor);
+  }
+  connection->Begin(id, call, target, std::move(events));
+  m_active[id] = std::move(connection);
+  return id;
+}
+
+void HttpClient::Cancel(CallId id) {
+  const auto found = m_active.find(id);
+  if (found == m_active.end()) return;
+  std::unique_ptr<Connection> connection = std::move(found->second);
+  m_active.erase(found);
+  connection->End();
+  Retire(std::move(connection));
+}
+
+void HttpClient::Forget(const std::string& address) { m_idle.erase(address); }
+
+std::unique_ptr<HttpClient::Connection> HttpClient::TakeIdle(
+    const std::string& address) {
+  const auto found = m_idle.find(address);
+  if (found == m_idle.end()) return nullptr;
+  const Instant now = Now();
+  while (!found->second.empty()) {
+    std::unique_ptr<Connection> connection = std::move(found->second.back());
+    found->second.pop_back();
+    if (connection->IsReusable(now)) return connection;
+  }
+  return nullptr;
+}
+
+// Ends a call whose answer is complete.
+void HttpClient::Keep(CallId id) {
+  const auto found = m_active.find(id);
+  std::unique_ptr<Connection> connection = std::move(found->second);
+  m_active.erase(found);
+  const HttpResult result{HttpError::kOk, connection->Status(), true};
+  const std::shared_ptr<HttpEvents> events = connection->End();
+  auto& idle = m_idle[connection->Address()];
+  if (connection->Clean() && idle.size() < kMaxIdlePerAddress) {
+    idle.push_back(std::move(connection));
+  } else {
+    Retire(std::move(connection));
+  }
+  events->m_on_end(result);
+}
+
+void HttpClient::Fail(CallId id, HttpError error) {
+  const auto found = m_active.find(id);
+  if (found == m_active.end()) return;
+  std::unique_ptr<Connection> connection = std::move(found->second);
+  m_active.erase(found);
+  const HttpResult result{error, connection->Status(), connection->Sent()};
+  const std::shared_ptr<HttpEvents> events = connection->End();
+  Retire(std::move(connection));
+  events->m_on_end(result);
+}
+
+void HttpClient::RemoveIdle(Connection* connection) {
+  const auto found = m_idle.find(connection->Address());
+  if (found == m_idle.end()) return;
+  auto& idle = found->second;
+  for (auto at = idle.begin(); at != idle.end(); ++at) {
+    if (at->get() != connection) continue;
+    Retire(std::move(*at));
+    idle.erase(at);
+    return;
+  }
+}
+
+// Closes the connection now and destroys it later: its callbacks may run.
+void HttpClient::Retire(std::unique_ptr<Connection> connection) {
+  connection->Close();
+  if (m_retired.empty()) {
+    m_sockets.Loop().StartTimer(Duration(0), [this] { m_retired.clear(); });
+  }
+  m_retired.push_back(std::move(connection));
+}
+
+void HttpClient::Sweep() {
+  const Instant now = Now();
+  std::vector<std::pair<CallId, HttpError>> overdue;
+  for (const auto& [id, connection] : m_active) {
+    const HttpError error = connection->Overdue(now);
+    if (error != HttpError::kOk) overdue.emplace_back(id, error);
+  }
+  for (const auto& [id, error] : overdue) Fail(id, error);
+  for (auto at = m_idle.begin(); at != m_idle.end();) {
+    auto& idle = at->second;
+    while (!idle.empty() && idle.front()->IsStale(now)) {
+      Retire(std::move(idle.front()));
+      idle.pop_front();
+    }
+    at = idle.empty() ? m_idle.erase(at) : std::next(at);
+  }
+}
+
+}  // namespace comfreypaddle
--- /dev/null
+++ b/src/httpparse.cpp
@@ -0,0 +1,240 @@
+#include "httpparse.h"
+
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/status.hpp>
+#include <cctype>
+#include <limits>
+#include <utility>
+
+namespace comfreypaddle {
+
+namespace {
+
+namespace http = boost::beast::http;
+using BeastError = boost::beast::error_code;
+using BeastView = boost::beast::string_view;
+
+std::string_view ToView(BeastView text) { return {text.data(), text.size()}; }
+
+ParseError Translate(const BeastError& error) {
+  if (error == http::error::header_limit) return ParseError::kHeadTooLarge;
+  if (error == http::error::body_limit) return ParseError::kBodyTooLarge;
+  if (error == http::error::bad_content_length ||
+      error == http::error::bad_transfer_encoding) {
+    return ParseError::kBadFraming;
+  }
+  return ParseError::kMalformed;
+}
+
+// A body whose length two programs may read differently lets a second request
+// hide inside the first, so only the two plain forms are taken.
+bool HasPlainFraming(const HttpHead& head) {
+  int lengths = 0;
+  int encodings = 0;
+  bool chunked = true;
+  for (const HttpField& field : head.m_fields) {
+    if (SameFieldName(field.m_name, "Content-Length")) ++lengths;
+    if (!SameFieldName(field.m_name, "Transfer-Encoding")) continue;
+    ++encodings;
+    chunked = SameFieldName(field.m_value, "chunked");
+  }
+  if (encodings == 0) return lengths <= 1;
+  return encodings == 1 && chunked && lengths == 0 && head.m_version == 11;
+}
+
+}  // namespace
+
+// State that both sides share.
+class HttpParser::Core {
+ public:
+  virtual ~Core() = default;
+  virtual std::size_t Step(std::string_view bytes) = 0;
+  virtual bool PutEnd() = 0;
+  virtual bool HasHead() const = 0;
+  virtual bool IsDone() const = 0;
+
+  std::string m_pending;  // Start of a head or chunk that is not complete.
+  ParseError m_error = ParseError::kNone;
+  bool m_started = false;
+};
+
+template <bool kIsRequest>
+class HttpParser::Parser : public HttpParser::Core,
+                           public http::basic_parser<kIsRequest> {
+  using Base = http::basic_parser<kIsRequest>;
+
+ public:
+  Parser(const ParseLimits& limits, HttpSink& sink) : m_sink(sink) {
+    this->eager(true);
+    this->header_limit(limits.m_head_bytes);
+    // An absent limit would refuse every body that has a length.
+    this->body_limit(limits.m_body_bytes > 0
+                         ? limits.m_body_bytes
+                         : std::numeric_limits<std::uint64_t>::max());
+  }
+
+  std::size_t Step(std::string_view bytes) override {
+    BeastError error;
+    const std::size_t used =
+        Base::put(boost::asio::buffer(bytes.data(), bytes.size()), error);
+    if (error && error != http::error::need_more) {
+      m_error = m_refused ? ParseError::kBadFraming : Translate(error);
+    }
+    return used;
+  }
+
+  bool PutEnd() override {
+    BeastError error;
+    Base::put_eof(error);
+    return !error && Base::is_done();
+  }
+
+  bool HasHead() const override { return Base::is_header_done(); }
+  bool IsDone() const override { return Base::is_done(); }
+
+ private:
+  void on_request_impl(http::verb /*method*/, BeastView method,
+                       BeastView target, int version,
+                       BeastError& error) override {
+    error = {};
+    m_head.m_method = ToView(method);
+    m_head.m_target = ToView(target);
+    m_head.m_version = version;
+  }
+
+  void on_response_impl(int code, BeastView /*reason*/, int version,
+                        BeastError& error) override {
+    error = {};
+    m_head.m_status = code;
+    m_head.m_version = version;
+  }
+
+  void on_field_impl(http::field /*field*/, BeastView name, BeastView value,
+                     BeastError& error) override {
+    error = {};
+    // Fields after the body are dropped.
+    if (m_head_passed) return;
+    m_head.m_fields.push_back(
+        {std::string(ToView(name)), std::string(ToView(value))});
+  }
+
+  void on_header_impl(BeastError& error) override {
+    error = {};
+    m_head_passed = true;
+    m_head.m_keep_alive = Base::keep_alive();
+    m_head.m_ends_with_connection = Base::need_eof();
+    if (kIsRequest && !HasPlainFraming(m_head)) {
+      m_refused = true;
+      error = http::error::bad_transfer_encoding;
+      return;
+    }
+    m_sink.OnHead(std::move(m_head));
+  }
+
+  void on_body_init_impl(boost::optional<std::uint64_t> const& /*length*/,
+                         BeastError& error) override {
+    error = {};
+  }
+
+  std::size_t on_body_impl(BeastView body, BeastError& error) override {
+    error = {};
+    m_sink.OnBody(ToView(body));
+    return body.size();
+  }
+
+  void on_chunk_header_impl(std::uint64_t /*size*/, BeastView /*extensions*/,
+                            BeastError& error) override {
+    error = {};
+  }
+
+  std::size_t on_chunk_body_impl(std::uint64_t /*remain*/, BeastView body,
+                                 BeastError& error) override {
+    error = {};
+    m_sink.OnBody(ToView(body));
+    return body.size();
+  }
+
+  void on_finish_impl(BeastError& error) override { error = {}; }
+
+  HttpSink& m_sink;
+  HttpHead m_head;
+  bool m_head_passed = false;
+  bool m_refused = false;
+};
+
+HttpParser::HttpParser(HttpSide side, const ParseLimits& limits, HttpSink& sink)
+    : m_side(side), m_sink(sink) {
+  Reset(limits);
+}
+
+HttpParser::~HttpParser() = default;
+
+void HttpParser::Reset(const ParseLimits& limits) {
+  if (m_side == HttpSide::kRequest) {
+    m_core = std::make_unique<Parser<true>>(limits, m_sink);
+  } else {
+    m_core = std::make_unique<Parser<false>>(limits, m_sink);
+  }
+}
+
+std::size_t HttpParser::Put(std::string_view bytes) {
+  Core& core = *m_core;
+  core.m_started = core.m_started || !bytes.empty();
+  const std::size_t before = core.m_pending.size();
+  std::string joined;
+  std::string_view input = bytes;
+  if (before > 0) {
+    joined = std::move(core.m_pending);
+    core.m_pending.clear();
+    joined.append(bytes);
+    input = joined;
+  }
+  std::size_t used = 0;
+  while (used < input.size() && core.m_error == ParseError::kNone &&
+         !core.IsDone()) {
+    const std::size_t step = core.Step(input.substr(used));
+    used += step;
+    if (step == 0) break;
+  }
+  if (core.m_error != ParseError::kNone) return bytes.size();
+  if (core.IsDone()) return used - before;
+  core.m_pending.assign(input.substr(used));
+  return bytes.size();
+}
+
+bool HttpParser::PutEnd() { return m_core->PutEnd(); }
+
+bool HttpParser::Started() const { return m_core->m_started; }
+
+bool HttpParser::HasHead() const { return m_core->HasHead(); }
+
+bool HttpParser::IsDone() const { return m_core->IsDone(); }
+
+ParseError HttpParser::Error() const { return m_core->m_error; }
+
+std::string StatusReason(int status) {
+  const BeastView reason =
+      http::obsolete_reason(http::int_to_status(static_cast<unsigned>(status)));
+  return std::string(ToView(reason));
+}
+
+bool SameFieldName(std::string_view a, std::string_view b) {
+  return a.size() == b.size() &&
+         std::equal(a.begin(), a.end(), b.begin(), [](char x, char y) {
+           return std::tolower(static_cast<unsigned char>(x)) ==
+                  std::tolower(static_cast<unsigned char>(y));
+         });
+}
+
+const std::string* FindFieldAnyCase(const HttpFields& fields,
+                                    std::string_view name) {
+  for (const HttpField& field : fields) {
+    if (SameFieldName(field.m_name, name)) return &field.m_value;
+  }
+  return nullptr;
+}
+
+}  // namespace comfreypaddle
--- /dev/null
+++ b/src/httpserver.cpp
@@ -0,0 +1,358 @@
+#include "httpserver.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <charconv>
+#include <utility>
+#include <vector>
+
+namespace comfreypaddle {
+
+namespace {
+
+// Period of the checks of idle and slow callers.
+constexpr Duration kSweepPeriod = std::chrono::milliseconds(250);
+
+// Time for which a connection whose answer ends it waits for the caller to
+// close. A close with unread input would reset the connection and could take
+// the answer with it.
+constexpr Duration kLingerTime = std::chrono::seconds(1);
+
+// Input of later requests that is held while one is open.
+constexpr std::size_t kMaxPipelinedBytes = 256 * 1024;
+
+// Connections accepted in one turn of the loop.
+constexpr int kAcceptBatch = 32;
+
+std::string HeadText(int status, const HttpFields& headers) {
+  std::string text = "HTTP/1.1 " + std::to_string(status) + " " +
+                     StatusReason(status) + "\r\n";
+  for (const HttpField& field : headers) {
+    text += field.m_name;
+    text += ": ";
+    text += field.m_value;
+    text += "\r\n";
+  }
+  return text;
+}
+
+int StatusOf(ParseError error) {
+  switch (error) {
+    case ParseError::kHeadTooLarge:
+      return 431;
+    case ParseError::kBodyTooLarge:
+      return 413;
+    default:
+      return 400;
+  }
+}
+
+}  // namespace
+
+// One connection of a caller, with at most one open request.
+class HttpServer::Connection : public ChannelOwner, public HttpSink {
+ public:
+  Connection(HttpServer& server, std::uint64_t id, int descriptor)
+      : m_server(server),
+        m_id(id),
+        m_parser(HttpSide::kRequest, Limits(), *this),
+        m_active(Now()),
+        m_channel(server.m_sockets, descriptor, Channel::State::kOpen, *this) {}
+
+  ~Connection() override {
+    if (m_request != 0) m_server.m_requests.erase(m_request);
+  }
+
+  void OnConnected(Channel& /*channel*/) override {}
+  void OnDrained(Channel& /*channel*/) override {}
+
+  void OnBytes(Channel& /*channel*/, std::string_view bytes) override {
+    if (m_lingering) return;
+    m_active = Now();
+    m_input.append(bytes);
+    if (m_request != 0) {
+      if (m_input.size() > kMaxPipelinedBytes) m_channel.SetReading(false);
+      return;
+    }
+    TakeInput();
+  }
+
+  void OnEnd(Channel& /*channel*/, ChannelEnd /*end*/) override {
+    const std::uint64_t request = m_request;
+    HttpServer& server = m_server;
+    server.Drop(m_id);
+    if (request != 0) server.m_events.m_on_gone(request);
+  }
+
+  void OnHead(HttpHead head) override {
+    m_head = std::move(head);
+    m_head_done = true;
+    const std::string* expect = FindFieldAnyCase(m_head.m_fields, "Expect");
+    if (expect != nullptr && SameFieldName(*expect, "100-continue")) {
+      m_channel.Write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+  }
+
+  void OnBody(std::string_view bytes) override { m_body.append(bytes); }
+
+  // Sends a whole answer and goes on with the next request.
+  void Respond(int status, HttpFields headers, std::string_view body) {
+    const bool keep = KeepsOpen();
+    std::string text = HeadText(status, headers);
+    // A body of 204 and 304 is not allowed.
+    if (status != 204 && status != 304) {
+      text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    }
+    if (!keep) text += "Connection: close\r\n";
+    text += "\r\n";
+    if (m_head.m_method != "HEAD") text += body;
+    m_channel.Write(text);
+    EndRequest(keep);
+  }
+
+  void StartStream(int status, const HttpFields& headers) {
+    m_chunked = m_head.m_version == 11;
+    m_keep = m_chunked && KeepsOpen();
+    std::string text = HeadText(status, headers);
+    if (m_chunked) text += "Transfer-Encoding: chunked\r\n";
+    if (!m_keep) text += "Connection: close\r\n";
+    text += "\r\n";
+    m_channel.Write(text);
+  }
+
+  void WriteStream(std::string_view bytes) {
+    if (bytes.empty()) return;
+    if (!m_chunked) {
+      m_channel.Write(bytes);
+      return;
+    }
+    std::array<char, 20> size;
+    const auto end =
+        std::to_chars(size.data(), size.data() + size.size(), bytes.size(), 16);
+    std::string text(size.data(), end.ptr);
+    text += "\r\n";
+    text += bytes;
+    text += "\r\n";
+    m_channel.Write(text);
+  }
+
+  void FinishStream() {
+    if (m_chunked) m_channel.Write("0\r\n\r\n");
+    EndRequest(m_keep);
+  }
+
+  // Makes the connection end in a reset.
+  void PrepareAbort() { m_channel.ResetOnClose(); }
+
+  // Returns whether the connection has to be dropped now.
+  bool IsExpired(Instant now) {
+    if (m_lingering) return now > m_linger_until;
+    if (m_request != 0) return false;
+    if (!m_parser.Started())
+      return now - m_active > m_server.m_limits.m_idle_time;
+    if (!m_head_done && now - m_begun > m_server.m_limits.m_head_time) {
+      Refuse(408, ParseError::kNone);
+    } else if (now - m_active > m_server.m_limits.m_idle_time) {
+      Refuse(408, ParseError::kNone);
+    }
+    return false;
+  }
+
+  bool IsIdle() const { return m_request == 0 && !m_parser.Started(); }
+  std::uint64_t Id() const { return m_id; }
+  std::size_t Backlog() const { return m_channel.Pending(); }
+
+ private:
+  ParseLimits Limits() const {
+    return {m_server.m_limits.m_head_bytes, m_server.m_limits.m_body_bytes};
+  }
+
+  bool KeepsOpen() const { return m_head.m_keep_alive && !m_server.m_closing; }
+
+  // Parses what has arrived, up to the end of the next request.
+  void TakeInput() {
+    if (m_input.empty()) return;
+    if (!m_parser.Started()) m_begun = m_active;
+    std::string input = std::move(m_input);
+    m_input.clear();
+    const std::size_t used = m_parser.Put(input);
+    if (m_parser.Error() != ParseError::kNone) {
+      Refuse(StatusOf(m_parser.Error()), m_parser.Error());
+      return;
+    }
+    if (!m_parser.IsDone()) return;
+    m_input.assign(input, used);
+    OpenRequest();
+  }
+
+  void OpenRequest() {
+    HttpRequest request;
+    m_request = m_server.m_next_id++;
+    m_server.m_requests[m_request] = this;
+    request.m_id = m_request;
+    request.m_connection = m_id;
+    request.m_method = m_head.m_method;
+    request.m_target = m_head.m_target;
+    request.m_headers = m_head.m_fields;
+    request.m_body = std::move(m_body);
+    m_body.clear();
+    m_server.m_events.m_on_request(std::move(request));
+  }
+
+  // Answers a request that cannot be read. It has not been passed on.
+  void Refuse(int status, ParseError error) {
+    m_head.m_keep_alive = false;
+    std::string text = HeadText(status, {});
+    text += "Content-Length: 0\r\nConnection: close\r\n\r\n";
+    m_channel.Write(text);
+    Linger();
+    m_server.m_events.m_on_refused(status, error);
+  }
+
+  void EndRequest(bool keep) {
+    m_server.m_requests.erase(m_request);
+    m_request = 0;
+    m_active = Now();
+    if (!keep) {
+      Linger();
+      return;
+    }
+    m_parser.Reset(Limits());
+    m_head_done = false;
+    m_channel.SetReading(true);
+    if (m_input.empty()) return;
+    // The next request is opened in a turn of its own, because its handler may
+    // answer at once.
+    m_server.m_sockets.Loop().StartTimer(
+        Duration(0), [&server = m_server, id = m_id] {
+          const auto found = server.m_connections.find(id);
+          if (found == server.m_connections.end()) return;
+          if (found->second->m_request == 0) found->second->TakeInput();
+        });
+  }
+
+  void Linger() {
+    m_lingering = true;
+    m_linger_until = Now() + kLingerTime;
+    m_channel.FinishWriting();
+    m_channel.SetReading(true);
+  }
+
+  HttpServer& m_server;
+  std::uint64_t m_id;
+  HttpParser m_parser;
+  HttpHead m_head;
+  bool m_head_done = false;
+  std::string m_body;
+  std::string m_input;
+  std::uint64_t m_request = 0;  // Zero: none is open.
+  Instant m_active;             // Last time at which something arrived.
+  Instant m_begun{};            // First byte of the request.
+  Instant m_linger_until{};
+  bool m_chunked = false;
+  bool m_keep = false;
+  bool m_lingering = false;
+  Channel m_channel;
+};
+
+HttpServer::HttpServer(SocketSet& sockets, HttpServerEvents events)
+    : m_sockets(sockets), m_events(std::move(events)) {}
+
+HttpServer::~HttpServer() {
+  m_sweep.reset();
+  if (m_listener >= 0) {
+    m_sockets.Remove(m_listener_ticket);
+    close(m_listener);
+  }
+  m_connections.clear();
+}
+
+std::error_code HttpServer::Listen(const std::string& ip, std::uint16_t port) {
+  m_listener = ListenTcp(ip, port);
+  if (m_listener < 0) return HttpError::kListenFailed;
+  m_listener_ticket =
+      m_sockets.Add(m_listener, EPOLLIN, [this](std::uint32_t) { Accept(); });
+  m_sweep = std::make_unique<PeriodicTimer>(m_sockets.Loop(), kSweepPeriod,
+                                            [this] { Sweep(); });
+  return HttpError::kOk;
+}
+
+void HttpServer::Accept() {
+  for (int i = 0; i < kAcceptBatch; ++i) {
+    const int descriptor =
+        accept4(m_listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (descriptor < 0) return;
+    const int on = 1;
+    setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    const std::uint64_t id = m_next_id++;
+    m_connections[id] = std::make_unique<Connection>(*this, id, descriptor);
+  }
+}
+
+void HttpServer::Sweep() {
+  const Instant now = Now();
+  std::vector<std::uint64_t> expired;
+  for (const auto& [id, connection] : m_connections) {
+    if (connection->IsExpired(now)) expired.push_back(id);
+  }
+  for (const std::uint64_t id : expired) Drop(id);
+}
+
+void HttpServer::CloseIdle() {
+  std::vector<std::uint64_t> idle;
+  for (const auto& [id, connection] : m_connections) {
+    if (connection->IsIdle()) idle.push_back(id);
+  }
+  for (const std::uint64_t id : idle) Drop(id);
+}
+
+void HttpServer::Respond(std::uint64_t id, int status, HttpFields headers,
+                         std::string body) {
+  Connection* connection = FindRequest(id);
+  if (connection != nullptr) {
+    connection->Respond(status, std::move(headers), body);
+  }
+}
+
+void HttpServer::StartStream(std::uint64_t id, int status, HttpFields headers) {
+  Connection* connection = FindRequest(id);
+  if (connection != nullptr) connection->StartStream(status, headers);
+}
+
+void HttpServer::Write(std::uint64_t id, std::string_view bytes) {
+  Connection* connection = FindRequest(id);
+  if (connection != nullptr) connection->WriteStream(bytes);
+}
+
+void HttpServer::FinishStream(std::uint64_t id) {
+  Connection* connection = FindRequest(id);
+  if (connection != nullptr) connection->FinishStream();
+}
+
+void HttpServer::Abort(std::uint64_t id) {
+  Connection* connection = FindRequest(id);
+  if (connection == nullptr) return;
+  connection->PrepareAbort();
+  Drop(connection->Id());
+}
+
+std::size_t HttpServer::Backlog(std::uint64_t id) const {
+  const Connection* connection = FindRequest(id);
+  return connection == nullptr ? 0 : connection->Backlog();
+}
+
+HttpServer::Connection* HttpServer::FindRequest(std::uint64_t id) const {
+  const auto found = m_requests.find(id);
+  return found == m_requests.end() ? nullptr : found->second;
+}
+
+void HttpServer::Drop(std::uint64_t connection) {
+  m_connections.erase(connection);
+}
+
+}  // namespace comfreypaddle
--- /dev/null
+++ b/src/httpserver.h
@@ -0,0 +1,91 @@
+#ifndef COMFREYPADDLE_HTTPSERVER_H_
+#define COMFREYPADDLE_HTTPSERVER_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include "channel.h"
+#include "httpparse.h"
+
+namespace comfreypaddle {
+
+// What callers may send and how long they may take.
+struct CallerLimits {
+  std::uint32_t m_head_bytes = 16384;
+  std::uint64_t m_body_bytes = 4U << 20U;
+  Duration m_head_time = std::chrono::seconds(3);
+  Duration m_idle_time = std::chrono::seconds(15);
+};
+
+// Events of an HTTP server, in its task's thread.
+struct HttpServerEvents {
+  // A whole request has arrived.
+  std::function<void(HttpRequest request)> m_on_request;
+  // The caller closed the connection of a request that is not answered.
+  std::function<void(std::uint64_t id)> m_on_gone;
+  // The server answered a malformed, oversized or slow request itself.
+  std::function<void(int status, ParseError error)> m_on_refused;
+};
+
+// HTTP/1.1 server over the sockets of one task. It keeps targets, header
+// fields and bodies byte for byte, and notices a caller that leaves while its
+// request is open, which libmicrohttpd does not for suspended connections.
+class HttpServer : public CallerPort {
+ public:
+  HttpServer(SocketSet& sockets, HttpServerEvents events);
+  ~HttpServer() override;
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+  // Opens the listener. Returns HttpError::kListenFailed if the address cannot
+  // be listened on.
+  std::error_code Listen(const std::string& ip, std::uint16_t port);
+
+  void SetLimits(const CallerLimits& limits) { m_limits = limits; }
+
+  // Every answer from now on ends its connection.
+  void AnnounceClose() { m_closing = true; }
+
+  // Closes the connections on which no request is open.
+  void CloseIdle();
+
+  // Open connections, with those on which a request is open.
+  std::size_t Connections() const { return m_connections.size(); }
+  std::size_t OpenRequests() const { return m_requests.size(); }
+
+  void Respond(std::uint64_t id, int status, HttpFields headers,
+               std::string body) override;
+  void StartStream(std::uint64_t id, int status, HttpFields headers) override;
+  void Write(std::uint64_t id, std::string_view bytes) override;
+  void FinishStream(std::uint64_t id) override;
+  void Abort(std::uint64_t id) override;
+
+  // Bytes of the request's answer that the caller has not taken yet.
+  std::size_t Backlog(std::uint64_t id) const;
+
+ private:
+  class Connection;
+
+  void Accept();
+  void Sweep();
+  Connection* FindRequest(std::uint64_t id) const;
+  void Drop(std::uint64_t connection);
+
+  SocketSet& m_sockets;
+  HttpServerEvents m_events;
+  CallerLimits m_limits;
+  int m_listener = -1;
+  std::uint64_t m_listener_ticket = 0;
+  std::uint64_t m_next_id = 1;
+  std::unordered_map<std::uint64_t, std::unique_ptr<Connection>> m_connections;
+  std::unordered_map<std::uint64_t, Connection*> m_requests;
+  std::unique_ptr<PeriodicTimer> m_sweep;
+  bool m_closing = false;
+};
+
+}  // namespace comfreypaddle
+
+#endif  // COMFREYPADDLE_HTTPSERVER_H_
--- a/src/loop.cpp
+++ b/src/loop.cpp
@@ -5,6 +5,7 @@
 #include <ace/Select_Reactor.h>
 #include <ace/Timer_Heap_T.h>
 #include <glog/logging.h>
+#include <time.h>
 
 #include <utility>
 
@@ -27,8 +28,11 @@
 }  // namespace
 
 Instant Now() {
-  return std::chrono::time_point_cast<Duration>(
-      std::chrono::steady_clock::now());
+  timespec time{};
+  clock_gettime(CLOCK_BOOTTIME, &time);
+  return Instant(std::chrono::seconds(time.tv_sec) +
+                 std::chrono::duration_cast<Duration>(
+                     std::chrono::nanoseconds(time.tv_nsec)));
 }
 
 // Adapts a callback to the reactor's handler interface.
--- a/src/loop.h
+++ b/src/loop.h
@@ -11,7 +11,9 @@
 
 namespace comfreypaddle {
 
-// Reads the monotonic clock.
+// Reads the clock since boot. It is monotonic and, unlike the steady clock,
+// counts the time for which the machine is suspended, so that a lease or a
+// deadline that passed meanwhile is seen to have passed.
 Instant Now();
 
 // Event loop of one task: descriptors and timers on an ACE_Select_Reactor.
--- /dev/null
+++ b/src/relay.cpp
@@ -0,0 +1,291 @@
+#include "relay.h"
+
+#include <glog/logging.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "accept.h"
+#include "eventlog.h"
+#include "platform/adapter.h"
+#include "relaymetrics.h"
+#include "settings.h"
+
+namespace comfreypaddle {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kUnavailable = 503;
+
+// Period of the checks of deadlines and of waiting requests.
+constexpr Duration kTick = std::chrono::milliseconds(20);
+
+// Period at which counts are handed to the task that holds duties.
+constexpr Duration kUsagePeriod = std::chrono::milliseconds(500);
+
+EngineStage StageOf(schema::EnginePhase phase) {
+  switch (phase) {
+    case schema::PHASE_PREFILL:
+      return EngineStage::kPrefill;
+    case schema::PHASE_DECODE:
+      return EngineStage::kDecode;
+    default:
+      return EngineStage::kNone;
+  }
+}
+
+CallerLimits LimitsOf(const schema::CatalogLimits& limits) {
+  CallerLimits result;
+  if (limits.head_bytes() > 0) result.m_head_bytes = limits.head_bytes();
+  if (limits.body_bytes() > 0) result.m_body_bytes = limits.body_bytes();
+  const auto milliseconds = [](double value) {
+    return std::chrono::milliseconds(static_cast<std::int64_t>(value));
+  };
+  if (limits.head_ms() > 0) result.m_head_time = milliseconds(limits.head_ms());
+  if (limits.idle_ms() > 0) result.m_idle_time = milliseconds(limits.idle_ms());
+  return result;
+}
+
+HttpServerEvents IgnoreAllBut(
+    std::function<void(const HttpRequest&)> on_request) {
+  HttpServerEvents events;
+  events.m_on_request = std::move(on_request);
+  events.m_on_gone = [](std::uint64_t) {};
+  events.m_on_refused = [](int, ParseError) {};
+  return events;
+}
+
+void ListenOrDie(HttpServer& server, const std::string& address) {
+  const auto place = ParseSocketAddress(address);
+  const auto error = server.Listen(place->m_ip, place->m_port);
+  CHECK(!error) << address << ": " << error.message();
+}
+
+}  // namespace
+
+Relay::Relay(const schema::RelaySettings& settings, Duration unix_at_zero)
+    : m_settings(settings) {
+  for (const auto& [zone, region] : ParseZones(settings.instance().zones())) {
+    m_regions[zone] = region;
+  }
+  m_state.m_options.m_instance = settings.instance().name();
+  m_state.m_options.m_retry_after = Duration(
+      static_cast<std::int64_t>(settings.retry().retry_after_s() * 1e6));
+  m_state.m_options.m_usage_window =
+      std::chrono::seconds(settings.duties().usage_window_s());
+  m_state.m_format = &platform::RequestFormat();
+  m_state.m_clock = Now;
+  m_state.m_unix_at_zero = unix_at_zero;
+  m_state.m_balance.m_zone = settings.instance().availability_zone();
+  m_state.m_balance.m_region = settings.instance().region();
+  ResendLimits& resends = m_state.m_resends.m_limits;
+  resends.m_ratio = settings.retry().budget_ratio();
+  resends.m_window = std::chrono::seconds(settings.retry().window_s());
+  resends.m_slack = settings.retry().slack();
+}
+
+Relay::~Relay() = default;
+
+void Relay::Start() {
+  m_sockets = std::make_unique<SocketSet>(Loop());
+  m_client = std::make_unique<HttpClient>(*m_sockets);
+  OpenListeners();
+  m_state.m_callers = m_callers.get();
+  m_state.m_endpoints = m_client.get();
+  m_state.m_backlog = [this](std::uint64_t id) {
+    return m_callers->Backlog(id);
+  };
+  m_state.m_on_crash = [this](const schema::CrashReport& crash) {
+    NoteCrash(crash);
+    schema::ControlMessage message;
+    *message.mutable_crash() = crash;
+    m_ports.m_control->Post(std::move(message));
+  };
+  m_tick = std::make_unique<PeriodicTimer>(Loop(), kTick, [this] { Tick(); });
+  m_usage_tick = std::make_unique<PeriodicTimer>(Loop(), kUsagePeriod,
+                                                 [this] { HandOverUsage(); });
+}
+
+void Relay::OpenListeners() {
+  HttpServerEvents events;
+  events.m_on_request = [this](HttpRequest request) {
+    AcceptRequest(m_state, std::move(request));
+  };
+  events.m_on_gone = [this](std::uint64_t id) { OnCallerLeft(m_state, id); };
+  events.m_on_refused = [](int status, ParseError error) {
+    LogLine("request_unreadable")
+        .Add("status", status)
+        .Add("error", ToName(error));
+  };
+  m_callers = std::make_unique<HttpServer>(*m_sockets, std::move(events));
+  ListenOrDie(*m_callers, m_settings.listen().callers());
+  m_ready = std::make_unique<HttpServer>(
+      *m_sockets,
+      IgnoreAllBut([this](const HttpRequest& r) { AnswerReady(r); }));
+  ListenOrDie(*m_ready, m_settings.listen().ready());
+  if (m_settings.listen().metrics().empty()) return;
+  m_metrics = std::make_unique<HttpServer>(
+      *m_sockets, IgnoreAllBut([this](const HttpRequest& request) {
+        m_metrics->Respond(request.m_id, kOk,
+                           {{"Content-Type", "text/plain; version=0.0.4"}},
+                           RelayMetrics(m_state, *m_callers, *m_client));
+      }));
+  ListenOrDie(*m_metrics, m_settings.listen().metrics());
+}
+
+void Relay::Receive(schema::RelayMessage message) {
+  switch (message.kind_case()) {
+    case schema::RelayMessage::kCatalog:
+      SetCatalog(message.catalog());
+      break;
+    case schema::RelayMessage::kEndpoints:
+      SetEndpoints(message.endpoints());
+      break;
+    case schema::RelayMessage::kPeers:
+      m_state.m_resends.m_instances = message.peers().instances();
+      m_state.m_balance.m_instances = message.peers().instances();
+      break;
+    case schema::RelayMessage::kCrash:
+      NoteCrash(message.crash());
+      break;
+    case schema::RelayMessage::kDrain:
+      BeginDrain();
+      break;
+    case schema::RelayMessage::kStop:
+      HandOverUsage();
+      Loop().Stop();
+      break;
+    default:
+      break;
+  }
+}
+
+void Relay::Finish() {
+  m_tick.reset();
+  m_usage_tick.reset();
+  m_metrics.reset();
+  m_ready.reset();
+  m_callers.reset();
+  m_client.reset();
+  m_sockets.reset();
+}
+
+void Relay::SetCatalog(const schema::Catalog& catalog) {
+  m_state.m_catalog = std::make_shared<const CatalogIndex>(catalog);
+  m_callers->SetLimits(LimitsOf(catalog.limits()));
+  for (const schema::CatalogService& service : catalog.services()) {
+    if (!service.has_engine()) continue;
+    EngineSpeed& speed = m_state.m_balance.m_speeds[service.name()];
+    speed.m_kv_token_bytes = service.engine().kv_token_bytes();
+    speed.m_link_mbps = service.engine().link_mbps();
+  }
+}
+
+void Relay::SetEndpoints(const schema::EndpointList& list) {
+  auto& known = m_state.m_balance.m_endpoints;
+  std::map<std::string, BalanceEndpoint, std::less<>> next;
+  for (const schema::EndpointEntry& entry : list.endpoints()) {
+    const auto found = known.find(entry.id());
+    // A new lifetime keeps nothing of the one before.
+    const bool same = found != known.end() &&
+                      found->second.m_born_ms == entry.born_ms() &&
+                      found->second.m_address == entry.address();
+    if (found != known.end() && !same) {
+      m_client->Forget(found->second.m_address);
+    }
+    BalanceEndpoint endpoint = same ? found->second : BalanceEndpoint{};
+    endpoint.m_id = entry.id();
+    endpoint.m_service = entry.service();
+    endpoint.m_address = entry.address();
+    endpoint.m_zone = entry.zone();
+    endpoint.m_region = RegionOf(entry.zone());
+    endpoint.m_stage = StageOf(entry.phase());
+    endpoint.m_slots = std::max<std::uint32_t>(entry.slots(), 1);
+    endpoint.m_draining = entry.draining();
+    endpoint.m_cheap = entry.cheap();
+    endpoint.m_cold = entry.cold_ms() > 0;
+    endpoint.m_born_ms = entry.born_ms();
+    endpoint.m_hash = XXH64(entry.id().data(), entry.id().size(), 0);
+    next[entry.id()] = std::move(endpoint);
+  }
+  for (const auto& [id, endpoint] : known) {
+    if (next.count(id) == 0) m_client->Forget(endpoint.m_address);
+  }
+  known = std::move(next);
+}
+
+void Relay::NoteCrash(const schema::CrashReport& crash) {
+  CrashSuspect& suspect = m_state.m_suspects[crash.fingerprint()];
+  const std::string id =
+      crash.endpoint() + "/" + std::to_string(crash.born_ms());
+  suspect.m_last = Now();
+  auto& crashes = suspect.m_crashes;
+  if (std::find(crashes.begin(), crashes.end(), id) != crashes.end()) return;
+  crashes.push_back(id);
+  LogLine("endpoint_broke_off")
+      .Add("fingerprint", std::to_string(crash.fingerprint()))
+      .Add("endpoint", crash.endpoint())
+      .Add("crashes", static_cast<std::int64_t>(crashes.size()));
+}
+
+// The balancer is told first; callers go on being served until it has taken
+// this instance out.
+void Relay::BeginDrain() {
+  m_state.m_stopping = true;
+  m_drain_began = Now();
+  m_callers->AnnounceClose();
+}
+
+void Relay::Tick() {
+  TickCalls(m_state);
+  const bool ready = IsReady();
+  if (ready != m_was_ready) {
+    m_was_ready = ready;
+    LogLine(ready ? "ready" : "not_ready")
+        .Add("stopping", m_state.m_stopping ? 1 : 0)
+        .Add("endpoints",
+             static_cast<std::int64_t>(m_state.m_balance.m_endpoints.size()));
+  }
+  if (!m_state.m_stopping || m_told_idle) return;
+  const Duration notice =
+      std::chrono::milliseconds(m_settings.stop().notice_ms());
+  if (Now() - m_drain_began < notice) return;
+  m_callers->CloseIdle();
+  if (m_callers->Connections() > 0 || !m_state.m_calls.empty()) return;
+  m_told_idle = true;
+  HandOverUsage();
+  schema::SupervisorMessage idle;
+  idle.mutable_relay_idle();
+  m_ports.m_supervisor->Post(std::move(idle));
+}
+
+void Relay::HandOverUsage() {
+  if (m_state.m_usage.empty()) return;
+  schema::ControlMessage message;
+  for (const auto& [slot, requests] : m_state.m_usage) {
+    schema::UsageCount* count = message.mutable_usage()->add_counts();
+    count->set_window(slot.first);
+    count->set_workspace(slot.second);
+    count->set_requests(requests);
+  }
+  m_state.m_usage.clear();
+  m_ports.m_control->Post(std::move(message));
+}
+
+bool Relay::IsReady() const {
+  return m_state.m_catalog != nullptr &&
+         !m_state.m_balance.m_endpoints.empty() && !m_state.m_stopping;
+}
+
+void Relay::AnswerReady(const HttpRequest& request) {
+  m_ready->Respond(request.m_id, IsReady() ? kOk : kUnavailable, {}, "");
+}
+
+std::string Relay::RegionOf(const std::string& zone) const {
+  const auto found = m_regions.find(zone);
+  return found == m_regions.end() ? zone : found->second;
+}
+
+}  // namespace comfreypaddle
--- /dev/null
+++ b/src/relaymetrics.cpp
@@ -0,0 +1,55 @@
+#include "relaymetrics.h"
+
+#include "eventlog.h"
+#include "metrics.h"
+
+namespace comfreypaddle {
+
+std::string RelayMetrics(const RelayState& state, const HttpServer& callers,
+                         const HttpClient& endpoints) {
+  const RelayCounters& counters = state.m_counters;
+  MetricsText text;
+  text.Counter("relay_requests_total", "requests of callers",
+               counters.m_requests);
+  text.Counter("relay_sends_total", "requests sent to endpoints",
+               counters.m_sends);
+  text.Counter("relay_prefills_total", "prompts read on endpoints of their own",
+               counters.m_prefills);
+  text.Counter("relay_resends_total", "requests sent once more",
+               counters.m_resends);
+  text.Counter("relay_resumed_total", "streams resumed elsewhere",
+               counters.m_resumed);
+  text.Counter("relay_rejected_total", "rejections by endpoints",
+               counters.m_not_run);
+  text.Counter("relay_failures_total", "attempts that broke off",
+               counters.m_failures);
+  for (const auto& [reason, count] : counters.m_ends) {
+    text.Counter("relay_ends_" + std::string(ToName(reason)) + "_total",
+                 "requests that ended for this reason", count);
+  }
+  text.Summary("relay_first_answer_seconds",
+               "time to the first byte of the answer", counters.m_first_answer);
+  text.Summary("relay_request_seconds", "time of a request", counters.m_total);
+  text.Gauge("relay_open_requests", "requests that are not answered",
+             static_cast<double>(state.m_calls.size()));
+  text.Gauge("relay_caller_connections", "open connections of callers",
+             static_cast<double>(callers.Connections()));
+  text.Counter("relay_endpoint_connections_total",
+               "connections opened to endpoints",
+               endpoints.Counters().m_opened);
+  text.Counter("relay_endpoint_reused_total", "calls on kept connections",
+               endpoints.Counters().m_reused);
+  text.Counter("relay_stray_answers_total", "answers that belong to no call",
+               endpoints.Counters().m_dropped);
+  text.Gauge("relay_endpoints", "known endpoints",
+             static_cast<double>(state.m_balance.m_endpoints.size()));
+  text.Gauge("relay_catalog_version", "version of the configuration",
+             state.m_catalog == nullptr
+                 ? 0
+                 : static_cast<double>(state.m_catalog->Message().version()));
+  text.Counter("relay_log_lines_lost_total", "log lines left out",
+               LostLogLines());
+  return text.Text();
+}
+
+}  // namespace comfreypaddle
--- /dev/null
+++ b/src/reporter.cpp
@@ -0,0 +1,262 @@
+#include "reporter.h"
+
+#include <algorithm>
+
+#include "eventlog.h"
+#include "follow.h"
+
+namespace comfreypaddle {
+
+namespace {
+
+// Time between two records of usage.
+constexpr Duration kFlushPeriod = std::chrono::seconds(1);
+
+// Longest wait of a read of the duties.
+constexpr Duration kDutiesWait = std::chrono::milliseconds(1500);
+
+// Time between two reads of the usage by the holder.
+constexpr Duration kUsagePoll = std::chrono::milliseconds(900);
+
+// Pause after a failed call.
+constexpr Duration kRetryPause = std::chrono::milliseconds(300);
+
+// Fixed windows that are kept for a successor.
+constexpr int kMaxFixedWindows = 8;
+
+std::string UsageProducer(const ControlState& state) {
+  return state.m_options.m_name + "-" +
+         std::to_string(state.m_options.m_incarnation);
+}
+
+std::string MakeUsageRecord(const ControlState& state) {
+  schema::UsageRecord record;
+  record.set_instance(state.m_options.m_name);
+  for (const auto& [slot, requests] : state.m_flush.m_counts) {
+    schema::UsageCount* count = record.add_counts();
+    count->set_window(slot.first);
+    count->set_workspace(slot.second);
+    count->set_requests(requests);
+  }
+  return record.SerializeAsString();
+}
+
+// Sends the counts, or sends the last ones again if their fate is not known:
+// the store carries out each sequence number once.
+void FlushUsage(ControlState& state) {
+  UsageFlush& flush = state.m_flush;
+  const Instant now = state.m_clock();
+  const bool due = now >= flush.m_due || state.m_stopping;
+  if (flush.m_busy || !due) return;
+  if (flush.m_sent.empty()) {
+    if (flush.m_counts.empty()) return;
+    flush.m_sent = MakeUsageRecord(state);
+    flush.m_counts.clear();
+  }
+  flush.m_busy = true;
+  flush.m_due = now + kFlushPeriod;
+  StreamAppend append;
+  append.m_stream = Stream::kUsage;
+  append.m_value = flush.m_sent;
+  append.m_producer = UsageProducer(state);
+  append.m_epoch = 1;
+  append.m_sequence = flush.m_sequence;
+  state.m_store->Append(append, [&state](const AppendResult& result) {
+    UsageFlush& done = state.m_flush;
+    done.m_busy = false;
+    NoteStoreCall(state, result.m_fault, result.m_detail);
+    // A number that does not follow has been carried out before.
+    if (result.m_fault == StoreFault::kNone ||
+        result.m_fault == StoreFault::kRepeated) {
+      done.m_sent.clear();
+      ++done.m_sequence;
+    } else {
+      done.m_due = state.m_clock() + kRetryPause;
+    }
+  });
+}
+
+void FollowDuties(ControlState& state) {
+  Follower& follower = state.m_follow_duties;
+  const Instant now = state.m_clock();
+  if (follower.m_busy || now < follower.m_due || state.m_stopping) return;
+  follower.m_busy = true;
+  // Until the newest record is known an empty answer must not be waited for.
+  const Duration wait = state.m_holder.m_caught_up ? kDutiesWait : Duration(0);
+  follower.m_next = std::max(follower.m_next, state.m_holder.m_end);
+  state.m_store->Read(Stream::kDuties, follower.m_next, wait,
+                      [&state, now](const ReadResult& result) {
+                        Follower& done = state.m_follow_duties;
+                        done.m_busy = false;
+                        if (result.m_fault == StoreFault::kTrimmed) {
+                          done.m_next = result.m_first;
+                          return;
+                        }
+                        NoteStoreCall(state, result.m_fault, result.m_detail);
+                        if (result.m_fault != StoreFault::kNone) {
+                          done.m_due = state.m_clock() + kRetryPause;
+                          return;
+                        }
+                        done.m_next = result.m_next;
+                        OnDutiesRead(state.m_holder, result, now,
+                                     state.m_clock());
+                      });
+}
+
+void FollowUsage(ControlState& state) {
+  Follower& follower = state.m_follow_usage;
+  const Instant now = state.m_clock();
+  if (follower.m_busy || now < follower.m_due) return;
+  follower.m_busy = true;
+  state.m_store->Read(
+      Stream::kUsage, follower.m_next, Duration(0),
+      [&state](const ReadResult& result) {
+        Follower& done = state.m_follow_usage;
+        done.m_busy = false;
+        if (result.m_fault == StoreFault::kTrimmed) {
+          done.m_next = result.m_first;
+          return;
+        }
+        NoteStoreCall(state, result.m_fault, result.m_detail);
+        if (result.m_fault != StoreFault::kNone) {
+          done.m_due = state.m_clock() + kRetryPause;
+          return;
+        }
+        // A full answer may leave records behind.
+        const bool more = !result.m_records.empty() && done.m_next == 0;
+        done.m_next = result.m_next;
+        done.m_due = state.m_clock() + (more ? Duration(0) : kUsagePoll);
+        FoldUsage(state.m_tally, result, state.m_clock());
+      });
+}
+
+// Newest window that is fixed or reported.
+std::uint64_t LastWindow(const schema::DutyRecord& record) {
+  std::uint64_t last = record.reported();
+  for (const schema::FixedWindow& window : record.fixed()) {
+    last = std::max(last, window.window());
+  }
+  return last;
+}
+
+// State that the holder wants to record: the newest one with the windows that
+// can be fixed now and without those that were reported.
+schema::DutyRecord PlanRecord(ControlState& state, bool* changed) {
+  schema::DutyRecord next = state.m_holder.m_newest;
+  next.set_reported(std::max(next.reported(), state.m_report.m_accepted));
+  auto* fixed = next.mutable_fixed();
+  for (int i = fixed->size() - 1; i >= 0; --i) {
+    if (fixed->Get(i).window() <= next.reported()) {
+      fixed->DeleteSubrange(i, 1);
+    }
+  }
+  const Instant now = state.m_clock();
+  const Duration unix_time = now.time_since_epoch() + state.m_unix_at_zero;
+  while (IsHolder(state.m_holder) && fixed->size() < kMaxFixedWindows) {
+    const auto window =
+        NextWindow(state.m_tally, LastWindow(next), unix_time, now);
+    if (!window) break;
+    *next.add_fixed() = *window;
+    *changed = true;
+  }
+  return next;
+}
+
+void LogHolderChange(ControlState& state) {
+  const bool holder = IsHolder(state.m_holder);
+  if (holder == state.m_was_holder) return;
+  state.m_was_holder = holder;
+  LogLine(holder ? "duties_taken" : "duties_lost")
+      .Add("fence", static_cast<std::int64_t>(FenceOf(state.m_holder)))
+      .Add("holder", state.m_holder.m_newest.holder())
+      .Add("offset", static_cast<std::int64_t>(state.m_holder.m_end));
+}
+
+void AppendDuties(ControlState& state) {
+  bool changed = false;
+  const schema::DutyRecord next = PlanRecord(state, &changed);
+  const auto append =
+      NextDutyAppend(state.m_holder, next, changed, state.m_clock());
+  if (!append) return;
+  state.m_store->Append(*append, [&state](const AppendResult& result) {
+    NoteStoreCall(state, result.m_fault, result.m_detail);
+    OnDutyAppended(state.m_holder, result, state.m_clock());
+    if (result.m_fault != StoreFault::kNone) {
+      LogLine("duty_append_failed")
+          .Add("fault", ToName(result.m_fault))
+          .Add("end", static_cast<std::int64_t>(result.m_end));
+    }
+  });
+}
+
+// Returns the oldest fixed window that is not reported, or null.
+const schema::FixedWindow* FindUnreported(const ControlState& state) {
+  const schema::FixedWindow* oldest = nullptr;
+  for (const schema::FixedWindow& window : state.m_holder.m_newest.fixed()) {
+    if (window.window() <= state.m_report.m_accepted) continue;
+    if (oldest == nullptr || window.window() < oldest->window()) {
+      oldest = &window;
+    }
+  }
+  return oldest;
+}
+
+void OnReported(ControlState& state, std::uint64_t window, DutyResult result) {
+  state.m_report.m_busy = false;
+  LogLine("usage_reported")
+      .Add("window", static_cast<std::int64_t>(window))
+      .Add("result", ToName(result))
+      .Add("fence", static_cast<std::int64_t>(FenceOf(state.m_holder)));
+  if (result == DutyResult::kAccepted) {
+    ++state.m_counters.m_reports;
+    state.m_report.m_accepted = std::max(state.m_report.m_accepted, window);
+    return;
+  }
+  ++state.m_counters.m_report_faults;
+  state.m_report.m_due = state.m_clock() + kRetryPause;
+  if (result == DutyResult::kFenced) {
+    OnFenced(state.m_holder, state.m_clock());
+  }
+}
+
+void ReportUsage(ControlState& state) {
+  ReportState& report = state.m_report;
+  const Instant now = state.m_clock();
+  if (report.m_busy || now < report.m_due || !MayAct(state.m_holder, now)) {
+    return;
+  }
+  const schema::FixedWindow* window = FindUnreported(state);
+  if (window == nullptr) return;
+  report.m_busy = true;
+  const DutyHolder holder{state.m_options.m_name, FenceOf(state.m_holder)};
+  state.m_duty_calls->ReportUsage(
+      holder, *window, [&state, number = window->window()](DutyResult result) {
+        OnReported(state, number, result);
+      });
+}
+
+}  // namespace
+
+void TakeUsage(ControlState& state, const schema::UsageCounts& counts) {
+  for (const schema::UsageCount& count : counts.counts()) {
+    state.m_flush.m_counts[{count.window(), count.workspace()}] +=
+        count.requests();
+  }
+}
+
+void RunDuties(ControlState& state) {
+  state.m_holder.m_stopping = state.m_stopping;
+  FlushUsage(state);
+  FollowDuties(state);
+  if (IsHolder(state.m_holder)) FollowUsage(state);
+  AppendDuties(state);
+  ReportUsage(state);
+  LogHolderChange(state);
+}
+
+bool IsHandedOver(const ControlState& state) {
+  return state.m_flush.m_counts.empty() && state.m_flush.m_sent.empty() &&
+         !IsHolder(state.m_holder) && !state.m_holder.m_appending;
+}
+
+}  // namespace comfreypaddle
--- /dev/null
+++ b/src/reporter.h
@@ -0,0 +1,21 @@
+#ifndef COMFREYPADDLE_REPORTER_H_
+#define COMFREYPADDLE_REPORTER_H_
+
+#include "controlstate.h"
+
+namespace comfreypaddle {
+
+// Takes counts of the task that serves callers.
+void TakeUsage(ControlState& state, const schema::UsageCounts& counts);
+
+// Writes the counts of this instance to the store, follows the duties, claims
+// or renews them, and as their holder fixes and reports usage windows. Call it
+// every tick.
+void RunDuties(ControlState& state);
+
+// Whether everything that must outlive this process is in the store.
+bool IsHandedOver(const ControlState& state);
+
+}  // namespace comfreypaddle
+
+#endif  // COMFREYPADDLE_REPORTER_H_
--- a/src/serve.cpp
+++ b/src/serve.cpp
@@ -2,7 +2,6 @@
 
 #include <glog/logging.h>
 #include <signal.h>
-#include <sys/signalfd.h>
 #include <unistd.h>
 
 #include <memory>
@@ -12,25 +11,12 @@
 #include "gateway.h"
 #include "journal.h"
 #include "peers.h"
+#include "signals.h"
 
 namespace comfreypaddle {
 
 namespace {
 
-// Makes SIGTERM and SIGINT readable from a descriptor. Called before any
-// thread starts, so that all threads inherit the mask.
-int OpenSignalDescriptor() {
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  struct sigaction ignore {};
-  ignore.sa_handler = SIG_IGN;
-  sigaction(SIGPIPE, &ignore, nullptr);
-  return signalfd(-1, &signals, SFD_CLOEXEC | SFD_NONBLOCK);
-}
-
 // Number of this process among those of its instance. Later starts have
 // higher numbers as long as the wall clock does not step back over a restart.
 std::uint64_t MakeIncarnation() {
@@ -96,11 +82,12 @@
   }
 
   void OnSignal() {
-    signalfd_siginfo info{};
-    while (read(m_signals, &info, sizeof(info)) == sizeof(info)) {
-      if (m_stopping) continue;  // A second signal does not shorten the stop.
+    for (std::uint32_t signal = TakeSignal(m_signals); signal != 0;
+         signal = TakeSignal(m_signals)) {
+      // A second signal does not shorten the stop.
+      if (signal == SIGHUP || m_stopping) continue;
       m_stopping = true;
-      LOG(INFO) << "planned stop started signal=" << info.ssi_signo;
+      LOG(INFO) << "planned stop started signal=" << signal;
       m_gateway->Inbox().Post(MakeDrain<schema::GatewayMessage>());
       m_admin->Inbox().Post(MakeDrain<schema::AdminMessage>());
       m_peers->Inbox().Post(MakeDrain<schema::PeersMessage>());
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -74,17 +74,14 @@
   }
 }
 
-// Section of the file that a message field of Settings stands for.
-const FieldDescriptor* FindSection(const std::string& name) {
-  return schema::Settings::descriptor()->FindFieldByName(name);
-}
-
 const schema::FieldRules& RulesOf(const FieldDescriptor& field) {
   return field.options().GetExtension(schema::rules);
 }
 
 // State of one LoadSettings call.
 struct Loader {
+  // Each message field of this type is a section of the file.
+  const Descriptor* m_sections = nullptr;
   std::string m_file;
   std::string m_text;
   std::size_t m_offset = 0;  // Start of the next line in m_text.
@@ -130,7 +127,7 @@
     return;
   }
   const std::string name(line.substr(1, end - 1));
-  if (FindSection(name) == nullptr) {
+  if (loader.m_sections->FindFieldByName(name) == nullptr) {
     loader.Report(SettingsFault::kUnknownSection, name, "", "unknown section",
                   loader.m_line);
   }
@@ -178,7 +175,7 @@
     loader.m_values.at(id).first += value;
     return 1;
   }
-  const FieldDescriptor* field = FindSection(id.first);
+  const FieldDescriptor* field = loader.m_sections->FindFieldByName(id.first);
   if (id.first.empty()) {
     loader.Report(SettingsFault::kUnknownSection, "", id.second,
                   "the key is outside any section", loader.m_line);
@@ -261,7 +258,7 @@
 
 // Sets all fields of one section from the file or from their defaults.
 void FillSection(Loader& loader, const FieldDescriptor& section,
-                 schema::Settings* settings) {
+                 Message* settings) {
   Message* message =
       settings->GetReflection()->MutableMessage(settings, &section);
   const Descriptor& descriptor = *section.message_type();
@@ -410,6 +407,33 @@
   }
 }
 
+void CheckSocket(Loader& loader, const std::string& section,
+                 const std::string& key, const std::string& address) {
+  if (address.empty() || ParseSocketAddress(address)) return;
+  loader.ReportKey(SettingsFault::kMalformed, section, key, "must be IP:PORT");
+}
+
+// Checks what concerns several keys or the form of a text on the platform.
+void CheckRelay(Loader& loader, const schema::RelaySettings& settings) {
+  CheckName(loader, "instance", "name", settings.instance().name());
+  CheckSocket(loader, "listen", "callers", settings.listen().callers());
+  CheckSocket(loader, "listen", "ready", settings.listen().ready());
+  CheckSocket(loader, "listen", "peers", settings.listen().peers());
+  CheckSocket(loader, "listen", "metrics", settings.listen().metrics());
+  CheckSocket(loader, "platform", "store", settings.platform().store());
+  CheckSocket(loader, "platform", "orders", settings.platform().orders());
+  ForEachEntry(settings.instance().zones(), [&](std::string_view entry) {
+    const std::size_t slash = entry.find('/');
+    if (slash != std::string_view::npos && slash > 0) return;
+    loader.ReportKey(SettingsFault::kMalformed, "instance", "zones",
+                     "\"" + std::string(entry) + "\" is not ZONE/REGION");
+  });
+  if (settings.duties().send_margin_ms() >= settings.duties().lease_ms()) {
+    loader.ReportKey(SettingsFault::kContradictory, "duties", "send_margin_ms",
+                     "must be below duties.lease_ms");
+  }
+}
+
 bool ReadFile(const std::string& path, std::string* text) {
   std::ifstream file(path, std::ios::binary);
   if (!file) return false;
@@ -419,6 +443,24 @@
   return !file.bad() && !content.bad();
 }
 
+// Reads all sections of the file into the settings. Returns whether the file
+// could be read.
+bool LoadSections(const std::string& path, Loader& loader, Message* settings) {
+  loader.m_sections = settings->GetDescriptor();
+  loader.m_file = path;
+  if (!ReadFile(path, &loader.m_text)) {
+    loader.Report(SettingsFault::kUnreadable, "", "", "the file cannot be read",
+                  0);
+    return false;
+  }
+  ini_parse_stream(ReadLine, &loader, TakeKey, &loader);
+  settings->Clear();
+  for (int i = 0; i < loader.m_sections->field_count(); ++i) {
+    FillSection(loader, *loader.m_sections->field(i), settings);
+  }
+  return true;
+}
+
 }  // namespace
 
 std::string ToText(const SettingsMistake& mistake) {
@@ -467,22 +509,28 @@
   return members;
 }
 
+std::vector<std::pair<std::string, std::string>> ParseZones(
+    std::string_view text) {
+  std::vector<std::pair<std::string, std::string>> zones;
+  ForEachEntry(text, [&zones](std::string_view entry) {
+    const std::size_t slash = entry.find('/');
+    if (slash == std::string_view::npos) return;
+    zones.emplace_back(entry.substr(0, slash), entry.substr(slash + 1));
+  });
+  return zones;
+}
+
 std::vector<SettingsMistake> LoadSettings(const std::string& path,
                                           schema::Settings* settings) {
   Loader loader;
-  loader.m_file = path;
-  if (!ReadFile(path, &loader.m_text)) {
-    loader.Report(SettingsFault::kUnreadable, "", "", "the file cannot be read",
-                  0);
-    return loader.m_mistakes;
-  }
-  ini_parse_stream(ReadLine, &loader, TakeKey, &loader);
-  settings->Clear();
-  const Descriptor& descriptor = *schema::Settings::descriptor();
-  for (int i = 0; i < descriptor.field_count(); ++i) {
-    FillSection(loader, *descriptor.field(i), settings);
-  }
-  CheckTogether(loader, *settings);
+  if (LoadSections(path, loader, settings)) CheckTogether(loader, *settings);
+  return std::move(loader.m_mistakes);
+}
+
+std::vector<SettingsMistake> LoadRelaySettings(
+    const std::string& path, schema::RelaySettings* settings) {
+  Loader loader;
+  if (LoadSections(path, loader, settings)) CheckRelay(loader, *settings);
   return std::move(loader.m_mistakes);
 }
 
--- a/src/settings.h
+++ b/src/settings.h
@@ -6,8 +6,10 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
+#include "relaysettings.pb.h"
 #include "settings.pb.h"
 #include "types.h"
 
@@ -90,6 +92,15 @@
 std::vector<SettingsMistake> LoadSettings(const std::string& path,
                                           schema::Settings* settings);
 
+// The same for the settings of an instance on the users' platform.
+std::vector<SettingsMistake> LoadRelaySettings(const std::string& path,
+                                               schema::RelaySettings* settings);
+
+// Reads comma-separated ZONE/REGION. Entries of another form are left out;
+// LoadRelaySettings reports them.
+std::vector<std::pair<std::string, std::string>> ParseZones(
+    std::string_view text);
+
 }  // namespace comfreypaddle
 
 #endif  // COMFREYPADDLE_SETTINGS_H_
--- /dev/null
+++ b/src/sockets.cpp
@@ -0,0 +1,137 @@
+#include "sockets.h"
+
+#include <arpa/inet.h>
+#include <glog/logging.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <utility>
+
+namespace comfreypaddle {
+
+namespace {
+
+// Connections that may wait to be accepted.
+constexpr int kBacklog = 1024;
+
+// Events taken from the kernel in one call.
+constexpr std::size_t kEventBatch = 64;
+
+// Time for which sent bytes may stay unacknowledged before the kernel gives
+// the connection up. A partition sends no reset, so nothing else ends it.
+constexpr unsigned int kUnacknowledgedMs = 4000;
+
+bool FillAddress(const std::string& ip, std::uint16_t port,
+                 sockaddr_in* address) {
+  *address = {};
+  address->sin_family = AF_INET;
+  address->sin_port = htons(port);
+  if (inet_pton(AF_INET, ip.c_str(), &address->sin_addr) == 1) return true;
+  errno = EINVAL;
+  return false;
+}
+
+// Closes the descriptor and keeps the errno of the failure before it.
+int CloseFailed(int descriptor) {
+  const int error = errno;
+  close(descriptor);
+  errno = error;
+  return -1;
+}
+
+}  // namespace
+
+SocketSet::SocketSet(EventLoop& loop)
+    : m_loop(loop), m_epoll(epoll_create1(EPOLL_CLOEXEC)) {
+  PCHECK(m_epoll >= 0) << "cannot create an epoll descriptor";
+  m_loop.Watch(m_epoll, [this] { Dispatch(); });
+}
+
+SocketSet::~SocketSet() {
+  m_loop.Unwatch(m_epoll);
+  close(m_epoll);
+}
+
+std::uint64_t SocketSet::Add(int descriptor, std::uint32_t events,
+                             OnEvents on_events) {
+  const std::uint64_t ticket = m_next_ticket++;
+  epoll_event event{};
+  event.events = events;
+  event.data.u64 = ticket;
+  PCHECK(epoll_ctl(m_epoll, EPOLL_CTL_ADD, descriptor, &event) == 0)
+      << "cannot watch socket " << descriptor;
+  m_entries[ticket] = {descriptor,
+                       std::make_shared<OnEvents>(std::move(on_events))};
+  return ticket;
+}
+
+void SocketSet::Change(std::uint64_t ticket, std::uint32_t events) {
+  const auto found = m_entries.find(ticket);
+  if (found == m_entries.end()) return;
+  epoll_event event{};
+  event.events = events;
+  event.data.u64 = ticket;
+  PCHECK(epoll_ctl(m_epoll, EPOLL_CTL_MOD, found->second.m_descriptor,
+                   &event) == 0)
+      << "cannot change the events of a socket";
+}
+
+void SocketSet::Remove(std::uint64_t ticket) {
+  const auto found = m_entries.find(ticket);
+  if (found == m_entries.end()) return;
+  epoll_ctl(m_epoll, EPOLL_CTL_DEL, found->second.m_descriptor, nullptr);
+  m_entries.erase(found);
+}
+
+void SocketSet::Dispatch() {
+  std::array<epoll_event, kEventBatch> events;
+  const int count =
+      epoll_wait(m_epoll, events.data(), static_cast<int>(events.size()), 0);
+  for (int i = 0; i < count; ++i) {
+    const auto found = m_entries.find(events[i].data.u64);
+    if (found == m_entries.end()) continue;
+    // The callback may remove its own entry.
+    const std::shared_ptr<OnEvents> callback = found->second.m_on_events;
+    (*callback)(events[i].events);
+  }
+}
+
+int ListenTcp(const std::string& ip, std::uint16_t port) {
+  sockaddr_in address{};
+  if (!FillAddress(ip, port, &address)) return -1;
+  const int descriptor =
+      socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (descriptor < 0) return -1;
+  const int on = 1;
+  setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  const auto* generic = reinterpret_cast<const sockaddr*>(&address);
+  if (bind(descriptor, generic, sizeof(address)) != 0 ||
+      listen(descriptor, kBacklog) != 0) {
+    return CloseFailed(descriptor);
+  }
+  return descriptor;
+}
+
+int ConnectTcp(const std::string& ip, std::uint16_t port) {
+  sockaddr_in address{};
+  if (!FillAddress(ip, port, &address)) return -1;
+  const int descriptor =
+      socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (descriptor < 0) return -1;
+  const int on = 1;
+  setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUnacknowledgedMs,
+             sizeof(kUnacknowledgedMs));
+  const auto* generic = reinterpret_cast<const sockaddr*>(&address);
+  if (connect(descriptor, generic, sizeof(address)) != 0 &&
+      errno != EINPROGRESS) {
+    return CloseFailed(descriptor);
+  }
+  return descriptor;
+}
+
+}  // namespace comfreypaddle
--- /dev/null
+++ b/src/sockets.h
@@ -0,0 +1,58 @@
+#ifndef COMFREYPADDLE_SOCKETS_H_
+#define COMFREYPADDLE_SOCKETS_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+#include "loop.h"
+
+namespace comfreypaddle {
+
+// Sockets of one task on an epoll descriptor that its event loop watches, so
+// that the loop's limit of descriptors does not limit connections.
+class SocketSet {
+ public:
+  // Gets the epoll events of the socket.
+  using OnEvents = std::function<void(std::uint32_t events)>;
+
+  explicit SocketSet(EventLoop& loop);
+  ~SocketSet();
+  SocketSet(const SocketSet&) = delete;
+  SocketSet& operator=(const SocketSet&) = delete;
+
+  EventLoop& Loop() { return m_loop; }
+
+  // Calls back for these events until Remove. The descriptor stays the
+  // caller's. Returns a ticket for Change and Remove.
+  std::uint64_t Add(int descriptor, std::uint32_t events, OnEvents on_events);
+
+  void Change(std::uint64_t ticket, std::uint32_t events);
+
+  // Ends the callbacks, also those of events that were already collected.
+  void Remove(std::uint64_t ticket);
+
+ private:
+  struct Entry {
+    int m_descriptor = -1;
+    std::shared_ptr<OnEvents> m_on_events;
+  };
+
+  void Dispatch();
+
+  EventLoop& m_loop;
+  int m_epoll = -1;
+  std::uint64_t m_next_ticket = 1;
+  std::unordered_map<std::uint64_t, Entry> m_entries;
+};
+
+// Opens a non-blocking TCP listener. Returns -1 with errno set on failure.
+int ListenTcp(const std::string& ip, std::uint16_t port);
+
+// Starts a non-blocking TCP connection. Returns -1 with errno set on failure.
+int ConnectTcp(const std::string& ip, std::uint16_t port);
+
+}  // namespace comfreypaddle
+
+#endif  // COMFREYPADDLE_SOCKETS_H_
--- /dev/null
+++ b/src/tally.cpp
@@ -0,0 +1,58 @@
+#include "tally.h"
+
+#include <algorithm>
+
+namespace comfreypaddle {
+
+namespace {
+
+// A read older than this may lack counts that are in the store by now.
+constexpr Duration kReadAge = std::chrono::milliseconds(1500);
+
+// Windows whose counts are kept.
+constexpr std::uint64_t kKeptWindows = 60;
+
+}  // namespace
+
+void FoldUsage(TallyState& state, const ReadResult& result, Instant now) {
+  for (const StreamRecord& record : result.m_records) {
+    if (record.m_offset < state.m_next) continue;
+    schema::UsageRecord parsed;
+    if (!parsed.ParseFromString(record.m_value)) continue;
+    for (const schema::UsageCount& count : parsed.counts()) {
+      state.m_windows[count.window()][count.workspace()] += count.requests();
+    }
+  }
+  state.m_next = std::max(state.m_next, result.m_next);
+  state.m_read_at = now;
+}
+
+std::optional<schema::FixedWindow> NextWindow(TallyState& state,
+                                              std::uint64_t last,
+                                              Duration unix_time, Instant now) {
+  const TallyOptions& options = state.m_options;
+  if (now - state.m_read_at > kReadAge) return std::nullopt;
+  const auto settled = static_cast<std::uint64_t>(
+      (unix_time - options.m_settle) / options.m_window);
+  const auto oldest = static_cast<std::uint64_t>(
+      (unix_time - options.m_give_up) / options.m_window);
+  // The first window ever is the one that has just ended.
+  const std::uint64_t next =
+      last == 0 ? settled - 1 : std::max(last + 1, oldest);
+  if (next >= settled) return std::nullopt;
+  schema::FixedWindow window;
+  window.set_window(next);
+  for (const auto& [workspace, requests] : state.m_windows[next]) {
+    schema::UsageCount* count = window.add_counts();
+    count->set_window(next);
+    count->set_workspace(workspace);
+    count->set_requests(requests);
+  }
+  if (next > kKeptWindows) {
+    state.m_windows.erase(state.m_windows.begin(),
+                          state.m_windows.lower_bound(next - kKeptWindows));
+  }
+  return window;
+}
+
+}  // namespace comfreypaddle
--- /dev/null
+++ b/tests/httpwire_test.cpp
@@ -0,0 +1,242 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <arpa/inet.h>
+#include <doctest/doctest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <optional>
+
+#include "httpclient.h"
+#include "httpserver.h"
+#include "support.h"
+
+namespace comfreypaddle {
+namespace {
+
+using testing::FreePort;
+using testing::RunUntil;
+
+constexpr Duration kLimit = std::chrono::seconds(5);
+
+// Server and client in one loop; records what both report.
+struct Fixture {
+  Fixture() : m_sockets(m_loop), m_client(m_sockets), m_port(FreePort()) {
+    HttpServerEvents events;
+    events.m_on_request = [this](HttpRequest request) {
+      m_requests.push_back(request);
+      if (m_handle) m_handle(m_requests.back());
+    };
+    events.m_on_gone = [this](std::uint64_t id) { m_gone.push_back(id); };
+    events.m_on_refused = [this](int status, ParseError) {
+      m_refused.push_back(status);
+    };
+    m_server.emplace(m_sockets, events);
+    REQUIRE_FALSE(m_server->Listen("127.0.0.1", m_port));
+  }
+
+  std::string Url(const std::string& target) const {
+    return "http://127.0.0.1:" + std::to_string(m_port) + target;
+  }
+
+  HttpPort::CallId Call(HttpCall call) {
+    m_result.reset();
+    HttpEvents events;
+    events.m_on_head = [this](int status, const HttpFields& fields) {
+      m_status = status;
+      m_fields = fields;
+    };
+    events.m_on_body = [this](std::string_view bytes) { m_body += bytes; };
+    events.m_on_end = [this](const HttpResult& result) { m_result = result; };
+    return m_client.Start(std::move(call), events);
+  }
+
+  bool Ended() {
+    return RunUntil(m_loop, kLimit, [this] { return m_result.has_value(); });
+  }
+
+  EventLoop m_loop;
+  SocketSet m_sockets;
+  HttpClient m_client;
+  std::uint16_t m_port;
+  std::optional<HttpServer> m_server;
+  std::function<void(const HttpRequest&)> m_handle;
+  std::vector<HttpRequest> m_requests;
+  std::vector<std::uint64_t> m_gone;
+  std::vector<int> m_refused;
+  int m_status = 0;
+  HttpFields m_fields;
+  std::string m_body;
+  std::optional<HttpResult> m_result;
+};
+
+// Connection of a caller that writes bytes of its own.
+class RawCaller {
+ public:
+  explicit RawCaller(std::uint16_t port) {
+    m_descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+    REQUIRE(connect(m_descriptor, reinterpret_cast<sockaddr*>(&address),
+                    sizeof(address)) == 0);
+  }
+  ~RawCaller() { Close(); }
+  RawCaller(const RawCaller&) = delete;
+  RawCaller& operator=(const RawCaller&) = delete;
+
+  void Send(std::string_view bytes) const {
+    REQUIRE(send(m_descriptor, bytes.data(), bytes.size(), 0) ==
+            static_cast<ssize_t>(bytes.size()));
+  }
+
+  // Returns what has arrived so far.
+  std::string Take() {
+    char buffer[4096];
+    const ssize_t count =
+        recv(m_descriptor, buffer, sizeof(buffer), MSG_DONTWAIT);
+    if (count > 0) m_text.append(buffer, static_cast<std::size_t>(count));
+    return m_text;
+  }
+
+  void Close() {
+    if (m_descriptor >= 0) close(m_descriptor);
+    m_descriptor = -1;
+  }
+
+ private:
+  int m_descriptor = -1;
+  std::string m_text;
+};
+
+TEST_CASE("A call brings status, fields and body, and keeps its connection") {
+  Fixture fixture;
+  fixture.m_handle = [&fixture](const HttpRequest& request) {
+    fixture.m_server->Respond(request.m_id, 200, {{"Keep-Alive", "timeout=5"}},
+                              "answer");
+  };
+  HttpCall call;
+  call.m_method = "POST";
+  call.m_url = fixture.Url("/a%2Fb/../c?x=%20y");
+  call.m_headers = {{"X-One", "1"}, {"Host", "h.example"}};
+  call.m_body = "body";
+  fixture.Call(call);
+  REQUIRE(fixture.Ended());
+  CHECK_FALSE(fixture.m_result->m_error);
+  CHECK(fixture.m_status == 200);
+  CHECK(fixture.m_result->m_status == 200);
+  CHECK(fixture.m_body == "answer");
+  CHECK(fixture.m_requests.at(0).m_target == "/a%2Fb/../c?x=%20y");
+  CHECK(fixture.m_requests.at(0).m_body == "body");
+  fixture.Call(call);
+  REQUIRE(fixture.Ended());
+  CHECK(fixture.m_client.Counters().m_opened == 1);
+  CHECK(fixture.m_client.Counters().m_reused == 1);
+}
+
+TEST_CASE("A stream arrives in pieces; an aborted one does not look whole") {
+  Fixture fixture;
+  fixture.m_handle = [&fixture](const HttpRequest& request) {
+    fixture.m_server->StartStream(request.m_id, 200, {});
+    fixture.m_server->Write(request.m_id, "one");
+    if (request.m_target == "/whole") {
+      fixture.m_server->FinishStream(request.m_id);
+    } else {
+      fixture.m_server->Abort(request.m_id);
+    }
+  };
+  HttpCall call;
+  call.m_url = fixture.Url("/whole");
+  fixture.Call(call);
+  REQUIRE(fixture.Ended());
+  CHECK_FALSE(fixture.m_result->m_error);
+  CHECK(fixture.m_body == "one");
+  call.m_url = fixture.Url("/broken");
+  fixture.Call(call);
+  REQUIRE(fixture.Ended());
+  CHECK(fixture.m_result->m_error == HttpError::kConnectionLost);
+}
+
+TEST_CASE("An answer that belongs to another call is dropped") {
+  Fixture fixture;
+  RawCaller unused(fixture.m_port);  // Keeps the port in use.
+  const int listener = ListenTcp("127.0.0.1", 0);
+  REQUIRE(listener >= 0);
+  sockaddr_in address{};
+  socklen_t size = sizeof(address);
+  getsockname(listener, reinterpret_cast<sockaddr*>(&address), &size);
+  HttpCall call;
+  call.m_url =
+      "http://127.0.0.1:" + std::to_string(ntohs(address.sin_port)) + "/";
+  call.m_belongs = [](const HttpFields& fields) {
+    const std::string* id = FindFieldAnyCase(fields, "id");
+    return id != nullptr && *id == "mine";
+  };
+  fixture.Call(call);
+  int accepted = -1;
+  REQUIRE(RunUntil(fixture.m_loop, kLimit, [&] {
+    accepted = accept(listener, nullptr, nullptr);
+    return accepted >= 0;
+  }));
+  const std::string answers =
+      "HTTP/1.1 200 OK\r\nid: other\r\nContent-Length: 3\r\n\r\nbad"
+      "HTTP/1.1 200 OK\r\nid: mine\r\nContent-Length: 4\r\n\r\ngood";
+  REQUIRE(write(accepted, answers.data(), answers.size()) > 0);
+  REQUIRE(fixture.Ended());
+  CHECK(fixture.m_body == "good");
+  CHECK(fixture.m_client.Counters().m_dropped == 1);
+  close(accepted);
+  close(listener);
+}
+
+TEST_CASE("A caller that leaves while its request is open is noticed") {
+  Fixture fixture;
+  RawCaller caller(fixture.m_port);
+  caller.Send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  REQUIRE(RunUntil(fixture.m_loop, kLimit,
+                   [&] { return !fixture.m_requests.empty(); }));
+  caller.Close();
+  CHECK(RunUntil(fixture.m_loop, kLimit,
+                 [&] { return !fixture.m_gone.empty(); }));
+}
+
+TEST_CASE("Ambiguous framing is refused, so that no request hides in a body") {
+  const std::string bodies[] = {
+      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: xchunked\r\n\r\n"
+      "GET /hidden HTTP/1.1\r\nHost: h\r\n\r\n",
+      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+      "Content-Length: 5\r\n\r\nabcde"};
+  for (const std::string& bytes : bodies) {
+    Fixture fixture;
+    RawCaller caller(fixture.m_port);
+    caller.Send(bytes);
+    CHECK(RunUntil(fixture.m_loop, kLimit,
+                   [&] { return !fixture.m_refused.empty(); }));
+    CHECK(fixture.m_requests.empty());
+    CHECK(RunUntil(fixture.m_loop, kLimit, [&] {
+      return caller.Take().rfind("HTTP/1.1 400", 0) == 0;
+    }));
+  }
+}
+
+TEST_CASE("Pipelined and chunked requests are answered in order") {
+  Fixture fixture;
+  fixture.m_handle = [&fixture](const HttpRequest& request) {
+    fixture.m_server->Respond(request.m_id, 200, {}, request.m_target);
+  };
+  RawCaller caller(fixture.m_port);
+  caller.Send(
+      "POST /1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+  REQUIRE(RunUntil(fixture.m_loop, kLimit, [&] {
+    const std::string text = caller.Take();
+    return text.find("/2") != std::string::npos;
+  }));
+  CHECK(fixture.m_requests.at(0).m_body == "abcde");
+  CHECK(caller.Take().find("/1") < caller.Take().find("/2"));
+}
+
+}  // namespace
+}  // namespace comfreypaddle
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -10,11 +10,11 @@
 if [ $# -gt 0 ]; then
   files=("$@")
 else
-  mapfile -t files < <(git ls-files -co --exclude-standard 'src/*.cpp' 'standins/*.cpp' 'tests/*.cpp' | grep -v '^src/gen/')
+  mapfile -t files < <(git ls-files -co --exclude-standard 'src/*.cpp' 'platform/*.cpp' 'standins/*.cpp' 'tests/*.cpp' | grep -v '^src/gen/')
 fi
 lint_one() {
   local file=$1 headers key
-  headers=$(g++ -std=c++20 -MM -Isrc -Istandins -Itests -isystem src/gen -isystem /usr/include/jsoncpp "$file" 2>/dev/null | tr -d '\\\n' | cut -d: -f2-)
+  headers=$(g++ -std=c++20 -MM -I. -Isrc -Istandins -Itests -isystem src/gen -isystem /usr/include/jsoncpp "$file" 2>/dev/null | tr -d '\\\n' | cut -d: -f2-)
   # shellcheck disable=SC2086
   key=$(cat .clang-tidy "$file" $headers 2>/dev/null | sha256sum | cut -d' ' -f1)
   [ -e "$cache/$key" ] && return 0
