Order cheap endpoints and keep shared prompt parts at their homes

Change: home and stand-in of a shared part by rendezvous hash; an endpoint is taken for dead only when it is silent to all; fleet plan of one lasting and five cheap endpoints a zone. Ruled out: retries by the time of one attempt alone (overload doubles itself).

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -1,6 +1,7 @@
 #include "balance.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace comfreypaddle {
@@ -20,8 +21,9 @@
 constexpr double kOtherRegionMs = 30;
 constexpr double kOtherZoneMs = 2;
 
-// A decode endpoint reads prompts at this part of a prefill endpoint's speed.
-constexpr double kDecodePrefillSpeed = 0.5;
+// A decode endpoint reads prompts at this part of a prefill endpoint's speed:
+// at half of it, between the steps of the requests that it runs.
+constexpr double kDecodePrefillSpeed = 0.3;
 
 // Fixed time of a move of a KV cache, milliseconds.
 constexpr double kMoveSetupMs = 12;
@@ -34,8 +36,24 @@
 // part is noisy, so only a part of the other instances is added.
 constexpr double kOthersFactor = 2.0;
 
-// Samples of the prefill speed: the weight of a new one.
-constexpr double kSpeedWeight = 0.1;
+// Weights of a new sample of the prefill speed. Waiting only makes a sample
+// slower, so the estimate follows the fast ones.
+constexpr double kFasterWeight = 0.2;
+constexpr double kSlowerWeight = 0.01;
+
+// Weight of a new sample of the wait at an endpoint, and the time in which an
+// old one loses its meaning.
+constexpr double kWaitWeight = 0.5;
+constexpr double kWaitDecayMs = 500;
+
+// Time to the first token beyond the reading of the prompt, milliseconds.
+constexpr double kFirstTokenMs = 35;
+
+// Shared parts of a prompt up to this size are read anywhere.
+constexpr double kSmallSharedTokens = 1500;
+
+// Cost of reading shared parts once more: it also displaces others.
+constexpr double kRepeatedReadFactor = 1.5;
 
 bool IsExcluded(const BalanceQuery& query, const std::string& id) {
   return std::find(query.m_excluded.begin(), query.m_excluded.end(), id) !=
@@ -99,14 +117,25 @@
   double Total() const { return m_wait_ms + m_work_ms; }
 };
 
+// Time that a request would wait at the endpoint now.
+double WaitMs(const BalanceEndpoint& endpoint, Instant now) {
+  const double age =
+      std::chrono::duration<double, std::milli>(now - endpoint.m_wait_seen)
+          .count();
+  return kOthersFactor * endpoint.m_prefill_ms +
+         endpoint.m_wait_ms * std::exp(-age / kWaitDecayMs);
+}
+
 PrefillEstimate EstimatePrefill(const BalanceEndpoint& endpoint,
                                 const BalanceQuery& query,
-                                const EngineSpeed& speed, bool is_home) {
+                                const EngineSpeed& speed, bool is_home,
+                                Instant now) {
   const double tokens =
-      query.m_own_tokens + (is_home ? 0 : query.m_shared_tokens);
+      query.m_own_tokens +
+      (is_home ? 0 : kRepeatedReadFactor * query.m_shared_tokens);
   const double factor =
       endpoint.m_stage == EngineStage::kPrefill ? 1 : kDecodePrefillSpeed;
-  return {kOthersFactor * endpoint.m_prefill_ms,
+  return {WaitMs(endpoint, now),
           tokens / (speed.m_prefill_tokens_per_ms * factor)};
 }
 
@@ -118,23 +147,45 @@
   double m_total_ms = std::numeric_limits<double>::max();
 };
 
+// Home of the shared part, and the endpoint that stands in for it.
+struct Homes {
+  const BalanceEndpoint* m_first = nullptr;
+  const BalanceEndpoint* m_second = nullptr;
+};
+
+Homes FindHomes(const Candidates& candidates, std::uint64_t part) {
+  Homes homes;
+  std::uint64_t first = 0;
+  std::uint64_t second = 0;
+  for (const BalanceEndpoint* endpoint : candidates) {
+    const std::uint64_t rank = RendezvousRank(*endpoint, part);
+    if (homes.m_first == nullptr || rank > first) {
+      homes.m_second = homes.m_first;
+      second = first;
+      homes.m_first = endpoint;
+      first = rank;
+    } else if (homes.m_second == nullptr || rank > second) {
+      homes.m_second = endpoint;
+      second = rank;
+    }
+  }
+  return homes;
+}
+
 PrefillPlace FindPrefillPlace(const BalanceState& state,
                               const BalanceQuery& query,
                               const Candidates& candidates,
-                              const EngineSpeed& speed) {
-  const BalanceEndpoint* home = nullptr;
-  std::uint64_t best_rank = 0;
-  for (const BalanceEndpoint* endpoint : candidates) {
-    const std::uint64_t rank = RendezvousRank(*endpoint, query.m_shared_hash);
-    if (home != nullptr && rank <= best_rank) continue;
-    home = endpoint;
-    best_rank = rank;
-  }
+                              const EngineSpeed& speed, Instant now) {
+  const Homes homes = query.m_shared_hash == 0
+                          ? Homes{}
+                          : FindHomes(candidates, query.m_shared_hash);
+  const bool anywhere = query.m_shared_tokens <= kSmallSharedTokens;
   PrefillPlace best;
   for (const BalanceEndpoint* endpoint : candidates) {
-    const bool is_home = endpoint == home && query.m_shared_hash != 0;
+    const bool is_home = endpoint == homes.m_first;
+    if (!anywhere && !is_home && endpoint != homes.m_second) continue;
     const PrefillEstimate estimate =
-        EstimatePrefill(*endpoint, query, speed, is_home);
+        EstimatePrefill(*endpoint, query, speed, is_home, now);
     const double total = estimate.Total() + DistanceMs(state, *endpoint) +
                          static_cast<double>(endpoint->m_running) /
                              std::max(endpoint->m_slots, 1.0);
@@ -226,7 +277,8 @@
       FindCandidates(state, query, EngineStage::kDecode, now, &decode_last);
   if (decoders.empty()) return std::nullopt;
   const EngineSpeed speed = SpeedOf(state, query.m_service);
-  const PrefillPlace whole = FindPrefillPlace(state, query, decoders, speed);
+  const PrefillPlace whole =
+      FindPrefillPlace(state, query, decoders, speed, now);
   BalanceChoice choice{whole.m_endpoint->m_id, "",
                        ReasonOf(decode_last, whole.m_is_home), whole.m_total_ms,
                        whole.m_estimate.m_work_ms};
@@ -235,7 +287,8 @@
   const Candidates readers =
       FindCandidates(state, query, EngineStage::kPrefill, now, &prefill_last);
   if (readers.empty() || prefill_last) return choice;
-  const PrefillPlace split = FindPrefillPlace(state, query, readers, speed);
+  const PrefillPlace split =
+      FindPrefillPlace(state, query, readers, speed, now);
   double decode_ms = 0;
   const BalanceEndpoint* decoder =
       FindDecode(state, query, split.m_endpoint, decoders, speed, &decode_ms);
@@ -280,11 +333,13 @@
   if (found != nullptr && found->m_running > 0) --found->m_running;
 }
 
-void OnEndpointAnswered(BalanceState& state, const std::string& endpoint) {
+void OnEndpointAnswered(BalanceState& state, const std::string& endpoint,
+                        Instant now) {
   BalanceEndpoint* found = Find(state, endpoint);
   if (found == nullptr) return;
   found->m_failures = 0;
   found->m_avoid_until = {};
+  found->m_last_sign = now;
 }
 
 void OnEndpointFull(BalanceState& state, const std::string& endpoint,
@@ -304,13 +359,20 @@
   ++found->m_failures;
 }
 
-void OnPrefillTimed(BalanceState& state, const std::string& service,
-                    double tokens, double milliseconds) {
+void OnPrefillTimed(BalanceState& state, const std::string& endpoint,
+                    const PrefillTiming& timing, Instant now) {
+  BalanceEndpoint* found = Find(state, endpoint);
+  if (found == nullptr) return;
+  const double wait =
+      std::max(0.0, timing.m_took_ms - timing.m_work_ms - kFirstTokenMs);
+  found->m_wait_ms += kWaitWeight * (wait - found->m_wait_ms);
+  found->m_wait_seen = now;
   // Short reads say more about fixed times than about the speed.
   constexpr double kMinTokens = 2000;
-  if (tokens < kMinTokens || milliseconds <= 1) return;
-  double& speed = state.m_speeds[service].m_prefill_tokens_per_ms;
-  speed += kSpeedWeight * (tokens / milliseconds - speed);
+  if (timing.m_tokens < kMinTokens || timing.m_took_ms <= 1) return;
+  double& speed = state.m_speeds[found->m_service].m_prefill_tokens_per_ms;
+  const double sample = timing.m_tokens / timing.m_took_ms;
+  speed += (sample > speed ? kFasterWeight : kSlowerWeight) * (sample - speed);
   constexpr double kSlowest = 10;
   constexpr double kFastest = 1000;
   speed = std::clamp(speed, kSlowest, kFastest);
--- a/src/balance.h
+++ b/src/balance.h
@@ -39,6 +39,11 @@
   // those that have not produced anything yet, milliseconds.
   std::uint32_t m_running = 0;
   double m_prefill_ms = 0;
+  // Time that requests waited there lately, and when that was seen.
+  double m_wait_ms = 0;
+  Instant m_wait_seen{};
+  // Last byte that it sent to this instance.
+  Instant m_last_sign{};
   // It rejected a request as full and gets none before this time.
   Instant m_full_until{};
   // It failed and gets none before this time while others can take it.
@@ -112,16 +117,25 @@
                    double work_ms);
 void OnRunEnded(BalanceState& state, const std::string& endpoint);
 
-// Notes that the endpoint answered, rejected a request as full, or failed.
-void OnEndpointAnswered(BalanceState& state, const std::string& endpoint);
+// Notes that the endpoint sent something, rejected a request as full, or
+// failed.
+void OnEndpointAnswered(BalanceState& state, const std::string& endpoint,
+                        Instant now);
 void OnEndpointFull(BalanceState& state, const std::string& endpoint,
                     Instant now);
 void OnEndpointFailed(BalanceState& state, const std::string& endpoint,
                       Instant now);
 
-// Notes how long an endpoint took to read tokens of a prompt.
-void OnPrefillTimed(BalanceState& state, const std::string& service,
-                    double tokens, double milliseconds);
+// Work of a request at an endpoint and the time that it took there.
+struct PrefillTiming {
+  double m_tokens = 0;  // Read, as far as is known; zero: not known.
+  double m_work_ms = 0;
+  double m_took_ms = 0;
+};
+
+// Learns the speed of the service and the wait at the endpoint.
+void OnPrefillTimed(BalanceState& state, const std::string& endpoint,
+                    const PrefillTiming& timing, Instant now);
 
 }  // namespace comfreypaddle
 
--- a/src/controlstate.h
+++ b/src/controlstate.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "directory.h"
+#include "fleetplan.h"
 #include "holder.h"
 #include "http.h"
 #include "tally.h"
@@ -84,6 +85,8 @@
   TallyState m_tally;
   UsageFlush m_flush;
   ReportState m_report;
+  FleetPlan m_fleet;
+  bool m_ordering = false;
   std::map<std::string, KnownInstance, std::less<>> m_instances;
   bool m_registered = false;
   bool m_registering = false;
--- /dev/null
+++ b/src/fleetplan.cpp
@@ -0,0 +1,103 @@
+#include "fleetplan.h"
+
+#include <algorithm>
+
+namespace comfreypaddle {
+
+namespace {
+
+// Pause before an order that was refused or not answered is given again.
+constexpr Duration kRetryPause = std::chrono::milliseconds(700);
+
+// Endpoints that work now, by where they are.
+std::map<FleetSlot, std::uint32_t> CountEndpoints(
+    const schema::EndpointList& endpoints) {
+  std::map<FleetSlot, std::uint32_t> counts;
+  for (const schema::EndpointEntry& entry : endpoints.endpoints()) {
+    if (entry.draining()) continue;
+    ++counts[{entry.service(), entry.zone(), entry.cheap()}];
+  }
+  return counts;
+}
+
+bool IsDry(const FleetPlan& plan, const FleetSlot& slot, Instant now) {
+  const auto found = plan.m_orders.find(slot);
+  return found != plan.m_orders.end() && now < found->second.m_dry_until;
+}
+
+// Endpoints that the slot is to have. Where cheap ones cannot be had, others
+// stand in for half of them.
+std::uint32_t TargetOf(const FleetPlan& plan, const FleetSlot& slot,
+                       const schema::ScalingFacts& scaling, Instant now) {
+  const FleetOptions& options = plan.m_options;
+  const bool has_cheap = scaling.cheap_price() > 0;
+  const std::uint32_t wanted_cheap = has_cheap ? options.m_cheap_per_zone : 0;
+  std::uint32_t lasting = options.m_lasting_per_zone;
+  if (!has_cheap || IsDry(plan, {slot.m_service, slot.m_zone, true}, now)) {
+    lasting += (options.m_cheap_per_zone + 1) / 2;
+  }
+  lasting = std::clamp(lasting, scaling.min_per_zone(), scaling.max_per_zone());
+  if (!slot.m_cheap) return lasting;
+  return std::min(wanted_cheap, scaling.max_per_zone() - lasting);
+}
+
+// Whether the order for the slot is to be given now.
+bool IsDue(const FleetPlan& plan, const FleetSlot& slot, std::uint32_t target,
+           std::uint32_t present, Duration boot, Instant now) {
+  const auto found = plan.m_orders.find(slot);
+  if (found == plan.m_orders.end()) return target != present;
+  const FleetOrder& order = found->second;
+  if (now < order.m_sent + kRetryPause) return false;
+  if (slot.m_cheap && now < order.m_dry_until) return false;
+  if (!order.m_accepted || order.m_count != target) return true;
+  return present != target &&
+         now > order.m_sent + boot + plan.m_options.m_patience;
+}
+
+FleetSlot SlotOf(const EndpointOrder& order) {
+  return {order.m_service, order.m_zone, order.m_cheap};
+}
+
+}  // namespace
+
+std::optional<EndpointOrder> NextOrder(FleetPlan& plan,
+                                       const schema::Catalog& catalog,
+                                       const schema::EndpointList& endpoints,
+                                       Instant now) {
+  auto counts = CountEndpoints(endpoints);
+  for (const schema::CatalogService& service : catalog.services()) {
+    if (!service.has_scaling()) continue;
+    const schema::ScalingFacts& scaling = service.scaling();
+    const auto boot = std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(scaling.boot_s()));
+    // Cheap endpoints come before others go.
+    for (const bool cheap : {true, false}) {
+      for (const auto& [zone, price] : scaling.zone_prices()) {
+        const FleetSlot slot{service.name(), zone, cheap};
+        const std::uint32_t target = TargetOf(plan, slot, scaling, now);
+        if (!IsDue(plan, slot, target, counts[slot], boot, now)) continue;
+        return EndpointOrder{service.name(), zone, target, cheap};
+      }
+    }
+  }
+  return std::nullopt;
+}
+
+void OnOrderSent(FleetPlan& plan, const EndpointOrder& order, Instant now) {
+  FleetOrder& known = plan.m_orders[SlotOf(order)];
+  known.m_sent = now;
+  known.m_accepted = false;
+}
+
+void OnOrderEnded(FleetPlan& plan, const EndpointOrder& order,
+                  DutyResult result, Instant now) {
+  FleetOrder& known = plan.m_orders[SlotOf(order)];
+  known.m_accepted = result == DutyResult::kAccepted;
+  known.m_count = order.m_count;
+  // The platform refuses cheap endpoints that it does not have.
+  if (order.m_cheap && result == DutyResult::kFenced) {
+    known.m_dry_until = now + plan.m_options.m_dry_time;
+  }
+}
+
+}  // namespace comfreypaddle
--- /dev/null
+++ b/src/fleetplan.h
@@ -0,0 +1,58 @@
+#ifndef COMFREYPADDLE_FLEETPLAN_H_
+#define COMFREYPADDLE_FLEETPLAN_H_
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "relay.pb.h"
+#include "stream.h"
+
+namespace comfreypaddle {
+
+// What can be ordered: endpoints of a service in a zone, cheap ones or others.
+struct FleetSlot {
+  std::string m_service;
+  std::string m_zone;
+  bool m_cheap = false;
+
+  friend auto operator<=>(const FleetSlot&, const FleetSlot&) = default;
+};
+
+// How many endpoints each zone is to have.
+struct FleetOptions {
+  std::uint32_t m_lasting_per_zone = 1;  // That are not reclaimed.
+  std::uint32_t m_cheap_per_zone = 5;
+  // Time after an order in which the endpoints should be there, beyond their
+  // boot time, before it is given again.
+  Duration m_patience = std::chrono::seconds(3);
+  // Time for which a zone counts as without cheap endpoints after a refusal.
+  Duration m_dry_time = std::chrono::seconds(4);
+};
+
+struct FleetOrder {
+  std::uint32_t m_count = 0;  // Last accepted.
+  bool m_accepted = false;
+  Instant m_sent{};
+  Instant m_dry_until{};
+};
+
+struct FleetPlan {
+  FleetOptions m_options;
+  std::map<FleetSlot, FleetOrder> m_orders;
+};
+
+// Returns the next order that is due, or nothing.
+std::optional<EndpointOrder> NextOrder(FleetPlan& plan,
+                                       const schema::Catalog& catalog,
+                                       const schema::EndpointList& endpoints,
+                                       Instant now);
+
+// Notes that the order was sent, and how it ended.
+void OnOrderSent(FleetPlan& plan, const EndpointOrder& order, Instant now);
+void OnOrderEnded(FleetPlan& plan, const EndpointOrder& order,
+                  DutyResult result, Instant now);
+
+}  // namespace comfreypaddle
+
+#endif  // COMFREYPADDLE_FLEETPLAN_H_
--- a/src/reporter.cpp
+++ b/src/reporter.cpp
@@ -235,6 +235,33 @@
       });
 }
 
+// Gives the next order for endpoints that is due.
+void OrderEndpoints(ControlState& state) {
+  const Instant now = state.m_clock();
+  if (state.m_ordering || !MayAct(state.m_holder, now) || !state.m_catalog ||
+      !state.m_follow_endpoints.m_known) {
+    return;
+  }
+  const auto order = NextOrder(state.m_fleet, *state.m_catalog,
+                               ListEntries(state.m_directory), now);
+  if (!order) return;
+  state.m_ordering = true;
+  OnOrderSent(state.m_fleet, *order, now);
+  const DutyHolder holder{state.m_options.m_name, FenceOf(state.m_holder)};
+  state.m_duty_calls->OrderEndpoints(
+      holder, *order, [&state, order = *order](DutyResult result) {
+        state.m_ordering = false;
+        LogLine("endpoints_ordered")
+            .Add("service", order.m_service)
+            .Add("zone", order.m_zone)
+            .Add("cheap", order.m_cheap ? 1 : 0)
+            .Add("count", order.m_count)
+            .Add("result", ToName(result))
+            .Add("fence", static_cast<std::int64_t>(FenceOf(state.m_holder)));
+        OnOrderEnded(state.m_fleet, order, result, state.m_clock());
+      });
+}
+
 }  // namespace
 
 void TakeUsage(ControlState& state, const schema::UsageCounts& counts) {
@@ -251,6 +278,7 @@
   if (IsHolder(state.m_holder)) FollowUsage(state);
   AppendDuties(state);
   ReportUsage(state);
+  OrderEndpoints(state);
   LogHolderChange(state);
 }
 
--- a/src/run.cpp
+++ b/src/run.cpp
@@ -20,18 +20,19 @@
 // Bytes that a caller may leave unread before its stream is ended.
 constexpr std::size_t kMaxBacklogBytes = 4U << 20U;
 
-// Time for a prompt to be read on an endpoint of its own, beyond the estimate,
-// before the request is run without that.
-constexpr Duration kPrefillPatience = std::chrono::milliseconds(700);
+// An endpoint that has sent nothing to any request for this long while one of
+// them waits there is taken for dead. One that still answers others is only
+// busy, and a repeat elsewhere would add to the load.
+constexpr Duration kDeadSilence = std::chrono::milliseconds(1000);
+
+// Time after which a request is tried elsewhere although its endpoint answers
+// others.
+constexpr Duration kLongPatience = std::chrono::milliseconds(2500);
 
 // Part of the target time after which a plain idempotent request that shows no
 // sign is tried elsewhere.
 constexpr double kPlainPatience = 0.6;
 
-// The same for a stream that may be resumed.
-constexpr double kStreamPatience = 2.5;
-constexpr Duration kMinStreamPatience = std::chrono::milliseconds(1000);
-
 // Least time that must be left for a further attempt.
 constexpr Duration kMinTimeLeft = std::chrono::milliseconds(40);
 
@@ -185,8 +186,14 @@
 void OnFirstSign(RelayState& state, RelayCall& call) {
   RunAttempt& attempt = call.m_attempt;
   OnPrefillDone(state.m_balance, attempt.m_endpoint, attempt.m_work_ms);
+  if (!call.m_source) {
+    const std::chrono::duration<double, std::milli> took =
+        state.m_clock() - attempt.m_sent;
+    OnPrefillTimed(state.m_balance, attempt.m_endpoint,
+                   {0, attempt.m_work_ms, took.count()}, state.m_clock());
+  }
   attempt.m_work_ms = 0;
-  OnEndpointAnswered(state.m_balance, attempt.m_endpoint);
+  OnEndpointAnswered(state.m_balance, attempt.m_endpoint, state.m_clock());
   call.m_source.reset();  // It has been taken.
   CountUsage(state, call, state.m_clock());
 }
@@ -253,7 +260,7 @@
 void OnWholeAnswer(RelayState& state, RelayCall& call,
                    const HttpResult& result) {
   const RunAttempt& attempt = call.m_attempt;
-  OnEndpointAnswered(state.m_balance, attempt.m_endpoint);
+  OnEndpointAnswered(state.m_balance, attempt.m_endpoint, state.m_clock());
   CountUsage(state, call, attempt.m_sent);
   if (attempt.m_status >= kServerError && MayRunAgain(state, call)) {
     LogFailure(state, call, "server_error", result);
@@ -354,18 +361,20 @@
 
 void OnPrefillEnd(RelayState& state, RelayCall& call, const HttpResult& result,
                   double work_tokens) {
-  SettleAttempt(state, call);
   RunAttempt& attempt = call.m_attempt;
+  const double work_ms = attempt.m_work_ms;
+  SettleAttempt(state, call);
   constexpr int kOk = 200;
   const auto read = !result.m_error && attempt.m_status == kOk
                         ? state.m_format->ReadPrefill(attempt.m_body)
                         : std::nullopt;
   call.m_query.m_allow_split = false;
   if (read) {
-    OnEndpointAnswered(state.m_balance, attempt.m_endpoint);
+    OnEndpointAnswered(state.m_balance, attempt.m_endpoint, state.m_clock());
     const std::chrono::duration<double, std::milli> took =
         state.m_clock() - attempt.m_sent;
-    OnPrefillTimed(state.m_balance, call.m_service, work_tokens, took.count());
+    OnPrefillTimed(state.m_balance, attempt.m_endpoint,
+                   {work_tokens, work_ms, took.count()}, state.m_clock());
     call.m_source = CacheSource{attempt.m_address, read->m_handle};
     RunFromCache(state, call);
     return;
@@ -413,14 +422,20 @@
       state.m_endpoints->Start(std::move(http), std::move(events));
 }
 
-// Time without a sign after which the attempt is given up.
-Duration PatienceOf(const RelayCall& call) {
-  const double target_ms = call.m_route->target_ms();
-  const double part = IsStream(call) ? kStreamPatience : kPlainPatience;
-  constexpr double kMicrosPerMs = 1000;
-  const Duration patience(
-      static_cast<std::int64_t>(target_ms * part * kMicrosPerMs));
-  return IsStream(call) ? std::max(patience, kMinStreamPatience) : patience;
+// Whether the attempt has been silent for so long that it is given up.
+bool IsLost(RelayState& state, const RelayCall& call, Instant now) {
+  const Duration silent = now - call.m_attempt.m_sent;
+  if (!IsStream(call)) {
+    constexpr double kMicrosPerMs = 1000;
+    return silent >
+           Duration(static_cast<std::int64_t>(call.m_route->target_ms() *
+                                              kPlainPatience * kMicrosPerMs));
+  }
+  if (silent > kLongPatience) return true;
+  const BalanceEndpoint* endpoint =
+      FindEndpoint(state, call.m_attempt.m_endpoint);
+  if (endpoint == nullptr) return silent > kDeadSilence;
+  return silent > kDeadSilence && now - endpoint->m_last_sign > kDeadSilence;
 }
 
 }  // namespace
@@ -461,15 +476,14 @@
   RunAttempt& attempt = call.m_attempt;
   if (attempt.m_call == 0 || attempt.m_status != 0) return;
   const Instant now = state.m_clock();
-  const Duration silent = now - attempt.m_sent;
+  if (!IsLost(state, call, now)) return;
   const HttpResult result{HttpError::kSilent, 0, true};
   if (call.m_stage == CallStage::kPrefill) {
-    if (silent < kPrefillPatience) return;
     state.m_endpoints->Cancel(attempt.m_call);
     OnPrefillEnd(state, call, result, 0);
     return;
   }
-  if (silent < PatienceOf(call) || !MayRunAgain(state, call)) return;
+  if (!MayRunAgain(state, call)) return;
   LogFailure(state, call, "silent", result);
   state.m_endpoints->Cancel(attempt.m_call);
   SettleAttempt(state, call);
