--- a/src/accept.cpp
+++ b/src/accept.cpp
@@ -85,7 +85,9 @@
 }
 
 // Finds route and workspace. Returns why the request is refused, or nothing.
-std::optional<EndReason> FindPlace(const RelayState& state, RelayCall& call) {
+std::optional<EndReason> FindPlace(const RelayState& state, RelayCall& call,
+                                   Instant now) {
+  if (now >= state.m_refuse_from) return EndReason::kStopping;
   if (state.m_catalog == nullptr) return EndReason::kNoCatalog;
   call.m_catalog = state.m_catalog;
   call.m_route =
@@ -121,7 +123,7 @@
   call.m_id = request.m_id;
   call.m_request = std::move(request);
   call.m_terms = state.m_format->ReadTerms(call.m_request);
-  auto refusal = FindPlace(state, call);
+  auto refusal = FindPlace(state, call, now);
   if (!refusal) {
     call.m_fingerprint = FingerprintOf(call.m_request, call.m_terms);
     if (IsCrashing(state, call.m_fingerprint, now)) {
--- a/src/fleetplan.h
+++ b/src/fleetplan.h
@@ -22,7 +22,7 @@
 // How many endpoints each zone is to have.
 struct FleetOptions {
   std::uint32_t m_lasting_per_zone = 1;  // That are not reclaimed.
-  std::uint32_t m_cheap_per_zone = 5;
+  std::uint32_t m_cheap_per_zone = 7;
   // Time after an order in which the endpoints should be there, beyond their
   // boot time, before it is given again.
   Duration m_patience = std::chrono::seconds(3);
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -22,6 +22,9 @@
 // Period of the checks of deadlines and of waiting requests.
 constexpr Duration kTick = std::chrono::milliseconds(20);
 
+// Time after the balancer's notice in which requests are still taken.
+constexpr Duration kLateArrivals = std::chrono::milliseconds(800);
+
 // Period at which counts are handed to the task that holds duties.
 constexpr Duration kUsagePeriod = std::chrono::milliseconds(500);
 
@@ -235,6 +238,9 @@
 void Relay::BeginDrain() {
   m_state.m_stopping = true;
   m_drain_began = Now();
+  m_state.m_refuse_from =
+      m_drain_began +
+      std::chrono::milliseconds(m_settings.stop().notice_ms()) + kLateArrivals;
   m_callers->AnnounceClose();
 }
 
--- a/src/relaystate.h
+++ b/src/relaystate.h
@@ -161,6 +161,9 @@
   std::map<std::uint64_t, CrashSuspect> m_suspects;
   RelayCounters m_counters;
   bool m_stopping = false;
+  // In a planned stop, requests that arrive from this instant on are refused:
+  // there would not be enough time to finish them.
+  Instant m_refuse_from = Instant::max();
 };
 
 // Returns the call with this id, or null.
