--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -239,8 +239,8 @@
   m_state.m_stopping = true;
   m_drain_began = Now();
   m_state.m_refuse_from =
-      m_drain_began +
-      std::chrono::milliseconds(m_settings.stop().notice_ms()) + kLateArrivals;
+      m_drain_began + std::chrono::milliseconds(m_settings.stop().notice_ms()) +
+      kLateArrivals;
   m_callers->AnnounceClose();
 }
 
--- /dev/null
+++ b/tests/adapter_test.cpp
@@ -0,0 +1,204 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "platform/adapter.h"
+
+#include <doctest/doctest.h>
+
+#include "httpparse.h"
+
+namespace comfreypaddle {
+namespace {
+
+StreamRecord Record(const std::string& key, const std::string& value) {
+  return {0, key, value, false};
+}
+
+const std::string kEntry =
+    R"({"service":"s","address":"10.0.0.9:8080","zone":"z","version":"v1",)"
+    R"("slots":6,"state":"ready","coldRemainingMs":0,"phase":"decode",)"
+    R"("sequence":4,"born":1790887712000,"spot":true})";
+
+TEST_CASE("an endpoint's entry is decoded") {
+  const platform::JsonRecords records;
+  const auto entry = records.ReadEndpoint(Record("i-1", kEntry));
+  REQUIRE(entry);
+  CHECK(entry->id() == "i-1");
+  CHECK(entry->address() == "10.0.0.9:8080");
+  CHECK(entry->phase() == schema::PHASE_DECODE);
+  CHECK(entry->cheap());
+  CHECK(entry->born_ms() == 1790887712000);
+  CHECK(entry->leaves_ms() == -1);
+}
+
+// Guards against an endpoint that another writer made up.
+TEST_CASE("entries with missing or wrong fields name no endpoint") {
+  const platform::JsonRecords records;
+  const auto with = [&](const std::string& from, const std::string& to) {
+    std::string text = kEntry;
+    text.replace(text.find(from), from.size(), to);
+    return records.ReadEndpoint(Record("i-1", text)).has_value();
+  };
+  CHECK(with("\"ready\"", "\"draining\""));
+  CHECK_FALSE(with("\"ready\"", "\"odd\""));
+  CHECK_FALSE(with("\"slots\":6", "\"slots\":\"6\""));
+  CHECK_FALSE(with("\"address\":\"10.0.0.9:8080\"", "\"address\":[1]"));
+  CHECK_FALSE(with("\"sequence\":4,", ""));
+  CHECK_FALSE(with("{", "["));
+  CHECK_FALSE(records.ReadEndpoint(Record("i-1", "\x01\xff")).has_value());
+}
+
+TEST_CASE("the configuration is decoded; other records are none") {
+  const platform::JsonRecords records;
+  const auto catalog = records.ReadCatalog(Record(
+      "config",
+      R"({"version":7,"routeTable":[{"name":"r","hostname":"h","pathPrefix":)"
+      R"("/a/","routeType":"idempotent","timeoutMs":1500.0,"maxAttempts":2,)"
+      R"("trafficSplit":[{"service":"s","weight":90},{"service":"t",)"
+      R"("weight":10}]}],"serviceTable":[{"name":"s","engine":{"slots":8,)"
+      R"("kvTokenBytes":18432},"scaling":{"minReplicas":1,"maxReplicas":8,)"
+      R"("spotPrice":0.22,"zonePrices":{"z":1.5}}}],"limits":)"
+      R"({"maxHeaderBytes":1000},"tenants":[{"name":"w","apiKeys":["k"]}]})"));
+  REQUIRE(catalog);
+  CHECK(catalog->version() == 7);
+  CHECK(catalog->routes(0).kind() == schema::REPEAT_ALLOWED);
+  CHECK(catalog->routes(0).services_size() == 2);
+  CHECK(catalog->services(0).scaling().zone_prices().at("z") == 1.5);
+  CHECK(catalog->workspaces(0).keys(0) == "k");
+  CHECK_FALSE(records.ReadCatalog(Record("other", "{}")).has_value());
+  CHECK_FALSE(records.ReadCatalog(Record("config", "{}")).has_value());
+}
+
+HttpRequest MakeRequest() {
+  HttpRequest request;
+  request.m_headers = {{"Host", "h"},
+                       {"Attempt-Id", "a1"},
+                       {"Key", "secret"},
+                       {"Tenant", "forged"},
+                       {"Kv-Source", "forged"},
+                       {"Deadline-Ms", "5000"},
+                       {"X-Own", "kept"},
+                       {"X-Hop", "dropped"},
+                       {"Connection", "keep-alive, x-hop"},
+                       {"Token-Count", "1460,80"},
+                       {"Prompt-Prefix", "5c:800, 91:410,e4:250"}};
+  return request;
+}
+
+// Guards against a key that reaches an endpoint and against forged fields.
+TEST_CASE("an endpoint gets the caller's end-to-end fields and the system's") {
+  const WireFormat& format = platform::RequestFormat();
+  SendTerms terms;
+  terms.m_endpoint = "i-1";
+  terms.m_workspace = "w";
+  terms.m_time_left = std::chrono::milliseconds(1234);
+  const HttpFields fields = format.EndpointFields(MakeRequest(), terms);
+  const auto text = [&fields](const char* name) {
+    const std::string* value = FindFieldAnyCase(fields, name);
+    return value == nullptr ? std::string("none") : *value;
+  };
+  CHECK(text("Key") == "none");
+  CHECK(text("Kv-Source") == "none");
+  CHECK(text("X-Hop") == "none");
+  CHECK(text("Connection") == "none");
+  CHECK(text("X-Own") == "kept");
+  CHECK(text("Attempt-Id") == "a1");
+  CHECK(text("Tenant") == "w");
+  CHECK(text("Deadline-Ms") == "1234");
+  CHECK(text("Expect-Instance") == "i-1");
+}
+
+TEST_CASE("the caller's terms are decoded") {
+  const RequestTerms terms = platform::RequestFormat().ReadTerms(MakeRequest());
+  CHECK(terms.m_key == "secret");
+  CHECK(terms.m_prompt_tokens == 1460);
+  CHECK(terms.m_max_output_tokens == 80);
+  REQUIRE(terms.m_parts.size() == 3);
+  CHECK(terms.m_parts[1].m_id == "91");
+  CHECK(terms.m_parts[1].m_tokens == 410);
+  CHECK(terms.m_time_left == std::chrono::milliseconds(5000));
+}
+
+// Server that answers with bytes that the test sets.
+class ScriptedServer : public HttpPort {
+ public:
+  CallId Start(HttpCall call, HttpEvents events) override {
+    m_calls.push_back(call);
+    if (m_status != 0 && !m_body.empty()) events.m_on_body(m_body);
+    events.m_on_end({m_error, m_status, m_sent});
+    return m_calls.size();
+  }
+  void Cancel(CallId /*id*/) override {}
+
+  int m_status = 200;
+  std::string m_body;
+  std::error_code m_error;
+  bool m_sent = true;
+  std::vector<HttpCall> m_calls;
+};
+
+TEST_CASE("an append is sent with its condition; refusals are told apart") {
+  ScriptedServer server;
+  platform::StoreClient store(server, "10.0.0.1:1");
+  StreamAppend append;
+  append.m_stream = Stream::kDuties;
+  append.m_value = "ab";
+  append.m_expected_end = 5;
+  AppendResult last;
+  const auto run = [&](int status, const std::string& body) {
+    server.m_status = status;
+    server.m_body = body;
+    store.Append(append, [&last](const AppendResult& r) { last = r; });
+    return last.m_fault;
+  };
+  CHECK(run(200, R"({"offset":5,"endOffset":6})") == StoreFault::kNone);
+  CHECK(last.m_offset == 5);
+  CHECK(server.m_calls[0].m_url.find("&at=5") != std::string::npos);
+  CHECK(server.m_calls[0].m_body == std::string("\0\0\0\2ab", 6));
+  CHECK(run(412, R"({"endOffset":9})") == StoreFault::kCondition);
+  CHECK(last.m_end == 9);
+  CHECK(run(503, "") == StoreFault::kRefused);
+  CHECK(run(409, "{}") == StoreFault::kRepeated);
+  CHECK(run(200, "garbage") == StoreFault::kMalformed);
+  server.m_error = HttpError::kTimeout;
+  CHECK(run(0, "") == StoreFault::kUnanswered);
+  server.m_sent = false;
+  CHECK(run(0, "") == StoreFault::kRefused);
+}
+
+TEST_CASE("records are read with their offsets; removed keys are marked") {
+  ScriptedServer server;
+  platform::StoreClient store(server, "10.0.0.1:1");
+  server.m_body = std::string(16, '\0') + std::string("\0\0\0\4\2k1v", 8) +
+                  std::string("\0\0\0\3\2k2", 7) + std::string("\0\0\0", 3);
+  ReadResult result;
+  store.Read(Stream::kEndpoints, 10, Duration(0),
+             [&result](const ReadResult& r) { result = r; });
+  REQUIRE(result.m_records.size() == 2);
+  CHECK(result.m_records[0].m_key == "k1");
+  CHECK(result.m_records[0].m_value == "v");
+  CHECK(result.m_records[1].m_offset == 11);
+  CHECK(result.m_records[1].m_removed);
+  CHECK(result.m_next == 12);
+}
+
+TEST_CASE("a duty call carries holder and fencing number") {
+  ScriptedServer server;
+  platform::DutyClient duties(server, "10.0.0.1:1");
+  schema::FixedWindow window;
+  window.set_window(9);
+  schema::UsageCount* count = window.add_counts();
+  count->set_workspace("w");
+  count->set_requests(4);
+  DutyResult last = DutyResult::kRefused;
+  const auto done = [&last](DutyResult r) { last = r; };
+  duties.ReportUsage({"i1", 12}, window, done);
+  CHECK(last == DutyResult::kAccepted);
+  const HttpCall& call = server.m_calls.at(0);
+  CHECK(*FindFieldAnyCase(call.m_headers, "Fencing-Token") == "12");
+  CHECK(call.m_body.find("\"w\" : 4") != std::string::npos);
+  server.m_status = 409;
+  duties.OrderEndpoints({"i1", 12}, {"s", "z", 3, true}, done);
+  CHECK(last == DutyResult::kFenced);
+}
+
+}  // namespace
+}  // namespace comfreypaddle
--- /dev/null
+++ b/tests/balance_test.cpp
@@ -0,0 +1,143 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "balance.h"
+
+#include <doctest/doctest.h>
+
+#include <set>
+
+#include "resend.h"
+
+namespace comfreypaddle {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Instant kStart = Instant(seconds(1000));
+
+BalanceEndpoint MakeEndpoint(const std::string& id, const std::string& zone,
+                             EngineStage stage) {
+  BalanceEndpoint endpoint;
+  endpoint.m_id = id;
+  endpoint.m_service = "s";
+  endpoint.m_address = "127.0.0.1:1";
+  endpoint.m_zone = zone;
+  endpoint.m_region = zone;
+  endpoint.m_stage = stage;
+  endpoint.m_slots = 8;
+  endpoint.m_hash = std::hash<std::string>()(id);
+  return endpoint;
+}
+
+BalanceState MakeState(int decoders, int readers) {
+  BalanceState state;
+  state.m_zone = "z0";
+  state.m_region = "z0";
+  for (int i = 0; i < decoders + readers; ++i) {
+    const std::string id = "e" + std::to_string(i);
+    state.m_endpoints[id] = MakeEndpoint(
+        id, "z0", i < decoders ? EngineStage::kDecode : EngineStage::kPrefill);
+  }
+  return state;
+}
+
+BalanceQuery Prompt(std::uint64_t part, double shared, double own) {
+  BalanceQuery query;
+  query.m_service = "s";
+  query.m_is_prompt = true;
+  query.m_shared_hash = part;
+  query.m_shared_tokens = shared;
+  query.m_own_tokens = own;
+  return query;
+}
+
+// Guards against shared parts that are read again at every endpoint.
+TEST_CASE("requests with the same shared part go to the same endpoint") {
+  const BalanceState state = MakeState(6, 0);
+  std::set<std::string> homes;
+  for (std::uint64_t part = 1; part <= 30; ++part) {
+    const auto first = ChooseRun(state, Prompt(part, 13'000, 3'000), kStart);
+    const auto again = ChooseRun(state, Prompt(part, 13'000, 500), kStart);
+    REQUIRE(first);
+    REQUIRE(again);
+    CHECK(first->m_endpoint == again->m_endpoint);
+    CHECK(first->m_reason == BalanceReason::kAffinity);
+    homes.insert(first->m_endpoint);
+  }
+  CHECK(homes.size() > 3);
+}
+
+TEST_CASE("a busy home is left for the endpoint that stands in for it") {
+  BalanceState state = MakeState(6, 0);
+  const BalanceQuery query = Prompt(7, 2'000, 1'000);
+  const std::string home = ChooseRun(state, query, kStart)->m_endpoint;
+  OnRunSent(state, home, 5'000);
+  const auto other = ChooseRun(state, query, kStart);
+  CHECK(other->m_endpoint != home);
+  OnPrefillDone(state, home, 5'000);
+  OnRunEnded(state, home);
+  CHECK(ChooseRun(state, query, kStart)->m_endpoint == home);
+}
+
+TEST_CASE("a long prompt is read apart when decode endpoints are busy") {
+  BalanceState state = MakeState(2, 2);
+  for (const char* id : {"e0", "e1"}) OnRunSent(state, id, 800);
+  const auto choice = ChooseRun(state, Prompt(3, 13'000, 9'000), kStart);
+  REQUIRE(choice);
+  CHECK_FALSE(choice->m_prefill.empty());
+  BalanceQuery whole = Prompt(3, 13'000, 9'000);
+  whole.m_allow_split = false;
+  CHECK(ChooseRun(state, whole, kStart)->m_prefill.empty());
+}
+
+TEST_CASE("draining, full, tried and failed endpoints get no request") {
+  BalanceState state = MakeState(4, 0);
+  state.m_endpoints["e0"].m_draining = true;
+  OnEndpointFull(state, "e1", kStart);
+  OnEndpointFailed(state, "e2", kStart);
+  BalanceQuery query = Prompt(0, 0, 100);
+  CHECK(ChooseRun(state, query, kStart)->m_endpoint == "e3");
+  query.m_excluded = {"e3"};
+  const auto last = ChooseRun(state, query, kStart);
+  REQUIRE(last);
+  CHECK(last->m_endpoint == "e2");
+  CHECK(last->m_reason == BalanceReason::kLastResort);
+  query.m_excluded = {"e2", "e3"};
+  CHECK_FALSE(ChooseRun(state, query, kStart));
+  CHECK(ChooseRun(state, query, kStart + seconds(1))->m_endpoint == "e1");
+}
+
+TEST_CASE("plain services are chosen near the caller until they are loaded") {
+  BalanceState state;
+  state.m_zone = "z0";
+  state.m_region = "z0";
+  state.m_endpoints["a"] = MakeEndpoint("a", "z0", EngineStage::kNone);
+  state.m_endpoints["b"] = MakeEndpoint("b", "z1", EngineStage::kNone);
+  BalanceQuery query;
+  query.m_service = "s";
+  CHECK(ChooseRun(state, query, kStart)->m_endpoint == "a");
+  for (int i = 0; i < 6; ++i) OnRunSent(state, "a", 0);
+  CHECK(ChooseRun(state, query, kStart)->m_endpoint == "b");
+}
+
+// Guards against the loss of the budget's bound when a whole service fails.
+TEST_CASE("repeated sends keep to the share of the budget") {
+  ResendState state;
+  state.m_limits = {0.2, seconds(10), 60};
+  state.m_instances = 6;
+  Instant now = kStart;
+  int taken = 0;
+  for (int i = 0; i < 2000; ++i) {
+    now += milliseconds(5);
+    CountRequest(state, "s", now);
+    if (TakeResend(state, "s", now)) ++taken;
+  }
+  // 2,000 requests in 10 s, and one sixth of the slack.
+  CHECK(taken <= 0.2 * 2000 + 10);
+  CHECK(taken > 200);
+  CHECK_FALSE(TakeResend(state, "s", now));
+  CHECK(TakeResend(state, "s", now + seconds(30)));
+}
+
+}  // namespace
+}  // namespace comfreypaddle
--- /dev/null
+++ b/tests/relaycall_test.cpp
@@ -0,0 +1,311 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include <doctest/trompeloeil.hpp>
+
+#include "accept.h"
+#include "httpparse.h"
+
+namespace comfreypaddle {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using trompeloeil::_;
+
+// Forms of requests and answers with short names.
+class PlainFormat : public WireFormat {
+ public:
+  RequestTerms ReadTerms(const HttpRequest& request) const override {
+    RequestTerms terms;
+    terms.m_host = "h";
+    const std::string* key = FindFieldAnyCase(request.m_headers, "k");
+    if (key != nullptr) terms.m_key = *key;
+    terms.m_attempt = "t" + std::to_string(request.m_id);
+    terms.m_time_left = milliseconds(4000);
+    return terms;
+  }
+  HttpFields EndpointFields(const HttpRequest& /*request*/,
+                            const SendTerms& terms) const override {
+    HttpFields fields{{"to", terms.m_endpoint}, {"for", terms.m_workspace}};
+    if (terms.m_resume_after) {
+      fields.push_back({"after", std::to_string(*terms.m_resume_after)});
+    }
+    return fields;
+  }
+  AnswerTerms ReadAnswer(int status, const HttpFields& fields) const override {
+    AnswerTerms terms;
+    terms.m_not_run = FindFieldAnyCase(fields, "not-run") != nullptr;
+    terms.m_wrong_endpoint = status == 421;
+    terms.m_is_stream = FindFieldAnyCase(fields, "stream") != nullptr;
+    return terms;
+  }
+  bool BelongsTo(const HttpFields& /*fields*/,
+                 std::string_view /*attempt*/) const override {
+    return true;
+  }
+  HttpFields CallerFields(const HttpFields& fields) const override {
+    return fields;
+  }
+  HttpFields OwnAnswerFields(std::string_view /*attempt*/) const override {
+    return {};
+  }
+  std::optional<PrefillResult> ReadPrefill(
+      std::string_view body) const override {
+    return PrefillResult{std::string(body), 1};
+  }
+  std::string ReleaseTarget(std::string_view handle) const override {
+    return "/free/" + std::string(handle);
+  }
+  std::string_view ReadyTarget() const override { return "/ready"; }
+};
+
+class MockCallers : public CallerPort {
+ public:
+  MAKE_MOCK4(Respond, void(std::uint64_t, int, HttpFields, std::string),
+             override);
+  MAKE_MOCK3(StartStream, void(std::uint64_t, int, HttpFields), override);
+  MAKE_MOCK2(Write, void(std::uint64_t, std::string_view), override);
+  MAKE_MOCK1(FinishStream, void(std::uint64_t), override);
+  MAKE_MOCK1(Abort, void(std::uint64_t), override);
+};
+
+// Endpoints that answer when the test says so.
+class ScriptedEndpoints : public HttpPort {
+ public:
+  CallId Start(HttpCall call, HttpEvents events) override {
+    m_calls.push_back(std::move(call));
+    m_events.push_back(std::move(events));
+    return m_calls.size();
+  }
+  void Cancel(CallId id) override { m_cancelled.push_back(id); }
+
+  std::string To(std::size_t index) const {
+    return m_calls.at(index).m_headers.at(0).m_value;
+  }
+
+  std::vector<HttpCall> m_calls;
+  std::vector<HttpEvents> m_events;
+  std::vector<CallId> m_cancelled;
+};
+
+struct Fixture {
+  Fixture() {
+    schema::Catalog catalog;
+    AddRoute(&catalog, "/safe/", schema::REPEAT_ALLOWED, 2);
+    AddRoute(&catalog, "/once/", schema::REPEAT_NEVER, 1);
+    AddRoute(&catalog, "/stream/", schema::REPEAT_STREAM, 1);
+    AddRoute(&catalog, "/again/", schema::REPEAT_STREAM, 2)
+        ->set_resumable(true);
+    schema::CatalogWorkspace* workspace = catalog.add_workspaces();
+    workspace->set_name("w");
+    workspace->add_keys("secret");
+    m_state.m_catalog = std::make_shared<const CatalogIndex>(catalog);
+    m_state.m_callers = &m_callers;
+    m_state.m_endpoints = &m_endpoints;
+    m_state.m_format = &m_format;
+    m_state.m_clock = [this] { return m_now; };
+    m_state.m_resends.m_limits = {1, seconds(10), 100};
+    for (const char* id : {"e1", "e2", "e3"}) {
+      BalanceEndpoint endpoint;
+      endpoint.m_id = id;
+      endpoint.m_service = "s";
+      endpoint.m_address = "127.0.0.1:1";
+      endpoint.m_slots = 4;
+      m_state.m_balance.m_endpoints[id] = endpoint;
+    }
+  }
+
+  static schema::CatalogRoute* AddRoute(schema::Catalog* catalog,
+                                        const std::string& prefix,
+                                        schema::RepeatKind kind, int attempts) {
+    schema::CatalogRoute* route = catalog->add_routes();
+    route->set_name(prefix);
+    route->set_host("h");
+    route->set_path_prefix(prefix);
+    route->set_kind(kind);
+    route->set_timeout_ms(3000);
+    route->set_target_ms(400);
+    route->set_max_attempts(attempts);
+    schema::ServiceWeight* only = route->add_services();
+    only->set_service("s");
+    only->set_weight(1);
+    return route;
+  }
+
+  void Ask(std::uint64_t id, const std::string& target,
+           const std::string& key = "secret") {
+    HttpRequest request;
+    request.m_id = id;
+    request.m_method = "POST";
+    request.m_target = target;
+    request.m_headers = {{"k", key}};
+    AcceptRequest(m_state, std::move(request));
+  }
+
+  void Answer(std::size_t call, int status, const HttpFields& fields,
+              const std::string& body = "") {
+    m_endpoints.m_events.at(call).m_on_head(status, fields);
+    if (!body.empty()) m_endpoints.m_events.at(call).m_on_body(body);
+    m_endpoints.m_events.at(call).m_on_end({HttpError::kOk, status, true});
+  }
+
+  void Break(std::size_t call, bool sent) {
+    m_endpoints.m_events.at(call).m_on_end(
+        {sent ? HttpError::kConnectionLost : HttpError::kConnectFailed, 0,
+         sent});
+  }
+
+  PlainFormat m_format;
+  MockCallers m_callers;
+  ScriptedEndpoints m_endpoints;
+  RelayState m_state;
+  Instant m_now{seconds(1000)};
+};
+
+bool HasField(const HttpFields& fields, const char* name) {
+  return FindFieldAnyCase(fields, name) != nullptr;
+}
+
+TEST_CASE("an answer is passed on whole and counted for its workspace") {
+  Fixture f;
+  REQUIRE_CALL(f.m_callers, Respond(1U, 200, _, "body"));
+  f.Ask(1, "/once/x?y=%20");
+  CHECK(f.m_endpoints.m_calls.at(0).m_url == "http://127.0.0.1:1/once/x?y=%20");
+  CHECK(f.m_endpoints.m_calls.at(0).m_headers.at(1).m_value == "w");
+  f.Answer(0, 200, {}, "body");
+  CHECK(f.m_state.m_calls.empty());
+  CHECK(f.m_state.m_usage.size() == 1);
+}
+
+TEST_CASE("unknown routes and keys are refused and reach no endpoint") {
+  Fixture f;
+  REQUIRE_CALL(f.m_callers, Respond(1U, 404, _, _));
+  f.Ask(1, "/none/x");
+  REQUIRE_CALL(f.m_callers, Respond(2U, 401, _, _));
+  f.Ask(2, "/once/x", "wrong");
+  f.m_state.m_catalog = nullptr;
+  REQUIRE_CALL(f.m_callers, Respond(3U, 503, _, _))
+      .WITH(HasField(_3, "Retry-After"));
+  f.Ask(3, "/once/x");
+  CHECK(f.m_endpoints.m_calls.empty());
+}
+
+// Guards against a second run of a request that may run once only.
+TEST_CASE("a request that may have run is not sent again unless it may be") {
+  Fixture f;
+  REQUIRE_CALL(f.m_callers, Respond(1U, 502, _, _));
+  f.Ask(1, "/once/x");
+  f.Break(0, true);
+  CHECK(f.m_endpoints.m_calls.size() == 1);
+
+  f.Ask(2, "/safe/x");
+  f.Break(1, true);
+  REQUIRE(f.m_endpoints.m_calls.size() == 3);
+  CHECK(f.m_endpoints.To(2) != f.m_endpoints.To(1));
+  REQUIRE_CALL(f.m_callers, Respond(2U, 502, _, _));
+  f.Break(2, true);
+}
+
+// Guards against "not run" said of a request that ran.
+TEST_CASE("a rejected request goes elsewhere and is refused as not run") {
+  Fixture f;
+  f.Ask(1, "/once/x");
+  f.Answer(0, 503, {{"not-run", "1"}});
+  f.Answer(1, 503, {{"not-run", "1"}});
+  REQUIRE_CALL(f.m_callers, Respond(1U, 503, _, _))
+      .WITH(HasField(_3, "Retry-After"));
+  f.Answer(2, 503, {{"not-run", "1"}});
+  for (int i = 0; i < 10 && !f.m_state.m_calls.empty(); ++i) {
+    f.m_now += milliseconds(20);
+    TickCalls(f.m_state);
+  }
+  CHECK(f.m_state.m_calls.empty());
+}
+
+TEST_CASE("a request that no endpoint can take is refused in good time") {
+  Fixture f;
+  f.m_state.m_balance.m_endpoints.clear();
+  f.Ask(1, "/once/x");
+  f.m_now += milliseconds(20);
+  TickCalls(f.m_state);
+  REQUIRE_CALL(f.m_callers, Respond(1U, 503, _, _));
+  f.m_now += milliseconds(60);
+  TickCalls(f.m_state);
+}
+
+TEST_CASE("the deadline ends a request with a final answer") {
+  Fixture f;
+  f.Ask(1, "/once/x");
+  REQUIRE_CALL(f.m_callers, Respond(1U, 504, _, _));
+  f.m_now += milliseconds(3000);
+  TickCalls(f.m_state);
+  CHECK(f.m_endpoints.m_cancelled.size() == 1);
+}
+
+TEST_CASE("a caller that leaves has its run cancelled") {
+  Fixture f;
+  f.Ask(1, "/stream/x");
+  OnCallerLeft(f.m_state, 1);
+  CHECK(f.m_endpoints.m_cancelled.size() == 1);
+  CHECK(f.m_state.m_calls.empty());
+}
+
+// Guards against a cut stream that looks complete.
+TEST_CASE("a stream that breaks off is aborted, not ended") {
+  Fixture f;
+  f.Ask(1, "/stream/x");
+  REQUIRE_CALL(f.m_callers, StartStream(1U, 200, _));
+  REQUIRE_CALL(f.m_callers, Write(1U, "id: 1\ndata: a\n\n"));
+  REQUIRE_CALL(f.m_callers, Abort(1U));
+  f.m_endpoints.m_events.at(0).m_on_head(200, {{"stream", "1"}});
+  f.m_endpoints.m_events.at(0).m_on_body("id: 1\ndata: a\n\nid: 2\nda");
+  f.Break(0, true);
+  CHECK(f.m_endpoints.m_calls.size() == 1);
+}
+
+// Guards against lost, repeated and joined events after a resumption.
+TEST_CASE("a stream that may be resumed goes on behind its last event") {
+  Fixture f;
+  f.Ask(1, "/again/x");
+  trompeloeil::sequence order;
+  REQUIRE_CALL(f.m_callers, StartStream(1U, 200, _)).IN_SEQUENCE(order);
+  REQUIRE_CALL(f.m_callers, Write(1U, "id: 1\ndata: a\n\n")).IN_SEQUENCE(order);
+  REQUIRE_CALL(f.m_callers, Write(1U, "id: 2\ndata: b\n\n")).IN_SEQUENCE(order);
+  REQUIRE_CALL(f.m_callers, FinishStream(1U)).IN_SEQUENCE(order);
+  f.m_endpoints.m_events.at(0).m_on_head(200, {{"stream", "1"}});
+  f.m_endpoints.m_events.at(0).m_on_body("id: 1\ndata: a\n\nid: 2\nda");
+  f.Break(0, true);
+  REQUIRE(f.m_endpoints.m_calls.size() == 2);
+  CHECK(*FindFieldAnyCase(f.m_endpoints.m_calls.at(1).m_headers, "after") ==
+        "1");
+  f.Answer(1, 200, {{"stream", "1"}}, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+}
+
+// Guards against requests that a stopping instance cannot finish.
+TEST_CASE("late in a planned stop requests are refused as not run") {
+  Fixture f;
+  f.m_state.m_refuse_from = f.m_now + seconds(1);
+  f.Ask(1, "/once/x");
+  CHECK(f.m_endpoints.m_calls.size() == 1);
+  f.m_now += seconds(1);
+  REQUIRE_CALL(f.m_callers, Respond(2U, 503, _, _));
+  f.Ask(2, "/once/x");
+  CHECK(f.m_endpoints.m_calls.size() == 1);
+}
+
+TEST_CASE("a request that crashed three endpoints is not run any more") {
+  Fixture f;
+  f.Ask(1, "/stream/x");
+  const std::uint64_t fingerprint = FindRelayCall(f.m_state, 1)->m_fingerprint;
+  OnCallerLeft(f.m_state, 1);
+  CrashSuspect& suspect = f.m_state.m_suspects[fingerprint];
+  suspect.m_crashes = {"a/1", "b/1", "c/1"};
+  suspect.m_last = f.m_now;
+  REQUIRE_CALL(f.m_callers, Respond(2U, 503, _, _));
+  f.Ask(2, "/stream/x");
+  CHECK(f.m_endpoints.m_calls.size() == 1);
+}
+
+}  // namespace
+}  // namespace comfreypaddle
