--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -16,6 +16,10 @@
 constexpr Duration kFirstPause = std::chrono::milliseconds(300);
 constexpr Duration kLongestPause = std::chrono::seconds(5);
 
+// Time in which the list of endpoints tells of a new lifetime: a heartbeat and
+// a poll.
+constexpr Duration kReplacedPause = std::chrono::milliseconds(2000);
+
 // Estimated cost of a call to another region, milliseconds: the way there and
 // back, and its price in bytes.
 constexpr double kOtherRegionMs = 30;
@@ -359,6 +363,12 @@
   ++found->m_failures;
 }
 
+void OnEndpointReplaced(BalanceState& state, const std::string& endpoint,
+                        Instant now) {
+  BalanceEndpoint* found = Find(state, endpoint);
+  if (found != nullptr) found->m_full_until = now + kReplacedPause;
+}
+
 void OnPrefillTimed(BalanceState& state, const std::string& endpoint,
                     const PrefillTiming& timing, Instant now) {
   BalanceEndpoint* found = Find(state, endpoint);
--- a/src/balance.h
+++ b/src/balance.h
@@ -126,6 +126,11 @@
 void OnEndpointFailed(BalanceState& state, const std::string& endpoint,
                       Instant now);
 
+// Notes that another endpoint, or another lifetime of it, has its address: it
+// gets nothing until the list of endpoints has caught up.
+void OnEndpointReplaced(BalanceState& state, const std::string& endpoint,
+                        Instant now);
+
 // Work of a request at an endpoint and the time that it took there.
 struct PrefillTiming {
   double m_tokens = 0;  // Read, as far as is known; zero: not known.
--- a/src/fleetplan.cpp
+++ b/src/fleetplan.cpp
@@ -54,6 +54,14 @@
          now > order.m_sent + boot + plan.m_options.m_patience;
 }
 
+// Others stay until the cheap endpoints that replace them are there: new ones
+// need time to boot and have nothing cached.
+std::uint32_t KeepUntilReplaced(std::uint32_t target, std::uint32_t present,
+                                std::uint32_t missing_cheap) {
+  if (present <= target) return target;
+  return std::min(present, target + (missing_cheap + 1) / 2);
+}
+
 FleetSlot SlotOf(const EndpointOrder& order) {
   return {order.m_service, order.m_zone, order.m_cheap};
 }
@@ -74,7 +82,13 @@
     for (const bool cheap : {true, false}) {
       for (const auto& [zone, price] : scaling.zone_prices()) {
         const FleetSlot slot{service.name(), zone, cheap};
-        const std::uint32_t target = TargetOf(plan, slot, scaling, now);
+        std::uint32_t target = TargetOf(plan, slot, scaling, now);
+        if (!cheap) {
+          const FleetSlot other{service.name(), zone, true};
+          const std::uint32_t wanted = TargetOf(plan, other, scaling, now);
+          const std::uint32_t there = std::min(counts[other], wanted);
+          target = KeepUntilReplaced(target, counts[slot], wanted - there);
+        }
         if (!IsDue(plan, slot, target, counts[slot], boot, now)) continue;
         return EndpointOrder{service.name(), zone, target, cheap};
       }
--- a/src/run.cpp
+++ b/src/run.cpp
@@ -234,16 +234,24 @@
   }
 }
 
+// Notes at the endpoint why it did not take the request.
+void NoteRejection(RelayState& state, const RunAttempt& attempt,
+                   const HttpResult& result) {
+  const Instant now = state.m_clock();
+  if (!result.m_error && attempt.m_terms.m_wrong_endpoint) {
+    OnEndpointReplaced(state.m_balance, attempt.m_endpoint, now);
+  } else if (!result.m_error && attempt.m_terms.m_not_run) {
+    OnEndpointFull(state.m_balance, attempt.m_endpoint, now);
+  } else {
+    OnEndpointFailed(state.m_balance, attempt.m_endpoint, now);
+  }
+}
+
 // An endpoint rejected the request before it ran.
 void OnRejected(RelayState& state, RelayCall& call, const HttpResult& result) {
   ++state.m_counters.m_not_run;
   LogFailure(state, call, "rejected", result);
-  const Instant now = state.m_clock();
-  if (call.m_attempt.m_terms.m_wrong_endpoint) {
-    OnEndpointFailed(state.m_balance, call.m_attempt.m_endpoint, now);
-  } else {
-    OnEndpointFull(state.m_balance, call.m_attempt.m_endpoint, now);
-  }
+  NoteRejection(state, call.m_attempt, result);
   OnNotRun(state, call);
 }
 
@@ -380,13 +388,14 @@
     return;
   }
   LogFailure(state, call, "prefill", result);
-  const Instant now = state.m_clock();
-  if (!result.m_error && attempt.m_terms.m_not_run) {
-    OnEndpointFull(state.m_balance, attempt.m_endpoint, now);
-  } else {
-    OnEndpointFailed(state.m_balance, attempt.m_endpoint, now);
+  NoteRejection(state, attempt, result);
+  // Reading a prompt is no run: the request goes on without it. A call that
+  // arrived and brought nothing counts as a repeated send.
+  if (result.m_sent &&
+      !TakeResend(state.m_resends, call.m_service, state.m_clock())) {
+    FinishFailed(state, call, EndReason::kRejected);
+    return;
   }
-  // Reading a prompt is no run: the request goes on without it.
   StartCall(state, call);
 }
 
--- a/tests/fleetplan_test.cpp
+++ b/tests/fleetplan_test.cpp
@@ -53,13 +53,16 @@
   const auto first = NextOrder(plan, MakeCatalog(), fleet.List(), now);
   REQUIRE(first);
   CHECK(first->m_cheap);
-  CHECK(first->m_count == 7);
+  CHECK(first->m_count == plan.m_options.m_cheap_per_zone);
   OnOrderSent(plan, *first, now);
   OnOrderEnded(plan, *first, DutyResult::kAccepted, now);
+  // Guards against a gap in which the old ones are gone and the new ones boot.
+  CHECK_FALSE(NextOrder(plan, MakeCatalog(), fleet.List(), now));
+  fleet.m_counts[{"models", "z0", true}] = first->m_count;
   const auto second = NextOrder(plan, MakeCatalog(), fleet.List(), now);
   REQUIRE(second);
   CHECK_FALSE(second->m_cheap);
-  CHECK(second->m_count == 1);
+  CHECK(second->m_count == plan.m_options.m_lasting_per_zone);
   OnOrderSent(plan, *second, now);
   OnOrderEnded(plan, *second, DutyResult::kAccepted, now);
   CHECK_FALSE(NextOrder(plan, MakeCatalog(), fleet.List(), now));
--- a/tests/relaycall_test.cpp
+++ b/tests/relaycall_test.cpp
@@ -223,6 +223,25 @@
   CHECK(f.m_state.m_calls.empty());
 }
 
+// Guards against rejected reads of prompts that the budget does not see.
+TEST_CASE("a prompt that is not read counts as a repeated send") {
+  Fixture f;
+  schema::Catalog catalog = f.m_state.m_catalog->Message();
+  catalog.mutable_routes(2)->set_prompt(true);
+  f.m_state.m_catalog = std::make_shared<const CatalogIndex>(catalog);
+  auto& endpoints = f.m_state.m_balance.m_endpoints;
+  endpoints["e1"].m_stage = EngineStage::kPrefill;
+  endpoints["e2"].m_stage = EngineStage::kDecode;
+  endpoints["e2"].m_prefill_ms = 5000;
+  f.m_state.m_resends.m_limits = {0, seconds(10), 0};
+  f.Ask(1, "/stream/x");
+  REQUIRE(f.m_endpoints.m_calls.size() == 1);
+  CHECK(f.m_endpoints.To(0) == "e1");
+  REQUIRE_CALL(f.m_callers, Respond(1U, 503, _, _));
+  f.Answer(0, 421, {{"not-run", "1"}});
+  CHECK(f.m_endpoints.m_calls.size() == 1);
+}
+
 TEST_CASE("a request that no endpoint can take is refused in good time") {
   Fixture f;
   f.m_state.m_balance.m_endpoints.clear();
