Hand usage counts over through another instance while the store turns one away

The store carries out each sequence number of a producer once, so another instance may append on the sender's behalf. Windows are fixed 4.5 s after their end, not 2.8 s.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -14,6 +14,8 @@
 
 namespace {
 
+constexpr int kOk = 200;
+
 // Period of the checks of what is due.
 constexpr Duration kTick = std::chrono::milliseconds(100);
 
@@ -121,7 +123,6 @@
 }
 
 void Control::AnswerPeer(const HttpRequest& request) {
-  constexpr int kOk = 200;
   constexpr int kBadRequest = 400;
   schema::InstanceQuery query;
   if (request.m_target != kNeighbourTarget ||
@@ -129,8 +130,10 @@
     m_peers->Respond(request.m_id, kBadRequest, {}, "");
     return;
   }
-  const schema::InstanceState answer = AnswerNeighbour(*m_state, query);
-  m_peers->Respond(request.m_id, kOk, {}, answer.SerializeAsString());
+  AnswerNeighbour(*m_state, query,
+                  [this, id = request.m_id](const schema::InstanceState& s) {
+                    m_peers->Respond(id, kOk, {}, s.SerializeAsString());
+                  });
 }
 
 }  // namespace comfreypaddle
--- a/src/neighbours.cpp
+++ b/src/neighbours.cpp
@@ -6,6 +6,7 @@
 
 #include "eventlog.h"
 #include "follow.h"
+#include "reporter.h"
 
 namespace comfreypaddle {
 
@@ -50,6 +51,13 @@
 }
 
 void TakeAnswer(ControlState& state, const schema::InstanceState& other) {
+  if (other.usage_stored() > 0) {
+    LogLine("usage_handed_over")
+        .Add("instance", other.name())
+        .Add("sequence", static_cast<std::int64_t>(other.usage_stored()));
+    OnUsageStored(state, other.usage_stored());
+  }
+  if (!other.has_catalog() && !other.has_endpoints()) return;
   // Two instances that have both lost the store learn nothing from each other.
   if (other.store_age_ms() > StoreAgeMs(state)) return;
   LogLine("neighbour_answered")
@@ -108,6 +116,25 @@
   return addresses;
 }
 
+// State for the asker, with what it does not know yet.
+schema::InstanceState MakeAnswer(const ControlState& state,
+                                 const schema::InstanceQuery& query) {
+  schema::InstanceState answer;
+  answer.set_name(state.m_options.m_name);
+  answer.set_incarnation(state.m_options.m_incarnation);
+  answer.set_store_age_ms(StoreAgeMs(state));
+  answer.set_catalog_offset(KnownOffset(state.m_follow_catalog));
+  answer.set_endpoints_offset(KnownOffset(state.m_follow_endpoints));
+  if (query.crashes_size() > 0) return answer;
+  if (answer.catalog_offset() > query.catalog_offset() && state.m_catalog) {
+    *answer.mutable_catalog() = *state.m_catalog;
+  }
+  if (answer.endpoints_offset() > query.endpoints_offset()) {
+    *answer.mutable_endpoints() = ListEntries(state.m_directory);
+  }
+  return answer;
+}
+
 }  // namespace
 
 void RegisterInstance(ControlState& state) {
@@ -142,30 +169,46 @@
   query.set_name(state.m_options.m_name);
   query.set_catalog_offset(KnownOffset(state.m_follow_catalog));
   query.set_endpoints_offset(KnownOffset(state.m_follow_endpoints));
+  if (!state.m_flush.m_sent.empty()) {
+    schema::UsageHandover* usage = query.mutable_usage();
+    usage->set_producer(UsageProducer(state));
+    usage->set_epoch(kUsageEpoch);
+    usage->set_sequence(state.m_flush.m_sequence);
+    usage->set_record(state.m_flush.m_sent);
+  }
   Ask(state, addresses[state.m_query_turn++ % addresses.size()], query);
 }
 
-schema::InstanceState AnswerNeighbour(ControlState& state,
-                                      const schema::InstanceQuery& query) {
+void AnswerNeighbour(
+    ControlState& state, const schema::InstanceQuery& query,
+    std::function<void(const schema::InstanceState&)> respond) {
   for (const schema::CrashReport& crash : query.crashes()) {
     schema::RelayMessage message;
     *message.mutable_crash() = crash;
     state.m_relay->Post(std::move(message));
   }
-  schema::InstanceState answer;
-  answer.set_name(state.m_options.m_name);
-  answer.set_incarnation(state.m_options.m_incarnation);
-  answer.set_store_age_ms(StoreAgeMs(state));
-  answer.set_catalog_offset(KnownOffset(state.m_follow_catalog));
-  answer.set_endpoints_offset(KnownOffset(state.m_follow_endpoints));
-  if (query.crashes_size() > 0) return answer;
-  if (answer.catalog_offset() > query.catalog_offset() && state.m_catalog) {
-    *answer.mutable_catalog() = *state.m_catalog;
-  }
-  if (answer.endpoints_offset() > query.endpoints_offset()) {
-    *answer.mutable_endpoints() = ListEntries(state.m_directory);
+  const schema::InstanceState answer = MakeAnswer(state, query);
+  if (!query.has_usage()) {
+    respond(answer);
+    return;
   }
-  return answer;
+  StreamAppend append;
+  append.m_stream = Stream::kUsage;
+  append.m_value = query.usage().record();
+  append.m_producer = query.usage().producer();
+  append.m_epoch = query.usage().epoch();
+  append.m_sequence = query.usage().sequence();
+  state.m_store->Append(
+      append, [&state, answer, respond, sequence = query.usage().sequence()](
+                  const AppendResult& result) {
+        NoteStoreCall(state, result.m_fault, result.m_detail);
+        schema::InstanceState complete = answer;
+        if (result.m_fault == StoreFault::kNone ||
+            result.m_fault == StoreFault::kRepeated) {
+          complete.set_usage_stored(sequence);
+        }
+        respond(complete);
+      });
 }
 
 void SpreadCrash(ControlState& state, const schema::CrashReport& crash) {
--- a/src/reporter.cpp
+++ b/src/reporter.cpp
@@ -24,11 +24,6 @@
 // Fixed windows that are kept for a successor.
 constexpr int kMaxFixedWindows = 8;
 
-std::string UsageProducer(const ControlState& state) {
-  return state.m_options.m_name + "-" +
-         std::to_string(state.m_options.m_incarnation);
-}
-
 std::string MakeUsageRecord(const ControlState& state) {
   schema::UsageRecord record;
   record.set_instance(state.m_options.m_name);
@@ -59,19 +54,18 @@
   append.m_stream = Stream::kUsage;
   append.m_value = flush.m_sent;
   append.m_producer = UsageProducer(state);
-  append.m_epoch = 1;
+  append.m_epoch = kUsageEpoch;
   append.m_sequence = flush.m_sequence;
-  state.m_store->Append(append, [&state](const AppendResult& result) {
-    UsageFlush& done = state.m_flush;
-    done.m_busy = false;
+  state.m_store->Append(append, [&state, sequence = flush.m_sequence](
+                                    const AppendResult& result) {
+    state.m_flush.m_busy = false;
     NoteStoreCall(state, result.m_fault, result.m_detail);
     // A number that does not follow has been carried out before.
     if (result.m_fault == StoreFault::kNone ||
         result.m_fault == StoreFault::kRepeated) {
-      done.m_sent.clear();
-      ++done.m_sequence;
+      OnUsageStored(state, sequence);
     } else {
-      done.m_due = state.m_clock() + kRetryPause;
+      state.m_flush.m_due = state.m_clock() + kRetryPause;
     }
   });
 }
@@ -264,6 +258,18 @@
 
 }  // namespace
 
+std::string UsageProducer(const ControlState& state) {
+  return state.m_options.m_name + "-" +
+         std::to_string(state.m_options.m_incarnation);
+}
+
+void OnUsageStored(ControlState& state, std::uint64_t sequence) {
+  // Another instance may have stored it before.
+  if (sequence != state.m_flush.m_sequence) return;
+  state.m_flush.m_sent.clear();
+  ++state.m_flush.m_sequence;
+}
+
 void TakeUsage(ControlState& state, const schema::UsageCounts& counts) {
   for (const schema::UsageCount& count : counts.counts()) {
     state.m_flush.m_counts[{count.window(), count.workspace()}] +=
--- a/src/reporter.h
+++ b/src/reporter.h
@@ -8,6 +8,15 @@
 // Takes counts of the task that serves callers.
 void TakeUsage(ControlState& state, const schema::UsageCounts& counts);
 
+// Epoch of all usage records: a process is a producer of its own.
+inline constexpr std::uint64_t kUsageEpoch = 1;
+
+// Name of this process as a producer of usage records.
+std::string UsageProducer(const ControlState& state);
+
+// Notes that the record with this sequence number is in the store.
+void OnUsageStored(ControlState& state, std::uint64_t sequence);
+
 // Writes the counts of this instance to the store, follows the duties, claims
 // or renews them, and as their holder fixes and reports usage windows. Call it
 // every tick.
--- a/src/tally.h
+++ b/src/tally.h
@@ -12,8 +12,9 @@
 struct TallyOptions {
   Duration m_window = std::chrono::seconds(5);
   // Time after a window's end at which its figures are fixed: by then the
-  // counts of all instances are in the store.
-  Duration m_settle = std::chrono::milliseconds(2800);
+  // counts of all instances are in the store, also of those that hand them
+  // over through another instance.
+  Duration m_settle = std::chrono::milliseconds(4500);
   // Time after a window's end after which it is not reported any more.
   Duration m_give_up = std::chrono::seconds(30);
 };
--- a/tests/fleetplan_test.cpp
+++ b/tests/fleetplan_test.cpp
@@ -119,6 +119,7 @@
 // Guards against counts that are read twice and against a gap of windows.
 TEST_CASE("a window is fixed once, after the counts have settled") {
   TallyState state;
+  state.m_options.m_settle = milliseconds(2800);
   Instant now(seconds(100));
   FoldUsage(state, UsageOf(0, 200, 7), now);
   FoldUsage(state, UsageOf(0, 200, 7), now);
