Test the whole entry instance on a stand-in of the platform

Real processes on a store with conditions, producers and waiting reads, the duty interface and endpoints: three kinds of requests, keys, configuration that does not go back, resumption, planned stop, killed holder, store outage.

No functional change

--- /dev/null
+++ b/tests/support_platform.cpp
@@ -0,0 +1,359 @@
+#include "support_platform.h"
+
+#include <doctest/doctest.h>
+
+#include <filesystem>
+#include <fstream>
+
+#include "base64.h"
+
+namespace comfreypaddle::testing {
+
+namespace {
+
+// Value of a parameter in the query of a target, or nothing.
+std::optional<std::string> FindParameter(const std::string& target,
+                                         const std::string& name) {
+  const std::size_t query = target.find('?');
+  if (query == std::string::npos) return std::nullopt;
+  std::string text = "&" + target.substr(query + 1);
+  const std::size_t at = text.find("&" + name + "=");
+  if (at == std::string::npos) return std::nullopt;
+  const std::size_t begin = at + name.size() + 2;
+  return text.substr(begin, text.find('&', begin) - begin);
+}
+
+std::uint64_t Number(const std::optional<std::string>& text) {
+  return text ? std::stoull(*text) : 0;
+}
+
+std::string BigEndian(std::uint64_t value, int bytes) {
+  std::string text;
+  for (int shift = 8 * (bytes - 1); shift >= 0; shift -= 8) {
+    text += static_cast<char>(value >> shift);
+  }
+  return text;
+}
+
+HttpServerEvents OnRequest(std::function<void(const HttpRequest&)> handle) {
+  HttpServerEvents events;
+  events.m_on_request = std::move(handle);
+  events.m_on_gone = [](std::uint64_t) {};
+  events.m_on_refused = [](int, ParseError) {};
+  return events;
+}
+
+std::string FieldOf(const HttpRequest& request, const char* name) {
+  const std::string* value = FindFieldAnyCase(request.m_headers, name);
+  return value == nullptr ? "" : *value;
+}
+
+}  // namespace
+
+FakeStore::FakeStore(SocketSet& sockets)
+    : m_port(FreePort()),
+      m_server(sockets, OnRequest([this](const HttpRequest& r) { Handle(r); })),
+      m_tick(sockets.Loop(), std::chrono::milliseconds(20),
+             [this] { AnswerReads(); }) {
+  REQUIRE_FALSE(m_server.Listen("127.0.0.1", m_port));
+}
+
+void FakeStore::Put(const std::string& topic, const std::string& key,
+                    const std::string& value) {
+  Topic& place = m_topics[topic];
+  place.m_newest[key] = place.m_records.size();
+  place.m_records.push_back(std::string(1, static_cast<char>(key.size())) +
+                            key + value);
+}
+
+void FakeStore::Handle(const HttpRequest& request) {
+  if (m_down) {
+    m_server.Respond(request.m_id, 503, {}, "");
+  } else if (request.m_target.find("log-append") != std::string::npos) {
+    Append(request);
+  } else if (request.m_target.find("log-read") != std::string::npos) {
+    Read(request);
+  } else if (request.m_target.find("log-newest") != std::string::npos) {
+    Newest(request);
+  } else {
+    m_server.Respond(request.m_id, 404, {}, "");
+  }
+}
+
+void FakeStore::Append(const HttpRequest& request) {
+  const std::string name = *FindParameter(request.m_target, "topic");
+  Topic& topic = m_topics[name];
+  const auto answer = [&](int status, std::uint64_t offset) {
+    m_server.Respond(request.m_id, status, {},
+                     R"({"offset":)" + std::to_string(offset) +
+                         R"(,"endOffset":)" +
+                         std::to_string(topic.m_records.size()) + "}");
+  };
+  const auto at = FindParameter(request.m_target, "at");
+  if (at && Number(at) != topic.m_records.size()) return answer(412, 0);
+  const auto producer = FindParameter(request.m_target, "producer");
+  if (producer) {
+    const std::uint64_t sequence =
+        Number(FindParameter(request.m_target, "sequence"));
+    const auto last = topic.m_sequences.find(*producer);
+    if (last != topic.m_sequences.end() && sequence == last->second) {
+      return answer(200, topic.m_offsets[*producer]);
+    }
+    topic.m_sequences[*producer] = sequence;
+    topic.m_offsets[*producer] = topic.m_records.size();
+  }
+  const std::string content = request.m_body.substr(4);
+  if (name.rfind("keyed.", 0) == 0) {
+    const auto size = static_cast<unsigned char>(content.front());
+    topic.m_newest[content.substr(1, size)] = topic.m_records.size();
+  }
+  topic.m_records.push_back(content);
+  answer(200, topic.m_records.size() - 1);
+}
+
+void FakeStore::Read(const HttpRequest& request) {
+  const std::uint64_t wait_ms =
+      Number(FindParameter(request.m_target, "waitMs"));
+  m_waiting.push_back({request.m_id, *FindParameter(request.m_target, "topic"),
+                       Number(FindParameter(request.m_target, "from")),
+                       Now() + std::chrono::milliseconds(wait_ms)});
+  AnswerReads();
+}
+
+void FakeStore::AnswerReads() {
+  std::vector<WaitingRead> still;
+  for (const WaitingRead& read : m_waiting) {
+    const Topic& topic = m_topics[read.m_topic];
+    if (read.m_from >= topic.m_records.size() && Now() < read.m_until) {
+      still.push_back(read);
+      continue;
+    }
+    std::string body = BigEndian(topic.m_records.size(), 8) + BigEndian(0, 8);
+    for (std::size_t i = read.m_from; i < topic.m_records.size(); ++i) {
+      body += BigEndian(topic.m_records[i].size(), 4) + topic.m_records[i];
+    }
+    m_server.Respond(read.m_id, 200, {}, body);
+  }
+  m_waiting = std::move(still);
+}
+
+void FakeStore::Newest(const HttpRequest& request) {
+  const Topic& topic = m_topics[*FindParameter(request.m_target, "topic")];
+  std::string items;
+  for (const auto& [key, offset] : topic.m_newest) {
+    const std::string value = topic.m_records[offset].substr(1 + key.size());
+    if (!items.empty()) items += ",";
+    items += R"({"key":")" + key + R"(","value":")" + EncodeBase64(value) +
+             R"(","offset":)" + std::to_string(offset) + "}";
+  }
+  m_server.Respond(request.m_id, 200, {},
+                   R"({"items":[)" + items + R"(],"hasMore":false,)" +
+                       R"("endOffset":)" +
+                       std::to_string(topic.m_records.size()) + "}");
+}
+
+FakeDuties::FakeDuties(SocketSet& sockets)
+    : m_port(FreePort()),
+      m_server(sockets, OnRequest([this](const HttpRequest& request) {
+                 m_calls.push_back(
+                     {request.m_target, FieldOf(request, "Duty-Holder"),
+                      std::stoull(FieldOf(request, "Fencing-Token")),
+                      request.m_body});
+                 if (request.m_target == "/usage") {
+                   const std::size_t at = request.m_body.find("\"windowId\"");
+                   const std::string window = request.m_body.substr(
+                       at, request.m_body.find_first_of(",}\n", at) - at);
+                   const auto [place, fresh] =
+                       m_reports.try_emplace(window, request.m_body);
+                   m_contradicted |= !fresh && place->second != request.m_body;
+                 }
+                 m_server.Respond(request.m_id, 200, {}, "");
+               })) {
+  REQUIRE_FALSE(m_server.Listen("127.0.0.1", m_port));
+}
+
+FakeEndpoint::FakeEndpoint(SocketSet& sockets, std::string id)
+    : m_sockets(sockets),
+      m_id(std::move(id)),
+      m_port(FreePort()),
+      m_server(sockets,
+               OnRequest([this](const HttpRequest& r) { Handle(r); })) {
+  REQUIRE_FALSE(m_server.Listen("127.0.0.1", m_port));
+}
+
+void FakeEndpoint::Handle(const HttpRequest& request) {
+  const HttpFields own = {{"Attempt-Id", FieldOf(request, "Attempt-Id")},
+                          {"Server-Stamp", "stamp-" + m_id},
+                          {"Keep-Alive", "timeout=5"}};
+  if (FieldOf(request, "Expect-Instance") != m_id) {
+    m_server.Respond(request.m_id, 421, {}, "");
+    return;
+  }
+  if (m_full) {
+    m_server.Respond(request.m_id, 503, {{"Not-Executed", "1"}}, "");
+    return;
+  }
+  m_requests.push_back(request);
+  const bool stream = request.m_target.rfind("/stream/", 0) == 0 ||
+                      request.m_target.rfind("/again/", 0) == 0;
+  if (!stream) {
+    m_server.Respond(request.m_id, 200, own, "ran " + request.m_target);
+    return;
+  }
+  HttpFields fields = own;
+  fields.push_back({"Content-Type", "text/event-stream"});
+  m_server.StartStream(request.m_id, 200, fields);
+  const std::string after = FieldOf(request, "Last-Event-Id");
+  SendEvent(request.m_id, after.empty() ? 1 : std::stoi(after) + 1);
+}
+
+void FakeEndpoint::SendEvent(std::uint64_t id, int event) {
+  constexpr int kEvents = 5;
+  if (event > kEvents) {
+    m_server.FinishStream(id);
+    return;
+  }
+  if (m_break_after > 0 && event > m_break_after) {
+    m_server.Abort(id);
+    return;
+  }
+  m_server.Write(id, "id: " + std::to_string(event) + "\ndata: x\n\n");
+  m_sockets.Loop().StartTimer(std::chrono::milliseconds(20),
+                              [this, id, event] { SendEvent(id, event + 1); });
+}
+
+PlatformCluster::PlatformCluster(const std::string& name)
+    : m_folder((std::filesystem::temp_directory_path() /
+                ("comfreypaddle-" + name + "-" + std::to_string(getpid())))
+                   .string()),
+      m_sockets(m_loop),
+      m_client(m_sockets),
+      m_store(m_sockets),
+      m_duties(m_sockets) {
+  std::filesystem::create_directories(m_folder);
+}
+
+PlatformCluster::~PlatformCluster() {
+  m_entries.clear();
+  std::filesystem::remove_all(m_folder);
+}
+
+void PlatformCluster::AddEndpoint(const std::string& service) {
+  const std::string id = "i-" + std::to_string(m_endpoints.size());
+  m_endpoints.push_back(std::make_unique<FakeEndpoint>(m_sockets, id));
+  m_store.Put("keyed.servers", id,
+              R"({"service":")" + service + R"(","address":"127.0.0.1:)" +
+                  std::to_string(m_endpoints.back()->Port()) +
+                  R"(","zone":"z1","version":"v1","slots":4,"state":"ready",)" +
+                  R"("coldRemainingMs":0,"sequence":1})");
+}
+
+void PlatformCluster::Configure(int version, const std::string& keys_json) {
+  const auto route = [](const std::string& name, const std::string& type,
+                        int attempts, bool resumable) {
+    return R"({"name":")" + name + R"(","hostname":"h.example",)" +
+           R"("pathPrefix":"/)" + name + R"(/","routeType":")" + type +
+           R"(","timeoutMs":5000,"targetLatencyMs":400,"priority":1,)" +
+           R"("service":"plain","public":false,"maxAttempts":)" +
+           std::to_string(attempts) + R"(,"resumable":)" +
+           (resumable ? "true" : "false") + "}";
+  };
+  m_store.Put("keyed.op", "config",
+              R"({"version":)" + std::to_string(version) +
+                  R"(,"routeTable":[)" + route("safe", "idempotent", 2, false) +
+                  "," + route("once", "non_idempotent", 1, false) + "," +
+                  route("stream", "streaming", 1, false) + "," +
+                  route("again", "streaming", 2, true) +
+                  R"(],"serviceTable":[{"name":"plain"}],"limits":{},)" +
+                  R"("tenants":[{"name":"w","apiKeys":)" + keys_json + "}]}");
+}
+
+void PlatformCluster::StartEntry(int index) {
+  Ports& ports = m_ports[index];
+  if (ports.m_callers == 0) {
+    ports = {FreePort(), FreePort(), FreePort(), FreePort()};
+  }
+  const auto local = [](std::uint16_t port) {
+    return "127.0.0.1:" + std::to_string(port);
+  };
+  const std::string path =
+      m_folder + "/entry-" + std::to_string(index) + ".ini";
+  std::ofstream(path) << "[instance]\nname = entry-" << index
+                      << "\navailability_zone = z1\nregion = r1\n"
+                      << "zones = z1/r1\n[listen]\ncallers = "
+                      << local(ports.m_callers)
+                      << "\nready = " << local(ports.m_ready)
+                      << "\npeers = " << local(ports.m_peers)
+                      << "\nmetrics = " << local(ports.m_metrics)
+                      << "\n[platform]\nstore = " << local(m_store.Port())
+                      << "\norders = " << local(m_duties.Port())
+                      << "\n[duties]\nusage_window_s = 1\n"
+                      << "[stop]\nnotice_ms = 300\n";
+  m_entries[index] = std::make_unique<Process>(
+      "comfreypaddle", std::vector<std::string>{"entry", "--config", path},
+      LogPath(index));
+  REQUIRE(Until([&] { return IsReady(index); }));
+}
+
+bool PlatformCluster::IsReady(int entry) {
+  HttpCall call;
+  call.m_url = "http://127.0.0.1:" + std::to_string(m_ports[entry].m_ready) +
+               "/comfreypaddle/readyz";
+  int status = 0;
+  bool ended = false;
+  HttpEvents events;
+  events.m_on_end = [&](const HttpResult& result) {
+    status = result.m_status;
+    ended = true;
+  };
+  m_client.Start(std::move(call), std::move(events));
+  RunUntil(m_loop, std::chrono::seconds(2), [&] { return ended; });
+  return status == 200;
+}
+
+std::shared_ptr<Reply> PlatformCluster::Start(int entry,
+                                              const std::string& method,
+                                              const std::string& target,
+                                              const std::string& key) {
+  HttpCall call;
+  call.m_method = method;
+  call.m_url =
+      "http://127.0.0.1:" + std::to_string(m_ports[entry].m_callers) + target;
+  call.m_headers = {{"Host", "h.example"},
+                    {"Attempt-Id", "a" + std::to_string(m_next_attempt++)},
+                    {"Key", key},
+                    {"Tenant", "forged"},
+                    {"Deadline-Ms", "4000"}};
+  if (method == "POST") call.m_body = "body of " + target;
+  auto reply = std::make_shared<Reply>();
+  HttpEvents events;
+  events.m_on_head = [reply](int status, const HttpFields& fields) {
+    reply->m_status = status;
+    reply->m_headers = fields;
+  };
+  events.m_on_body = [reply](std::string_view b) { reply->m_body += b; };
+  events.m_on_end = [reply](const HttpResult& result) {
+    reply->m_error = result.m_error;
+    reply->m_ended = true;
+  };
+  m_client.Start(std::move(call), std::move(events));
+  return reply;
+}
+
+Reply PlatformCluster::Call(int entry, const std::string& method,
+                            const std::string& target, const std::string& key) {
+  const auto reply = Start(entry, method, target, key);
+  REQUIRE(Until([&] { return reply->m_ended; }));
+  return *reply;
+}
+
+bool PlatformCluster::Until(const std::function<bool()>& condition,
+                            Duration limit) {
+  return RunUntil(m_loop, limit, condition);
+}
+
+std::string PlatformCluster::LogPath(int entry) const {
+  return m_folder + "/entry-" + std::to_string(entry) + ".log";
+}
+
+}  // namespace comfreypaddle::testing
