--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -64,11 +64,9 @@
          query.m_excluded.end();
 }
 
-bool HasRoom(const BalanceState& state, const BalanceEndpoint& endpoint,
-             Instant now) {
+// Each instance may fill an endpoint by itself: the others may be idle.
+bool HasRoom(const BalanceEndpoint& endpoint, Instant now) {
   if (endpoint.m_draining || now < endpoint.m_full_until) return false;
-  // Each instance may fill an endpoint by itself: the others may be idle.
-  (void)state;
   return endpoint.m_running < endpoint.m_slots;
 }
 
@@ -101,7 +99,7 @@
     if (endpoint.m_service != query.m_service || endpoint.m_stage != stage) {
       continue;
     }
-    if (!HasRoom(state, endpoint, now) || IsExcluded(query, id)) continue;
+    if (!HasRoom(endpoint, now) || IsExcluded(query, id)) continue;
     (now < endpoint.m_avoid_until ? failed : good).push_back(&endpoint);
   }
   *last_resort = good.empty();
--- a/src/balance.h
+++ b/src/balance.h
@@ -63,7 +63,6 @@
   std::map<std::string, EngineSpeed, std::less<>> m_speeds;  // By service.
   std::string m_zone;  // Of this instance.
   std::string m_region;
-  std::uint32_t m_instances = 1;
 };
 
 // A request that needs an endpoint.
--- a/src/channel.cpp
+++ b/src/channel.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 // Bytes read from a socket in one turn.
-constexpr std::size_t kReadBytes = 32 * 1024;
+constexpr std::size_t kReadBytes = 32U << 10U;
 
 bool WouldBlock() { return errno == EAGAIN || errno == EWOULDBLOCK; }
 
--- a/src/control.cpp
+++ b/src/control.cpp
@@ -23,6 +23,10 @@
 constexpr std::uint64_t kClaimSteps = 8;
 constexpr Duration kClaimStep = std::chrono::milliseconds(60);
 
+// Time after a window's end at which its figures are fixed, milliseconds for
+// each second in which it is to be reported. The rest is for a successor.
+constexpr int kSettlePart = 450;
+
 }  // namespace
 
 Control::Control(const schema::RelaySettings& settings,
@@ -65,6 +69,9 @@
       kClaimStep * (std::hash<std::string>()(holder.m_name) % kClaimSteps);
   state.m_tally.m_options.m_window =
       std::chrono::seconds(m_settings.duties().usage_window_s());
+  state.m_tally.m_options.m_settle =
+      std::chrono::milliseconds(m_settings.duties().usage_delay_s()) *
+      kSettlePart;
   HttpServerEvents events;
   events.m_on_request = [this](const HttpRequest& request) {
     AnswerPeer(request);
@@ -102,6 +109,14 @@
 }
 
 void Control::Finish() {
+  const ControlCounters& counters = m_state->m_counters;
+  LogLine("control_totals")
+      .Add("store_calls", static_cast<std::int64_t>(counters.m_store_calls))
+      .Add("store_faults", static_cast<std::int64_t>(counters.m_store_faults))
+      .Add("unreadable", static_cast<std::int64_t>(counters.m_unreadable))
+      .Add("reports", static_cast<std::int64_t>(counters.m_reports))
+      .Add("report_faults", static_cast<std::int64_t>(counters.m_report_faults))
+      .Add("peer_queries", static_cast<std::int64_t>(counters.m_peer_queries));
   m_tick.reset();
   m_peers.reset();
   m_client.reset();
--- a/src/controlstate.h
+++ b/src/controlstate.h
@@ -40,11 +40,6 @@
   std::uint64_t m_accepted = 0;  // Newest window that the platform accepted.
 };
 
-struct KnownInstance {
-  schema::InstanceRecord m_record;
-  Instant m_asked{};
-};
-
 struct ControlOptions {
   std::string m_name;
   std::string m_peers;  // IP:PORT of this instance for others.
@@ -87,7 +82,7 @@
   ReportState m_report;
   FleetPlan m_fleet;
   bool m_ordering = false;
-  std::map<std::string, KnownInstance, std::less<>> m_instances;
+  std::map<std::string, schema::InstanceRecord, std::less<>> m_instances;
   bool m_registered = false;
   bool m_registering = false;
   Instant m_next_query{};
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -101,7 +101,8 @@
     m_relay->Inbox().Post(std::move(drain));
     const Duration limit = std::chrono::seconds(m_settings.stop().grace_s());
     m_loop.StartTimer(limit - kStopReserve, [this] {
-      LogLine("stop_limit_reached");
+      LogLine line("stop_limit_reached");
+      line.Add("instance", m_settings.instance().name());
       m_loop.Stop();
     });
   }
--- a/src/fleetplan.h
+++ b/src/fleetplan.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "relay.pb.h"
@@ -16,7 +17,10 @@
   std::string m_zone;
   bool m_cheap = false;
 
-  friend auto operator<=>(const FleetSlot&, const FleetSlot&) = default;
+  friend bool operator<(const FleetSlot& a, const FleetSlot& b) {
+    return std::tie(a.m_service, a.m_zone, a.m_cheap) <
+           std::tie(b.m_service, b.m_zone, b.m_cheap);
+  }
 };
 
 // How many endpoints each zone is to have.
--- a/src/follow.cpp
+++ b/src/follow.cpp
@@ -116,13 +116,12 @@
   for (const StreamRecord& record : result.m_records) {
     schema::InstanceRecord parsed;
     if (record.m_removed || !parsed.ParseFromString(record.m_value)) continue;
-    KnownInstance& known = state.m_instances[record.m_key];
-    if (parsed.incarnation() < known.m_record.incarnation()) continue;
-    known.m_record = parsed;
+    schema::InstanceRecord& known = state.m_instances[record.m_key];
+    if (parsed.incarnation() >= known.incarnation()) known = parsed;
   }
   std::uint32_t live = 0;
   for (const auto& [name, known] : state.m_instances) {
-    if (!known.m_record.left()) ++live;
+    if (!known.left()) ++live;
   }
   schema::RelayMessage message;
   message.mutable_peers()->set_instances(std::max<std::uint32_t>(live, 1));
--- a/src/httpclient.cpp
+++ b/src/httpclient.cpp
@@ -69,7 +69,6 @@
     m_id = id;
     m_events = std::make_shared<HttpEvents>(std::move(events));
     m_belongs = call.m_belongs;
-    m_head_request = call.m_method == "HEAD";
     m_started = Now();
     m_last_byte = m_started;
     m_connect_limit = call.m_connect_timeout;
@@ -223,7 +222,6 @@
   std::function<bool(const HttpFields&)> m_belongs;
   HttpParser m_parser;
   int m_status = 0;
-  bool m_head_request = false;
   bool m_connected = false;
   bool m_written = false;
   bool m_head_seen = false;
--- a/src/httpserver.cpp
+++ b/src/httpserver.cpp
@@ -15,6 +15,8 @@
 
 namespace {
 
+constexpr int kRequestTimeout = 408;
+
 // Period of the checks of idle and slow callers.
 constexpr Duration kSweepPeriod = std::chrono::milliseconds(250);
 
@@ -24,7 +26,7 @@
 constexpr Duration kLingerTime = std::chrono::seconds(1);
 
 // Input of later requests that is held while one is open.
-constexpr std::size_t kMaxPipelinedBytes = 256 * 1024;
+constexpr std::size_t kMaxPipelinedBytes = 256U << 10U;
 
 // Connections accepted in one turn of the loop.
 constexpr int kAcceptBatch = 32;
@@ -101,7 +103,7 @@
   void OnBody(std::string_view bytes) override { m_body.append(bytes); }
 
   // Sends a whole answer and goes on with the next request.
-  void Respond(int status, HttpFields headers, std::string_view body) {
+  void Respond(int status, const HttpFields& headers, std::string_view body) {
     const bool keep = KeepsOpen();
     std::string text = HeadText(status, headers);
     // A body of 204 and 304 is not allowed.
@@ -155,10 +157,10 @@
     if (m_request != 0) return false;
     if (!m_parser.Started())
       return now - m_active > m_server.m_limits.m_idle_time;
-    if (!m_head_done && now - m_begun > m_server.m_limits.m_head_time) {
-      Refuse(408, ParseError::kNone);
-    } else if (now - m_active > m_server.m_limits.m_idle_time) {
-      Refuse(408, ParseError::kNone);
+    const bool slow_head =
+        !m_head_done && now - m_begun > m_server.m_limits.m_head_time;
+    if (slow_head || now - m_active > m_server.m_limits.m_idle_time) {
+      Refuse(kRequestTimeout, ParseError::kNone);
     }
     return false;
   }
@@ -315,7 +317,7 @@
                          std::string body) {
   Connection* connection = FindRequest(id);
   if (connection != nullptr) {
-    connection->Respond(status, std::move(headers), body);
+    connection->Respond(status, headers, body);
   }
 }
 
--- a/src/neighbours.cpp
+++ b/src/neighbours.cpp
@@ -110,8 +110,8 @@
 std::vector<std::string> OtherAddresses(const ControlState& state) {
   std::vector<std::string> addresses;
   for (const auto& [name, known] : state.m_instances) {
-    if (name == state.m_options.m_name || known.m_record.left()) continue;
-    addresses.push_back(known.m_record.peers());
+    if (name == state.m_options.m_name || known.left()) continue;
+    addresses.push_back(known.peers());
   }
   return addresses;
 }
@@ -181,7 +181,7 @@
 
 void AnswerNeighbour(
     ControlState& state, const schema::InstanceQuery& query,
-    std::function<void(const schema::InstanceState&)> respond) {
+    const std::function<void(const schema::InstanceState&)>& respond) {
   for (const schema::CrashReport& crash : query.crashes()) {
     schema::RelayMessage message;
     *message.mutable_crash() = crash;
--- a/src/neighbours.h
+++ b/src/neighbours.h
@@ -17,8 +17,9 @@
 
 // Answers such a question through the callback, which may be called later:
 // usage that was handed over is appended first.
-void AnswerNeighbour(ControlState& state, const schema::InstanceQuery& query,
-                     std::function<void(const schema::InstanceState&)> respond);
+void AnswerNeighbour(
+    ControlState& state, const schema::InstanceQuery& query,
+    const std::function<void(const schema::InstanceState&)>& respond);
 
 // Tells all instances that an endpoint crashed while it ran a request.
 void SpreadCrash(ControlState& state, const schema::CrashReport& crash);
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr int kOk = 200;
+constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 
 // Period of the checks of deadlines and of waiting requests.
@@ -148,7 +149,6 @@
       break;
     case schema::RelayMessage::kPeers:
       m_state.m_resends.m_instances = message.peers().instances();
-      m_state.m_balance.m_instances = message.peers().instances();
       break;
     case schema::RelayMessage::kCrash:
       NoteCrash(message.crash());
@@ -286,6 +286,10 @@
 }
 
 void Relay::AnswerReady(const HttpRequest& request) {
+  if (request.m_target != m_state.m_format->ReadyTarget()) {
+    m_ready->Respond(request.m_id, kNotFound, {}, "");
+    return;
+  }
   m_ready->Respond(request.m_id, IsReady() ? kOk : kUnavailable, {}, "");
 }
 
--- a/src/run.cpp
+++ b/src/run.cpp
@@ -303,14 +303,12 @@
               bool signalled) {
   SettleAttempt(state, call);
   const RunAttempt& attempt = call.m_attempt;
-  if (result.m_error) {
+  if (result.m_error || attempt.m_cutter.HasPartial()) {
     OnRunBroken(state, call, result, signalled);
   } else if (attempt.m_terms.m_not_run) {
     OnRejected(state, call, result);
   } else if (!PassesEvents(attempt)) {
     OnWholeAnswer(state, call, result);
-  } else if (attempt.m_cutter.HasPartial()) {
-    OnRunBroken(state, call, result, signalled);
   } else {
     OnStreamComplete(state, call);
   }
--- a/src/wireformat.h
+++ b/src/wireformat.h
@@ -55,7 +55,6 @@
   bool m_not_run = false;  // It promises that the request did not run.
   bool m_wrong_endpoint = false;
   bool m_is_stream = false;
-  bool m_leaving = false;  // The endpoint closes the connection.
 };
 
 // Result of reading a prompt without running the request.
--- a/tests/adapter_test.cpp
+++ b/tests/adapter_test.cpp
@@ -12,14 +12,14 @@
   return {0, key, value, false};
 }
 
-const std::string kEntry =
+const std::string entry_json =
     R"({"service":"s","address":"10.0.0.9:8080","zone":"z","version":"v1",)"
     R"("slots":6,"state":"ready","coldRemainingMs":0,"phase":"decode",)"
     R"("sequence":4,"born":1790887712000,"spot":true})";
 
 TEST_CASE("an endpoint's entry is decoded") {
   const platform::JsonRecords records;
-  const auto entry = records.ReadEndpoint(Record("i-1", kEntry));
+  const auto entry = records.ReadEndpoint(Record("i-1", entry_json));
   REQUIRE(entry);
   CHECK(entry->id() == "i-1");
   CHECK(entry->address() == "10.0.0.9:8080");
@@ -33,7 +33,7 @@
 TEST_CASE("entries with missing or wrong fields name no endpoint") {
   const platform::JsonRecords records;
   const auto with = [&](const std::string& from, const std::string& to) {
-    std::string text = kEntry;
+    std::string text = entry_json;
     text.replace(text.find(from), from.size(), to);
     return records.ReadEndpoint(Record("i-1", text)).has_value();
   };
--- a/tests/entry_system_test.cpp
+++ b/tests/entry_system_test.cpp
@@ -15,7 +15,7 @@
 using testing::PlatformCluster;
 using testing::Reply;
 
-const std::string kWholeStream =
+const std::string whole_stream =
     "id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\n"
     "id: 4\ndata: x\n\nid: 5\ndata: x\n\n";
 
@@ -40,7 +40,7 @@
   CHECK(FindFieldAnyCase(safe.m_headers, "Server-Stamp") != nullptr);
   CHECK(cluster.Call(2, "POST", "/once/x").m_status == 200);
   const Reply stream = cluster.Call(1, "POST", "/stream/x");
-  CHECK(stream.m_body == kWholeStream);
+  CHECK(stream.m_body == whole_stream);
   CHECK(cluster.Call(1, "GET", "/none/x").m_status == 404);
   CHECK(cluster.Call(2, "GET", "/safe/x", "wrong").m_status == 401);
   for (std::size_t i = 0; i < 2; ++i) {
@@ -100,7 +100,7 @@
   cluster.AddEndpoint("plain");
   REQUIRE(cluster.Until([&] { return resumed->m_ended; }));
   CHECK_FALSE(resumed->m_error);
-  CHECK(resumed->m_body == kWholeStream);
+  CHECK(resumed->m_body == whole_stream);
   CHECK(cluster.Endpoint(1).Requests().size() == 1);
 }
 
@@ -116,7 +116,7 @@
       cluster.Until([&] { return !cluster.Endpoint(0).Requests().empty(); }));
   cluster.Entry(1).Signal(SIGTERM);
   REQUIRE(cluster.Until([&] { return stream->m_ended; }));
-  CHECK(stream->m_body == kWholeStream);
+  CHECK(stream->m_body == whole_stream);
   REQUIRE(
       cluster.Until([&] { return cluster.Entry(1).ExitCode().has_value(); }));
   CHECK(*cluster.Entry(1).ExitCode() == 0);
--- a/tests/httpwire_test.cpp
+++ b/tests/httpwire_test.cpp
@@ -22,7 +22,7 @@
 struct Fixture {
   Fixture() : m_sockets(m_loop), m_client(m_sockets), m_port(FreePort()) {
     HttpServerEvents events;
-    events.m_on_request = [this](HttpRequest request) {
+    events.m_on_request = [this](const HttpRequest& request) {
       m_requests.push_back(request);
       if (m_handle) m_handle(m_requests.back());
     };
--- a/tests/support_platform.cpp
+++ b/tests/support_platform.cpp
@@ -287,7 +287,7 @@
                       << "\nmetrics = " << local(ports.m_metrics)
                       << "\n[platform]\nstore = " << local(m_store.Port())
                       << "\norders = " << local(m_duties.Port())
-                      << "\n[duties]\nusage_window_s = 1\n"
+                      << "\n[duties]\nusage_window_s = 1\nusage_delay_s = 4\n"
                       << "[stop]\nnotice_ms = 300\n";
   m_entries[index] = std::make_unique<Process>(
       "comfreypaddle", std::vector<std::string>{"entry", "--config", path},
--- a/tools/check_layers.sh
+++ b/tools/check_layers.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Fails if a decision module includes a header of HTTP, JSON, protobuf, ACE,
 # sockets or threads, or a header of this project that is not a decision
-# module's. tools/decision_modules.txt lists the modules.
+# module's (tools/decision_modules.txt lists the modules), or if a name of the
+# platform's wire protocol stands outside platform/.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 status=0
@@ -20,4 +21,8 @@
     fi
   done
 done < tools/decision_modules.txt
+names='/comfreypaddle/|Server-Stamp|Attempt-Id|Kv-[A-Z]|Expect-Instance|Fencing-Token|Duty-Holder|keyed\.[a-z]|Not-Executed|[^-]Deadline-Ms|Prompt-Prefix|COMFREYPADDLE_BOOT'
+if grep -nE "$names" src/*.h src/*.cpp schema/*.proto; then
+  echo "names of the platform's protocol belong in platform/"; status=1
+fi
 exit $status
