Avoid endpoints that fail a part of their requests; fix usage after outages

Change: moving failure rate; lost answers count; no window is fixed until 1.8 s after an outage; a stopping instance gives its duties up first.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -16,6 +16,13 @@
 constexpr Duration kFirstPause = std::chrono::milliseconds(300);
 constexpr Duration kLongestPause = std::chrono::seconds(5);
 
+// Weight of one answer in the failure rate, the rate from which an endpoint is
+// avoided although it answers some requests, and for how long. A sound
+// endpoint that loses one connection stays below it.
+constexpr double kRateWeight = 0.15;
+constexpr double kHighRate = 0.25;
+constexpr Duration kHighRatePause = std::chrono::milliseconds(1500);
+
 // Time in which the list of endpoints tells of a new lifetime: a heartbeat and
 // a poll.
 constexpr Duration kReplacedPause = std::chrono::milliseconds(2000);
@@ -340,7 +347,8 @@
   BalanceEndpoint* found = Find(state, endpoint);
   if (found == nullptr) return;
   found->m_failures = 0;
-  found->m_avoid_until = {};
+  found->m_failure_rate -= kRateWeight * found->m_failure_rate;
+  if (found->m_failure_rate < kHighRate) found->m_avoid_until = {};
   found->m_last_sign = now;
 }
 
@@ -356,8 +364,13 @@
   if (found == nullptr) return;
   constexpr std::uint32_t kMaxDoublings = 5;
   const std::uint32_t doublings = std::min(found->m_failures, kMaxDoublings);
-  const Duration pause = kFirstPause * (1U << doublings);
-  found->m_avoid_until = now + std::min(pause, kLongestPause);
+  Duration pause =
+      std::min<Duration>(kFirstPause * (1U << doublings), kLongestPause);
+  found->m_failure_rate += kRateWeight * (1 - found->m_failure_rate);
+  if (found->m_failure_rate >= kHighRate) {
+    pause = std::max(pause, kHighRatePause);
+  }
+  found->m_avoid_until = now + pause;
   ++found->m_failures;
 }
 
--- a/src/balance.h
+++ b/src/balance.h
@@ -49,6 +49,7 @@
   // It failed and gets none before this time while others can take it.
   Instant m_avoid_until{};
   std::uint32_t m_failures = 0;  // In a row.
+  double m_failure_rate = 0;     // Moving average, of all its answers.
 };
 
 // Speeds of a service's engines as observed.
--- a/src/control.cpp
+++ b/src/control.cpp
@@ -99,6 +99,7 @@
       break;
     case schema::ControlMessage::kDrain:
       m_state->m_stopping = true;
+      m_told_done = false;
       break;
     case schema::ControlMessage::kStop:
       Loop().Stop();
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -99,6 +99,8 @@
     schema::RelayMessage drain;
     drain.mutable_drain();
     m_relay->Inbox().Post(std::move(drain));
+    // A stopping instance gives its duties up first and claims none.
+    DrainControl();
     const Duration limit = std::chrono::seconds(m_settings.stop().grace_s());
     m_loop.StartTimer(limit - kStopReserve, [this] {
       LogLine line("stop_limit_reached");
@@ -109,15 +111,21 @@
 
   void OnMessage(const schema::SupervisorMessage& message) {
     if (message.has_relay_idle()) {
-      schema::ControlMessage drain;
-      drain.mutable_drain();
-      m_control->Inbox().Post(std::move(drain));
+      m_relay_idle = true;
+      // The last counts of usage have come since.
+      DrainControl();
       m_loop.StartTimer(kHandoverTime, [this] { m_loop.Stop(); });
-    } else {
+    } else if (m_relay_idle) {
       m_loop.Stop();
     }
   }
 
+  void DrainControl() {
+    schema::ControlMessage drain;
+    drain.mutable_drain();
+    m_control->Inbox().Post(std::move(drain));
+  }
+
   void StopTasks() {
     schema::RelayMessage stop_relay;
     stop_relay.mutable_stop();
@@ -138,6 +146,7 @@
   std::unique_ptr<Relay> m_relay;
   std::unique_ptr<Control> m_control;
   bool m_stopping = false;
+  bool m_relay_idle = false;
 };
 
 }  // namespace
--- a/src/follow.cpp
+++ b/src/follow.cpp
@@ -14,6 +14,10 @@
 // Pause between two reads of the list of instances.
 constexpr Duration kInstancesPoll = std::chrono::seconds(4);
 
+// Time after the store's return in which all instances have written the usage
+// that they kept: a retry pause, an append and the holder's next read.
+constexpr Duration kUsageReturnTime = std::chrono::milliseconds(1800);
+
 // Silence of the store after which it counts as lost.
 constexpr Duration kLostAfter = std::chrono::milliseconds(1200);
 
@@ -212,6 +216,7 @@
   if (answered) {
     if (state.m_store_lost) {
       LogLine("store_regained").AddMs("lost_ms", now - state.m_store_answered);
+      state.m_tally.m_trusted_from = now + kUsageReturnTime;
     }
     state.m_store_lost = false;
     state.m_store_answered = now;
--- a/src/run.cpp
+++ b/src/run.cpp
@@ -293,9 +293,9 @@
     return;
   }
   if (call.m_attempt.m_status == 0) NoteCrash(state, call);
-  if (!IsStream(call) && !signalled) {
-    CountUsage(state, call, call.m_attempt.m_sent);
-  }
+  // Most runs whose answer is lost have begun; only those of a crashed endpoint
+  // that still read their prompt have not.
+  if (!signalled) CountUsage(state, call, call.m_attempt.m_sent);
   OnMayHaveRun(state, call);
 }
 
--- a/src/tally.cpp
+++ b/src/tally.cpp
@@ -31,7 +31,9 @@
                                               std::uint64_t last,
                                               Duration unix_time, Instant now) {
   const TallyOptions& options = state.m_options;
-  if (now - state.m_read_at > kReadAge) return std::nullopt;
+  if (now - state.m_read_at > kReadAge || now < state.m_trusted_from) {
+    return std::nullopt;
+  }
   const auto settled = static_cast<std::uint64_t>(
       (unix_time - options.m_settle) / options.m_window);
   const auto oldest = static_cast<std::uint64_t>(
--- a/src/tally.h
+++ b/src/tally.h
@@ -25,6 +25,9 @@
   std::map<std::uint64_t, std::map<std::string, std::uint64_t>> m_windows;
   std::uint64_t m_next = 0;  // Offset of the next record.
   Instant m_read_at{};       // Last successful read.
+  // No window is fixed before this instant: after an outage of the store the
+  // other instances need a moment to write what they have kept.
+  Instant m_trusted_from{};
 };
 
 // Adds the records that a read brought.
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -107,6 +107,25 @@
   CHECK(ChooseRun(state, query, kStart + seconds(1))->m_endpoint == "e1");
 }
 
+// Guards against an endpoint that fails half of its requests and is trusted
+// again after each answer.
+TEST_CASE("an endpoint that fails many of its requests is avoided for longer") {
+  BalanceState state = MakeState(2, 0);
+  OnEndpointFailed(state, "e0", kStart);
+  OnEndpointAnswered(state, "e0", kStart);
+  CHECK(state.m_endpoints["e0"].m_avoid_until == Instant{});
+  for (int i = 0; i < 3; ++i) {
+    OnEndpointFailed(state, "e0", kStart);
+    OnEndpointAnswered(state, "e0", kStart);
+  }
+  CHECK(state.m_endpoints["e0"].m_avoid_until >= kStart + seconds(1));
+  const BalanceQuery query = Prompt(0, 0, 100);
+  CHECK(ChooseRun(state, query, kStart + milliseconds(900))->m_endpoint ==
+        "e1");
+  for (int i = 0; i < 10; ++i) OnEndpointAnswered(state, "e0", kStart);
+  CHECK(state.m_endpoints["e0"].m_avoid_until == Instant{});
+}
+
 TEST_CASE("plain services are chosen near the caller until they are loaded") {
   BalanceState state;
   state.m_zone = "z0";
--- a/tests/fleetplan_test.cpp
+++ b/tests/fleetplan_test.cpp
@@ -132,6 +132,11 @@
   REQUIRE(window->counts_size() == 1);
   CHECK(window->counts(0).requests() == 10);
   CHECK_FALSE(NextWindow(state, 200, end + milliseconds(3000), now));
+  // Guards against figures that lack what other instances kept in an outage.
+  state.m_trusted_from = now + milliseconds(1);
+  CHECK_FALSE(NextWindow(state, 199, end + milliseconds(3000), now));
+  state.m_trusted_from = now;
+  CHECK(NextWindow(state, 199, end + milliseconds(3000), now));
   // Counts of an old read may be incomplete.
   CHECK_FALSE(
       NextWindow(state, 199, end + milliseconds(3000), now + seconds(3)));
--- /dev/null
+++ b/tests/neighbours_test.cpp
@@ -0,0 +1,179 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "neighbours.h"
+
+#include <doctest/doctest.h>
+
+#include <memory>
+
+#include "follow.h"
+#include "reporter.h"
+
+namespace comfreypaddle {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Store that answers when the test says so.
+class ScriptedStore : public StreamPort {
+ public:
+  void Append(StreamAppend append,
+              std::function<void(const AppendResult&)> done) override {
+    m_appends.push_back(std::move(append));
+    m_append_done.push_back(std::move(done));
+  }
+  void Read(Stream /*stream*/, std::uint64_t /*from*/, Duration /*wait*/,
+            std::function<void(const ReadResult&)> /*done*/) override {}
+  void ReadNewest(Stream /*stream*/,
+                  std::function<void(const ReadResult&)> /*done*/) override {}
+
+  std::vector<StreamAppend> m_appends;
+  std::vector<std::function<void(const AppendResult&)>> m_append_done;
+};
+
+// Other instances; calls are answered by the test.
+class ScriptedPeers : public HttpPort {
+ public:
+  CallId Start(HttpCall call, HttpEvents events) override {
+    m_calls.push_back(std::move(call));
+    m_events.push_back(std::move(events));
+    return m_calls.size();
+  }
+  void Cancel(CallId /*id*/) override {}
+
+  std::vector<HttpCall> m_calls;
+  std::vector<HttpEvents> m_events;
+};
+
+class RelayInbox : public Port<schema::RelayMessage> {
+ public:
+  void Post(schema::RelayMessage message) override {
+    m_messages.push_back(std::move(message));
+  }
+
+  std::vector<schema::RelayMessage> m_messages;
+};
+
+struct Instance {
+  explicit Instance(const std::string& name) {
+    m_state.m_options.m_name = name;
+    m_state.m_options.m_incarnation = 7;
+    m_state.m_store = &m_store;
+    m_state.m_peers = &m_peers;
+    m_state.m_relay = &m_inbox;
+    m_state.m_clock = [this] { return m_now; };
+    m_state.m_store_answered = m_now;
+    for (const char* other : {"a", "b"}) {
+      schema::InstanceRecord record;
+      record.set_name(other);
+      record.set_peers("127.0.0.1:1");
+      m_state.m_instances[other] = record;
+    }
+  }
+
+  Instant m_now{seconds(1000)};
+  ScriptedStore m_store;
+  ScriptedPeers m_peers;
+  RelayInbox m_inbox;
+  ControlState m_state;
+};
+
+schema::Catalog CatalogOf(std::uint64_t version) {
+  schema::Catalog catalog;
+  catalog.set_version(version);
+  return catalog;
+}
+
+// Hands the last question of one instance to the other, and the answer back.
+void CarryQuestion(Instance& from, Instance& to) {
+  schema::InstanceQuery query;
+  REQUIRE(query.ParseFromString(from.m_peers.m_calls.back().m_body));
+  const HttpEvents events = from.m_peers.m_events.back();
+  AnswerNeighbour(to.m_state, query, [&](const schema::InstanceState& answer) {
+    events.m_on_body(answer.SerializeAsString());
+    events.m_on_end({HttpError::kOk, 200, true});
+  });
+}
+
+// Guards against an instance that misses changes and withdrawn keys because
+// the store turns it away while it serves the others.
+TEST_CASE("configuration and endpoints come from an instance with the store") {
+  Instance a("a");
+  Instance b("b");
+  AdoptCatalog(a.m_state, CatalogOf(3), "store");
+  AdoptCatalog(b.m_state, CatalogOf(5), "store");
+  for (Instance* instance : {&a, &b}) {
+    instance->m_state.m_follow_catalog.m_known = true;
+    instance->m_state.m_follow_endpoints.m_known = true;
+  }
+  a.m_state.m_follow_catalog.m_next = 4;
+  b.m_state.m_follow_catalog.m_next = 6;
+  b.m_state.m_follow_endpoints.m_next = 9;
+  schema::EndpointEntry entry;
+  entry.set_id("i-1");
+  SetEntry(b.m_state.m_directory, entry);
+
+  QueryNeighbours(a.m_state);
+  CHECK(a.m_peers.m_calls.empty());
+  a.m_now += milliseconds(1100);
+  QueryNeighbours(a.m_state);
+  REQUIRE(a.m_peers.m_calls.size() == 1);
+  CarryQuestion(a, b);
+  CHECK(a.m_state.m_catalog->version() == 5);
+  CHECK(a.m_state.m_directory.m_endpoints.count("i-1") == 1);
+  CHECK(a.m_state.m_follow_catalog.m_next == 6);
+}
+
+TEST_CASE("an instance without the store teaches nothing, and none goes back") {
+  Instance a("a");
+  Instance b("b");
+  AdoptCatalog(a.m_state, CatalogOf(5), "store");
+  AdoptCatalog(b.m_state, CatalogOf(9), "store");
+  b.m_state.m_follow_catalog.m_known = true;
+  b.m_state.m_follow_catalog.m_next = 6;
+  a.m_now += milliseconds(1100);
+  b.m_now += seconds(20);
+  QueryNeighbours(a.m_state);
+  CarryQuestion(a, b);
+  CHECK(a.m_state.m_catalog->version() == 5);
+  AdoptCatalog(a.m_state, CatalogOf(4), "instance");
+  CHECK(a.m_state.m_catalog->version() == 5);
+}
+
+// Guards against usage that is lost, or counted twice, while the store turns
+// an instance away.
+TEST_CASE("usage is handed over under the sender's sequence number") {
+  Instance a("a");
+  Instance b("b");
+  schema::UsageCounts counts;
+  schema::UsageCount* count = counts.add_counts();
+  count->set_window(1);
+  count->set_workspace("w");
+  count->set_requests(4);
+  TakeUsage(a.m_state, counts);
+  RunDuties(a.m_state);
+  REQUIRE(a.m_store.m_appends.size() == 1);
+  a.m_now += milliseconds(1100);
+  QueryNeighbours(a.m_state);
+  REQUIRE(a.m_peers.m_calls.size() == 1);
+  schema::InstanceQuery query;
+  REQUIRE(query.ParseFromString(a.m_peers.m_calls[0].m_body));
+  AnswerNeighbour(b.m_state, query, [&a](const schema::InstanceState& answer) {
+    a.m_peers.m_events[0].m_on_body(answer.SerializeAsString());
+    a.m_peers.m_events[0].m_on_end({HttpError::kOk, 200, true});
+  });
+  REQUIRE(b.m_store.m_appends.size() == 1);
+  CHECK(b.m_store.m_appends[0].m_producer == a.m_store.m_appends[0].m_producer);
+  CHECK(b.m_store.m_appends[0].m_sequence == a.m_store.m_appends[0].m_sequence);
+  CHECK(b.m_store.m_appends[0].m_value == a.m_store.m_appends[0].m_value);
+  CHECK_FALSE(a.m_state.m_flush.m_sent.empty());
+  b.m_store.m_append_done[0](AppendResult{});
+  CHECK(a.m_state.m_flush.m_sent.empty());
+  CHECK(a.m_state.m_flush.m_sequence == 2);
+  // The own append, carried out late, does not count as the next record's.
+  a.m_store.m_append_done[0](AppendResult{});
+  CHECK(a.m_state.m_flush.m_sequence == 2);
+}
+
+}  // namespace
+}  // namespace comfreypaddle
--- a/tests/relaycall_test.cpp
+++ b/tests/relaycall_test.cpp
@@ -198,6 +198,8 @@
   f.Ask(1, "/once/x");
   f.Break(0, true);
   CHECK(f.m_endpoints.m_calls.size() == 1);
+  // A run whose answer is lost is usage.
+  CHECK(f.m_state.m_usage.size() == 1);
 
   f.Ask(2, "/safe/x");
   f.Break(1, true);
