Plan fleets as parts of the most that a zone may have

Cause: one lasting and seven cheap endpoints a zone are the whole of the two sites' bound of eight, but a fraction of the grown sites' 38 and 30: 112 endpoints were given back down to 48 there. The plan of the two small sites is the same (1 and 7 of 8).

--- a/src/fleetplan.cpp
+++ b/src/fleetplan.cpp
@@ -1,6 +1,7 @@
 #include "fleetplan.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace comfreypaddle {
 
@@ -25,16 +26,21 @@
   return found != plan.m_orders.end() && now < found->second.m_dry_until;
 }
 
+std::uint32_t PartOf(const schema::ScalingFacts& scaling, double part) {
+  return static_cast<std::uint32_t>(std::lround(part * scaling.max_per_zone()));
+}
+
 // Endpoints that the slot is to have. Where cheap ones cannot be had, others
 // stand in for half of them.
 std::uint32_t TargetOf(const FleetPlan& plan, const FleetSlot& slot,
                        const schema::ScalingFacts& scaling, Instant now) {
   const FleetOptions& options = plan.m_options;
   const bool has_cheap = scaling.cheap_price() > 0;
-  const std::uint32_t wanted_cheap = has_cheap ? options.m_cheap_per_zone : 0;
-  std::uint32_t lasting = options.m_lasting_per_zone;
+  const std::uint32_t all_cheap = PartOf(scaling, options.m_cheap_part);
+  const std::uint32_t wanted_cheap = has_cheap ? all_cheap : 0;
+  std::uint32_t lasting = PartOf(scaling, options.m_lasting_part);
   if (!has_cheap || IsDry(plan, {slot.m_service, slot.m_zone, true}, now)) {
-    lasting += (options.m_cheap_per_zone + 1) / 2;
+    lasting += (all_cheap + 1) / 2;
   }
   lasting = std::clamp(lasting, scaling.min_per_zone(), scaling.max_per_zone());
   if (!slot.m_cheap) return lasting;
--- a/src/fleetplan.h
+++ b/src/fleetplan.h
@@ -23,10 +23,11 @@
   }
 };
 
-// How many endpoints each zone is to have.
+// How many endpoints each zone is to have, as parts of the most that it may
+// have.
 struct FleetOptions {
-  std::uint32_t m_lasting_per_zone = 1;  // That are not reclaimed.
-  std::uint32_t m_cheap_per_zone = 7;
+  double m_lasting_part = 0.125;  // That are not reclaimed.
+  double m_cheap_part = 0.875;
   // Time after an order in which the endpoints should be there, beyond their
   // boot time, before it is given again.
   Duration m_patience = std::chrono::seconds(3);
