Spread requests over endpoints that look alike

Cause: an instance of a large deployment sees few requests, so most endpoints look idle to it, and a tie of estimates went to the first id. Ruled out: shortage of endpoints (38% of prefill time used), refusals (2,460 of 54,185 arrivals beside prefill calls). Change: estimates that differ by less than 4 ms are decided by a hash of request and endpoint. Test: balance_test, requests of idle instances spread.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -27,6 +27,9 @@
 // a poll.
 constexpr Duration kReplacedPause = std::chrono::milliseconds(2000);
 
+// Differences of estimates below this are not taken for real, milliseconds.
+constexpr double kSpreadMs = 4;
+
 // Estimated cost of a call to another region, milliseconds: the way there and
 // back, and its price in bytes.
 constexpr double kOtherRegionMs = 30;
@@ -82,11 +85,9 @@
   return endpoint.m_region == state.m_region ? kOtherZoneMs : kOtherRegionMs;
 }
 
-// Rank of an endpoint for a shared part: the highest is its home. All
-// instances compute the same.
-std::uint64_t RendezvousRank(const BalanceEndpoint& endpoint,
-                             std::uint64_t part) {
-  std::uint64_t x = endpoint.m_hash ^ part;
+// Mixes an endpoint's hash with another number.
+std::uint64_t MixHash(const BalanceEndpoint& endpoint, std::uint64_t other) {
+  std::uint64_t x = endpoint.m_hash ^ other;
   x ^= x >> 33U;
   x *= 0xff51afd7ed558ccdULL;
   x ^= x >> 33U;
@@ -94,6 +95,22 @@
   return x ^ x >> 33U;
 }
 
+// Rank of an endpoint for a shared part: the highest is its home. All
+// instances compute the same.
+std::uint64_t RendezvousRank(const BalanceEndpoint& endpoint,
+                             std::uint64_t part) {
+  return MixHash(endpoint, part);
+}
+
+// Adds less than kSpreadMs to an estimate, a different amount for each request
+// and endpoint. Each instance sees few requests, so most endpoints look equally
+// idle to it, and all instances would choose the same one.
+double SpreadMs(const BalanceEndpoint& endpoint, const BalanceQuery& query) {
+  constexpr std::uint64_t kSteps = 1024;
+  const std::uint64_t step = MixHash(endpoint, query.m_spread) % kSteps;
+  return kSpreadMs * static_cast<double>(step) / kSteps;
+}
+
 using Candidates = std::vector<const BalanceEndpoint*>;
 
 // Endpoints of the stage that may take the request. Those that failed lately
@@ -196,6 +213,7 @@
     const PrefillEstimate estimate =
         EstimatePrefill(*endpoint, query, speed, is_home, now);
     const double total = estimate.Total() + DistanceMs(state, *endpoint) +
+                         (anywhere ? SpreadMs(*endpoint, query) : 0) +
                          static_cast<double>(endpoint->m_running) /
                              std::max(endpoint->m_slots, 1.0);
     if (total >= best.m_total_ms) continue;
@@ -231,8 +249,8 @@
   const BalanceEndpoint* best = nullptr;
   *total_ms = std::numeric_limits<double>::max();
   for (const BalanceEndpoint* endpoint : candidates) {
-    double total = DistanceMs(state, *endpoint) + endpoint->m_prefill_ms +
-                   kOthersFactor * endpoint->m_running;
+    double total = DistanceMs(state, *endpoint) + SpreadMs(*endpoint, query) +
+                   endpoint->m_prefill_ms + kOthersFactor * endpoint->m_running;
     if (from != nullptr) total += MoveMs(*from, *endpoint, query, speed);
     if (total >= *total_ms) continue;
     best = endpoint;
--- a/src/balance.h
+++ b/src/balance.h
@@ -74,6 +74,8 @@
   double m_shared_tokens = 0;  // Up to and with that part.
   double m_own_tokens = 0;     // Behind it.
   bool m_is_prompt = false;
+  // Differs from request to request: chooses among endpoints that look alike.
+  std::uint64_t m_spread = 0;
   bool m_allow_split = true;            // Prefill on an endpoint of its own.
   std::vector<std::string> m_excluded;  // Endpoints tried before.
 };
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -3,6 +3,7 @@
 
 #include <doctest/doctest.h>
 
+#include <map>
 #include <set>
 
 #include "resend.h"
@@ -67,6 +68,23 @@
   CHECK(homes.size() > 3);
 }
 
+// Guards against all instances choosing the same endpoint of many that look
+// idle to each of them.
+TEST_CASE("requests of idle instances spread over endpoints that look alike") {
+  const BalanceState state = MakeState(8, 4);
+  std::map<std::string, int> runs;
+  for (std::uint64_t request = 1; request <= 400; ++request) {
+    BalanceQuery query = Prompt(request, 13'000, 9'000);
+    query.m_spread = request * 0x9e3779b97f4a7c15ULL;
+    const auto choice = ChooseRun(state, query, kStart);
+    REQUIRE(choice);
+    REQUIRE_FALSE(choice->m_prefill.empty());
+    ++runs[choice->m_endpoint];
+  }
+  REQUIRE(runs.size() == 8);
+  for (const auto& [id, count] : runs) CHECK(count < 100);
+}
+
 TEST_CASE("a busy home is left for the endpoint that stands in for it") {
   BalanceState state = MakeState(6, 0);
   const BalanceQuery query = Prompt(7, 2'000, 1'000);
