Let one instance of a zone read the store for the others

Ruled out: longer polls (configuration has to be in force in 4 s), the store's groups (a rebalance says nothing of who has news). Change: an instance follows the first live one of its zone, by name, with a question that waits 500 ms for news; answers bring only what changed. It leaves one that does not answer or whose knowledge is older than 1.6 s, for 4 s and longer. Only instances that read the store contend for the duties. Usage is written every 60 ms for each live instance, 1 to 2.5 s, and goes through the followed instance if the store does not take it.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -6,6 +6,7 @@
 
 #include "eventlog.h"
 #include "follow.h"
+#include "inquiry.h"
 #include "neighbours.h"
 #include "reporter.h"
 #include "settings.h"
@@ -47,6 +48,9 @@
   state.m_options.m_name = m_settings.instance().name();
   state.m_options.m_peers = m_settings.listen().peers();
   state.m_options.m_incarnation = m_incarnation;
+  state.m_options.m_zone = m_settings.instance().availability_zone();
+  state.m_upstream.m_self = state.m_options.m_name;
+  state.m_upstream.m_zone = state.m_options.m_zone;
   state.m_options.m_poll =
       std::chrono::milliseconds(m_settings.platform().poll_ms());
   state.m_options.m_watch =
@@ -127,9 +131,11 @@
 
 void Control::Tick() {
   ControlState& state = *m_state;
-  FollowStore(state);
   RegisterInstance(state);
+  FollowUpstream(state);
+  FollowStore(state);
   QueryNeighbours(state);
+  ServeInquiries(state);
   RunDuties(state);
   if (!state.m_stopping || m_told_done || !IsHandedOver(state)) return;
   m_told_done = true;
@@ -146,10 +152,10 @@
     m_peers->Respond(request.m_id, kBadRequest, {}, "");
     return;
   }
-  AnswerNeighbour(*m_state, query,
-                  [this, id = request.m_id](const schema::InstanceState& s) {
-                    m_peers->Respond(id, kOk, {}, s.SerializeAsString());
-                  });
+  AnswerInquiry(*m_state, query,
+                [this, id = request.m_id](const schema::InstanceState& s) {
+                  m_peers->Respond(id, kOk, {}, s.SerializeAsString());
+                });
 }
 
 }  // namespace comfreypaddle
--- a/src/controlstate.h
+++ b/src/controlstate.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "directory.h"
 #include "fleetplan.h"
@@ -13,6 +14,7 @@
 #include "http.h"
 #include "tally.h"
 #include "task.h"
+#include "upstream.h"
 
 namespace comfreypaddle {
 
@@ -22,6 +24,9 @@
   bool m_busy = false;   // A read is under way.
   std::uint64_t m_next = 0;
   Instant m_due{};  // Next read.
+  // What is known was the store's at this instant, as far as this instance or
+  // the one that it follows has read.
+  Instant m_confirmed{};
 };
 
 // Counts that are on their way to the store.
@@ -31,6 +36,7 @@
   std::uint64_t m_sequence = 1;
   bool m_busy = false;
   Instant m_due{};
+  bool m_failed = false;  // The store did not take the last one.
 };
 
 // A report that was made or tried.
@@ -40,12 +46,33 @@
   std::uint64_t m_accepted = 0;  // Newest window that the platform accepted.
 };
 
+using InquiryAnswer = std::function<void(const schema::InstanceState&)>;
+
+// Question of another instance that waits for something new.
+struct WaitingInquiry {
+  schema::InstanceQuery m_query;
+  InquiryAnswer m_respond;
+  Instant m_until{};
+};
+
+// Question of this instance to the one that it follows, and the list of
+// endpoints that it has taken over.
+struct UpstreamLink {
+  bool m_busy = false;
+  Instant m_due{};
+  Instant m_chosen_at{};
+  std::string m_list_owner;
+  std::uint64_t m_list_incarnation = 0;
+  std::uint64_t m_list_version = 0;
+};
+
 struct ControlOptions {
   std::string m_name;
+  std::string m_zone;
   std::string m_peers;  // IP:PORT of this instance for others.
   std::uint64_t m_incarnation = 0;
   Duration m_poll = std::chrono::milliseconds(600);
-  Duration m_watch = std::chrono::milliseconds(1500);
+  Duration m_watch = std::chrono::milliseconds(700);
 };
 
 struct ControlCounters {
@@ -85,9 +112,15 @@
   std::map<std::string, schema::InstanceRecord, std::less<>> m_instances;
   bool m_registered = false;
   bool m_registering = false;
+  Instant m_register_due{};
+  std::uint32_t m_live_instances = 1;  // This one included.
+  std::uint32_t m_instance_reads = 0;  // Of the list in the store.
+  UpstreamState m_upstream;
+  UpstreamLink m_link;
+  std::vector<WaitingInquiry> m_inquiries;
   Instant m_next_query{};
   std::size_t m_query_turn = 0;
-  Instant m_store_answered{};
+  Instant m_store_answered{};  // Any call of this instance.
   bool m_store_lost = false;
   ControlCounters m_counters;
   bool m_stopping = false;
--- a/src/directory.cpp
+++ b/src/directory.cpp
@@ -4,6 +4,9 @@
 
 namespace {
 
+// Removals that are kept for those who follow the list.
+constexpr std::size_t kKeptRemovals = 512;
+
 // Whether two entries differ in what routing uses. The sequence alone changes
 // with each heartbeat.
 bool Differs(const schema::EndpointEntry& a, const schema::EndpointEntry& b) {
@@ -15,6 +18,14 @@
          (a.cold_ms() > 0) != (b.cold_ms() > 0);
 }
 
+// Notes the removal under a new version of the list.
+void NoteRemoval(Directory& directory, const std::string& id) {
+  directory.m_removed[id] = ++directory.m_version;
+  if (directory.m_removed.size() <= kKeptRemovals) return;
+  directory.m_removed.clear();
+  directory.m_removed_before = directory.m_version;
+}
+
 }  // namespace
 
 void OnStoreAnswer(Directory& directory, Instant now) {
@@ -32,6 +43,10 @@
   const bool changed = fresh || known.m_lapsed || Differs(known.m_entry, entry);
   known.m_entry = entry;
   known.m_lapsed = false;
+  if (changed) {
+    known.m_changed = ++directory.m_version;
+    directory.m_removed.erase(entry.id());
+  }
   return changed;
 }
 
@@ -45,7 +60,12 @@
     }
     return false;
   }
-  directory.m_endpoints.erase(found);
+  return EraseEntry(directory, id);
+}
+
+bool EraseEntry(Directory& directory, const std::string& id) {
+  if (directory.m_endpoints.erase(id) == 0) return false;
+  NoteRemoval(directory, id);
   return true;
 }
 
@@ -54,6 +74,7 @@
   for (auto at = directory.m_endpoints.begin();
        at != directory.m_endpoints.end();) {
     const bool expired = at->second.m_lapsed && now >= at->second.m_lapse_ends;
+    if (expired) NoteRemoval(directory, at->first);
     at = expired ? directory.m_endpoints.erase(at) : std::next(at);
     changed = changed || expired;
   }
@@ -68,4 +89,18 @@
   return list;
 }
 
+DirectoryChanges ListChanges(const Directory& directory, std::uint64_t since) {
+  DirectoryChanges changes;
+  changes.m_whole = since == 0 || since < directory.m_removed_before;
+  for (const auto& [id, known] : directory.m_endpoints) {
+    if (!changes.m_whole && known.m_changed <= since) continue;
+    *changes.m_entries.add_endpoints() = known.m_entry;
+  }
+  if (changes.m_whole) return changes;
+  for (const auto& [id, version] : directory.m_removed) {
+    if (version > since) changes.m_removed.push_back(id);
+  }
+  return changes;
+}
+
 }  // namespace comfreypaddle
--- a/src/follow.cpp
+++ b/src/follow.cpp
@@ -8,11 +8,16 @@
 
 namespace {
 
-// Pause after a failed read.
+// Pause after a failed read, of an instance that reads the store for others and
+// of one that follows another.
 constexpr Duration kRetryPause = std::chrono::milliseconds(250);
+constexpr Duration kFollowerRetryPause = std::chrono::seconds(1);
 
-// Pause between two reads of the list of instances.
+// Pause between two reads of the list of instances, at first and later: many
+// instances start together.
+constexpr Duration kFirstInstancesPoll = std::chrono::milliseconds(700);
 constexpr Duration kInstancesPoll = std::chrono::seconds(4);
+constexpr std::uint32_t kFirstInstancesReads = 5;
 
 // Time after the store's return in which all instances have written the usage
 // that they kept: a retry pause, an append and the holder's next read.
@@ -107,7 +112,6 @@
 
 void TakeEndpoints(ControlState& state, const ReadResult& result,
                    bool is_newest) {
-  OnStoreAnswer(state.m_directory, state.m_clock());
   bool changed = false;
   for (const StreamRecord& record : result.m_records) {
     changed |= TakeEndpointRecord(state, record);
@@ -117,19 +121,24 @@
 }
 
 void TakeInstances(ControlState& state, const ReadResult& result) {
+  ++state.m_instance_reads;
   for (const StreamRecord& record : result.m_records) {
     schema::InstanceRecord parsed;
     if (record.m_removed || !parsed.ParseFromString(record.m_value)) continue;
-    schema::InstanceRecord& known = state.m_instances[record.m_key];
-    if (parsed.incarnation() >= known.incarnation()) known = parsed;
+    TakeInstance(state, parsed);
   }
-  std::uint32_t live = 0;
-  for (const auto& [name, known] : state.m_instances) {
-    if (!known.left()) ++live;
-  }
-  schema::RelayMessage message;
-  message.mutable_peers()->set_instances(std::max<std::uint32_t>(live, 1));
-  state.m_relay->Post(std::move(message));
+  PublishInstances(state);
+}
+
+// Pause after a read of the list of instances.
+Duration InstancesPause(const ControlState& state) {
+  return state.m_instance_reads < kFirstInstancesReads ? kFirstInstancesPoll
+                                                       : kInstancesPoll;
+}
+
+Duration RetryPause(const ControlState& state) {
+  return AvoidsUpstream(state.m_upstream, state.m_clock()) ? kFollowerRetryPause
+                                                           : kRetryPause;
 }
 
 void TakeRecords(ControlState& state, Stream stream, const ReadResult& result,
@@ -167,8 +176,12 @@
       follower.m_known = false;
       follower.m_due = {};
     } else if (result.m_fault != StoreFault::kNone) {
-      follower.m_due = state.m_clock() + kRetryPause;
+      follower.m_due = state.m_clock() + RetryPause(state);
     } else {
+      follower.m_confirmed = state.m_clock();
+      if (stream == Stream::kEndpoints) {
+        OnStoreAnswer(state.m_directory, follower.m_confirmed);
+      }
       follower.m_known = true;
       follower.m_next = result.m_next;
       TakeRecords(state, stream, result, newest);
@@ -231,16 +244,42 @@
       .AddMs("silent_ms", now - state.m_store_answered);
 }
 
+bool ReadsStore(const ControlState& state) {
+  return !HasUpstream(state.m_upstream) || StateConfirmed(state) == Instant{};
+}
+
+Instant StateConfirmed(const ControlState& state) {
+  return std::min(state.m_follow_catalog.m_confirmed,
+                  state.m_follow_endpoints.m_confirmed);
+}
+
+void TakeInstance(ControlState& state, const schema::InstanceRecord& record) {
+  schema::InstanceRecord& known = state.m_instances[record.name()];
+  if (record.incarnation() >= known.incarnation()) known = record;
+}
+
+void PublishInstances(ControlState& state) {
+  std::uint32_t live = 0;
+  for (const auto& [name, known] : state.m_instances) {
+    if (!known.left()) ++live;
+  }
+  state.m_live_instances = std::max<std::uint32_t>(live, 1);
+  schema::RelayMessage message;
+  message.mutable_peers()->set_instances(state.m_live_instances);
+  state.m_relay->Post(std::move(message));
+}
+
 void FollowStore(ControlState& state) {
+  if (ExpireEntries(state.m_directory, state.m_clock())) {
+    PublishEndpoints(state);
+  }
+  if (!ReadsStore(state)) return;
   FollowKeyed(state, Stream::kConfiguration, state.m_follow_catalog,
               state.m_options.m_watch, Duration(0));
   FollowKeyed(state, Stream::kEndpoints, state.m_follow_endpoints, Duration(0),
               state.m_options.m_poll);
   FollowKeyed(state, Stream::kInstances, state.m_follow_instances, Duration(0),
-              kInstancesPoll);
-  if (ExpireEntries(state.m_directory, state.m_clock())) {
-    PublishEndpoints(state);
-  }
+              InstancesPause(state));
 }
 
 }  // namespace comfreypaddle
--- a/src/follow.h
+++ b/src/follow.h
@@ -5,6 +5,14 @@
 
 namespace comfreypaddle {
 
+// Whether this instance reads the store by itself: it follows no other one, or
+// knows nothing yet.
+bool ReadsStore(const ControlState& state);
+
+// Instant at which both configuration and endpoints were last known to be the
+// store's.
+Instant StateConfirmed(const ControlState& state);
+
 // Starts the reads of configuration, endpoints and instances that are due.
 void FollowStore(ControlState& state);
 
@@ -16,6 +24,12 @@
 // Hands the list of endpoints to the task that serves callers.
 void PublishEndpoints(ControlState& state);
 
+// Takes the record of an instance unless a newer one is known.
+void TakeInstance(ControlState& state, const schema::InstanceRecord& record);
+
+// Tells the task that serves callers how many instances there are.
+void PublishInstances(ControlState& state);
+
 // Notes how a call to the store ended. Logs when the store is lost and when it
 // is back.
 void NoteStoreCall(ControlState& state, StoreFault fault,
--- /dev/null
+++ b/src/inquiry.cpp
@@ -0,0 +1,136 @@
+#include "inquiry.h"
+
+#include <utility>
+
+#include "follow.h"
+
+namespace comfreypaddle {
+
+namespace {
+
+bool KnowsList(const ControlState& state, const schema::InstanceQuery& query) {
+  return query.list_owner() == state.m_options.m_name &&
+         query.list_incarnation() == state.m_options.m_incarnation;
+}
+
+// Whether this instance knows something that the asker does not.
+bool HasNews(const ControlState& state, const schema::InstanceQuery& query) {
+  if (state.m_catalog &&
+      KnownOffset(state.m_follow_catalog) > query.catalog_offset()) {
+    return true;
+  }
+  if (KnownOffset(state.m_follow_instances) > query.instances_offset()) {
+    return true;
+  }
+  return state.m_follow_endpoints.m_known &&
+         (!KnowsList(state, query) ||
+          query.list_version() != state.m_directory.m_version);
+}
+
+// Adds the list of endpoints, or what changed since the asker's version.
+void AddEndpoints(const ControlState& state, const schema::InstanceQuery& query,
+                  schema::InstanceState* answer) {
+  answer->set_endpoints_offset(KnownOffset(state.m_follow_endpoints));
+  answer->set_list_version(state.m_directory.m_version);
+  if (!state.m_follow_endpoints.m_known) return;
+  const std::uint64_t since =
+      KnowsList(state, query) ? query.list_version() : 0;
+  const DirectoryChanges changes = ListChanges(state.m_directory, since);
+  answer->set_list_whole(changes.m_whole);
+  answer->set_list_base(since);
+  *answer->mutable_endpoints() = changes.m_entries;
+  for (const std::string& id : changes.m_removed) {
+    answer->add_removed_endpoints(id);
+  }
+}
+
+void AddInstances(const ControlState& state, const schema::InstanceQuery& query,
+                  schema::InstanceState* answer) {
+  answer->set_instances_offset(KnownOffset(state.m_follow_instances));
+  if (answer->instances_offset() <= query.instances_offset()) return;
+  for (const auto& [name, known] : state.m_instances) {
+    *answer->add_instances() = known;
+  }
+}
+
+// State for the asker, with what it does not know yet.
+schema::InstanceState MakeAnswer(const ControlState& state,
+                                 const schema::InstanceQuery& query) {
+  schema::InstanceState answer;
+  answer.set_name(state.m_options.m_name);
+  answer.set_incarnation(state.m_options.m_incarnation);
+  answer.set_store_age_ms(StateAgeMs(state));
+  if (query.crashes_size() > 0) return answer;
+  answer.set_catalog_offset(KnownOffset(state.m_follow_catalog));
+  if (answer.catalog_offset() > query.catalog_offset() && state.m_catalog) {
+    *answer.mutable_catalog() = *state.m_catalog;
+  }
+  AddEndpoints(state, query, &answer);
+  AddInstances(state, query, &answer);
+  return answer;
+}
+
+// Appends the usage that the asker could not, then answers.
+void StoreUsage(ControlState& state, const schema::InstanceQuery& query,
+                const InquiryAnswer& respond) {
+  StreamAppend append;
+  append.m_stream = Stream::kUsage;
+  append.m_value = query.usage().record();
+  append.m_producer = query.usage().producer();
+  append.m_epoch = query.usage().epoch();
+  append.m_sequence = query.usage().sequence();
+  state.m_store->Append(
+      append, [&state, query, respond](const AppendResult& result) {
+        NoteStoreCall(state, result.m_fault, result.m_detail);
+        schema::InstanceState answer = MakeAnswer(state, query);
+        if (result.m_fault == StoreFault::kNone ||
+            result.m_fault == StoreFault::kRepeated) {
+          answer.set_usage_stored(query.usage().sequence());
+        }
+        respond(answer);
+      });
+}
+
+}  // namespace
+
+void AnswerInquiry(ControlState& state, const schema::InstanceQuery& query,
+                   const InquiryAnswer& respond) {
+  for (const schema::CrashReport& crash : query.crashes()) {
+    schema::RelayMessage message;
+    *message.mutable_crash() = crash;
+    state.m_relay->Post(std::move(message));
+  }
+  if (query.has_usage()) {
+    StoreUsage(state, query, respond);
+  } else if (query.wait_ms() == 0 || HasNews(state, query)) {
+    respond(MakeAnswer(state, query));
+  } else {
+    state.m_inquiries.push_back(
+        {query, respond,
+         state.m_clock() + std::chrono::milliseconds(query.wait_ms())});
+  }
+}
+
+void ServeInquiries(ControlState& state) {
+  const Instant now = state.m_clock();
+  std::vector<WaitingInquiry> waiting = std::exchange(state.m_inquiries, {});
+  for (WaitingInquiry& inquiry : waiting) {
+    if (now < inquiry.m_until && !HasNews(state, inquiry.m_query)) {
+      state.m_inquiries.push_back(std::move(inquiry));
+      continue;
+    }
+    inquiry.m_respond(MakeAnswer(state, inquiry.m_query));
+  }
+}
+
+std::uint64_t KnownOffset(const Follower& follower) {
+  return follower.m_known ? follower.m_next : 0;
+}
+
+double StateAgeMs(const ControlState& state) {
+  return std::chrono::duration<double, std::milli>(state.m_clock() -
+                                                   StateConfirmed(state))
+      .count();
+}
+
+}  // namespace comfreypaddle
--- a/src/neighbours.cpp
+++ b/src/neighbours.cpp
@@ -6,33 +6,38 @@
 
 #include "eventlog.h"
 #include "follow.h"
+#include "inquiry.h"
 #include "reporter.h"
 
 namespace comfreypaddle {
 
 namespace {
 
-// Silence of the store after which other instances are asked.
+// Age of what is known of the store after which other instances are asked, of
+// an instance that reads the store by itself and of one that follows another.
 constexpr Duration kAskAfter = std::chrono::milliseconds(1000);
+constexpr Duration kFollowerAskAfter = std::chrono::milliseconds(1800);
 
 // Time between two questions.
 constexpr Duration kAskPeriod = std::chrono::milliseconds(400);
 
 constexpr Duration kCallTime = std::chrono::milliseconds(600);
 
-// Offset from which this instance knows a stream; zero: not at all.
-std::uint64_t KnownOffset(const Follower& follower) {
-  return follower.m_known ? follower.m_next : 0;
-}
+// Time for which the followed instance may keep a question, and the least time
+// between two.
+constexpr Duration kUpstreamWait = std::chrono::milliseconds(500);
+constexpr Duration kUpstreamPause = std::chrono::milliseconds(100);
 
-double StoreAgeMs(const ControlState& state) {
-  return std::chrono::duration<double, std::milli>(state.m_clock() -
-                                                   state.m_store_answered)
-      .count();
-}
+// Age of what the followed instance tells after which it is not followed.
+constexpr Duration kStaleAfter = std::chrono::milliseconds(1600);
+
+// Pause before a failed registration is tried again.
+constexpr Duration kRegisterPause = std::chrono::milliseconds(500);
+
+using AnswerTaken = std::function<void(bool answered)>;
 
-// Takes over the list of endpoints of an instance that has read further.
-void TakeEndpointList(ControlState& state, const schema::InstanceState& other) {
+// Replaces the list of endpoints.
+void TakeWholeList(ControlState& state, const schema::InstanceState& other) {
   std::set<std::string> present;
   for (const schema::EndpointEntry& entry : other.endpoints().endpoints()) {
     present.insert(entry.id());
@@ -42,12 +47,69 @@
   for (const auto& [id, known] : state.m_directory.m_endpoints) {
     if (present.count(id) == 0) missing.push_back(id);
   }
-  for (const std::string& id : missing) {
-    RemoveEntry(state.m_directory, id, state.m_clock());
+  for (const std::string& id : missing) EraseEntry(state.m_directory, id);
+}
+
+// Takes over what changed in the other instance's list.
+void TakeListChanges(ControlState& state, const schema::InstanceState& other) {
+  for (const schema::EndpointEntry& entry : other.endpoints().endpoints()) {
+    SetEntry(state.m_directory, entry);
   }
+  for (const std::string& id : other.removed_endpoints()) {
+    EraseEntry(state.m_directory, id);
+  }
+}
+
+// Takes over the list of endpoints of an instance that has read as far as this
+// one or further. The other one has kept entries that may come back, so those
+// that are gone from its list are gone. Returns whether the list was taken.
+bool TakeEndpointList(ControlState& state, const schema::InstanceState& other) {
+  UpstreamLink& link = state.m_link;
+  const bool whole = other.list_whole();
+  const bool follows = link.m_list_owner == other.name() &&
+                       link.m_list_incarnation == other.incarnation() &&
+                       link.m_list_version == other.list_base();
+  const std::uint64_t known = KnownOffset(state.m_follow_endpoints);
+  if (other.endpoints_offset() < known || (!whole && !follows)) {
+    link.m_list_owner.clear();
+    return false;
+  }
+  const std::uint64_t before = state.m_directory.m_version;
+  if (whole) {
+    TakeWholeList(state, other);
+  } else {
+    TakeListChanges(state, other);
+  }
+  link.m_list_owner = other.name();
+  link.m_list_incarnation = other.incarnation();
+  link.m_list_version = other.list_version();
   state.m_follow_endpoints.m_next = other.endpoints_offset();
   state.m_follow_endpoints.m_known = true;
-  PublishEndpoints(state);
+  if (state.m_directory.m_version != before) PublishEndpoints(state);
+  return true;
+}
+
+void TakeCatalog(ControlState& state, const schema::InstanceState& other) {
+  if (!other.has_catalog()) return;
+  AdoptCatalog(state, other.catalog(), other.name());
+  state.m_follow_catalog.m_next =
+      std::max(state.m_follow_catalog.m_next, other.catalog_offset());
+  state.m_follow_catalog.m_known = true;
+}
+
+void TakeInstanceList(ControlState& state, const schema::InstanceState& other) {
+  if (other.instances_offset() <= KnownOffset(state.m_follow_instances)) return;
+  for (const schema::InstanceRecord& record : other.instances()) {
+    TakeInstance(state, record);
+  }
+  state.m_follow_instances.m_next = other.instances_offset();
+  state.m_follow_instances.m_known = true;
+  PublishInstances(state);
+}
+
+void ConfirmStream(Follower& follower, Instant at) {
+  if (follower.m_known)
+    follower.m_confirmed = std::max(follower.m_confirmed, at);
 }
 
 void TakeAnswer(ControlState& state, const schema::InstanceState& other) {
@@ -57,50 +119,49 @@
         .Add("sequence", static_cast<std::int64_t>(other.usage_stored()));
     OnUsageStored(state, other.usage_stored());
   }
-  if (!other.has_catalog() && !other.has_endpoints()) return;
   // Two instances that have both lost the store learn nothing from each other.
-  if (other.store_age_ms() > StoreAgeMs(state)) return;
-  LogLine("neighbour_answered")
-      .Add("instance", other.name())
-      .Add("store_age_ms", static_cast<std::int64_t>(other.store_age_ms()))
-      .Add("catalog", other.has_catalog()
-                          ? static_cast<std::int64_t>(other.catalog().version())
-                          : -1)
-      .Add("endpoints", other.endpoints().endpoints_size());
-  if (other.has_catalog()) {
-    AdoptCatalog(state, other.catalog(), "instance");
-    state.m_follow_catalog.m_next =
-        std::max(state.m_follow_catalog.m_next, other.catalog_offset());
-    state.m_follow_catalog.m_known = true;
-  }
-  const bool newer =
-      other.endpoints_offset() > KnownOffset(state.m_follow_endpoints);
-  if (other.has_endpoints() && newer) TakeEndpointList(state, other);
+  if (other.store_age_ms() > StateAgeMs(state)) return;
+  TakeCatalog(state, other);
+  const bool listed =
+      other.endpoints_offset() > 0 && TakeEndpointList(state, other);
+  TakeInstanceList(state, other);
+  if (other.name() != state.m_upstream.m_chosen.m_name) return;
+  const auto age = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::milli>(other.store_age_ms()));
+  const Instant confirmed = state.m_clock() - age;
+  ConfirmStream(state.m_follow_catalog, confirmed);
+  if (!listed) return;
+  ConfirmStream(state.m_follow_endpoints, confirmed);
+  OnStoreAnswer(state.m_directory, confirmed);
 }
 
+// Asks the instance and takes its answer. done tells whether it answered.
 void Ask(ControlState& state, const std::string& address,
-         const schema::InstanceQuery& query) {
+         const schema::InstanceQuery& query, const AnswerTaken& done) {
   HttpCall call;
   call.m_method = "POST";
   call.m_url = "http://" + address + std::string(kNeighbourTarget);
   call.m_body = query.SerializeAsString();
   call.m_connect_timeout = kCallTime;
-  call.m_timeout = kCallTime;
+  call.m_timeout = kCallTime + std::chrono::milliseconds(query.wait_ms());
   auto body = std::make_shared<std::string>();
   HttpEvents events;
   events.m_on_body = [body](std::string_view bytes) { body->append(bytes); };
-  events.m_on_end = [&state, body, address](const HttpResult& result) {
+  events.m_on_end = [&state, body, address, done](const HttpResult& result) {
     schema::InstanceState other;
     constexpr int kOk = 200;
-    if (result.m_error || result.m_status != kOk ||
-        !other.ParseFromString(*body)) {
-      LogLine("neighbour_failed")
-          .Add("address", address)
-          .Add("status", result.m_status)
-          .Add("error", result.m_error ? result.m_error.message() : "none");
+    const bool answered = !result.m_error && result.m_status == kOk &&
+                          other.ParseFromString(*body);
+    if (answered) {
+      TakeAnswer(state, other);
+      if (done) done(true);
       return;
     }
-    TakeAnswer(state, other);
+    LogLine("neighbour_failed")
+        .Add("address", address)
+        .Add("status", result.m_status)
+        .Add("error", result.m_error ? result.m_error.message() : "none");
+    if (done) done(false);
   };
   ++state.m_counters.m_peer_queries;
   state.m_peers->Start(std::move(call), std::move(events));
@@ -116,33 +177,86 @@
   return addresses;
 }
 
-// State for the asker, with what it does not know yet.
-schema::InstanceState MakeAnswer(const ControlState& state,
-                                 const schema::InstanceQuery& query) {
-  schema::InstanceState answer;
-  answer.set_name(state.m_options.m_name);
-  answer.set_incarnation(state.m_options.m_incarnation);
-  answer.set_store_age_ms(StoreAgeMs(state));
-  answer.set_catalog_offset(KnownOffset(state.m_follow_catalog));
-  answer.set_endpoints_offset(KnownOffset(state.m_follow_endpoints));
-  if (query.crashes_size() > 0) return answer;
-  if (answer.catalog_offset() > query.catalog_offset() && state.m_catalog) {
-    *answer.mutable_catalog() = *state.m_catalog;
+std::vector<UpstreamCandidate> LiveInstances(const ControlState& state) {
+  std::vector<UpstreamCandidate> live;
+  for (const auto& [name, known] : state.m_instances) {
+    if (known.left()) continue;
+    live.push_back({name, known.availability_zone(), known.peers()});
   }
-  if (answer.endpoints_offset() > query.endpoints_offset()) {
-    *answer.mutable_endpoints() = ListEntries(state.m_directory);
+  return live;
+}
+
+// Question with what this instance knows. With hand_over it brings the usage
+// record that the store has not taken.
+schema::InstanceQuery MakeQuery(const ControlState& state, bool hand_over) {
+  schema::InstanceQuery query;
+  query.set_name(state.m_options.m_name);
+  query.set_catalog_offset(KnownOffset(state.m_follow_catalog));
+  query.set_endpoints_offset(KnownOffset(state.m_follow_endpoints));
+  query.set_instances_offset(KnownOffset(state.m_follow_instances));
+  query.set_list_owner(state.m_link.m_list_owner);
+  query.set_list_incarnation(state.m_link.m_list_incarnation);
+  query.set_list_version(state.m_link.m_list_version);
+  if (!hand_over || state.m_flush.m_sent.empty()) return query;
+  schema::UsageHandover* usage = query.mutable_usage();
+  usage->set_producer(UsageProducer(state));
+  usage->set_epoch(kUsageEpoch);
+  usage->set_sequence(state.m_flush.m_sequence);
+  usage->set_record(state.m_flush.m_sent);
+  return query;
+}
+
+void LogUpstream(const ControlState& state, std::string_view why) {
+  LogLine("upstream_chosen")
+      .Add("instance", HasUpstream(state.m_upstream)
+                           ? state.m_upstream.m_chosen.m_name
+                           : "store")
+      .Add("why", why)
+      .Add("live", static_cast<std::int64_t>(state.m_live_instances))
+      .Add("state_age_ms", static_cast<std::int64_t>(StateAgeMs(state)));
+}
+
+void ChooseAgain(ControlState& state, std::string_view why) {
+  const Instant now = state.m_clock();
+  if (!ChooseUpstream(state.m_upstream, LiveInstances(state), now)) return;
+  state.m_link.m_chosen_at = now;
+  LogUpstream(state, why);
+}
+
+void OnUpstreamEnd(ControlState& state, const std::string& name, Instant sent,
+                   bool answered) {
+  state.m_link.m_busy = false;
+  const Instant now = state.m_clock();
+  state.m_link.m_due = std::max(now, sent + kUpstreamPause);
+  if (!answered) {
+    OnUpstreamFailed(state.m_upstream, name, now);
+    ChooseAgain(state, "no_answer");
+  } else if (now - StateConfirmed(state) < kStaleAfter) {
+    OnUpstreamAnswered(state.m_upstream, name);
   }
-  return answer;
+}
+
+// Leaves an instance that has not told anything recent: it has lost the store.
+void CheckUpstream(ControlState& state) {
+  if (!HasUpstream(state.m_upstream)) return;
+  const Instant now = state.m_clock();
+  const Instant since =
+      std::max(StateConfirmed(state), state.m_link.m_chosen_at);
+  if (now - since < kStaleAfter) return;
+  OnUpstreamFailed(state.m_upstream, state.m_upstream.m_chosen.m_name, now);
+  ChooseAgain(state, "stale");
 }
 
 }  // namespace
 
 void RegisterInstance(ControlState& state) {
   if (state.m_registered == !state.m_stopping || state.m_registering) return;
+  if (state.m_clock() < state.m_register_due) return;
   state.m_registering = true;
   schema::InstanceRecord record;
   record.set_name(state.m_options.m_name);
   record.set_peers(state.m_options.m_peers);
+  record.set_availability_zone(state.m_options.m_zone);
   record.set_incarnation(state.m_options.m_incarnation);
   record.set_left(state.m_stopping);
   StreamAppend append;
@@ -152,63 +266,42 @@
   state.m_store->Append(
       append, [&state, left = state.m_stopping](const AppendResult& result) {
         state.m_registering = false;
+        state.m_register_due = state.m_clock() + kRegisterPause;
         NoteStoreCall(state, result.m_fault, result.m_detail);
         if (result.m_fault == StoreFault::kNone) state.m_registered = !left;
       });
 }
 
+void FollowUpstream(ControlState& state) {
+  const Instant now = state.m_clock();
+  CheckUpstream(state);
+  if (state.m_link.m_busy || now < state.m_link.m_due) return;
+  ChooseAgain(state, "order");
+  if (!HasUpstream(state.m_upstream)) return;
+  state.m_link.m_busy = true;
+  schema::InstanceQuery query = MakeQuery(state, state.m_flush.m_failed);
+  query.set_wait_ms(static_cast<std::uint32_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(kUpstreamWait)
+          .count()));
+  const std::string name = state.m_upstream.m_chosen.m_name;
+  Ask(state, state.m_upstream.m_chosen.m_address, query,
+      [&state, name, now](bool answered) {
+        OnUpstreamEnd(state, name, now, answered);
+      });
+}
+
 void QueryNeighbours(ControlState& state) {
   const Instant now = state.m_clock();
-  if (now - state.m_store_answered < kAskAfter || now < state.m_next_query) {
+  const Duration limit =
+      HasUpstream(state.m_upstream) ? kFollowerAskAfter : kAskAfter;
+  if (now - StateConfirmed(state) < limit || now < state.m_next_query) {
     return;
   }
   const std::vector<std::string> addresses = OtherAddresses(state);
   if (addresses.empty()) return;
   state.m_next_query = now + kAskPeriod;
-  schema::InstanceQuery query;
-  query.set_name(state.m_options.m_name);
-  query.set_catalog_offset(KnownOffset(state.m_follow_catalog));
-  query.set_endpoints_offset(KnownOffset(state.m_follow_endpoints));
-  if (!state.m_flush.m_sent.empty()) {
-    schema::UsageHandover* usage = query.mutable_usage();
-    usage->set_producer(UsageProducer(state));
-    usage->set_epoch(kUsageEpoch);
-    usage->set_sequence(state.m_flush.m_sequence);
-    usage->set_record(state.m_flush.m_sent);
-  }
-  Ask(state, addresses[state.m_query_turn++ % addresses.size()], query);
-}
-
-void AnswerNeighbour(
-    ControlState& state, const schema::InstanceQuery& query,
-    const std::function<void(const schema::InstanceState&)>& respond) {
-  for (const schema::CrashReport& crash : query.crashes()) {
-    schema::RelayMessage message;
-    *message.mutable_crash() = crash;
-    state.m_relay->Post(std::move(message));
-  }
-  const schema::InstanceState answer = MakeAnswer(state, query);
-  if (!query.has_usage()) {
-    respond(answer);
-    return;
-  }
-  StreamAppend append;
-  append.m_stream = Stream::kUsage;
-  append.m_value = query.usage().record();
-  append.m_producer = query.usage().producer();
-  append.m_epoch = query.usage().epoch();
-  append.m_sequence = query.usage().sequence();
-  state.m_store->Append(
-      append, [&state, answer, respond, sequence = query.usage().sequence()](
-                  const AppendResult& result) {
-        NoteStoreCall(state, result.m_fault, result.m_detail);
-        schema::InstanceState complete = answer;
-        if (result.m_fault == StoreFault::kNone ||
-            result.m_fault == StoreFault::kRepeated) {
-          complete.set_usage_stored(sequence);
-        }
-        respond(complete);
-      });
+  Ask(state, addresses[state.m_query_turn++ % addresses.size()],
+      MakeQuery(state, true), {});
 }
 
 void SpreadCrash(ControlState& state, const schema::CrashReport& crash) {
@@ -216,7 +309,7 @@
   query.set_name(state.m_options.m_name);
   *query.add_crashes() = crash;
   for (const std::string& address : OtherAddresses(state)) {
-    Ask(state, address, query);
+    Ask(state, address, query, {});
   }
 }
 
--- a/src/neighbours.h
+++ b/src/neighbours.h
@@ -11,15 +11,14 @@
 // Writes the address of this instance to the store, once.
 void RegisterInstance(ControlState& state);
 
-// Asks another instance for configuration and endpoints while the store does
-// not answer this one. Call it every tick.
-void QueryNeighbours(ControlState& state);
+// Keeps a question open at the instance that this one follows. Call it every
+// tick.
+void FollowUpstream(ControlState& state);
 
-// Answers such a question through the callback, which may be called later:
-// usage that was handed over is appended first.
-void AnswerNeighbour(
-    ControlState& state, const schema::InstanceQuery& query,
-    const std::function<void(const schema::InstanceState&)>& respond);
+// Asks the other instances in turn for configuration and endpoints while
+// neither the store nor the followed instance tells this one. Call it every
+// tick.
+void QueryNeighbours(ControlState& state);
 
 // Tells all instances that an endpoint crashed while it ran a request.
 void SpreadCrash(ControlState& state, const schema::CrashReport& crash);
--- a/src/reporter.cpp
+++ b/src/reporter.cpp
@@ -9,8 +9,12 @@
 
 namespace {
 
-// Time between two records of usage.
-constexpr Duration kFlushPeriod = std::chrono::seconds(1);
+// Time between two records of usage, for each instance that is live: what one
+// of many loses when it is killed weighs less. The longest one leaves time for
+// the record to arrive before the window's figures are fixed.
+constexpr Duration kFlushPart = std::chrono::milliseconds(60);
+constexpr Duration kShortestFlush = std::chrono::seconds(1);
+constexpr Duration kLongestFlush = std::chrono::milliseconds(2500);
 
 // Longest wait of a read of the duties.
 constexpr Duration kDutiesWait = std::chrono::milliseconds(1500);
@@ -36,6 +40,11 @@
   return record.SerializeAsString();
 }
 
+Duration FlushPeriod(const ControlState& state) {
+  return std::clamp<Duration>(kFlushPart * state.m_live_instances,
+                              kShortestFlush, kLongestFlush);
+}
+
 // Sends the counts, or sends the last ones again if their fate is not known:
 // the store carries out each sequence number once.
 void FlushUsage(ControlState& state) {
@@ -49,7 +58,7 @@
     flush.m_counts.clear();
   }
   flush.m_busy = true;
-  flush.m_due = now + kFlushPeriod;
+  flush.m_due = now + FlushPeriod(state);
   StreamAppend append;
   append.m_stream = Stream::kUsage;
   append.m_value = flush.m_sent;
@@ -65,6 +74,7 @@
         result.m_fault == StoreFault::kRepeated) {
       OnUsageStored(state, sequence);
     } else {
+      state.m_flush.m_failed = true;
       state.m_flush.m_due = state.m_clock() + kRetryPause;
     }
   });
@@ -124,6 +134,12 @@
       });
 }
 
+// The duties fall to instances that read the store for others, so that not
+// every instance has to follow them.
+bool ContendsForDuties(const ControlState& state) {
+  return ReadsStore(state) || IsHolder(state.m_holder);
+}
+
 // Newest window that is fixed or reported.
 std::uint64_t LastWindow(const schema::DutyRecord& record) {
   std::uint64_t last = record.reported();
@@ -267,6 +283,7 @@
   // Another instance may have stored it before.
   if (sequence != state.m_flush.m_sequence) return;
   state.m_flush.m_sent.clear();
+  state.m_flush.m_failed = false;
   ++state.m_flush.m_sequence;
 }
 
@@ -280,9 +297,14 @@
 void RunDuties(ControlState& state) {
   state.m_holder.m_stopping = state.m_stopping;
   FlushUsage(state);
-  FollowDuties(state);
-  if (IsHolder(state.m_holder)) FollowUsage(state);
-  AppendDuties(state);
+  if (ContendsForDuties(state)) {
+    FollowDuties(state);
+    if (IsHolder(state.m_holder)) FollowUsage(state);
+    AppendDuties(state);
+  } else {
+    // What is known of the duties is old when they are contended for again.
+    state.m_holder.m_caught_up = false;
+  }
   ReportUsage(state);
   OrderEndpoints(state);
   LogHolderChange(state);
--- /dev/null
+++ b/src/upstream.cpp
@@ -0,0 +1,59 @@
+#include "upstream.h"
+
+#include <algorithm>
+
+namespace comfreypaddle {
+
+namespace {
+
+// Time for which an instance that failed is avoided, at first and at most.
+constexpr Duration kFirstPause = std::chrono::seconds(4);
+constexpr Duration kLongestPause = std::chrono::seconds(64);
+
+bool IsAvoided(const UpstreamState& state, const std::string& name,
+               Instant now) {
+  const auto found = state.m_failures.find(name);
+  return found != state.m_failures.end() && now < found->second.m_avoid_until;
+}
+
+}  // namespace
+
+bool ChooseUpstream(UpstreamState& state,
+                    const std::vector<UpstreamCandidate>& live, Instant now) {
+  UpstreamCandidate best;
+  for (const UpstreamCandidate& candidate : live) {
+    if (candidate.m_zone != state.m_zone) continue;
+    if (candidate.m_name >= state.m_self) continue;
+    if (IsAvoided(state, candidate.m_name, now)) continue;
+    if (best.m_name.empty() || candidate.m_name < best.m_name) best = candidate;
+  }
+  const bool changed = best.m_name != state.m_chosen.m_name;
+  state.m_chosen = best;
+  return changed;
+}
+
+bool HasUpstream(const UpstreamState& state) {
+  return !state.m_chosen.m_name.empty();
+}
+
+bool AvoidsUpstream(const UpstreamState& state, Instant now) {
+  return std::any_of(
+      state.m_failures.begin(), state.m_failures.end(),
+      [now](const auto& entry) { return now < entry.second.m_avoid_until; });
+}
+
+void OnUpstreamAnswered(UpstreamState& state, const std::string& name) {
+  state.m_failures.erase(name);
+}
+
+void OnUpstreamFailed(UpstreamState& state, const std::string& name,
+                      Instant now) {
+  UpstreamFailure& failure = state.m_failures[name];
+  constexpr std::uint32_t kMaxDoublings = 4;
+  const std::uint32_t doublings = std::min(failure.m_failures, kMaxDoublings);
+  failure.m_avoid_until =
+      now + std::min<Duration>(kFirstPause * (1U << doublings), kLongestPause);
+  ++failure.m_failures;
+}
+
+}  // namespace comfreypaddle
--- a/tests/neighbours_test.cpp
+++ b/tests/neighbours_test.cpp
@@ -6,6 +6,7 @@
 #include <memory>
 
 #include "follow.h"
+#include "inquiry.h"
 #include "reporter.h"
 
 namespace comfreypaddle {
@@ -63,6 +64,8 @@
     m_state.m_relay = &m_inbox;
     m_state.m_clock = [this] { return m_now; };
     m_state.m_store_answered = m_now;
+    m_state.m_follow_catalog.m_confirmed = m_now;
+    m_state.m_follow_endpoints.m_confirmed = m_now;
     for (const char* other : {"a", "b"}) {
       schema::InstanceRecord record;
       record.set_name(other);
@@ -89,7 +92,7 @@
   schema::InstanceQuery query;
   REQUIRE(query.ParseFromString(from.m_peers.m_calls.back().m_body));
   const HttpEvents events = from.m_peers.m_events.back();
-  AnswerNeighbour(to.m_state, query, [&](const schema::InstanceState& answer) {
+  AnswerInquiry(to.m_state, query, [&](const schema::InstanceState& answer) {
     events.m_on_body(answer.SerializeAsString());
     events.m_on_end({HttpError::kOk, 200, true});
   });
@@ -158,7 +161,7 @@
   REQUIRE(a.m_peers.m_calls.size() == 1);
   schema::InstanceQuery query;
   REQUIRE(query.ParseFromString(a.m_peers.m_calls[0].m_body));
-  AnswerNeighbour(b.m_state, query, [&a](const schema::InstanceState& answer) {
+  AnswerInquiry(b.m_state, query, [&a](const schema::InstanceState& answer) {
     a.m_peers.m_events[0].m_on_body(answer.SerializeAsString());
     a.m_peers.m_events[0].m_on_end({HttpError::kOk, 200, true});
   });
@@ -175,5 +178,155 @@
   CHECK(a.m_state.m_flush.m_sequence == 2);
 }
 
+schema::EndpointEntry EntryOf(const std::string& id, std::uint64_t sequence) {
+  schema::EndpointEntry entry;
+  entry.set_id(id);
+  entry.set_sequence(sequence);
+  return entry;
+}
+
+// Instance b of a zone that follows a, which reads the store.
+struct Pair {
+  Pair() : m_reader("a"), m_follower("b") {
+    AdoptCatalog(m_reader.m_state, CatalogOf(3), "store");
+    m_reader.m_state.m_follow_catalog = {true, false, 4, {}, m_reader.m_now};
+    m_reader.m_state.m_follow_endpoints = {true, false, 9, {}, m_reader.m_now};
+    m_reader.m_state.m_follow_instances = {true, false, 2, {}, m_reader.m_now};
+    SetEntry(m_reader.m_state.m_directory, EntryOf("i-1", 1));
+    SetEntry(m_reader.m_state.m_directory, EntryOf("i-2", 1));
+    m_follower.m_state.m_follow_catalog = {};
+    m_follower.m_state.m_follow_endpoints = {};
+    m_follower.m_state.m_upstream.m_self = "b";
+  }
+
+  // Hands the follower's open question to the reader.
+  void Carry() {
+    schema::InstanceQuery query;
+    REQUIRE(query.ParseFromString(m_follower.m_peers.m_calls.back().m_body));
+    const HttpEvents events = m_follower.m_peers.m_events.back();
+    AnswerInquiry(m_reader.m_state, query,
+                  [events, this](const schema::InstanceState& answer) {
+                    m_answer = answer;
+                    events.m_on_body(answer.SerializeAsString());
+                    events.m_on_end({HttpError::kOk, 200, true});
+                  });
+  }
+
+  void Pass(Duration time) {
+    m_reader.m_now += time;
+    m_follower.m_now += time;
+  }
+
+  Instance m_reader;
+  Instance m_follower;
+  schema::InstanceState m_answer;
+};
+
+// Guards against calls to the store that grow with the instances.
+TEST_CASE("an instance follows another one without reading the store") {
+  Pair pair;
+  ControlState& follower = pair.m_follower.m_state;
+  FollowUpstream(follower);
+  REQUIRE(pair.m_follower.m_peers.m_calls.size() == 1);
+  pair.Carry();
+  CHECK(follower.m_catalog->version() == 3);
+  CHECK(follower.m_directory.m_endpoints.size() == 2);
+  CHECK_FALSE(ReadsStore(follower));
+
+  // Later answers bring what changed, and wait for it.
+  pair.Pass(milliseconds(100));
+  FollowUpstream(follower);
+  pair.Carry();
+  ServeInquiries(pair.m_reader.m_state);
+  CHECK(follower.m_link.m_busy);
+  EraseEntry(pair.m_reader.m_state.m_directory, "i-1");
+  SetEntry(pair.m_reader.m_state.m_directory, EntryOf("i-3", 1));
+  pair.m_reader.m_state.m_follow_endpoints.m_next = 12;
+  ServeInquiries(pair.m_reader.m_state);
+  CHECK_FALSE(follower.m_link.m_busy);
+  CHECK_FALSE(pair.m_answer.list_whole());
+  CHECK(pair.m_answer.endpoints().endpoints_size() == 1);
+  CHECK_FALSE(pair.m_answer.has_catalog());
+  CHECK(follower.m_directory.m_endpoints.count("i-1") == 0);
+  CHECK(follower.m_directory.m_endpoints.count("i-2") == 1);
+  CHECK(follower.m_directory.m_endpoints.count("i-3") == 1);
+}
+
+// Guards against an instance that acts on old configuration because the one
+// that it follows is dead, or lives and has lost the store.
+TEST_CASE("the store is read when the followed instance tells nothing new") {
+  Pair pair;
+  ControlState& follower = pair.m_follower.m_state;
+  FollowUpstream(follower);
+  pair.Carry();
+  pair.Pass(milliseconds(100));
+  FollowUpstream(follower);
+  REQUIRE(follower.m_link.m_busy);
+  SUBCASE("dead") {
+    pair.m_follower.m_peers.m_events.back().m_on_end(
+        {HttpError::kTimeout, 0, true});
+    CHECK_FALSE(HasUpstream(follower.m_upstream));
+  }
+  SUBCASE("without the store") {
+    pair.Carry();
+    pair.Pass(milliseconds(600));
+    ServeInquiries(pair.m_reader.m_state);
+    CHECK_FALSE(follower.m_link.m_busy);
+    FollowUpstream(follower);
+    pair.Carry();
+    CHECK_FALSE(ReadsStore(follower));
+    pair.Pass(milliseconds(1000));
+    ServeInquiries(pair.m_reader.m_state);
+    FollowUpstream(follower);
+    CHECK_FALSE(HasUpstream(follower.m_upstream));
+    // It goes on reading while the other one stays without the store.
+    pair.Pass(milliseconds(3000));
+    FollowUpstream(follower);
+    CHECK_FALSE(HasUpstream(follower.m_upstream));
+  }
+  CHECK(ReadsStore(follower));
+}
+
+// Guards against an endpoint that comes back into use because the followed
+// instance has read less than this one did.
+TEST_CASE("a list that is older than what was read is not taken over") {
+  Pair pair;
+  ControlState& follower = pair.m_follower.m_state;
+  follower.m_follow_endpoints = {true, false, 20, {}, {}};
+  SetEntry(follower.m_directory, EntryOf("i-1", 5));
+  FollowUpstream(follower);
+  pair.Carry();
+  CHECK(follower.m_directory.m_endpoints.at("i-1").m_entry.sequence() == 5);
+  CHECK(follower.m_directory.m_endpoints.count("i-2") == 0);
+  CHECK(follower.m_follow_endpoints.m_next == 20);
+}
+
+// Guards against usage that is lost because the store turns away an instance
+// that still learns everything from the one that it follows.
+TEST_CASE("usage that the store does not take goes through the followed one") {
+  Pair pair;
+  ControlState& follower = pair.m_follower.m_state;
+  FollowUpstream(follower);
+  pair.Carry();
+  schema::UsageCounts counts;
+  schema::UsageCount* count = counts.add_counts();
+  count->set_window(1);
+  count->set_workspace("w");
+  count->set_requests(4);
+  TakeUsage(follower, counts);
+  RunDuties(follower);
+  REQUIRE(pair.m_follower.m_store.m_appends.size() == 1);
+  AppendResult refused;
+  refused.m_fault = StoreFault::kRefused;
+  pair.m_follower.m_store.m_append_done[0](refused);
+  pair.Pass(milliseconds(100));
+  FollowUpstream(follower);
+  pair.Carry();
+  REQUIRE(pair.m_reader.m_store.m_appends.size() == 1);
+  pair.m_reader.m_store.m_append_done[0](AppendResult{});
+  CHECK(follower.m_flush.m_sent.empty());
+  CHECK_FALSE(follower.m_flush.m_failed);
+}
+
 }  // namespace
 }  // namespace comfreypaddle
