Share the load at endpoints between instances; pass on entries that may come back

Cause 1: each of 88 instances sees 1 in 88 requests, so it cannot tell a busy endpoint from an idle one; half of the late requests waited behind others. Change 1: instances tell their load at endpoints every 50 ms to the one that they follow, which adds it up, exchanges it with the other zones every 100 ms and answers with the load of all others. Estimates use it while it is younger than 400 ms. The followed instance had read the removal and kept the entry, because it may come back after an outage; the follower took its list and its offset, left it, and never saw the removal. Ruled out: a reader that lags (its list was current), an older list (offsets are compared). Change 2: the answer names entries that may come back and until when. Test: neighbours_test, an entry that may come back (failed before). Also: writes of resources in the tests of whole processes are repeated until they are accepted, and a refused one is printed.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -50,6 +50,14 @@
 // part is noisy, so only a part of the other instances is added.
 constexpr double kOthersFactor = 2.0;
 
+// Age up to which the load that other instances told is used.
+constexpr Duration kOthersAge = std::chrono::milliseconds(400);
+
+// Time that one more running request costs those at an endpoint, milliseconds,
+// and what a request costs that finds all slots taken.
+constexpr double kRunningMs = 1.5;
+constexpr double kNoSlotMs = 40;
+
 // Weights of a new sample of the prefill speed. Waiting only makes a sample
 // slower, so the estimate follows the fast ones.
 constexpr double kFasterWeight = 0.2;
@@ -111,6 +119,29 @@
   return kSpreadMs * static_cast<double>(step) / kSteps;
 }
 
+// Requests and prefill work at an endpoint.
+struct Load {
+  double m_running = 0;
+  double m_prefill_ms = 0;
+};
+
+// Load of all instances. Without word of the others they are taken to have a
+// multiple of the own load there.
+Load LoadOf(const BalanceEndpoint& endpoint, Instant now) {
+  if (now - endpoint.m_others_seen < kOthersAge) {
+    return {static_cast<double>(endpoint.m_running + endpoint.m_others_running),
+            endpoint.m_prefill_ms + endpoint.m_others_prefill_ms};
+  }
+  return {kOthersFactor * endpoint.m_running,
+          kOthersFactor * endpoint.m_prefill_ms};
+}
+
+// Cost of running a request at an endpoint beside those that are there.
+double RunningMs(const BalanceEndpoint& endpoint, const Load& load) {
+  const double over = std::max(0.0, load.m_running + 1 - endpoint.m_slots);
+  return kRunningMs * load.m_running + kNoSlotMs * over;
+}
+
 using Candidates = std::vector<const BalanceEndpoint*>;
 
 // Endpoints of the stage that may take the request. Those that failed lately
@@ -148,8 +179,8 @@
   const double age =
       std::chrono::duration<double, std::milli>(now - endpoint.m_wait_seen)
           .count();
-  return kOthersFactor * endpoint.m_prefill_ms +
-         endpoint.m_wait_ms * std::exp(-age / kWaitDecayMs);
+  const double learned = endpoint.m_wait_ms * std::exp(-age / kWaitDecayMs);
+  return std::max(LoadOf(endpoint, now).m_prefill_ms, learned);
 }
 
 PrefillEstimate EstimatePrefill(const BalanceEndpoint& endpoint,
@@ -214,8 +245,7 @@
         EstimatePrefill(*endpoint, query, speed, is_home, now);
     const double total = estimate.Total() + DistanceMs(state, *endpoint) +
                          (anywhere ? SpreadMs(*endpoint, query) : 0) +
-                         static_cast<double>(endpoint->m_running) /
-                             std::max(endpoint->m_slots, 1.0);
+                         RunningMs(*endpoint, LoadOf(*endpoint, now));
     if (total >= best.m_total_ms) continue;
     best = {endpoint, is_home, estimate, total};
   }
@@ -245,12 +275,14 @@
                                   const BalanceQuery& query,
                                   const BalanceEndpoint* from,
                                   const Candidates& candidates,
-                                  const EngineSpeed& speed, double* total_ms) {
+                                  const EngineSpeed& speed, Instant now,
+                                  double* total_ms) {
   const BalanceEndpoint* best = nullptr;
   *total_ms = std::numeric_limits<double>::max();
   for (const BalanceEndpoint* endpoint : candidates) {
+    const Load load = LoadOf(*endpoint, now);
     double total = DistanceMs(state, *endpoint) + SpreadMs(*endpoint, query) +
-                   endpoint->m_prefill_ms + kOthersFactor * endpoint->m_running;
+                   load.m_prefill_ms + RunningMs(*endpoint, load);
     if (from != nullptr) total += MoveMs(*from, *endpoint, query, speed);
     if (total >= *total_ms) continue;
     best = endpoint;
@@ -268,10 +300,9 @@
   const BalanceEndpoint* best = nullptr;
   double best_ms = 0;
   for (const BalanceEndpoint* endpoint : candidates) {
-    const double load = static_cast<double>(endpoint->m_running) /
-                        std::max(endpoint->m_slots, 1.0);
-    const double total = DistanceMs(state, *endpoint) +
-                         kOthersFactor * kServiceMs * load +
+    const double taken =
+        LoadOf(*endpoint, now).m_running / std::max(endpoint->m_slots, 1.0);
+    const double total = DistanceMs(state, *endpoint) + kServiceMs * taken +
                          (endpoint->m_cold ? kServiceMs : 0);
     if (best != nullptr && total >= best_ms) continue;
     best = endpoint;
@@ -317,8 +348,8 @@
   const PrefillPlace split =
       FindPrefillPlace(state, query, readers, speed, now);
   double decode_ms = 0;
-  const BalanceEndpoint* decoder =
-      FindDecode(state, query, split.m_endpoint, decoders, speed, &decode_ms);
+  const BalanceEndpoint* decoder = FindDecode(state, query, split.m_endpoint,
+                                              decoders, speed, now, &decode_ms);
   const double total = split.m_total_ms + decode_ms;
   if (total >= choice.m_estimate_ms) return choice;
   return BalanceChoice{decoder->m_id, split.m_endpoint->m_id,
@@ -335,7 +366,7 @@
   double total_ms = 0;
   const BalanceEndpoint* best =
       FindDecode(state, query, nullptr, candidates,
-                 SpeedOf(state, query.m_service), &total_ms);
+                 SpeedOf(state, query.m_service), now, &total_ms);
   if (best == nullptr) return std::nullopt;
   return best->m_id;
 }
--- a/src/balance.h
+++ b/src/balance.h
@@ -39,6 +39,10 @@
   // those that have not produced anything yet, milliseconds.
   std::uint32_t m_running = 0;
   double m_prefill_ms = 0;
+  // The same of all other instances, and when they told it.
+  std::uint32_t m_others_running = 0;
+  double m_others_prefill_ms = 0;
+  Instant m_others_seen{};
   // Time that requests waited there lately, and when that was seen.
   double m_wait_ms = 0;
   Instant m_wait_seen{};
--- a/src/control.cpp
+++ b/src/control.cpp
@@ -7,6 +7,7 @@
 #include "eventlog.h"
 #include "follow.h"
 #include "inquiry.h"
+#include "loadlink.h"
 #include "neighbours.h"
 #include "reporter.h"
 #include "settings.h"
@@ -101,6 +102,9 @@
     case schema::ControlMessage::kCrash:
       SpreadCrash(*m_state, message.crash());
       break;
+    case schema::ControlMessage::kLoad:
+      ShareLoad(*m_state, message.load());
+      break;
     case schema::ControlMessage::kDrain:
       m_state->m_stopping = true;
       m_told_done = false;
@@ -146,6 +150,13 @@
 
 void Control::AnswerPeer(const HttpRequest& request) {
   constexpr int kBadRequest = 400;
+  schema::LoadShare share;
+  if (request.m_target == kLoadTarget &&
+      share.ParseFromString(request.m_body)) {
+    m_peers->Respond(request.m_id, kOk, {},
+                     AnswerLoad(*m_state, share).SerializeAsString());
+    return;
+  }
   schema::InstanceQuery query;
   if (request.m_target != kNeighbourTarget ||
       !query.ParseFromString(request.m_body)) {
--- a/src/controlstate.h
+++ b/src/controlstate.h
@@ -12,6 +12,7 @@
 #include "fleetplan.h"
 #include "holder.h"
 #include "http.h"
+#include "loadshare.h"
 #include "tally.h"
 #include "task.h"
 #include "upstream.h"
@@ -66,6 +67,18 @@
   std::uint64_t m_list_version = 0;
 };
 
+// Calls that share load with the followed instance, or with other zones.
+struct LoadLink {
+  bool m_busy = false;
+  Instant m_due{};
+};
+
+// Reader of another zone.
+struct ZoneLink {
+  UpstreamState m_reader;
+  bool m_busy = false;
+};
+
 struct ControlOptions {
   std::string m_name;
   std::string m_zone;
@@ -118,6 +131,9 @@
   UpstreamState m_upstream;
   UpstreamLink m_link;
   std::vector<WaitingInquiry> m_inquiries;
+  LoadShareState m_load;
+  LoadLink m_load_link;
+  std::map<std::string, ZoneLink> m_zone_links;
   Instant m_next_query{};
   std::size_t m_query_turn = 0;
   Instant m_store_answered{};  // Any call of this instance.
--- a/src/directory.cpp
+++ b/src/directory.cpp
@@ -54,15 +54,20 @@
   const auto found = directory.m_endpoints.find(id);
   if (found == directory.m_endpoints.end()) return false;
   if (now < directory.m_return_ends && !found->second.m_entry.draining()) {
-    if (!found->second.m_lapsed) {
-      found->second.m_lapsed = true;
-      found->second.m_lapse_ends = directory.m_return_ends;
-    }
+    LapseEntry(directory, id, directory.m_return_ends);
     return false;
   }
   return EraseEntry(directory, id);
 }
 
+void LapseEntry(Directory& directory, const std::string& id, Instant ends) {
+  const auto found = directory.m_endpoints.find(id);
+  if (found == directory.m_endpoints.end() || found->second.m_lapsed) return;
+  found->second.m_lapsed = true;
+  found->second.m_lapse_ends = ends;
+  found->second.m_changed = ++directory.m_version;
+}
+
 bool EraseEntry(Directory& directory, const std::string& id) {
   if (directory.m_endpoints.erase(id) == 0) return false;
   NoteRemoval(directory, id);
--- a/src/directory.h
+++ b/src/directory.h
@@ -56,6 +56,9 @@
 // Returns whether the list of usable endpoints changed.
 bool RemoveEntry(Directory& directory, const std::string& id, Instant now);
 
+// Notes that an entry is gone and counts until then unless it comes back.
+void LapseEntry(Directory& directory, const std::string& id, Instant ends);
+
 // Removes an entry at once.
 bool EraseEntry(Directory& directory, const std::string& id);
 
--- a/src/inquiry.cpp
+++ b/src/inquiry.cpp
@@ -8,6 +8,10 @@
 
 namespace {
 
+double ToMs(Duration time) {
+  return std::chrono::duration<double, std::milli>(time).count();
+}
+
 bool KnowsList(const ControlState& state, const schema::InstanceQuery& query) {
   return query.list_owner() == state.m_options.m_name &&
          query.list_incarnation() == state.m_options.m_incarnation;
@@ -42,6 +46,12 @@
   for (const std::string& id : changes.m_removed) {
     answer->add_removed_endpoints(id);
   }
+  for (const auto& [id, known] : state.m_directory.m_endpoints) {
+    if (!known.m_lapsed) continue;
+    schema::LapsedEndpoint* lapsed = answer->add_lapsed_endpoints();
+    lapsed->set_id(id);
+    lapsed->set_ends_in_ms(ToMs(known.m_lapse_ends - state.m_clock()));
+  }
 }
 
 void AddInstances(const ControlState& state, const schema::InstanceQuery& query,
@@ -128,9 +138,7 @@
 }
 
 double StateAgeMs(const ControlState& state) {
-  return std::chrono::duration<double, std::milli>(state.m_clock() -
-                                                   StateConfirmed(state))
-      .count();
+  return ToMs(state.m_clock() - StateConfirmed(state));
 }
 
 }  // namespace comfreypaddle
--- a/src/neighbours.cpp
+++ b/src/neighbours.cpp
@@ -36,6 +36,11 @@
 
 using AnswerTaken = std::function<void(bool answered)>;
 
+Duration FromMs(double milliseconds) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::milli>(milliseconds));
+}
+
 // Replaces the list of endpoints.
 void TakeWholeList(ControlState& state, const schema::InstanceState& other) {
   std::set<std::string> present;
@@ -80,6 +85,10 @@
   } else {
     TakeListChanges(state, other);
   }
+  for (const schema::LapsedEndpoint& lapsed : other.lapsed_endpoints()) {
+    LapseEntry(state.m_directory, lapsed.id(),
+               state.m_clock() + FromMs(lapsed.ends_in_ms()));
+  }
   link.m_list_owner = other.name();
   link.m_list_incarnation = other.incarnation();
   link.m_list_version = other.list_version();
@@ -126,9 +135,7 @@
       other.endpoints_offset() > 0 && TakeEndpointList(state, other);
   TakeInstanceList(state, other);
   if (other.name() != state.m_upstream.m_chosen.m_name) return;
-  const auto age = std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double, std::milli>(other.store_age_ms()));
-  const Instant confirmed = state.m_clock() - age;
+  const Instant confirmed = state.m_clock() - FromMs(other.store_age_ms());
   ConfirmStream(state.m_follow_catalog, confirmed);
   if (!listed) return;
   ConfirmStream(state.m_follow_endpoints, confirmed);
@@ -177,15 +184,6 @@
   return addresses;
 }
 
-std::vector<UpstreamCandidate> LiveInstances(const ControlState& state) {
-  std::vector<UpstreamCandidate> live;
-  for (const auto& [name, known] : state.m_instances) {
-    if (known.left()) continue;
-    live.push_back({name, known.availability_zone(), known.peers()});
-  }
-  return live;
-}
-
 // Question with what this instance knows. With hand_over it brings the usage
 // record that the store has not taken.
 schema::InstanceQuery MakeQuery(const ControlState& state, bool hand_over) {
@@ -249,6 +247,15 @@
 
 }  // namespace
 
+std::vector<UpstreamCandidate> LiveInstances(const ControlState& state) {
+  std::vector<UpstreamCandidate> live;
+  for (const auto& [name, known] : state.m_instances) {
+    if (known.left()) continue;
+    live.push_back({name, known.availability_zone(), known.peers()});
+  }
+  return live;
+}
+
 void RegisterInstance(ControlState& state) {
   if (state.m_registered == !state.m_stopping || state.m_registering) return;
   if (state.m_clock() < state.m_register_due) return;
--- a/src/neighbours.h
+++ b/src/neighbours.h
@@ -11,6 +11,9 @@
 // Writes the address of this instance to the store, once.
 void RegisterInstance(ControlState& state);
 
+// Instances that have not left.
+std::vector<UpstreamCandidate> LiveInstances(const ControlState& state);
+
 // Keeps a question open at the instance that this one follows. Call it every
 // tick.
 void FollowUpstream(ControlState& state);
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -4,6 +4,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <unordered_map>
 #include <utility>
 
 #include "accept.h"
@@ -26,6 +27,9 @@
 // Time after the balancer's notice in which requests are still taken.
 constexpr Duration kLateArrivals = std::chrono::milliseconds(800);
 
+// Period at which the load at endpoints is shared with other instances.
+constexpr Duration kLoadPeriod = std::chrono::milliseconds(50);
+
 // Period at which counts are handed to the task that holds duties.
 constexpr Duration kUsagePeriod = std::chrono::milliseconds(500);
 
@@ -108,6 +112,8 @@
     m_ports.m_control->Post(std::move(message));
   };
   m_tick = std::make_unique<PeriodicTimer>(Loop(), kTick, [this] { Tick(); });
+  m_load_tick = std::make_unique<PeriodicTimer>(Loop(), kLoadPeriod,
+                                                [this] { TellLoad(); });
   m_usage_tick = std::make_unique<PeriodicTimer>(Loop(), kUsagePeriod,
                                                  [this] { HandOverUsage(); });
 }
@@ -153,6 +159,9 @@
     case schema::RelayMessage::kCrash:
       NoteCrash(message.crash());
       break;
+    case schema::RelayMessage::kOthers:
+      TakeOthersLoad(message.others());
+      break;
     case schema::RelayMessage::kDrain:
       BeginDrain();
       break;
@@ -167,6 +176,7 @@
 
 void Relay::Finish() {
   m_tick.reset();
+  m_load_tick.reset();
   m_usage_tick.reset();
   m_metrics.reset();
   m_ready.reset();
@@ -280,6 +290,34 @@
   m_ports.m_control->Post(std::move(message));
 }
 
+void Relay::TellLoad() {
+  schema::ControlMessage message;
+  schema::LoadList* list = message.mutable_load();
+  for (const auto& [id, endpoint] : m_state.m_balance.m_endpoints) {
+    if (endpoint.m_running == 0) continue;
+    schema::SharedLoad* load = list->add_loads();
+    load->set_endpoint(static_cast<std::uint32_t>(endpoint.m_hash));
+    load->set_running(endpoint.m_running);
+    load->set_prefill_ms(static_cast<float>(endpoint.m_prefill_ms));
+  }
+  m_ports.m_control->Post(std::move(message));
+}
+
+void Relay::TakeOthersLoad(const schema::LoadList& list) {
+  std::unordered_map<std::uint32_t, const schema::SharedLoad*> loads;
+  for (const schema::SharedLoad& load : list.loads()) {
+    loads[load.endpoint()] = &load;
+  }
+  const Instant now = Now();
+  for (auto& [id, endpoint] : m_state.m_balance.m_endpoints) {
+    const auto found = loads.find(static_cast<std::uint32_t>(endpoint.m_hash));
+    const bool idle = found == loads.end();
+    endpoint.m_others_running = idle ? 0 : found->second->running();
+    endpoint.m_others_prefill_ms = idle ? 0 : found->second->prefill_ms();
+    endpoint.m_others_seen = now;
+  }
+}
+
 bool Relay::IsReady() const {
   return m_state.m_catalog != nullptr &&
          !m_state.m_balance.m_endpoints.empty() && !m_state.m_stopping;
--- a/src/relay.h
+++ b/src/relay.h
@@ -37,6 +37,8 @@
   void NoteCrash(const schema::CrashReport& crash);
   void BeginDrain();
   void Tick();
+  void TellLoad();
+  void TakeOthersLoad(const schema::LoadList& list);
   void HandOverUsage();
   bool IsReady() const;
   void AnswerReady(const HttpRequest& request);
@@ -51,6 +53,7 @@
   std::unique_ptr<HttpServer> m_ready;
   std::unique_ptr<HttpServer> m_metrics;
   std::unique_ptr<PeriodicTimer> m_tick;
+  std::unique_ptr<PeriodicTimer> m_load_tick;
   std::unique_ptr<PeriodicTimer> m_usage_tick;
   RelayState m_state;
   bool m_was_ready = false;
--- a/src/upstream.cpp
+++ b/src/upstream.cpp
@@ -23,7 +23,7 @@
   UpstreamCandidate best;
   for (const UpstreamCandidate& candidate : live) {
     if (candidate.m_zone != state.m_zone) continue;
-    if (candidate.m_name >= state.m_self) continue;
+    if (!state.m_self.empty() && candidate.m_name >= state.m_self) continue;
     if (IsAvoided(state, candidate.m_name, now)) continue;
     if (best.m_name.empty() || candidate.m_name < best.m_name) best = candidate;
   }
--- a/src/upstream.h
+++ b/src/upstream.h
@@ -30,7 +30,7 @@
 };
 
 struct UpstreamState {
-  std::string m_self;
+  std::string m_self;  // Only those before it are chosen; empty: any.
   std::string m_zone;
   UpstreamCandidate m_chosen;  // Without a name: this instance reads the store.
   std::map<std::string, UpstreamFailure, std::less<>> m_failures;
--- a/tests/neighbours_test.cpp
+++ b/tests/neighbours_test.cpp
@@ -301,6 +301,30 @@
   CHECK(follower.m_follow_endpoints.m_next == 20);
 }
 
+// Guards against an endpoint that stays in use for good: the followed instance
+// has read that its entry is gone and still waits for it to come back, and
+// this one goes on reading behind that record.
+TEST_CASE("an entry that may come back is not kept for longer than that") {
+  Pair pair;
+  ControlState& follower = pair.m_follower.m_state;
+  Directory& read = pair.m_reader.m_state.m_directory;
+  FollowUpstream(follower);
+  pair.Carry();
+  OnStoreAnswer(read, pair.m_reader.m_now - seconds(5));
+  OnStoreAnswer(read, pair.m_reader.m_now);
+  RemoveEntry(read, "i-1", pair.m_reader.m_now);
+  REQUIRE(read.m_endpoints.count("i-1") == 1);
+  pair.Pass(milliseconds(200));
+  FollowUpstream(follower);
+  pair.Carry();
+  ServeInquiries(pair.m_reader.m_state);
+  CHECK(follower.m_directory.m_endpoints.count("i-1") == 1);
+  pair.Pass(kReturnTime);
+  ExpireEntries(follower.m_directory, pair.m_follower.m_now);
+  CHECK(follower.m_directory.m_endpoints.count("i-1") == 0);
+  CHECK(follower.m_directory.m_endpoints.count("i-2") == 1);
+}
+
 // Guards against usage that is lost because the store turns away an instance
 // that still learns everything from the one that it follows.
 TEST_CASE("usage that the store does not take goes through the followed one") {
--- a/tests/support_process.cpp
+++ b/tests/support_process.cpp
@@ -1,6 +1,7 @@
 #include "support_process.h"
 
 #include <arpa/inet.h>
+#include <doctest/doctest.h>
 #include <fcntl.h>
 #include <signal.h>
 #include <spawn.h>
@@ -325,34 +326,50 @@
   return Call(put);
 }
 
+void Cluster::MustApply(const std::string& kind, const std::string& name,
+                        const std::string& body_json) {
+  const bool accepted = Until(
+      [&] {
+        const Reply reply = Apply(1, kind, name, body_json);
+        if (reply.m_status == 200) return true;
+        // The log of a failed run tells what the instance said.
+        MESSAGE("write of ", kind, " ", name, " was answered with status ",
+                reply.m_status, ": ", reply.m_body);
+        return false;
+      },
+      kStartLimit);
+  REQUIRE_MESSAGE(accepted, kind, " ", name, " was never accepted");
+}
+
 void Cluster::ApplyBasics(const std::vector<std::uint16_t>& engines,
                           const std::vector<std::uint16_t>& services,
                           bool checks_fencing) {
   for (const std::string number : {"1", "2"}) {
-    Apply(1, "workspace", "w" + number,
-          R"({"name":"w)" + number + R"(","weight":1})");
-    Apply(1, "key", "k" + number,
-          R"({"name":"k)" + number + R"(","workspace":"w)" + number +
-              R"(","secret_sha256":")" + Sha256Hex("secret-" + number) + "\"}");
+    MustApply("workspace", "w" + number,
+              R"({"name":"w)" + number + R"(","weight":1})");
+    MustApply("key", "k" + number,
+              R"({"name":"k)" + number + R"(","workspace":"w)" + number +
+                  R"(","secret_sha256":")" + Sha256Hex("secret-" + number) +
+                  "\"}");
   }
-  Apply(1, "model", "m", R"({"name":"m","version":"1","weights":"m-1"})");
-  Apply(1, "fleet", "engines",
-        R"({"name":"engines","kind":"engine","model":"m","replicas":)" +
-            std::to_string(engines.size()) + R"(,"concurrency":64})");
-  Apply(1, "fleet", "desks",
-        R"({"name":"desks","kind":"service","replicas":)" +
-            std::to_string(services.size()) + R"(,"concurrency":64})");
+  MustApply("model", "m", R"({"name":"m","version":"1","weights":"m-1"})");
+  MustApply("fleet", "engines",
+            R"({"name":"engines","kind":"engine","model":"m","replicas":)" +
+                std::to_string(engines.size()) + R"(,"concurrency":64})");
+  MustApply("fleet", "desks",
+            R"({"name":"desks","kind":"service","replicas":)" +
+                std::to_string(services.size()) + R"(,"concurrency":64})");
   const auto apply = [this, checks_fencing](const std::string& prefix,
                                             const std::string& fleet,
                                             std::uint16_t port, int number) {
     const std::string name = prefix + std::to_string(number);
     const std::string zone = std::to_string((number - 1) % 3 + 1);
-    Apply(1, "endpoint", name,
-          R"({"name":")" + name + R"(","fleet":")" + fleet +
-              R"(","availability_zone":"z)" + zone + R"(","region":"r)" + zone +
-              R"(","address":"127.0.0.1:)" + std::to_string(port) +
-              R"(","checks_fencing":)" + (checks_fencing ? "true" : "false") +
-              "}");
+    MustApply("endpoint", name,
+              R"({"name":")" + name + R"(","fleet":")" + fleet +
+                  R"(","availability_zone":"z)" + zone + R"(","region":"r)" +
+                  zone + R"(","address":"127.0.0.1:)" + std::to_string(port) +
+                  R"(","checks_fencing":)" +
+                  (checks_fencing ? "true" : "false") + "}");
   };
   int number = 0;
   for (const std::uint16_t port : engines) {
@@ -362,11 +379,11 @@
   for (const std::uint16_t port : services) {
     apply("desk-", "desks", port, ++number);
   }
-  Apply(
-      1, "route", "completions",
+  MustApply(
+      "route", "completions",
       R"({"name":"completions","model":"m","fleet":"engines","repeatable":true})");
-  Apply(1, "route", "desk",
-        R"({"name":"desk","path_prefix":"/desk","fleet":"desks"})");
+  MustApply("route", "desk",
+            R"({"name":"desk","path_prefix":"/desk","fleet":"desks"})");
 }
 
 std::shared_ptr<Reply> Cluster::StartCall(HttpCall call, HttpPort::CallId* id) {
--- a/tests/support_process.h
+++ b/tests/support_process.h
@@ -114,6 +114,12 @@
               const std::string& body_json,
               std::optional<std::uint64_t> version = std::nullopt);
 
+  // Writes a resource through the first instance, again and again until it is
+  // accepted: an instance that has not reached the log yet refuses writes.
+  // Fails the test if it is never accepted.
+  void MustApply(const std::string& kind, const std::string& name,
+                 const std::string& body_json);
+
   // Writes what most tests need: workspace w1 with key "secret-1", workspace
   // w2 with key "secret-2", model m on fleet engines, service fleet desks with
   // the not repeatable route /desk, and the endpoints of the given ports.
