--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -68,6 +68,19 @@
   CHECK(homes.size() > 3);
 }
 
+// Guards against an endpoint that looks idle because its load is of others.
+TEST_CASE("the load of other instances counts while it is fresh") {
+  BalanceState state = MakeState(6, 0);
+  const BalanceQuery query = Prompt(7, 2'000, 1'000);
+  const std::string home = ChooseRun(state, query, kStart)->m_endpoint;
+  BalanceEndpoint& endpoint = state.m_endpoints.at(home);
+  endpoint.m_others_running = 4;
+  endpoint.m_others_prefill_ms = 5'000;
+  endpoint.m_others_seen = kStart;
+  CHECK(ChooseRun(state, query, kStart)->m_endpoint != home);
+  CHECK(ChooseRun(state, query, kStart + seconds(1))->m_endpoint == home);
+}
+
 // Guards against all instances choosing the same endpoint of many that look
 // idle to each of them.
 TEST_CASE("requests of idle instances spread over endpoints that look alike") {
--- a/tests/support_platform.cpp
+++ b/tests/support_platform.cpp
@@ -241,9 +241,14 @@
 void PlatformCluster::AddEndpoint(const std::string& service) {
   const std::string id = "i-" + std::to_string(m_endpoints.size());
   m_endpoints.push_back(std::make_unique<FakeEndpoint>(m_sockets, id));
+  std::uint16_t port = m_endpoints.back()->Port();
+  if (m_use_links) {
+    m_endpoint_links.push_back(std::make_unique<Relay>(m_loop, port));
+    port = m_endpoint_links.back()->Port();
+  }
   m_store.Put("keyed.servers", id,
               R"({"service":")" + service + R"(","address":"127.0.0.1:)" +
-                  std::to_string(m_endpoints.back()->Port()) +
+                  std::to_string(port) +
                   R"(","zone":"z1","version":"v1","slots":4,"state":"ready",)" +
                   R"("coldRemainingMs":0,"sequence":1})");
 }
@@ -269,6 +274,17 @@
 }
 
 void PlatformCluster::StartEntry(int index) {
+  LaunchEntry(index);
+  REQUIRE(Until([&] { return IsReady(index); }));
+}
+
+void PlatformCluster::LaunchEntry(int index) {
+  std::uint16_t store = m_store.Port();
+  if (m_use_links) {
+    std::unique_ptr<Relay>& link = m_store_links[index];
+    if (link == nullptr) link = std::make_unique<Relay>(m_loop, store);
+    store = link->Port();
+  }
   Ports& ports = m_ports[index];
   if (ports.m_callers == 0) {
     ports = {FreePort(), FreePort(), FreePort(), FreePort()};
@@ -285,14 +301,13 @@
                       << "\nready = " << local(ports.m_ready)
                       << "\npeers = " << local(ports.m_peers)
                       << "\nmetrics = " << local(ports.m_metrics)
-                      << "\n[platform]\nstore = " << local(m_store.Port())
+                      << "\n[platform]\nstore = " << local(store)
                       << "\norders = " << local(m_duties.Port())
                       << "\n[duties]\nusage_window_s = 1\nusage_delay_s = 4\n"
                       << "[stop]\nnotice_ms = 300\n";
   m_entries[index] = std::make_unique<Process>(
       "comfreypaddle", std::vector<std::string>{"entry", "--config", path},
       LogPath(index));
-  REQUIRE(Until([&] { return IsReady(index); }));
 }
 
 bool PlatformCluster::IsReady(int entry) {
--- a/tests/support_platform.h
+++ b/tests/support_platform.h
@@ -124,6 +124,14 @@
   PlatformCluster(const PlatformCluster&) = delete;
   PlatformCluster& operator=(const PlatformCluster&) = delete;
 
+  // Puts a forwarder between each entry instance and the store, and before
+  // each endpoint. Call it before the others.
+  void UseLinks() { m_use_links = true; }
+  Relay& StoreLink(int entry) { return *m_store_links.at(entry); }
+  Relay& EndpointLink(std::size_t index) { return *m_endpoint_links.at(index); }
+  std::size_t EndpointCount() const { return m_endpoints.size(); }
+
+  EventLoop& Loop() { return m_loop; }
   FakeStore& Store() { return m_store; }
   FakeDuties& Duties() { return m_duties; }
   FakeEndpoint& Endpoint(std::size_t index) { return *m_endpoints.at(index); }
@@ -137,6 +145,11 @@
 
   // Starts an entry instance and waits until it is ready.
   void StartEntry(int index);
+
+  // Starts an entry instance, or starts it again at its addresses.
+  void LaunchEntry(int index);
+
+  bool IsReady(int entry);
   Process& Entry(int index) { return *m_entries.at(index); }
 
   // Calls an entry instance; the reply fills up while the loop runs.
@@ -161,8 +174,6 @@
     std::uint16_t m_metrics = 0;
   };
 
-  bool IsReady(int entry);
-
   std::string m_folder;
   EventLoop m_loop;
   SocketSet m_sockets;
@@ -170,6 +181,9 @@
   FakeStore m_store;
   FakeDuties m_duties;
   std::vector<std::unique_ptr<FakeEndpoint>> m_endpoints;
+  bool m_use_links = false;
+  std::vector<std::unique_ptr<Relay>> m_endpoint_links;
+  std::map<int, std::unique_ptr<Relay>> m_store_links;
   std::map<int, Ports> m_ports;
   std::map<int, std::unique_ptr<Process>> m_entries;
   int m_next_attempt = 1;
