Call a lost store less often from followers and stopping instances

Followers then read by themselves and tried all streams and the duties each 0.3 to 1 s, and a stopping instance its usage at every tick. Change: a follower that reads only for the time being tries one stream while the store is lost; usage is tried again every 12 ms for each live instance, 0.3 to 1 s, and so by a stopping instance too. Tests: neighbours_test, followers probe a lost store, a stopping instance pauses (both failed before).

--- a/src/follow.cpp
+++ b/src/follow.cpp
@@ -3,6 +3,7 @@
 #include <set>
 
 #include "eventlog.h"
+#include "reporter.h"
 
 namespace comfreypaddle {
 
@@ -20,8 +21,9 @@
 constexpr std::uint32_t kFirstInstancesReads = 5;
 
 // Time after the store's return in which all instances have written the usage
-// that they kept: a retry pause, an append and the holder's next read.
-constexpr Duration kUsageReturnTime = std::chrono::milliseconds(1800);
+// that they kept, beyond the pause between two tries: an append and the
+// holder's next read.
+constexpr Duration kUsageReturnTime = std::chrono::milliseconds(1500);
 
 // Silence of the store after which it counts as lost.
 constexpr Duration kLostAfter = std::chrono::milliseconds(1200);
@@ -229,7 +231,8 @@
   if (answered) {
     if (state.m_store_lost) {
       LogLine("store_regained").AddMs("lost_ms", now - state.m_store_answered);
-      state.m_tally.m_trusted_from = now + kUsageReturnTime;
+      state.m_tally.m_trusted_from =
+          now + kUsageReturnTime + UsageRetryPause(state);
     }
     state.m_store_lost = false;
     state.m_store_answered = now;
@@ -248,6 +251,11 @@
   return !HasUpstream(state.m_upstream) || StateConfirmed(state) == Instant{};
 }
 
+bool ProbesStore(const ControlState& state) {
+  return state.m_store_lost &&
+         AvoidsUpstream(state.m_upstream, state.m_clock());
+}
+
 Instant StateConfirmed(const ControlState& state) {
   return std::min(state.m_follow_catalog.m_confirmed,
                   state.m_follow_endpoints.m_confirmed);
@@ -276,6 +284,7 @@
   if (!ReadsStore(state)) return;
   FollowKeyed(state, Stream::kConfiguration, state.m_follow_catalog,
               state.m_options.m_watch, Duration(0));
+  if (ProbesStore(state)) return;
   FollowKeyed(state, Stream::kEndpoints, state.m_follow_endpoints, Duration(0),
               state.m_options.m_poll);
   FollowKeyed(state, Stream::kInstances, state.m_follow_instances, Duration(0),
--- a/src/follow.h
+++ b/src/follow.h
@@ -9,6 +9,11 @@
 // knows nothing yet.
 bool ReadsStore(const ControlState& state);
 
+// Whether this instance reads the store only until the one that it followed is
+// back, and the store does not answer it: it tries one stream then, so that an
+// outage does not multiply the calls.
+bool ProbesStore(const ControlState& state);
+
 // Instant at which both configuration and endpoints were last known to be the
 // store's.
 Instant StateConfirmed(const ControlState& state);
--- a/src/reporter.cpp
+++ b/src/reporter.cpp
@@ -25,6 +25,10 @@
 // Pause after a failed call.
 constexpr Duration kRetryPause = std::chrono::milliseconds(300);
 
+// Pause before usage is tried again, for each instance that is live.
+constexpr Duration kUsageRetryPart = std::chrono::milliseconds(12);
+constexpr Duration kLongestUsageRetry = std::chrono::seconds(1);
+
 // Fixed windows that are kept for a successor.
 constexpr int kMaxFixedWindows = 8;
 
@@ -50,7 +54,8 @@
 void FlushUsage(ControlState& state) {
   UsageFlush& flush = state.m_flush;
   const Instant now = state.m_clock();
-  const bool due = now >= flush.m_due || state.m_stopping;
+  const bool hurries = state.m_stopping && !flush.m_failed;
+  const bool due = now >= flush.m_due || hurries;
   if (flush.m_busy || !due) return;
   if (flush.m_sent.empty()) {
     if (flush.m_counts.empty()) return;
@@ -75,7 +80,7 @@
       OnUsageStored(state, sequence);
     } else {
       state.m_flush.m_failed = true;
-      state.m_flush.m_due = state.m_clock() + kRetryPause;
+      state.m_flush.m_due = state.m_clock() + UsageRetryPause(state);
     }
   });
 }
@@ -137,7 +142,8 @@
 // The duties fall to instances that read the store for others, so that not
 // every instance has to follow them.
 bool ContendsForDuties(const ControlState& state) {
-  return ReadsStore(state) || IsHolder(state.m_holder);
+  if (IsHolder(state.m_holder)) return true;
+  return ReadsStore(state) && !ProbesStore(state);
 }
 
 // Newest window that is fixed or reported.
@@ -279,6 +285,11 @@
          std::to_string(state.m_options.m_incarnation);
 }
 
+Duration UsageRetryPause(const ControlState& state) {
+  return std::clamp<Duration>(kUsageRetryPart * state.m_live_instances,
+                              kRetryPause, kLongestUsageRetry);
+}
+
 void OnUsageStored(ControlState& state, std::uint64_t sequence) {
   // Another instance may have stored it before.
   if (sequence != state.m_flush.m_sequence) return;
--- a/src/reporter.h
+++ b/src/reporter.h
@@ -17,6 +17,10 @@
 // Notes that the record with this sequence number is in the store.
 void OnUsageStored(ControlState& state, std::uint64_t sequence);
 
+// Pause before a usage record that the store did not take is tried again. Many
+// instances try less often.
+Duration UsageRetryPause(const ControlState& state);
+
 // Writes the counts of this instance to the store, follows the duties, claims
 // or renews them, and as their holder fixes and reports usage windows. Call it
 // every tick.
--- a/tests/neighbours_test.cpp
+++ b/tests/neighbours_test.cpp
@@ -223,6 +223,54 @@
   CHECK(ReadsStore(follower));
 }
 
+// Guards against an outage of the store that makes every instance try every
+// stream again and again.
+TEST_CASE("followers probe a lost store with one stream") {
+  Pair pair;
+  ControlState& follower = pair.m_follower.m_state;
+  FollowUpstream(follower);
+  pair.Carry();
+  pair.Pass(milliseconds(1700));
+  NoteStoreCall(follower, StoreFault::kUnanswered, "");
+  FollowUpstream(follower);
+  REQUIRE(ReadsStore(follower));
+  REQUIRE(follower.m_store_lost);
+  FollowStore(follower);
+  RunDuties(follower);
+  CHECK(follower.m_follow_catalog.m_busy);
+  CHECK_FALSE(follower.m_follow_endpoints.m_busy);
+  CHECK_FALSE(follower.m_follow_instances.m_busy);
+  CHECK_FALSE(follower.m_follow_duties.m_busy);
+  NoteStoreCall(follower, StoreFault::kNone, "");
+  FollowStore(follower);
+  RunDuties(follower);
+  CHECK(follower.m_follow_endpoints.m_busy);
+  CHECK(follower.m_follow_duties.m_busy);
+}
+
+// Guards against a stopping instance that calls a lost store at every tick.
+TEST_CASE("a stopping instance pauses between tries to store its usage") {
+  Instance a("a");
+  schema::UsageCounts counts;
+  schema::UsageCount* count = counts.add_counts();
+  count->set_window(1);
+  count->set_workspace("w");
+  count->set_requests(4);
+  TakeUsage(a.m_state, counts);
+  a.m_state.m_stopping = true;
+  RunDuties(a.m_state);
+  REQUIRE(a.m_store.m_appends.size() == 1);
+  AppendResult refused;
+  refused.m_fault = StoreFault::kRefused;
+  a.m_store.m_append_done[0](refused);
+  a.m_now += milliseconds(100);
+  RunDuties(a.m_state);
+  CHECK(a.m_store.m_appends.size() == 1);
+  a.m_now += UsageRetryPause(a.m_state);
+  RunDuties(a.m_state);
+  CHECK(a.m_store.m_appends.size() == 2);
+}
+
 // Guards against an endpoint that comes back into use because the followed
 // instance has read less than this one did.
 TEST_CASE("a list that is older than what was read is not taken over") {
--- a/tests/support_control.h
+++ b/tests/support_control.h
@@ -51,6 +51,7 @@
 struct Instance {
   explicit Instance(const std::string& name) {
     m_state.m_options.m_name = name;
+    m_state.m_holder.m_options.m_name = name;
     m_state.m_options.m_incarnation = 7;
     m_state.m_store = &m_store;
     m_state.m_peers = &m_peers;
