Keep one copy of the call between instances

Cause: the question to another instance and the sharing of load built the same call and collected its answer each by itself. Change: CallInstance does both; an answer that cannot be read is logged.

--- /dev/null
+++ b/src/instancecall.h
@@ -0,0 +1,29 @@
+#ifndef COMFREYPADDLE_INSTANCECALL_H_
+#define COMFREYPADDLE_INSTANCECALL_H_
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include "http.h"
+
+namespace comfreypaddle {
+
+// Call of one instance to another.
+struct InstanceCall {
+  std::string m_address;  // IP:PORT
+  std::string_view m_target;
+  std::string m_body;
+  Duration m_connect_time{0};
+  Duration m_time{0};  // Of the whole call.
+};
+
+// Starts the call. done gets the body of the answer, or null if there is none;
+// the failure has been logged then under the event name.
+void CallInstance(HttpPort& port, const InstanceCall& call,
+                  std::string_view failure_event,
+                  std::function<void(const std::string* body)> done);
+
+}  // namespace comfreypaddle
+
+#endif  // COMFREYPADDLE_INSTANCECALL_H_
--- a/src/loadlink.cpp
+++ b/src/loadlink.cpp
@@ -1,10 +1,9 @@
 #include "loadlink.h"
 
-#include <algorithm>
-#include <memory>
 #include <utility>
 
 #include "eventlog.h"
+#include "instancecall.h"
 #include "neighbours.h"
 
 namespace comfreypaddle {
@@ -50,31 +49,23 @@
 // Sends the load; done gets the answer, or null if there is none.
 void Send(ControlState& state, const UpstreamCandidate& to,
           const schema::LoadShare& share, ListTaken done) {
-  HttpCall call;
-  call.m_method = "POST";
-  call.m_url = "http://" + to.m_address + std::string(kLoadTarget);
+  InstanceCall call;
+  call.m_address = to.m_address;
+  call.m_target = kLoadTarget;
   call.m_body = share.SerializeAsString();
-  call.m_connect_timeout = kCallTime;
-  call.m_timeout = kCallTime;
-  auto body = std::make_shared<std::string>();
-  HttpEvents events;
-  events.m_on_body = [body](std::string_view bytes) { body->append(bytes); };
-  events.m_on_end = [body, name = to.m_name,
-                     done = std::move(done)](const HttpResult& result) {
-    constexpr int kOk = 200;
-    schema::LoadList list;
-    if (!result.m_error && result.m_status == kOk &&
-        list.ParseFromString(*body)) {
-      done(&list);
-      return;
-    }
-    LogLine("load_share_failed")
-        .Add("instance", name)
-        .Add("status", result.m_status)
-        .Add("error", result.m_error ? result.m_error.message() : "none");
-    done(nullptr);
-  };
-  state.m_peers->Start(std::move(call), std::move(events));
+  call.m_connect_time = kCallTime;
+  call.m_time = kCallTime;
+  CallInstance(*state.m_peers, call, "load_share_failed",
+               [address = to.m_address,
+                done = std::move(done)](const std::string* body) {
+                 schema::LoadList list;
+                 const bool answered =
+                     body != nullptr && list.ParseFromString(*body);
+                 if (body != nullptr && !answered) {
+                   LogLine("load_share_unreadable").Add("address", address);
+                 }
+                 done(answered ? &list : nullptr);
+               });
 }
 
 schema::LoadShare MakeShare(const ControlState& state, const LoadTable& load,
--- a/src/neighbours.cpp
+++ b/src/neighbours.cpp
@@ -1,12 +1,12 @@
 #include "neighbours.h"
 
 #include <algorithm>
-#include <memory>
 #include <set>
 
 #include "eventlog.h"
 #include "follow.h"
 #include "inquiry.h"
+#include "instancecall.h"
 #include "reporter.h"
 
 namespace comfreypaddle {
@@ -145,33 +145,25 @@
 // Asks the instance and takes its answer. done tells whether it answered.
 void Ask(ControlState& state, const std::string& address,
          const schema::InstanceQuery& query, const AnswerTaken& done) {
-  HttpCall call;
-  call.m_method = "POST";
-  call.m_url = "http://" + address + std::string(kNeighbourTarget);
+  InstanceCall call;
+  call.m_address = address;
+  call.m_target = kNeighbourTarget;
   call.m_body = query.SerializeAsString();
-  call.m_connect_timeout = kCallTime;
-  call.m_timeout = kCallTime + std::chrono::milliseconds(query.wait_ms());
-  auto body = std::make_shared<std::string>();
-  HttpEvents events;
-  events.m_on_body = [body](std::string_view bytes) { body->append(bytes); };
-  events.m_on_end = [&state, body, address, done](const HttpResult& result) {
-    schema::InstanceState other;
-    constexpr int kOk = 200;
-    const bool answered = !result.m_error && result.m_status == kOk &&
-                          other.ParseFromString(*body);
-    if (answered) {
-      TakeAnswer(state, other);
-      if (done) done(true);
-      return;
-    }
-    LogLine("neighbour_failed")
-        .Add("address", address)
-        .Add("status", result.m_status)
-        .Add("error", result.m_error ? result.m_error.message() : "none");
-    if (done) done(false);
-  };
+  call.m_connect_time = kCallTime;
+  call.m_time = kCallTime + std::chrono::milliseconds(query.wait_ms());
   ++state.m_counters.m_peer_queries;
-  state.m_peers->Start(std::move(call), std::move(events));
+  CallInstance(*state.m_peers, call, "neighbour_failed",
+               [&state, address, done](const std::string* body) {
+                 schema::InstanceState other;
+                 const bool answered =
+                     body != nullptr && other.ParseFromString(*body);
+                 if (answered) {
+                   TakeAnswer(state, other);
+                 } else if (body != nullptr) {
+                   LogLine("neighbour_unreadable").Add("address", address);
+                 }
+                 if (done) done(answered);
+               });
 }
 
 // Addresses of the other instances.
