--- /dev/null
+++ b/src/learn.cpp
@@ -0,0 +1,125 @@
+#include "learn.h"
+
+#include <algorithm>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "eventlog.h"
+#include "follow.h"
+#include "inquiry.h"
+#include "reporter.h"
+
+namespace comfreypaddle {
+
+namespace {
+
+Duration FromMs(double milliseconds) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::milli>(milliseconds));
+}
+
+// Replaces the list of endpoints.
+void TakeWholeList(ControlState& state, const schema::InstanceState& other) {
+  std::set<std::string> present;
+  for (const schema::EndpointEntry& entry : other.endpoints().endpoints()) {
+    present.insert(entry.id());
+    SetEntry(state.m_directory, entry);
+  }
+  std::vector<std::string> missing;
+  for (const auto& [id, known] : state.m_directory.m_endpoints) {
+    if (present.count(id) == 0) missing.push_back(id);
+  }
+  for (const std::string& id : missing) EraseEntry(state.m_directory, id);
+}
+
+// Takes over what changed in the other instance's list.
+void TakeListChanges(ControlState& state, const schema::InstanceState& other) {
+  for (const schema::EndpointEntry& entry : other.endpoints().endpoints()) {
+    SetEntry(state.m_directory, entry);
+  }
+  for (const std::string& id : other.removed_endpoints()) {
+    EraseEntry(state.m_directory, id);
+  }
+}
+
+// Takes over the list of endpoints of an instance that has read as far as this
+// one or further. The other one has kept entries that may come back, so those
+// that are gone from its list are gone. Returns whether the list was taken.
+bool TakeEndpointList(ControlState& state, const schema::InstanceState& other) {
+  UpstreamLink& link = state.m_link;
+  const bool whole = other.list_whole();
+  const bool follows = link.m_list_owner == other.name() &&
+                       link.m_list_incarnation == other.incarnation() &&
+                       link.m_list_version == other.list_base();
+  const std::uint64_t known = KnownOffset(state.m_follow_endpoints);
+  if (other.endpoints_offset() < known || (!whole && !follows)) {
+    link.m_list_owner.clear();
+    return false;
+  }
+  const std::uint64_t before = state.m_directory.m_version;
+  if (whole) {
+    TakeWholeList(state, other);
+  } else {
+    TakeListChanges(state, other);
+  }
+  for (const schema::LapsedEndpoint& lapsed : other.lapsed_endpoints()) {
+    LapseEntry(state.m_directory, lapsed.id(),
+               state.m_clock() + FromMs(lapsed.ends_in_ms()));
+  }
+  link.m_list_owner = other.name();
+  link.m_list_incarnation = other.incarnation();
+  link.m_list_version = other.list_version();
+  state.m_follow_endpoints.m_next = other.endpoints_offset();
+  state.m_follow_endpoints.m_known = true;
+  if (state.m_directory.m_version != before) PublishEndpoints(state);
+  return true;
+}
+
+void TakeCatalog(ControlState& state, const schema::InstanceState& other) {
+  if (!other.has_catalog()) return;
+  AdoptCatalog(state, other.catalog(), other.name());
+  state.m_follow_catalog.m_next =
+      std::max(state.m_follow_catalog.m_next, other.catalog_offset());
+  state.m_follow_catalog.m_known = true;
+}
+
+void TakeInstanceList(ControlState& state, const schema::InstanceState& other) {
+  if (other.instances_offset() <= KnownOffset(state.m_follow_instances)) return;
+  for (const schema::InstanceRecord& record : other.instances()) {
+    TakeInstance(state, record);
+  }
+  state.m_follow_instances.m_next = other.instances_offset();
+  state.m_follow_instances.m_known = true;
+  PublishInstances(state);
+}
+
+void ConfirmStream(Follower& follower, Instant at) {
+  if (follower.m_known)
+    follower.m_confirmed = std::max(follower.m_confirmed, at);
+}
+
+}  // namespace
+
+void TakeAnswer(ControlState& state, const schema::InstanceState& other) {
+  if (other.usage_stored() > 0) {
+    LogLine("usage_handed_over")
+        .Add("instance", other.name())
+        .Add("sequence", static_cast<std::int64_t>(other.usage_stored()));
+    OnUsageStored(state, other.usage_stored());
+  }
+  // Two instances that have both lost the store learn nothing from each other.
+  if (other.store_age_ms() > StateAgeMs(state)) return;
+  TakeCatalog(state, other);
+  const bool listed =
+      other.endpoints_offset() > 0 && TakeEndpointList(state, other);
+  TakeInstanceList(state, other);
+  if (other.name() != state.m_upstream.m_chosen.m_name) return;
+  const Instant confirmed = state.m_clock() - FromMs(other.store_age_ms());
+  ConfirmStream(state.m_follow_catalog, confirmed);
+  if (!listed) return;
+  ConfirmStream(state.m_follow_endpoints, confirmed);
+  OnStoreAnswer(state.m_directory, confirmed);
+}
+
+}  // namespace comfreypaddle
