Log and count what other instances offer, and how old what is held is

Change: neighbour_answer for each answer of a search (and for a followed instance when its answers begin or cease to be too old), state_stale and state_fresh with both ages, store_silent_ms in upstream_chosen, and gauges of version and ages and counters of answers in the metrics. No decision is changed. After: freshness_test, 2 cases.

No functional change.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -6,6 +6,7 @@
 
 #include "eventlog.h"
 #include "follow.h"
+#include "freshness.h"
 #include "inquiry.h"
 #include "loadlink.h"
 #include "neighbours.h"
@@ -141,6 +142,8 @@
   QueryNeighbours(state);
   ServeInquiries(state);
   RunDuties(state);
+  LogFreshness(state);
+  TellKnowledge(state);
   if (!state.m_stopping || m_told_done || !IsHandedOver(state)) return;
   m_told_done = true;
   schema::SupervisorMessage done;
--- a/src/controlstate.h
+++ b/src/controlstate.h
@@ -56,12 +56,28 @@
   Instant m_until{};
 };
 
+// What became of an answer of another instance.
+enum class AnswerUse {
+  kTaken,    // Something was new.
+  kEmpty,    // Nothing was.
+  kDropped,  // It was older than what this instance knows.
+};
+
+template <>
+struct EnumNames<AnswerUse> {
+  static constexpr std::array<EnumName<AnswerUse>, 3> kTable{
+      {{AnswerUse::kTaken, "taken"},
+       {AnswerUse::kEmpty, "empty"},
+       {AnswerUse::kDropped, "dropped"}}};
+};
+
 // Question of this instance to the one that it follows, and the list of
 // endpoints that it has taken over.
 struct UpstreamLink {
   bool m_busy = false;
   Instant m_due{};
   Instant m_chosen_at{};
+  AnswerUse m_last_use = AnswerUse::kEmpty;  // Of the followed instance.
   std::string m_list_owner;
   std::uint64_t m_list_incarnation = 0;
   std::uint64_t m_list_version = 0;
@@ -95,6 +111,8 @@
   std::uint64_t m_reports = 0;
   std::uint64_t m_report_faults = 0;
   std::uint64_t m_peer_queries = 0;
+  std::uint64_t m_peer_failures = 0;  // Questions without an answer.
+  std::map<AnswerUse, std::uint64_t> m_answers;
 };
 
 // State of the task that follows the platform and holds duties. Ports are not
@@ -138,6 +156,9 @@
   std::size_t m_query_turn = 0;
   Instant m_store_answered{};  // Any call of this instance.
   bool m_store_lost = false;
+  bool m_was_stale = false;
+  Instant m_stale_since{};
+  Instant m_status_due{};
   ControlCounters m_counters;
   bool m_stopping = false;
   bool m_was_holder = false;
--- a/src/follow.cpp
+++ b/src/follow.cpp
@@ -198,10 +198,10 @@
 
 }  // namespace
 
-void AdoptCatalog(ControlState& state, const schema::Catalog& catalog,
+bool AdoptCatalog(ControlState& state, const schema::Catalog& catalog,
                   std::string_view source) {
   const bool known = state.m_catalog.has_value();
-  if (known && catalog.version() <= state.m_catalog->version()) return;
+  if (known && catalog.version() <= state.m_catalog->version()) return false;
   LogLine("catalog_adopted")
       .Add("version", static_cast<std::int64_t>(catalog.version()))
       .Add("before",
@@ -213,6 +213,7 @@
   schema::RelayMessage message;
   *message.mutable_catalog() = catalog;
   state.m_relay->Post(std::move(message));
+  return true;
 }
 
 void PublishEndpoints(ControlState& state) {
--- a/src/follow.h
+++ b/src/follow.h
@@ -22,8 +22,8 @@
 void FollowStore(ControlState& state);
 
 // Puts a configuration in force unless a newer one is. source says where it
-// came from.
-void AdoptCatalog(ControlState& state, const schema::Catalog& catalog,
+// came from. Returns whether it was put in force.
+bool AdoptCatalog(ControlState& state, const schema::Catalog& catalog,
                   std::string_view source);
 
 // Hands the list of endpoints to the task that serves callers.
--- /dev/null
+++ b/src/freshness.cpp
@@ -0,0 +1,65 @@
+#include "freshness.h"
+
+#include <utility>
+
+#include "eventlog.h"
+#include "follow.h"
+
+namespace comfreypaddle {
+
+namespace {
+
+// Age from which on configuration or endpoints count as old. Neither a reader
+// nor one that follows a reader reaches it while the store answers the reader.
+constexpr Duration kStaleAge = std::chrono::milliseconds(1800);
+
+// Period at which the metrics are brought up to date.
+constexpr Duration kStatusPeriod = std::chrono::seconds(1);
+
+double ToMs(Duration time) {
+  return std::chrono::duration<double, std::milli>(time).count();
+}
+
+}  // namespace
+
+void LogFreshness(ControlState& state) {
+  const Instant now = state.m_clock();
+  const Instant confirmed = StateConfirmed(state);
+  // Nothing is known yet; the lines of adoption tell when it is.
+  if (confirmed == Instant{}) return;
+  const bool stale = now - confirmed >= kStaleAge;
+  if (stale == state.m_was_stale) return;
+  state.m_was_stale = stale;
+  if (stale) state.m_stale_since = now;
+  LogLine line(stale ? "state_stale" : "state_fresh");
+  line.Add("version", state.m_catalog ? static_cast<std::int64_t>(
+                                            state.m_catalog->version())
+                                      : -1)
+      .AddMs("catalog_age_ms", now - state.m_follow_catalog.m_confirmed)
+      .AddMs("endpoints_age_ms", now - state.m_follow_endpoints.m_confirmed)
+      .AddMs("store_silent_ms", now - state.m_store_answered)
+      .Add("upstream", HasUpstream(state.m_upstream)
+                           ? state.m_upstream.m_chosen.m_name
+                           : "store");
+  if (!stale) line.AddMs("lasted_ms", now - state.m_stale_since);
+}
+
+void TellKnowledge(ControlState& state) {
+  const Instant now = state.m_clock();
+  if (now < state.m_status_due) return;
+  state.m_status_due = now + kStatusPeriod;
+  ControlCounters& counters = state.m_counters;
+  schema::RelayMessage message;
+  schema::KnowledgeStatus* status = message.mutable_knowledge();
+  status->set_catalog_age_ms(ToMs(now - state.m_follow_catalog.m_confirmed));
+  status->set_endpoints_age_ms(
+      ToMs(now - state.m_follow_endpoints.m_confirmed));
+  status->set_store_silent_ms(ToMs(now - state.m_store_answered));
+  status->set_answers_taken(counters.m_answers[AnswerUse::kTaken]);
+  status->set_answers_empty(counters.m_answers[AnswerUse::kEmpty]);
+  status->set_answers_dropped(counters.m_answers[AnswerUse::kDropped]);
+  status->set_questions_failed(counters.m_peer_failures);
+  state.m_relay->Post(std::move(message));
+}
+
+}  // namespace comfreypaddle
--- a/src/inquiry.cpp
+++ b/src/inquiry.cpp
@@ -70,6 +70,7 @@
   answer.set_name(state.m_options.m_name);
   answer.set_incarnation(state.m_options.m_incarnation);
   answer.set_store_age_ms(StateAgeMs(state));
+  if (state.m_catalog) answer.set_catalog_version(state.m_catalog->version());
   if (query.crashes_size() > 0) return answer;
   answer.set_catalog_offset(KnownOffset(state.m_follow_catalog));
   if (answer.catalog_offset() > query.catalog_offset() && state.m_catalog) {
--- a/src/learn.cpp
+++ b/src/learn.cpp
@@ -76,12 +76,14 @@
   return true;
 }
 
-void TakeCatalog(ControlState& state, const schema::InstanceState& other) {
-  if (!other.has_catalog()) return;
-  AdoptCatalog(state, other.catalog(), other.name());
+// Returns whether the configuration is newer.
+bool TakeCatalog(ControlState& state, const schema::InstanceState& other) {
+  if (!other.has_catalog()) return false;
+  const bool newer = AdoptCatalog(state, other.catalog(), other.name());
   state.m_follow_catalog.m_next =
       std::max(state.m_follow_catalog.m_next, other.catalog_offset());
   state.m_follow_catalog.m_known = true;
+  return newer;
 }
 
 void TakeInstanceList(ControlState& state, const schema::InstanceState& other) {
@@ -101,7 +103,7 @@
 
 }  // namespace
 
-void TakeAnswer(ControlState& state, const schema::InstanceState& other) {
+AnswerUse TakeAnswer(ControlState& state, const schema::InstanceState& other) {
   if (other.usage_stored() > 0) {
     LogLine("usage_handed_over")
         .Add("instance", other.name())
@@ -109,17 +111,21 @@
     OnUsageStored(state, other.usage_stored());
   }
   // Two instances that have both lost the store learn nothing from each other.
-  if (other.store_age_ms() > StateAgeMs(state)) return;
-  TakeCatalog(state, other);
+  if (other.store_age_ms() > StateAgeMs(state)) return AnswerUse::kDropped;
+  const std::uint64_t list_version = state.m_directory.m_version;
+  const bool newer = TakeCatalog(state, other);
   const bool listed =
       other.endpoints_offset() > 0 && TakeEndpointList(state, other);
   TakeInstanceList(state, other);
-  if (other.name() != state.m_upstream.m_chosen.m_name) return;
+  const bool changed = newer || state.m_directory.m_version != list_version;
+  const AnswerUse use = changed ? AnswerUse::kTaken : AnswerUse::kEmpty;
+  if (other.name() != state.m_upstream.m_chosen.m_name) return use;
   const Instant confirmed = state.m_clock() - FromMs(other.store_age_ms());
   ConfirmStream(state.m_follow_catalog, confirmed);
-  if (!listed) return;
+  if (!listed) return use;
   ConfirmStream(state.m_follow_endpoints, confirmed);
   OnStoreAnswer(state.m_directory, confirmed);
+  return use;
 }
 
 }  // namespace comfreypaddle
--- a/src/learn.h
+++ b/src/learn.h
@@ -6,7 +6,7 @@
 namespace comfreypaddle {
 
 // Takes over what another instance told and this one does not know yet.
-void TakeAnswer(ControlState& state, const schema::InstanceState& other);
+AnswerUse TakeAnswer(ControlState& state, const schema::InstanceState& other);
 
 }  // namespace comfreypaddle
 
--- a/src/neighbours.cpp
+++ b/src/neighbours.cpp
@@ -1,6 +1,7 @@
 #include "neighbours.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "eventlog.h"
 #include "follow.h"
@@ -34,11 +35,40 @@
 // Pause before a failed registration is tried again.
 constexpr Duration kRegisterPause = std::chrono::milliseconds(500);
 
+// Why another instance is asked.
+enum class AskReason {
+  kFollow,  // It is the followed one.
+  kSearch,  // What this instance knows is old.
+  kCrash,   // It is told of a crash.
+};
+
 using AnswerTaken = std::function<void(bool answered)>;
 
+// Logs what an answer offered and what became of it. The followed instance
+// answers all the time, so only a change is logged there.
+void LogAnswer(ControlState& state, const schema::InstanceState& other,
+               AskReason reason, AnswerUse use, double own_age_ms) {
+  if (reason == AskReason::kCrash) return;
+  if (reason == AskReason::kFollow) {
+    const AnswerUse last = std::exchange(state.m_link.m_last_use, use);
+    const bool dropped = use == AnswerUse::kDropped;
+    if (dropped == (last == AnswerUse::kDropped)) return;
+  }
+  const std::uint64_t own = state.m_catalog ? state.m_catalog->version() : 0;
+  LogLine("neighbour_answer")
+      .Add("instance", other.name())
+      .Add("why", reason == AskReason::kFollow ? "follow" : "search")
+      .Add("use", ToName(use))
+      .Add("age_ms", static_cast<std::int64_t>(other.store_age_ms()))
+      .Add("own_age_ms", static_cast<std::int64_t>(own_age_ms))
+      .Add("version", static_cast<std::int64_t>(other.catalog_version()))
+      .Add("own_version", static_cast<std::int64_t>(own));
+}
+
 // Asks the instance and takes its answer. done tells whether it answered.
 void Ask(ControlState& state, const std::string& address,
-         const schema::InstanceQuery& query, const AnswerTaken& done) {
+         const schema::InstanceQuery& query, AskReason reason,
+         const AnswerTaken& done) {
   InstanceCall call;
   call.m_address = address;
   call.m_target = kNeighbourTarget;
@@ -47,13 +77,19 @@
   call.m_time = kCallTime + std::chrono::milliseconds(query.wait_ms());
   ++state.m_counters.m_peer_queries;
   CallInstance(*state.m_peers, call, "neighbour_failed",
-               [&state, address, done](const std::string* body) {
+               [&state, address, reason, done](const std::string* body) {
                  schema::InstanceState other;
                  const bool answered =
                      body != nullptr && other.ParseFromString(*body);
                  if (answered) {
-                   TakeAnswer(state, other);
-                 } else if (body != nullptr) {
+                   const double own_age_ms = StateAgeMs(state);
+                   const AnswerUse use = TakeAnswer(state, other);
+                   ++state.m_counters.m_answers[use];
+                   LogAnswer(state, other, reason, use, own_age_ms);
+                 } else {
+                   ++state.m_counters.m_peer_failures;
+                 }
+                 if (body != nullptr && !answered) {
                    LogLine("neighbour_unreadable").Add("address", address);
                  }
                  if (done) done(answered);
@@ -97,7 +133,8 @@
                            : "store")
       .Add("why", why)
       .Add("live", static_cast<std::int64_t>(state.m_live_instances))
-      .Add("state_age_ms", static_cast<std::int64_t>(StateAgeMs(state)));
+      .Add("state_age_ms", static_cast<std::int64_t>(StateAgeMs(state)))
+      .AddMs("store_silent_ms", state.m_clock() - state.m_store_answered);
 }
 
 void ChooseAgain(ControlState& state, std::string_view why) {
@@ -177,7 +214,7 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(kUpstreamWait)
           .count()));
   const std::string name = state.m_upstream.m_chosen.m_name;
-  Ask(state, state.m_upstream.m_chosen.m_address, query,
+  Ask(state, state.m_upstream.m_chosen.m_address, query, AskReason::kFollow,
       [&state, name, now](bool answered) {
         OnUpstreamEnd(state, name, now, answered);
       });
@@ -194,7 +231,7 @@
   if (addresses.empty()) return;
   state.m_next_query = now + kAskPeriod;
   Ask(state, addresses[state.m_query_turn++ % addresses.size()],
-      MakeQuery(state, true), {});
+      MakeQuery(state, true), AskReason::kSearch, {});
 }
 
 void SpreadCrash(ControlState& state, const schema::CrashReport& crash) {
@@ -202,7 +239,7 @@
   query.set_name(state.m_options.m_name);
   *query.add_crashes() = crash;
   for (const std::string& address : OtherAddresses(state)) {
-    Ask(state, address, query, {});
+    Ask(state, address, query, AskReason::kCrash, {});
   }
 }
 
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -162,6 +162,10 @@
     case schema::RelayMessage::kOthers:
       TakeOthersLoad(message.others());
       break;
+    case schema::RelayMessage::kKnowledge:
+      m_state.m_knowledge = message.knowledge();
+      m_state.m_knowledge_at = Now();
+      break;
     case schema::RelayMessage::kDrain:
       BeginDrain();
       break;
--- a/src/relaymetrics.cpp
+++ b/src/relaymetrics.cpp
@@ -5,6 +5,44 @@
 
 namespace comfreypaddle {
 
+namespace {
+
+// What this instance knows of the store, and how old that is.
+void AddKnowledge(const RelayState& state, MetricsText* text) {
+  const schema::KnowledgeStatus& known = state.m_knowledge;
+  if (state.m_knowledge_at == Instant{}) return;
+  const double since =
+      std::chrono::duration<double>(state.m_clock() - state.m_knowledge_at)
+          .count();
+  const auto seconds = [since](double milliseconds) {
+    constexpr double kMsPerSecond = 1000;
+    return milliseconds / kMsPerSecond + since;
+  };
+  text->Gauge("relay_catalog_age_seconds",
+              "time since the configuration was last known to be the store's",
+              seconds(known.catalog_age_ms()));
+  text->Gauge("relay_endpoint_list_age_seconds",
+              "time since the endpoints were last known to be the store's",
+              seconds(known.endpoints_age_ms()));
+  text->Gauge("relay_store_silent_seconds",
+              "time since the store last answered this instance",
+              seconds(known.store_silent_ms()));
+  text->Counter("relay_neighbour_answers_taken_total",
+                "answers of other instances that brought something",
+                known.answers_taken());
+  text->Counter("relay_neighbour_answers_empty_total",
+                "answers of other instances that brought nothing",
+                known.answers_empty());
+  text->Counter("relay_neighbour_answers_dropped_total",
+                "answers of other instances that were too old",
+                known.answers_dropped());
+  text->Counter("relay_neighbour_failures_total",
+                "questions to other instances without an answer",
+                known.questions_failed());
+}
+
+}  // namespace
+
 std::string RelayMetrics(const RelayState& state, const HttpServer& callers,
                          const HttpClient& endpoints) {
   const RelayCounters& counters = state.m_counters;
@@ -47,6 +85,7 @@
              state.m_catalog == nullptr
                  ? 0
                  : static_cast<double>(state.m_catalog->Message().version()));
+  AddKnowledge(state, &text);
   text.Counter("relay_log_lines_lost_total", "log lines left out",
                LostLogLines());
   return text.Text();
--- a/src/relaystate.h
+++ b/src/relaystate.h
@@ -160,6 +160,8 @@
   std::map<UsageSlot, std::uint64_t> m_usage;  // Not handed over yet.
   std::map<std::uint64_t, CrashSuspect> m_suspects;
   RelayCounters m_counters;
+  schema::KnowledgeStatus m_knowledge;  // As of the instant below.
+  Instant m_knowledge_at{};
   bool m_stopping = false;
   // In a planned stop, requests that arrive from this instant on are refused:
   // there would not be enough time to finish them.
--- /dev/null
+++ b/tests/freshness_test.cpp
@@ -0,0 +1,50 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "freshness.h"
+
+#include <doctest/doctest.h>
+
+#include "learn.h"
+#include "support_control.h"
+
+namespace comfreypaddle {
+namespace {
+
+using std::chrono::milliseconds;
+using testing::Instance;
+
+// Guards against an outage of the store that cannot be told from the metrics:
+// how old what an instance holds is, and what other instances told it.
+TEST_CASE("the age of what is known is handed to the metrics") {
+  Instance a("a");
+  a.m_now += milliseconds(2500);
+  a.m_state.m_follow_endpoints.m_confirmed = a.m_now - milliseconds(300);
+  a.m_state.m_counters.m_answers[AnswerUse::kDropped] = 4;
+  TellKnowledge(a.m_state);
+  TellKnowledge(a.m_state);
+  REQUIRE(a.m_inbox.m_messages.size() == 1);
+  const schema::KnowledgeStatus& known = a.m_inbox.m_messages[0].knowledge();
+  CHECK(known.catalog_age_ms() == doctest::Approx(2500));
+  CHECK(known.endpoints_age_ms() == doctest::Approx(300));
+  CHECK(known.store_silent_ms() == doctest::Approx(2500));
+  CHECK(known.answers_dropped() == 4);
+  a.m_now += milliseconds(1000);
+  TellKnowledge(a.m_state);
+  CHECK(a.m_inbox.m_messages.size() == 2);
+}
+
+// Guards against an answer that is dropped without a trace.
+TEST_CASE("what became of an answer is told") {
+  Instance a("a");
+  schema::InstanceState other;
+  other.set_name("b");
+  other.set_store_age_ms(100);
+  CHECK(TakeAnswer(a.m_state, other) == AnswerUse::kDropped);
+  a.m_now += milliseconds(500);
+  other.mutable_catalog()->set_version(3);
+  other.set_catalog_offset(4);
+  CHECK(TakeAnswer(a.m_state, other) == AnswerUse::kTaken);
+  CHECK(TakeAnswer(a.m_state, other) == AnswerUse::kEmpty);
+}
+
+}  // namespace
+}  // namespace comfreypaddle
