--- a/src/control.cpp
+++ b/src/control.cpp
@@ -4,9 +4,8 @@
 
 #include <utility>
 
+#include "controltick.h"
 #include "eventlog.h"
-#include "follow.h"
-#include "freshness.h"
 #include "inquiry.h"
 #include "loadlink.h"
 #include "neighbours.h"
@@ -19,9 +18,6 @@
 
 constexpr int kOk = 200;
 
-// Period of the checks of what is due.
-constexpr Duration kTick = std::chrono::milliseconds(100);
-
 // Instances that would claim a free lease at once wait up to this long.
 constexpr std::uint64_t kClaimSteps = 8;
 constexpr Duration kClaimStep = std::chrono::milliseconds(60);
@@ -91,7 +87,8 @@
   const auto error = m_peers->Listen(address->m_ip, address->m_port);
   CHECK(!error) << "peers: " << m_settings.listen().peers() << ": "
                 << error.message();
-  m_tick = std::make_unique<PeriodicTimer>(Loop(), kTick, [this] { Tick(); });
+  m_tick =
+      std::make_unique<PeriodicTimer>(Loop(), kControlTick, [this] { Tick(); });
   Tick();
 }
 
@@ -136,14 +133,7 @@
 
 void Control::Tick() {
   ControlState& state = *m_state;
-  RegisterInstance(state);
-  FollowUpstream(state);
-  FollowStore(state);
-  QueryNeighbours(state);
-  ServeInquiries(state);
-  RunDuties(state);
-  LogFreshness(state);
-  TellKnowledge(state);
+  TickControl(state);
   if (!state.m_stopping || m_told_done || !IsHandedOver(state)) return;
   m_told_done = true;
   schema::SupervisorMessage done;
--- /dev/null
+++ b/src/controltick.cpp
@@ -0,0 +1,22 @@
+#include "controltick.h"
+
+#include "follow.h"
+#include "freshness.h"
+#include "inquiry.h"
+#include "neighbours.h"
+#include "reporter.h"
+
+namespace comfreypaddle {
+
+void TickControl(ControlState& state) {
+  RegisterInstance(state);
+  FollowUpstream(state);
+  FollowStore(state);
+  QueryNeighbours(state);
+  ServeInquiries(state);
+  RunDuties(state);
+  LogFreshness(state);
+  TellKnowledge(state);
+}
+
+}  // namespace comfreypaddle
