Add a failing test of how fast changes reach instances without the store

Test: up to 380 instances in virtual time with stand-ins at the ports only; random sets of them lose the store, silently or refused, some die. A change has to be in force everywhere within 2.5 s (six instances) or 3 s, a leaving endpoint known within 2.5 or 4 s, usage reported in time and whole. The limits are those of the platform and of the size of two years on.

No functional change.

--- /dev/null
+++ b/tests/spread_test.cpp
@@ -0,0 +1,294 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <random>
+
+#include "support_instances.h"
+
+// How fast what one instance can read from the store reaches all others, with
+// many instances in virtual time. Only the ports are stand-ins.
+
+namespace comfreypaddle {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using testing::InstanceFleet;
+using testing::StoreDenial;
+using testing::ZoneOfInstances;
+
+// Time in which a confirmed change is to be in force everywhere: the platform
+// of the small deployments allows 2.5 s, the size of two years on 3 s.
+constexpr Duration kSmallLimit = milliseconds(2500);
+constexpr Duration kLargeLimit = milliseconds(3000);
+
+// Time in which a leaving endpoint is to get no new requests, on the small and
+// the grown deployments.
+constexpr Duration kSmallDrainTime = milliseconds(2500);
+constexpr Duration kLargeDrainTime = milliseconds(4000);
+
+// Usage of a window is due this long after its end, and may be off by this
+// part.
+constexpr Duration kUsageDelay = seconds(10);
+constexpr double kUsageTolerance = 0.05;
+
+// Time for all instances to find each other and the configuration.
+constexpr Duration kStartTime = seconds(12);
+
+constexpr std::uint64_t kFirstSeed = 1;
+
+std::vector<ZoneOfInstances> SmallDeployment() {
+  return {{"uppsala-a", "svealand", 2},
+          {"lulea-a", "norrland", 2},
+          {"malmo-a", "gotaland", 2}};
+}
+
+std::vector<ZoneOfInstances> GrownDeployment() {
+  return {{"uppsala-a", "svealand", 13}, {"uppsala-b", "svealand", 13},
+          {"lulea-a", "norrland", 16},   {"lulea-b", "norrland", 15},
+          {"malmo-a", "gotaland", 17},   {"malmo-b", "gotaland", 14}};
+}
+
+// 380 instances in 11 zones of 5 regions.
+std::vector<ZoneOfInstances> LargeDeployment() {
+  std::vector<ZoneOfInstances> zones;
+  for (int i = 0; i < 11; ++i) {
+    zones.push_back({"zone-" + std::string(1, static_cast<char>('a' + i)),
+                     "region-" + std::to_string(i % 5), i < 6 ? 35 : 34});
+  }
+  return zones;
+}
+
+std::set<std::string> Sample(std::vector<std::string> names, std::size_t count,
+                             std::mt19937_64* random) {
+  std::shuffle(names.begin(), names.end(), *random);
+  return {names.begin(), names.begin() + static_cast<std::ptrdiff_t>(count)};
+}
+
+// Longest time from the change to the moment at which a live instance put it
+// in force; Duration::max() if one did not until now.
+Duration TimeToAll(InstanceFleet& fleet, std::uint64_t version,
+                   Instant changed) {
+  Duration longest{0};
+  for (const std::string& name : fleet.Names()) {
+    if (fleet.IsDead(name)) continue;
+    const auto at = fleet.InForceAt(name, version);
+    if (!at) return Duration::max();
+    longest = std::max(longest, *at - changed);
+  }
+  return longest;
+}
+
+// Whether all live instances know that the endpoint drains.
+bool AllKnowDraining(InstanceFleet& fleet, const std::string& id) {
+  const std::vector<std::string> names = fleet.Names();
+  return std::all_of(
+      names.begin(), names.end(), [&fleet, &id](const std::string& name) {
+        if (fleet.IsDead(name)) return true;
+        const auto& known = fleet.State(name).m_directory.m_endpoints;
+        const auto found = known.find(id);
+        return found == known.end() || found->second.m_entry.draining();
+      });
+}
+
+// An outage for some of the instances that lasts to the end of the test, and
+// a change while it lasts.
+struct PartialOutage {
+  std::vector<ZoneOfInstances> m_zones;
+  std::size_t m_served = 1;  // Instances that the store goes on serving.
+  StoreDenial m_denial = StoreDenial::kSilent;
+  Duration m_change_after = seconds(1);  // From the begin of the outage.
+  std::uint64_t m_seed = kFirstSeed;
+  std::size_t m_dead = 0;  // Instances that die when the outage begins.
+};
+
+Duration RandomDelay(std::mt19937_64* random) {
+  constexpr std::uint64_t kMaxMs = 6000;
+  return milliseconds((*random)() % kMaxMs);
+}
+
+StoreDenial DenialOf(std::uint64_t seed) {
+  return seed % 2 == 0 ? StoreDenial::kRefuses : StoreDenial::kSilent;
+}
+
+// Starts the instances, begins the outage and lets the time to the change
+// pass.
+void BeginOutage(InstanceFleet& fleet, const PartialOutage& outage) {
+  std::mt19937_64 random(outage.m_seed);
+  fleet.WriteEndpoint("i-1", 1, false);
+  fleet.WriteEndpoint("i-2", 1, false);
+  fleet.Run(kStartTime);
+  fleet.StartRequests();
+  fleet.Run(seconds(3));
+  const std::vector<std::string> names = fleet.Names();
+  const std::set<std::string> lost =
+      Sample(names, names.size() - outage.m_served, &random);
+  fleet.Store().Deny(lost, outage.m_denial);
+  std::size_t dead = 0;
+  for (const std::string& name : lost) {
+    if (dead++ < outage.m_dead) fleet.Kill(name);
+  }
+  fleet.Run(outage.m_change_after);
+}
+
+Duration SpreadIn(const PartialOutage& outage) {
+  InstanceFleet fleet(outage.m_zones, outage.m_seed);
+  BeginOutage(fleet, outage);
+  const Instant changed = fleet.Time().Now();
+  fleet.WriteCatalog(2);
+  fleet.Run(seconds(10));
+  return TimeToAll(fleet, 2, changed);
+}
+
+TEST_CASE("a change is in force everywhere while the store serves all") {
+  for (const auto& zones : {SmallDeployment(), GrownDeployment()}) {
+    InstanceFleet fleet(zones, kFirstSeed);
+    fleet.Run(kStartTime);
+    const Instant changed = fleet.Time().Now();
+    fleet.WriteCatalog(2);
+    fleet.Run(seconds(5));
+    CHECK(TimeToAll(fleet, 2, changed) < seconds(1));
+  }
+}
+
+// Guards against zones that hold an old configuration because their first
+// instances have lost the store and the others try them one after the other.
+TEST_CASE("a change reaches all instances while most have lost the store") {
+  constexpr std::uint64_t kSeeds = 8;
+  for (std::uint64_t seed = kFirstSeed; seed <= kSeeds; ++seed) {
+    std::mt19937_64 random(seed);
+    PartialOutage outage;
+    outage.m_zones = GrownDeployment();
+    outage.m_served = 26;
+    outage.m_denial = DenialOf(seed);
+    outage.m_change_after = RandomDelay(&random);
+    outage.m_seed = seed;
+    CAPTURE(seed);
+    CHECK(SpreadIn(outage) < kLargeLimit);
+  }
+}
+
+// Guards against a time to the last instance that grows with the number of
+// instances that have lost the store.
+TEST_CASE("a change reaches all instances whatever number has lost the store") {
+  const std::vector<std::size_t> served = {1, 2, 5, 12, 44, 80};
+  std::uint64_t seed = kFirstSeed;
+  for (const std::size_t count : served) {
+    for (const StoreDenial denial :
+         {StoreDenial::kSilent, StoreDenial::kRefuses}) {
+      std::mt19937_64 random(++seed);
+      PartialOutage outage{GrownDeployment(), count, denial,
+                           RandomDelay(&random), seed};
+      CAPTURE(seed);
+      CAPTURE(count);
+      CHECK(SpreadIn(outage) < kLargeLimit);
+    }
+  }
+}
+
+// The same at the smallest size, whose platform allows less time.
+TEST_CASE("a change reaches all of six instances in time") {
+  constexpr std::uint64_t kSeeds = 30;
+  for (std::uint64_t seed = kFirstSeed; seed <= kSeeds; ++seed) {
+    std::mt19937_64 random(seed);
+    PartialOutage outage;
+    outage.m_zones = SmallDeployment();
+    outage.m_served = 1 + random() % 5;
+    outage.m_denial = DenialOf(seed);
+    outage.m_change_after = RandomDelay(&random);
+    outage.m_seed = seed;
+    CAPTURE(seed);
+    CAPTURE(outage.m_served);
+    CHECK(SpreadIn(outage) < kSmallLimit);
+  }
+}
+
+TEST_CASE("a change reaches 380 instances of which the store serves five") {
+  PartialOutage outage;
+  outage.m_zones = LargeDeployment();
+  outage.m_served = 5;
+  CHECK(SpreadIn(outage) < kLargeLimit);
+}
+
+// Guards against a zone whose first instances are dead: the others find out
+// one after the other.
+TEST_CASE("a change reaches the live instances while others are dead") {
+  constexpr std::uint64_t kSeeds = 6;
+  for (std::uint64_t seed = kFirstSeed; seed <= kSeeds; ++seed) {
+    std::mt19937_64 random(seed);
+    PartialOutage outage;
+    outage.m_zones = GrownDeployment();
+    outage.m_served = 30;
+    outage.m_denial = DenialOf(seed);
+    outage.m_change_after = RandomDelay(&random);
+    outage.m_seed = seed;
+    outage.m_dead = 30;
+    CAPTURE(seed);
+    CHECK(SpreadIn(outage) < kLargeLimit);
+  }
+}
+
+// Guards against requests that are sent to an endpoint that has long said
+// that it leaves, by instances that have lost the store.
+TEST_CASE("a leaving endpoint is known everywhere in time") {
+  constexpr std::uint64_t kSeeds = 6;
+  for (std::uint64_t seed = kFirstSeed; seed <= kSeeds; ++seed) {
+    for (const bool small : {true, false}) {
+      std::mt19937_64 random(seed);
+      PartialOutage outage;
+      outage.m_zones = small ? SmallDeployment() : GrownDeployment();
+      outage.m_served = small ? 2 : 26;
+      outage.m_denial = DenialOf(seed);
+      outage.m_change_after = RandomDelay(&random);
+      outage.m_seed = seed;
+      InstanceFleet fleet(outage.m_zones, seed);
+      BeginOutage(fleet, outage);
+      fleet.WriteEndpoint("i-2", 2, true);
+      fleet.Run(small ? kSmallDrainTime : kLargeDrainTime);
+      CAPTURE(seed);
+      CAPTURE(small);
+      CHECK(AllKnowDraining(fleet, "i-2"));
+    }
+  }
+}
+
+// Guards against usage that is late or lost because its instance has lost the
+// store and finds no other one that has it, and against duties that nobody
+// holds because all readers have lost it.
+TEST_CASE("usage is reported in time while most have lost the store") {
+  constexpr std::uint64_t kSeeds = 8;
+  for (std::uint64_t seed = kFirstSeed; seed <= kSeeds; ++seed) {
+    PartialOutage outage;
+    const bool small = seed % 4 == 0;
+    outage.m_zones = small ? SmallDeployment() : GrownDeployment();
+    outage.m_served = small ? 2 : 26;
+    outage.m_denial = DenialOf(seed);
+    outage.m_change_after = seconds(0);
+    outage.m_seed = seed;
+    InstanceFleet fleet(outage.m_zones, seed);
+    BeginOutage(fleet, outage);
+    const Duration length =
+        fleet.State(fleet.Names()[0]).m_tally.m_options.m_window;
+    const std::uint64_t first = static_cast<std::uint64_t>(
+        fleet.Time().Now().time_since_epoch() / length);
+    fleet.Run(seconds(25));
+    CAPTURE(seed);
+    for (std::uint64_t window = first; window < first + 3; ++window) {
+      const Instant due = Instant(length * (window + 1)) + kUsageDelay;
+      const auto report = fleet.Reports().find(window);
+      CAPTURE(window - first);
+      const bool reported = report != fleet.Reports().end();
+      CHECK(reported);
+      if (!reported) continue;
+      CHECK(report->second.m_at <= due);
+      const double counted = static_cast<double>(fleet.Counted(window));
+      CHECK(static_cast<double>(report->second.m_requests) >=
+            (1 - kUsageTolerance) * counted);
+      CHECK(report->second.m_requests <= fleet.Counted(window));
+    }
+  }
+}
+
+}  // namespace
+}  // namespace comfreypaddle
--- /dev/null
+++ b/tests/support_instances.cpp
@@ -0,0 +1,485 @@
+#include "support_instances.h"
+
+#include <random>
+#include <utility>
+
+#include "controltick.h"
+#include "inquiry.h"
+#include "loadlink.h"
+#include "neighbours.h"
+#include "reporter.h"
+
+namespace comfreypaddle::testing {
+
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Time of a call to the store, and the limit after which its caller gives up.
+constexpr Duration kStoreTime = milliseconds(5);
+constexpr Duration kStoreLimit = milliseconds(1000);
+
+// One way between instances of a region, and between regions.
+constexpr Duration kNear = microseconds(500);
+constexpr Duration kFar = milliseconds(12);
+
+// Time between two requests of an instance.
+constexpr Duration kRequestPeriod = milliseconds(500);
+
+// Link of the smallest machines, 10 Mbit/s: microseconds for a byte.
+constexpr double kLinkUsPerByte = 0.8;
+
+// Configuration and endpoints in the product's own encoding.
+class PlainRecords : public RecordFormat {
+ public:
+  std::optional<schema::Catalog> ReadCatalog(
+      const StreamRecord& record) const override {
+    schema::Catalog catalog;
+    if (!catalog.ParseFromString(record.m_value)) return std::nullopt;
+    return catalog;
+  }
+  std::optional<schema::EndpointEntry> ReadEndpoint(
+      const StreamRecord& record) const override {
+    schema::EndpointEntry entry;
+    if (!entry.ParseFromString(record.m_value)) return std::nullopt;
+    return entry;
+  }
+};
+
+const PlainRecords& TheRecords() {
+  static const PlainRecords records;
+  return records;
+}
+
+}  // namespace
+
+void Schedule::At(Instant when, std::function<void()> action) {
+  m_entries.push({std::max(when, m_now), m_next_order++, std::move(action)});
+}
+
+void Schedule::RunUntil(Instant end) {
+  while (!m_entries.empty() && m_entries.top().m_when <= end) {
+    const Entry entry = m_entries.top();
+    m_entries.pop();
+    m_now = entry.m_when;
+    entry.m_action();
+  }
+  m_now = end;
+}
+
+class VirtualStore::Connection : public StreamPort {
+ public:
+  Connection(VirtualStore& store, std::string name)
+      : m_store(store), m_name(std::move(name)) {}
+
+  void Append(StreamAppend append,
+              std::function<void(const AppendResult&)> done) override {
+    ++m_store.m_calls;
+    const bool denied =
+        m_store.Denies(m_name, kStoreLimit, [done](StoreFault fault) {
+          AppendResult result;
+          result.m_fault = fault;
+          done(result);
+        });
+    if (denied) return;
+    m_store.m_schedule.After(kStoreTime, [this, append, done] {
+      done(m_store.Append(append));
+      m_store.ServeWaiting();
+    });
+  }
+
+  void Read(Stream stream, std::uint64_t from, Duration wait,
+            std::function<void(const ReadResult&)> done) override {
+    ++m_store.m_calls;
+    if (DeniesRead(wait + kStoreLimit, done)) return;
+    auto read = std::make_shared<WaitingRead>();
+    read->m_stream = stream;
+    read->m_from = from;
+    read->m_name = m_name;
+    read->m_done = std::move(done);
+    m_store.m_waiting.push_back(read);
+    m_store.m_schedule.After(kStoreTime, [this] { m_store.ServeWaiting(); });
+    m_store.m_schedule.After(wait + kStoreTime, [this, read, wait] {
+      if (read->m_ended) return;
+      read->m_ended = true;
+      // The outage may have begun while the read was waiting.
+      if (DeniesRead(kStoreLimit, read->m_done)) return;
+      read->m_done(m_store.ReadFrom(read->m_stream, read->m_from));
+    });
+  }
+
+  void ReadNewest(Stream stream,
+                  std::function<void(const ReadResult&)> done) override {
+    ++m_store.m_calls;
+    if (DeniesRead(kStoreLimit, done)) return;
+    m_store.m_schedule.After(kStoreTime, [this, stream, done] {
+      std::map<std::string, StreamRecord> newest;
+      ReadResult result = m_store.ReadFrom(stream, 0);
+      for (StreamRecord& record : result.m_records) {
+        if (record.m_removed) {
+          newest.erase(record.m_key);
+        } else {
+          newest[record.m_key] = record;
+        }
+      }
+      result.m_records.clear();
+      for (auto& [key, record] : newest) result.m_records.push_back(record);
+      done(result);
+    });
+  }
+
+ private:
+  bool DeniesRead(Duration limit,
+                  const std::function<void(const ReadResult&)>& done) {
+    return m_store.Denies(m_name, limit, [done](StoreFault fault) {
+      ReadResult result;
+      result.m_fault = fault;
+      done(result);
+    });
+  }
+
+  VirtualStore& m_store;
+  std::string m_name;
+};
+
+std::unique_ptr<StreamPort> VirtualStore::Connect(const std::string& name) {
+  return std::make_unique<Connection>(*this, name);
+}
+
+bool VirtualStore::Denies(const std::string& name, Duration limit,
+                          const std::function<void(StoreFault)>& fail) {
+  if (Serves(name)) return false;
+  const bool silent = m_denial == StoreDenial::kSilent;
+  m_schedule.After(silent ? limit : kStoreTime, [fail, silent] {
+    fail(silent ? StoreFault::kUnanswered : StoreFault::kRefused);
+  });
+  return true;
+}
+
+void VirtualStore::Write(Stream stream, const std::string& key,
+                         const std::string& value) {
+  StreamAppend append;
+  append.m_stream = stream;
+  append.m_key = key;
+  append.m_value = value;
+  Append(append);
+  ServeWaiting();
+}
+
+void VirtualStore::Deny(const std::set<std::string>& names,
+                        StoreDenial denial) {
+  m_denied = names;
+  m_denial = denial;
+}
+
+AppendResult VirtualStore::Append(const StreamAppend& append) {
+  std::vector<StreamRecord>& records = m_records[append.m_stream];
+  AppendResult result;
+  result.m_end = records.size();
+  if (append.m_expected_end && *append.m_expected_end != records.size()) {
+    result.m_fault = StoreFault::kCondition;
+    return result;
+  }
+  if (!append.m_producer.empty()) {
+    std::uint64_t& last = m_sequences[append.m_producer];
+    if (append.m_sequence != last + 1) {
+      result.m_fault = StoreFault::kRepeated;
+      return result;
+    }
+    last = append.m_sequence;
+  }
+  StreamRecord record;
+  record.m_offset = records.size();
+  record.m_key = append.m_key;
+  record.m_value = append.m_value;
+  record.m_removed = append.m_value.empty();
+  result.m_offset = record.m_offset;
+  records.push_back(std::move(record));
+  result.m_end = records.size();
+  return result;
+}
+
+ReadResult VirtualStore::ReadFrom(Stream stream, std::uint64_t from) {
+  ReadResult result;
+  const std::vector<StreamRecord>& records = m_records[stream];
+  for (std::uint64_t i = from; i < records.size(); ++i) {
+    result.m_records.push_back(records[i]);
+  }
+  result.m_next = records.size();
+  return result;
+}
+
+void VirtualStore::ServeWaiting() {
+  const std::vector<std::shared_ptr<WaitingRead>> waiting =
+      std::exchange(m_waiting, {});
+  for (const std::shared_ptr<WaitingRead>& read : waiting) {
+    if (read->m_ended) continue;
+    const bool news = m_records[read->m_stream].size() > read->m_from;
+    if (!news || !Serves(read->m_name)) {
+      m_waiting.push_back(read);
+      continue;
+    }
+    read->m_ended = true;
+    m_schedule.After(kStoreTime, [this, read] {
+      read->m_done(ReadFrom(read->m_stream, read->m_from));
+    });
+  }
+}
+
+// Notes when versions came into force.
+class InstanceFleet::Inbox : public Port<schema::RelayMessage> {
+ public:
+  explicit Inbox(Schedule& schedule) : m_schedule(schedule) {}
+  void Post(schema::RelayMessage message) override {
+    if (message.has_catalog()) {
+      m_versions[message.catalog().version()] = m_schedule.Now();
+    }
+  }
+
+  std::map<std::uint64_t, Instant> m_versions;
+
+ private:
+  Schedule& m_schedule;
+};
+
+// Duty interface that takes everything and notes the usage reports.
+class InstanceFleet::Duties : public DutyPort {
+ public:
+  explicit Duties(InstanceFleet& fleet) : m_fleet(fleet) {}
+  void ReportUsage(const DutyHolder& /*holder*/,
+                   const schema::FixedWindow& window, Done done) override {
+    Report& report = m_fleet.m_reports[window.window()];
+    if (report.m_at == Instant{}) {
+      report.m_at = m_fleet.m_schedule.Now();
+      for (const schema::UsageCount& count : window.counts()) {
+        report.m_requests += count.requests();
+      }
+    }
+    m_fleet.m_schedule.After(kStoreTime,
+                             [done] { done(DutyResult::kAccepted); });
+  }
+  void OrderEndpoints(const DutyHolder& /*holder*/,
+                      const EndpointOrder& /*order*/, Done done) override {
+    m_fleet.m_schedule.After(kStoreTime,
+                             [done] { done(DutyResult::kAccepted); });
+  }
+
+ private:
+  InstanceFleet& m_fleet;
+};
+
+struct VirtualInstance {
+  VirtualInstance(InstanceFleet& fleet, const std::string& name,
+                  const ZoneOfInstances& zone);
+
+  std::string m_name;
+  std::string m_region;
+  bool m_dead = false;
+  Instant m_link_free{};  // When the link has sent all answers so far.
+  std::unique_ptr<StreamPort> m_store;
+  InstanceFleet::Duties m_duties;
+  std::unique_ptr<InstanceFleet::PeerPort> m_peers;
+  InstanceFleet::Inbox m_inbox;
+  ControlState m_state;
+};
+
+// Calls of one instance to the others.
+class InstanceFleet::PeerPort : public HttpPort {
+ public:
+  PeerPort(InstanceFleet& fleet, VirtualInstance& self)
+      : m_fleet(fleet), m_self(self) {}
+
+  CallId Start(HttpCall call, HttpEvents events) override {
+    ++m_fleet.m_questions;
+    auto open = std::make_shared<bool>(true);
+    const auto end = [this, open, events](const HttpResult& result,
+                                          const std::string& body) {
+      if (!*open || m_self.m_dead) return;
+      *open = false;
+      if (!body.empty()) events.m_on_body(body);
+      events.m_on_end(result);
+    };
+    m_fleet.m_schedule.After(call.m_timeout, [end] {
+      end({HttpError::kTimeout, 0, true}, "");
+    });
+    constexpr std::size_t kSchemeSize = 7;
+    const std::size_t slash = call.m_url.find('/', kSchemeSize);
+    const auto found = m_fleet.m_by_address.find(
+        call.m_url.substr(kSchemeSize, slash - kSchemeSize));
+    const std::string target = call.m_url.substr(slash);
+    if (found == m_fleet.m_by_address.end() || found->second->m_dead) {
+      m_fleet.m_schedule.After(call.m_connect_timeout, [end] {
+        end({HttpError::kConnectFailed, 0, false}, "");
+      });
+      return 0;
+    }
+    VirtualInstance& other = *found->second;
+    m_fleet.m_schedule.After(m_fleet.OneWay(m_self, other),
+                             [this, &other, target, call, end] {
+                               if (other.m_dead) return;
+                               Answer(other, target, call.m_body, end);
+                             });
+    return 0;
+  }
+
+  void Cancel(CallId /*id*/) override {}
+
+ private:
+  using End = std::function<void(const HttpResult&, const std::string&)>;
+
+  void Answer(VirtualInstance& other, const std::string& target,
+              const std::string& body, const End& end) {
+    if (target != kNeighbourTarget) return;
+    schema::InstanceQuery query;
+    query.ParseFromString(body);
+    AnswerInquiry(other.m_state, query,
+                  [this, &other, end](const schema::InstanceState& answer) {
+                    SendBack(other, answer.SerializeAsString(), end);
+                  });
+  }
+
+  // The answers of an instance share its link.
+  void SendBack(VirtualInstance& other, const std::string& body,
+                const End& end) {
+    Schedule& schedule = m_fleet.m_schedule;
+    const Duration time(static_cast<std::int64_t>(
+        static_cast<double>(body.size()) * kLinkUsPerByte));
+    other.m_link_free = std::max(other.m_link_free, schedule.Now()) + time;
+    schedule.At(other.m_link_free + m_fleet.OneWay(m_self, other), [end, body] {
+      end({HttpError::kOk, 200, true}, body);
+    });
+  }
+
+  InstanceFleet& m_fleet;
+  VirtualInstance& m_self;
+};
+
+VirtualInstance::VirtualInstance(InstanceFleet& fleet, const std::string& name,
+                                 const ZoneOfInstances& zone)
+    : m_name(name),
+      m_region(zone.m_region),
+      m_store(fleet.Store().Connect(name)),
+      m_duties(fleet),
+      m_peers(std::make_unique<InstanceFleet::PeerPort>(fleet, *this)),
+      m_inbox(fleet.Time()) {
+  m_state.m_options.m_name = name;
+  m_state.m_options.m_zone = zone.m_name;
+  m_state.m_options.m_peers = name + ":1";
+  m_state.m_options.m_incarnation = 1;
+  m_state.m_upstream.m_self = name;
+  m_state.m_upstream.m_zone = zone.m_name;
+  m_state.m_holder.m_options.m_name = name;
+  m_state.m_holder.m_options.m_incarnation = 1;
+  m_state.m_store = m_store.get();
+  m_state.m_duty_calls = &m_duties;
+  m_state.m_records = &TheRecords();
+  m_state.m_peers = m_peers.get();
+  m_state.m_relay = &m_inbox;
+  m_state.m_clock = [&fleet] { return fleet.Time().Now(); };
+  m_state.m_store_answered = fleet.Time().Now();
+}
+
+InstanceFleet::InstanceFleet(const std::vector<ZoneOfInstances>& zones,
+                             std::uint64_t seed)
+    : m_store(m_schedule) {
+  std::mt19937_64 random(seed);
+  WriteCatalog(1);
+  for (const ZoneOfInstances& zone : zones) {
+    for (int i = 1; i <= zone.m_instances; ++i) {
+      const std::string name = zone.m_name + "-" + std::to_string(i);
+      auto instance = std::make_unique<VirtualInstance>(*this, name, zone);
+      m_by_address[name + ":1"] = instance.get();
+      const Duration phase(
+          static_cast<std::int64_t>(random() % kControlTick.count()));
+      m_schedule.After(phase, [this, at = instance.get()] { Tick(*at); });
+      m_instances[name] = std::move(instance);
+    }
+  }
+}
+
+InstanceFleet::~InstanceFleet() = default;
+
+void InstanceFleet::Tick(VirtualInstance& instance) {
+  if (instance.m_dead) return;
+  TickControl(instance.m_state);
+  m_schedule.After(kControlTick, [this, &instance] { Tick(instance); });
+}
+
+Duration InstanceFleet::OneWay(const VirtualInstance& a,
+                               const VirtualInstance& b) const {
+  return a.m_region == b.m_region ? kNear : kFar;
+}
+
+void InstanceFleet::WriteCatalog(std::uint64_t version) {
+  schema::Catalog catalog;
+  catalog.set_version(version);
+  m_store.Write(Stream::kConfiguration, "config", catalog.SerializeAsString());
+}
+
+void InstanceFleet::WriteEndpoint(const std::string& id, std::uint64_t sequence,
+                                  bool draining) {
+  schema::EndpointEntry entry;
+  entry.set_id(id);
+  entry.set_service("s");
+  entry.set_address(id + ":1");
+  entry.set_born_ms(1);
+  entry.set_sequence(sequence);
+  entry.set_draining(draining);
+  m_store.Write(Stream::kEndpoints, id, entry.SerializeAsString());
+}
+
+void InstanceFleet::StartRequests() {
+  m_requests_run = true;
+  for (const auto& [name, instance] : m_instances) CountRequest(*instance);
+}
+
+void InstanceFleet::CountRequest(VirtualInstance& instance) {
+  if (!m_requests_run || instance.m_dead) return;
+  const Duration window = instance.m_state.m_tally.m_options.m_window;
+  schema::UsageCounts counts;
+  schema::UsageCount* count = counts.add_counts();
+  count->set_window(
+      static_cast<std::uint64_t>(m_schedule.Now().time_since_epoch() / window));
+  count->set_workspace("w");
+  count->set_requests(1);
+  ++m_counted[count->window()];
+  TakeUsage(instance.m_state, counts);
+  m_schedule.After(kRequestPeriod,
+                   [this, &instance] { CountRequest(instance); });
+}
+
+std::uint64_t InstanceFleet::Counted(std::uint64_t window) const {
+  const auto found = m_counted.find(window);
+  return found == m_counted.end() ? 0 : found->second;
+}
+
+void InstanceFleet::Kill(const std::string& name) {
+  m_instances.at(name)->m_dead = true;
+}
+
+bool InstanceFleet::IsDead(const std::string& name) const {
+  return m_instances.at(name)->m_dead;
+}
+
+std::vector<std::string> InstanceFleet::Names() const {
+  std::vector<std::string> names;
+  for (const auto& [name, instance] : m_instances) names.push_back(name);
+  return names;
+}
+
+ControlState& InstanceFleet::State(const std::string& name) {
+  return m_instances.at(name)->m_state;
+}
+
+std::optional<Instant> InstanceFleet::InForceAt(const std::string& name,
+                                                std::uint64_t version) const {
+  std::optional<Instant> first;
+  for (const auto& [known, at] : m_instances.at(name)->m_inbox.m_versions) {
+    if (known >= version && (!first || at < *first)) first = at;
+  }
+  return first;
+}
+
+}  // namespace comfreypaddle::testing
--- /dev/null
+++ b/tests/support_instances.h
@@ -0,0 +1,174 @@
+#ifndef COMFREYPADDLE_TESTS_SUPPORT_INSTANCES_H_
+#define COMFREYPADDLE_TESTS_SUPPORT_INSTANCES_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "controlstate.h"
+
+namespace comfreypaddle::testing {
+
+// Virtual time and what is to happen in it.
+class Schedule {
+ public:
+  Instant Now() const { return m_now; }
+  void At(Instant when, std::function<void()> action);
+  void After(Duration time, std::function<void()> action) {
+    At(m_now + time, std::move(action));
+  }
+  void RunUntil(Instant end);
+
+ private:
+  struct Entry {
+    Instant m_when;
+    std::uint64_t m_order = 0;
+    std::function<void()> m_action;
+  };
+  struct Later {
+    bool operator()(const Entry& a, const Entry& b) const {
+      return a.m_when != b.m_when ? a.m_when > b.m_when : a.m_order > b.m_order;
+    }
+  };
+
+  Instant m_now{std::chrono::seconds(1000)};
+  std::uint64_t m_next_order = 0;
+  std::priority_queue<Entry, std::vector<Entry>, Later> m_entries;
+};
+
+// How the store treats an instance that it does not serve.
+enum class StoreDenial { kSilent, kRefuses };
+
+// Store in virtual time. Streams keep all their records.
+class VirtualStore {
+ public:
+  explicit VirtualStore(Schedule& schedule) : m_schedule(schedule) {}
+
+  // Appends a record of another writer. A record without a value removes the
+  // key.
+  void Write(Stream stream, const std::string& key, const std::string& value);
+
+  // Turns the instances away from now on.
+  void Deny(const std::set<std::string>& names, StoreDenial denial);
+  void ServeAll() { m_denied.clear(); }
+  bool Serves(const std::string& name) const {
+    return m_denied.count(name) == 0;
+  }
+
+  // Port of one instance.
+  std::unique_ptr<StreamPort> Connect(const std::string& name);
+
+  const std::vector<StreamRecord>& Records(Stream stream) {
+    return m_records[stream];
+  }
+  std::uint64_t Calls() const { return m_calls; }
+
+ private:
+  class Connection;
+  struct WaitingRead {
+    Stream m_stream = Stream::kConfiguration;
+    std::uint64_t m_from = 0;
+    std::string m_name;
+    std::function<void(const ReadResult&)> m_done;
+    bool m_ended = false;
+  };
+
+  // Answers after the store's time, or not, for an instance that is turned
+  // away. limit is the time after which the caller gives up.
+  bool Denies(const std::string& name, Duration limit,
+              const std::function<void(StoreFault)>& fail);
+  AppendResult Append(const StreamAppend& append);
+  ReadResult ReadFrom(Stream stream, std::uint64_t from);
+  void ServeWaiting();
+
+  Schedule& m_schedule;
+  std::map<Stream, std::vector<StreamRecord>> m_records;
+  std::map<std::string, std::uint64_t> m_sequences;  // By producer.
+  std::set<std::string> m_denied;
+  StoreDenial m_denial = StoreDenial::kSilent;
+  std::vector<std::shared_ptr<WaitingRead>> m_waiting;
+  std::uint64_t m_calls = 0;
+};
+
+struct ZoneOfInstances {
+  std::string m_name;
+  std::string m_region;
+  int m_instances = 0;
+};
+
+// Task of one instance that follows the store, in virtual time.
+struct VirtualInstance;
+
+// Many instances that share a store and a network, in virtual time. Only the
+// ports are stand-ins; what is decided is the product's.
+class InstanceFleet {
+ public:
+  InstanceFleet(const std::vector<ZoneOfInstances>& zones, std::uint64_t seed);
+  ~InstanceFleet();
+
+  Schedule& Time() { return m_schedule; }
+  VirtualStore& Store() { return m_store; }
+  void Run(Duration time) { m_schedule.RunUntil(m_schedule.Now() + time); }
+
+  // Writes a configuration with this version to the store.
+  void WriteCatalog(std::uint64_t version);
+  void WriteEndpoint(const std::string& id, std::uint64_t sequence,
+                     bool draining);
+
+  // Gives each instance a request to count twice a second from now on.
+  void StartRequests();
+  void StopRequests() { m_requests_run = false; }
+
+  // Requests that instances counted in a usage window.
+  std::uint64_t Counted(std::uint64_t window) const;
+
+  // Usage reports that the platform got, by window.
+  struct Report {
+    Instant m_at{};
+    std::uint64_t m_requests = 0;
+  };
+  const std::map<std::uint64_t, Report>& Reports() const { return m_reports; }
+
+  // Makes the instance fall silent for all others and do nothing any more.
+  void Kill(const std::string& name);
+
+  std::vector<std::string> Names() const;
+  ControlState& State(const std::string& name);
+
+  bool IsDead(const std::string& name) const;
+
+  // When the instance put the version, or a later one, in force.
+  std::optional<Instant> InForceAt(const std::string& name,
+                                   std::uint64_t version) const;
+
+  // Questions that instances asked each other.
+  std::uint64_t Questions() const { return m_questions; }
+
+ private:
+  friend struct VirtualInstance;
+  class PeerPort;
+  class Inbox;
+  class Duties;
+
+  void Tick(VirtualInstance& instance);
+  void CountRequest(VirtualInstance& instance);
+  Duration OneWay(const VirtualInstance& a, const VirtualInstance& b) const;
+
+  Schedule m_schedule;
+  VirtualStore m_store;
+  std::map<std::string, std::unique_ptr<VirtualInstance>> m_instances;
+  std::map<std::string, VirtualInstance*> m_by_address;
+  std::uint64_t m_questions = 0;
+  bool m_requests_run = false;
+  std::map<std::uint64_t, std::uint64_t> m_counted;
+  std::map<std::uint64_t, Report> m_reports;
+};
+
+}  // namespace comfreypaddle::testing
+
+#endif  // COMFREYPADDLE_TESTS_SUPPORT_INSTANCES_H_
