Judge answers of other instances by stream and by when they were asked for

Cause: an answer was dropped as a whole, a newer configuration in it too, if the older of the other's two ages was above the older of one's own two; and only the followed instance's answers counted for the own age, so an instance that learnt everything from others still looked old to itself and its followers. Change: a newer configuration is always taken; ages go by stream; any instance's answer confirms a stream if this one has read as far. An age counts from the instant before the question was sent plus the time for which it was held, so that the time under way never makes knowledge look younger: instances without the store cannot keep each other fresh. The test "an instance without the store teaches nothing, and none goes back" demanded that a newer version be dropped, which is the fault; in its place "a newer configuration is taken, whatever the age, and none goes back" checks that it is taken, that it confirms nothing, that an older list is not taken and that no version goes back. On the code before, the version stayed at 5 there (9 offered).

--- a/src/controlstate.h
+++ b/src/controlstate.h
@@ -61,22 +61,23 @@
 struct WaitingInquiry {
   schema::InstanceQuery m_query;
   InquiryAnswer m_respond;
+  Instant m_asked{};
   Instant m_until{};
 };
 
 // What became of an answer of another instance.
 enum class AnswerUse {
-  kTaken,    // Something was new.
-  kEmpty,    // Nothing was.
-  kDropped,  // It was older than what this instance knows.
+  kTaken,      // Something was new.
+  kConfirmed,  // What is known was the store's at a later instant.
+  kStale,      // It told nothing that this instance did not know.
 };
 
 template <>
 struct EnumNames<AnswerUse> {
   static constexpr std::array<EnumName<AnswerUse>, 3> kTable{
       {{AnswerUse::kTaken, "taken"},
-       {AnswerUse::kEmpty, "empty"},
-       {AnswerUse::kDropped, "dropped"}}};
+       {AnswerUse::kConfirmed, "confirmed"},
+       {AnswerUse::kStale, "stale"}}};
 };
 
 // Question of this instance to the one that it follows, and the list of
@@ -85,7 +86,7 @@
   bool m_busy = false;
   Instant m_due{};
   Instant m_chosen_at{};
-  AnswerUse m_last_use = AnswerUse::kEmpty;  // Of the followed instance.
+  AnswerUse m_last_use = AnswerUse::kConfirmed;  // Of the followed instance.
   std::string m_list_owner;
   std::uint64_t m_list_incarnation = 0;
   std::uint64_t m_list_version = 0;
--- a/src/directory.cpp
+++ b/src/directory.cpp
@@ -29,6 +29,8 @@
 }  // namespace
 
 void OnStoreAnswer(Directory& directory, Instant now) {
+  // Another instance may tell of an answer that is older than the last one.
+  if (now <= directory.m_answered) return;
   const bool first = directory.m_answered == Instant{};
   if (!first && now - directory.m_answered > kOutageTime) {
     directory.m_return_ends = now + kReturnTime;
--- a/src/freshness.cpp
+++ b/src/freshness.cpp
@@ -52,8 +52,8 @@
       ToMs(now - state.m_follow_endpoints.m_confirmed));
   status->set_store_silent_ms(ToMs(now - state.m_store_answered));
   status->set_answers_taken(counters.m_answers[AnswerUse::kTaken]);
-  status->set_answers_empty(counters.m_answers[AnswerUse::kEmpty]);
-  status->set_answers_dropped(counters.m_answers[AnswerUse::kDropped]);
+  status->set_answers_confirmed(counters.m_answers[AnswerUse::kConfirmed]);
+  status->set_answers_stale(counters.m_answers[AnswerUse::kStale]);
   status->set_questions_failed(counters.m_peer_failures);
   state.m_relay->Post(std::move(message));
 }
--- a/src/inquiry.cpp
+++ b/src/inquiry.cpp
@@ -9,6 +9,10 @@
 
 namespace {
 
+double AgeMs(const ControlState& state, const Follower& follower) {
+  return ToMs(state.m_clock() - follower.m_confirmed);
+}
+
 bool KnowsList(const ControlState& state, const schema::InstanceQuery& query) {
   return query.list_owner() == state.m_options.m_name &&
          query.list_incarnation() == state.m_options.m_incarnation;
@@ -66,7 +70,8 @@
   schema::InstanceState answer;
   answer.set_name(state.m_options.m_name);
   answer.set_incarnation(state.m_options.m_incarnation);
-  answer.set_store_age_ms(StateAgeMs(state));
+  answer.set_catalog_age_ms(AgeMs(state, state.m_follow_catalog));
+  answer.set_endpoints_age_ms(AgeMs(state, state.m_follow_endpoints));
   if (state.m_catalog) answer.set_catalog_version(state.m_catalog->version());
   if (query.crashes_size() > 0) return answer;
   answer.set_catalog_offset(KnownOffset(state.m_follow_catalog));
@@ -91,9 +96,10 @@
   if (query.wait_ms() == 0 || HasNews(state, query)) {
     respond(MakeAnswer(state, query));
   } else {
+    const Instant now = state.m_clock();
     state.m_inquiries.push_back(
-        {query, respond,
-         state.m_clock() + std::chrono::milliseconds(query.wait_ms())});
+        {query, respond, now,
+         now + std::chrono::milliseconds(query.wait_ms())});
   }
 }
 
@@ -105,7 +111,9 @@
       state.m_inquiries.push_back(std::move(inquiry));
       continue;
     }
-    inquiry.m_respond(MakeAnswer(state, inquiry.m_query));
+    schema::InstanceState answer = MakeAnswer(state, inquiry.m_query);
+    answer.set_held_ms(ToMs(now - inquiry.m_asked));
+    inquiry.m_respond(answer);
   }
 }
 
--- a/src/learn.cpp
+++ b/src/learn.cpp
@@ -95,26 +95,48 @@
     follower.m_confirmed = std::max(follower.m_confirmed, at);
 }
 
+// Notes how old the configuration is if this instance has read as far as the
+// other one.
+void ConfirmCatalog(ControlState& state, const schema::InstanceState& other,
+                    Instant made) {
+  if (other.catalog_offset() == 0) return;
+  if (KnownOffset(state.m_follow_catalog) < other.catalog_offset()) return;
+  ConfirmStream(state.m_follow_catalog, made - FromMs(other.catalog_age_ms()));
+}
+
+// Takes the list of endpoints and notes how old it is.
+void ConfirmEndpoints(ControlState& state, const schema::InstanceState& other,
+                      Instant made) {
+  if (other.endpoints_offset() == 0) return;
+  const bool listed = TakeEndpointList(state, other);
+  const bool ahead =
+      KnownOffset(state.m_follow_endpoints) > other.endpoints_offset();
+  if (!listed && !ahead) return;
+  const Instant confirmed = made - FromMs(other.endpoints_age_ms());
+  ConfirmStream(state.m_follow_endpoints, confirmed);
+  OnStoreAnswer(state.m_directory, confirmed);
+}
+
 }  // namespace
 
-AnswerUse TakeAnswer(ControlState& state, const schema::InstanceState& other) {
+AnswerUse TakeAnswer(ControlState& state, const schema::InstanceState& other,
+                     Instant asked) {
   NoteServed(state, other);
-  // Two instances that have both lost the store learn nothing from each other.
-  if (other.store_age_ms() > StateAgeMs(state)) return AnswerUse::kDropped;
+  // The answer was made after this instant, and its ages count from then: the
+  // time under way never makes anything look younger than it is, so instances
+  // that tell each other cannot keep themselves fresh.
+  const Instant made = asked + FromMs(other.held_ms());
   const std::uint64_t list_version = state.m_directory.m_version;
   const bool newer = TakeCatalog(state, other);
-  const bool listed =
-      other.endpoints_offset() > 0 && TakeEndpointList(state, other);
+  const Instant before = StateConfirmed(state);
+  ConfirmCatalog(state, other, made);
+  ConfirmEndpoints(state, other, made);
   TakeInstanceList(state, other);
-  const bool changed = newer || state.m_directory.m_version != list_version;
-  const AnswerUse use = changed ? AnswerUse::kTaken : AnswerUse::kEmpty;
-  if (other.name() != state.m_upstream.m_chosen.m_name) return use;
-  const Instant confirmed = state.m_clock() - FromMs(other.store_age_ms());
-  ConfirmStream(state.m_follow_catalog, confirmed);
-  if (!listed) return use;
-  ConfirmStream(state.m_follow_endpoints, confirmed);
-  OnStoreAnswer(state.m_directory, confirmed);
-  return use;
+  if (newer || state.m_directory.m_version != list_version) {
+    return AnswerUse::kTaken;
+  }
+  return StateConfirmed(state) > before ? AnswerUse::kConfirmed
+                                        : AnswerUse::kStale;
 }
 
 }  // namespace comfreypaddle
--- a/src/learn.h
+++ b/src/learn.h
@@ -5,8 +5,10 @@
 
 namespace comfreypaddle {
 
-// Takes over what another instance told and this one does not know yet.
-AnswerUse TakeAnswer(ControlState& state, const schema::InstanceState& other);
+// Takes over what another instance told and this one does not know yet. asked
+// is the instant before the question was sent.
+AnswerUse TakeAnswer(ControlState& state, const schema::InstanceState& other,
+                     Instant asked);
 
 }  // namespace comfreypaddle
 
--- a/src/neighbours.cpp
+++ b/src/neighbours.cpp
@@ -51,15 +51,16 @@
   if (reason == AskReason::kCrash) return;
   if (reason == AskReason::kFollow) {
     const AnswerUse last = std::exchange(state.m_link.m_last_use, use);
-    const bool dropped = use == AnswerUse::kDropped;
-    if (dropped == (last == AnswerUse::kDropped)) return;
+    const bool dropped = use == AnswerUse::kStale;
+    if (dropped == (last == AnswerUse::kStale)) return;
   }
   const std::uint64_t own = state.m_catalog ? state.m_catalog->version() : 0;
   LogLine("neighbour_answer")
       .Add("instance", other.name())
       .Add("why", reason == AskReason::kFollow ? "follow" : "search")
       .Add("use", ToName(use))
-      .Add("age_ms", static_cast<std::int64_t>(other.store_age_ms()))
+      .Add("age_ms", static_cast<std::int64_t>(std::max(
+                         other.catalog_age_ms(), other.endpoints_age_ms())))
       .Add("own_age_ms", static_cast<std::int64_t>(own_age_ms))
       .Add("version", static_cast<std::int64_t>(other.catalog_version()))
       .Add("own_version", static_cast<std::int64_t>(own));
@@ -77,13 +78,14 @@
   call.m_time = kCallTime + std::chrono::milliseconds(query.wait_ms());
   ++state.m_counters.m_peer_queries;
   CallInstance(*state.m_peers, call, "neighbour_failed",
-               [&state, address, reason, done](const std::string* body) {
+               [&state, address, reason, done,
+                asked = state.m_clock()](const std::string* body) {
                  schema::InstanceState other;
                  const bool answered =
                      body != nullptr && other.ParseFromString(*body);
                  if (answered) {
                    const double own_age_ms = StateAgeMs(state);
-                   const AnswerUse use = TakeAnswer(state, other);
+                   const AnswerUse use = TakeAnswer(state, other, asked);
                    ++state.m_counters.m_answers[use];
                    LogAnswer(state, other, reason, use, own_age_ms);
                  } else {
--- a/src/relaymetrics.cpp
+++ b/src/relaymetrics.cpp
@@ -30,12 +30,12 @@
   text->Counter("relay_neighbour_answers_taken_total",
                 "answers of other instances that brought something",
                 known.answers_taken());
-  text->Counter("relay_neighbour_answers_empty_total",
-                "answers of other instances that brought nothing",
-                known.answers_empty());
-  text->Counter("relay_neighbour_answers_dropped_total",
-                "answers of other instances that were too old",
-                known.answers_dropped());
+  text->Counter("relay_neighbour_answers_confirmed_total",
+                "answers of other instances that confirmed what is known",
+                known.answers_confirmed());
+  text->Counter("relay_neighbour_answers_stale_total",
+                "answers of other instances that told nothing",
+                known.answers_stale());
   text->Counter("relay_neighbour_failures_total",
                 "questions to other instances without an answer",
                 known.questions_failed());
--- a/tests/freshness_test.cpp
+++ b/tests/freshness_test.cpp
@@ -18,7 +18,7 @@
   Instance a("a");
   a.m_now += milliseconds(2500);
   a.m_state.m_follow_endpoints.m_confirmed = a.m_now - milliseconds(300);
-  a.m_state.m_counters.m_answers[AnswerUse::kDropped] = 4;
+  a.m_state.m_counters.m_answers[AnswerUse::kStale] = 4;
   TellKnowledge(a.m_state);
   TellKnowledge(a.m_state);
   REQUIRE(a.m_inbox.m_messages.size() == 1);
@@ -26,7 +26,7 @@
   CHECK(known.catalog_age_ms() == doctest::Approx(2500));
   CHECK(known.endpoints_age_ms() == doctest::Approx(300));
   CHECK(known.store_silent_ms() == doctest::Approx(2500));
-  CHECK(known.answers_dropped() == 4);
+  CHECK(known.answers_stale() == 4);
   a.m_now += milliseconds(1000);
   TellKnowledge(a.m_state);
   CHECK(a.m_inbox.m_messages.size() == 2);
@@ -37,13 +37,14 @@
   Instance a("a");
   schema::InstanceState other;
   other.set_name("b");
-  other.set_store_age_ms(100);
-  CHECK(TakeAnswer(a.m_state, other) == AnswerUse::kDropped);
+  other.set_catalog_age_ms(100);
+  other.set_endpoints_age_ms(100);
+  CHECK(TakeAnswer(a.m_state, other, a.m_now) == AnswerUse::kStale);
   a.m_now += milliseconds(500);
   other.mutable_catalog()->set_version(3);
   other.set_catalog_offset(4);
-  CHECK(TakeAnswer(a.m_state, other) == AnswerUse::kTaken);
-  CHECK(TakeAnswer(a.m_state, other) == AnswerUse::kEmpty);
+  CHECK(TakeAnswer(a.m_state, other, a.m_now) == AnswerUse::kTaken);
+  CHECK(TakeAnswer(a.m_state, other, a.m_now) == AnswerUse::kStale);
 }
 
 }  // namespace
--- a/tests/neighbours_test.cpp
+++ b/tests/neighbours_test.cpp
@@ -3,10 +3,11 @@
 
 #include <doctest/doctest.h>
 
-#include <memory>
+#include <utility>
 
 #include "follow.h"
 #include "inquiry.h"
+#include "learn.h"
 #include "reporter.h"
 #include "support_control.h"
 
@@ -23,6 +24,13 @@
   return catalog;
 }
 
+schema::EndpointEntry EntryOf(const std::string& id, std::uint64_t sequence) {
+  schema::EndpointEntry entry;
+  entry.set_id(id);
+  entry.set_sequence(sequence);
+  return entry;
+}
+
 // Hands the last question of one instance to the other, and the answer back.
 void CarryQuestion(Instance& from, Instance& to) {
   schema::InstanceQuery query;
@@ -63,27 +71,58 @@
   CHECK(a.m_state.m_follow_catalog.m_next == 6);
 }
 
-TEST_CASE("an instance without the store teaches nothing, and none goes back") {
+// Guards against a newer configuration that is thrown away because the instance
+// that has it heard of the store longer ago than this one.
+TEST_CASE(
+    "a newer configuration is taken, whatever the age, and none goes back") {
   Instance a("a");
   Instance b("b");
   AdoptCatalog(a.m_state, CatalogOf(5), "store");
+  a.m_state.m_follow_catalog = {true, false, 4, {}, a.m_now};
+  a.m_state.m_follow_endpoints = {true, false, 9, {}, a.m_now};
   AdoptCatalog(b.m_state, CatalogOf(9), "store");
-  b.m_state.m_follow_catalog.m_known = true;
-  b.m_state.m_follow_catalog.m_next = 6;
+  b.m_state.m_follow_catalog = {true, false, 6, {}, b.m_now};
+  b.m_state.m_follow_endpoints = {true, false, 3, {}, b.m_now};
+  SetEntry(b.m_state.m_directory, EntryOf("i-1", 1));
   a.m_now += milliseconds(1100);
   b.m_now += seconds(20);
+  const Instant confirmed = StateConfirmed(a.m_state);
   QueryNeighbours(a.m_state);
   CarryQuestion(a, b);
-  CHECK(a.m_state.m_catalog->version() == 5);
+  CHECK(a.m_state.m_catalog->version() == 9);
+  // It does not make what is known look newer, and its older list is not taken.
+  CHECK(StateConfirmed(a.m_state) == confirmed);
+  CHECK(a.m_state.m_directory.m_endpoints.empty());
   AdoptCatalog(a.m_state, CatalogOf(4), "instance");
-  CHECK(a.m_state.m_catalog->version() == 5);
+  CHECK(a.m_state.m_catalog->version() == 9);
 }
 
-schema::EndpointEntry EntryOf(const std::string& id, std::uint64_t sequence) {
-  schema::EndpointEntry entry;
-  entry.set_id(id);
-  entry.set_sequence(sequence);
-  return entry;
+// Guards against instances without the store that keep each other looking
+// fresh: an answer under way would seem younger than it is.
+TEST_CASE("instances that have both lost the store grow old") {
+  Instance a("a");
+  Instance b("b");
+  const Instant lost = a.m_now;
+  for (Instance* instance : {&a, &b}) {
+    AdoptCatalog(instance->m_state, CatalogOf(5), "store");
+    instance->m_state.m_follow_catalog = {true, false, 4, {}, lost};
+    instance->m_state.m_follow_endpoints = {true, false, 9, {}, lost};
+  }
+  constexpr Duration kUnderWay = milliseconds(250);
+  for (int round = 0; round < 20; ++round) {
+    for (const auto& [asker, other] : {std::pair{&a, &b}, std::pair{&b, &a}}) {
+      const Instant asked = asker->m_now;
+      schema::InstanceState told;
+      AnswerInquiry(
+          other->m_state, {},
+          [&told](const schema::InstanceState& answer) { told = answer; });
+      a.m_now += kUnderWay;
+      b.m_now += kUnderWay;
+      TakeAnswer(asker->m_state, told, asked);
+    }
+  }
+  CHECK(StateConfirmed(a.m_state) == lost);
+  CHECK(StateConfirmed(b.m_state) == lost);
 }
 
 // Instance b of a zone that follows a, which reads the store.
--- a/tests/support_instances.cpp
+++ b/tests/support_instances.cpp
@@ -102,7 +102,7 @@
     read->m_done = std::move(done);
     m_store.m_waiting.push_back(read);
     m_store.m_schedule.After(kStoreTime, [this] { m_store.ServeWaiting(); });
-    m_store.m_schedule.After(wait + kStoreTime, [this, read, wait] {
+    m_store.m_schedule.After(wait + kStoreTime, [this, read] {
       if (read->m_ended) return;
       read->m_ended = true;
       // The outage may have begun while the read was waiting.
