Read the store by oneself while the followed instance has lost it

Cause: a follower tried the instances before it one after the other, 1.6 s each, all of them against a limit of 4 s, and read the store only when the list was at its end, also where the store answered it all the time. Class: a search for a working peer one at a time against a fixed limit. Evidence: edge-lulea-a-4 at 20.23 s, upstream_chosen state_age_ms=5543 store_silent_ms=20; the same at all 12 served instances of the three zones. Ruled out: dropped answers (none offered a newer version there), the store's limits (it answered every call of these 12). Change: a reader that loses the store tells its followers at once and is not left; they read by themselves until it has the store again, or when what they know is 1.8 s old for whatever reason. One that is turned away too tries one stream after 1, 2 and 4 s (was 1 s each), so that an outage of the whole store costs fewer calls. The line store_reading tells each begin and end.

--- a/src/controlstate.h
+++ b/src/controlstate.h
@@ -85,8 +85,8 @@
 struct UpstreamLink {
   bool m_busy = false;
   Instant m_due{};
-  Instant m_chosen_at{};
-  AnswerUse m_last_use = AnswerUse::kConfirmed;  // Of the followed instance.
+  // Whether the store answers the followed instance, as it told last.
+  bool m_store_answers = true;
   std::string m_list_owner;
   std::uint64_t m_list_incarnation = 0;
   std::uint64_t m_list_version = 0;
@@ -166,6 +166,8 @@
   std::size_t m_query_turn = 0;
   Instant m_store_answered{};  // Any call of this instance.
   bool m_store_lost = false;
+  std::uint32_t m_failed_probes = 0;  // In a row.
+  bool m_was_reading = false;
   bool m_was_stale = false;
   Instant m_stale_since{};
   Instant m_status_due{};
--- a/src/follow.cpp
+++ b/src/follow.cpp
@@ -1,5 +1,6 @@
 #include "follow.h"
 
+#include <algorithm>
 #include <set>
 
 #include "eventlog.h"
@@ -9,10 +10,16 @@
 
 namespace {
 
-// Pause after a failed read, of an instance that reads the store for others and
-// of one that follows another.
+// Pause after a failed read of an instance that reads the store for others.
 constexpr Duration kRetryPause = std::chrono::milliseconds(250);
-constexpr Duration kFollowerRetryPause = std::chrono::seconds(1);
+
+// Pause after a failed read of another one, doubled with each further failure.
+constexpr Duration kFirstProbePause = std::chrono::seconds(1);
+constexpr Duration kLongestProbePause = std::chrono::seconds(4);
+
+// Silence of the store after which an instance that reads it counts as turned
+// away. While the store answers, the longest read takes 0.7 s.
+constexpr Duration kServedAge = std::chrono::milliseconds(1100);
 
 // Pause between two reads of the list of instances, at first and later: many
 // instances start together.
@@ -138,9 +145,20 @@
                                                        : kInstancesPoll;
 }
 
-Duration RetryPause(const ControlState& state) {
-  return AvoidsUpstream(state.m_upstream, state.m_clock()) ? kFollowerRetryPause
-                                                           : kRetryPause;
+// Whether this instance reads the store for others, and not just for the time
+// being.
+bool IsReader(const ControlState& state) {
+  return !HasUpstream(state.m_upstream) &&
+         !AvoidsUpstream(state.m_upstream, state.m_clock());
+}
+
+// Returns the pause after a failed read.
+Duration NextRetryPause(ControlState& state) {
+  if (IsReader(state)) return kRetryPause;
+  constexpr std::uint32_t kMaxDoublings = 2;
+  const std::uint32_t doublings =
+      std::min(state.m_failed_probes++, kMaxDoublings);
+  return std::min(kFirstProbePause * (1U << doublings), kLongestProbePause);
 }
 
 void TakeRecords(ControlState& state, Stream stream, const ReadResult& result,
@@ -158,6 +176,21 @@
   }
 }
 
+// Logs when this instance begins or ceases to read the store by itself.
+void LogReading(ControlState& state) {
+  const bool reads = ReadsStore(state);
+  if (reads == state.m_was_reading) return;
+  state.m_was_reading = reads;
+  LogLine("store_reading")
+      .Add("reads", reads ? 1 : 0)
+      .Add("upstream", HasUpstream(state.m_upstream)
+                           ? state.m_upstream.m_chosen.m_name
+                           : "store")
+      .Add("upstream_store_answers", state.m_link.m_store_answers ? 1 : 0)
+      .AddMs("state_age_ms", state.m_clock() - StateConfirmed(state))
+      .AddMs("store_silent_ms", state.m_clock() - state.m_store_answered);
+}
+
 // Reads a keyed stream: first its newest records, then what follows.
 void FollowKeyed(ControlState& state, Stream stream, Follower& follower,
                  Duration wait, Duration pause) {
@@ -178,7 +211,7 @@
       follower.m_known = false;
       follower.m_due = {};
     } else if (result.m_fault != StoreFault::kNone) {
-      follower.m_due = state.m_clock() + RetryPause(state);
+      follower.m_due = state.m_clock() + NextRetryPause(state);
     } else {
       follower.m_confirmed = state.m_clock();
       if (stream == Stream::kEndpoints) {
@@ -236,6 +269,7 @@
           now + kUsageReturnTime + UsageRetryPause(state);
     }
     state.m_store_lost = false;
+    state.m_failed_probes = 0;
     state.m_store_answered = now;
     return;
   }
@@ -248,13 +282,18 @@
       .AddMs("silent_ms", now - state.m_store_answered);
 }
 
+bool IsServed(const ControlState& state) {
+  return state.m_clock() - state.m_store_answered < kServedAge;
+}
+
 bool ReadsStore(const ControlState& state) {
-  return !HasUpstream(state.m_upstream) || StateConfirmed(state) == Instant{};
+  if (!HasUpstream(state.m_upstream)) return true;
+  if (!state.m_link.m_store_answers) return true;
+  return state.m_clock() - StateConfirmed(state) >= kFollowerStaleAge;
 }
 
 bool ProbesStore(const ControlState& state) {
-  return state.m_store_lost &&
-         AvoidsUpstream(state.m_upstream, state.m_clock());
+  return !IsReader(state) && (state.m_store_lost || !IsServed(state));
 }
 
 Instant StateConfirmed(const ControlState& state) {
@@ -282,10 +321,12 @@
   if (ExpireEntries(state.m_directory, state.m_clock())) {
     PublishEndpoints(state);
   }
+  LogReading(state);
   if (!ReadsStore(state)) return;
+  const bool probes = ProbesStore(state);
   FollowKeyed(state, Stream::kConfiguration, state.m_follow_catalog,
-              state.m_options.m_watch, Duration(0));
-  if (ProbesStore(state)) return;
+              probes ? Duration(0) : state.m_options.m_watch, Duration(0));
+  if (probes) return;
   FollowKeyed(state, Stream::kEndpoints, state.m_follow_endpoints, Duration(0),
               state.m_options.m_poll);
   FollowKeyed(state, Stream::kInstances, state.m_follow_instances, Duration(0),
--- a/src/follow.h
+++ b/src/follow.h
@@ -5,13 +5,20 @@
 
 namespace comfreypaddle {
 
-// Whether this instance reads the store by itself: it follows no other one, or
-// knows nothing yet.
+// Age of what a follower knows after which it looks for other sources.
+inline constexpr Duration kFollowerStaleAge = std::chrono::milliseconds(1800);
+
+// Whether the store has answered this instance lately.
+bool IsServed(const ControlState& state);
+
+// Whether this instance reads the store by itself: it follows no other one,
+// knows nothing yet, or the followed one has lost the store or tells nothing.
+// The store may turn that one away and serve this one.
 bool ReadsStore(const ControlState& state);
 
-// Whether this instance reads the store only until the one that it followed is
-// back, and the store does not answer it: it tries one stream then, so that an
-// outage does not multiply the calls.
+// Whether the store does not answer this instance, which reads it only until
+// the followed one has it again: it tries one stream then, and ever less
+// often, so that an outage does not multiply the calls.
 bool ProbesStore(const ControlState& state);
 
 // Instant at which both configuration and endpoints were last known to be the
--- a/src/freshness.cpp
+++ b/src/freshness.cpp
@@ -9,10 +9,6 @@
 
 namespace {
 
-// Age from which on configuration or endpoints count as old. Neither a reader
-// nor one that follows a reader reaches it while the store answers the reader.
-constexpr Duration kStaleAge = std::chrono::milliseconds(1800);
-
 // Period at which the metrics are brought up to date.
 constexpr Duration kStatusPeriod = std::chrono::seconds(1);
 
@@ -23,7 +19,7 @@
   const Instant confirmed = StateConfirmed(state);
   // Nothing is known yet; the lines of adoption tell when it is.
   if (confirmed == Instant{}) return;
-  const bool stale = now - confirmed >= kStaleAge;
+  const bool stale = now - confirmed >= kFollowerStaleAge;
   if (stale == state.m_was_stale) return;
   state.m_was_stale = stale;
   if (stale) state.m_stale_since = now;
--- a/src/inquiry.cpp
+++ b/src/inquiry.cpp
@@ -20,6 +20,7 @@
 
 // Whether this instance knows something that the asker does not.
 bool HasNews(const ControlState& state, const schema::InstanceQuery& query) {
+  if (query.store_answered() != IsServed(state)) return true;
   if (state.m_catalog &&
       KnownOffset(state.m_follow_catalog) > query.catalog_offset()) {
     return true;
@@ -72,6 +73,7 @@
   answer.set_incarnation(state.m_options.m_incarnation);
   answer.set_catalog_age_ms(AgeMs(state, state.m_follow_catalog));
   answer.set_endpoints_age_ms(AgeMs(state, state.m_follow_endpoints));
+  answer.set_store_answers(IsServed(state));
   if (state.m_catalog) answer.set_catalog_version(state.m_catalog->version());
   if (query.crashes_size() > 0) return answer;
   answer.set_catalog_offset(KnownOffset(state.m_follow_catalog));
--- a/src/neighbours.cpp
+++ b/src/neighbours.cpp
@@ -14,10 +14,9 @@
 
 namespace {
 
-// Age of what is known of the store after which other instances are asked, of
-// an instance that reads the store by itself and of one that follows another.
+// Age of what is known of the store after which an instance that reads the
+// store by itself asks others.
 constexpr Duration kAskAfter = std::chrono::milliseconds(1000);
-constexpr Duration kFollowerAskAfter = std::chrono::milliseconds(1800);
 
 // Time between two questions.
 constexpr Duration kAskPeriod = std::chrono::milliseconds(400);
@@ -29,9 +28,6 @@
 constexpr Duration kUpstreamWait = std::chrono::milliseconds(500);
 constexpr Duration kUpstreamPause = std::chrono::milliseconds(100);
 
-// Age of what the followed instance tells after which it is not followed.
-constexpr Duration kStaleAfter = std::chrono::milliseconds(1600);
-
 // Pause before a failed registration is tried again.
 constexpr Duration kRegisterPause = std::chrono::milliseconds(500);
 
@@ -44,21 +40,14 @@
 
 using AnswerTaken = std::function<void(bool answered)>;
 
-// Logs what an answer offered and what became of it. The followed instance
-// answers all the time, so only a change is logged there.
-void LogAnswer(ControlState& state, const schema::InstanceState& other,
-               AskReason reason, AnswerUse use, double own_age_ms) {
-  if (reason == AskReason::kCrash) return;
-  if (reason == AskReason::kFollow) {
-    const AnswerUse last = std::exchange(state.m_link.m_last_use, use);
-    const bool dropped = use == AnswerUse::kStale;
-    if (dropped == (last == AnswerUse::kStale)) return;
-  }
+// Logs what an answer offered and what became of it.
+void LogAnswer(const ControlState& state, const schema::InstanceState& other,
+               AnswerUse use, double own_age_ms) {
   const std::uint64_t own = state.m_catalog ? state.m_catalog->version() : 0;
   LogLine("neighbour_answer")
       .Add("instance", other.name())
-      .Add("why", reason == AskReason::kFollow ? "follow" : "search")
       .Add("use", ToName(use))
+      .Add("store_answers", other.store_answers() ? 1 : 0)
       .Add("age_ms", static_cast<std::int64_t>(std::max(
                          other.catalog_age_ms(), other.endpoints_age_ms())))
       .Add("own_age_ms", static_cast<std::int64_t>(own_age_ms))
@@ -66,6 +55,21 @@
       .Add("own_version", static_cast<std::int64_t>(own));
 }
 
+// Takes an answer over and logs it. The followed instance answers all the
+// time: only that it has lost the store, or has it again, is logged there.
+void OnAnswer(ControlState& state, const schema::InstanceState& other,
+              AskReason reason, Instant asked) {
+  const double own_age_ms = StateAgeMs(state);
+  const AnswerUse use = TakeAnswer(state, other, asked);
+  ++state.m_counters.m_answers[use];
+  if (reason == AskReason::kFollow) {
+    const bool answers =
+        std::exchange(state.m_link.m_store_answers, other.store_answers());
+    if (answers == other.store_answers()) return;
+  }
+  if (reason != AskReason::kCrash) LogAnswer(state, other, use, own_age_ms);
+}
+
 // Asks the instance and takes its answer. done tells whether it answered.
 void Ask(ControlState& state, const std::string& address,
          const schema::InstanceQuery& query, AskReason reason,
@@ -84,10 +88,7 @@
                  const bool answered =
                      body != nullptr && other.ParseFromString(*body);
                  if (answered) {
-                   const double own_age_ms = StateAgeMs(state);
-                   const AnswerUse use = TakeAnswer(state, other, asked);
-                   ++state.m_counters.m_answers[use];
-                   LogAnswer(state, other, reason, use, own_age_ms);
+                   OnAnswer(state, other, reason, asked);
                  } else {
                    ++state.m_counters.m_peer_failures;
                  }
@@ -136,7 +137,7 @@
 void ChooseAgain(ControlState& state, std::string_view why) {
   const Instant now = state.m_clock();
   if (!ChooseUpstream(state.m_upstream, LiveInstances(state), now)) return;
-  state.m_link.m_chosen_at = now;
+  state.m_link.m_store_answers = true;
   LogUpstream(state, why);
 }
 
@@ -145,23 +146,12 @@
   state.m_link.m_busy = false;
   const Instant now = state.m_clock();
   state.m_link.m_due = std::max(now, sent + kUpstreamPause);
-  if (!answered) {
-    OnUpstreamFailed(state.m_upstream, name, now);
-    ChooseAgain(state, "no_answer");
-  } else if (now - StateConfirmed(state) < kStaleAfter) {
+  if (answered) {
     OnUpstreamAnswered(state.m_upstream, name);
+    return;
   }
-}
-
-// Leaves an instance that has not told anything recent: it has lost the store.
-void CheckUpstream(ControlState& state) {
-  if (!HasUpstream(state.m_upstream)) return;
-  const Instant now = state.m_clock();
-  const Instant since =
-      std::max(StateConfirmed(state), state.m_link.m_chosen_at);
-  if (now - since < kStaleAfter) return;
-  OnUpstreamFailed(state.m_upstream, state.m_upstream.m_chosen.m_name, now);
-  ChooseAgain(state, "stale");
+  OnUpstreamFailed(state.m_upstream, name, now);
+  ChooseAgain(state, "no_answer");
 }
 
 }  // namespace
@@ -200,12 +190,12 @@
 
 void FollowUpstream(ControlState& state) {
   const Instant now = state.m_clock();
-  CheckUpstream(state);
   if (state.m_link.m_busy || now < state.m_link.m_due) return;
   ChooseAgain(state, "order");
   if (!HasUpstream(state.m_upstream)) return;
   state.m_link.m_busy = true;
   schema::InstanceQuery query = MakeQuery(state);
+  query.set_store_answered(state.m_link.m_store_answers);
   query.set_wait_ms(static_cast<std::uint32_t>(
       std::chrono::duration_cast<std::chrono::milliseconds>(kUpstreamWait)
           .count()));
@@ -219,7 +209,7 @@
 void QueryNeighbours(ControlState& state) {
   const Instant now = state.m_clock();
   const Duration limit =
-      HasUpstream(state.m_upstream) ? kFollowerAskAfter : kAskAfter;
+      HasUpstream(state.m_upstream) ? kFollowerStaleAge : kAskAfter;
   if (now - StateConfirmed(state) < limit || now < state.m_next_query) {
     return;
   }
