Make no attempt a moment before a request's deadline

Cause, from the log of a failed run: an attempt has the time to the deadline as its limit and ends up to 1 ms early (30.5795 s); the retry then found time left and sent the request to the second engine at 30.5807 s, which read the prompt for nothing and was cut at 30.5854 s. The request was answered as outcome=ran, and the 8 that were refused as not_run never reached an engine: the promise held, the second start was waste. Change: no further attempt with less than 20 ms left. The check stays as it is. retry_test "no attempt is made a moment before the deadline" fails without the change.

--- a/src/retry.cpp
+++ b/src/retry.cpp
@@ -18,6 +18,10 @@
 // immediate, because it goes to another endpoint.
 constexpr Duration kBackoff = std::chrono::milliseconds(50);
 
+// Time to the deadline below which an attempt only takes an endpoint's time.
+// An attempt that ends at its time limit ends up to a millisecond early.
+constexpr Duration kLeastTimeLeft = std::chrono::milliseconds(20);
+
 void Credit(RetryBudget& budget, double ratio) {
   budget.m_spent = std::max(0.0, budget.m_spent - ratio);
 }
@@ -34,10 +38,14 @@
          facts.m_kind == FailureKind::kSilent;
 }
 
+bool IsTooLate(const FailureFacts& facts, Instant now) {
+  return now + kLeastTimeLeft >= facts.m_deadline;
+}
+
 // Returns the reason against any further attempt, or kAllowed.
 RetryReason Objection(const RetryState& state, const FailureFacts& facts,
                       Instant now) {
-  if (now >= facts.m_deadline) return RetryReason::kDeadline;
+  if (IsTooLate(facts, now)) return RetryReason::kDeadline;
   if (facts.m_kind == FailureKind::kAnsweredError) return RetryReason::kFinal;
   if (facts.m_poison) return RetryReason::kPoison;
   if (!facts.m_repeatable && facts.m_may_have_run) {
--- a/tests/retry_test.cpp
+++ b/tests/retry_test.cpp
@@ -118,5 +118,16 @@
   }));
 }
 
+// Guards against an attempt that is sent to a second endpoint although the one
+// before used up the time: its limit ends a moment before the deadline.
+TEST_CASE("no attempt is made a moment before the deadline") {
+  RetryState state;
+  FailureFacts facts = Facts(FailureKind::kRefusedNotRun);
+  facts.m_deadline = kStart + std::chrono::milliseconds(1);
+  const RetryDecision decision = DecideRetry(state, facts, kStart);
+  CHECK(decision.m_action == RetryAction::kGiveUp);
+  CHECK(decision.m_reason == RetryReason::kDeadline);
+}
+
 }  // namespace
 }  // namespace comfreypaddle
