Exchange the load of another zone with the instance that tells it

Callers saw: nothing of this by itself; requests crowd endpoints while the load of a zone is unknown. Change: the reader of a zone tells its sum to all others every 100 ms, so the one that told last is taken, and the search by name is left for the begin. Before: the new case of loadlink_test fails (b-1 is called, b-3 tells). After: it passes.

--- a/src/controlstate.h
+++ b/src/controlstate.h
@@ -94,6 +94,10 @@
 // Reader of another zone.
 struct ZoneLink {
   UpstreamState m_reader;
+  // Instance that told the load of the zone last: its reader knows best who
+  // that is, and need not be looked for.
+  std::string m_heard;
+  Instant m_heard_at{};
   bool m_busy = false;
 };
 
--- a/src/loadlink.cpp
+++ b/src/loadlink.cpp
@@ -19,6 +19,10 @@
 // Time between two exchanges with another zone.
 constexpr Duration kZonePeriod = std::chrono::milliseconds(100);
 
+// Time for which an instance that told the load of its zone counts as its
+// reader.
+constexpr Duration kHeardTime = std::chrono::seconds(1);
+
 using ListTaken = std::function<void(const schema::LoadList* list)>;
 
 LoadTable ToTable(const schema::LoadList& list) {
@@ -95,22 +99,35 @@
        });
 }
 
+// Returns the reader of the zone as far as it is known; without a name if
+// there is none.
+UpstreamCandidate ReaderOf(const ControlState& state, ZoneLink& link,
+                           const std::vector<UpstreamCandidate>& live) {
+  const Instant now = state.m_clock();
+  ChooseUpstream(link.m_reader, live, now);
+  if (now - link.m_heard_at >= kHeardTime) return link.m_reader.m_chosen;
+  for (const UpstreamCandidate& candidate : live) {
+    if (candidate.m_name == link.m_heard) return candidate;
+  }
+  return link.m_reader.m_chosen;
+}
+
 void TellZone(ControlState& state, const std::string& zone, ZoneLink& link,
-              const schema::LoadShare& share) {
+              const UpstreamCandidate& reader, const schema::LoadShare& share) {
   link.m_busy = true;
-  const std::string name = link.m_reader.m_chosen.m_name;
-  Send(state, link.m_reader.m_chosen, share,
-       [&state, zone, name](const schema::LoadList* sum) {
-         ZoneLink& done = state.m_zone_links[zone];
-         done.m_busy = false;
-         const Instant now = state.m_clock();
-         if (sum != nullptr) {
-           OnUpstreamAnswered(done.m_reader, name);
-           HearZone(state.m_load, zone, ToTable(*sum), now);
-         } else {
-           OnUpstreamFailed(done.m_reader, name, now);
-         }
-       });
+  const std::string name = reader.m_name;
+  Send(state, reader, share, [&state, zone, name](const schema::LoadList* sum) {
+    ZoneLink& done = state.m_zone_links[zone];
+    done.m_busy = false;
+    const Instant now = state.m_clock();
+    if (sum != nullptr) {
+      OnUpstreamAnswered(done.m_reader, name);
+      HearZone(state.m_load, zone, ToTable(*sum), now);
+    } else {
+      OnUpstreamFailed(done.m_reader, name, now);
+      if (done.m_heard == name) done.m_heard.clear();
+    }
+  });
 }
 
 // Exchanges the load of this zone with the readers of the others.
@@ -126,9 +143,9 @@
   const schema::LoadShare share =
       MakeShare(state, SumOfZone(state.m_load, now), true);
   for (auto& [zone, link] : state.m_zone_links) {
-    ChooseUpstream(link.m_reader, live, now);
-    if (link.m_busy || !HasUpstream(link.m_reader)) continue;
-    TellZone(state, zone, link, share);
+    const UpstreamCandidate reader = ReaderOf(state, link, live);
+    if (link.m_busy || reader.m_name.empty()) continue;
+    TellZone(state, zone, link, reader, share);
   }
 }
 
@@ -153,6 +170,9 @@
   if (share.of_zone()) {
     HearZone(state.m_load, share.availability_zone(), ToTable(share.load()),
              now);
+    ZoneLink& link = state.m_zone_links[share.availability_zone()];
+    link.m_heard = share.name();
+    link.m_heard_at = now;
     return ToList(SumOfZone(state.m_load, now));
   }
   HearMember(state.m_load, share.name(), ToTable(share.load()), now);
--- a/tests/loadlink_test.cpp
+++ b/tests/loadlink_test.cpp
@@ -104,5 +104,33 @@
   CHECK(here.m_state.m_zone_links["z2"].m_reader.m_chosen.m_name == "c");
 }
 
+// Guards against load that stays unknown while dead instances of another zone
+// are tried one after the other: its reader tells its load all the time.
+TEST_CASE("the load of another zone is exchanged with the one that tells it") {
+  Instance reader("a");
+  reader.m_state.m_options.m_zone = "za";
+  reader.m_state.m_upstream.m_self = "a";
+  reader.m_state.m_upstream.m_zone = "za";
+  for (const char* name : {"a", "b"}) PlaceIn(reader, name, "za");
+  for (const char* name : {"b-1", "b-2", "b-3"}) {
+    PlaceIn(reader, name, "zb");
+    reader.m_state.m_instances[name].set_peers(std::string(name) + ":1");
+  }
+  schema::LoadShare share;
+  share.set_name("b-3");
+  share.set_availability_zone("zb");
+  share.set_of_zone(true);
+  AnswerLoad(reader.m_state, share);
+  ShareLoad(reader.m_state, LoadOf(3));
+  REQUIRE(reader.m_peers.m_calls.size() == 1);
+  CHECK(reader.m_peers.m_calls.back().m_url == "http://b-3:1/v1/load");
+  // It has died: the first of its zone is tried.
+  reader.m_peers.m_events.back().m_on_end({HttpError::kTimeout, 0, true});
+  reader.m_now += milliseconds(100);
+  ShareLoad(reader.m_state, LoadOf(3));
+  REQUIRE(reader.m_peers.m_calls.size() == 2);
+  CHECK(reader.m_peers.m_calls.back().m_url == "http://b-1:1/v1/load");
+}
+
 }  // namespace
 }  // namespace comfreypaddle
