Give answers without end up

Cause: a head was bounded, but not the extension of a chunk, the fields after the last chunk, answers of other calls and interim ones that are read over, an event without end, and the bodies of answers that are kept as a whole (read prompts, the store's, other instances'); libcurl bounds a header line, not their number. Change: a call has a limit for the body of its answer (64 MB unless it says otherwise; the error is kTooLarge), the parser for what it keeps of an incomplete head, the client for what it reads over (1 MB), the relay for an event (1 MB). An attempt that is given up so counts as broken off: it goes on elsewhere where the request may.

--- a/src/attempt.cpp
+++ b/src/attempt.cpp
@@ -363,6 +363,7 @@
       BaseUrl(state, call.m_choice.m_endpoint) + EndpointTarget(call.m_request);
   http.m_headers = EndpointHeaders(call.m_request, call.m_endpoint_id);
   http.m_body = call.m_request.m_body;
+  http.m_max_body = 0;  // It is passed on as it comes.
   http.m_fresh_connection = !call.m_intake.m_repeatable;
   return http;
 }
--- a/src/client.cpp
+++ b/src/client.cpp
@@ -25,6 +25,10 @@
 
 constexpr std::int64_t kMaxPooledConnections = 4096;
 
+// Bytes of an answer's head that are taken. The library bounds each line, not
+// their number.
+constexpr std::size_t kMaxHeadBytes = 256U << 10U;
+
 // Time after which unacknowledged bytes end a connection. Without it the
 // kernel goes on sending a request long after its deadline.
 constexpr int kUserTimeoutMs = 3000;
@@ -60,6 +64,9 @@
   HttpFields m_answer_headers;
   Instant m_last_activity;
   bool m_head_reported = false;
+  std::size_t m_head_bytes = 0;
+  std::uint64_t m_body_bytes = 0;
+  bool m_too_large = false;
   bool m_cancelled = false;
 
   ~Transfer() {
@@ -96,6 +103,12 @@
     transfer.m_last_activity = Now();
     transfer.ReportHead();
     if (transfer.m_cancelled) return CURL_WRITEFUNC_ERROR;
+    transfer.m_body_bytes += size * count;
+    const std::uint64_t limit = transfer.m_call.m_max_body;
+    if (limit > 0 && transfer.m_body_bytes > limit) {
+      transfer.m_too_large = true;
+      return CURL_WRITEFUNC_ERROR;
+    }
     if (transfer.m_events.m_on_body) {
       transfer.m_events.m_on_body({data, size * count});
     }
@@ -107,6 +120,11 @@
     auto& transfer = *static_cast<Transfer*>(context);
     transfer.m_last_activity = Now();
     const std::string_view line(data, size * count);
+    transfer.m_head_bytes += line.size();
+    if (transfer.m_head_bytes > kMaxHeadBytes) {
+      transfer.m_too_large = true;
+      return CURL_WRITEFUNC_ERROR;
+    }
     if (line.substr(0, 5) == "HTTP/") transfer.m_answer_headers.clear();
     const std::size_t colon = line.find(':');
     if (colon == std::string_view::npos) return line.size();
@@ -333,7 +351,8 @@
   HttpResult result;
   result.m_status = transfer->Status();
   result.m_sent = transfer->Sent();
-  HttpError error = ToHttpError(code);
+  HttpError error =
+      transfer->m_too_large ? HttpError::kTooLarge : ToHttpError(code);
   if (error == HttpError::kTimeout && !result.m_sent) {
     error = HttpError::kConnectFailed;
   }
--- a/src/eventcut.h
+++ b/src/eventcut.h
@@ -24,6 +24,11 @@
   // Whether the stream stopped in the middle of an event.
   bool HasPartial() const { return !m_partial.empty(); }
 
+  // Whether the event that is not complete is larger than any is.
+  bool IsTooLarge() const { return m_partial.size() > kMaxEventBytes; }
+
+  static constexpr std::size_t kMaxEventBytes = 1U << 20U;
+
  private:
   std::string m_partial;
 };
--- a/src/http.cpp
+++ b/src/http.cpp
@@ -25,6 +25,8 @@
         return "the call took longer than its time limit";
       case HttpError::kSilent:
         return "the server sent nothing for longer than the silence limit";
+      case HttpError::kTooLarge:
+        return "the answer is larger than the call allows";
       case HttpError::kCancelled:
         return "the call was cancelled";
       case HttpError::kListenFailed:
--- a/src/http.h
+++ b/src/http.h
@@ -35,6 +35,7 @@
   kTimeout,         // The call's time limit was reached.
   kBadAnswer,       // The server's bytes are no answer.
   kSilent,          // Nothing arrived for longer than the silence limit.
+  kTooLarge,        // More bytes arrived than the call allows.
   kCancelled,       // The owner cancelled the call.
   kListenFailed,    // The address cannot be listened on.
 };
@@ -81,6 +82,9 @@
   virtual void Abort(std::uint64_t id) = 0;
 };
 
+// Bytes of an answer's body that a call takes unless it says otherwise.
+inline constexpr std::uint64_t kDefaultMaxBody = 64U << 20U;
+
 // Call to a server. Durations of zero mean that there is no such limit.
 struct HttpCall {
   std::string m_method = "GET";
@@ -90,6 +94,9 @@
   Duration m_connect_timeout{500'000};
   Duration m_timeout{0};
   Duration m_silence{0};  // Longest time without a byte from the server.
+  // Largest body of the answer, bytes; zero: the owner bounds what it keeps.
+  // A faulty server may send without end until the connection is closed.
+  std::uint64_t m_max_body = kDefaultMaxBody;
   // Uses a connection of its own, so that the library never sends the request
   // a second time after a reused connection turned out to be closed.
   bool m_fresh_connection = false;
--- a/src/httpclient.cpp
+++ b/src/httpclient.cpp
@@ -24,6 +24,10 @@
 // Longest time for which a connection is kept, whatever the server announces.
 constexpr Duration kMaxIdle = std::chrono::seconds(20);
 
+// Bytes of answers that belong to no call, or are interim ones, that one call
+// waits for its own answer through.
+constexpr std::size_t kMaxSkippedBytes = 1U << 20U;
+
 // Kept connections of one address.
 constexpr std::size_t kMaxIdlePerAddress = 32;
 
@@ -74,6 +78,9 @@
     m_connect_limit = call.m_connect_timeout;
     m_limit = call.m_timeout;
     m_silence = call.m_silence;
+    m_max_body = call.m_max_body;
+    m_body_bytes = 0;
+    m_skipped_bytes = 0;
     m_parser.Reset(ParseLimits{});
     m_head_seen = false;
     m_channel->Write(RequestText(call, target));
@@ -105,6 +112,11 @@
         client.Fail(id, HttpError::kBadAnswer);
         return;
       }
+      if (m_skipping) m_skipped_bytes += used;
+      if (m_skipped_bytes > kMaxSkippedBytes || IsBodyTooLarge()) {
+        client.Fail(id, HttpError::kTooLarge);
+        return;
+      }
       if (!m_parser.IsDone()) continue;
       if (!m_skipping) {
         m_clean = bytes.empty() && m_channel->Pending() == 0;
@@ -150,6 +162,8 @@
   void OnBody(std::string_view bytes) override {
     const auto events = m_events;
     if (m_skipping || m_closed) return;
+    m_body_bytes += bytes.size();
+    if (IsBodyTooLarge()) return;
     if (events->m_on_body) events->m_on_body(bytes);
   }
 
@@ -193,6 +207,10 @@
   }
 
  private:
+  bool IsBodyTooLarge() const {
+    return m_max_body > 0 && m_body_bytes > m_max_body;
+  }
+
   std::string RequestText(const HttpCall& call,
                           const std::string& target) const {
     std::string text = call.m_method + " " + target + " HTTP/1.1\r\n";
@@ -235,6 +253,9 @@
   Duration m_limit{0};
   Duration m_silence{0};
   Duration m_idle_limit{0};
+  std::uint64_t m_max_body = 0;
+  std::uint64_t m_body_bytes = 0;
+  std::size_t m_skipped_bytes = 0;
   bool m_closed = false;
   std::optional<Channel> m_channel;
 };
--- a/src/httpparse.cpp
+++ b/src/httpparse.cpp
@@ -173,6 +173,7 @@
 HttpParser::~HttpParser() = default;
 
 void HttpParser::Reset(const ParseLimits& limits) {
+  m_max_rest = limits.m_head_bytes;
   if (m_side == HttpSide::kRequest) {
     m_core = std::make_unique<Parser<true>>(limits, m_sink);
   } else {
@@ -201,10 +202,20 @@
   }
   if (core.m_error != ParseError::kNone) return bytes.size();
   if (core.IsDone()) return used - before;
-  core.m_pending.assign(input.substr(used));
+  KeepRest(input.substr(used));
   return bytes.size();
 }
 
+// The library bounds a head, but neither a chunk's extension nor the fields
+// after the last chunk.
+void HttpParser::KeepRest(std::string_view rest) {
+  if (rest.size() > m_max_rest) {
+    m_core->m_error = ParseError::kHeadTooLarge;
+    return;
+  }
+  m_core->m_pending.assign(rest);
+}
+
 bool HttpParser::PutEnd() { return m_core->PutEnd(); }
 
 bool HttpParser::Started() const { return m_core->m_started; }
--- a/src/httpparse.h
+++ b/src/httpparse.h
@@ -82,12 +82,16 @@
   ParseError Error() const;
 
  private:
+  // Keeps the start of a head, chunk header or trailer that is not complete.
+  void KeepRest(std::string_view rest);
+
   class Core;
   template <bool kIsRequest>
   class Parser;
 
   HttpSide m_side;
   HttpSink& m_sink;
+  std::uint32_t m_max_rest = 0;  // Bytes.
   std::unique_ptr<Core> m_core;
 };
 
--- a/src/run.cpp
+++ b/src/run.cpp
@@ -17,6 +17,9 @@
 // Answers that are passed on as a whole are no longer than this.
 constexpr std::size_t kMaxAnswerBytes = 8U << 20U;
 
+// Largest answer to a read of a prompt: where the KV cache is.
+constexpr std::uint64_t kMaxPrefillAnswer = 64U << 10U;
+
 // Bytes that a caller may leave unread before its stream is ended.
 constexpr std::size_t kMaxBacklogBytes = 4U << 20U;
 
@@ -115,6 +118,7 @@
   http.m_headers = state.m_format->EndpointFields(call.m_request, terms);
   http.m_body = call.m_request.m_body;
   http.m_connect_timeout = state.m_options.m_connect_time;
+  http.m_max_body = IsStream(call) ? 0 : kMaxAnswerBytes;
   http.m_belongs = [format = state.m_format, attempt = call.m_terms.m_attempt](
                        const HttpFields& fields) {
     return format->BelongsTo(fields, attempt);
@@ -211,13 +215,23 @@
   attempt.m_terms = state.m_format->ReadAnswer(status, fields);
 }
 
+void OnRunEnd(RelayState& state, RelayCall& call, const HttpResult& result,
+              bool signalled);
+
+// Ends an attempt whose endpoint sends more than an answer can hold.
+void BreakRun(RelayState& state, RelayCall& call, bool signalled) {
+  state.m_endpoints->Cancel(call.m_attempt.m_call);
+  OnRunEnd(state, call, {HttpError::kTooLarge, call.m_attempt.m_status, true},
+           signalled);
+}
+
 void OnRunBody(RelayState& state, RelayCall& call, std::string_view bytes,
                bool* signalled) {
   RunAttempt& attempt = call.m_attempt;
   if (!PassesEvents(attempt)) {
     attempt.m_body.append(bytes);
     if (attempt.m_body.size() > kMaxAnswerBytes) {
-      FinishFailed(state, call, EndReason::kEndpointFailed);
+      BreakRun(state, call, *signalled);
     }
     return;
   }
@@ -229,6 +243,10 @@
       return;
     }
   }
+  if (attempt.m_cutter.IsTooLarge()) {
+    BreakRun(state, call, *signalled);
+    return;
+  }
   if (state.m_backlog && state.m_backlog(call.m_id) > kMaxBacklogBytes) {
     FinishFailed(state, call, EndReason::kSlowCaller);
   }
@@ -408,6 +426,7 @@
   SendTerms terms;
   terms.m_prefill_only = true;
   HttpCall http = MakeEndpointCall(state, call, endpoint, std::move(terms));
+  http.m_max_body = kMaxPrefillAnswer;
   const std::uint64_t key = call.m_id;
   const double tokens = choice.m_reason == BalanceReason::kAffinity
                             ? call.m_query.m_own_tokens
--- a/src/watch.cpp
+++ b/src/watch.cpp
@@ -158,7 +158,8 @@
   const auto call =
       session.m_http.Start({.m_url = server + path,
                             .m_headers = ApiHeaders(session.m_options, {}),
-                            .m_silence = kSilence},
+                            .m_silence = kSilence,
+                            .m_max_body = 0},
                            std::move(events));
   session.m_loop.Run();
   session.m_http.Cancel(call);
--- /dev/null
+++ b/tests/endless_test.cpp
@@ -0,0 +1,197 @@
+// Servers in trouble may send bytes that are no answer, and that do not end,
+// until the connection is closed.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <arpa/inet.h>
+#include <doctest/doctest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <optional>
+
+#include "client.h"
+#include "httpclient.h"
+#include "sockets.h"
+#include "support.h"
+
+namespace comfreypaddle {
+namespace {
+
+using testing::RunUntil;
+
+constexpr Duration kSilence = std::chrono::seconds(2);
+constexpr Duration kLimit = std::chrono::seconds(20);
+
+// No call may take more than this before it closes the connection: the
+// smallest machine has 160 MB.
+constexpr std::size_t kMostBytes = 32U << 20U;
+
+// Sends a beginning and then the same bytes over and over.
+class EndlessServer {
+ public:
+  EndlessServer(std::string begin, const std::string& rest)
+      : m_begin(std::move(begin)), m_listener(ListenTcp("127.0.0.1", 0)) {
+    constexpr std::size_t kPiece = 64U << 10U;
+    while (m_rest.size() < kPiece) m_rest += rest;
+  }
+  ~EndlessServer() {
+    if (m_descriptor >= 0) close(m_descriptor);
+    close(m_listener);
+  }
+  EndlessServer(const EndlessServer&) = delete;
+  EndlessServer& operator=(const EndlessServer&) = delete;
+
+  std::string Url() const {
+    sockaddr_in address{};
+    socklen_t size = sizeof(address);
+    getsockname(m_listener, reinterpret_cast<sockaddr*>(&address), &size);
+    return "http://127.0.0.1:" + std::to_string(ntohs(address.sin_port)) + "/";
+  }
+
+  // Sends what the connection takes. Call it again and again.
+  void Pump() {
+    if (m_descriptor < 0) {
+      m_descriptor =
+          accept4(m_listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+      if (m_descriptor < 0) return;
+      Send(m_begin);
+    }
+    while (!m_closed && m_sent < 2 * kMostBytes && Send(m_rest)) {
+    }
+    char request[4096];
+    if (recv(m_descriptor, request, sizeof(request), MSG_DONTWAIT) == 0) {
+      m_closed = true;
+    }
+  }
+
+  bool Closed() const { return m_closed; }
+  std::size_t Sent() const { return m_sent; }
+
+ private:
+  // Returns whether the connection takes more.
+  bool Send(std::string_view bytes) {
+    if (bytes.empty()) return true;
+    const ssize_t count =
+        send(m_descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    if (count > 0) {
+      m_sent += static_cast<std::size_t>(count);
+      return static_cast<std::size_t>(count) == bytes.size();
+    }
+    m_closed = errno != EAGAIN && errno != EWOULDBLOCK;
+    return false;
+  }
+
+  std::string m_begin;
+  std::string m_rest;
+  int m_listener;
+  int m_descriptor = -1;
+  bool m_closed = false;
+  std::size_t m_sent = 0;
+};
+
+// Makes the call through the port and checks that it ends by itself and closes
+// the connection.
+void CheckEnds(EventLoop& loop, HttpPort& port, EndlessServer& server,
+               std::uint64_t max_body) {
+  std::optional<HttpResult> result;
+  std::size_t body = 0;
+  HttpCall call;
+  call.m_url = server.Url();
+  call.m_silence = kSilence;
+  if (max_body > 0) call.m_max_body = max_body;
+  call.m_belongs = [](const HttpFields& fields) {
+    return FindFieldAnyCase(fields, "stray") == nullptr;
+  };
+  HttpEvents events;
+  events.m_on_body = [&body](std::string_view bytes) { body += bytes.size(); };
+  events.m_on_end = [&result](const HttpResult& end) { result = end; };
+  port.Start(std::move(call), std::move(events));
+  CHECK(RunUntil(loop, kLimit, [&] {
+    server.Pump();
+    return result.has_value() && server.Closed();
+  }));
+  REQUIRE(result.has_value());
+  CHECK(result->m_error);
+  CHECK(result->m_sent);
+  if (max_body > 0) CHECK(body <= max_body);
+}
+
+constexpr std::string_view kHead = "HTTP/1.1 200 OK\r\n";
+constexpr std::string_view kChunkedHead =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+constexpr std::uint64_t kBodyLimit = 1U << 20U;
+
+struct Case {
+  std::string m_name;
+  std::string m_begin;
+  std::string m_rest;
+  std::uint64_t m_max_body = 0;
+};
+
+std::vector<Case> Cases() {
+  return {
+      {"no line ends", "", "x"},
+      {"bytes that are no answer", "", "garbage\r\n"},
+      {"a head of one field", std::string(kHead) + "A: ", "x"},
+      {"a head of many fields", std::string(kHead), "A: b\r\n"},
+      {"a body without length", std::string(kHead) + "\r\n", "x", kBodyLimit},
+      {"many chunks", std::string(kChunkedHead), "1\r\nx\r\n", kBodyLimit},
+  };
+}
+
+// Guards against a call that takes bytes without end and fills the memory.
+TEST_CASE("an answer without end is given up") {
+  for (const Case& endless : Cases()) {
+    CAPTURE(endless.m_name);
+    EventLoop loop;
+    SocketSet sockets(loop);
+    HttpClient client(sockets);
+    EndlessServer server(endless.m_begin, endless.m_rest);
+    CheckEnds(loop, client, server, endless.m_max_body);
+    CHECK(server.Sent() < kMostBytes);
+  }
+}
+
+TEST_CASE("what is read over on the way to an answer ends too") {
+  const std::vector<Case> cases = {
+      {"the extension of a chunk", std::string(kChunkedHead) + "1;a=", "x"},
+      {"fields after the last chunk", std::string(kChunkedHead) + "0\r\n",
+       "A: b\r\n"},
+      {"interim answers", "", "HTTP/1.1 102 Processing\r\n\r\n"},
+      {"answers of other calls", "",
+       "HTTP/1.1 200 OK\r\nstray: 1\r\nContent-Length: 2\r\n\r\nxx"},
+      {"the body of an answer of another call",
+       "HTTP/1.1 200 OK\r\nstray: 1\r\n\r\n", "x"},
+  };
+  for (const Case& endless : cases) {
+    CAPTURE(endless.m_name);
+    EventLoop loop;
+    SocketSet sockets(loop);
+    HttpClient client(sockets);
+    EndlessServer server(endless.m_begin, endless.m_rest);
+    CheckEnds(loop, client, server, endless.m_max_body);
+    CHECK(server.Sent() < kMostBytes);
+  }
+}
+
+TEST_CASE("an answer without end is given up by the other client") {
+  for (const Case& endless : Cases()) {
+    CAPTURE(endless.m_name);
+    EventLoop loop;
+    Client client(loop);
+    EndlessServer server(endless.m_begin, endless.m_rest);
+    CheckEnds(loop, client, server, endless.m_max_body);
+    CHECK(server.Sent() < kMostBytes);
+  }
+}
+
+// The library of the other client drops such an extension as it comes, so it
+// takes no memory and counts as silence.
+TEST_CASE("the extension of a chunk is silence to the other client") {
+  EventLoop loop;
+  Client client(loop);
+  EndlessServer server(std::string(kChunkedHead) + "1;a=", "x");
+  CheckEnds(loop, client, server, 0);
+}
+
+}  // namespace
+}  // namespace comfreypaddle
--- a/tests/relaycall_test.cpp
+++ b/tests/relaycall_test.cpp
@@ -305,6 +305,24 @@
   f.Answer(1, 200, {{"stream", "1"}}, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
 }
 
+// Guards against an event without end that is kept until the memory is full.
+TEST_CASE(
+    "an event without end is given up, and the stream goes on elsewhere") {
+  Fixture f;
+  f.Ask(1, "/again/x");
+  REQUIRE_CALL(f.m_callers, StartStream(1U, 200, _));
+  REQUIRE_CALL(f.m_callers, Write(1U, "id: 1\ndata: a\n\n"));
+  f.m_endpoints.m_events.at(0).m_on_head(200, {{"stream", "1"}});
+  f.m_endpoints.m_events.at(0).m_on_body("id: 1\ndata: a\n\nid: 2\ndata: ");
+  const std::string piece(256U << 10U, 'x');
+  for (int i = 0; i < 8 && f.m_endpoints.m_calls.size() == 1; ++i) {
+    f.m_endpoints.m_events.at(0).m_on_body(piece);
+  }
+  REQUIRE(f.m_endpoints.m_calls.size() == 2);
+  CHECK(*FindFieldAnyCase(f.m_endpoints.m_calls.at(1).m_headers, "after") ==
+        "1");
+}
+
 // Guards against requests that a stopping instance cannot finish.
 TEST_CASE("late in a planned stop requests are refused as not run") {
   Fixture f;
