Take only a broken connection for a crash of an endpoint

Callers saw: nothing yet. A request whose endpoints answered it three times with bytes that are no answer, or too many of them, would have been refused for ten minutes as one that crashes endpoints, at all instances. Cause: every end of an attempt before its head counted as a crash. Change: only a connection that broke does. Before: relaycall_test "bytes that are no answer are not taken for a crash" fails; after: it passes.

--- a/src/run.cpp
+++ b/src/run.cpp
@@ -310,7 +310,9 @@
     OnNotRun(state, call);
     return;
   }
-  if (call.m_attempt.m_status == 0) NoteCrash(state, call);
+  const bool crashed = call.m_attempt.m_status == 0 &&
+                       result.m_error == HttpError::kConnectionLost;
+  if (crashed) NoteCrash(state, call);
   // Most runs whose answer is lost have begun; only those of a crashed endpoint
   // that still read their prompt have not.
   if (!signalled) CountUsage(state, call, call.m_attempt.m_sent);
--- a/tests/relaycall_test.cpp
+++ b/tests/relaycall_test.cpp
@@ -348,5 +348,22 @@
   CHECK(f.m_endpoints.m_calls.size() == 1);
 }
 
+// Guards against a request that is refused for good because endpoints answered
+// it with bytes that are no answer: only a broken connection is a crash.
+TEST_CASE("bytes that are no answer are not taken for a crash") {
+  Fixture f;
+  std::vector<std::string> crashed;
+  f.m_state.m_on_crash = [&crashed](const schema::CrashReport& report) {
+    crashed.push_back(report.endpoint());
+  };
+  ALLOW_CALL(f.m_callers, Respond(_, 502, _, _));
+  f.Ask(1, "/stream/x");
+  f.m_endpoints.m_events.at(0).m_on_end({HttpError::kBadAnswer, 0, true});
+  CHECK(crashed.empty());
+  f.Ask(2, "/stream/x");
+  f.Break(1, true);
+  CHECK(crashed.size() == 1);
+}
+
 }  // namespace
 }  // namespace comfreypaddle
