Send what was counted in an outage right after the record that was stuck

Callers see nothing; the users' reports are wrong. Cause: after an outage an instance stores the record that was stuck and waits for a whole period (1 s) before it sends what it counted since. Ruled out: lost records (the next windows are right), another holder. Change: what was counted meanwhile goes out at the next tick. Before: handover_test "what was counted in an outage ..." fails; after: passes.

--- a/src/reporter.cpp
+++ b/src/reporter.cpp
@@ -294,6 +294,9 @@
   // Another instance may have stored it before.
   if (sequence != state.m_flush.m_sequence) return;
   state.m_flush.m_sent.clear();
+  // What was counted while the record could not be stored goes out at once:
+  // the holder of the duties waits only so long after an outage.
+  if (state.m_flush.m_failed) state.m_flush.m_due = {};
   state.m_flush.m_failed = false;
   ++state.m_flush.m_sequence;
 }
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -141,5 +141,28 @@
   CHECK(a.m_peers.m_calls.size() == 2);
 }
 
+// Guards against windows that are reported without what was counted during an
+// outage: it left only one period of flushes after the record that was stuck.
+TEST_CASE(
+    "what was counted in an outage is sent right after the stuck record") {
+  Instance a("a");
+  CountRequests(a, 4);
+  RunDuties(a.m_state);
+  RefuseAppend(a);
+  CountRequests(a, 7);
+  a.m_now += seconds(9);
+  RunDuties(a.m_state);
+  REQUIRE(a.m_store.m_appends.size() == 2);
+  CHECK(a.m_store.m_appends[1].m_value == a.m_store.m_appends[0].m_value);
+  a.m_store.m_append_done[1](AppendResult{});
+  a.m_now += milliseconds(100);
+  RunDuties(a.m_state);
+  REQUIRE(a.m_store.m_appends.size() == 3);
+  schema::UsageRecord record;
+  REQUIRE(record.ParseFromString(a.m_store.m_appends[2].m_value));
+  REQUIRE(record.counts_size() == 1);
+  CHECK(record.counts(0).requests() == 7);
+}
+
 }  // namespace
 }  // namespace comfreypaddle
