Bound the lines of a search; tell why a system test's cluster is stuck

- neighbour_answer is written for the first four rounds of a search and for answers that bring something: in an outage of the whole store it came 10 times a second from each instance.
- The finding of whole_system_test (401 for 40 s) was seen once more, in 25 runs: all writes were answered 503 because the log did not answer.
Its logs were lost, so it is not traced; a cluster that never accepts a write now prints the processes and the ends of their logs, and one whose platform stand-in does not answer fails at once.

--- a/src/neighbours.cpp
+++ b/src/neighbours.cpp
@@ -24,6 +24,10 @@
 
 constexpr Duration kCallTime = std::chrono::milliseconds(600);
 
+// Rounds of a search whose answers are logged. Later ones are logged only if
+// they brought something, so that a long outage does not fill the logs.
+constexpr std::uint32_t kLoggedRounds = 4;
+
 // Time for which the followed instance may keep a question, and the least time
 // between two.
 constexpr Duration kUpstreamWait = std::chrono::milliseconds(500);
@@ -57,19 +61,31 @@
       .Add("own_version", static_cast<std::int64_t>(own));
 }
 
-// Takes an answer over and logs it. The followed instance answers all the
-// time: only that it has lost the store, or has it again, is logged there.
+// Whether an answer is logged. The followed instance answers all the time: only
+// that it has lost the store, or has it again, is logged there.
+bool IsLogged(ControlState& state, const schema::InstanceState& other,
+              AskReason reason, AnswerUse use) {
+  switch (reason) {
+    case AskReason::kFollow:
+      return std::exchange(state.m_link.m_store_answers,
+                           other.store_answers()) != other.store_answers();
+    case AskReason::kSearch:
+      return use == AnswerUse::kTaken ||
+             state.m_search.m_rounds <= kLoggedRounds;
+    case AskReason::kCrash:
+      return false;
+  }
+  return false;
+}
+
 void OnAnswer(ControlState& state, const schema::InstanceState& other,
               AskReason reason, Instant asked) {
   const double own_age_ms = StateAgeMs(state);
   const AnswerUse use = TakeAnswer(state, other, asked);
   ++state.m_counters.m_answers[use];
-  if (reason == AskReason::kFollow) {
-    const bool answers =
-        std::exchange(state.m_link.m_store_answers, other.store_answers());
-    if (answers == other.store_answers()) return;
+  if (IsLogged(state, other, reason, use)) {
+    LogAnswer(state, other, use, own_age_ms);
   }
-  if (reason != AskReason::kCrash) LogAnswer(state, other, use, own_age_ms);
 }
 
 // Asks the instance and takes its answer over.
--- a/tests/support_process.cpp
+++ b/tests/support_process.cpp
@@ -14,6 +14,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <sstream>
 
 #include "completion.h"
 #include "http.pb.h"
@@ -213,7 +214,10 @@
   arguments.insert(arguments.end(), flags.begin(), flags.end());
   m_platform = std::make_unique<Process>("fake_platform", arguments,
                                          LogPath("platform"));
-  Until([this] { return Answers(PlatformUrl() + "/stats"); }, kStartLimit);
+  const bool answers =
+      Until([this] { return Answers(PlatformUrl() + "/stats"); }, kStartLimit);
+  if (!answers) TellProcesses();
+  REQUIRE_MESSAGE(answers, "the platform stand-in does not answer");
 }
 
 std::uint16_t Cluster::StartEndpoint(const std::string& program,
@@ -326,6 +330,24 @@
   return Call(put);
 }
 
+void Cluster::TellProcess(const std::string& name, Process* process) const {
+  constexpr std::size_t kTail = 1500;
+  std::ostringstream log;
+  log << std::ifstream(LogPath(name)).rdbuf();
+  const std::string text = log.str();
+  const auto code = process == nullptr ? std::nullopt : process->ExitCode();
+  MESSAGE(name, code ? " has ended with " + std::to_string(*code) : " runs",
+          "; end of its log:\n",
+          text.substr(text.size() - std::min(text.size(), kTail)));
+}
+
+void Cluster::TellProcesses() const {
+  TellProcess("platform", m_platform.get());
+  for (const auto& [index, entry] : m_entries) {
+    TellProcess("entry-" + std::to_string(index), entry.get());
+  }
+}
+
 void Cluster::MustApply(const std::string& kind, const std::string& name,
                         const std::string& body_json) {
   const bool accepted = Until(
@@ -338,6 +360,7 @@
         return false;
       },
       kStartLimit);
+  if (!accepted) TellProcesses();
   REQUIRE_MESSAGE(accepted, kind, " ", name, " was never accepted");
 }
 
--- a/tests/support_process.h
+++ b/tests/support_process.h
@@ -181,6 +181,11 @@
   std::uint16_t m_platform_port = 0;
   std::uint16_t m_platform_route = 0;
   std::unique_ptr<Process> m_platform;
+  // Prints whether the processes run and the end of their logs, so that a
+  // failure that is seen once can be traced.
+  void TellProcess(const std::string& name, Process* process) const;
+  void TellProcesses() const;
+
   std::map<std::uint16_t, std::unique_ptr<Process>> m_endpoints;
   std::map<std::uint16_t, EndpointStart> m_endpoint_starts;
   std::map<int, EntryPorts> m_ports;
