Test a withdrawn key with processes of which the store serves the last

Eight entry instances of one zone on the stand-in of the store; seven lose it, then a key is withdrawn.

No functional change.

--- a/tests/entry_system_test.cpp
+++ b/tests/entry_system_test.cpp
@@ -145,6 +145,33 @@
   CHECK_FALSE(cluster.Duties().Contradicted());
 }
 
+// Guards against a withdrawn key that goes on working while the store turns
+// away the instances that the others follow (incident CONFIG).
+TEST_CASE("a change is in force while the first instances lose the store") {
+  constexpr int kEntries = 8;
+  PlatformCluster cluster("lost-readers");
+  cluster.UseLinks();
+  cluster.Configure(1, R"(["k1","k2"])");
+  cluster.AddEndpoint("plain");
+  for (int i = 1; i <= kEntries; ++i) cluster.StartEntry(i);
+  // All have read the list of instances by then.
+  cluster.Until([] { return false; }, seconds(6));
+  // The store goes on serving the last one only.
+  for (int i = 1; i < kEntries; ++i) cluster.StoreLink(i).SetCut(true);
+  cluster.Until([] { return false; }, seconds(1));
+  cluster.Configure(2, R"(["k1"])");
+  const Instant changed = Now();
+  const auto refuses = [&cluster](int entry) {
+    return cluster.Call(entry, "GET", "/safe/x", "k2").m_status == 401;
+  };
+  for (int i = 1; i <= kEntries; ++i) {
+    CAPTURE(i);
+    CHECK(cluster.Until([&] { return refuses(i); }, seconds(10)));
+  }
+  CHECK(Now() - changed < std::chrono::milliseconds(2500));
+  CHECK(cluster.Call(1, "GET", "/safe/x", "k1").m_status == 200);
+}
+
 // Guards against an instance that stops serving because the store is away.
 TEST_CASE("requests are served while the store is down") {
   PlatformCluster cluster("down");
