Send no list of endpoints to an instance that has read further

Change: an instance that is behind the asker leaves the list out, and its list is no news then. The own order of a search is sorted once a round. Before: neighbours_test "an instance that has read further is not sent the list" fails (the question is answered at once); after: it passes.

--- a/src/inquiry.cpp
+++ b/src/inquiry.cpp
@@ -18,6 +18,14 @@
          query.list_incarnation() == state.m_options.m_incarnation;
 }
 
+// Whether this instance has a list of endpoints that the asker takes over: one
+// that has read further does not.
+bool MayTakeList(const ControlState& state,
+                 const schema::InstanceQuery& query) {
+  return state.m_follow_endpoints.m_known &&
+         KnownOffset(state.m_follow_endpoints) >= query.endpoints_offset();
+}
+
 // Whether this instance knows something that the asker does not.
 bool HasNews(const ControlState& state, const schema::InstanceQuery& query) {
   if (query.store_answered() != IsServed(state)) return true;
@@ -28,7 +36,7 @@
   if (KnownOffset(state.m_follow_instances) > query.instances_offset()) {
     return true;
   }
-  return state.m_follow_endpoints.m_known &&
+  return MayTakeList(state, query) &&
          (!KnowsList(state, query) ||
           query.list_version() != state.m_directory.m_version);
 }
@@ -37,7 +45,6 @@
 // tell.
 bool IsListNewer(const ControlState& state,
                  const schema::InstanceQuery& query) {
-  if (!state.m_follow_endpoints.m_known) return false;
   return query.endpoints_age_ms() <= 0 ||
          AgeMs(state, state.m_follow_endpoints) < query.endpoints_age_ms();
 }
@@ -88,7 +95,9 @@
   if (answer.catalog_offset() > query.catalog_offset() && state.m_catalog) {
     *answer.mutable_catalog() = *state.m_catalog;
   }
-  if (IsListNewer(state, query)) AddEndpoints(state, query, &answer);
+  if (MayTakeList(state, query) && IsListNewer(state, query)) {
+    AddEndpoints(state, query, &answer);
+  }
   AddInstances(state, query, &answer);
   if (query.usage_waits()) AddServed(state, &answer);
   return answer;
--- a/src/searchplan.cpp
+++ b/src/searchplan.cpp
@@ -48,13 +48,12 @@
   state.m_due = now + (quick ? kPeriod : kSlowPeriod);
   ++state.m_rounds;
   if (Contains(others, state.m_source)) return {state.m_source};
-  std::vector<std::string> asked;
-  for (const std::string& name : InOwnOrder(self, others)) {
-    if (served.count(name) == 0) continue;
-    asked.push_back(name);
-    break;
-  }
   const std::vector<std::string> order = InOwnOrder(self, others);
+  std::vector<std::string> asked;
+  const auto known = std::find_if(
+      order.begin(), order.end(),
+      [&served](const auto& name) { return served.count(name) > 0; });
+  if (known != order.end()) asked.push_back(*known);
   for (std::size_t i = 0; i < order.size() && asked.size() < kFanout; ++i) {
     const std::string& name = order[state.m_turn++ % order.size()];
     if (!Contains(asked, name)) asked.push_back(name);
--- a/tests/neighbours_test.cpp
+++ b/tests/neighbours_test.cpp
@@ -251,6 +251,31 @@
   CHECK_FALSE(ReadsStore(follower));
 }
 
+// Guards against whole lists of endpoints ten times a second, from a followed
+// instance that has lost the store to one that has read further by itself.
+TEST_CASE("an instance that has read further is not sent the list") {
+  Pair pair;
+  ControlState& follower = pair.m_follower.m_state;
+  pair.Pass(milliseconds(1500));
+  FollowUpstream(follower);
+  pair.Carry();
+  REQUIRE(follower.m_directory.m_endpoints.size() == 2);
+  follower.m_follow_endpoints.m_next = 20;
+  pair.Pass(milliseconds(100));
+  FollowUpstream(follower);
+  pair.Carry();
+  CHECK(follower.m_link.m_busy);
+  pair.Pass(milliseconds(500));
+  ServeInquiries(pair.m_reader.m_state);
+  CHECK_FALSE(follower.m_link.m_busy);
+  CHECK(pair.m_answer.endpoints().endpoints_size() == 0);
+  // The next question waits too.
+  pair.Pass(milliseconds(100));
+  FollowUpstream(follower);
+  pair.Carry();
+  CHECK(follower.m_link.m_busy);
+}
+
 // Guards against followers that call a store ever and again that has turned
 // them away.
 TEST_CASE("a follower that is turned away tries the store ever less often") {
