Match each response on a kept connection by its id

Callers could be told "not run, try again" for a request that its endpoint runs: a late copy of an earlier refusal that bears no id was accepted as the answer to the next call on the connection. A call that failed before its status line also ended with the status of the call before it.

Cause: MatchesAttempt counted a response without an id as the call's own, on kept connections too, and DispatchCall reset neither the status nor the framing state of the call before.

Ruled out: reports of other operators of a refusal repeated with its own, older id; such a response was discarded already. What was open there is that the connection was kept and could bring more copies.

Change: a response is the call's own, unidentified or another call's. An unidentified one is accepted only on a connection that carried no call before. A connection that brought a response to another call is not kept. All state of a call is reset when it starts.

--- a/src/http.h
+++ b/src/http.h
@@ -85,6 +85,21 @@
 // Default limit of the size of a response body, bytes.
 inline constexpr std::uint64_t kDefaultMaxBodyBytes = 64U << 20U;
 
+// How a response relates to the call that waits on its connection.
+enum class ResponseMatch {
+  kOwn,           // It names the call.
+  kUnidentified,  // It names no call.
+  kOther          // It names another call.
+};
+
+template <>
+struct EnumNames<ResponseMatch> {
+  static constexpr std::array<EnumName<ResponseMatch>, 3> kTable{
+      {{ResponseMatch::kOwn, "own"},
+       {ResponseMatch::kUnidentified, "unidentified"},
+       {ResponseMatch::kOther, "other"}}};
+};
+
 // HTTP call to a server. A timeout of zero means no limit.
 struct HttpCall {
   std::string m_method = "GET";
@@ -101,10 +116,11 @@
   // Opens a new connection, so that the library never resends the request
   // after finding that a reused connection was closed.
   bool m_force_new_connection = false;
-  // Whether a response with these header fields belongs to this call. Other
-  // responses are read to their end and discarded. Unset: accepts every
-  // response. Used by HttpClient only.
-  std::function<bool(const HttpFields& headers)> m_accepts_response;
+  // How a response with these header fields relates to this call. Responses to
+  // other calls are read to their end and discarded, and so are unidentified
+  // ones on a connection that carried a call before: they may be late copies.
+  // Unset: accepts every response. Used by HttpClient only.
+  std::function<ResponseMatch(const HttpFields& headers)> m_match_response;
 };
 
 // How a call ended.
--- a/src/httpclient.cpp
+++ b/src/httpclient.cpp
@@ -73,7 +73,8 @@
                     HttpEvents events) {
     m_id = id;
     m_events = std::make_shared<HttpEvents>(std::move(events));
-    m_accepts_response = call.m_accepts_response;
+    m_match_response = call.m_match_response;
+    ++m_calls;
     m_start_time = Now();
     m_last_input_time = m_start_time;
     m_connect_limit = call.m_connect_timeout;
@@ -83,7 +84,11 @@
     m_body_bytes = 0;
     m_skipped_bytes = 0;
     m_parser.Reset(ParseLimits{});
+    m_status = 0;
     m_head_received = false;
+    m_skipping = false;
+    m_body_until_close = false;
+    m_at_message_end = false;
     m_channel->Write(FormatRequest(call, target));
     // Sent() may return true only after the request has been written.
     m_request_written = true;
@@ -147,12 +152,13 @@
 
   void OnHead(HttpHead head) override {
     const bool interim = head.m_status < 200;
-    m_skipping =
-        interim || (m_accepts_response && !m_accepts_response(head.m_fields));
-    if (m_skipping) {
-      if (!interim) ++m_client.m_counters.m_unmatched_responses;
-      return;
+    const bool unmatched = !interim && !IsResponseToCall(head.m_fields);
+    m_skipping = interim || unmatched;
+    if (unmatched) {
+      ++m_client.m_counters.m_unmatched_responses;
+      m_saw_unmatched = true;
     }
+    if (m_skipping) return;
     m_head_received = true;
     m_idle_timeout = IdleTimeout(head);
     m_body_until_close = head.m_body_until_close;
@@ -200,8 +206,9 @@
     return now - m_idle_since >= m_idle_timeout;
   }
 
+  // A server that sent a response to another call may send more of them.
   bool IsPersistent() const {
-    return m_at_message_end && m_idle_timeout > Duration(0);
+    return m_at_message_end && !m_saw_unmatched && m_idle_timeout > Duration(0);
   }
   bool Sent() const { return m_request_written && m_channel->AnySent(); }
   int Status() const { return m_status; }
@@ -214,6 +221,15 @@
   }
 
  private:
+  // An unidentified response is trusted only if no earlier call on this
+  // connection can have caused it.
+  bool IsResponseToCall(const HttpFields& fields) const {
+    if (!m_match_response) return true;
+    const ResponseMatch match = m_match_response(fields);
+    return match == ResponseMatch::kOwn ||
+           (match == ResponseMatch::kUnidentified && m_calls == 1);
+  }
+
   bool IsBodyTooLarge() const {
     return m_max_body_bytes > 0 && m_body_bytes > m_max_body_bytes;
   }
@@ -244,13 +260,15 @@
   std::string m_address;
   CallId m_id = 0;  // Zero: the connection is idle.
   std::shared_ptr<HttpEvents> m_events;
-  std::function<bool(const HttpFields&)> m_accepts_response;
+  std::function<ResponseMatch(const HttpFields&)> m_match_response;
+  std::uint32_t m_calls = 0;  // Dispatched on this connection.
   HttpParser m_parser;
   int m_status = 0;
   bool m_connected = false;
   bool m_request_written = false;
   bool m_head_received = false;
   bool m_skipping = false;
+  bool m_saw_unmatched = false;  // A response to another call was received.
   bool m_body_until_close = false;
   bool m_at_message_end = false;
   Instant m_start_time{};
--- a/src/relayattempt.cpp
+++ b/src/relayattempt.cpp
@@ -123,10 +123,10 @@
   http.m_body = call.m_request.m_body;
   http.m_connect_timeout = state.m_options.m_connect_timeout;
   http.m_max_body_bytes = IsStream(call) ? 0 : kMaxResponseBytes;
-  http.m_accepts_response =
+  http.m_match_response =
       [format = state.m_format,
        attempt = call.m_metadata.m_attempt](const HttpFields& fields) {
-        return format->MatchesAttempt(fields, attempt);
+        return format->MatchAttempt(fields, attempt);
       };
   return http;
 }
--- a/src/wireformat.h
+++ b/src/wireformat.h
@@ -80,9 +80,9 @@
   virtual ResponseMetadata ParseResponseMetadata(
       int status, const HttpFields& fields) const = 0;
 
-  // Whether a response with these fields belongs to the caller's attempt.
-  virtual bool MatchesAttempt(const HttpFields& fields,
-                              std::string_view attempt) const = 0;
+  // How a response with these fields relates to the caller's attempt.
+  virtual ResponseMatch MatchAttempt(const HttpFields& fields,
+                                     std::string_view attempt) const = 0;
 
   // End-to-end fields of a response that are forwarded to the caller.
   virtual HttpFields CallerFields(const HttpFields& fields) const = 0;
--- a/tests/endless_test.cpp
+++ b/tests/endless_test.cpp
@@ -98,8 +98,10 @@
   call.m_url = server.Url();
   call.m_inactivity_timeout = kInactivityTimeout;
   if (max_body > 0) call.m_max_body_bytes = max_body;
-  call.m_accepts_response = [](const HttpFields& fields) {
-    return FindFieldIgnoreCase(fields, "stray") == nullptr;
+  call.m_match_response = [](const HttpFields& fields) {
+    return FindFieldIgnoreCase(fields, "stray") == nullptr
+               ? ResponseMatch::kOwn
+               : ResponseMatch::kOther;
   };
   HttpEvents events;
   events.m_on_body = [&body](std::string_view bytes) { body += bytes.size(); };
--- a/tests/httpwire_test.cpp
+++ b/tests/httpwire_test.cpp
@@ -160,36 +160,142 @@
   CHECK(fixture.m_result->m_error == HttpError::kConnectionLost);
 }
 
+// Server that answers with bytes that the test chooses.
+class RawServer {
+ public:
+  RawServer() : m_listener(ListenTcp("127.0.0.1", 0)) {
+    REQUIRE(m_listener >= 0);
+    sockaddr_in address{};
+    socklen_t size = sizeof(address);
+    getsockname(m_listener, reinterpret_cast<sockaddr*>(&address), &size);
+    m_url = "http://127.0.0.1:" + std::to_string(ntohs(address.sin_port)) + "/";
+  }
+  ~RawServer() {
+    if (m_connection >= 0) close(m_connection);
+    close(m_listener);
+  }
+  RawServer(const RawServer&) = delete;
+  RawServer& operator=(const RawServer&) = delete;
+
+  // Accepts the next connection.
+  void Accept(EventLoop& loop) {
+    if (m_connection >= 0) close(m_connection);
+    m_connection = -1;
+    REQUIRE(RunUntil(loop, kTestTimeout, [this] {
+      m_connection = accept(m_listener, nullptr, nullptr);
+      return m_connection >= 0;
+    }));
+  }
+
+  void Send(std::string_view bytes) const {
+    REQUIRE(write(m_connection, bytes.data(), bytes.size()) ==
+            static_cast<ssize_t>(bytes.size()));
+  }
+
+  // Closes the connection without an answer.
+  void Drop() {
+    close(m_connection);
+    m_connection = -1;
+  }
+
+  // Whether the client has closed the connection.
+  bool ClosedByClient() const {
+    char buffer[4096];
+    ssize_t count = 0;
+    do {
+      count = recv(m_connection, buffer, sizeof(buffer), MSG_DONTWAIT);
+    } while (count > 0);
+    return count == 0;
+  }
+
+  // Call that accepts the answer with this id.
+  HttpCall CallWithId(const std::string& id) const {
+    HttpCall call;
+    call.m_url = m_url;
+    call.m_match_response = [id](const HttpFields& fields) {
+      const std::string* found = FindFieldIgnoreCase(fields, "id");
+      if (found == nullptr) return ResponseMatch::kUnidentified;
+      return *found == id ? ResponseMatch::kOwn : ResponseMatch::kOther;
+    };
+    return call;
+  }
+
+ private:
+  int m_listener;
+  int m_connection = -1;
+  std::string m_url;
+};
+
+std::string Answer(int status, const std::string& fields,
+                   const std::string& body) {
+  return "HTTP/1.1 " + std::to_string(status) + " x\r\nKeep-Alive: timeout=9" +
+         "\r\n" + fields + "Content-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
+}
+
+// Guards against a caller that receives the answer to another request.
 TEST_CASE("A response that belongs to another call is discarded") {
   Fixture fixture;
-  RawCaller unused(fixture.m_port);  // Keeps the port in use.
-  const int listener = ListenTcp("127.0.0.1", 0);
-  REQUIRE(listener >= 0);
-  sockaddr_in address{};
-  socklen_t size = sizeof(address);
-  getsockname(listener, reinterpret_cast<sockaddr*>(&address), &size);
-  HttpCall call;
-  call.m_url =
-      "http://127.0.0.1:" + std::to_string(ntohs(address.sin_port)) + "/";
-  call.m_accepts_response = [](const HttpFields& fields) {
-    const std::string* id = FindFieldIgnoreCase(fields, "id");
-    return id != nullptr && *id == "mine";
-  };
-  fixture.Call(call);
-  int accepted = -1;
-  REQUIRE(RunUntil(fixture.m_loop, kTestTimeout, [&] {
-    accepted = accept(listener, nullptr, nullptr);
-    return accepted >= 0;
-  }));
-  const std::string answers =
-      "HTTP/1.1 200 OK\r\nid: other\r\nContent-Length: 3\r\n\r\nbad"
-      "HTTP/1.1 200 OK\r\nid: mine\r\nContent-Length: 4\r\n\r\ngood";
-  REQUIRE(write(accepted, answers.data(), answers.size()) > 0);
+  RawServer server;
+  fixture.Call(server.CallWithId("mine"));
+  server.Accept(fixture.m_loop);
+  server.Send(Answer(200, "id: other\r\n", "bad") +
+              Answer(200, "id: mine\r\n", "good"));
   REQUIRE(fixture.Ended());
   CHECK(fixture.m_body == "good");
   CHECK(fixture.m_client.Counters().m_unmatched_responses == 1);
-  close(accepted);
-  close(listener);
+  // The server may send more copies, so the connection is not kept.
+  CHECK(RunUntil(fixture.m_loop, kTestTimeout,
+                 [&server] { return server.ClosedByClient(); }));
+}
+
+// Guards against a late copy of an earlier refusal that is taken for the answer
+// to a request that the endpoint runs: the caller would be told "not run".
+TEST_CASE("A late copy on a kept connection is not taken for the answer") {
+  for (const char* fields : {"", "id: first\r\n"}) {
+    CAPTURE(fields);
+    Fixture fixture;
+    RawServer server;
+    fixture.Call(server.CallWithId("first"));
+    server.Accept(fixture.m_loop);
+    server.Send(Answer(503, "id: first\r\n", ""));
+    REQUIRE(fixture.Ended());
+    fixture.Call(server.CallWithId("second"));
+    CHECK(fixture.m_client.Counters().m_reused == 1);
+    server.Send(Answer(503, fields, ""));
+    CHECK_FALSE(RunUntil(fixture.m_loop, std::chrono::milliseconds(100),
+                         [&] { return fixture.m_result.has_value(); }));
+    server.Send(Answer(200, "id: second\r\n", "own"));
+    REQUIRE(fixture.Ended());
+    CHECK(fixture.m_result->m_status == 200);
+    CHECK(fixture.m_body == "own");
+  }
+}
+
+TEST_CASE("An unidentified response is accepted on a new connection") {
+  Fixture fixture;
+  RawServer server;
+  fixture.Call(server.CallWithId("first"));
+  server.Accept(fixture.m_loop);
+  server.Send(Answer(503, "", ""));
+  REQUIRE(fixture.Ended());
+  CHECK(fixture.m_result->m_status == 503);
+}
+
+// Guards against reporting the status of an earlier call on the connection.
+TEST_CASE("A call that fails before its status line has no status") {
+  Fixture fixture;
+  RawServer server;
+  fixture.Call(server.CallWithId("first"));
+  server.Accept(fixture.m_loop);
+  server.Send(Answer(503, "id: first\r\n", ""));
+  REQUIRE(fixture.Ended());
+  fixture.Call(server.CallWithId("second"));
+  CHECK(fixture.m_client.Counters().m_reused == 1);
+  server.Drop();
+  REQUIRE(fixture.Ended());
+  CHECK(fixture.m_result->m_error == HttpError::kConnectionLost);
+  CHECK(fixture.m_result->m_status == 0);
 }
 
 TEST_CASE("A disconnect of a caller with an open request is detected") {
--- a/tests/relaycall_test.cpp
+++ b/tests/relaycall_test.cpp
@@ -42,9 +42,9 @@
     terms.m_is_stream = FindFieldIgnoreCase(fields, "stream") != nullptr;
     return terms;
   }
-  bool MatchesAttempt(const HttpFields& /*fields*/,
-                      std::string_view /*attempt*/) const override {
-    return true;
+  ResponseMatch MatchAttempt(const HttpFields& /*fields*/,
+                             std::string_view /*attempt*/) const override {
+    return ResponseMatch::kOwn;
   }
   HttpFields CallerFields(const HttpFields& fields) const override {
     return fields;
