Obey Server-Leaving and the Retry-After of endpoints

Change: the adapter decodes both; endpointstate decides. A leaving endpoint gets nothing new from this instance for the rest of its lifetime (id, start time and address), also when its entry vanishes during an outage of the store and returns. A pause is obeyed by requests, prefill calls, resumptions and the release of KV caches; it is rounded up, at most 60 s, and a value that is no positive number counts as the usual 60 ms. The state and events of an endpoint move from balance into endpointstate, and the comparison of lists from relay.

Peers are not told: the contract binds the instance that has passed the answer on, every other one learns it from its own first answer or the list, and a faulty replica so misleads only those that it answers.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -8,25 +8,6 @@
 
 namespace {
 
-// How long an endpoint gets no requests after it rejected one as full.
-constexpr Duration kFullBackoff = std::chrono::milliseconds(60);
-
-// Backoff after an endpoint's first failure. It doubles with each consecutive
-// failure up to the maximum.
-constexpr Duration kInitialFailureBackoff = std::chrono::milliseconds(300);
-constexpr Duration kMaxFailureBackoff = std::chrono::seconds(5);
-
-// Weight of one response in the failure rate, the rate at which an endpoint is
-// avoided even though it answers some requests, and for how long. A healthy
-// endpoint that loses one connection stays below the threshold.
-constexpr double kFailureRateWeight = 0.15;
-constexpr double kHighFailureRate = 0.25;
-constexpr Duration kHighFailureRateBackoff = std::chrono::milliseconds(1500);
-
-// A restarted endpoint appears in the endpoint list within this time: one
-// heartbeat and one poll.
-constexpr Duration kReplacedBackoff = std::chrono::milliseconds(2000);
-
 // Estimates that differ by less than this, in milliseconds, are treated as
 // equal.
 constexpr double kTieBreakMs = 4;
@@ -61,19 +42,9 @@
 constexpr double kPerRequestDelayMs = 1.5;
 constexpr double kNoSlotPenaltyMs = 40;
 
-// Weights of a new sample of the prefill speed. Queueing only makes a sample
-// slower, so the estimate follows the fast samples.
-constexpr double kFasterSampleWeight = 0.2;
-constexpr double kSlowerSampleWeight = 0.01;
-
-// Weight of a new sample of the queueing delay, and the time constant with
-// which an old sample decays.
-constexpr double kWaitSampleWeight = 0.5;
+// Time constant with which a sample of the queueing delay decays.
 constexpr double kWaitDecayMs = 500;
 
-// Time to the first token in addition to prefill, in milliseconds.
-constexpr double kFirstTokenOverheadMs = 35;
-
 // Prompt prefixes up to this length are recomputed anywhere instead of being
 // routed by affinity.
 constexpr double kMaxUnroutedPrefixTokens = 1500;
@@ -89,8 +60,8 @@
 
 // An instance may use all slots of an endpoint, because the others may be idle.
 bool HasRoom(const BalanceEndpoint& endpoint, Instant now) {
-  if (endpoint.m_draining || now < endpoint.m_full_until) return false;
-  return endpoint.m_running < endpoint.m_slots;
+  return AcceptsRequests(endpoint, now) &&
+         endpoint.m_running < endpoint.m_slots;
 }
 
 double NetworkCostMs(const BalanceState& state,
@@ -335,11 +306,6 @@
   return is_preferred ? BalanceReason::kAffinity : BalanceReason::kLeastLoad;
 }
 
-BalanceEndpoint* Find(BalanceState& state, const std::string& id) {
-  const auto found = state.m_endpoints.find(id);
-  return found == state.m_endpoints.end() ? nullptr : &found->second;
-}
-
 }  // namespace
 
 std::optional<BalanceChoice> SelectEndpoint(const BalanceState& state,
@@ -387,82 +353,4 @@
   return best->m_id;
 }
 
-void OnRequestDispatched(BalanceState& state, const std::string& endpoint,
-                         double work_ms) {
-  BalanceEndpoint* found = Find(state, endpoint);
-  if (found == nullptr) return;
-  ++found->m_running;
-  found->m_prefill_ms += work_ms;
-}
-
-void OnPrefillDone(BalanceState& state, const std::string& endpoint,
-                   double work_ms) {
-  BalanceEndpoint* found = Find(state, endpoint);
-  if (found == nullptr) return;
-  found->m_prefill_ms = std::max(0.0, found->m_prefill_ms - work_ms);
-}
-
-void OnRequestCompleted(BalanceState& state, const std::string& endpoint) {
-  BalanceEndpoint* found = Find(state, endpoint);
-  if (found != nullptr && found->m_running > 0) --found->m_running;
-}
-
-void OnEndpointAnswered(BalanceState& state, const std::string& endpoint,
-                        Instant now) {
-  BalanceEndpoint* found = Find(state, endpoint);
-  if (found == nullptr) return;
-  found->m_failures = 0;
-  found->m_failure_rate -= kFailureRateWeight * found->m_failure_rate;
-  if (found->m_failure_rate < kHighFailureRate) found->m_avoid_until = {};
-  found->m_last_response_at = now;
-}
-
-void OnEndpointFull(BalanceState& state, const std::string& endpoint,
-                    Instant now) {
-  BalanceEndpoint* found = Find(state, endpoint);
-  if (found != nullptr) found->m_full_until = now + kFullBackoff;
-}
-
-void OnEndpointFailed(BalanceState& state, const std::string& endpoint,
-                      Instant now) {
-  BalanceEndpoint* found = Find(state, endpoint);
-  if (found == nullptr) return;
-  constexpr std::uint32_t kMaxDoublings = 5;
-  const std::uint32_t doublings = std::min(found->m_failures, kMaxDoublings);
-  Duration pause = std::min<Duration>(
-      kInitialFailureBackoff * (1U << doublings), kMaxFailureBackoff);
-  found->m_failure_rate += kFailureRateWeight * (1 - found->m_failure_rate);
-  if (found->m_failure_rate >= kHighFailureRate) {
-    pause = std::max(pause, kHighFailureRateBackoff);
-  }
-  found->m_avoid_until = now + pause;
-  ++found->m_failures;
-}
-
-void OnEndpointReplaced(BalanceState& state, const std::string& endpoint,
-                        Instant now) {
-  BalanceEndpoint* found = Find(state, endpoint);
-  if (found != nullptr) found->m_full_until = now + kReplacedBackoff;
-}
-
-void OnPrefillTimed(BalanceState& state, const std::string& endpoint,
-                    const PrefillTiming& timing, Instant now) {
-  BalanceEndpoint* found = Find(state, endpoint);
-  if (found == nullptr) return;
-  const double wait = std::max(
-      0.0, timing.m_elapsed_ms - timing.m_work_ms - kFirstTokenOverheadMs);
-  found->m_wait_ms += kWaitSampleWeight * (wait - found->m_wait_ms);
-  found->m_wait_sampled_at = now;
-  // Short prompts are dominated by fixed costs and say little about the speed.
-  constexpr double kMinTokens = 2000;
-  if (timing.m_tokens < kMinTokens || timing.m_elapsed_ms <= 1) return;
-  double& speed = state.m_speeds[found->m_service].m_prefill_tokens_per_ms;
-  const double sample = timing.m_tokens / timing.m_elapsed_ms;
-  speed += (sample > speed ? kFasterSampleWeight : kSlowerSampleWeight) *
-           (sample - speed);
-  constexpr double kMinSpeed = 10;
-  constexpr double kMaxSpeed = 1000;
-  speed = std::clamp(speed, kMinSpeed, kMaxSpeed);
-}
-
 }  // namespace comfreypaddle
--- /dev/null
+++ b/src/endpointstate.cpp
@@ -0,0 +1,242 @@
+#include "endpointstate.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace comfreypaddle {
+
+namespace {
+
+// How long an endpoint gets no requests after it rejected one as full.
+constexpr Duration kFullBackoff = std::chrono::milliseconds(60);
+
+// Backoff after an endpoint's first failure. It doubles with each consecutive
+// failure up to the maximum.
+constexpr Duration kInitialFailureBackoff = std::chrono::milliseconds(300);
+constexpr Duration kMaxFailureBackoff = std::chrono::seconds(5);
+
+// Weight of one response in the failure rate, the rate at which an endpoint is
+// avoided even though it answers some requests, and for how long. A healthy
+// endpoint that loses one connection stays below the threshold.
+constexpr double kFailureRateWeight = 0.15;
+constexpr double kHighFailureRate = 0.25;
+constexpr Duration kHighFailureRateBackoff = std::chrono::milliseconds(1500);
+
+// A restarted endpoint appears in the endpoint list within this time: one
+// heartbeat and one poll.
+constexpr Duration kReplacedBackoff = std::chrono::milliseconds(2000);
+
+// Longest pause that an endpoint may ask for. A faulty one must not take itself
+// out for good.
+constexpr Duration kMaxRequestedPause = std::chrono::seconds(60);
+
+// How long the state of an endpoint that vanished from the list is kept.
+constexpr Duration kVanishedRetention = std::chrono::minutes(10);
+
+// Weights of a new sample of the prefill speed. Queueing only makes a sample
+// slower, so the estimate follows the fast samples.
+constexpr double kFasterSampleWeight = 0.2;
+constexpr double kSlowerSampleWeight = 0.01;
+
+// Weight of a new sample of the queueing delay.
+constexpr double kWaitSampleWeight = 0.5;
+
+// Time to the first token in addition to prefill, in milliseconds.
+constexpr double kFirstTokenOverheadMs = 35;
+
+// Pause after a rejection. A requested pause that is no positive number counts
+// as none.
+Duration PauseOf(std::optional<double> requested_s) {
+  if (!requested_s || !(*requested_s > 0)) return kFullBackoff;
+  const double limit_s =
+      std::chrono::duration<double>(kMaxRequestedPause).count();
+  const std::chrono::duration<double> pause(std::min(*requested_s, limit_s));
+  // Rounded up: the endpoint must not be asked before its pause ends.
+  return std::max<Duration>(std::chrono::ceil<Duration>(pause), kFullBackoff);
+}
+
+bool IsSameLifetime(const BalanceEndpoint& endpoint, std::uint64_t born_ms,
+                    const std::string& address) {
+  return endpoint.m_born_ms == born_ms && endpoint.m_address == address;
+}
+
+// Copies what this instance has learnt of an endpoint to its new entry.
+void KeepLearntState(const BalanceEndpoint& known, BalanceEndpoint& entry) {
+  entry.m_leaving = known.m_leaving;
+  entry.m_running = known.m_running;
+  entry.m_prefill_ms = known.m_prefill_ms;
+  entry.m_remote_running = known.m_remote_running;
+  entry.m_remote_prefill_ms = known.m_remote_prefill_ms;
+  entry.m_remote_reported_at = known.m_remote_reported_at;
+  entry.m_wait_ms = known.m_wait_ms;
+  entry.m_wait_sampled_at = known.m_wait_sampled_at;
+  entry.m_last_response_at = known.m_last_response_at;
+  entry.m_full_until = known.m_full_until;
+  entry.m_avoid_until = known.m_avoid_until;
+  entry.m_failures = known.m_failures;
+  entry.m_failure_rate = known.m_failure_rate;
+}
+
+// Restores what an endpoint that was missing from the list had said.
+void RestoreVanished(BalanceState& state, BalanceEndpoint& entry) {
+  const auto found = state.m_vanished.find(entry.m_id);
+  if (found == state.m_vanished.end()) return;
+  const VanishedEndpoint& vanished = found->second;
+  if (IsSameLifetime(entry, vanished.m_born_ms, vanished.m_address)) {
+    entry.m_leaving = vanished.m_leaving;
+    entry.m_full_until = vanished.m_full_until;
+  }
+  state.m_vanished.erase(found);
+}
+
+// Keeps what an endpoint said that is no longer in the list.
+void RecordVanished(BalanceState& state, const BalanceEndpoint& endpoint,
+                    Instant now) {
+  if (!endpoint.m_leaving && endpoint.m_full_until <= now) return;
+  state.m_vanished[endpoint.m_id] = {endpoint.m_born_ms, endpoint.m_address,
+                                     endpoint.m_leaving, endpoint.m_full_until,
+                                     now};
+}
+
+void DiscardOldVanished(BalanceState& state, Instant now) {
+  for (auto at = state.m_vanished.begin(); at != state.m_vanished.end();) {
+    const bool old = now - at->second.m_vanished > kVanishedRetention;
+    at = old ? state.m_vanished.erase(at) : std::next(at);
+  }
+}
+
+}  // namespace
+
+std::vector<std::string> UpdateEndpoints(BalanceState& state,
+                                         std::vector<BalanceEndpoint> list,
+                                         Instant now) {
+  DiscardOldVanished(state, now);
+  std::vector<std::string> obsolete_addresses;
+  std::map<std::string, BalanceEndpoint, std::less<>> next;
+  for (BalanceEndpoint& entry : list) {
+    const BalanceEndpoint* known = FindEndpoint(state, entry.m_id);
+    if (known == nullptr) {
+      RestoreVanished(state, entry);
+    } else if (IsSameLifetime(entry, known->m_born_ms, known->m_address)) {
+      KeepLearntState(*known, entry);
+    } else {
+      obsolete_addresses.push_back(known->m_address);
+    }
+    const std::string id = entry.m_id;
+    next[id] = std::move(entry);
+  }
+  for (const auto& [id, endpoint] : state.m_endpoints) {
+    if (next.count(id) > 0) continue;
+    RecordVanished(state, endpoint, now);
+    obsolete_addresses.push_back(endpoint.m_address);
+  }
+  state.m_endpoints = std::move(next);
+  return obsolete_addresses;
+}
+
+BalanceEndpoint* FindEndpoint(BalanceState& state, const std::string& id) {
+  const auto found = state.m_endpoints.find(id);
+  return found == state.m_endpoints.end() ? nullptr : &found->second;
+}
+
+const BalanceEndpoint* FindEndpoint(const BalanceState& state,
+                                    const std::string& id) {
+  const auto found = state.m_endpoints.find(id);
+  return found == state.m_endpoints.end() ? nullptr : &found->second;
+}
+
+bool AcceptsRequests(const BalanceEndpoint& endpoint, Instant now) {
+  return !endpoint.m_draining && !endpoint.m_leaving &&
+         now >= endpoint.m_full_until;
+}
+
+void OnRequestDispatched(BalanceState& state, const std::string& endpoint,
+                         double work_ms) {
+  BalanceEndpoint* found = FindEndpoint(state, endpoint);
+  if (found == nullptr) return;
+  ++found->m_running;
+  found->m_prefill_ms += work_ms;
+}
+
+void OnPrefillDone(BalanceState& state, const std::string& endpoint,
+                   double work_ms) {
+  BalanceEndpoint* found = FindEndpoint(state, endpoint);
+  if (found == nullptr) return;
+  found->m_prefill_ms = std::max(0.0, found->m_prefill_ms - work_ms);
+}
+
+void OnRequestCompleted(BalanceState& state, const std::string& endpoint) {
+  BalanceEndpoint* found = FindEndpoint(state, endpoint);
+  if (found != nullptr && found->m_running > 0) --found->m_running;
+}
+
+void OnEndpointAnswered(BalanceState& state, const std::string& endpoint,
+                        Instant now) {
+  BalanceEndpoint* found = FindEndpoint(state, endpoint);
+  if (found == nullptr) return;
+  found->m_failures = 0;
+  found->m_failure_rate -= kFailureRateWeight * found->m_failure_rate;
+  if (found->m_failure_rate < kHighFailureRate) found->m_avoid_until = {};
+  found->m_last_response_at = now;
+}
+
+void OnEndpointFull(BalanceState& state, const std::string& endpoint,
+                    std::optional<double> retry_after_s, Instant now) {
+  BalanceEndpoint* found = FindEndpoint(state, endpoint);
+  if (found == nullptr) return;
+  const Instant until = now + PauseOf(retry_after_s);
+  found->m_full_until = std::max(found->m_full_until, until);
+}
+
+bool OnEndpointLeaving(BalanceState& state, const std::string& endpoint) {
+  BalanceEndpoint* found = FindEndpoint(state, endpoint);
+  if (found == nullptr || found->m_leaving) return false;
+  found->m_leaving = true;
+  return true;
+}
+
+void OnEndpointFailed(BalanceState& state, const std::string& endpoint,
+                      Instant now) {
+  BalanceEndpoint* found = FindEndpoint(state, endpoint);
+  if (found == nullptr) return;
+  constexpr std::uint32_t kMaxDoublings = 5;
+  const std::uint32_t doublings = std::min(found->m_failures, kMaxDoublings);
+  Duration pause = std::min<Duration>(
+      kInitialFailureBackoff * (1U << doublings), kMaxFailureBackoff);
+  found->m_failure_rate += kFailureRateWeight * (1 - found->m_failure_rate);
+  if (found->m_failure_rate >= kHighFailureRate) {
+    pause = std::max(pause, kHighFailureRateBackoff);
+  }
+  found->m_avoid_until = now + pause;
+  ++found->m_failures;
+}
+
+void OnEndpointReplaced(BalanceState& state, const std::string& endpoint,
+                        Instant now) {
+  BalanceEndpoint* found = FindEndpoint(state, endpoint);
+  if (found == nullptr) return;
+  found->m_full_until = std::max(found->m_full_until, now + kReplacedBackoff);
+}
+
+void OnPrefillTimed(BalanceState& state, const std::string& endpoint,
+                    const PrefillTiming& timing, Instant now) {
+  BalanceEndpoint* found = FindEndpoint(state, endpoint);
+  if (found == nullptr) return;
+  const double wait = std::max(
+      0.0, timing.m_elapsed_ms - timing.m_work_ms - kFirstTokenOverheadMs);
+  found->m_wait_ms += kWaitSampleWeight * (wait - found->m_wait_ms);
+  found->m_wait_sampled_at = now;
+  // Short prompts are dominated by fixed costs and say little about the speed.
+  constexpr double kMinTokens = 2000;
+  if (timing.m_tokens < kMinTokens || timing.m_elapsed_ms <= 1) return;
+  double& speed = state.m_speeds[found->m_service].m_prefill_tokens_per_ms;
+  const double sample = timing.m_tokens / timing.m_elapsed_ms;
+  speed += (sample > speed ? kFasterSampleWeight : kSlowerSampleWeight) *
+           (sample - speed);
+  constexpr double kMinSpeed = 10;
+  constexpr double kMaxSpeed = 1000;
+  speed = std::clamp(speed, kMinSpeed, kMaxSpeed);
+}
+
+}  // namespace comfreypaddle
--- /dev/null
+++ b/src/endpointstate.h
@@ -0,0 +1,147 @@
+#ifndef COMFREYPADDLE_ENDPOINTSTATE_H_
+#define COMFREYPADDLE_ENDPOINTSTATE_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "types.h"
+
+namespace comfreypaddle {
+
+enum class EngineStage { kNone, kPrefill, kDecode };
+
+template <>
+struct EnumNames<EngineStage> {
+  static constexpr std::array<EnumName<EngineStage>, 3> kTable{
+      {{EngineStage::kNone, "none"},
+       {EngineStage::kPrefill, "prefill"},
+       {EngineStage::kDecode, "decode"}}};
+};
+
+// Load balancing state of one endpoint, as seen by this instance.
+struct BalanceEndpoint {
+  std::string m_id;
+  std::string m_service;
+  std::string m_address;
+  std::string m_zone;
+  std::string m_region;
+  EngineStage m_stage = EngineStage::kNone;
+  double m_slots = 1;
+  bool m_draining = false;  // According to the list of endpoints.
+  bool m_leaving = false;   // According to its own responses.
+  bool m_cheap = false;
+  bool m_cold = false;
+  std::uint64_t m_born_ms = 0;
+  std::uint64_t m_hash = 0;  // Hash of m_id, for rendezvous hashing.
+  // Requests of this instance that run at the endpoint, and the estimated
+  // prefill work, in milliseconds, of those that have not produced a token yet.
+  std::uint32_t m_running = 0;
+  double m_prefill_ms = 0;
+  // The same figures summed over all other instances, and when they were last
+  // reported.
+  std::uint32_t m_remote_running = 0;
+  double m_remote_prefill_ms = 0;
+  Instant m_remote_reported_at{};
+  // Recent queueing delay at the endpoint and when it was last sampled.
+  double m_wait_ms = 0;
+  Instant m_wait_sampled_at{};
+  // When this instance last received a byte from it.
+  Instant m_last_response_at{};
+  // Set when it rejected a request as full; it gets no request before this
+  // time.
+  Instant m_full_until{};
+  // Set when it failed; it gets no request before this time unless no other
+  // endpoint can take one.
+  Instant m_avoid_until{};
+  std::uint32_t m_failures = 0;  // Consecutive failures.
+  double m_failure_rate = 0;     // Moving average over all responses.
+};
+
+// Measured speeds of a service's engines.
+struct EngineSpeed {
+  double m_prefill_tokens_per_ms = 80;  // Of a dedicated prefill endpoint.
+  double m_kv_token_bytes = 0;
+  double m_link_mbps = 0;
+};
+
+// What an endpoint that vanished from the list said about itself. An entry that
+// was removed during an outage of the store may return.
+struct VanishedEndpoint {
+  std::uint64_t m_born_ms = 0;
+  std::string m_address;
+  bool m_leaving = false;
+  Instant m_full_until{};
+  Instant m_vanished{};
+};
+
+struct BalanceState {
+  std::map<std::string, BalanceEndpoint, std::less<>> m_endpoints;
+  std::map<std::string, VanishedEndpoint, std::less<>> m_vanished;
+  std::map<std::string, EngineSpeed, std::less<>> m_speeds;  // By service.
+  std::string m_zone;  // Zone of this instance.
+  std::string m_region;
+};
+
+// Replaces the list of endpoints. An endpoint keeps the load and health that are
+// known of it if id, start time and address are the same; otherwise it has
+// restarted. Returns the addresses of which idle connections must be closed,
+// because their endpoint is gone or has restarted.
+std::vector<std::string> UpdateEndpoints(BalanceState& state,
+                                         std::vector<BalanceEndpoint> list,
+                                         Instant now);
+
+// Returns the endpoint with this id, or null.
+BalanceEndpoint* FindEndpoint(BalanceState& state, const std::string& id);
+const BalanceEndpoint* FindEndpoint(const BalanceState& state,
+                                    const std::string& id);
+
+// Whether the endpoint may be sent requests: it is not leaving and has not asked
+// for a pause that still lasts.
+bool AcceptsRequests(const BalanceEndpoint& endpoint, Instant now);
+
+// Accounts for a request that was sent to the endpoint.
+void OnRequestDispatched(BalanceState& state, const std::string& endpoint,
+                         double work_ms);
+
+// Account for the end of its prefill and of the whole request.
+void OnPrefillDone(BalanceState& state, const std::string& endpoint,
+                   double work_ms);
+void OnRequestCompleted(BalanceState& state, const std::string& endpoint);
+
+// Record that the endpoint sent data, rejected a request as full, or failed. A
+// full endpoint may ask for a pause in seconds; absurd values are corrected.
+void OnEndpointAnswered(BalanceState& state, const std::string& endpoint,
+                        Instant now);
+void OnEndpointFull(BalanceState& state, const std::string& endpoint,
+                    std::optional<double> retry_after_s, Instant now);
+void OnEndpointFailed(BalanceState& state, const std::string& endpoint,
+                      Instant now);
+
+// Records that the endpoint said in a response that it is leaving. It gets no
+// new request for the rest of its lifetime, whatever the list says. Returns
+// false if that was known.
+bool OnEndpointLeaving(BalanceState& state, const std::string& endpoint);
+
+// Records that the endpoint's address now belongs to another endpoint or to a
+// restarted one. It gets no request until the endpoint list is up to date.
+void OnEndpointReplaced(BalanceState& state, const std::string& endpoint,
+                        Instant now);
+
+// Prefill work of a request and the time that it took.
+struct PrefillTiming {
+  double m_tokens = 0;  // Prompt tokens processed; zero if not known.
+  double m_work_ms = 0;
+  double m_elapsed_ms = 0;
+};
+
+// Updates the prefill speed of the service and the queueing delay of the
+// endpoint.
+void OnPrefillTimed(BalanceState& state, const std::string& endpoint,
+                    const PrefillTiming& timing, Instant now);
+
+}  // namespace comfreypaddle
+
+#endif  // COMFREYPADDLE_ENDPOINTSTATE_H_
--- a/src/finish.cpp
+++ b/src/finish.cpp
@@ -140,6 +140,16 @@
 
 void ReleaseKvCache(RelayState& state, RelayCall& call) {
   if (!call.m_source) return;
+  const BalanceEndpoint* owner =
+      FindEndpoint(state.m_balance, call.m_source->m_endpoint);
+  // A paused endpoint discards the KV cache by itself when it expires.
+  if (owner != nullptr && state.m_clock() < owner->m_full_until) {
+    LogLine("cache_release_skipped")
+        .Add("request", call.m_metadata.m_attempt)
+        .Add("endpoint", call.m_source->m_endpoint);
+    call.m_source.reset();
+    return;
+  }
   HttpCall release;
   release.m_method = "DELETE";
   release.m_url = "http://" + call.m_source->m_address +
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -206,19 +206,10 @@
 }
 
 void Relay::SetEndpoints(const schema::EndpointList& list) {
-  auto& known = m_state.m_balance.m_endpoints;
-  std::map<std::string, BalanceEndpoint, std::less<>> next;
+  std::vector<BalanceEndpoint> endpoints;
+  endpoints.reserve(list.endpoints_size());
   for (const schema::EndpointEntry& entry : list.endpoints()) {
-    const auto found = known.find(entry.id());
-    // A restarted endpoint does not inherit the state of its predecessor.
-    const bool same_lifetime = found != known.end() &&
-                               found->second.m_born_ms == entry.born_ms() &&
-                               found->second.m_address == entry.address();
-    if (found != known.end() && !same_lifetime) {
-      m_client->CloseIdleConnections(found->second.m_address);
-    }
-    BalanceEndpoint endpoint =
-        same_lifetime ? found->second : BalanceEndpoint{};
+    BalanceEndpoint endpoint;
     endpoint.m_id = entry.id();
     endpoint.m_service = entry.service();
     endpoint.m_address = entry.address();
@@ -231,12 +222,13 @@
     endpoint.m_cold = entry.cold_ms() > 0;
     endpoint.m_born_ms = entry.born_ms();
     endpoint.m_hash = XXH64(entry.id().data(), entry.id().size(), 0);
-    next[entry.id()] = std::move(endpoint);
+    endpoints.push_back(std::move(endpoint));
   }
-  for (const auto& [id, endpoint] : known) {
-    if (next.count(id) == 0) m_client->CloseIdleConnections(endpoint.m_address);
+  const std::vector<std::string> obsolete =
+      UpdateEndpoints(m_state.m_balance, std::move(endpoints), Now());
+  for (const std::string& address : obsolete) {
+    m_client->CloseIdleConnections(address);
   }
-  known = std::move(next);
 }
 
 void Relay::RecordCrash(const schema::CrashReport& crash) {
--- a/src/relayattempt.cpp
+++ b/src/relayattempt.cpp
@@ -52,11 +52,6 @@
          (IsStream(call) && call.m_route->resumable());
 }
 
-BalanceEndpoint* FindEndpoint(RelayState& state, const std::string& id) {
-  const auto found = state.m_balance.m_endpoints.find(id);
-  return found == state.m_balance.m_endpoints.end() ? nullptr : &found->second;
-}
-
 // Whether a request that may have been executed may be retried. Charges the
 // retry budget if so.
 bool MayRetryExecuted(RelayState& state, const RelayCall& call) {
@@ -100,7 +95,7 @@
 // Reports that an endpoint crashed while it ran the request.
 void RecordCrash(RelayState& state, const RelayCall& call) {
   const BalanceEndpoint* endpoint =
-      FindEndpoint(state, call.m_attempt.m_endpoint);
+      FindEndpoint(state.m_balance, call.m_attempt.m_endpoint);
   schema::CrashReport report;
   report.set_fingerprint(call.m_fingerprint);
   report.set_endpoint(call.m_attempt.m_endpoint);
@@ -219,6 +214,13 @@
   attempt.m_status = status;
   attempt.m_fields = fields;
   attempt.m_metadata = state.m_format->ParseResponseMetadata(status, fields);
+  if (!attempt.m_metadata.m_leaving) return;
+  if (!OnEndpointLeaving(state.m_balance, attempt.m_endpoint)) return;
+  ++state.m_counters.m_leaving;
+  LogLine("endpoint_leaving")
+      .Add("request", call.m_metadata.m_attempt)
+      .Add("endpoint", attempt.m_endpoint)
+      .Add("status", status);
 }
 
 void OnRunEnd(RelayState& state, RelayCall& call, const HttpResult& result,
@@ -266,7 +268,14 @@
   if (!result.m_error && attempt.m_metadata.m_wrong_endpoint) {
     OnEndpointReplaced(state.m_balance, attempt.m_endpoint, now);
   } else if (!result.m_error && attempt.m_metadata.m_not_run) {
-    OnEndpointFull(state.m_balance, attempt.m_endpoint, now);
+    const std::optional<double> pause_s = attempt.m_metadata.m_retry_after_s;
+    OnEndpointFull(state.m_balance, attempt.m_endpoint, pause_s, now);
+    if (pause_s) {
+      ++state.m_counters.m_pauses;
+      LogLine("endpoint_paused")
+          .Add("endpoint", attempt.m_endpoint)
+          .Add("requested_s", std::to_string(*pause_s));
+    }
   } else {
     OnEndpointFailed(state.m_balance, attempt.m_endpoint, now);
   }
@@ -344,7 +353,7 @@
 
 void SendRun(RelayState& state, RelayCall& call, const std::string& id,
              double work_ms) {
-  const BalanceEndpoint& endpoint = *FindEndpoint(state, id);
+  const BalanceEndpoint& endpoint = *FindEndpoint(state.m_balance, id);
   BeginAttempt(state, call, endpoint, work_ms);
   call.m_stage = CallStage::kRun;
   ++call.m_sends;
@@ -377,10 +386,9 @@
 void RunWithPrefilledCache(RelayState& state, RelayCall& call) {
   const Instant now = state.m_clock();
   std::string decode = call.m_planned_decode;
-  const BalanceEndpoint* planned = FindEndpoint(state, decode);
-  const bool usable = planned != nullptr && !planned->m_draining &&
-                      now >= planned->m_avoid_until &&
-                      now >= planned->m_full_until;
+  const BalanceEndpoint* planned = FindEndpoint(state.m_balance, decode);
+  const bool usable = planned != nullptr && AcceptsRequests(*planned, now) &&
+                      now >= planned->m_avoid_until;
   if (!usable) {
     const auto other = ChooseDecode(state.m_balance, call.m_query, now);
     if (!other) {
@@ -409,7 +417,7 @@
         state.m_clock() - attempt.m_sent;
     OnPrefillTimed(state.m_balance, attempt.m_endpoint,
                    {work_tokens, work_ms, took.count()}, state.m_clock());
-    call.m_source = CacheSource{attempt.m_address, read->m_handle};
+    call.m_source = CacheSource{attempt.m_endpoint, attempt.m_address, read->m_handle};
     RunWithPrefilledCache(state, call);
     return;
   }
@@ -427,7 +435,7 @@
 
 void SendPrefill(RelayState& state, RelayCall& call,
                  const BalanceChoice& choice) {
-  const BalanceEndpoint& endpoint = *FindEndpoint(state, choice.m_prefill);
+  const BalanceEndpoint& endpoint = *FindEndpoint(state.m_balance, choice.m_prefill);
   BeginAttempt(state, call, endpoint, choice.m_work_ms);
   call.m_stage = CallStage::kPrefill;
   call.m_planned_decode = choice.m_endpoint;
@@ -469,7 +477,7 @@
   }
   if (elapsed > kStreamHeadTimeout) return true;
   const BalanceEndpoint* endpoint =
-      FindEndpoint(state, call.m_attempt.m_endpoint);
+      FindEndpoint(state.m_balance, call.m_attempt.m_endpoint);
   if (endpoint == nullptr) return elapsed > kDeadEndpointTimeout;
   return elapsed > kDeadEndpointTimeout &&
          now - endpoint->m_last_response_at > kDeadEndpointTimeout;
--- a/src/relaymetrics.cpp
+++ b/src/relaymetrics.cpp
@@ -60,6 +60,11 @@
                counters.m_resumed);
   text.Counter("relay_rejected_total", "rejections by endpoints",
                counters.m_not_run);
+  text.Counter("relay_endpoints_leaving_total",
+               "endpoints whose answers said that they leave",
+               counters.m_leaving);
+  text.Counter("relay_endpoint_pauses_total",
+               "rejections that asked for a pause", counters.m_pauses);
   text.Counter("relay_failures_total", "attempts that broke off",
                counters.m_failures);
   for (const auto& [reason, count] : counters.m_ends) {
--- a/src/relaystate.h
+++ b/src/relaystate.h
@@ -124,6 +124,8 @@
   std::uint64_t m_resends = 0;
   std::uint64_t m_resumed = 0;
   std::uint64_t m_not_run = 0;  // Rejections of endpoints.
+  std::uint64_t m_leaving = 0;  // Endpoints that said that they leave.
+  std::uint64_t m_pauses = 0;   // Rejections that asked for a pause.
   std::uint64_t m_failures = 0;
   std::map<EndReason, std::uint64_t> m_ends;
   DurationStats m_first_answer;  // Until the first byte of the response.
--- a/src/wireformat.h
+++ b/src/wireformat.h
@@ -35,6 +35,7 @@
 
 // Where an endpoint fetches the KV cache of a prompt from.
 struct CacheSource {
+  std::string m_endpoint;  // Id of the endpoint that holds it.
   std::string m_address;
   std::string m_handle;
 };
@@ -55,6 +56,10 @@
   bool m_not_run = false;  // The endpoint guarantees non-execution.
   bool m_wrong_endpoint = false;
   bool m_is_stream = false;
+  bool m_leaving = false;  // The endpoint wants no new requests.
+  // Time for which the endpoint wants no requests from this instance. Set only
+  // if it rejected the request for lack of capacity; as received, unchecked.
+  std::optional<double> m_retry_after_s;
 };
 
 // Result of a prefill-only request.
--- a/tests/adapter_test.cpp
+++ b/tests/adapter_test.cpp
@@ -119,6 +119,30 @@
   CHECK(terms.m_time_left == std::chrono::milliseconds(5000));
 }
 
+TEST_CASE("a response says whether its endpoint leaves or wants a pause") {
+  const WireFormat& format = platform::RequestFormat();
+  CHECK(format.ParseResponseMetadata(200, {{"Server-Leaving", "1"}}).m_leaving);
+  CHECK_FALSE(format.ParseResponseMetadata(200, {}).m_leaving);
+  const auto pause = [&format](int status, const std::string& value) {
+    return format.ParseResponseMetadata(status, {{"Retry-After", value}})
+        .m_retry_after_s;
+  };
+  CHECK(pause(503, "2") == 2.0);
+  CHECK(pause(503, " 0.25 ") == 0.25);
+  CHECK_FALSE(pause(503, "soon"));
+  CHECK_FALSE(pause(503, "1e999"));
+  CHECK_FALSE(pause(200, "2"));
+}
+
+TEST_CASE("a response names its own call, another one or none") {
+  const WireFormat& format = platform::RequestFormat();
+  CHECK(format.MatchAttempt({{"attempt-id", "a"}}, "a") == ResponseMatch::kOwn);
+  CHECK(format.MatchAttempt({{"Attempt-Id", "b"}}, "a") ==
+        ResponseMatch::kOther);
+  CHECK(format.MatchAttempt({}, "a") == ResponseMatch::kUnidentified);
+  CHECK(format.MatchAttempt({}, "") == ResponseMatch::kOwn);
+}
+
 // HTTP port that ends each call at once with the result set by the test.
 class ScriptedHttpPort : public HttpPort {
  public:
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -131,7 +131,7 @@
 TEST_CASE("draining, full, tried and failed endpoints get no request") {
   BalanceState state = MakeState(4, 0);
   state.m_endpoints["e0"].m_draining = true;
-  OnEndpointFull(state, "e1", kStart);
+  OnEndpointFull(state, "e1", std::nullopt, kStart);
   OnEndpointFailed(state, "e2", kStart);
   BalanceQuery query = Prompt(0, 0, 100);
   CHECK(SelectEndpoint(state, query, kStart)->m_endpoint == "e3");
--- /dev/null
+++ b/tests/endpointstate_test.cpp
@@ -0,0 +1,125 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "endpointstate.h"
+
+#include <doctest/doctest.h>
+
+#include <cmath>
+#include <limits>
+
+#include "balance.h"
+
+namespace comfreypaddle {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+constexpr Instant kStart = Instant(seconds(1000));
+
+BalanceEndpoint Entry(const std::string& id, std::uint64_t born_ms) {
+  BalanceEndpoint entry;
+  entry.m_id = id;
+  entry.m_service = "s";
+  entry.m_address = "10.0.0.1:" + id.substr(1);
+  entry.m_slots = 4;
+  entry.m_born_ms = born_ms;
+  return entry;
+}
+
+BalanceState StateOf(std::vector<BalanceEndpoint> list) {
+  BalanceState state;
+  UpdateEndpoints(state, std::move(list), kStart);
+  return state;
+}
+
+BalanceQuery ServiceQuery() {
+  BalanceQuery query;
+  query.m_service = "s";
+  return query;
+}
+
+// Guards against sending to an endpoint that said that it leaves because the
+// list, which lags, still shows it as ready.
+TEST_CASE("an endpoint that says that it leaves gets nothing new") {
+  BalanceState state = StateOf({Entry("e1", 7)});
+  CHECK(OnEndpointLeaving(state, "e1"));
+  CHECK_FALSE(OnEndpointLeaving(state, "e1"));
+  UpdateEndpoints(state, {Entry("e1", 7)}, kStart + seconds(1));
+  CHECK_FALSE(SelectEndpoint(state, ServiceQuery(), kStart + seconds(1)));
+}
+
+// Guards against using a leaving endpoint again when its entry, removed during
+// an outage of the store, returns.
+TEST_CASE("a leaving endpoint stays out when its entry vanishes and returns") {
+  BalanceState state = StateOf({Entry("e1", 7)});
+  OnEndpointLeaving(state, "e1");
+  UpdateEndpoints(state, {}, kStart + seconds(1));
+  UpdateEndpoints(state, {Entry("e1", 7)}, kStart + seconds(3));
+  CHECK_FALSE(SelectEndpoint(state, ServiceQuery(), kStart + seconds(3)));
+}
+
+TEST_CASE("a restarted endpoint is another endpoint") {
+  BalanceState state = StateOf({Entry("e1", 7)});
+  OnEndpointLeaving(state, "e1");
+  OnEndpointFull(state, "e1", 30.0, kStart);
+  const auto obsolete =
+      UpdateEndpoints(state, {Entry("e1", 8)}, kStart + seconds(1));
+  CHECK(obsolete == std::vector<std::string>{"10.0.0.1:1"});
+  CHECK(SelectEndpoint(state, ServiceQuery(), kStart + seconds(1)));
+}
+
+// Guards against requests within the pause that a full endpoint asked for,
+// also after a later rejection without one.
+TEST_CASE("a full endpoint gets nothing for the time that it asks for") {
+  BalanceState state = StateOf({Entry("e1", 7)});
+  OnEndpointFull(state, "e1", 2.5, kStart);
+  OnEndpointFull(state, "e1", std::nullopt, kStart);
+  const auto chosen = [&state](Duration after) {
+    return SelectEndpoint(state, ServiceQuery(), kStart + after).has_value();
+  };
+  CHECK_FALSE(chosen(milliseconds(2499)));
+  CHECK(chosen(milliseconds(2500)));
+}
+
+TEST_CASE("a pause lasts when the entry vanishes and returns") {
+  BalanceState state = StateOf({Entry("e1", 7)});
+  OnEndpointFull(state, "e1", 5.0, kStart);
+  UpdateEndpoints(state, {}, kStart + seconds(1));
+  UpdateEndpoints(state, {Entry("e1", 7)}, kStart + seconds(2));
+  CHECK_FALSE(SelectEndpoint(state, ServiceQuery(), kStart + seconds(4)));
+  CHECK(SelectEndpoint(state, ServiceQuery(), kStart + seconds(5)));
+}
+
+// Guards against an endpoint that is lost for good, or time values that
+// overflow, because of a number in a response.
+TEST_CASE("absurd pauses are corrected") {
+  const double infinity = std::numeric_limits<double>::infinity();
+  for (const double pause : {1e308, infinity, 1e9}) {
+    CAPTURE(pause);
+    BalanceState state = StateOf({Entry("e1", 7)});
+    OnEndpointFull(state, "e1", pause, kStart);
+    CHECK_FALSE(SelectEndpoint(state, ServiceQuery(), kStart + seconds(59)));
+    CHECK(SelectEndpoint(state, ServiceQuery(), kStart + minutes(2)));
+  }
+  for (const double pause : {0.0, -1e308, -infinity, std::nan("")}) {
+    CAPTURE(pause);
+    BalanceState state = StateOf({Entry("e1", 7)});
+    OnEndpointFull(state, "e1", pause, kStart);
+    CHECK_FALSE(SelectEndpoint(state, ServiceQuery(), kStart));
+    CHECK(SelectEndpoint(state, ServiceQuery(), kStart + seconds(1)));
+  }
+}
+
+// Guards against a list of vanished endpoints that grows without bound.
+TEST_CASE("what vanished endpoints said is forgotten in the end") {
+  BalanceState state = StateOf({Entry("e1", 7)});
+  OnEndpointLeaving(state, "e1");
+  UpdateEndpoints(state, {}, kStart);
+  CHECK(state.m_vanished.size() == 1);
+  UpdateEndpoints(state, {}, kStart + minutes(30));
+  CHECK(state.m_vanished.empty());
+}
+
+}  // namespace
+}  // namespace comfreypaddle
--- a/tests/relaycall_test.cpp
+++ b/tests/relaycall_test.cpp
@@ -40,6 +40,9 @@
     terms.m_not_run = FindFieldIgnoreCase(fields, "not-run") != nullptr;
     terms.m_wrong_endpoint = status == 421;
     terms.m_is_stream = FindFieldIgnoreCase(fields, "stream") != nullptr;
+    terms.m_leaving = FindFieldIgnoreCase(fields, "leaving") != nullptr;
+    const std::string* pause = FindFieldIgnoreCase(fields, "pause");
+    if (pause != nullptr) terms.m_retry_after_s = std::stod(*pause);
     return terms;
   }
   ResponseMatch MatchAttempt(const HttpFields& /*fields*/,
@@ -368,5 +371,36 @@
   CHECK(crashed.size() == 1);
 }
 
+// Guards against new requests to an endpoint whose answer said that it leaves.
+TEST_CASE("after an answer of a leaving endpoint requests go elsewhere") {
+  Fixture f;
+  ALLOW_CALL(f.m_callers, Respond(_, 200, _, _));
+  f.Ask(1, "/once/x");
+  const std::string leaving = f.m_endpoints.To(0);
+  f.Answer(0, 200, {{"leaving", "1"}}, "body");
+  CHECK(f.m_state.m_counters.m_leaving == 1);
+  for (std::uint64_t id = 2; id <= 12; ++id) {
+    f.Ask(id, "/once/x");
+    REQUIRE(f.m_endpoints.m_calls.size() == id);
+    CHECK(f.m_endpoints.To(id - 1) != leaving);
+    f.Answer(id - 1, 200, {}, "body");
+  }
+}
+
+// Guards against requests to an endpoint within the pause that it asked for.
+TEST_CASE("an endpoint that asks for a pause gets nothing until it ends") {
+  Fixture f;
+  ALLOW_CALL(f.m_callers, Respond(_, _, _, _));
+  f.Ask(1, "/once/x");
+  const std::string paused = f.m_endpoints.To(0);
+  f.Answer(0, 503, {{"not-run", "1"}, {"pause", "2.5"}});
+  CHECK(f.m_state.m_counters.m_pauses == 1);
+  f.m_now += milliseconds(2400);
+  for (std::uint64_t id = 2; id <= 9; ++id) {
+    f.Ask(id, "/once/x");
+    CHECK(f.m_endpoints.To(f.m_endpoints.m_calls.size() - 1) != paused);
+  }
+}
+
 }  // namespace
 }  // namespace comfreypaddle
