--- a/src/endpointstate.h
+++ b/src/endpointstate.h
@@ -85,8 +85,8 @@
   std::string m_region;
 };
 
-// Replaces the list of endpoints. An endpoint keeps the load and health that are
-// known of it if id, start time and address are the same; otherwise it has
+// Replaces the list of endpoints. An endpoint keeps the load and health that
+// are known of it if id, start time and address are the same; otherwise it has
 // restarted. Returns the addresses of which idle connections must be closed,
 // because their endpoint is gone or has restarted.
 std::vector<std::string> UpdateEndpoints(BalanceState& state,
@@ -98,8 +98,8 @@
 const BalanceEndpoint* FindEndpoint(const BalanceState& state,
                                     const std::string& id);
 
-// Whether the endpoint may be sent requests: it is not leaving and has not asked
-// for a pause that still lasts.
+// Whether the endpoint may be sent requests: it is not leaving and has not
+// asked for a pause that still lasts.
 bool AcceptsRequests(const BalanceEndpoint& endpoint, Instant now);
 
 // Accounts for a request that was sent to the endpoint.
--- a/src/eventlog.cpp
+++ b/src/eventlog.cpp
@@ -47,6 +47,10 @@
   return true;
 }
 
+// Whether the character needs no quoting: printable ASCII. Bytes outside it
+// come from other writers and may be no valid text.
+bool IsPlain(char c) { return c > ' ' && c <= '~' && c != '"'; }
+
 void WriteToStdout(const std::string& text) {
   // The result is ignored: a partial write truncates only this line.
   [[maybe_unused]] const ssize_t count =
@@ -80,13 +84,10 @@
   m_text += ' ';
   m_text += key;
   m_text += '=';
-  if (value.find_first_of(" \"\n\r") == std::string_view::npos) {
-    m_text += value;
-    return *this;
-  }
-  m_text += '"';
-  for (const char c : value) m_text += c == '"' || c < ' ' ? '_' : c;
-  m_text += '"';
+  const bool is_plain = std::all_of(value.begin(), value.end(), IsPlain);
+  if (!is_plain) m_text += '"';
+  for (const char c : value) m_text += IsPlain(c) || c == ' ' ? c : '_';
+  if (!is_plain) m_text += '"';
   return *this;
 }
 
--- a/src/relayattempt.cpp
+++ b/src/relayattempt.cpp
@@ -417,7 +417,8 @@
         state.m_clock() - attempt.m_sent;
     OnPrefillTimed(state.m_balance, attempt.m_endpoint,
                    {work_tokens, work_ms, took.count()}, state.m_clock());
-    call.m_source = CacheSource{attempt.m_endpoint, attempt.m_address, read->m_handle};
+    call.m_source =
+        CacheSource{attempt.m_endpoint, attempt.m_address, read->m_handle};
     RunWithPrefilledCache(state, call);
     return;
   }
@@ -435,7 +436,8 @@
 
 void SendPrefill(RelayState& state, RelayCall& call,
                  const BalanceChoice& choice) {
-  const BalanceEndpoint& endpoint = *FindEndpoint(state.m_balance, choice.m_prefill);
+  const BalanceEndpoint& endpoint =
+      *FindEndpoint(state.m_balance, choice.m_prefill);
   BeginAttempt(state, call, endpoint, choice.m_work_ms);
   call.m_stage = CallStage::kPrefill;
   call.m_planned_decode = choice.m_endpoint;
