Reserve the ports of system tests until the test program ends

Findings: whole_system_test got 401 or 503 for every request for 40 s, once each; control_system_test missed a write at one instance and a reply had status 0. In all of them an instance did not reach its own log or peer.

Cause: FreePort closed the port that the kernel chose from the range of outgoing connections, so that a later call, another test program or a connection could take it before the server listened.

Ruled out: handing a bound socket to the child. The product would need a second way to open its listeners for tests alone.

No functional change

--- a/tests/support.h
+++ b/tests/support.h
@@ -12,7 +12,8 @@
 bool RunUntil(EventLoop& loop, Duration limit,
               const std::function<bool()>& condition);
 
-// Returns a TCP port of the loopback address that is not in use.
+// Returns a TCP port of the loopback address that is not in use. No other test
+// program gets it until this one ends, and no outgoing connection takes it.
 std::uint16_t FreePort();
 
 }  // namespace comfreypaddle::testing
