Find a crash that a probe answered shortly before had hidden

Finding: beside other work poison_system_test saw 3 to 6 crashes of engines where 2 are allowed.

Cause: an engine that crashes answers the probe before it stops listening. The call resumes, the resume is refused, and nothing asked again whether the engine had crashed, so that the crash did not count against the request and it crashed the next engine. A probe whose own connection broke also counted as a sign of life.

Ruled out: waiting a fixed time before the probe. It delays every resume and is too short on a busy machine.

Change: a resume that is refused or finds the stream gone probes the endpoint again, and a probe whose connection breaks is repeated, three in all.

--- a/src/attempt.cpp
+++ b/src/attempt.cpp
@@ -87,6 +87,17 @@
            state.m_clock());
 }
 
+// Whether only a probe can tell if the endpoint has crashed. An engine that
+// crashes may answer a probe before it stops listening, so that a resume that
+// finds it gone or restarted asks again.
+bool NeedsProbe(const OpenCall& call, FailureKind kind) {
+  if (call.m_validated_request.m_kind != FleetKind::kEngine) return false;
+  if (kind == FailureKind::kConnectionLost) return true;
+  return call.m_exchange.m_attempt.m_resume &&
+         (kind == FailureKind::kConnectFailed ||
+          kind == FailureKind::kStaleStream);
+}
+
 void FailAttempt(CallState& state, OpenCall& call, FailureKind kind) {
   state.m_endpoints->Cancel(call.m_http);
   call.m_http = 0;
@@ -96,9 +107,7 @@
             << " endpoint=" << call.m_choice.m_endpoint
             << " attempt=" << call.m_attempt << " failure=" << ToName(kind)
             << " position=" << call.m_exchange.m_position;
-  // Only a probe can distinguish a crashed endpoint from a broken connection.
-  if (kind == FailureKind::kConnectionLost &&
-      call.m_validated_request.m_kind == FleetKind::kEngine) {
+  if (NeedsProbe(call, kind)) {
     ProbeEndpoint(state, call);
     return;
   }
--- a/src/calls.h
+++ b/src/calls.h
@@ -128,6 +128,7 @@
   std::string m_incarnation;  // Of the last load report.
   // Calls with a broken connection that wait for the result.
   std::vector<std::uint64_t> m_waiting_calls;
+  std::uint32_t m_broken = 0;  // Probes in a row whose connection broke.
 };
 
 // Permission to admit requests that need a key.
--- a/src/probe.cpp
+++ b/src/probe.cpp
@@ -15,6 +15,10 @@
 
 constexpr Duration kProbeTimeout = std::chrono::seconds(1);
 
+// Probes of one failure whose connection breaks before the answer. The endpoint
+// may be about to stop listening.
+constexpr std::uint32_t kMaxBrokenProbes = 3;
+
 constexpr int kOk = 200;
 
 // Applies a load report and returns whether the endpoint restarted since the
@@ -97,12 +101,30 @@
   }
 }
 
+void StartProbe(CallState& state, const std::string& name,
+                const std::string& address);
+
+// Probes again if the connection of a probe for a failed call broke. Returns
+// whether it did.
+bool RepeatBrokenProbe(CallState& state, const std::string& name,
+                       EndpointProbe& probe, const HttpResult& result) {
+  const auto endpoint = state.m_tables.m_endpoints.find(name);
+  const bool repeat = result.m_error == HttpError::kConnectionLost &&
+                      !probe.m_waiting_calls.empty() &&
+                      endpoint != state.m_tables.m_endpoints.end() &&
+                      ++probe.m_broken < kMaxBrokenProbes;
+  if (repeat) StartProbe(state, name, endpoint->second.m_value.m_address);
+  return repeat;
+}
+
 void OnProbeEnd(CallState& state, const std::string& name,
                 const std::string& body, const HttpResult& result) {
   const auto found = state.m_probes.find(name);
   if (found == state.m_probes.end()) return;
   EndpointProbe& probe = found->second;
   probe.m_call = 0;
+  if (RepeatBrokenProbe(state, name, probe, result)) return;
+  probe.m_broken = 0;
   ProbeResult probe_result = ProbeResult::kAlive;
   if (result.m_error == HttpError::kConnectFailed) {
     probe_result = ProbeResult::kUnreachable;
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -295,5 +295,42 @@
   CHECK(suspects == expected);
 }
 
+// Guards against a request that crashes one engine after the other, because an
+// engine answers the probe before it stops listening.
+TEST_CASE("a crash after an answered probe is found by the resume") {
+  GatewayFixture bench;
+  std::size_t suspects = 0;
+  ALLOW_CALL(bench.m_records, ReportSuspect(_)).LR_SIDE_EFFECT(++suspects);
+  bench.Accept(1, true);
+  bench.End(0, HttpError::kConnectionLost);
+  REQUIRE(bench.m_started.size() == 2);
+  bench.m_started[1].m_events.m_on_body("{}");
+  bench.m_started[1].m_events.m_on_end({HttpError::kOk, 200, true});
+  REQUIRE(bench.m_started.size() == 3);
+  REQUIRE(Has(bench.m_started[2].m_call.m_url, "/resume"));
+  CHECK(suspects == 0);
+  bench.End(2, HttpError::kConnectFailed, false);
+  REQUIRE(bench.m_started.size() == 4);
+  REQUIRE(Has(bench.m_started[3].m_call.m_url, "/v1/load"));
+  bench.End(3, HttpError::kConnectFailed, false);
+  CHECK(suspects == 1);
+}
+
+// Guards against a broken connection of the probe that is taken for a sign of
+// life.
+TEST_CASE("a probe whose connection breaks is repeated") {
+  GatewayFixture bench;
+  std::size_t suspects = 0;
+  ALLOW_CALL(bench.m_records, ReportSuspect(_)).LR_SIDE_EFFECT(++suspects);
+  bench.Accept(1, true);
+  bench.End(0, HttpError::kConnectionLost);
+  REQUIRE(bench.m_started.size() == 2);
+  bench.End(1, HttpError::kConnectionLost);
+  REQUIRE(bench.m_started.size() == 3);
+  REQUIRE(Has(bench.m_started[2].m_call.m_url, "/v1/load"));
+  bench.End(2, HttpError::kConnectFailed, false);
+  CHECK(suspects == 1);
+}
+
 }  // namespace
 }  // namespace comfreypaddle
