Give long prompts the time that they are expected to take

Cause: an endpoint that computes a long prompt answers nobody meanwhile. After 1 s of silence it counted as dead, its prompts were cancelled and started anew at a slower decode endpoint; in any case after 2.5 s, which a prompt of 60,000 tokens needs alone.

Ruled out: capacity. The own parts of the prompts of the worst five seconds are 38 in 100 of what the engines compute in that time.

Change: both timeouts of a stream grow by 1.5 times the estimate with which the endpoint was chosen, queue included.

--- a/src/relayattempt.cpp
+++ b/src/relayattempt.cpp
@@ -29,6 +29,11 @@
 // the load.
 constexpr Duration kDeadEndpointTimeout = std::chrono::milliseconds(1000);
 
+// Factor of the estimated time to the first event that is added to both
+// timeouts of streams: an endpoint that computes a long prompt answers nobody
+// meanwhile.
+constexpr double kExpectedTimeFactor = 1.5;
+
 // Timeout for the response head of a stream whose endpoint responds to other
 // requests.
 constexpr Duration kStreamHeadTimeout = std::chrono::milliseconds(2500);
@@ -477,7 +482,10 @@
                          call.m_route->target_ms() * kPlainHeadTimeoutRatio *
                          kMicrosPerMs));
   }
-  if (elapsed > kStreamHeadTimeout) return true;
+  const auto expected = std::chrono::duration_cast<Duration>(
+      call.m_expected * kExpectedTimeFactor);
+  if (elapsed > kStreamHeadTimeout + expected) return true;
+  const Duration dead = kDeadEndpointTimeout + expected;
   const BalanceEndpoint* endpoint =
       FindEndpoint(state.m_balance, call.m_attempt.m_endpoint);
   if (endpoint == nullptr) return elapsed > kDeadEndpointTimeout;
@@ -508,6 +516,7 @@
       .Add("prefill", choice->m_prefill)
       .Add("reason", ToName(choice->m_reason))
       .Add("estimate_ms", static_cast<std::int64_t>(choice->m_estimate_ms))
+  call.m_expected = FromMs(choice->m_estimate_ms);
       .Add("shared_prefix_tokens",
            static_cast<std::int64_t>(call.m_query.m_shared_prefix_tokens))
       .Add("suffix_tokens",
--- a/src/relaystate.h
+++ b/src/relaystate.h
@@ -101,6 +101,7 @@
   // KV cache prefilled for the request that no endpoint has fetched yet.
   std::optional<CacheSource> m_source;
   std::string m_planned_decode;
+  Duration m_expected{0};  // Estimated time to the first event when dispatched.
   std::uint32_t m_prefills = 0;
   std::uint32_t m_sends = 0;        // Without those for prefill only.
   std::uint32_t m_runs = 0;         // Sends that may have been executed.
--- a/tests/relaycall_test.cpp
+++ b/tests/relaycall_test.cpp
@@ -23,7 +23,8 @@
     const std::string* key = FindFieldIgnoreCase(request.m_headers, "k");
     if (key != nullptr) terms.m_key = *key;
     terms.m_attempt = "t" + std::to_string(request.m_id);
-    terms.m_time_left = milliseconds(4000);
+    terms.m_time_left = milliseconds(20'000);
+    terms.m_prompt_tokens = m_prompt_tokens;
     return terms;
   }
   HttpFields EndpointFields(const HttpRequest& /*request*/,
@@ -63,6 +64,8 @@
     return "/free/" + std::string(handle);
   }
   std::string_view ReadinessTarget() const override { return "/ready"; }
+
+  std::uint32_t m_prompt_tokens = 0;
 };
 
 class MockCallers : public ResponsePort {
@@ -402,5 +405,31 @@
   }
 }
 
+// Guards against giving up an endpoint that computes a long prompt: it answers
+// nobody meanwhile, and the same prompt takes at least as long elsewhere.
+TEST_CASE("an attempt may take as long as its prompt is expected to take") {
+  Fixture f;
+  schema::Catalog catalog = f.m_state.m_catalog->Message();
+  catalog.mutable_routes(3)->set_prompt(true);
+  catalog.mutable_routes(3)->set_timeout_ms(20'000);
+  f.m_state.m_catalog = std::make_shared<const CatalogIndex>(catalog);
+  for (auto& [id, endpoint] : f.m_state.m_balance.m_endpoints) {
+    endpoint.m_stage = EngineStage::kDecode;
+  }
+  f.m_format.m_prompt_tokens = 60'000;
+  f.m_state.m_balance.m_speeds["s"].m_prefill_tokens_per_ms = 80;
+  f.Ask(1, "/again/x");
+  REQUIRE(f.m_endpoints.m_calls.size() == 1);
+  // 60,000 tokens take 2.5 s at the speed of a decode endpoint.
+  f.m_now += milliseconds(3200);
+  TickCalls(f.m_state);
+  CHECK(f.m_endpoints.m_cancelled.empty());
+  f.m_format.m_prompt_tokens = 100;
+  f.Ask(2, "/again/x");
+  f.m_now += milliseconds(1200);
+  TickCalls(f.m_state);
+  CHECK(f.m_endpoints.m_cancelled.size() == 1);
+}
+
 }  // namespace
 }  // namespace comfreypaddle
