--- a/src/endpointstate.cpp
+++ b/src/endpointstate.cpp
@@ -34,8 +34,14 @@
 // How long the state of an endpoint that vanished from the list is kept.
 constexpr Duration kVanishedRetention = std::chrono::minutes(10);
 
-// Weights of a new sample of the prefill speed. Queueing only makes a sample
-// slower, so the estimate follows the fast samples.
+// Uses of prefixes that are kept for the next message to the other instances.
+constexpr std::size_t kMaxNewPrefixes = 64;
+
+// Number of samples of the prefill speed of which the fastest one is taken.
+constexpr std::uint32_t kInitialSamples = 5;
+
+// Weights of a further sample of the prefill speed. Queueing only makes a
+// sample slower, so the estimate follows the fast samples.
 constexpr double kFasterSampleWeight = 0.2;
 constexpr double kSlowerSampleWeight = 0.01;
 
@@ -56,6 +62,24 @@
   return std::max<Duration>(std::chrono::ceil<Duration>(pause), kFullBackoff);
 }
 
+// Updates the prefill speed. The value before the first sample is a guess.
+void AddSpeedSample(EngineSpeed& speed, double sample) {
+  double& estimate = speed.m_prefill_tokens_per_ms;
+  if (speed.m_samples == 0) {
+    estimate = sample;
+  } else if (speed.m_samples < kInitialSamples) {
+    estimate = std::max(estimate, sample);
+  } else {
+    const double weight =
+        sample > estimate ? kFasterSampleWeight : kSlowerSampleWeight;
+    estimate += weight * (sample - estimate);
+  }
+  if (speed.m_samples < kInitialSamples) ++speed.m_samples;
+  constexpr double kMinSpeed = 10;
+  constexpr double kMaxSpeed = 1000;
+  estimate = std::clamp(estimate, kMinSpeed, kMaxSpeed);
+}
+
 bool IsSameLifetime(const BalanceEndpoint& endpoint, std::uint64_t born_ms,
                     const std::string& address) {
   return endpoint.m_born_ms == born_ms && endpoint.m_address == address;
@@ -230,13 +254,8 @@
   // Short prompts are dominated by fixed costs and say little about the speed.
   constexpr double kMinTokens = 2000;
   if (timing.m_tokens < kMinTokens || timing.m_elapsed_ms <= 1) return;
-  double& speed = state.m_speeds[found->m_service].m_prefill_tokens_per_ms;
-  const double sample = timing.m_tokens / timing.m_elapsed_ms;
-  speed += (sample > speed ? kFasterSampleWeight : kSlowerSampleWeight) *
-           (sample - speed);
-  constexpr double kMinSpeed = 10;
-  constexpr double kMaxSpeed = 1000;
-  speed = std::clamp(speed, kMinSpeed, kMaxSpeed);
+  AddSpeedSample(state.m_speeds[found->m_service],
+                 timing.m_tokens / timing.m_elapsed_ms);
 }
 
 }  // namespace comfreypaddle
--- a/src/endpointstate.h
+++ b/src/endpointstate.h
@@ -68,6 +68,7 @@
 };
 
 // What an endpoint that vanished from the list said about itself. An entry that
+  std::uint32_t m_samples = 0;          // Of the prefill speed.
 // was removed during an outage of the store may return.
 struct VanishedEndpoint {
   std::uint64_t m_born_ms = 0;
--- a/tests/endpointstate_test.cpp
+++ b/tests/endpointstate_test.cpp
@@ -121,5 +121,22 @@
   CHECK(state.m_vanished.empty());
 }
 
+// Guards against estimates of slow engines that stay far too short for as many
+// requests as one instance of many sees in minutes.
+TEST_CASE("the prefill speed is known after a few prompts") {
+  for (const double speed : {20.0, 37.0, 157.0, 400.0}) {
+    CAPTURE(speed);
+    BalanceState state = StateOf({Entry("e1", 7)});
+    constexpr double kTokens = 4000;
+    const double alone_ms = kTokens / speed;
+    for (const double queued_ms : {300.0, 0.0, 900.0, 40.0, 2000.0, 700.0}) {
+      OnPrefillTimed(state, "e1", {kTokens, alone_ms, alone_ms + queued_ms},
+                     kStart);
+    }
+    CHECK(state.m_speeds["s"].m_prefill_tokens_per_ms ==
+          doctest::Approx(speed).epsilon(0.1));
+  }
+}
+
 }  // namespace
 }  // namespace comfreypaddle
