Fetch shared prompt prefixes from endpoints that hold them

Cause: a prefix was expected at two endpoints of each stage by rendezvous hash and computed anew wherever else a prompt went; instances did not know where the others had sent it, and copies that came with KV hand-overs were ignored.

Change: each instance keeps which endpoints used a prefix lately (prefixmap), and tells the others with the load that it shares anyway, 12 bytes a use, each use again after 10 s at the earliest, 48 in a message. A prefix that nobody is known to hold goes to its home, one endpoint, with half of it expected there.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -45,14 +45,18 @@
 // Time constant with which a sample of the queueing delay decays.
 constexpr double kWaitDecayMs = 500;
 
-// Prompt prefixes up to this length are recomputed anywhere instead of being
-// routed by affinity.
-constexpr double kMaxUnroutedPrefixTokens = 1500;
-
-// Cost factor of recomputing a shared prefix: it also evicts others from the
-// cache.
+// Cost factor of recomputing a shared prefix away from its home: it also evicts
+// others from the cache.
 constexpr double kRecomputeCostFactor = 1.5;
 
+// Fraction of a prefix that its home is expected to compute if no holder is
+// known.
+constexpr double kUnknownHomeRatio = 0.5;
+
+// Cost of another copy of a shared prefix in addition to its transfer, in
+// milliseconds: it evicts others from the cache.
+constexpr double kPrefixCopyCostMs = 60;
+
 bool IsExcluded(const BalanceQuery& query, const std::string& id) {
   return std::find(query.m_excluded.begin(), query.m_excluded.end(), id) !=
          query.m_excluded.end();
@@ -161,98 +165,184 @@
   return std::max(LoadOf(endpoint, now).m_prefill_ms, decayed);
 }
 
+// Time of a KV cache transfer between two endpoints.
+double KvTransferMs(const BalanceEndpoint& from, const BalanceEndpoint& to,
+                    double tokens, const EngineSpeed& speed) {
+  if (speed.m_link_mbps <= 0) return kKvTransferSetupMs;
+  constexpr double kBitsPerByte = 8;
+  constexpr double kBitsPerMsAndMbps = 1000;
+  double ms = tokens * speed.m_kv_token_bytes * kBitsPerByte /
+              (speed.m_link_mbps * kBitsPerMsAndMbps);
+  if (from.m_region != to.m_region) {
+    constexpr double kCrossRegionFactor = 10;
+    ms *= kCrossRegionFactor;
+  } else if (from.m_zone != to.m_zone) {
+    constexpr double kCrossZoneFactor = 2;
+    ms *= kCrossZoneFactor;
+  }
+  return ms + kKvTransferSetupMs;
+}
+
+// Where the shared prefix of a prompt is cached: the endpoints that are known
+// to hold it, and its home, the endpoint with the highest rendezvous hash. All
+// instances compute the same home without exchanging state, so that a prefix
+// that nobody is known to hold is computed there and not at several endpoints.
+struct PrefixPlacement {
+  bool m_is_routed = false;  // The prefix is long enough to care.
+  Candidates m_holders;
+  const BalanceEndpoint* m_home = nullptr;
+};
+
+Candidates FindRunningHolders(const BalanceState& state,
+                              const BalanceQuery& query, Instant now) {
+  Candidates running;
+  for (const PrefixHolder& holder :
+       FindHolders(state.m_prefixes, query.m_shared_prefix_hash, now)) {
+    const BalanceEndpoint* endpoint = FindEndpoint(state, holder.m_endpoint);
+    if (endpoint == nullptr || endpoint->m_born_ms != holder.m_born_ms ||
+        now < endpoint->m_avoid_until) {
+      continue;
+    }
+    running.push_back(endpoint);
+  }
+  return running;
+}
+
+// The home of a prefix among the endpoints of the stage. Room and recent
+// failures, which each instance sees differently, do not matter.
+const BalanceEndpoint* FindHome(const BalanceState& state,
+                                const BalanceQuery& query, EngineStage stage,
+                                Instant now) {
+  const BalanceEndpoint* home = nullptr;
+  std::uint64_t highest = 0;
+  for (const auto& [id, endpoint] : state.m_endpoints) {
+    if (endpoint.m_service != query.m_service || endpoint.m_stage != stage ||
+        !AcceptsRequests(endpoint, now)) {
+      continue;
+    }
+    const std::uint64_t rank =
+        RendezvousRank(endpoint, query.m_shared_prefix_hash);
+    if (home != nullptr && rank <= highest) continue;
+    home = &endpoint;
+    highest = rank;
+  }
+  return home;
+}
+
+PrefixPlacement PlacePrefix(const BalanceState& state,
+                            const BalanceQuery& query, Instant now) {
+  PrefixPlacement placement;
+  placement.m_is_routed =
+      query.m_shared_prefix_hash != 0 &&
+      query.m_shared_prefix_tokens > kMaxUnroutedPrefixTokens;
+  if (!placement.m_is_routed) return placement;
+  placement.m_holders = FindRunningHolders(state, query, now);
+  placement.m_home = FindHome(state, query, EngineStage::kPrefill, now);
+  if (placement.m_home == nullptr) {
+    placement.m_home = FindHome(state, query, EngineStage::kDecode, now);
+  }
+  return placement;
+}
+
+// How an endpoint gets the shared prefix of a prompt.
+struct PrefixAccess {
+  bool m_is_cached = false;
+  double m_compute_tokens = 0;  // Prefix tokens that it computes.
+  double m_fetch_ms = 0;        // Time of the transfer from the source.
+  // Endpoint to fetch what is missing from; null if none is known.
+  const BalanceEndpoint* m_source = nullptr;
+};
+
+// The holder from which the endpoint fetches the prefix fastest.
+const BalanceEndpoint* NearestHolder(const PrefixPlacement& placement,
+                                     const BalanceEndpoint& endpoint,
+                                     const BalanceQuery& query,
+                                     const EngineSpeed& speed,
+                                     double* fetch_ms) {
+  const BalanceEndpoint* nearest = nullptr;
+  for (const BalanceEndpoint* holder : placement.m_holders) {
+    if (holder == &endpoint) continue;
+    const double ms =
+        KvTransferMs(*holder, endpoint, query.m_shared_prefix_tokens, speed);
+    if (nearest != nullptr && ms >= *fetch_ms) continue;
+    nearest = holder;
+    *fetch_ms = ms;
+  }
+  return nearest;
+}
+
+// How an endpoint gets a prefix that no endpoint is known to hold. Its home may
+// have it from requests of which this instance has not heard.
+PrefixAccess AccessUnknownPrefix(const PrefixPlacement& placement,
+                                 const BalanceEndpoint& endpoint,
+                                 const BalanceQuery& query) {
+  PrefixAccess access;
+  access.m_is_cached = &endpoint == placement.m_home;
+  access.m_compute_tokens =
+      query.m_shared_prefix_tokens *
+      (access.m_is_cached ? kUnknownHomeRatio : kRecomputeCostFactor);
+  if (!access.m_is_cached) access.m_source = placement.m_home;
+  return access;
+}
+
+PrefixAccess AccessPrefix(const PrefixPlacement& placement,
+                          const BalanceEndpoint& endpoint,
+                          const BalanceQuery& query, const EngineSpeed& speed) {
+  PrefixAccess access;
+  if (!placement.m_is_routed) {
+    access.m_compute_tokens = query.m_shared_prefix_tokens;
+    return access;
+  }
+  const auto& holders = placement.m_holders;
+  if (holders.empty()) return AccessUnknownPrefix(placement, endpoint, query);
+  access.m_is_cached =
+      std::find(holders.begin(), holders.end(), &endpoint) != holders.end();
+  double fetch_ms = 0;
+  access.m_source = NearestHolder(placement, endpoint, query, speed, &fetch_ms);
+  if (!access.m_is_cached) access.m_fetch_ms = fetch_ms + kPrefixCopyCostMs;
+  return access;
+}
+
 PrefillEstimate EstimatePrefill(const BalanceEndpoint& endpoint,
                                 const BalanceQuery& query,
-                                const EngineSpeed& speed, bool is_preferred,
-                                Instant now) {
-  const double tokens =
-      query.m_suffix_tokens +
-      (is_preferred ? 0 : kRecomputeCostFactor * query.m_shared_prefix_tokens);
+                                const EngineSpeed& speed,
+                                const PrefixAccess& access, Instant now) {
+  const double tokens = query.m_suffix_tokens + access.m_compute_tokens;
   const double factor =
       endpoint.m_stage == EngineStage::kPrefill ? 1 : kDecodePrefillSpeedRatio;
-  return {WaitMs(endpoint, now),
-          tokens / (speed.m_prefill_tokens_per_ms * factor)};
+  return {
+      WaitMs(endpoint, now),
+      access.m_fetch_ms + tokens / (speed.m_prefill_tokens_per_ms * factor)};
 }
 
 // Best candidate for the prefill.
 struct PrefillCandidate {
   const BalanceEndpoint* m_endpoint = nullptr;
-  bool m_is_preferred = false;
+  PrefixAccess m_access;
   PrefillEstimate m_estimate;
   double m_total_ms = std::numeric_limits<double>::max();
 };
 
-// The endpoints with the highest and second highest rendezvous hash for a
-// prompt prefix.
-struct PreferredEndpoints {
-  const BalanceEndpoint* m_first = nullptr;
-  const BalanceEndpoint* m_second = nullptr;
-};
-
-PreferredEndpoints FindPreferred(const Candidates& candidates,
-                                 std::uint64_t prefix_hash) {
-  PreferredEndpoints preferred;
-  std::uint64_t first = 0;
-  std::uint64_t second = 0;
-  for (const BalanceEndpoint* endpoint : candidates) {
-    const std::uint64_t rank = RendezvousRank(*endpoint, prefix_hash);
-    if (preferred.m_first == nullptr || rank > first) {
-      preferred.m_second = preferred.m_first;
-      second = first;
-      preferred.m_first = endpoint;
-      first = rank;
-    } else if (preferred.m_second == nullptr || rank > second) {
-      preferred.m_second = endpoint;
-      second = rank;
-    }
-  }
-  return preferred;
-}
-
 PrefillCandidate FindPrefillCandidate(const BalanceState& state,
                                       const BalanceQuery& query,
+                                      const PrefixPlacement& placement,
                                       const Candidates& candidates,
                                       const EngineSpeed& speed, Instant now) {
-  const PreferredEndpoints preferred =
-      query.m_shared_prefix_hash == 0
-          ? PreferredEndpoints{}
-          : FindPreferred(candidates, query.m_shared_prefix_hash);
-  const bool ignores_affinity =
-      query.m_shared_prefix_tokens <= kMaxUnroutedPrefixTokens;
   PrefillCandidate best;
   for (const BalanceEndpoint* endpoint : candidates) {
-    const bool is_preferred = endpoint == preferred.m_first;
-    if (!ignores_affinity && !is_preferred && endpoint != preferred.m_second)
-      continue;
+    const PrefixAccess access =
+        AccessPrefix(placement, *endpoint, query, speed);
     const PrefillEstimate estimate =
-        EstimatePrefill(*endpoint, query, speed, is_preferred, now);
+        EstimatePrefill(*endpoint, query, speed, access, now);
     const double total = estimate.Total() + NetworkCostMs(state, *endpoint) +
-                         (ignores_affinity ? TieBreakMs(*endpoint, query) : 0) +
+                         TieBreakMs(*endpoint, query) +
                          ConcurrencyCostMs(*endpoint, LoadOf(*endpoint, now));
     if (total >= best.m_total_ms) continue;
-    best = {endpoint, is_preferred, estimate, total};
+    best = {endpoint, access, estimate, total};
   }
   return best;
 }
 
-double KvTransferMs(const BalanceEndpoint& from, const BalanceEndpoint& to,
-                    const BalanceQuery& query, const EngineSpeed& speed) {
-  if (speed.m_link_mbps <= 0) return kKvTransferSetupMs;
-  constexpr double kBitsPerByte = 8;
-  constexpr double kBitsPerMsAndMbps = 1000;
-  const double tokens = query.m_suffix_tokens + query.m_shared_prefix_tokens;
-  double ms = tokens * speed.m_kv_token_bytes * kBitsPerByte /
-              (speed.m_link_mbps * kBitsPerMsAndMbps);
-  if (from.m_region != to.m_region) {
-    constexpr double kCrossRegionFactor = 10;
-    ms *= kCrossRegionFactor;
-  } else if (from.m_zone != to.m_zone) {
-    constexpr double kCrossZoneFactor = 2;
-    ms *= kCrossZoneFactor;
-  }
-  return ms + kKvTransferSetupMs;
-}
-
 // Decode endpoint with the lowest estimated latency for a prompt that was
 // prefilled at `from`.
 const BalanceEndpoint* FindDecode(const BalanceState& state,
@@ -268,7 +358,11 @@
     double total = NetworkCostMs(state, *endpoint) +
                    TieBreakMs(*endpoint, query) + load.m_prefill_ms +
                    ConcurrencyCostMs(*endpoint, load);
-    if (from != nullptr) total += KvTransferMs(*from, *endpoint, query, speed);
+    if (from != nullptr) {
+      const double tokens =
+          query.m_suffix_tokens + query.m_shared_prefix_tokens;
+      total += KvTransferMs(*from, *endpoint, tokens, speed);
+    }
     if (total >= *total_ms) continue;
     best = endpoint;
     *total_ms = total;
@@ -296,9 +390,16 @@
   }
   if (best == nullptr) return std::nullopt;
   return BalanceChoice{
-      best->m_id, "",
+      best->m_id,
+      "",
       last_resort ? BalanceReason::kLastResort : BalanceReason::kLeastLoad,
-      best_ms, 0};
+      best_ms,
+      0,
+      ""};
+}
+
+std::string AddressOf(const BalanceEndpoint* endpoint) {
+  return endpoint == nullptr ? std::string() : endpoint->m_address;
 }
 
 BalanceReason ReasonOf(bool last_resort, bool is_preferred) {
@@ -317,26 +418,33 @@
       FindCandidates(state, query, EngineStage::kDecode, now, &decode_last);
   if (decoders.empty()) return std::nullopt;
   const EngineSpeed speed = SpeedOf(state, query.m_service);
+  const PrefixPlacement placement = PlacePrefix(state, query, now);
   const PrefillCandidate whole =
-      FindPrefillCandidate(state, query, decoders, speed, now);
-  BalanceChoice choice{whole.m_endpoint->m_id, "",
-                       ReasonOf(decode_last, whole.m_is_preferred),
-                       whole.m_total_ms, whole.m_estimate.m_work_ms};
+      FindPrefillCandidate(state, query, placement, decoders, speed, now);
+  BalanceChoice choice{whole.m_endpoint->m_id,
+                       "",
+                       ReasonOf(decode_last, whole.m_access.m_is_cached),
+                       whole.m_total_ms,
+                       whole.m_estimate.m_work_ms,
+                       AddressOf(whole.m_access.m_source)};
   if (!query.m_allow_split) return choice;
   bool prefill_last = false;
   const Candidates prefillers =
       FindCandidates(state, query, EngineStage::kPrefill, now, &prefill_last);
   if (prefillers.empty() || prefill_last) return choice;
   const PrefillCandidate split =
-      FindPrefillCandidate(state, query, prefillers, speed, now);
+      FindPrefillCandidate(state, query, placement, prefillers, speed, now);
   double decode_ms = 0;
   const BalanceEndpoint* decoder = FindDecode(state, query, split.m_endpoint,
                                               decoders, speed, now, &decode_ms);
   const double total = split.m_total_ms + decode_ms;
   if (total >= choice.m_estimate_ms) return choice;
-  return BalanceChoice{decoder->m_id, split.m_endpoint->m_id,
-                       ReasonOf(false, split.m_is_preferred), total,
-                       split.m_estimate.m_work_ms};
+  return BalanceChoice{decoder->m_id,
+                       split.m_endpoint->m_id,
+                       ReasonOf(false, split.m_access.m_is_cached),
+                       total,
+                       split.m_estimate.m_work_ms,
+                       AddressOf(split.m_access.m_source)};
 }
 
 std::optional<std::string> ChooseDecode(const BalanceState& state,
--- a/src/balance.h
+++ b/src/balance.h
@@ -45,6 +45,9 @@
   BalanceReason m_reason = BalanceReason::kLeastLoad;
   double m_estimate_ms = 0;
   double m_work_ms = 0;  // Prefill work at the endpoint that does it.
+  // Address of an endpoint from which the one that does the prefill fetches the
+  // part of the shared prefix that it lacks; empty if none is known.
+  std::string m_fetch_address;
 };
 
 // Selects the endpoints for a request. Returns nothing if no endpoint can take
--- a/src/endpointstate.cpp
+++ b/src/endpointstate.cpp
@@ -183,6 +183,26 @@
   found->m_prefill_ms += work_ms;
 }
 
+void OnPrefixCached(BalanceState& state, const std::string& endpoint,
+                    std::uint64_t prefix_hash, double tokens, Instant now) {
+  const BalanceEndpoint* found = FindEndpoint(state, endpoint);
+  if (found == nullptr || tokens <= kMaxUnroutedPrefixTokens) return;
+  const bool is_news = RecordPrefix(state.m_prefixes, prefix_hash, endpoint,
+                                    found->m_born_ms, now);
+  if (!is_news || state.m_new_prefixes.size() >= kMaxNewPrefixes) return;
+  state.m_new_prefixes.push_back({prefix_hash, found->m_hash});
+}
+
+std::vector<CachedPrefix> TakeNewPrefixes(BalanceState& state) {
+  return std::exchange(state.m_new_prefixes, {});
+}
+
+void OnPeerPrefix(BalanceState& state, const BalanceEndpoint& endpoint,
+                  std::uint64_t prefix_hash, Instant now) {
+  RecordPrefix(state.m_prefixes, prefix_hash, endpoint.m_id, endpoint.m_born_ms,
+               now);
+}
+
 void OnPrefillDone(BalanceState& state, const std::string& endpoint,
                    double work_ms) {
   BalanceEndpoint* found = FindEndpoint(state, endpoint);
--- a/src/endpointstate.h
+++ b/src/endpointstate.h
@@ -7,10 +7,15 @@
 #include <string>
 #include <vector>
 
+#include "prefixmap.h"
 #include "types.h"
 
 namespace comfreypaddle {
 
+// Prompt prefixes up to this length are recomputed anywhere instead of being
+// routed by affinity.
+inline constexpr double kMaxUnroutedPrefixTokens = 1500;
+
 enum class EngineStage { kNone, kPrefill, kDecode };
 
 template <>
@@ -63,12 +68,12 @@
 // Measured speeds of a service's engines.
 struct EngineSpeed {
   double m_prefill_tokens_per_ms = 80;  // Of a dedicated prefill endpoint.
+  std::uint32_t m_samples = 0;          // Of the prefill speed.
   double m_kv_token_bytes = 0;
   double m_link_mbps = 0;
 };
 
 // What an endpoint that vanished from the list said about itself. An entry that
-  std::uint32_t m_samples = 0;          // Of the prefill speed.
 // was removed during an outage of the store may return.
 struct VanishedEndpoint {
   std::uint64_t m_born_ms = 0;
@@ -78,10 +83,19 @@
   Instant m_vanished{};
 };
 
+// A prefix that an endpoint has in its cache.
+struct CachedPrefix {
+  std::uint64_t m_prefix_hash = 0;
+  std::uint64_t m_endpoint_hash = 0;
+};
+
 struct BalanceState {
   std::map<std::string, BalanceEndpoint, std::less<>> m_endpoints;
   std::map<std::string, VanishedEndpoint, std::less<>> m_vanished;
   std::map<std::string, EngineSpeed, std::less<>> m_speeds;  // By service.
+  PrefixMap m_prefixes;
+  // Uses of prefixes that the other instances were not told yet.
+  std::vector<CachedPrefix> m_new_prefixes;
   std::string m_zone;  // Zone of this instance.
   std::string m_region;
 };
@@ -107,6 +121,18 @@
 void OnRequestDispatched(BalanceState& state, const std::string& endpoint,
                          double work_ms);
 
+// Records that the endpoint has a shared prefix of this length in its cache,
+// tokens. Short prefixes are not worth it.
+void OnPrefixCached(BalanceState& state, const std::string& endpoint,
+                    std::uint64_t prefix_hash, double tokens, Instant now);
+
+// Returns the uses of prefixes that the other instances were not told yet.
+std::vector<CachedPrefix> TakeNewPrefixes(BalanceState& state);
+
+// Records a use that another instance told.
+void OnPeerPrefix(BalanceState& state, const BalanceEndpoint& endpoint,
+                  std::uint64_t prefix_hash, Instant now);
+
 // Account for the end of its prefill and of the whole request.
 void OnPrefillDone(BalanceState& state, const std::string& endpoint,
                    double work_ms);
--- a/src/loadlink.cpp
+++ b/src/loadlink.cpp
@@ -43,6 +43,39 @@
   return list;
 }
 
+std::vector<PrefixUse> ToUses(const schema::LoadList& list) {
+  std::vector<PrefixUse> uses;
+  uses.reserve(list.prefix_uses_size());
+  for (const schema::PrefixUse& use : list.prefix_uses()) {
+    uses.push_back({use.prefix_hash(), use.endpoint()});
+  }
+  return uses;
+}
+
+void AddToList(const std::vector<PrefixUse>& uses, schema::LoadList* list) {
+  for (const PrefixUse& use : uses) {
+    schema::PrefixUse* entry = list->add_prefix_uses();
+    entry->set_prefix_hash(use.m_prefix_hash);
+    entry->set_endpoint(use.m_endpoint);
+  }
+}
+
+// The load of all instances except this one of this zone, and the uses that it
+// was not told yet.
+schema::LoadList ListForMember(ControlState& state, const std::string& name) {
+  schema::LoadList list =
+      ToList(SumOtherLoad(state.m_load, name, state.m_clock()));
+  AddToList(TakeUsesForMember(state.m_load.m_uses, name), &list);
+  return list;
+}
+
+// The load of this zone, and the uses that the other zone was not told yet.
+schema::LoadList ListForZone(ControlState& state, const std::string& zone) {
+  schema::LoadList list = ToList(SumZoneLoad(state.m_load, state.m_clock()));
+  AddToList(TakeUsesForZone(state.m_load.m_uses, zone), &list);
+  return list;
+}
+
 void SendToRelay(ControlState& state, schema::LoadList others) {
   schema::RelayMessage message;
   *message.mutable_others() = std::move(others);
@@ -71,23 +104,34 @@
                });
 }
 
-schema::LoadShare MakeShare(const ControlState& state, const LoadTable& load,
+schema::LoadShare MakeShare(const ControlState& state, schema::LoadList load,
                             bool of_zone) {
   schema::LoadShare share;
   share.set_name(state.m_options.m_name);
   share.set_availability_zone(state.m_options.m_zone);
   share.set_of_zone(of_zone);
-  *share.mutable_load() = ToList(load);
+  *share.mutable_load() = std::move(load);
   return share;
 }
 
+// Keeps the uses of this instance until they can be sent.
+void AddOwnUses(ControlState& state, const schema::LoadList& own) {
+  AddUses(state.m_load.m_uses, UseOrigin::kMember, state.m_options.m_name,
+          ToUses(own));
+}
+
 // Sends the load of this instance to the upstream and gets that of all others.
-void ExchangeWithUpstream(ControlState& state, const LoadTable& own) {
+void ExchangeWithUpstream(ControlState& state, const schema::LoadList& own) {
   LoadExchange& exchange = state.m_load_exchange;
   const Instant now = state.m_clock();
+  AddOwnUses(state, own);
   if (exchange.m_busy || now < exchange.m_due) return;
   exchange.m_busy = true;
-  SendLoad(state, state.m_upstream.m_selected, MakeShare(state, own, false),
+  schema::LoadList sent = own;
+  sent.clear_prefix_uses();
+  AddToList(TakeUsesForZone(state.m_load.m_uses, ""), &sent);
+  SendLoad(state, state.m_upstream.m_selected,
+           MakeShare(state, std::move(sent), false),
            [&state](const schema::LoadList* others) {
              state.m_load_exchange.m_busy = false;
              if (others != nullptr) {
@@ -114,11 +158,10 @@
 
 void ExchangeWithZone(ControlState& state, const std::string& zone,
                       ZoneLoadExchange& exchange,
-                      const UpstreamCandidate& reader,
-                      const schema::LoadShare& share) {
+                      const UpstreamCandidate& reader) {
   exchange.m_busy = true;
   const std::string name = reader.m_name;
-  SendLoad(state, reader, share,
+  SendLoad(state, reader, MakeShare(state, ListForZone(state, zone), true),
            [&state, zone, name](const schema::LoadList* sum) {
              ZoneLoadExchange& done = state.m_zone_exchanges[zone];
              done.m_busy = false;
@@ -126,6 +169,8 @@
              if (sum != nullptr) {
                OnUpstreamSuccess(done.m_reader, name);
                SetZoneLoad(state.m_load, zone, ToTable(*sum), now);
+               AddUses(state.m_load.m_uses, UseOrigin::kZone, zone,
+                       ToUses(*sum));
              } else {
                OnUpstreamFailure(done.m_reader, name, now);
                if (done.m_last_sender == name) done.m_last_sender.clear();
@@ -143,28 +188,25 @@
     if (instance.m_zone == state.m_options.m_zone) continue;
     state.m_zone_exchanges[instance.m_zone].m_reader.m_zone = instance.m_zone;
   }
-  const schema::LoadShare share =
-      MakeShare(state, SumZoneLoad(state.m_load, now), true);
   for (auto& [zone, exchange] : state.m_zone_exchanges) {
     const UpstreamCandidate reader = FindReader(state, exchange, live);
     if (exchange.m_busy || reader.m_name.empty()) continue;
-    ExchangeWithZone(state, zone, exchange, reader, share);
+    ExchangeWithZone(state, zone, exchange, reader);
   }
 }
 
 }  // namespace
 
 void ExchangeLoad(ControlState& state, const schema::LoadList& own) {
-  LoadTable table = ToTable(own);
   if (HasUpstream(state.m_upstream)) {
-    ExchangeWithUpstream(state, table);
+    ExchangeWithUpstream(state, own);
     return;
   }
-  const Instant now = state.m_clock();
-  SetMemberLoad(state.m_load, state.m_options.m_name, std::move(table), now);
+  const std::string& name = state.m_options.m_name;
+  AddOwnUses(state, own);
+  SetMemberLoad(state.m_load, name, ToTable(own), state.m_clock());
   ExchangeWithZones(state);
-  SendToRelay(state,
-              ToList(SumOtherLoad(state.m_load, state.m_options.m_name, now)));
+  SendToRelay(state, ListForMember(state, name));
 }
 
 schema::LoadList MergeLoadShare(ControlState& state,
@@ -177,10 +219,14 @@
         state.m_zone_exchanges[share.availability_zone()];
     exchange.m_last_sender = share.name();
     exchange.m_last_sender_at = now;
-    return ToList(SumZoneLoad(state.m_load, now));
+    AddUses(state.m_load.m_uses, UseOrigin::kZone, share.availability_zone(),
+            ToUses(share.load()));
+    return ListForZone(state, share.availability_zone());
   }
   SetMemberLoad(state.m_load, share.name(), ToTable(share.load()), now);
-  return ToList(SumOtherLoad(state.m_load, share.name(), now));
+  AddUses(state.m_load.m_uses, UseOrigin::kMember, share.name(),
+          ToUses(share.load()));
+  return ListForMember(state, share.name());
 }
 
 }  // namespace comfreypaddle
--- a/src/loadshare.cpp
+++ b/src/loadshare.cpp
@@ -1,5 +1,6 @@
 #include "loadshare.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace comfreypaddle {
@@ -9,6 +10,28 @@
 // Age after which a load is outdated: most of its requests have been answered.
 constexpr Duration kMaxLoadAge = std::chrono::milliseconds(500);
 
+// Number of uses that are kept for instances that have not been told yet.
+constexpr std::size_t kMaxKeptUses = 1024;
+
+// Number of uses in one message, 12 bytes each.
+constexpr std::size_t kMaxSentUses = 48;
+
+// Returns the uses from the position on that the filter accepts, the newest if
+// there are too many, and moves the position to the end.
+template <typename Filter>
+std::vector<PrefixUse> TakeUses(const UseLog& log, std::uint64_t* position,
+                                Filter accepts) {
+  std::vector<PrefixUse> taken;
+  const std::uint64_t end = log.m_first + log.m_uses.size();
+  const std::uint64_t begin = std::max(*position, log.m_first);
+  for (std::uint64_t at = end; at > begin && taken.size() < kMaxSentUses;) {
+    const ReportedUse& reported = log.m_uses[--at - log.m_first];
+    if (accepts(reported)) taken.push_back(reported.m_use);
+  }
+  *position = end;
+  return taken;
+}
+
 void Add(const LoadTable& load, LoadTable* sum) {
   for (const auto& [endpoint, part] : load) {
     EndpointLoad& total = (*sum)[endpoint];
@@ -46,4 +69,28 @@
   return sum;
 }
 
+void AddUses(UseLog& log, UseOrigin origin, const std::string& name,
+             const std::vector<PrefixUse>& uses) {
+  for (const PrefixUse& use : uses) {
+    log.m_uses.push_back({use, origin, name});
+    if (log.m_uses.size() <= kMaxKeptUses) continue;
+    log.m_uses.pop_front();
+    ++log.m_first;
+  }
+}
+
+std::vector<PrefixUse> TakeUsesForMember(UseLog& log, const std::string& name) {
+  return TakeUses(
+      log, &log.m_member_positions[name], [&name](const ReportedUse& reported) {
+        return reported.m_origin == UseOrigin::kZone || reported.m_name != name;
+      });
+}
+
+std::vector<PrefixUse> TakeUsesForZone(UseLog& log, const std::string& zone) {
+  return TakeUses(log, &log.m_zone_positions[zone],
+                  [](const ReportedUse& reported) {
+                    return reported.m_origin == UseOrigin::kMember;
+                  });
+}
+
 }  // namespace comfreypaddle
--- a/src/loadshare.h
+++ b/src/loadshare.h
@@ -1,9 +1,12 @@
 #ifndef COMFREYPADDLE_LOADSHARE_H_
 #define COMFREYPADDLE_LOADSHARE_H_
 
+#include <array>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "types.h"
 
@@ -28,9 +31,41 @@
   Instant m_at{};
 };
 
+// An endpoint has the KV cache of a shared prompt prefix.
+struct PrefixUse {
+  std::uint64_t m_prefix_hash = 0;
+  std::uint32_t m_endpoint = 0;  // Lower half of the hash of its id.
+};
+
+// Who reported a use: an instance of this zone or the reader of another zone.
+enum class UseOrigin { kMember, kZone };
+
+template <>
+struct EnumNames<UseOrigin> {
+  static constexpr std::array<EnumName<UseOrigin>, 2> kTable{
+      {{UseOrigin::kMember, "member"}, {UseOrigin::kZone, "zone"}}};
+};
+
+struct ReportedUse {
+  PrefixUse m_use;
+  UseOrigin m_origin = UseOrigin::kMember;
+  std::string m_name;  // Of the instance or zone.
+};
+
+// Recent uses in the order of their arrival, and up to which of them each
+// instance of this zone and each other zone has been told. Uses are hints: one
+// that is lost costs a recomputed prefix at most.
+struct UseLog {
+  std::deque<ReportedUse> m_uses;
+  std::uint64_t m_first = 0;  // Sequence number of the oldest use.
+  std::map<std::string, std::uint64_t, std::less<>> m_member_positions;
+  std::map<std::string, std::uint64_t, std::less<>> m_zone_positions;
+};
+
 struct LoadShareState {
   std::map<std::string, ReceivedLoad, std::less<>> m_members;  // Of this zone.
   std::map<std::string, ReceivedLoad, std::less<>> m_zones;    // Other zones.
+  UseLog m_uses;
 };
 
 // Record the load of an instance of this zone, or the sum of another zone.
@@ -47,6 +82,19 @@
 LoadTable SumOtherLoad(const LoadShareState& state, const std::string& name,
                        Instant now);
 
+// Adds uses that an instance of this zone or the reader of another zone
+// reported.
+void AddUses(UseLog& log, UseOrigin origin, const std::string& name,
+             const std::vector<PrefixUse>& uses);
+
+// Returns the uses that the instance of this zone was not told yet, without its
+// own, and marks them as told. A message has room for a limited number; the
+// newest are kept.
+std::vector<PrefixUse> TakeUsesForMember(UseLog& log, const std::string& name);
+
+// The same for another zone: the uses of this zone only.
+std::vector<PrefixUse> TakeUsesForZone(UseLog& log, const std::string& zone);
+
 }  // namespace comfreypaddle
 
 #endif  // COMFREYPADDLE_LOADSHARE_H_
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -302,6 +302,11 @@
     load->set_running(endpoint.m_running);
     load->set_prefill_ms(static_cast<float>(endpoint.m_prefill_ms));
   }
+  for (const CachedPrefix& prefix : TakeNewPrefixes(m_state.m_balance)) {
+    schema::PrefixUse* use = list->add_prefix_uses();
+    use->set_prefix_hash(prefix.m_prefix_hash);
+    use->set_endpoint(static_cast<std::uint32_t>(prefix.m_endpoint_hash));
+  }
   m_ports.m_control->Post(std::move(message));
 }
 
@@ -318,6 +323,20 @@
     endpoint.m_remote_prefill_ms = idle ? 0 : found->second->prefill_ms();
     endpoint.m_remote_reported_at = now;
   }
+  ApplyPeerPrefixes(list, now);
+}
+
+void Relay::ApplyPeerPrefixes(const schema::LoadList& list, Instant now) {
+  if (list.prefix_uses_size() == 0) return;
+  std::unordered_map<std::uint32_t, const BalanceEndpoint*> endpoints;
+  for (const auto& [id, endpoint] : m_state.m_balance.m_endpoints) {
+    endpoints[static_cast<std::uint32_t>(endpoint.m_hash)] = &endpoint;
+  }
+  for (const schema::PrefixUse& use : list.prefix_uses()) {
+    const auto found = endpoints.find(use.endpoint());
+    if (found == endpoints.end()) continue;
+    OnPeerPrefix(m_state.m_balance, *found->second, use.prefix_hash(), now);
+  }
 }
 
 bool Relay::IsReady() const {
--- a/src/relay.h
+++ b/src/relay.h
@@ -39,6 +39,7 @@
   void Tick();
   void PublishLoad();
   void ApplyPeerLoad(const schema::LoadList& list);
+  void ApplyPeerPrefixes(const schema::LoadList& list, Instant now);
   void HandOverUsage();
   bool IsReady() const;
   void AnswerReady(const HttpRequest& request);
--- a/src/relayattempt.cpp
+++ b/src/relayattempt.cpp
@@ -142,7 +142,7 @@
 }
 
 void SendRun(RelayState& state, RelayCall& call, const std::string& id,
-             double work_ms);
+             double work_ms, const std::string& fetch_address);
 
 // Retries a request that the endpoint did not execute, or ends it.
 void RetryNotExecuted(RelayState& state, RelayCall& call) {
@@ -204,6 +204,9 @@
   }
   attempt.m_work_ms = 0;
   OnEndpointAnswered(state.m_balance, attempt.m_endpoint, state.m_clock());
+  OnPrefixCached(state.m_balance, attempt.m_endpoint,
+                 call.m_query.m_shared_prefix_hash,
+                 call.m_query.m_shared_prefix_tokens, state.m_clock());
   call.m_source.reset();  // The endpoint has fetched it.
   CountUsage(state, call, state.m_clock());
 }
@@ -357,7 +360,7 @@
 }
 
 void SendRun(RelayState& state, RelayCall& call, const std::string& id,
-             double work_ms) {
+             double work_ms, const std::string& fetch_address) {
   const BalanceEndpoint& endpoint = *FindEndpoint(state.m_balance, id);
   BeginAttempt(state, call, endpoint, work_ms);
   call.m_stage = CallStage::kRun;
@@ -366,6 +369,7 @@
   ++state.m_counters.m_sends;
   UpstreamMetadata terms;
   terms.m_source = call.m_source;
+  terms.m_fetch_address = fetch_address;
   if (call.m_response_started) terms.m_resume_after = call.m_last_event;
   HttpCall http = MakeEndpointCall(state, call, endpoint, std::move(terms));
   const std::uint64_t key = call.m_id;
@@ -403,7 +407,7 @@
     }
     decode = *other;
   }
-  SendRun(state, call, decode, 0);
+  SendRun(state, call, decode, 0, "");
 }
 
 void OnPrefillEnd(RelayState& state, RelayCall& call, const HttpResult& result,
@@ -418,6 +422,9 @@
   call.m_query.m_allow_split = false;
   if (read) {
     OnEndpointAnswered(state.m_balance, attempt.m_endpoint, state.m_clock());
+    OnPrefixCached(state.m_balance, attempt.m_endpoint,
+                   call.m_query.m_shared_prefix_hash,
+                   call.m_query.m_shared_prefix_tokens, state.m_clock());
     const std::chrono::duration<double, std::milli> took =
         state.m_clock() - attempt.m_sent;
     OnPrefillTimed(state.m_balance, attempt.m_endpoint,
@@ -450,6 +457,7 @@
   ++state.m_counters.m_prefills;
   UpstreamMetadata terms;
   terms.m_prefill_only = true;
+  terms.m_fetch_address = choice.m_fetch_address;
   HttpCall http = MakeEndpointCall(state, call, endpoint, std::move(terms));
   http.m_max_body_bytes = kMaxPrefillResponseBytes;
   const std::uint64_t key = call.m_id;
@@ -488,9 +496,8 @@
   const Duration dead = kDeadEndpointTimeout + expected;
   const BalanceEndpoint* endpoint =
       FindEndpoint(state.m_balance, call.m_attempt.m_endpoint);
-  if (endpoint == nullptr) return elapsed > kDeadEndpointTimeout;
-  return elapsed > kDeadEndpointTimeout &&
-         now - endpoint->m_last_response_at > kDeadEndpointTimeout;
+  if (endpoint == nullptr) return elapsed > dead;
+  return elapsed > dead && now - endpoint->m_last_response_at > dead;
 }
 
 }  // namespace
@@ -509,14 +516,16 @@
     }
     return;
   }
+  call.m_expected = FromMs(choice->m_estimate_ms);
   LogLine("endpoint_selected")
       .Add("request", call.m_metadata.m_attempt)
       .Add("service", call.m_service)
       .Add("endpoint", choice->m_endpoint)
       .Add("prefill", choice->m_prefill)
       .Add("reason", ToName(choice->m_reason))
+      .Add("fetch", choice->m_fetch_address)
+      .Add("prefix", std::to_string(call.m_query.m_shared_prefix_hash))
       .Add("estimate_ms", static_cast<std::int64_t>(choice->m_estimate_ms))
-  call.m_expected = FromMs(choice->m_estimate_ms);
       .Add("shared_prefix_tokens",
            static_cast<std::int64_t>(call.m_query.m_shared_prefix_tokens))
       .Add("suffix_tokens",
@@ -524,7 +533,8 @@
       .Add("send", call.m_sends + 1)
       .AddMs("waited_ms", now - call.m_arrived);
   if (choice->m_prefill.empty()) {
-    SendRun(state, call, choice->m_endpoint, choice->m_work_ms);
+    SendRun(state, call, choice->m_endpoint, choice->m_work_ms,
+            choice->m_fetch_address);
   } else {
     SendPrefill(state, call, *choice);
   }
--- a/src/wireformat.h
+++ b/src/wireformat.h
@@ -48,6 +48,8 @@
   std::optional<std::uint32_t> m_urgency;  // 0 is the most urgent.
   bool m_prefill_only = false;
   std::optional<CacheSource> m_source;
+  // Address of an endpoint that has the shared prefix of the prompt, if known.
+  std::string m_fetch_address;
   std::optional<std::uint64_t> m_resume_after;  // Last event received.
 };
 
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -198,5 +198,52 @@
   CHECK(TryConsumeResend(state, "s", now + seconds(30)));
 }
 
+// Guards against computing a long prefix again that another endpoint has.
+TEST_CASE("an endpoint fetches a prefix from one that is known to hold it") {
+  BalanceState state = MakeState(6, 0);
+  EngineSpeed& speed = state.m_speeds["s"];
+  speed.m_prefill_tokens_per_ms = 40;
+  speed.m_kv_token_bytes = 18'432;
+  speed.m_link_mbps = 180'000;
+  for (auto& [id, endpoint] : state.m_endpoints) {
+    endpoint.m_address = id + ":1";
+  }
+  const BalanceQuery query = Prompt(7, 13'000, 3'000);
+  const std::string holder = SelectEndpoint(state, query, kStart)->m_endpoint;
+  OnPrefixCached(state, holder, 7, 13'000, kStart);
+  const auto near = SelectEndpoint(state, query, kStart);
+  CHECK(near->m_endpoint == holder);
+  CHECK(near->m_reason == BalanceReason::kAffinity);
+  CHECK(near->m_fetch_address.empty());
+  // The holder is busy for longer than a transfer takes.
+  OnRequestDispatched(state, holder, 2'000);
+  const auto away = SelectEndpoint(state, query, kStart);
+  CHECK(away->m_endpoint != holder);
+  CHECK(away->m_fetch_address == holder + ":1");
+  CHECK(away->m_work_ms < near->m_work_ms + 200);
+  // A restarted holder has an empty cache, so that the prefix is computed.
+  state.m_endpoints.at(holder).m_born_ms = 99;
+  CHECK(SelectEndpoint(state, query, kStart)->m_work_ms >
+        away->m_work_ms + 200);
+}
+
+TEST_CASE(
+    "what other instances tell of prefixes is used, and what is new told") {
+  BalanceState state = MakeState(6, 0);
+  OnPrefixCached(state, "e3", 7, 13'000, kStart);
+  OnPrefixCached(state, "e3", 7, 13'000, kStart + milliseconds(100));
+  OnPrefixCached(state, "e3", 8, 100, kStart);
+  const std::vector<CachedPrefix> news = TakeNewPrefixes(state);
+  REQUIRE(news.size() == 1);
+  CHECK(news[0].m_prefix_hash == 7);
+  CHECK(news[0].m_endpoint_hash == state.m_endpoints.at("e3").m_hash);
+  CHECK(TakeNewPrefixes(state).empty());
+  BalanceState other = MakeState(6, 0);
+  OnPeerPrefix(other, other.m_endpoints.at("e3"), 7, kStart);
+  CHECK(TakeNewPrefixes(other).empty());
+  CHECK(SelectEndpoint(other, Prompt(7, 13'000, 3'000), kStart)->m_endpoint ==
+        "e3");
+}
+
 }  // namespace
 }  // namespace comfreypaddle
--- a/tests/loadlink_test.cpp
+++ b/tests/loadlink_test.cpp
@@ -3,6 +3,8 @@
 
 #include <doctest/doctest.h>
 
+#include <set>
+
 #include "support_control.h"
 
 namespace comfreypaddle {
@@ -133,5 +135,83 @@
   CHECK(reader.m_peers.m_calls.back().m_url == "http://b-1:1/v1/load");
 }
 
+schema::LoadList MakeUse(std::uint64_t prefix) {
+  schema::LoadList list;
+  schema::PrefixUse* use = list.add_prefix_uses();
+  use->set_prefix_hash(prefix);
+  use->set_endpoint(kEndpoint);
+  return list;
+}
+
+std::set<std::uint64_t> PrefixesOf(const schema::LoadList& list) {
+  std::set<std::uint64_t> prefixes;
+  for (const schema::PrefixUse& use : list.prefix_uses()) {
+    prefixes.insert(use.prefix_hash());
+  }
+  return prefixes;
+}
+
+using Prefixes = std::set<std::uint64_t>;
+
+// Failure: a shared prompt prefix is computed again because only the instance
+// that sent it to an endpoint knows that it is cached there.
+TEST_CASE("uses of prefixes reach each other instance once") {
+  Instance reader("a");
+  reader.m_state.m_options.m_zone = "z1";
+  reader.m_state.m_upstream.m_self = "a";
+  const auto exchange = [&reader](const std::string& name,
+                                  const schema::LoadList& load) {
+    schema::LoadShare share;
+    share.set_name(name);
+    *share.mutable_load() = load;
+    return PrefixesOf(MergeLoadShare(reader.m_state, share));
+  };
+  CHECK(exchange("b", MakeUse(1)).empty());
+  CHECK(exchange("c", MakeUse(2)) == Prefixes{1});
+  CHECK(exchange("b", {}) == Prefixes{2});
+  CHECK(exchange("b", {}).empty());
+  ExchangeLoad(reader.m_state, MakeUse(3));
+  CHECK(PrefixesOf(reader.m_inbox.m_messages.back().others()) ==
+        Prefixes{1, 2});
+  CHECK(exchange("c", {}) == Prefixes{3});
+  // Another zone gets the uses of this zone, and this zone those of the other.
+  schema::LoadShare zone;
+  zone.set_name("d");
+  zone.set_availability_zone("z2");
+  zone.set_of_zone(true);
+  *zone.mutable_load() = MakeUse(4);
+  CHECK(PrefixesOf(MergeLoadShare(reader.m_state, zone)) == Prefixes{1, 2, 3});
+  CHECK(exchange("b", {}) == Prefixes{3, 4});
+  zone.clear_load();
+  CHECK(PrefixesOf(MergeLoadShare(reader.m_state, zone)).empty());
+}
+
+TEST_CASE("a follower sends its uses to its reader until the call succeeds") {
+  Instance follower("b");
+  follower.m_state.m_upstream.m_self = "b";
+  follower.m_state.m_upstream.m_selected = {"a", "a:1", ""};
+  ExchangeLoad(follower.m_state, MakeUse(1));
+  CHECK(PrefixesOf(LastLoadShare(follower).load()) == Prefixes{1});
+  // The call is under way; what is learnt meanwhile goes with the next one.
+  ExchangeLoad(follower.m_state, MakeUse(2));
+  follower.m_peers.m_events.back().m_on_end({HttpError::kOk, 200, true});
+  ExchangeLoad(follower.m_state, {});
+  CHECK(PrefixesOf(LastLoadShare(follower).load()) == Prefixes{2});
+}
+
+// Guards against messages and memory that grow with the number of prefixes.
+TEST_CASE("the uses in one message are limited to the newest") {
+  UseLog log;
+  for (std::uint64_t prefix = 1; prefix <= 5000; ++prefix) {
+    AddUses(log, UseOrigin::kMember, "b", {{prefix, kEndpoint}});
+  }
+  CHECK(log.m_uses.size() <= 1024);
+  const std::vector<PrefixUse> uses = TakeUsesForMember(log, "c");
+  REQUIRE_FALSE(uses.empty());
+  CHECK(uses.size() <= 100);
+  CHECK(uses.front().m_prefix_hash == 5000);
+  CHECK(TakeUsesForMember(log, "c").empty());
+}
+
 }  // namespace
 }  // namespace comfreypaddle
