Break off calls of the duties at the end of the lease

Cause: a holder could start a call until 500 ms before the end of its lease and waited 1 s for the answer, so that the call could reach the platform up to half a second after the next holder's. A stopping holder also released the duties while a call was in flight, and bytes of a call that was given up could still leave the kernel's buffer.

Ruled out: a longer margin before the end of the lease. The holder would pause at each slow renewal; the time that a call may take is what has to shrink.

Change: a call gets the time until 150 ms before the end of the lease, at most 1 s. A failed or cancelled call resets its connection, which discards unsent bytes. The release waits for calls in flight.

--- a/src/entryduties.cpp
+++ b/src/entryduties.cpp
@@ -244,14 +244,16 @@
 void ReportUsage(ControlState& state) {
   ReportState& report = state.m_report;
   const Instant now = state.m_clock();
-  if (report.m_busy || now < report.m_due || !MayAct(state.m_holder, now)) {
+  if (state.m_stopping || report.m_busy || now < report.m_due ||
+      !MayAct(state.m_holder, now)) {
     return;
   }
   const schema::FixedWindow* window = FindUnreported(state);
   if (window == nullptr) return;
   report.m_busy = true;
   const DutyHolder holder{state.m_options.m_name,
-                          FencingNumberOf(state.m_holder)};
+                          FencingNumberOf(state.m_holder),
+                          CallTimeLeft(state.m_holder, now)};
   state.m_duty_port->ReportUsage(
       holder, *window, [&state, number = window->window()](DutyResult result) {
         OnReportResponse(state, number, result);
@@ -261,8 +263,9 @@
 // Sends the next endpoint order that is due.
 void OrderEndpoints(ControlState& state) {
   const Instant now = state.m_clock();
-  if (state.m_order_in_flight || !MayAct(state.m_holder, now) ||
-      !state.m_catalog || !state.m_endpoints_cursor.m_initialized) {
+  if (state.m_stopping || state.m_order_in_flight ||
+      !MayAct(state.m_holder, now) || !state.m_catalog ||
+      !state.m_endpoints_cursor.m_initialized) {
     return;
   }
   const auto order = NextOrder(state.m_fleet, *state.m_catalog,
@@ -271,7 +274,8 @@
   state.m_order_in_flight = true;
   OnOrderSent(state.m_fleet, *order, now);
   const DutyHolder holder{state.m_options.m_name,
-                          FencingNumberOf(state.m_holder)};
+                          FencingNumberOf(state.m_holder),
+                          CallTimeLeft(state.m_holder, now)};
   state.m_duty_port->OrderEndpoints(
       holder, *order, [&state, order = *order](DutyResult result) {
         state.m_order_in_flight = false;
@@ -320,7 +324,9 @@
 }
 
 void RunDuties(ControlState& state) {
-  state.m_holder.m_stopping = state.m_stopping;
+  // The next holder may act as soon as the duties are released.
+  const bool calls = state.m_report.m_busy || state.m_order_in_flight;
+  state.m_holder.m_stopping = state.m_stopping && !calls;
   FlushUsage(state);
   if (CompetesForDuties(state)) {
     FollowDuties(state);
--- a/src/holder.cpp
+++ b/src/holder.cpp
@@ -1,5 +1,7 @@
 #include "holder.h"
 
+#include <algorithm>
+
 namespace comfreypaddle {
 
 namespace {
@@ -17,6 +19,10 @@
   return !state.m_newest.holder().empty() && !state.m_newest.released();
 }
 
+// Time before the end of the lease at which calls are broken off: until the
+// socket is closed and for the bytes that are on their way.
+constexpr Duration kTransitReserve = std::chrono::milliseconds(150);
+
 // Earliest time at which another process may claim.
 Instant ClaimableAt(const HolderState& state) {
   if (!HasHolder(state)) return state.m_read_at + state.m_options.m_claim_wait;
@@ -47,6 +53,12 @@
                    state.m_options.m_send_margin;
 }
 
+Duration CallTimeLeft(const HolderState& state, Instant now) {
+  const Instant end =
+      state.m_claimed_at + state.m_options.m_lease - kTransitReserve;
+  return std::max(end - now, Duration(0));
+}
+
 // Offsets start at zero, but zero means no fencing number.
 std::uint64_t FencingNumberOf(const HolderState& state) {
   return state.m_newest.fence() + 1;
--- a/src/holder.h
+++ b/src/holder.h
@@ -48,6 +48,11 @@
 // Whether this process holds the duties and may act now.
 bool MayAct(const HolderState& state, Instant now);
 
+// How long a call that is sent now may take. A call that reaches the platform
+// after the lease could come behind one of the next holder, and not every
+// platform checks fencing numbers.
+Duration CallTimeLeft(const HolderState& state, Instant now);
+
 // Fencing number of the current holder.
 std::uint64_t FencingNumberOf(const HolderState& state);
 
--- a/src/httpclient.cpp
+++ b/src/httpclient.cpp
@@ -214,6 +214,10 @@
   int Status() const { return m_status; }
   const std::string& Address() const { return m_address; }
 
+  // Discards what the kernel has not sent yet when the socket is closed. It
+  // would otherwise go on sending a request that the caller has given up.
+  void ResetOnClose() { m_channel->ResetOnClose(); }
+
   // Closes the socket immediately, so that the server sees the disconnect.
   void Close() {
     m_closed = true;
@@ -324,6 +328,7 @@
   std::unique_ptr<Connection> connection = std::move(found->second);
   m_active.erase(found);
   connection->DetachCall();
+  connection->ResetOnClose();
   Retire(std::move(connection));
 }
 
@@ -368,6 +373,7 @@
   m_active.erase(found);
   const HttpResult result{error, connection->Status(), connection->Sent()};
   const std::shared_ptr<HttpEvents> events = connection->DetachCall();
+  connection->ResetOnClose();
   Retire(std::move(connection));
   events->m_on_end(result);
 }
--- a/src/stream.h
+++ b/src/stream.h
@@ -138,6 +138,8 @@
        {DutyResult::kUnanswered, "unanswered"}}};
 };
 
+  // Time after which the call must not reach the platform any more.
+  Duration m_time_left{0};
 // Holder of a duty that makes a call.
 struct DutyHolder {
   std::string m_name;
--- a/tests/adapter_test.cpp
+++ b/tests/adapter_test.cpp
@@ -216,13 +216,16 @@
   count->set_requests(4);
   DutyResult last = DutyResult::kRefused;
   const auto done = [&last](DutyResult r) { last = r; };
-  duties.ReportUsage({"i1", 12}, window, done);
+  duties.ReportUsage({"i1", 12, std::chrono::milliseconds(700)}, window, done);
+  CHECK(http.m_calls.at(0).m_timeout == std::chrono::milliseconds(700));
   CHECK(last == DutyResult::kAccepted);
   const HttpCall& call = http.m_calls.at(0);
   CHECK(*FindFieldIgnoreCase(call.m_headers, "Fencing-Token") == "12");
   CHECK(call.m_body.find("\"w\" : 4") != std::string::npos);
   http.m_status = 409;
-  duties.OrderEndpoints({"i1", 12}, {"s", "z", 3, true}, done);
+  duties.OrderEndpoints({"i1", 12, std::chrono::seconds(5)},
+                        {"s", "z", 3, true}, done);
+  CHECK(http.m_calls.at(1).m_timeout == std::chrono::seconds(1));
   CHECK(last == DutyResult::kFenced);
 }
 
