Append the usage of a zone in one call of its reader

Cause: each instance appended its own usage record each 1 to 2.5 s, 118 calls a second at 295 instances.

Ruled out: a longer interval. What a killed instance has not stored is lost, and the window's figures are due.

Change: an instance sends its record to its upstream each second; the upstream appends all that it has each 0.7 s in one batch and answers after the append. A record keeps its instance, incarnation and sequence number on every way, and the sums of the holder count each once, so that a record whose fate is unknown can be appended by its sender, the next reader or another instance. That replaces the store's producers, whose sequence does not survive a change of the way. A stopping instance does not wait for the batch. The module handover becomes usageflush and takes the flush from entryduties.

Tests: usageflush_test (50 followers and a reader make two appends; a reader that does not answer; a planned stop), fleetplan_test (a record stored again counts once).

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -1,17 +1,16 @@
-#include "control.h"
-
 #include <glog/logging.h>
 
 #include <utility>
 
+#include "control.h"
 #include "controltick.h"
 #include "entryduties.h"
 #include "eventlog.h"
-#include "handover.h"
 #include "loadlink.h"
 #include "peersync.h"
 #include "settings.h"
 #include "statequery.h"
+#include "usageflush.h"
 
 namespace comfreypaddle {
 
--- a/src/controlstate.h
+++ b/src/controlstate.h
@@ -34,12 +34,28 @@
 // Usage counts that have not been stored yet.
 struct UsageFlush {
   std::map<std::pair<std::uint64_t, std::string>, std::uint64_t> m_counts;
-  // Record that is appended again until the outcome is known.
-  std::string m_pending_record;
-  std::uint64_t m_sequence = 1;
-  bool m_busy = false;
+  // Record that is sent again until it is known to be stored.
+  std::optional<schema::UsageRecord> m_pending;
+  std::uint64_t m_sequence = 1;  // Of the pending record, or the next one.
+  bool m_appending = false;      // It is in the batch of this instance.
+  bool m_handing_over = false;   // A call with it is in flight.
+  Instant m_due{};
+  bool m_failed = false;  // It was not stored on the last way tried.
+};
+
+using HandoverCallback = std::function<void(const schema::HandoverResult&)>;
+
+// Usage record of this or another instance that waits to be appended.
+struct PendingHandover {
+  schema::UsageRecord m_record;
+  HandoverCallback m_respond;
+};
+
+// Usage records that are appended together.
+struct UsageBatchQueue {
+  std::deque<PendingHandover> m_waiting;
+  bool m_busy = false;  // An append is in flight.
   Instant m_due{};
-  bool m_append_failed = false;  // The last append failed.
 };
 
 // Progress of the usage reports to the platform.
@@ -145,7 +161,7 @@
   HolderState m_holder;
   UsageAggregate m_usage_aggregate;
   UsageFlush m_flush;
-  bool m_handover_in_flight = false;
+  UsageBatchQueue m_usage_batch;
   // Other instances that the store answered, with the time of the answer.
   std::map<std::string, Instant, std::less<>> m_served;
   ReportState m_report;
--- a/src/controltick.cpp
+++ b/src/controltick.cpp
@@ -2,10 +2,10 @@
 
 #include "entryduties.h"
 #include "freshness.h"
-#include "handover.h"
 #include "peersync.h"
 #include "statequery.h"
 #include "storereader.h"
+#include "usageflush.h"
 
 namespace comfreypaddle {
 
@@ -15,8 +15,8 @@
   PollStore(state);
   SearchPeers(state);
   AnswerPendingQueries(state);
+  FlushUsage(state);
   RunDuties(state);
-  HandOverUsage(state);
   LogFreshness(state);
   PublishStateAge(state);
 }
--- a/src/entryduties.cpp
+++ b/src/entryduties.cpp
@@ -4,19 +4,12 @@
 
 #include "eventlog.h"
 #include "storereader.h"
+#include "usageflush.h"
 
 namespace comfreypaddle {
 
 namespace {
 
-// Interval between usage records per live instance, and its bounds: with many
-// instances, the loss of one that is killed matters less. The upper bound
-// leaves time for the record to arrive before the figures of the window are
-// fixed.
-constexpr Duration kFlushIntervalPerInstance = std::chrono::milliseconds(60);
-constexpr Duration kMinFlushInterval = std::chrono::seconds(1);
-constexpr Duration kMaxFlushInterval = std::chrono::milliseconds(2500);
-
 // Maximum wait of a long-poll read of the duties stream.
 constexpr Duration kDutiesReadWait = std::chrono::milliseconds(1500);
 
@@ -26,68 +19,9 @@
 // Delay after a failed call.
 constexpr Duration kRetryDelay = std::chrono::milliseconds(300);
 
-// Delay before a usage record is retried, per live instance, and its upper
-// bound.
-constexpr Duration kUsageRetryDelayPerInstance = std::chrono::milliseconds(12);
-constexpr Duration kMaxUsageRetryDelay = std::chrono::seconds(1);
-
 // Maximum number of fixed but unreported windows in the duties record.
 constexpr int kMaxFixedWindows = 8;
 
-std::string MakeUsageRecord(const ControlState& state) {
-  schema::UsageRecord record;
-  record.set_instance(state.m_options.m_name);
-  for (const auto& [slot, requests] : state.m_flush.m_counts) {
-    schema::UsageCount* count = record.add_counts();
-    count->set_window(slot.first);
-    count->set_workspace(slot.second);
-    count->set_requests(requests);
-  }
-  return record.SerializeAsString();
-}
-
-Duration FlushInterval(const ControlState& state) {
-  return std::clamp<Duration>(
-      kFlushIntervalPerInstance * state.m_live_instances, kMinFlushInterval,
-      kMaxFlushInterval);
-}
-
-// Sends the current counts, or resends the last record if its result is
-// unknown: the store applies each sequence number once.
-void FlushUsage(ControlState& state) {
-  UsageFlush& flush = state.m_flush;
-  const Instant now = state.m_clock();
-  const bool flush_now = state.m_stopping && !flush.m_append_failed;
-  const bool due = now >= flush.m_due || flush_now;
-  if (flush.m_busy || !due) return;
-  if (flush.m_pending_record.empty()) {
-    if (flush.m_counts.empty()) return;
-    flush.m_pending_record = MakeUsageRecord(state);
-    flush.m_counts.clear();
-  }
-  flush.m_busy = true;
-  flush.m_due = now + FlushInterval(state);
-  StreamAppend append;
-  append.m_stream = Stream::kUsage;
-  append.m_value = flush.m_pending_record;
-  append.m_producer = UsageProducer(state);
-  append.m_epoch = kUsageEpoch;
-  append.m_sequence = flush.m_sequence;
-  state.m_store->Append(append, [&state, sequence = flush.m_sequence](
-                                    const AppendResult& result) {
-    state.m_flush.m_busy = false;
-    RecordStoreCall(state, result.m_fault, result.m_detail);
-    // A repeated sequence number means that the record is already stored.
-    if (result.m_fault == StoreFault::kNone ||
-        result.m_fault == StoreFault::kRepeated) {
-      OnUsageStored(state, sequence);
-    } else {
-      state.m_flush.m_append_failed = true;
-      state.m_flush.m_due = state.m_clock() + UsageRetryDelay(state);
-    }
-  });
-}
-
 void FollowDuties(ControlState& state) {
   StreamCursor& follower = state.m_duties_cursor;
   const Instant now = state.m_clock();
@@ -293,41 +227,10 @@
 
 }  // namespace
 
-std::string UsageProducer(const ControlState& state) {
-  return state.m_options.m_name + "-" +
-         std::to_string(state.m_options.m_incarnation);
-}
-
-Duration UsageRetryDelay(const ControlState& state) {
-  return std::clamp<Duration>(
-      kUsageRetryDelayPerInstance * state.m_live_instances, kRetryDelay,
-      kMaxUsageRetryDelay);
-}
-
-void OnUsageStored(ControlState& state, std::uint64_t sequence) {
-  // Another instance may have stored it already.
-  if (sequence != state.m_flush.m_sequence) return;
-  state.m_flush.m_pending_record.clear();
-  // Counts that accumulated while the record could not be stored are sent
-  // immediately: after an outage the holder of the duties waits only for a
-  // limited time.
-  if (state.m_flush.m_append_failed) state.m_flush.m_due = {};
-  state.m_flush.m_append_failed = false;
-  ++state.m_flush.m_sequence;
-}
-
-void AddUsageCounts(ControlState& state, const schema::UsageCounts& counts) {
-  for (const schema::UsageCount& count : counts.counts()) {
-    state.m_flush.m_counts[{count.window(), count.workspace()}] +=
-        count.requests();
-  }
-}
-
 void RunDuties(ControlState& state) {
   // The next holder may act as soon as the duties are released.
   const bool calls = state.m_report.m_busy || state.m_order_in_flight;
   state.m_holder.m_stopping = state.m_stopping && !calls;
-  FlushUsage(state);
   if (CompetesForDuties(state)) {
     FollowDuties(state);
     if (IsHolder(state.m_holder)) FollowUsage(state);
@@ -343,8 +246,7 @@
 }
 
 bool IsHandedOver(const ControlState& state) {
-  return state.m_flush.m_counts.empty() &&
-         state.m_flush.m_pending_record.empty() && !IsHolder(state.m_holder) &&
+  return IsUsageStored(state) && !IsHolder(state.m_holder) &&
          !state.m_holder.m_appending;
 }
 
--- a/src/peersync.cpp
+++ b/src/peersync.cpp
@@ -4,12 +4,12 @@
 #include <utility>
 
 #include "eventlog.h"
-#include "handover.h"
 #include "instancecall.h"
 #include "servedinstances.h"
 #include "statemerge.h"
 #include "statequery.h"
 #include "storereader.h"
+#include "usageflush.h"
 
 namespace comfreypaddle {
 
--- a/src/storereader.cpp
+++ b/src/storereader.cpp
@@ -5,6 +5,7 @@
 
 #include "entryduties.h"
 #include "eventlog.h"
+#include "usageflush.h"
 
 namespace comfreypaddle {
 
--- a/src/stream.h
+++ b/src/stream.h
@@ -67,10 +67,6 @@
   std::string m_value;
   // If set, the append takes effect only if the stream ends at this offset.
   std::optional<std::uint64_t> m_expected_end;
-  // If set, the store applies each sequence number of the producer once.
-  std::string m_producer;
-  std::uint64_t m_epoch = 0;
-  std::uint64_t m_sequence = 0;
 };
 
 struct AppendResult {
@@ -138,12 +134,12 @@
        {DutyResult::kUnanswered, "unanswered"}}};
 };
 
-  // Time after which the call must not reach the platform any more.
-  Duration m_time_left{0};
 // Holder of a duty that makes a call.
 struct DutyHolder {
   std::string m_name;
   std::uint64_t m_fencing_number = 0;
+  // Time after which the call must not reach the platform any more.
+  Duration m_time_left{0};
 };
 
 struct EndpointOrder {
--- a/src/usageaggregate.cpp
+++ b/src/usageaggregate.cpp
@@ -12,16 +12,42 @@
 // Number of windows whose counts are kept.
 constexpr std::uint64_t kRetainedWindows = 60;
 
+// Number of incarnations of an instance whose late records are recognised.
+constexpr std::size_t kMaxIncarnations = 4;
+
+// Whether the record was not added before. An instance sends a record only
+// after the one before it is stored, so that a lower sequence number is a
+// repetition.
+bool IsNew(UsageAggregate& state, const schema::UsageRecord& record) {
+  std::vector<UsageSequence>& added = state.m_added[record.instance()];
+  for (UsageSequence& known : added) {
+    if (known.m_incarnation != record.incarnation()) continue;
+    if (record.sequence() <= known.m_sequence) return false;
+    known.m_sequence = record.sequence();
+    return true;
+  }
+  if (added.size() >= kMaxIncarnations) added.erase(added.begin());
+  added.push_back({record.incarnation(), record.sequence()});
+  return true;
+}
+
+void AddUsageRecord(UsageAggregate& state, const schema::UsageRecord& record) {
+  if (!IsNew(state, record)) return;
+  for (const schema::UsageCount& count : record.counts()) {
+    state.m_windows[count.window()][count.workspace()] += count.requests();
+  }
+}
+
 }  // namespace
 
 void AddUsageRecords(UsageAggregate& state, const ReadResult& result,
                      Instant now) {
   for (const StreamRecord& record : result.m_records) {
     if (record.m_offset < state.m_next) continue;
-    schema::UsageRecord parsed;
-    if (!parsed.ParseFromString(record.m_value)) continue;
-    for (const schema::UsageCount& count : parsed.counts()) {
-      state.m_windows[count.window()][count.workspace()] += count.requests();
+    schema::UsageBatch batch;
+    if (!batch.ParseFromString(record.m_value)) continue;
+    for (const schema::UsageRecord& usage : batch.records()) {
+      AddUsageRecord(state, usage);
     }
   }
   state.m_next = std::max(state.m_next, result.m_next);
--- a/src/usageaggregate.h
+++ b/src/usageaggregate.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "stream.h"
 
@@ -19,10 +20,18 @@
   Duration m_max_window_age = std::chrono::seconds(30);
 };
 
+// Newest usage record of an incarnation that was added up.
+struct UsageSequence {
+  std::uint64_t m_incarnation = 0;
+  std::uint64_t m_sequence = 0;
+};
+
 // Sums of the usage records by window and workspace.
 struct UsageAggregate {
   UsageAggregateOptions m_options;
   std::map<std::uint64_t, std::map<std::string, std::uint64_t>> m_windows;
+  // By instance, newest incarnation last.
+  std::map<std::string, std::vector<UsageSequence>> m_added;
   std::uint64_t m_next = 0;  // Offset of the next record.
   Instant m_read_at{};       // Time of the last successful read.
   // No window is fixed before this time: after a store outage the other
@@ -30,7 +39,8 @@
   Instant m_complete_from{};
 };
 
-// Adds the records of a read to the sums.
+// Adds the records of a read to the sums. A record that is stored more than
+// once counts once.
 void AddUsageRecords(UsageAggregate& state, const ReadResult& result,
                      Instant now);
 
