Accept fractions for the bounds that the platform sets

The platform's page says that bounds may be fractions, and that deployment's is.

Change: the bounds that the template fills in are doubles: the retry window and its slack, the lease, the usage window and its delay, the grace time. An empty value was the default before and stays so.

Test: "the bounds of the platform may be fractions or missing" in settings_test; the parser before rejects three of its lines.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -1,8 +1,9 @@
+#include "control.h"
+
 #include <glog/logging.h>
 
 #include <utility>
 
-#include "control.h"
 #include "controltick.h"
 #include "entryduties.h"
 #include "eventlog.h"
@@ -67,17 +68,16 @@
   HolderOptions& holder = state.m_holder.m_options;
   holder.m_name = m_settings.instance().name();
   holder.m_incarnation = m_incarnation;
-  holder.m_lease = std::chrono::milliseconds(m_settings.duties().lease_ms());
+  holder.m_lease = FromMs(m_settings.duties().lease_ms());
   holder.m_send_margin =
       std::chrono::milliseconds(m_settings.duties().send_margin_ms());
   holder.m_claim_wait =
       kClaimDelayStep *
       (std::hash<std::string>()(holder.m_name) % kClaimDelaySteps);
   state.m_usage_aggregate.m_options.m_window =
-      std::chrono::seconds(m_settings.duties().usage_window_s());
+      FromMs(m_settings.duties().usage_window_s() * kMsPerSecond);
   state.m_usage_aggregate.m_options.m_fix_delay =
-      std::chrono::milliseconds(m_settings.duties().usage_delay_s()) *
-      kSettleMsPerDelaySecond;
+      FromMs(m_settings.duties().usage_delay_s() * kSettleMsPerDelaySecond);
   HttpServerEvents events;
   events.m_on_request = [this](const HttpRequest& request) {
     HandlePeerRequest(request);
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -101,7 +101,7 @@
     m_relay->Inbox().Post(std::move(drain));
     // A stopping instance releases its duties first and claims no others.
     DrainControl();
-    const Duration limit = std::chrono::seconds(m_settings.stop().grace_s());
+    const Duration limit = FromMs(m_settings.stop().grace_s() * kMsPerSecond);
     m_loop.StartTimer(limit - kHandoverReserve, [this] {
       LogLine line("drain_timeout");
       line.Add("instance", m_settings.instance().name());
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -81,10 +81,10 @@
     m_regions[zone] = region;
   }
   m_state.m_options.m_instance = settings.instance().name();
-  m_state.m_options.m_retry_after = Duration(
-      static_cast<std::int64_t>(settings.retry().retry_after_s() * 1e6));
+  m_state.m_options.m_retry_after =
+      FromMs(settings.retry().retry_after_s() * kMsPerSecond);
   m_state.m_options.m_usage_window =
-      std::chrono::seconds(settings.duties().usage_window_s());
+      FromMs(settings.duties().usage_window_s() * kMsPerSecond);
   m_state.m_format = &platform::RequestFormat();
   m_state.m_clock = Now;
   m_state.m_unix_at_zero = unix_at_zero;
@@ -92,7 +92,7 @@
   m_state.m_balance.m_region = settings.instance().region();
   ResendLimits& resends = m_state.m_resends.m_limits;
   resends.m_ratio = settings.retry().budget_ratio();
-  resends.m_window = std::chrono::seconds(settings.retry().window_s());
+  resends.m_window = FromMs(settings.retry().window_s() * kMsPerSecond);
   resends.m_slack = settings.retry().slack();
 }
 
--- a/src/relaymetrics.cpp
+++ b/src/relaymetrics.cpp
@@ -16,7 +16,6 @@
       std::chrono::duration<double>(state.m_clock() - state.m_knowledge_at)
           .count();
   const auto seconds = [since](double milliseconds) {
-    constexpr double kMsPerSecond = 1000;
     return milliseconds / kMsPerSecond + since;
   };
   text->Gauge("relay_catalog_age_seconds",
--- a/src/types.h
+++ b/src/types.h
@@ -18,10 +18,13 @@
 // the current time as an argument and never read a clock.
 using Instant = std::chrono::time_point<std::chrono::steady_clock, Duration>;
 
+inline constexpr double kMsPerSecond = 1000;
+
 // Converts a duration to and from milliseconds, the unit used in messages.
 constexpr double ToMs(Duration time) {
   return std::chrono::duration<double, std::milli>(time).count();
 }
+
 constexpr Duration FromMs(double milliseconds) {
   return std::chrono::duration_cast<Duration>(
       std::chrono::duration<double, std::milli>(milliseconds));
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -138,5 +138,29 @@
   CHECK(ToText(errors[0]) == "/nonexistent/a.ini: the file cannot be read");
 }
 
+// Guards against a process that does not start because a bound of the platform
+// is a fraction or is missing.
+TEST_CASE("the bounds of the platform may be fractions or missing") {
+  const std::string path =
+      "/tmp/comfreypaddle_entry_" + std::to_string(getpid()) + ".ini";
+  std::ofstream(path)
+      << "[instance]\nname = a\navailability_zone = z\nregion = r\n"
+         "[listen]\ncallers = 10.0.0.1:1\nready = 10.0.0.1:2\n"
+         "peers = 10.0.0.1:3\n"
+         "[platform]\nstore = 10.0.0.2:1\norders = 10.0.0.2:2\n"
+         "[retry]\nbudget_ratio = 0.2\nwindow_s = 10.5\nslack = 66.25\n"
+         "[duties]\nlease_ms = 2999.5\nusage_window_s = 2.5\n"
+         "usage_delay_s = 7.25\n"
+         "[stop]\ngrace_s =\n";
+  schema::RelaySettings settings;
+  const auto errors = LoadRelaySettings(path, &settings);
+  std::remove(path.c_str());
+  for (const auto& error : errors) INFO(ToText(error));
+  REQUIRE(errors.empty());
+  CHECK(settings.retry().slack() == 66.25);
+  CHECK(settings.duties().usage_window_s() == 2.5);
+  CHECK(settings.stop().grace_s() == 8);
+}
+
 }  // namespace
 }  // namespace comfreypaddle
