Refuse prompts that cannot be answered, and say when to return

Cause: entry sent every request to an endpoint at once, also prompts whose first event could only come after the caller had left; refused callers were all told 0.5 s whatever the backlog, and a prompt whose decode endpoint was full when its prefill ended was refused 10 ms later, its prefill in vain.

A prefilled request waits 300 ms for a decode endpoint.

Tried and reverted: holding prompts that are late already back while the engines' backlog is above 100 ms, so that those that can be in time go first.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -395,6 +395,7 @@
       last_resort ? BalanceReason::kLastResort : BalanceReason::kLeastLoad,
       best_ms,
       0,
+      0,
       ""};
 }
 
@@ -426,6 +427,7 @@
                        ReasonOf(decode_last, whole.m_access.m_is_cached),
                        whole.m_total_ms,
                        whole.m_estimate.m_work_ms,
+                       whole.m_estimate.m_wait_ms,
                        AddressOf(whole.m_access.m_source)};
   if (!query.m_allow_split) return choice;
   bool prefill_last = false;
@@ -444,6 +446,7 @@
                        ReasonOf(false, split.m_access.m_is_cached),
                        total,
                        split.m_estimate.m_work_ms,
+                       split.m_estimate.m_wait_ms,
                        AddressOf(split.m_access.m_source)};
 }
 
--- a/src/balance.h
+++ b/src/balance.h
@@ -45,6 +45,7 @@
   BalanceReason m_reason = BalanceReason::kLeastLoad;
   double m_estimate_ms = 0;
   double m_work_ms = 0;  // Prefill work at the endpoint that does it.
+  double m_wait_ms = 0;  // Estimated time until it begins with it.
   // Address of an endpoint from which the one that does the prefill fetches the
   // part of the shared prefix that it lacks; empty if none is known.
   std::string m_fetch_address;
--- a/src/finish.cpp
+++ b/src/finish.cpp
@@ -1,10 +1,12 @@
 #include "finish.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 #include <utility>
 
 #include "eventlog.h"
+#include "refusal.h"
 
 namespace comfreypaddle {
 
@@ -32,15 +34,23 @@
 }
 
 HttpFields ErrorFields(const RelayState& state, int status,
-                       const std::string& attempt) {
+                       const std::string& attempt, Duration retry_after) {
   HttpFields fields = state.m_format->LocalResponseFields(attempt);
   if (status == kUnavailable) {
-    fields.push_back(
-        {"Retry-After", SecondsText(state.m_options.m_retry_after)});
+    fields.push_back({"Retry-After", SecondsText(retry_after)});
   }
   return fields;
 }
 
+// Delay that the caller of a refused request is told. Where no backlog is
+// known, that of the settings.
+Duration RetryAfterOf(const RelayState& state, const RelayCall& call) {
+  const Duration backlog =
+      std::max(call.m_backlog, state.m_options.m_retry_after);
+  return ChooseRetryAfter(backlog, call.m_deadline - state.m_clock(),
+                          call.m_query.m_tie_break_seed);
+}
+
 // Logs the end of a request and deletes it.
 void CloseCall(RelayState& state, RelayCall& call, EndReason reason,
                int status) {
@@ -98,7 +108,9 @@
   } else {
     state.m_callers->Respond(
         call.m_id, status,
-        ErrorFields(state, status, call.m_metadata.m_attempt), "");
+        ErrorFields(state, status, call.m_metadata.m_attempt,
+                    RetryAfterOf(state, call)),
+        "");
   }
   CloseCall(state, call, reason, call.m_response_started ? 0 : status);
 }
@@ -135,7 +147,9 @@
                           : static_cast<std::int64_t>(
                                 state.m_catalog->Message().version()));
   state.m_callers->Respond(request.m_id, status,
-                           ErrorFields(state, status, terms.m_attempt), "");
+                           ErrorFields(state, status, terms.m_attempt,
+                                       state.m_options.m_retry_after),
+                           "");
 }
 
 void ReleaseKvCache(RelayState& state, RelayCall& call) {
--- a/src/relayattempt.cpp
+++ b/src/relayattempt.cpp
@@ -5,6 +5,7 @@
 
 #include "eventlog.h"
 #include "finish.h"
+#include "refusal.h"
 
 namespace comfreypaddle {
 
@@ -42,6 +43,10 @@
 // as a fraction of the route's target time.
 constexpr double kPlainHeadTimeoutRatio = 0.6;
 
+// Time for which a prefilled request waits for a decode endpoint. The endpoint
+// that holds its KV cache keeps it for longer.
+constexpr Duration kDecodeWait = std::chrono::milliseconds(300);
+
 // Minimum time to the deadline for another attempt.
 constexpr Duration kMinTimeLeft = std::chrono::milliseconds(40);
 
@@ -391,6 +396,18 @@
       state.m_endpoints->Start(std::move(http), std::move(events));
 }
 
+// Keeps a prefilled request until a decode endpoint has room: its prefill would
+// have been in vain.
+void AwaitDecode(RelayState& state, RelayCall& call, Instant now) {
+  const bool first = call.m_stage != CallStage::kWaiting;
+  call.m_stage = CallStage::kWaiting;
+  if (first) {
+    call.m_queue_deadline = std::min(now + kDecodeWait, call.m_deadline);
+  }
+  if (now < call.m_queue_deadline) return;
+  FinishFailed(state, call, EndReason::kNoEndpoint);
+}
+
 // Runs the request at a decode endpoint with the prefilled KV cache.
 void RunWithPrefilledCache(RelayState& state, RelayCall& call) {
   const Instant now = state.m_clock();
@@ -401,8 +418,7 @@
   if (!usable) {
     const auto other = ChooseDecode(state.m_balance, call.m_query, now);
     if (!other) {
-      ReleaseKvCache(state, call);
-      FinishFailed(state, call, EndReason::kNoEndpoint);
+      AwaitDecode(state, call, now);
       return;
     }
     decode = *other;
@@ -500,10 +516,27 @@
   return elapsed > dead && now - endpoint->m_last_response_at > dead;
 }
 
+// Whether the caller of a prompt that was not sent yet leaves before its first
+// event, at the endpoint that serves it first.
+bool IsHopeless(const RelayCall& call, const BalanceChoice& choice,
+                Instant now) {
+  const bool is_new = call.m_sends == 0 && call.m_prefills == 0;
+  if (!is_new || !call.m_query.m_is_prompt) return false;
+  const Duration patience = CallerPatience(FromMs(call.m_route->target_ms()),
+                                           FromMs(call.m_route->gap_ms()),
+                                           call.m_deadline - call.m_arrived);
+  return !IsServable(now - call.m_arrived, patience,
+                     FromMs(choice.m_estimate_ms));
+}
+
 }  // namespace
 
 void DispatchCall(RelayState& state, RelayCall& call) {
   const Instant now = state.m_clock();
+  if (call.m_source) {
+    RunWithPrefilledCache(state, call);
+    return;
+  }
   // A resumed stream needs the KV cache of its prompt and its output so far, so
   // that a separate prefill of the prompt does not pay.
   if (call.m_response_started) call.m_query.m_allow_split = false;
@@ -517,6 +550,11 @@
     return;
   }
   call.m_expected = FromMs(choice->m_estimate_ms);
+  call.m_backlog = FromMs(choice->m_wait_ms);
+  if (IsHopeless(call, *choice, now)) {
+    FinishFailed(state, call, EndReason::kTooLate);
+    return;
+  }
   LogLine("endpoint_selected")
       .Add("request", call.m_metadata.m_attempt)
       .Add("service", call.m_service)
--- a/src/relaystate.h
+++ b/src/relaystate.h
@@ -40,6 +40,7 @@
   kNoRoute,
   kBadKey,
   kNoEndpoint,  // None became available in time.
+  kTooLate,     // It cannot be answered before its caller leaves.
   kRejected,    // By an endpoint, and no further attempt is allowed.
   kEndpointFailed,
   kDeadline,
@@ -51,12 +52,13 @@
 
 template <>
 struct EnumNames<EndReason> {
-  static constexpr std::array<EnumName<EndReason>, 12> kTable{
+  static constexpr std::array<EnumName<EndReason>, 13> kTable{
       {{EndReason::kAnswered, "answered"},
        {EndReason::kNoCatalog, "no_catalog"},
        {EndReason::kNoRoute, "no_route"},
        {EndReason::kBadKey, "bad_key"},
        {EndReason::kNoEndpoint, "no_endpoint"},
+       {EndReason::kTooLate, "too_late"},
        {EndReason::kRejected, "rejected"},
        {EndReason::kEndpointFailed, "endpoint_failed"},
        {EndReason::kDeadline, "deadline"},
@@ -101,6 +103,7 @@
   // KV cache prefilled for the request that no endpoint has fetched yet.
   std::optional<CacheSource> m_source;
   std::string m_planned_decode;
+  Duration m_backlog{0};   // At the endpoint that was considered last.
   Duration m_expected{0};  // Estimated time to the first event when dispatched.
   std::uint32_t m_prefills = 0;
   std::uint32_t m_sends = 0;        // Without those for prefill only.
--- a/tests/relaycall_test.cpp
+++ b/tests/relaycall_test.cpp
@@ -431,5 +431,48 @@
   CHECK(f.m_endpoints.m_cancelled.size() == 1);
 }
 
+// Guards against a prompt that is computed in vain because its caller leaves
+// before the first event.
+TEST_CASE("a prompt that cannot be answered in time is refused at once") {
+  Fixture f;
+  schema::Catalog catalog = f.m_state.m_catalog->Message();
+  catalog.mutable_routes(3)->set_prompt(true);
+  catalog.mutable_routes(3)->set_timeout_ms(20'000);
+  f.m_state.m_catalog = std::make_shared<const CatalogIndex>(catalog);
+  for (auto& [id, endpoint] : f.m_state.m_balance.m_endpoints) {
+    endpoint.m_stage = EngineStage::kDecode;
+  }
+  f.m_format.m_prompt_tokens = 200'000;
+  REQUIRE_CALL(f.m_callers, Respond(1U, 503, _, _))
+      .WITH(HasField(_3, "Retry-After"));
+  f.Ask(1, "/again/x");
+  CHECK(f.m_endpoints.m_calls.empty());
+  CHECK(f.m_state.m_counters.m_ends[EndReason::kTooLate] == 1);
+}
+
+// Guards against a prefill in vain: all decode endpoints are full for a moment
+// when it ends.
+TEST_CASE("a prefilled request waits for a decode endpoint") {
+  Fixture f;
+  schema::Catalog catalog = f.m_state.m_catalog->Message();
+  catalog.mutable_routes(2)->set_prompt(true);
+  f.m_state.m_catalog = std::make_shared<const CatalogIndex>(catalog);
+  auto& endpoints = f.m_state.m_balance.m_endpoints;
+  endpoints["e1"].m_stage = EngineStage::kPrefill;
+  endpoints["e2"].m_stage = EngineStage::kDecode;
+  endpoints["e2"].m_wait_ms = 1500;
+  endpoints["e2"].m_wait_sampled_at = f.m_now;
+  f.Ask(1, "/stream/x");
+  REQUIRE(f.m_endpoints.m_calls.size() == 1);
+  REQUIRE(f.m_endpoints.To(0) == "e1");
+  OnEndpointFull(f.m_state.m_balance, "e2", std::nullopt, f.m_now);
+  f.Answer(0, 200, {}, "handle");
+  CHECK(f.m_endpoints.m_calls.size() == 1);
+  f.m_now += milliseconds(100);
+  TickCalls(f.m_state);
+  REQUIRE(f.m_endpoints.m_calls.size() == 2);
+  CHECK(f.m_endpoints.To(1) == "e2");
+}
+
 }  // namespace
 }  // namespace comfreypaddle
