Do not charge unreachable endpoints to the retry budget

Of the requests that 50 logged instances refused, 590 had met one endpoint to which the connection failed (845 of 877 broken attempts had sent nothing); the retry was charged to the instance's part of the retry budget, a few in 10 s, and was not allowed.

Ruled out: the budget's size. It bounds what arrives at a service, and a refused connection does not arrive.

Change: a request that reached no endpoint goes elsewhere without a charge, up to eight endpoints and within its time, and keeps the KV cache that was prefilled for it.

Tests: relaycall_test, two cases; with a budget of zero the request was refused after the first failed connection before.

--- a/src/relayattempt.cpp
+++ b/src/relayattempt.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 // Maximum number of endpoints to which one request is sent, including those
-// that reject it or cannot be reached.
+// that reject it.
 constexpr std::uint32_t kMaxSends = 4;
 
 // Maximum size of a response that is not streamed.
@@ -47,6 +47,10 @@
 // that holds its KV cache keeps it for longer.
 constexpr Duration kDecodeWait = std::chrono::milliseconds(300);
 
+// Maximum number of endpoints that one request tries, including those that
+// cannot be reached.
+constexpr std::size_t kMaxEndpointsTried = 8;
+
 // Minimum time to the deadline for another attempt.
 constexpr Duration kMinTimeLeft = std::chrono::milliseconds(40);
 
@@ -149,12 +153,22 @@
 void SendRun(RelayState& state, RelayCall& call, const std::string& id,
              double work_ms, const std::string& fetch_address);
 
-// Retries a request that the endpoint did not execute, or ends it.
-void RetryNotExecuted(RelayState& state, RelayCall& call) {
+// Whether a request that reached no endpoint may be tried elsewhere. It is not
+// charged to the retry budget, which bounds what arrives at the service.
+bool MayRetryUnsent(const RelayState& state, const RelayCall& call) {
+  return call.m_query.m_excluded.size() < kMaxEndpointsTried &&
+         call.m_deadline - state.m_clock() > kMinTimeLeft;
+}
+
+// Retries a request that the endpoint did not execute, or ends it. `sent` tells
+// whether it reached the endpoint.
+void RetryNotExecuted(RelayState& state, RelayCall& call, bool sent) {
   call.m_query.m_excluded.push_back(call.m_attempt.m_endpoint);
   if (call.m_stage == CallStage::kRun && call.m_runs > 0) --call.m_runs;
-  call.m_source.reset();
-  if (MayRetryNotExecuted(state, call)) {
+  if (!sent && call.m_sends > 0) --call.m_sends;
+  // An endpoint that was not reached has not fetched the prefilled KV cache.
+  if (sent) call.m_source.reset();
+  if (sent ? MayRetryNotExecuted(state, call) : MayRetryUnsent(state, call)) {
     ++state.m_counters.m_resends;
     DispatchCall(state, call);
   } else {
@@ -299,7 +313,7 @@
   ++state.m_counters.m_not_run;
   LogFailure(state, call, "rejected", result);
   RecordRejection(state, call.m_attempt, result);
-  RetryNotExecuted(state, call);
+  RetryNotExecuted(state, call, true);
 }
 
 void OnStreamComplete(RelayState& state, RelayCall& call) {
@@ -337,7 +351,7 @@
   LogFailure(state, call, "broken", result);
   OnEndpointFailed(state.m_balance, call.m_attempt.m_endpoint, state.m_clock());
   if (!result.m_sent) {
-    RetryNotExecuted(state, call);
+    RetryNotExecuted(state, call, false);
     return;
   }
   const bool crashed = call.m_attempt.m_status == 0 &&
--- a/tests/relaycall_test.cpp
+++ b/tests/relaycall_test.cpp
@@ -472,6 +472,30 @@
   TickCalls(f.m_state);
   REQUIRE(f.m_endpoints.m_calls.size() == 2);
   CHECK(f.m_endpoints.To(1) == "e2");
+  // It cannot be reached: another one fetches the KV cache.
+  endpoints["e3"].m_stage = EngineStage::kDecode;
+  f.Break(1, false);
+  REQUIRE(f.m_endpoints.m_calls.size() == 3);
+  CHECK(f.m_endpoints.To(2) == "e3");
+}
+
+// Guards against refusals while many endpoints are being replaced: the retry
+// budget of an instance is small, and a refused connection reaches no endpoint.
+TEST_CASE("endpoints that cannot be reached are not charged to the budget") {
+  Fixture f;
+  f.m_state.m_resends.m_limits = {0, seconds(10), 0};
+  REQUIRE_CALL(f.m_callers, Respond(1U, 200, _, "body"));
+  f.Ask(1, "/once/x");
+  f.Break(0, false);
+  REQUIRE(f.m_endpoints.m_calls.size() == 2);
+  f.Break(1, false);
+  REQUIRE(f.m_endpoints.m_calls.size() == 3);
+  CHECK(f.m_endpoints.To(2) != f.m_endpoints.To(0));
+  f.Answer(2, 200, {}, "body");
+  // One that reached an endpoint and was rejected there is charged.
+  f.Ask(2, "/once/x");
+  REQUIRE_CALL(f.m_callers, Respond(2U, 503, _, _));
+  f.Answer(3, 503, {{"not-run", "1"}});
 }
 
 }  // namespace
