--- a/src/relayattempt.cpp
+++ b/src/relayattempt.cpp
@@ -3,18 +3,14 @@
 #include <algorithm>
 #include <utility>
 
+#include "attemptlimits.h"
 #include "eventlog.h"
 #include "finish.h"
-#include "refusal.h"
 
 namespace comfreypaddle {
 
 namespace {
 
-// Maximum number of endpoints to which one request is sent, including those
-// that reject it.
-constexpr std::uint32_t kMaxSends = 4;
-
 // Maximum size of a response that is not streamed.
 constexpr std::size_t kMaxResponseBytes = 8U << 20U;
 
@@ -24,66 +20,13 @@
 // Unsent bytes of a stream above which a slow caller is disconnected.
 constexpr std::size_t kMaxBacklogBytes = 4U << 20U;
 
-// Timeout for the response head of a stream at an endpoint that sends nothing
-// to any request and is therefore considered dead. An endpoint that still
-// responds to other requests is only busy, and a retry elsewhere would add to
-// the load.
-constexpr Duration kDeadEndpointTimeout = std::chrono::milliseconds(1000);
-
-// Factor of the estimated time to the first event that is added to both
-// timeouts of streams: an endpoint that computes a long prompt answers nobody
-// meanwhile.
-constexpr double kExpectedTimeFactor = 1.5;
-
-// Timeout for the response head of a stream whose endpoint responds to other
-// requests.
-constexpr Duration kStreamHeadTimeout = std::chrono::milliseconds(2500);
-
-// Timeout for the response head of an idempotent request that is not streamed,
-// as a fraction of the route's target time.
-constexpr double kPlainHeadTimeoutRatio = 0.6;
-
 // Time for which a prefilled request waits for a decode endpoint. The endpoint
 // that holds its KV cache keeps it for longer.
 constexpr Duration kDecodeWait = std::chrono::milliseconds(300);
 
-// Maximum number of endpoints that one request tries, including those that
-// cannot be reached.
-constexpr std::size_t kMaxEndpointsTried = 8;
-
-// Minimum time to the deadline for another attempt.
-constexpr Duration kMinTimeLeft = std::chrono::milliseconds(40);
-
 // Lowest HTTP status of a server error.
 constexpr int kMinServerErrorStatus = 500;
 
-bool IsStream(const RelayCall& call) {
-  return call.m_route->kind() == schema::REPEAT_STREAM;
-}
-
-bool IsRepeatable(const RelayCall& call) {
-  return call.m_route->kind() == schema::REPEAT_ALLOWED ||
-         (IsStream(call) && call.m_route->resumable());
-}
-
-// Whether a request that may have been executed may be retried. Charges the
-// retry budget if so.
-bool MayRetryExecuted(RelayState& state, const RelayCall& call) {
-  const Instant now = state.m_clock();
-  return IsRepeatable(call) && call.m_runs < call.m_route->max_attempts() &&
-         call.m_sends < kMaxSends && call.m_deadline - now > kMinTimeLeft &&
-         TryConsumeResend(state.m_resends, call.m_service, now);
-}
-
-// Whether a request that was not executed may be retried. Charges the retry
-// budget if so.
-bool MayRetryNotExecuted(RelayState& state, const RelayCall& call) {
-  const Instant now = state.m_clock();
-  return call.m_sends + call.m_prefills <= kMaxSends &&
-         call.m_deadline - now > kMinTimeLeft &&
-         TryConsumeResend(state.m_resends, call.m_service, now);
-}
-
 // Removes the current attempt from the endpoint's load.
 void ReleaseLoad(RelayState& state, RelayCall& call) {
   EndpointAttempt& attempt = call.m_attempt;
@@ -153,13 +96,6 @@
 void SendRun(RelayState& state, RelayCall& call, const std::string& id,
              double work_ms, const std::string& fetch_address);
 
-// Whether a request that reached no endpoint may be tried elsewhere. It is not
-// charged to the retry budget, which bounds what arrives at the service.
-bool MayRetryUnsent(const RelayState& state, const RelayCall& call) {
-  return call.m_query.m_excluded.size() < kMaxEndpointsTried &&
-         call.m_deadline - state.m_clock() > kMinTimeLeft;
-}
-
 // Retries a request that the endpoint did not execute, or ends it. `sent` tells
 // whether it reached the endpoint.
 void RetryNotExecuted(RelayState& state, RelayCall& call, bool sent) {
@@ -511,38 +447,6 @@
       state.m_endpoints->Start(std::move(http), std::move(events));
 }
 
-// Whether the attempt has exceeded its timeout.
-bool HasTimedOut(RelayState& state, const RelayCall& call, Instant now) {
-  const Duration elapsed = now - call.m_attempt.m_sent;
-  if (!IsStream(call)) {
-    constexpr double kMicrosPerMs = 1000;
-    return elapsed > Duration(static_cast<std::int64_t>(
-                         call.m_route->target_ms() * kPlainHeadTimeoutRatio *
-                         kMicrosPerMs));
-  }
-  const auto expected = std::chrono::duration_cast<Duration>(
-      call.m_expected * kExpectedTimeFactor);
-  if (elapsed > kStreamHeadTimeout + expected) return true;
-  const Duration dead = kDeadEndpointTimeout + expected;
-  const BalanceEndpoint* endpoint =
-      FindEndpoint(state.m_balance, call.m_attempt.m_endpoint);
-  if (endpoint == nullptr) return elapsed > dead;
-  return elapsed > dead && now - endpoint->m_last_response_at > dead;
-}
-
-// Whether the caller of a prompt that was not sent yet leaves before its first
-// event, at the endpoint that serves it first.
-bool IsHopeless(const RelayCall& call, const BalanceChoice& choice,
-                Instant now) {
-  const bool is_new = call.m_sends == 0 && call.m_prefills == 0;
-  if (!is_new || !call.m_query.m_is_prompt) return false;
-  const Duration patience = CallerPatience(FromMs(call.m_route->target_ms()),
-                                           FromMs(call.m_route->gap_ms()),
-                                           call.m_deadline - call.m_arrived);
-  return !IsServable(now - call.m_arrived, patience,
-                     FromMs(choice.m_estimate_ms));
-}
-
 }  // namespace
 
 void DispatchCall(RelayState& state, RelayCall& call) {
