--- a/tests/oddentries_test.cpp
+++ b/tests/oddentries_test.cpp
@@ -3,6 +3,7 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
 
+#include <array>
 #include <random>
 
 #include "base64.h"
@@ -12,7 +13,7 @@
 namespace comfreypaddle {
 namespace {
 
-const std::string kSoundEntry =
+constexpr char kSoundEntry[] =
     R"({"service":"s","address":"10.0.0.9:8080","zone":"z","version":"v1",)"
     R"("slots":6,"state":"ready","coldRemainingMs":0,"phase":"decode",)"
     R"("sequence":4,"born":1790887712000,"spot":true,"leaves_ms":10})";
@@ -58,7 +59,7 @@
           Repeat("{\"a\":", depth) + "1" + Repeat("}", depth)};
 }
 
-const std::vector<std::string> kFields = {
+constexpr std::array<const char*, 11> kFields = {
     "service", "address",  "zone", "slots", "state",    "coldRemainingMs",
     "phase",   "sequence", "born", "spot",  "leaves_ms"};
 
@@ -78,7 +79,7 @@
 // because of the value of one field.
 TEST_CASE("an entry with an odd value is rejected or can be passed on") {
   const platform::JsonRecordDecoder records;
-  for (const std::string& field : kFields) {
+  for (const std::string field : kFields) {
     for (const std::string& value : OddValues()) {
       CAPTURE(field);
       CAPTURE(value.substr(0, 40));
