Play the new contracts and odd entries with real processes

The stand-in of an endpoint can say that it leaves and ask for a pause. Three cases of entry_system_test: a leaving endpoint that the list still shows as ready gets nothing new, one that asks for 1.5 s gets nothing for 1.2 s, and of three instances none ends or stops following the list because of entries with invalid UTF-8, port 65,536, 100,000 open brackets and 1e308.

No functional change

--- a/tests/entry_system_test.cpp
+++ b/tests/entry_system_test.cpp
@@ -189,5 +189,90 @@
       seconds(3)));
 }
 
+// Guards against new requests to an endpoint that said that it leaves while the
+// store still lists it as ready.
+TEST_CASE("a leaving endpoint gets no new request from the same instance") {
+  PlatformCluster cluster("leaving");
+  cluster.Configure(1, R"(["k1"])");
+  cluster.AddEndpoint("plain");
+  cluster.StartEntry(1);
+  cluster.Endpoint(0).SetLeaving(true);
+  CHECK(cluster.Call(1, "GET", "/safe/x").m_status == 200);
+  cluster.AddEndpoint("plain");
+  REQUIRE(cluster.Until(
+      [&] { return cluster.Call(1, "GET", "/safe/x").m_status == 200; }));
+  const std::size_t before = cluster.Endpoint(0).Requests().size();
+  for (int i = 0; i < 20; ++i) {
+    CHECK(cluster.Call(1, "GET", "/safe/x").m_status == 200);
+  }
+  CHECK(before == 1);
+  CHECK(cluster.Endpoint(0).Requests().size() == before);
+}
+
+// Guards against requests to a full endpoint within the pause that it asked
+// for.
+TEST_CASE("an endpoint gets no request during the pause that it asked for") {
+  PlatformCluster cluster("pause");
+  cluster.Configure(1, R"(["k1"])");
+  cluster.AddEndpoint("plain");
+  cluster.StartEntry(1);
+  cluster.Endpoint(0).SetOverloaded(true, "1.5");
+  const Reply refused = cluster.Call(1, "GET", "/safe/x");
+  CHECK(refused.m_status == 503);
+  CHECK(FindFieldIgnoreCase(refused.m_headers, "Retry-After") != nullptr);
+  const Instant paused = Now();
+  const int rejections = cluster.Endpoint(0).Rejections();
+  CHECK(rejections == 1);
+  while (Now() - paused < std::chrono::milliseconds(1200)) {
+    CHECK(cluster.Call(1, "GET", "/safe/x").m_status == 503);
+  }
+  CHECK(cluster.Endpoint(0).Rejections() == rejections);
+  cluster.Endpoint(0).SetOverloaded(false);
+  CHECK(cluster.Until(
+      [&] { return cluster.Call(1, "GET", "/safe/x").m_status == 200; },
+      seconds(3)));
+}
+
+// Guards against instances that end, or stop following the list, because of one
+// entry of another writer: names that no message can carry, deep nesting,
+// absurd numbers.
+TEST_CASE("odd entries among the endpoints disturb no instance") {
+  constexpr int kEntries = 3;
+  PlatformCluster cluster("odd-entries");
+  cluster.Configure(1, R"(["k1"])");
+  cluster.AddEndpoint("plain");
+  for (int i = 1; i <= kEntries; ++i) cluster.StartEntry(i);
+  const std::string sound_tail =
+      R"(","zone":"z1","slots":4,"state":"ready","coldRemainingMs":0,)"
+      R"("sequence":1})";
+  const std::string address = R"(,"address":"127.0.0.1:1)";
+  cluster.Store().Put("keyed.servers", "odd-utf8",
+                      "{\"service\":\"\xff\xfe\"" + address + sound_tail);
+  cluster.Store().Put(
+      "keyed.servers", "odd-port",
+      R"({"service":"plain","address":"127.0.0.1:65536)" + sound_tail);
+  cluster.Store().Put("keyed.servers", "odd-nesting",
+                      std::string(100'000, '['));
+  cluster.Store().Put("keyed.servers", "odd-number",
+                      R"({"service":"plain","slots":1e308})");
+  cluster.Endpoint(0).SetOverloaded(true, "60");
+  cluster.AddEndpoint("plain");
+  for (int i = 1; i <= kEntries; ++i) {
+    CAPTURE(i);
+    // Each instance learns of the sound entry behind the odd ones.
+    CHECK(cluster.Until(
+        [&] { return cluster.Call(i, "GET", "/safe/x").m_status == 200; },
+        seconds(4)));
+    CHECK_FALSE(cluster.Entry(i).ExitCode().has_value());
+  }
+  cluster.Configure(2, R"(["k2"])");
+  for (int i = 1; i <= kEntries; ++i) {
+    CAPTURE(i);
+    CHECK(cluster.Until(
+        [&] { return cluster.Call(i, "GET", "/safe/x", "k2").m_status == 200; },
+        seconds(4)));
+  }
+}
+
 }  // namespace
 }  // namespace comfreypaddle
--- a/tests/support_platform.cpp
+++ b/tests/support_platform.cpp
@@ -186,18 +186,23 @@
 }
 
 void FakeEndpoint::Handle(const HttpRequest& request) {
-  const HttpFields response_fields = {
-      {"Attempt-Id", FieldOf(request, "Attempt-Id")},
-      {"Server-Stamp", "stamp-" + m_id},
-      {"Keep-Alive", "timeout=5"}};
+  HttpFields response_fields = {{"Attempt-Id", FieldOf(request, "Attempt-Id")},
+                                {"Server-Stamp", "stamp-" + m_id},
+                                {"Keep-Alive", "timeout=5"}};
   if (FieldOf(request, "Expect-Instance") != m_id) {
     m_server.Respond(request.m_id, 421, {}, "");
     return;
   }
   if (m_overloaded) {
-    m_server.Respond(request.m_id, 503, {{"Not-Executed", "1"}}, "");
+    ++m_rejections;
+    response_fields.push_back({"Not-Executed", "1"});
+    if (!m_retry_after.empty()) {
+      response_fields.push_back({"Retry-After", m_retry_after});
+    }
+    m_server.Respond(request.m_id, 503, response_fields, "");
     return;
   }
+  if (m_leaving) response_fields.push_back({"Server-Leaving", "1"});
   m_requests.push_back(request);
   const bool stream = request.m_target.rfind("/stream/", 0) == 0 ||
                       request.m_target.rfind("/again/", 0) == 0;
--- a/tests/support_platform.h
+++ b/tests/support_platform.h
@@ -102,8 +102,16 @@
   // Aborts the connection of each stream after this many events; 0 disables it.
   void AbortStreamsAfter(int events) { m_break_after = events; }
 
-  // While set, every request is rejected with 503 and Not-Executed.
-  void SetOverloaded(bool overloaded) { m_overloaded = overloaded; }
+  // While set, every request is rejected with 503 and Not-Executed, and with
+  // this Retry-After unless it is empty.
+  void SetOverloaded(bool overloaded, const std::string& retry_after = "") {
+    m_overloaded = overloaded;
+    m_retry_after = retry_after;
+  }
+  int Rejections() const { return m_rejections; }
+
+  // While set, every response says that the endpoint leaves.
+  void SetLeaving(bool leaving) { m_leaving = leaving; }
 
  private:
   void Handle(const HttpRequest& request);
@@ -116,6 +124,9 @@
   std::vector<HttpRequest> m_requests;
   int m_break_after = 0;
   bool m_overloaded = false;
+  std::string m_retry_after;
+  int m_rejections = 0;
+  bool m_leaving = false;
 };
 
 // Entry instances that run against stand-ins of the platform.
