--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -193,6 +193,7 @@
   const BalanceEndpoint* m_home = nullptr;
 };
 
+// Known holders that still run in the same lifetime and have not failed lately.
 Candidates FindRunningHolders(const BalanceState& state,
                               const BalanceQuery& query, Instant now) {
   Candidates running;
@@ -229,6 +230,7 @@
   return home;
 }
 
+// Finds the holders and the home of the prompt's shared prefix.
 PrefixPlacement PlacePrefix(const BalanceState& state,
                             const BalanceQuery& query, Instant now) {
   PrefixPlacement placement;
@@ -285,6 +287,8 @@
   return access;
 }
 
+// Decides whether the endpoint has the prefix, fetches it from the nearest
+// holder or computes it.
 PrefixAccess AccessPrefix(const PrefixPlacement& placement,
                           const BalanceEndpoint& endpoint,
                           const BalanceQuery& query, const EngineSpeed& speed) {
@@ -303,6 +307,7 @@
   return access;
 }
 
+// Estimated wait and work of the prefill, the transfer of the prefix included.
 PrefillEstimate EstimatePrefill(const BalanceEndpoint& endpoint,
                                 const BalanceQuery& query,
                                 const EngineSpeed& speed,
@@ -323,6 +328,8 @@
   double m_total_ms = std::numeric_limits<double>::max();
 };
 
+// Chooses the endpoint with the shortest estimated time to the end of the
+// prefill.
 PrefillCandidate FindPrefillCandidate(const BalanceState& state,
                                       const BalanceQuery& query,
                                       const PrefixPlacement& placement,
--- a/src/loadlink.cpp
+++ b/src/loadlink.cpp
@@ -43,6 +43,7 @@
   return list;
 }
 
+// Convert the uses of prefixes from and to messages.
 std::vector<PrefixUse> ToUses(const schema::LoadList& list) {
   std::vector<PrefixUse> uses;
   uses.reserve(list.prefix_uses_size());
--- a/src/usageflush.cpp
+++ b/src/usageflush.cpp
@@ -49,6 +49,7 @@
          state.m_upstream_link.m_store_answers && !state.m_flush.m_failed;
 }
 
+// Interval between the records of this instance, by the way that they take.
 Duration FlushInterval(const ControlState& state) {
   if (GoesThroughUpstream(state)) return kHandoverInterval;
   return std::clamp<Duration>(
@@ -56,6 +57,7 @@
       kMaxAppendInterval);
 }
 
+// Puts all counts that were not sent yet into a record.
 schema::UsageRecord MakeUsageRecord(const ControlState& state) {
   schema::UsageRecord record;
   record.set_instance(state.m_options.m_name);
@@ -70,6 +72,7 @@
   return record;
 }
 
+// Ends the pending record if it is the one with this sequence number.
 void OnUsageStored(ControlState& state, std::uint64_t sequence) {
   UsageFlush& flush = state.m_flush;
   // It may have been stored on another way before.
@@ -132,6 +135,8 @@
        }});
 }
 
+// Handles the answer to a handover. Without one the record is sent again on
+// another way.
 void OnHandoverEnd(ControlState& state, const std::string& receiver,
                    const std::string* body) {
   UsageFlush& flush = state.m_flush;
@@ -151,6 +156,7 @@
   OnUsageStored(state, result.sequence());
 }
 
+// Sends the pending record to another instance.
 void SendHandover(ControlState& state, const std::string& receiver,
                   const std::string& address) {
   state.m_flush.m_handing_over = true;
