Log the events and the prompt parts of failed attempts

Change: fields events, parts and since_head_ms. The flag for a first event becomes a count of the attempt. No decision uses them.

No functional change

--- a/src/relayattempt.cpp
+++ b/src/relayattempt.cpp
@@ -24,6 +24,9 @@
 // that holds its KV cache keeps it for longer.
 constexpr Duration kDecodeWait = std::chrono::milliseconds(300);
 
+// Parts of a prompt that a log line names.
+constexpr std::size_t kMaxLoggedParts = 16;
+
 // Lowest HTTP status of a server error.
 constexpr int kMinServerErrorStatus = 500;
 
@@ -36,17 +39,34 @@
   OnRequestCompleted(state.m_balance, attempt.m_endpoint);
 }
 
+// Ids of the parts of the prompt that other requests may share.
+std::string SharedPartIds(const RelayCall& call) {
+  const std::vector<PromptPart>& parts = call.m_metadata.m_parts;
+  std::string ids;
+  for (std::size_t i = 0; i + 1 < parts.size() && i < kMaxLoggedParts; ++i) {
+    if (i > 0) ids += ',';
+    ids += parts[i].m_id;
+  }
+  return ids;
+}
+
 void LogFailure(const RelayState& state, const RelayCall& call,
                 std::string_view reason, const HttpResult& result) {
-  LogLine("attempt_failed")
-      .Add("request", call.m_metadata.m_attempt)
+  const EndpointAttempt& attempt = call.m_attempt;
+  LogLine line("attempt_failed");
+  line.Add("request", call.m_metadata.m_attempt)
       .Add("stage", ToName(call.m_stage))
-      .Add("endpoint", call.m_attempt.m_endpoint)
+      .Add("endpoint", attempt.m_endpoint)
       .Add("reason", reason)
-      .Add("status", call.m_attempt.m_status)
+      .Add("status", attempt.m_status)
       .Add("error", result.m_error ? result.m_error.message() : "none")
       .Add("sent", result.m_sent ? 1 : 0)
-      .AddMs("after_ms", state.m_clock() - call.m_attempt.m_sent);
+      .Add("events", attempt.m_events)
+      .Add("parts", SharedPartIds(call))
+      .AddMs("after_ms", state.m_clock() - attempt.m_sent);
+  if (attempt.m_status != 0) {
+    line.AddMs("since_head_ms", state.m_clock() - attempt.m_head_at);
+  }
 }
 
 // Reports that an endpoint crashed while it ran the request.
@@ -175,6 +195,7 @@
                const HttpFields& fields) {
   EndpointAttempt& attempt = call.m_attempt;
   attempt.m_status = status;
+  attempt.m_head_at = state.m_clock();
   attempt.m_fields = fields;
   attempt.m_metadata = state.m_format->ParseResponseMetadata(status, fields);
   if (!attempt.m_metadata.m_leaving) return;
@@ -186,36 +207,33 @@
       .Add("status", status);
 }
 
-void OnRunEnd(RelayState& state, RelayCall& call, const HttpResult& result,
-              bool got_event);
+void OnRunEnd(RelayState& state, RelayCall& call, const HttpResult& result);
 
 // Ends an attempt whose endpoint exceeds a size limit.
-void AbortOversized(RelayState& state, RelayCall& call, bool got_event) {
+void AbortOversized(RelayState& state, RelayCall& call) {
   state.m_endpoints->Cancel(call.m_attempt.m_call);
-  OnRunEnd(state, call, {HttpError::kTooLarge, call.m_attempt.m_status, true},
-           got_event);
+  OnRunEnd(state, call, {HttpError::kTooLarge, call.m_attempt.m_status, true});
 }
 
-void OnRunBody(RelayState& state, RelayCall& call, std::string_view bytes,
-               bool* got_event) {
+void OnRunBody(RelayState& state, RelayCall& call, std::string_view bytes) {
   EndpointAttempt& attempt = call.m_attempt;
   if (!IsEventStream(attempt)) {
     attempt.m_body.append(bytes);
     if (attempt.m_body.size() > kMaxResponseBytes) {
-      AbortOversized(state, call, *got_event);
+      AbortOversized(state, call);
     }
     return;
   }
   for (const RawSseEvent& event : attempt.m_splitter.Feed(bytes)) {
-    if (!*got_event) OnFirstEvent(state, call);
-    *got_event = true;
+    if (attempt.m_events == 0) OnFirstEvent(state, call);
+    ++attempt.m_events;
     if (!ForwardEvent(state, call, event)) {
       FinishFailed(state, call, EndReason::kEndpointFailed);
       return;
     }
   }
   if (attempt.m_splitter.IsTooLarge()) {
-    AbortOversized(state, call, *got_event);
+    AbortOversized(state, call);
     return;
   }
   if (state.m_unsent_bytes &&
@@ -282,8 +300,7 @@
   }
 }
 
-void OnRunFailed(RelayState& state, RelayCall& call, const HttpResult& result,
-                 bool got_event) {
+void OnRunFailed(RelayState& state, RelayCall& call, const HttpResult& result) {
   LogFailure(state, call, "broken", result);
   OnEndpointFailed(state.m_balance, call.m_attempt.m_endpoint, state.m_clock());
   if (!result.m_sent) {
@@ -295,16 +312,17 @@
   if (crashed) RecordCrash(state, call);
   // An attempt whose response is lost counts as usage, because most have begun
   // to run. Only those still in prefill at a crashed endpoint have not.
-  if (!got_event) CountUsage(state, call, call.m_attempt.m_sent);
+  if (call.m_attempt.m_events == 0) {
+    CountUsage(state, call, call.m_attempt.m_sent);
+  }
   RetryExecuted(state, call);
 }
 
-void OnRunEnd(RelayState& state, RelayCall& call, const HttpResult& result,
-              bool got_event) {
+void OnRunEnd(RelayState& state, RelayCall& call, const HttpResult& result) {
   ReleaseLoad(state, call);
   const EndpointAttempt& attempt = call.m_attempt;
   if (result.m_error || attempt.m_splitter.HasPartial()) {
-    OnRunFailed(state, call, result, got_event);
+    OnRunFailed(state, call, result);
   } else if (attempt.m_metadata.m_not_run) {
     OnRejected(state, call, result);
   } else if (!IsEventStream(attempt)) {
@@ -328,19 +346,18 @@
   if (call.m_response_started) terms.m_resume_after = call.m_last_event;
   HttpCall http = MakeEndpointCall(state, call, endpoint, std::move(terms));
   const std::uint64_t key = call.m_id;
-  auto got_event = std::make_shared<bool>(false);
   HttpEvents events;
   events.m_on_head = [&state, key](int status, const HttpFields& fields) {
     RelayCall* found = FindRelayCall(state, key);
     if (found != nullptr) OnRunHead(state, *found, status, fields);
   };
-  events.m_on_body = [&state, key, got_event](std::string_view bytes) {
+  events.m_on_body = [&state, key](std::string_view bytes) {
     RelayCall* found = FindRelayCall(state, key);
-    if (found != nullptr) OnRunBody(state, *found, bytes, got_event.get());
+    if (found != nullptr) OnRunBody(state, *found, bytes);
   };
-  events.m_on_end = [&state, key, got_event](const HttpResult& result) {
+  events.m_on_end = [&state, key](const HttpResult& result) {
     RelayCall* found = FindRelayCall(state, key);
-    if (found != nullptr) OnRunEnd(state, *found, result, *got_event);
+    if (found != nullptr) OnRunEnd(state, *found, result);
   };
   call.m_attempt.m_call =
       state.m_endpoints->Start(std::move(http), std::move(events));
--- a/src/relaystate.h
+++ b/src/relaystate.h
@@ -74,8 +74,10 @@
   std::string m_endpoint;
   std::string m_address;
   Instant m_sent{};
-  double m_work_ms = 0;  // Prefill work; zero after the first event.
-  int m_status = 0;      // Zero until the response head arrives.
+  double m_work_ms = 0;        // Prefill work; zero after the first event.
+  int m_status = 0;            // Zero until the response head arrives.
+  Instant m_head_at{};         // When it arrived.
+  std::uint32_t m_events = 0;  // Events of a stream received.
   HttpFields m_fields;
   ResponseMetadata m_metadata;
   std::string m_body;  // Of a response that is not streamed.
