--- a/tests/relaycall_test.cpp
+++ b/tests/relaycall_test.cpp
@@ -1,182 +1,15 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
-#include <doctest/doctest.h>
+#include "support_relay.h"
 
-#include <doctest/trompeloeil.hpp>
-
-#include "accept.h"
-#include "httpparse.h"
-
-namespace comfreypaddle {
+namespace comfreypaddle::testing {
 namespace {
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 using trompeloeil::_;
 
-// Wire format with short field names.
-class FakeWireFormat : public WireFormat {
- public:
-  RequestMetadata ParseRequestMetadata(
-      const HttpRequest& request) const override {
-    RequestMetadata terms;
-    terms.m_host = "h";
-    const std::string* key = FindFieldIgnoreCase(request.m_headers, "k");
-    if (key != nullptr) terms.m_key = *key;
-    terms.m_attempt = "t" + std::to_string(request.m_id);
-    terms.m_time_left = milliseconds(20'000);
-    terms.m_prompt_tokens = m_prompt_tokens;
-    return terms;
-  }
-  HttpFields EndpointFields(const HttpRequest& /*request*/,
-                            const UpstreamMetadata& terms) const override {
-    HttpFields fields{{"to", terms.m_endpoint}, {"for", terms.m_workspace}};
-    if (terms.m_resume_after) {
-      fields.push_back({"after", std::to_string(*terms.m_resume_after)});
-    }
-    return fields;
-  }
-  ResponseMetadata ParseResponseMetadata(
-      int status, const HttpFields& fields) const override {
-    ResponseMetadata terms;
-    terms.m_not_run = FindFieldIgnoreCase(fields, "not-run") != nullptr;
-    terms.m_wrong_endpoint = status == 421;
-    terms.m_is_stream = FindFieldIgnoreCase(fields, "stream") != nullptr;
-    terms.m_leaving = FindFieldIgnoreCase(fields, "leaving") != nullptr;
-    const std::string* pause = FindFieldIgnoreCase(fields, "pause");
-    if (pause != nullptr) terms.m_retry_after_s = std::stod(*pause);
-    return terms;
-  }
-  ResponseMatch MatchAttempt(const HttpFields& /*fields*/,
-                             std::string_view /*attempt*/) const override {
-    return ResponseMatch::kOwn;
-  }
-  HttpFields CallerFields(const HttpFields& fields) const override {
-    return fields;
-  }
-  HttpFields LocalResponseFields(std::string_view /*attempt*/) const override {
-    return {};
-  }
-  std::optional<PrefillResult> ParsePrefillResult(
-      std::string_view body) const override {
-    return PrefillResult{std::string(body), 1};
-  }
-  std::string CacheReleaseTarget(std::string_view handle) const override {
-    return "/free/" + std::string(handle);
-  }
-  std::string_view ReadinessTarget() const override { return "/ready"; }
-
-  std::uint32_t m_prompt_tokens = 0;
-};
-
-class MockCallers : public ResponsePort {
- public:
-  MAKE_MOCK4(Respond, void(std::uint64_t, int, HttpFields, std::string),
-             override);
-  MAKE_MOCK3(StartStream, void(std::uint64_t, int, HttpFields), override);
-  MAKE_MOCK2(Write, void(std::uint64_t, std::string_view), override);
-  MAKE_MOCK1(FinishStream, void(std::uint64_t), override);
-  MAKE_MOCK1(Abort, void(std::uint64_t), override);
-};
-
-// Endpoints whose responses the test triggers.
-class ScriptedEndpoints : public HttpPort {
- public:
-  CallId Start(HttpCall call, HttpEvents events) override {
-    m_calls.push_back(std::move(call));
-    m_events.push_back(std::move(events));
-    return m_calls.size();
-  }
-  void Cancel(CallId id) override { m_cancelled.push_back(id); }
-
-  std::string To(std::size_t index) const {
-    return m_calls.at(index).m_headers.at(0).m_value;
-  }
-
-  std::vector<HttpCall> m_calls;
-  std::vector<HttpEvents> m_events;
-  std::vector<CallId> m_cancelled;
-};
-
-struct Fixture {
-  Fixture() {
-    schema::Catalog catalog;
-    AddRoute(&catalog, "/safe/", schema::REPEAT_ALLOWED, 2);
-    AddRoute(&catalog, "/once/", schema::REPEAT_NEVER, 1);
-    AddRoute(&catalog, "/stream/", schema::REPEAT_STREAM, 1);
-    AddRoute(&catalog, "/again/", schema::REPEAT_STREAM, 2)
-        ->set_resumable(true);
-    schema::CatalogWorkspace* workspace = catalog.add_workspaces();
-    workspace->set_name("w");
-    workspace->add_keys("secret");
-    m_state.m_catalog = std::make_shared<const CatalogIndex>(catalog);
-    m_state.m_callers = &m_callers;
-    m_state.m_endpoints = &m_endpoints;
-    m_state.m_format = &m_format;
-    m_state.m_clock = [this] { return m_now; };
-    m_state.m_resends.m_limits = {1, seconds(10), 100};
-    for (const char* id : {"e1", "e2", "e3"}) {
-      BalanceEndpoint endpoint;
-      endpoint.m_id = id;
-      endpoint.m_service = "s";
-      endpoint.m_address = "127.0.0.1:1";
-      endpoint.m_slots = 4;
-      m_state.m_balance.m_endpoints[id] = endpoint;
-    }
-  }
-
-  static schema::CatalogRoute* AddRoute(schema::Catalog* catalog,
-                                        const std::string& prefix,
-                                        schema::RepeatKind kind, int attempts) {
-    schema::CatalogRoute* route = catalog->add_routes();
-    route->set_name(prefix);
-    route->set_host("h");
-    route->set_path_prefix(prefix);
-    route->set_kind(kind);
-    route->set_timeout_ms(3000);
-    route->set_target_ms(400);
-    route->set_max_attempts(attempts);
-    schema::ServiceWeight* only = route->add_services();
-    only->set_service("s");
-    only->set_weight(1);
-    return route;
-  }
-
-  void Ask(std::uint64_t id, const std::string& target,
-           const std::string& key = "secret") {
-    HttpRequest request;
-    request.m_id = id;
-    request.m_method = "POST";
-    request.m_target = target;
-    request.m_headers = {{"k", key}};
-    AcceptRequest(m_state, std::move(request));
-  }
-
-  void Answer(std::size_t call, int status, const HttpFields& fields,
-              const std::string& body = "") {
-    m_endpoints.m_events.at(call).m_on_head(status, fields);
-    if (!body.empty()) m_endpoints.m_events.at(call).m_on_body(body);
-    m_endpoints.m_events.at(call).m_on_end({HttpError::kOk, status, true});
-  }
-
-  void Break(std::size_t call, bool sent) {
-    m_endpoints.m_events.at(call).m_on_end(
-        {sent ? HttpError::kConnectionLost : HttpError::kConnectFailed, 0,
-         sent});
-  }
-
-  FakeWireFormat m_format;
-  MockCallers m_callers;
-  ScriptedEndpoints m_endpoints;
-  RelayState m_state;
-  Instant m_now{seconds(1000)};
-};
-
-bool HasField(const HttpFields& fields, const char* name) {
-  return FindFieldIgnoreCase(fields, name) != nullptr;
-}
-
 TEST_CASE("an answer is passed on whole and counted for its workspace") {
-  Fixture f;
+  RelayFixture f;
   REQUIRE_CALL(f.m_callers, Respond(1U, 200, _, "body"));
   f.Ask(1, "/once/x?y=%20");
   CHECK(f.m_endpoints.m_calls.at(0).m_url == "http://127.0.0.1:1/once/x?y=%20");
@@ -187,7 +20,7 @@
 }
 
 TEST_CASE("unknown routes and keys are refused and reach no endpoint") {
-  Fixture f;
+  RelayFixture f;
   REQUIRE_CALL(f.m_callers, Respond(1U, 404, _, _));
   f.Ask(1, "/none/x");
   REQUIRE_CALL(f.m_callers, Respond(2U, 401, _, _));
@@ -201,7 +34,7 @@
 
 // Guards against executing a request twice that must not be repeated.
 TEST_CASE("a request that may have run is not sent again unless it may be") {
-  Fixture f;
+  RelayFixture f;
   REQUIRE_CALL(f.m_callers, Respond(1U, 502, _, _));
   f.Ask(1, "/once/x");
   f.Break(0, true);
@@ -219,7 +52,7 @@
 
 // Guards against reporting an executed request as not executed.
 TEST_CASE("a rejected request goes elsewhere and is refused as not run") {
-  Fixture f;
+  RelayFixture f;
   f.Ask(1, "/once/x");
   f.Answer(0, 503, {{"not-run", "1"}});
   f.Answer(1, 503, {{"not-run", "1"}});
@@ -235,7 +68,7 @@
 
 // Guards against rejected prefills that are not charged to the retry budget.
 TEST_CASE("a prompt that is not read counts as a repeated send") {
-  Fixture f;
+  RelayFixture f;
   schema::Catalog catalog = f.m_state.m_catalog->Message();
   catalog.mutable_routes(2)->set_prompt(true);
   f.m_state.m_catalog = std::make_shared<const CatalogIndex>(catalog);
@@ -255,7 +88,7 @@
 }
 
 TEST_CASE("a request that no endpoint can take is refused in good time") {
-  Fixture f;
+  RelayFixture f;
   f.m_state.m_balance.m_endpoints.clear();
   f.Ask(1, "/once/x");
   f.m_now += milliseconds(20);
@@ -266,7 +99,7 @@
 }
 
 TEST_CASE("the deadline ends a request with a final answer") {
-  Fixture f;
+  RelayFixture f;
   f.Ask(1, "/once/x");
   REQUIRE_CALL(f.m_callers, Respond(1U, 504, _, _));
   f.m_now += milliseconds(3000);
@@ -275,7 +108,7 @@
 }
 
 TEST_CASE("a caller that leaves has its run cancelled") {
-  Fixture f;
+  RelayFixture f;
   f.Ask(1, "/stream/x");
   OnCallerDisconnected(f.m_state, 1);
   CHECK(f.m_endpoints.m_cancelled.size() == 1);
@@ -284,7 +117,7 @@
 
 // Guards against a truncated stream that looks complete to the caller.
 TEST_CASE("a stream that breaks off is aborted, not ended") {
-  Fixture f;
+  RelayFixture f;
   f.Ask(1, "/stream/x");
   REQUIRE_CALL(f.m_callers, StartStream(1U, 200, _));
   REQUIRE_CALL(f.m_callers, Write(1U, "id: 1\ndata: a\n\n"));
@@ -297,7 +130,7 @@
 
 // Guards against lost, duplicated and merged events after a resume.
 TEST_CASE("a stream that may be resumed goes on behind its last event") {
-  Fixture f;
+  RelayFixture f;
   f.Ask(1, "/again/x");
   trompeloeil::sequence order;
   REQUIRE_CALL(f.m_callers, StartStream(1U, 200, _)).IN_SEQUENCE(order);
@@ -316,7 +149,7 @@
 // Guards against buffering an endless event until memory is exhausted.
 TEST_CASE(
     "an event without end is given up, and the stream goes on elsewhere") {
-  Fixture f;
+  RelayFixture f;
   f.Ask(1, "/again/x");
   REQUIRE_CALL(f.m_callers, StartStream(1U, 200, _));
   REQUIRE_CALL(f.m_callers, Write(1U, "id: 1\ndata: a\n\n"));
@@ -333,7 +166,7 @@
 
 // Guards against accepting requests that a stopping instance cannot finish.
 TEST_CASE("late in a planned stop requests are refused as not run") {
-  Fixture f;
+  RelayFixture f;
   f.m_state.m_refuse_from = f.m_now + seconds(1);
   f.Ask(1, "/once/x");
   CHECK(f.m_endpoints.m_calls.size() == 1);
@@ -344,7 +177,7 @@
 }
 
 TEST_CASE("a request that crashed three endpoints is not run any more") {
-  Fixture f;
+  RelayFixture f;
   f.Ask(1, "/stream/x");
   const std::uint64_t fingerprint = FindRelayCall(f.m_state, 1)->m_fingerprint;
   OnCallerDisconnected(f.m_state, 1);
@@ -359,7 +192,7 @@
 // Guards against refusing a request permanently after invalid responses: only a
 // broken connection counts as a crash.
 TEST_CASE("bytes that are no answer are not taken for a crash") {
-  Fixture f;
+  RelayFixture f;
   std::vector<std::string> crashed;
   f.m_state.m_on_crash = [&crashed](const schema::CrashReport& report) {
     crashed.push_back(report.endpoint());
@@ -376,7 +209,7 @@
 
 // Guards against new requests to an endpoint whose answer said that it leaves.
 TEST_CASE("after an answer of a leaving endpoint requests go elsewhere") {
-  Fixture f;
+  RelayFixture f;
   ALLOW_CALL(f.m_callers, Respond(_, 200, _, _));
   f.Ask(1, "/once/x");
   const std::string leaving = f.m_endpoints.To(0);
@@ -392,7 +225,7 @@
 
 // Guards against requests to an endpoint within the pause that it asked for.
 TEST_CASE("an endpoint that asks for a pause gets nothing until it ends") {
-  Fixture f;
+  RelayFixture f;
   ALLOW_CALL(f.m_callers, Respond(_, _, _, _));
   f.Ask(1, "/once/x");
   const std::string paused = f.m_endpoints.To(0);
@@ -408,7 +241,7 @@
 // Guards against giving up an endpoint that computes a long prompt: it answers
 // nobody meanwhile, and the same prompt takes at least as long elsewhere.
 TEST_CASE("an attempt may take as long as its prompt is expected to take") {
-  Fixture f;
+  RelayFixture f;
   schema::Catalog catalog = f.m_state.m_catalog->Message();
   catalog.mutable_routes(3)->set_prompt(true);
   catalog.mutable_routes(3)->set_timeout_ms(20'000);
@@ -434,7 +267,7 @@
 // Guards against a prompt that is computed in vain because its caller leaves
 // before the first event.
 TEST_CASE("a prompt that cannot be answered in time is refused at once") {
-  Fixture f;
+  RelayFixture f;
   schema::Catalog catalog = f.m_state.m_catalog->Message();
   catalog.mutable_routes(3)->set_prompt(true);
   catalog.mutable_routes(3)->set_timeout_ms(20'000);
@@ -453,7 +286,7 @@
 // Guards against a prefill in vain: all decode endpoints are full for a moment
 // when it ends.
 TEST_CASE("a prefilled request waits for a decode endpoint") {
-  Fixture f;
+  RelayFixture f;
   schema::Catalog catalog = f.m_state.m_catalog->Message();
   catalog.mutable_routes(2)->set_prompt(true);
   f.m_state.m_catalog = std::make_shared<const CatalogIndex>(catalog);
@@ -482,7 +315,7 @@
 // Guards against refusals while many endpoints are being replaced: the retry
 // budget of an instance is small, and a refused connection reaches no endpoint.
 TEST_CASE("endpoints that cannot be reached are not charged to the budget") {
-  Fixture f;
+  RelayFixture f;
   f.m_state.m_resends.m_limits = {0, seconds(10), 0};
   REQUIRE_CALL(f.m_callers, Respond(1U, 200, _, "body"));
   f.Ask(1, "/once/x");
@@ -499,4 +332,4 @@
 }
 
 }  // namespace
-}  // namespace comfreypaddle
+}  // namespace comfreypaddle::testing
--- /dev/null
+++ b/tests/support_relay.h
@@ -0,0 +1,182 @@
+#ifndef COMFREYPADDLE_TESTS_SUPPORT_RELAY_H_
+#define COMFREYPADDLE_TESTS_SUPPORT_RELAY_H_
+
+#include <doctest/doctest.h>
+
+#include <doctest/trompeloeil.hpp>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "accept.h"
+#include "httpparse.h"
+
+namespace comfreypaddle::testing {
+
+// Wire format with short field names.
+class FakeWireFormat : public WireFormat {
+ public:
+  RequestMetadata ParseRequestMetadata(
+      const HttpRequest& request) const override {
+    RequestMetadata terms;
+    terms.m_host = "h";
+    const std::string* key = FindFieldIgnoreCase(request.m_headers, "k");
+    if (key != nullptr) terms.m_key = *key;
+    terms.m_attempt = "t" + std::to_string(request.m_id);
+    terms.m_time_left = std::chrono::seconds(20);
+    terms.m_prompt_tokens = m_prompt_tokens;
+    return terms;
+  }
+  HttpFields EndpointFields(const HttpRequest& /*request*/,
+                            const UpstreamMetadata& terms) const override {
+    HttpFields fields{{"to", terms.m_endpoint}, {"for", terms.m_workspace}};
+    if (terms.m_resume_after) {
+      fields.push_back({"after", std::to_string(*terms.m_resume_after)});
+    }
+    return fields;
+  }
+  ResponseMetadata ParseResponseMetadata(
+      int status, const HttpFields& fields) const override {
+    ResponseMetadata terms;
+    terms.m_not_run = FindFieldIgnoreCase(fields, "not-run") != nullptr;
+    terms.m_wrong_endpoint = status == 421;
+    terms.m_is_stream = FindFieldIgnoreCase(fields, "stream") != nullptr;
+    terms.m_leaving = FindFieldIgnoreCase(fields, "leaving") != nullptr;
+    const std::string* pause = FindFieldIgnoreCase(fields, "pause");
+    if (pause != nullptr) terms.m_retry_after_s = std::stod(*pause);
+    return terms;
+  }
+  ResponseMatch MatchAttempt(const HttpFields& /*fields*/,
+                             std::string_view /*attempt*/) const override {
+    return ResponseMatch::kOwn;
+  }
+  HttpFields CallerFields(const HttpFields& fields) const override {
+    return fields;
+  }
+  HttpFields LocalResponseFields(std::string_view /*attempt*/) const override {
+    return {};
+  }
+  std::optional<PrefillResult> ParsePrefillResult(
+      std::string_view body) const override {
+    return PrefillResult{std::string(body), 1};
+  }
+  std::string CacheReleaseTarget(std::string_view handle) const override {
+    return "/free/" + std::string(handle);
+  }
+  std::string_view ReadinessTarget() const override { return "/ready"; }
+
+  std::uint32_t m_prompt_tokens = 0;
+};
+
+class MockCallers : public ResponsePort {
+ public:
+  MAKE_MOCK4(Respond, void(std::uint64_t, int, HttpFields, std::string),
+             override);
+  MAKE_MOCK3(StartStream, void(std::uint64_t, int, HttpFields), override);
+  MAKE_MOCK2(Write, void(std::uint64_t, std::string_view), override);
+  MAKE_MOCK1(FinishStream, void(std::uint64_t), override);
+  MAKE_MOCK1(Abort, void(std::uint64_t), override);
+};
+
+// Endpoints whose responses the test triggers.
+class ScriptedEndpoints : public HttpPort {
+ public:
+  CallId Start(HttpCall call, HttpEvents events) override {
+    m_calls.push_back(std::move(call));
+    m_events.push_back(std::move(events));
+    return m_calls.size();
+  }
+  void Cancel(CallId id) override { m_cancelled.push_back(id); }
+
+  std::string To(std::size_t index) const {
+    return m_calls.at(index).m_headers.at(0).m_value;
+  }
+
+  std::vector<HttpCall> m_calls;
+  std::vector<HttpEvents> m_events;
+  std::vector<CallId> m_cancelled;
+};
+
+// Relay state of one instance with fake callers, endpoints and clock. Each
+// route is named after its kind; e1 to e3 are the endpoints of their service.
+struct RelayFixture {
+  RelayFixture() {
+    schema::Catalog catalog;
+    AddRoute(&catalog, "/safe/", schema::REPEAT_ALLOWED, 2);
+    AddRoute(&catalog, "/once/", schema::REPEAT_NEVER, 1);
+    AddRoute(&catalog, "/stream/", schema::REPEAT_STREAM, 1);
+    AddRoute(&catalog, "/again/", schema::REPEAT_STREAM, 2)
+        ->set_resumable(true);
+    schema::CatalogWorkspace* workspace = catalog.add_workspaces();
+    workspace->set_name("w");
+    workspace->add_keys("secret");
+    m_state.m_catalog = std::make_shared<const CatalogIndex>(catalog);
+    m_state.m_callers = &m_callers;
+    m_state.m_endpoints = &m_endpoints;
+    m_state.m_format = &m_format;
+    m_state.m_clock = [this] { return m_now; };
+    m_state.m_resends.m_limits = {1, std::chrono::seconds(10), 100};
+    for (const char* id : {"e1", "e2", "e3"}) {
+      BalanceEndpoint endpoint;
+      endpoint.m_id = id;
+      endpoint.m_service = "s";
+      endpoint.m_address = "127.0.0.1:1";
+      endpoint.m_slots = 4;
+      m_state.m_balance.m_endpoints[id] = endpoint;
+    }
+  }
+
+  static schema::CatalogRoute* AddRoute(schema::Catalog* catalog,
+                                        const std::string& prefix,
+                                        schema::RepeatKind kind, int attempts) {
+    schema::CatalogRoute* route = catalog->add_routes();
+    route->set_name(prefix);
+    route->set_host("h");
+    route->set_path_prefix(prefix);
+    route->set_kind(kind);
+    route->set_timeout_ms(3000);
+    route->set_target_ms(400);
+    route->set_max_attempts(attempts);
+    schema::ServiceWeight* only = route->add_services();
+    only->set_service("s");
+    only->set_weight(1);
+    return route;
+  }
+
+  void Ask(std::uint64_t id, const std::string& target,
+           const std::string& key = "secret") {
+    HttpRequest request;
+    request.m_id = id;
+    request.m_method = "POST";
+    request.m_target = target;
+    request.m_headers = {{"k", key}};
+    AcceptRequest(m_state, std::move(request));
+  }
+
+  void Answer(std::size_t call, int status, const HttpFields& fields,
+              const std::string& body = "") {
+    m_endpoints.m_events.at(call).m_on_head(status, fields);
+    if (!body.empty()) m_endpoints.m_events.at(call).m_on_body(body);
+    m_endpoints.m_events.at(call).m_on_end({HttpError::kOk, status, true});
+  }
+
+  void Break(std::size_t call, bool sent) {
+    m_endpoints.m_events.at(call).m_on_end(
+        {sent ? HttpError::kConnectionLost : HttpError::kConnectFailed, 0,
+         sent});
+  }
+
+  FakeWireFormat m_format;
+  MockCallers m_callers;
+  ScriptedEndpoints m_endpoints;
+  RelayState m_state;
+  Instant m_now{std::chrono::seconds(1000)};
+};
+
+inline bool HasField(const HttpFields& fields, const char* name) {
+  return FindFieldIgnoreCase(fields, name) != nullptr;
+}
+
+}  // namespace comfreypaddle::testing
+
+#endif  // COMFREYPADDLE_TESTS_SUPPORT_RELAY_H_
