Move the crash table of entry into a module

Cause: the table of crashes, its limits and its use are spread over relaystate.h, accept.cpp, relay.cpp and relayattempt.cpp, so that a test without sockets can't play a crash through.

Change: crashtable decides (a decision module, keyed by kind and hash), crashwatch applies it to the requests of the relay.

--- a/src/accept.cpp
+++ b/src/accept.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "crashwatch.h"
 #include "eventlog.h"
 #include "finish.h"
 #include "relayattempt.h"
@@ -21,12 +22,6 @@
 // Time limit of a request when neither its route nor its caller sets one.
 constexpr Duration kDefaultTimeLimit = std::chrono::seconds(60);
 
-// Number of endpoint crashes after which a request is refused.
-constexpr std::size_t kMaxCrashes = 3;
-
-// Time after its last crash for which a request is refused.
-constexpr Duration kCrashRetention = std::chrono::minutes(10);
-
 std::uint64_t HashText(std::string_view text, std::uint64_t seed = 0) {
   return XXH64(text.data(), text.size(), seed);
 }
@@ -72,14 +67,6 @@
   return HashText(terms.m_attempt);
 }
 
-bool CrashedTooOften(const RelayState& state, std::uint64_t fingerprint,
-                     Instant now) {
-  const auto found = state.m_suspects.find(fingerprint);
-  return found != state.m_suspects.end() &&
-         found->second.m_crashes.size() >= kMaxCrashes &&
-         now - found->second.m_last < kCrashRetention;
-}
-
 // Resolves route, workspace and priority. Returns the reason for refusing the
 // request, or nothing.
 std::optional<EndReason> ResolveRoute(const RelayState& state, RelayCall& call,
@@ -123,7 +110,7 @@
   auto refusal = ResolveRoute(state, call, now);
   if (!refusal) {
     call.m_fingerprint = FingerprintOf(call.m_request, call.m_metadata);
-    if (CrashedTooOften(state, call.m_fingerprint, now)) {
+    if (IsRefusedSuspect(state, call)) {
       refusal = EndReason::kCrashesEndpoints;
     }
   }
--- /dev/null
+++ b/src/crashtable.h
@@ -0,0 +1,64 @@
+#ifndef COMFREYPADDLE_CRASHTABLE_H_
+#define COMFREYPADDLE_CRASHTABLE_H_
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "types.h"
+
+namespace comfreypaddle {
+
+// Crashes of endpoints and what they are blamed on. Each instance keeps such a
+// table; a request whose content has crashed several endpoints is refused.
+
+// What a crash may be blamed on.
+enum class SuspectKind {
+  kRequest,  // Requests with the same caller, target and body.
+};
+
+template <>
+struct EnumNames<SuspectKind> {
+  static constexpr std::array<EnumName<SuspectKind>, 1> kTable{
+      {{SuspectKind::kRequest, "request"}}};
+};
+
+struct SuspectKey {
+  SuspectKind m_kind = SuspectKind::kRequest;
+  std::uint64_t m_hash = 0;
+
+  auto operator<=>(const SuspectKey&) const = default;
+};
+
+// Crash of one lifetime of an endpoint.
+struct CrashStrike {
+  std::uint64_t m_crash = 0;  // Id, from CrashId.
+  Instant m_at{};
+};
+
+struct SuspectRow {
+  std::vector<CrashStrike> m_strikes;  // Each crash id is listed once.
+};
+
+struct CrashTable {
+  std::map<SuspectKey, SuspectRow> m_rows;
+};
+
+// Id of the crash that ended this lifetime of the endpoint.
+std::uint64_t CrashId(const std::string& endpoint, std::uint64_t born_ms);
+
+// Records the crash. Returns whether it was new.
+bool AddStrike(CrashTable& table, const SuspectKey& key,
+               const CrashStrike& strike);
+
+// Number of crashes blamed on the suspect.
+std::size_t CountStrikes(const CrashTable& table, const SuspectKey& key);
+
+// Whether requests with the suspect are refused.
+bool IsCondemned(const CrashTable& table, const SuspectKey& key, Instant now);
+
+}  // namespace comfreypaddle
+
+#endif  // COMFREYPADDLE_CRASHTABLE_H_
--- /dev/null
+++ b/src/crashwatch.cpp
@@ -0,0 +1,36 @@
+#include "crashwatch.h"
+
+#include "eventlog.h"
+
+namespace comfreypaddle {
+
+void ReportCrash(RelayState& state, const RelayCall& call) {
+  const BalanceEndpoint* endpoint =
+      FindEndpoint(state.m_balance, call.m_attempt.m_endpoint);
+  schema::CrashReport report;
+  report.set_fingerprint(call.m_fingerprint);
+  report.set_endpoint(call.m_attempt.m_endpoint);
+  if (endpoint != nullptr) report.set_born_ms(endpoint->m_born_ms);
+  RecordCrash(state, report);
+  if (state.m_on_crash) state.m_on_crash(report);
+}
+
+void RecordCrash(RelayState& state, const schema::CrashReport& crash) {
+  const SuspectKey key{SuspectKind::kRequest, crash.fingerprint()};
+  const CrashStrike strike{CrashId(crash.endpoint(), crash.born_ms()),
+                           state.m_clock()};
+  if (!AddStrike(state.m_crashes, key, strike)) return;
+  LogLine("endpoint_crashed")
+      .Add("fingerprint", std::to_string(crash.fingerprint()))
+      .Add("endpoint", crash.endpoint())
+      .Add("crashes",
+           static_cast<std::int64_t>(CountStrikes(state.m_crashes, key)));
+}
+
+bool IsRefusedSuspect(const RelayState& state, const RelayCall& call) {
+  return IsCondemned(state.m_crashes,
+                     {SuspectKind::kRequest, call.m_fingerprint},
+                     state.m_clock());
+}
+
+}  // namespace comfreypaddle
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "accept.h"
+#include "crashwatch.h"
 #include "eventlog.h"
 #include "platform/adapter.h"
 #include "relaymetrics.h"
@@ -108,7 +109,6 @@
     return m_callers->UnsentBytes(id);
   };
   m_state.m_on_crash = [this](const schema::CrashReport& crash) {
-    RecordCrash(crash);
     schema::ControlMessage message;
     *message.mutable_crash() = crash;
     m_ports.m_control->Post(std::move(message));
@@ -162,7 +162,7 @@
       m_state.m_resends.m_instances = message.peers().instances();
       break;
     case schema::RelayMessage::kCrash:
-      RecordCrash(message.crash());
+      RecordCrash(m_state, message.crash());
       break;
     case schema::RelayMessage::kOthers:
       ApplyPeerLoad(message.others());
@@ -231,20 +231,6 @@
   }
 }
 
-void Relay::RecordCrash(const schema::CrashReport& crash) {
-  CrashSuspect& suspect = m_state.m_suspects[crash.fingerprint()];
-  const std::string id =
-      crash.endpoint() + "/" + std::to_string(crash.born_ms());
-  suspect.m_last = Now();
-  auto& crashes = suspect.m_crashes;
-  if (std::find(crashes.begin(), crashes.end(), id) != crashes.end()) return;
-  crashes.push_back(id);
-  LogLine("endpoint_crashed")
-      .Add("fingerprint", std::to_string(crash.fingerprint()))
-      .Add("endpoint", crash.endpoint())
-      .Add("crashes", static_cast<std::int64_t>(crashes.size()));
-}
-
 // Fails the readiness check, and serves callers until the load balancer has
 // removed this instance.
 void Relay::BeginDrain() {
--- a/src/relay.h
+++ b/src/relay.h
@@ -34,7 +34,6 @@
   void OpenListeners();
   void SetCatalog(const schema::Catalog& catalog);
   void SetEndpoints(const schema::EndpointList& list);
-  void RecordCrash(const schema::CrashReport& crash);
   void BeginDrain();
   void Tick();
   void PublishLoad();
--- a/src/relayattempt.cpp
+++ b/src/relayattempt.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "attemptlimits.h"
+#include "crashwatch.h"
 #include "eventlog.h"
 #include "finish.h"
 
@@ -69,17 +70,6 @@
   }
 }
 
-// Reports that an endpoint crashed while it ran the request.
-void RecordCrash(RelayState& state, const RelayCall& call) {
-  const BalanceEndpoint* endpoint =
-      FindEndpoint(state.m_balance, call.m_attempt.m_endpoint);
-  schema::CrashReport report;
-  report.set_fingerprint(call.m_fingerprint);
-  report.set_endpoint(call.m_attempt.m_endpoint);
-  if (endpoint != nullptr) report.set_born_ms(endpoint->m_born_ms);
-  if (state.m_on_crash) state.m_on_crash(report);
-}
-
 // Builds the HTTP call that sends the request to an endpoint.
 HttpCall MakeEndpointCall(const RelayState& state, const RelayCall& call,
                           const BalanceEndpoint& endpoint,
@@ -309,7 +299,7 @@
   }
   const bool crashed = call.m_attempt.m_status == 0 &&
                        result.m_error == HttpError::kConnectionLost;
-  if (crashed) RecordCrash(state, call);
+  if (crashed) ReportCrash(state, call);
   // An attempt whose response is lost counts as usage, because most have begun
   // to run. Only those still in prefill at a crashed endpoint have not.
   if (call.m_attempt.m_events == 0) {
--- a/src/relaystate.h
+++ b/src/relaystate.h
@@ -12,6 +12,7 @@
 
 #include "balance.h"
 #include "catalog.h"
+#include "crashtable.h"
 #include "metrics.h"
 #include "resend.h"
 #include "ssesplit.h"
@@ -138,12 +139,6 @@
   DurationStats m_total;
 };
 
-// Crashes of endpoints while a request with this fingerprint ran there.
-struct CrashSuspect {
-  std::vector<std::string> m_crashes;  // Endpoint id and start time.
-  Instant m_last{};
-};
-
 // Usage window and workspace.
 using UsageWindowKey = std::pair<std::uint64_t, std::string>;
 
@@ -159,6 +154,7 @@
   // later steps of the system clock have no effect.
   Duration m_unix_at_zero{0};
   std::function<std::size_t(std::uint64_t)> m_unsent_bytes;  // Unsent bytes.
+  // Tells the other instances of a crash.
   std::function<void(const schema::CrashReport&)> m_on_crash;
 
   std::shared_ptr<const CatalogIndex> m_catalog;  // Null until received.
@@ -166,7 +162,7 @@
   ResendState m_resends;
   std::unordered_map<std::uint64_t, std::unique_ptr<RelayCall>> m_calls;
   std::map<UsageWindowKey, std::uint64_t> m_usage;  // Not handed over yet.
-  std::map<std::uint64_t, CrashSuspect> m_suspects;
+  CrashTable m_crashes;
   RelayCounters m_counters;
   schema::KnowledgeStatus m_knowledge;  // As of m_knowledge_at.
   Instant m_knowledge_at{};
--- a/tests/relaycall_test.cpp
+++ b/tests/relaycall_test.cpp
@@ -1,4 +1,5 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "crashwatch.h"
 #include "support_relay.h"
 
 namespace comfreypaddle::testing {
@@ -181,9 +182,13 @@
   f.Ask(1, "/stream/x");
   const std::uint64_t fingerprint = FindRelayCall(f.m_state, 1)->m_fingerprint;
   OnCallerDisconnected(f.m_state, 1);
-  CrashSuspect& suspect = f.m_state.m_suspects[fingerprint];
-  suspect.m_crashes = {"a/1", "b/1", "c/1"};
-  suspect.m_last = f.m_now;
+  for (const char* endpoint : {"a", "b", "c"}) {
+    schema::CrashReport crash;
+    crash.set_fingerprint(fingerprint);
+    crash.set_endpoint(endpoint);
+    crash.set_born_ms(1);
+    RecordCrash(f.m_state, crash);
+  }
   REQUIRE_CALL(f.m_callers, Respond(2U, 503, _, _));
   f.Ask(2, "/stream/x");
   CHECK(f.m_endpoints.m_calls.size() == 1);
