--- /dev/null
+++ b/tests/crashes_test.cpp
@@ -0,0 +1,61 @@
+// Requests that crash the endpoints that run them, at one instance.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "support_relay.h"
+
+namespace comfreypaddle::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using trompeloeil::_;
+
+constexpr int kCrashesToRefuse = 3;
+
+// Crashes the endpoint of a call right after the head of its response. It is
+// back at once, in a new lifetime.
+void CrashAfterHead(RelayFixture& f, std::size_t call) {
+  const std::string endpoint = f.m_endpoints.To(call);
+  f.m_endpoints.m_events.at(call).m_on_head(200, {{"stream", "1"}});
+  f.m_endpoints.m_events.at(call).m_on_end(
+      {HttpError::kConnectionLost, 200, true});
+  ++f.m_state.m_balance.m_endpoints.at(endpoint).m_born_ms;
+}
+
+// Sends the same request until it is refused, at most this many times. Each
+// endpoint that it reaches crashes. Returns the number of endpoints reached.
+std::size_t CrashRepeatedly(RelayFixture& f, const std::string& target,
+                            int requests) {
+  for (int id = 1; id <= requests; ++id) {
+    std::size_t next = f.m_endpoints.m_calls.size();
+    f.Ask(static_cast<std::uint64_t>(id), target);
+    // The request may be sent to further endpoints after a crash.
+    for (; next < f.m_endpoints.m_calls.size(); ++next) {
+      CrashAfterHead(f, next);
+    }
+    f.m_now += seconds(2);
+  }
+  return f.m_endpoints.m_calls.size();
+}
+
+// Failure: endpoints crash as they begin to answer, after the head, and such
+// crashes were not counted, so that the request was never refused.
+TEST_CASE("a request that crashes endpoints after the head is refused") {
+  RelayFixture f;
+  ALLOW_CALL(f.m_callers, Respond(_, 502, _, _));
+  std::size_t refused = 0;
+  ALLOW_CALL(f.m_callers, Respond(_, 503, _, _)).LR_SIDE_EFFECT(++refused);
+  CHECK(CrashRepeatedly(f, "/stream/x", 12) == kCrashesToRefuse);
+  CHECK(refused == 12 - kCrashesToRefuse);
+}
+
+// Failure: a request that was counted while it ran was sent on to further
+// endpoints, because only requests that arrived later were looked up.
+TEST_CASE("a request is not sent again after its last allowed crash") {
+  RelayFixture f;
+  ALLOW_CALL(f.m_callers, Respond(_, _, _, _));
+  // Two attempts each: four without a look at the table before each attempt.
+  CHECK(CrashRepeatedly(f, "/again/x", 2) == kCrashesToRefuse);
+}
+
+}  // namespace
+}  // namespace comfreypaddle::testing
