Count crashes of endpoints after the head of the response

Callers saw: a request under which endpoints ended was served on and on.

Cause: an endpoint sends the head as it begins to write and crashes then; only a connection lost before any status was blamed on the request (hypothesis 1).

Ruled out: counting every lost attempt. Most of those on a crashed endpoint have forwarded events for long and are innocent.

Change: a lost connection is blamed on a request that has not got past the second event of its stream, and on one that isn't streamed.

--- a/src/crashwatch.cpp
+++ b/src/crashwatch.cpp
@@ -4,6 +4,18 @@
 
 namespace comfreypaddle {
 
+namespace {
+
+// Events of a stream after which a request counts as past its start. An
+// endpoint may still send the first one as it crashes.
+constexpr std::uint32_t kEventsPastStart = 2;
+
+}  // namespace
+
+bool IsAtStart(const RelayCall& call) {
+  return call.m_attempt.m_events < kEventsPastStart;
+}
+
 void ReportCrash(RelayState& state, const RelayCall& call) {
   const BalanceEndpoint* endpoint =
       FindEndpoint(state.m_balance, call.m_attempt.m_endpoint);
--- a/src/crashwatch.h
+++ b/src/crashwatch.h
@@ -5,6 +5,12 @@
 
 namespace comfreypaddle {
 
+// Whether the current attempt has not got past the start of its response. Only
+// then is the loss of its connection blamed on the request: one that crashes
+// endpoints does so as they begin to answer, while the others on the same
+// endpoint may have run for long.
+bool IsAtStart(const RelayCall& call);
+
 // Reports that an endpoint crashed while it ran the request.
 void ReportCrash(RelayState& state, const RelayCall& call);
 
--- a/src/relayattempt.cpp
+++ b/src/relayattempt.cpp
@@ -297,9 +297,8 @@
     RetryNotExecuted(state, call, false);
     return;
   }
-  const bool crashed = call.m_attempt.m_status == 0 &&
-                       result.m_error == HttpError::kConnectionLost;
-  if (crashed) ReportCrash(state, call);
+  const bool lost = result.m_error == HttpError::kConnectionLost;
+  if (lost && IsAtStart(call)) ReportCrash(state, call);
   // An attempt whose response is lost counts as usage, because most have begun
   // to run. Only those still in prefill at a crashed endpoint have not.
   if (call.m_attempt.m_events == 0) {
