Look a request up in the crash table before each attempt

Callers saw: a request under which three endpoints had ended was sent to more of them.

A request with several attempts, one that waited and one whose prompt was prefilled apart went on whatever had been reported since.

Ruled out: the limit itself; arrivals after the third crash were refused.

Change: DispatchCall and the send to the decode endpoint ask before each attempt, and AcceptRequest no longer does. A stream past its start is sent on: it has shown that it crashes nothing.

--- a/src/accept.cpp
+++ b/src/accept.cpp
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "crashwatch.h"
 #include "eventlog.h"
 #include "finish.h"
 #include "relayattempt.h"
@@ -107,17 +106,12 @@
   call.m_id = request.m_id;
   call.m_request = std::move(request);
   call.m_metadata = state.m_format->ParseRequestMetadata(call.m_request);
-  auto refusal = ResolveRoute(state, call, now);
-  if (!refusal) {
-    call.m_fingerprint = FingerprintOf(call.m_request, call.m_metadata);
-    if (IsRefusedSuspect(state, call)) {
-      refusal = EndReason::kCrashesEndpoints;
-    }
-  }
+  const auto refusal = ResolveRoute(state, call, now);
   if (refusal) {
     RefuseRequest(state, call.m_request, call.m_metadata, *refusal);
     return;
   }
+  call.m_fingerprint = FingerprintOf(call.m_request, call.m_metadata);
   SetDeadlines(call, now);
   call.m_service =
       ChooseService(*call.m_route, ServiceSplitHash(call.m_metadata));
--- a/src/crashwatch.cpp
+++ b/src/crashwatch.cpp
@@ -40,6 +40,7 @@
 }
 
 bool IsRefusedSuspect(const RelayState& state, const RelayCall& call) {
+  if (call.m_events >= kEventsPastStart) return false;
   return IsCondemned(state.m_crashes,
                      {SuspectKind::kRequest, call.m_fingerprint},
                      state.m_clock());
--- a/src/crashwatch.h
+++ b/src/crashwatch.h
@@ -17,7 +17,9 @@
 // Adds a crash that this or another instance reported to the table.
 void RecordCrash(RelayState& state, const schema::CrashReport& crash);
 
-// Whether the request has crashed too many endpoints to be run.
+// Whether the request has crashed too many endpoints to be run. To be asked
+// before each attempt: crashes are reported while a request waits, is prefilled
+// or runs. A request past the start of its response is not at fault.
 bool IsRefusedSuspect(const RelayState& state, const RelayCall& call);
 
 }  // namespace comfreypaddle
--- a/src/relayattempt.cpp
+++ b/src/relayattempt.cpp
@@ -366,6 +366,10 @@
 
 // Runs the request at a decode endpoint with the prefilled KV cache.
 void RunWithPrefilledCache(RelayState& state, RelayCall& call) {
+  if (IsRefusedSuspect(state, call)) {
+    FinishFailed(state, call, EndReason::kCrashesEndpoints);
+    return;
+  }
   const Instant now = state.m_clock();
   std::string decode = call.m_planned_decode;
   const BalanceEndpoint* planned = FindEndpoint(state.m_balance, decode);
@@ -461,6 +465,10 @@
     RunWithPrefilledCache(state, call);
     return;
   }
+  if (IsRefusedSuspect(state, call)) {
+    FinishFailed(state, call, EndReason::kCrashesEndpoints);
+    return;
+  }
   // A resumed stream needs the KV cache of its prompt and its output so far, so
   // that a separate prefill of the prompt does not pay.
   if (call.m_response_started) call.m_query.m_allow_split = false;
