Report a crash for the lifetime to which the request was sent

Callers saw: nothing yet; a request could be refused after two crashes.

Cause: the report named the start of the endpoint that the list held when the connection broke. With the entry gone or replaced in between, two instances reported one crash under two ids.

Change: an attempt keeps the start of the lifetime that it was sent to.

crashes_test "a crash is reported for the lifetime to which the request was sent": both subcases failed before (0 and 8 instead of 7), pass now.

--- a/src/crashwatch.cpp
+++ b/src/crashwatch.cpp
@@ -17,12 +17,10 @@
 }
 
 void ReportCrash(RelayState& state, const RelayCall& call) {
-  const BalanceEndpoint* endpoint =
-      FindEndpoint(state.m_balance, call.m_attempt.m_endpoint);
   schema::CrashReport report;
   report.set_fingerprint(call.m_fingerprint);
   report.set_endpoint(call.m_attempt.m_endpoint);
-  if (endpoint != nullptr) report.set_born_ms(endpoint->m_born_ms);
+  report.set_born_ms(call.m_attempt.m_born_ms);
   RecordCrash(state, report);
   if (state.m_on_crash) state.m_on_crash(report);
 }
--- a/src/relayattempt.cpp
+++ b/src/relayattempt.cpp
@@ -98,6 +98,7 @@
   call.m_attempt = EndpointAttempt{};
   call.m_attempt.m_endpoint = endpoint.m_id;
   call.m_attempt.m_address = endpoint.m_address;
+  call.m_attempt.m_born_ms = endpoint.m_born_ms;
   call.m_attempt.m_sent = state.m_clock();
   call.m_attempt.m_work_ms = work_ms;
   OnRequestDispatched(state.m_balance, endpoint.m_id, work_ms);
--- a/src/relaystate.h
+++ b/src/relaystate.h
@@ -74,6 +74,7 @@
   HttpPort::CallId m_call = 0;  // Zero if no call is active.
   std::string m_endpoint;
   std::string m_address;
+  std::uint64_t m_born_ms = 0;  // Start of the endpoint's lifetime, Unix time.
   Instant m_sent{};
   double m_work_ms = 0;        // Prefill work; zero after the first event.
   int m_status = 0;            // Zero until the response head arrives.
--- a/tests/crashes_test.cpp
+++ b/tests/crashes_test.cpp
@@ -57,5 +57,33 @@
   CHECK(CrashRepeatedly(f, "/again/x", 2) == kCrashesToRefuse);
 }
 
+// Failure: one crash counted twice, because the list of endpoints had changed
+// between the send and the break and the report named another lifetime.
+TEST_CASE(
+    "a crash is reported for the lifetime to which the request was sent") {
+  RelayFixture f;
+  ALLOW_CALL(f.m_callers, Respond(_, _, _, _));
+  std::vector<schema::CrashReport> reports;
+  f.m_state.m_on_crash = [&reports](const schema::CrashReport& report) {
+    reports.push_back(report);
+  };
+  for (auto& [id, endpoint] : f.m_state.m_balance.m_endpoints) {
+    endpoint.m_born_ms = 7;
+  }
+  f.Ask(1, "/stream/x");
+  f.Ask(2, "/stream/y");
+  SUBCASE("its entry is gone") { f.m_state.m_balance.m_endpoints.clear(); }
+  SUBCASE("it is back") {
+    for (auto& [id, endpoint] : f.m_state.m_balance.m_endpoints) {
+      endpoint.m_born_ms = 8;
+    }
+  }
+  f.Break(0, true);
+  f.Break(1, true);
+  REQUIRE(reports.size() == 2);
+  CHECK(reports[0].born_ms() == 7);
+  CHECK(reports[1].born_ms() == 7);
+}
+
 }  // namespace
 }  // namespace comfreypaddle::testing
