Clear a request of crashes after which it was answered

Callers saw: a request that is sent often could be refused for ten minutes after it had been on three endpoints that crashed for other reasons.

Cause: crashes were counted, but nothing that speaks for the request was.

crashes_test "a request that was answered since is not blamed for a crash": both subcases failed before (refused in the fourth round), pass now.

--- a/src/crashtable.cpp
+++ b/src/crashtable.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace comfreypaddle {
 
@@ -14,6 +15,11 @@
 // Time after its last crash for which a suspect is refused.
 constexpr Duration kCrashRetention = std::chrono::minutes(10);
 
+std::size_t CountBlamed(const SuspectRow& row) {
+  return std::count_if(row.m_strikes.begin(), row.m_strikes.end(),
+                       [](const CrashStrike& s) { return !s.m_cleared; });
+}
+
 }  // namespace
 
 std::uint64_t CrashId(const std::string& endpoint, std::uint64_t born_ms) {
@@ -31,17 +37,27 @@
   return !listed;
 }
 
+bool ClearSuspect(CrashTable& table, const SuspectKey& key) {
+  const auto found = table.m_rows.find(key);
+  if (found == table.m_rows.end()) return false;
+  bool changed = false;
+  for (CrashStrike& strike : found->second.m_strikes) {
+    changed |= !std::exchange(strike.m_cleared, true);
+  }
+  return changed;
+}
+
 std::size_t CountStrikes(const CrashTable& table, const SuspectKey& key) {
   const auto found = table.m_rows.find(key);
-  return found == table.m_rows.end() ? 0 : found->second.m_strikes.size();
+  return found == table.m_rows.end() ? 0 : CountBlamed(found->second);
 }
 
 bool IsCondemned(const CrashTable& table, const SuspectKey& key, Instant now) {
   const auto found = table.m_rows.find(key);
   if (found == table.m_rows.end()) return false;
-  const std::vector<CrashStrike>& strikes = found->second.m_strikes;
-  return strikes.size() >= kCrashesToCondemn &&
-         now - strikes.back().m_at < kCrashRetention;
+  const SuspectRow& row = found->second;
+  return CountBlamed(row) >= kCrashesToCondemn &&
+         now - row.m_strikes.back().m_at < kCrashRetention;
 }
 
 }  // namespace comfreypaddle
--- a/src/crashtable.h
+++ b/src/crashtable.h
@@ -36,6 +36,9 @@
 struct CrashStrike {
   std::uint64_t m_crash = 0;  // Id, from CrashId.
   Instant m_at{};
+  // A request with the suspect got past the start of its response after this
+  // crash was known: the suspect did not cause it.
+  bool m_cleared = false;
 };
 
 struct SuspectRow {
@@ -53,6 +56,10 @@
 bool AddStrike(CrashTable& table, const SuspectKey& key,
                const CrashStrike& strike);
 
+// Clears the suspect of all crashes known so far. Returns whether there were
+// any.
+bool ClearSuspect(CrashTable& table, const SuspectKey& key);
+
 // Number of crashes blamed on the suspect.
 std::size_t CountStrikes(const CrashTable& table, const SuspectKey& key);
 
--- a/src/crashwatch.cpp
+++ b/src/crashwatch.cpp
@@ -16,6 +16,15 @@
   return call.m_attempt.m_events < kEventsPastStart;
 }
 
+void OnAttemptSurvived(RelayState& state, const RelayCall& call) {
+  const SuspectKey key{SuspectKind::kRequest, call.m_fingerprint};
+  if (!ClearSuspect(state.m_crashes, key)) return;
+  LogLine("suspect_cleared")
+      .Add("request", call.m_metadata.m_attempt)
+      .Add("fingerprint", std::to_string(call.m_fingerprint))
+      .Add("endpoint", call.m_attempt.m_endpoint);
+}
+
 void ReportCrash(RelayState& state, const RelayCall& call) {
   schema::CrashReport report;
   report.set_fingerprint(call.m_fingerprint);
--- a/src/crashwatch.h
+++ b/src/crashwatch.h
@@ -11,6 +11,10 @@
 // endpoint may have run for long.
 bool IsAtStart(const RelayCall& call);
 
+// Clears the request of the crashes known so far. To be called when an attempt
+// gets past the start of its response and when it ends with a whole response.
+void OnAttemptSurvived(RelayState& state, const RelayCall& call);
+
 // Reports that an endpoint crashed while it ran the request.
 void ReportCrash(RelayState& state, const RelayCall& call);
 
--- a/src/relayattempt.cpp
+++ b/src/relayattempt.cpp
@@ -217,7 +217,9 @@
   }
   for (const RawSseEvent& event : attempt.m_splitter.Feed(bytes)) {
     if (attempt.m_events == 0) OnFirstEvent(state, call);
+    const bool was_at_start = IsAtStart(call);
     ++attempt.m_events;
+    if (was_at_start && !IsAtStart(call)) OnAttemptSurvived(state, call);
     if (!ForwardEvent(state, call, event)) {
       FinishFailed(state, call, EndReason::kEndpointFailed);
       return;
@@ -262,6 +264,7 @@
 }
 
 void OnStreamComplete(RelayState& state, RelayCall& call) {
+  OnAttemptSurvived(state, call);
   if (!call.m_response_started) {
     call.m_response_started = true;
     state.m_callers->StartStream(
@@ -275,6 +278,7 @@
                         const HttpResult& result) {
   const EndpointAttempt& attempt = call.m_attempt;
   OnEndpointAnswered(state.m_balance, attempt.m_endpoint, state.m_clock());
+  OnAttemptSurvived(state, call);
   CountUsage(state, call, attempt.m_sent);
   if (attempt.m_status >= kMinServerErrorStatus &&
       MayRetryExecuted(state, call)) {
--- a/tests/crashes_test.cpp
+++ b/tests/crashes_test.cpp
@@ -85,5 +85,40 @@
   CHECK(reports[1].born_ms() == 7);
 }
 
+// Failure: a sound request that is sent often was refused for ten minutes after
+// it had been running on three endpoints that crashed for other reasons.
+TEST_CASE("a request that was answered since is not blamed for a crash") {
+  RelayFixture f;
+  ALLOW_CALL(f.m_callers, Respond(_, 502, _, _));
+  std::size_t answered = 0;
+  ALLOW_CALL(f.m_callers, Respond(_, 200, _, _)).LR_SIDE_EFFECT(++answered);
+  ALLOW_CALL(f.m_callers, StartStream(_, 200, _)).LR_SIDE_EFFECT(++answered);
+  ALLOW_CALL(f.m_callers, Write(_, _));
+  ALLOW_CALL(f.m_callers, FinishStream(_));
+  std::string target;
+  HttpFields fields;
+  std::string body;
+  SUBCASE("whole response") {
+    target = "/once/x";
+    body = "body";
+  }
+  SUBCASE("stream") {
+    target = "/stream/x";
+    fields = {{"stream", "1"}};
+    body = "id: 1\ndata: a\n\n";
+  }
+  constexpr std::uint64_t kRounds = 5;
+  for (std::uint64_t round = 0; round < kRounds; ++round) {
+    f.Ask(2 * round, target);
+    REQUIRE(f.m_endpoints.m_calls.size() == 2 * round + 1);
+    CrashAfterHead(f, 2 * round);
+    f.Ask(2 * round + 1, target);
+    REQUIRE(f.m_endpoints.m_calls.size() == 2 * round + 2);
+    f.Answer(2 * round + 1, 200, fields, body);
+    f.m_now += seconds(20);
+  }
+  CHECK(answered == kRounds);
+}
+
 }  // namespace
 }  // namespace comfreypaddle::testing
