Bound the crash table and forget old crashes

Callers saw: nothing; the memory of an instance grew with each request that was on a crashing endpoint, for the life of the process.

Cause: rows were never deleted.

Change: 4,096 suspects of 16 crashes at most; a new one takes the place of the suspect with the fewest crashes, so that a flood of new requests doesn't push the condemned out. Crashes are forgotten after ten minutes.

--- a/src/crashtable.cpp
+++ b/src/crashtable.cpp
@@ -12,14 +12,30 @@
 // Crashes after which a suspect is condemned.
 constexpr std::size_t kCrashesToCondemn = 3;
 
-// Time after its last crash for which a suspect is refused.
-constexpr Duration kCrashRetention = std::chrono::minutes(10);
+Instant NewestStrike(const SuspectRow& row) {
+  Instant newest{};
+  for (const CrashStrike& strike : row.m_strikes) {
+    newest = std::max(newest, strike.m_at);
+  }
+  return newest;
+}
 
 std::size_t CountBlamed(const SuspectRow& row) {
   return std::count_if(row.m_strikes.begin(), row.m_strikes.end(),
                        [](const CrashStrike& s) { return !s.m_cleared; });
 }
 
+// Makes room for a new suspect.
+void EvictWeakest(CrashTable& table) {
+  const auto weakest = std::min_element(
+      table.m_rows.begin(), table.m_rows.end(),
+      [](const auto& a, const auto& b) {
+        return std::make_pair(CountBlamed(a.second), NewestStrike(a.second)) <
+               std::make_pair(CountBlamed(b.second), NewestStrike(b.second));
+      });
+  if (weakest != table.m_rows.end()) table.m_rows.erase(weakest);
+}
+
 }  // namespace
 
 std::uint64_t CrashId(const std::string& endpoint, std::uint64_t born_ms) {
@@ -28,13 +44,31 @@
 
 bool AddStrike(CrashTable& table, const SuspectKey& key,
                const CrashStrike& strike) {
-  std::vector<CrashStrike>& strikes = table.m_rows[key].m_strikes;
+  auto found = table.m_rows.find(key);
+  if (found == table.m_rows.end()) {
+    ExpireStrikes(table, strike.m_at);
+    if (table.m_rows.size() >= kMaxSuspectRows) EvictWeakest(table);
+    found = table.m_rows.emplace(key, SuspectRow{}).first;
+  }
+  std::vector<CrashStrike>& strikes = found->second.m_strikes;
   const bool listed = std::any_of(strikes.begin(), strikes.end(),
                                   [&strike](const CrashStrike& known) {
                                     return known.m_crash == strike.m_crash;
                                   });
-  if (!listed) strikes.push_back(strike);
-  return !listed;
+  if (listed) return false;
+  if (strikes.size() >= kMaxStrikesPerSuspect) strikes.erase(strikes.begin());
+  strikes.push_back(strike);
+  return true;
+}
+
+void ExpireStrikes(CrashTable& table, Instant now) {
+  for (auto& [key, row] : table.m_rows) {
+    std::erase_if(row.m_strikes, [now](const CrashStrike& strike) {
+      return now - strike.m_at >= kCrashRetention;
+    });
+  }
+  std::erase_if(table.m_rows,
+                [](const auto& row) { return row.second.m_strikes.empty(); });
 }
 
 bool ClearSuspect(CrashTable& table, const SuspectKey& key) {
@@ -57,7 +91,7 @@
   if (found == table.m_rows.end()) return false;
   const SuspectRow& row = found->second;
   return CountBlamed(row) >= kCrashesToCondemn &&
-         now - row.m_strikes.back().m_at < kCrashRetention;
+         now - NewestStrike(row) < kCrashRetention;
 }
 
 }  // namespace comfreypaddle
--- a/src/crashtable.h
+++ b/src/crashtable.h
@@ -41,6 +41,14 @@
   bool m_cleared = false;
 };
 
+// Limits of the table. Callers can add a suspect with each request that they
+// have on a crashing endpoint.
+inline constexpr std::size_t kMaxSuspectRows = 4096;
+inline constexpr std::size_t kMaxStrikesPerSuspect = 16;
+
+// Time after which a crash is forgotten.
+inline constexpr Duration kCrashRetention = std::chrono::minutes(10);
+
 struct SuspectRow {
   std::vector<CrashStrike> m_strikes;  // Each crash id is listed once.
 };
@@ -52,10 +60,14 @@
 // Id of the crash that ended this lifetime of the endpoint.
 std::uint64_t CrashId(const std::string& endpoint, std::uint64_t born_ms);
 
-// Records the crash. Returns whether it was new.
+// Records the crash. Returns whether it was new. In a full table it takes the
+// place of the suspect with the fewest crashes, or of the oldest of these.
 bool AddStrike(CrashTable& table, const SuspectKey& key,
                const CrashStrike& strike);
 
+// Forgets crashes older than kCrashRetention.
+void ExpireStrikes(CrashTable& table, Instant now);
+
 // Clears the suspect of all crashes known so far. Returns whether there were
 // any.
 bool ClearSuspect(CrashTable& table, const SuspectKey& key);
