Share crashes between instances by an exchange that repeats itself

Callers saw: a request under which three endpoints had ended crashed more of them through instances that had not been told.

A call that was lost, a peer that was cut off or frozen, and an instance that started later never learned of it. An instance that cleared a request told nobody.

Ruled out: carrying the table with the long polls of the followers. It reaches an instance only through its reader, and the readers of two zones don't poll each other. Sending to all until each has answered keeps state for each peer and still misses instances that start.

Change: instances hold the same table and merge it without order: a crash is named by the endpoint's lifetime, and being cleared wins. A change is pushed to all at once; besides, each instance compares its digest with one other, in turn, once a second and merges where they differ. CrashReport, BroadcastCrash and the crashes in state queries go.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "controltick.h"
+#include "crashsync.h"
 #include "entryduties.h"
 #include "eventlog.h"
 #include "loadlink.h"
@@ -103,8 +104,8 @@
     case schema::ControlMessage::kUsage:
       AddUsageCounts(*m_state, message.usage());
       break;
-    case schema::ControlMessage::kCrash:
-      BroadcastCrash(*m_state, message.crash());
+    case schema::ControlMessage::kSuspects:
+      AddSuspects(*m_state, message.suspects());
       break;
     case schema::ControlMessage::kLoad:
       ExchangeLoad(*m_state, message.load());
@@ -153,6 +154,7 @@
       request.m_target == kLoadTarget         ? HandleLoadShare(request)
       : request.m_target == kHandoverTarget   ? HandleUsageHandover(request)
       : request.m_target == kStateQueryTarget ? HandleStateQuery(request)
+      : request.m_target == kSuspectTarget    ? HandleSuspectExchange(request)
                                               : false;
   if (!readable) m_peers->Respond(request.m_id, kBadRequest, {}, "");
 }
@@ -175,6 +177,14 @@
   return true;
 }
 
+bool Control::HandleSuspectExchange(const HttpRequest& request) {
+  schema::SuspectExchange call;
+  if (!call.ParseFromString(request.m_body)) return false;
+  m_peers->Respond(request.m_id, kOk, {},
+                   AnswerSuspects(*m_state, call).SerializeAsString());
+  return true;
+}
+
 bool Control::HandleStateQuery(const HttpRequest& request) {
   schema::InstanceQuery query;
   if (!query.ParseFromString(request.m_body)) return false;
--- a/src/control.h
+++ b/src/control.h
@@ -42,6 +42,7 @@
   bool HandleLoadShare(const HttpRequest& request);
   bool HandleUsageHandover(const HttpRequest& request);
   bool HandleStateQuery(const HttpRequest& request);
+  bool HandleSuspectExchange(const HttpRequest& request);
 
   schema::RelaySettings m_settings;
   std::uint64_t m_incarnation;
--- a/src/controlstate.h
+++ b/src/controlstate.h
@@ -5,9 +5,11 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
+#include "crashtable.h"
 #include "directory.h"
 #include "fleetplan.h"
 #include "holder.h"
@@ -120,6 +122,16 @@
   bool m_busy = false;
 };
 
+// Exchange of the table of suspects with the other instances.
+struct SuspectSync {
+  CrashTable m_table;
+  std::set<SuspectKey> m_unsent;  // Changed since the last push.
+  Instant m_push_due{};
+  Instant m_compare_due{};
+  bool m_comparing = false;
+  std::uint64_t m_comparisons = 0;
+};
+
 struct ControlOptions {
   std::string m_name;
   std::string m_zone;
@@ -180,6 +192,7 @@
   LoadExchange m_load_exchange;
   std::map<std::string, ZoneLoadExchange> m_zone_exchanges;
   SearchState m_search;
+  SuspectSync m_suspects;
   Instant m_store_answered{};  // Last answer of the store to any call.
   bool m_store_lost = false;
   std::uint32_t m_failed_probes = 0;  // Consecutive failures.
--- a/src/controltick.cpp
+++ b/src/controltick.cpp
@@ -1,5 +1,6 @@
 #include "controltick.h"
 
+#include "crashsync.h"
 #include "entryduties.h"
 #include "freshness.h"
 #include "peersync.h"
@@ -15,6 +16,7 @@
   PollStore(state);
   SearchPeers(state);
   AnswerPendingQueries(state);
+  SyncSuspects(state);
   FlushUsage(state);
   RunDuties(state);
   LogFreshness(state);
--- a/src/crashtable.cpp
+++ b/src/crashtable.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace comfreypaddle {
@@ -12,14 +13,6 @@
 // Crashes after which a suspect is condemned.
 constexpr std::size_t kCrashesToCondemn = 3;
 
-Instant NewestStrike(const SuspectRow& row) {
-  Instant newest{};
-  for (const CrashStrike& strike : row.m_strikes) {
-    newest = std::max(newest, strike.m_at);
-  }
-  return newest;
-}
-
 std::size_t CountBlamed(const SuspectRow& row) {
   return std::count_if(row.m_strikes.begin(), row.m_strikes.end(),
                        [](const CrashStrike& s) { return !s.m_cleared; });
@@ -42,6 +35,14 @@
   return XXH64(endpoint.data(), endpoint.size(), born_ms);
 }
 
+Instant NewestStrike(const SuspectRow& row) {
+  Instant newest{};
+  for (const CrashStrike& strike : row.m_strikes) {
+    newest = std::max(newest, strike.m_at);
+  }
+  return newest;
+}
+
 bool AddStrike(CrashTable& table, const SuspectKey& key,
                const CrashStrike& strike) {
   auto found = table.m_rows.find(key);
@@ -56,11 +57,49 @@
                                     return known.m_crash == strike.m_crash;
                                   });
   if (listed) return false;
-  if (strikes.size() >= kMaxStrikesPerSuspect) strikes.erase(strikes.begin());
+  if (strikes.size() >= kMaxStrikesPerSuspect) {
+    const auto cleared =
+        std::find_if(strikes.begin(), strikes.end(),
+                     [](const CrashStrike& known) { return known.m_cleared; });
+    if (strike.m_cleared || cleared == strikes.end()) return false;
+    strikes.erase(cleared);
+  }
   strikes.push_back(strike);
   return true;
 }
 
+bool MergeSuspect(CrashTable& table, const SuspectKey& key,
+                  const SuspectRow& other) {
+  bool changed = false;
+  for (const CrashStrike& strike : other.m_strikes) {
+    if (AddStrike(table, key, strike)) {
+      changed = true;
+      continue;
+    }
+    if (!strike.m_cleared) continue;
+    for (CrashStrike& known : table.m_rows.at(key).m_strikes) {
+      if (known.m_crash != strike.m_crash) continue;
+      changed |= !std::exchange(known.m_cleared, true);
+    }
+  }
+  return changed;
+}
+
+std::uint64_t DigestOf(const CrashTable& table) {
+  std::uint64_t digest = 0;
+  for (const auto& [key, row] : table.m_rows) {
+    for (const CrashStrike& strike : row.m_strikes) {
+      const std::array<std::uint64_t, 3> fields{
+          key.m_hash, strike.m_crash,
+          2 * static_cast<std::uint64_t>(key.m_kind) +
+              static_cast<std::uint64_t>(strike.m_cleared)};
+      // A sum, because the strikes of a row are in the order of arrival.
+      digest += XXH64(fields.data(), sizeof(fields), 0);
+    }
+  }
+  return digest;
+}
+
 void ExpireStrikes(CrashTable& table, Instant now) {
   for (auto& [key, row] : table.m_rows) {
     std::erase_if(row.m_strikes, [now](const CrashStrike& strike) {
--- a/src/crashtable.h
+++ b/src/crashtable.h
@@ -60,11 +60,25 @@
 // Id of the crash that ended this lifetime of the endpoint.
 std::uint64_t CrashId(const std::string& endpoint, std::uint64_t born_ms);
 
-// Records the crash. Returns whether it was new. In a full table it takes the
-// place of the suspect with the fewest crashes, or of the oldest of these.
+// Time of the newest crash of the suspect.
+Instant NewestStrike(const SuspectRow& row);
+
+// Records the crash. Returns whether it was added. In a full table it takes the
+// place of the suspect with the fewest crashes, or of the oldest of these; in a
+// full row that of a cleared crash.
 bool AddStrike(CrashTable& table, const SuspectKey& key,
                const CrashStrike& strike);
 
+// Merges what another instance knows of the suspect: crashes that are new, and
+// that the suspect was cleared of known ones. Instances that have merged the
+// same rows agree whatever the order. Returns whether anything changed.
+bool MergeSuspect(CrashTable& table, const SuspectKey& key,
+                  const SuspectRow& other);
+
+// Hash of the crashes and of whether they are cleared. Tables that agree have
+// the same digest.
+std::uint64_t DigestOf(const CrashTable& table);
+
 // Forgets crashes older than kCrashRetention.
 void ExpireStrikes(CrashTable& table, Instant now);
 
--- a/src/crashwatch.cpp
+++ b/src/crashwatch.cpp
@@ -1,5 +1,6 @@
 #include "crashwatch.h"
 
+#include "crashcodec.h"
 #include "eventlog.h"
 
 namespace comfreypaddle {
@@ -10,6 +11,31 @@
 // endpoint may still send the first one as it crashes.
 constexpr std::uint32_t kEventsPastStart = 2;
 
+SuspectKey RequestKey(const RelayCall& call) {
+  return {SuspectKind::kRequest, call.m_fingerprint};
+}
+
+// Logs a change of what is known of a suspect.
+void LogSuspect(const RelayState& state, std::string_view event,
+                const SuspectKey& key, std::string_view endpoint) {
+  LogLine(event)
+      .Add("kind", ToName(key.m_kind))
+      .Add("suspect", std::to_string(key.m_hash))
+      .Add("endpoint", endpoint)
+      .Add("crashes",
+           static_cast<std::int64_t>(CountStrikes(state.m_crashes, key)))
+      .Add("refused",
+           IsCondemned(state.m_crashes, key, state.m_clock()) ? 1 : 0);
+}
+
+// Tells the other instances what is known of the suspect.
+void PublishSuspect(const RelayState& state, const SuspectKey& key) {
+  if (!state.m_on_suspects) return;
+  schema::SuspectList changed;
+  AppendSuspect(key, state.m_crashes.m_rows.at(key), state.m_clock(), &changed);
+  state.m_on_suspects(changed);
+}
+
 }  // namespace
 
 bool IsAtStart(const RelayCall& call) {
@@ -17,40 +43,37 @@
 }
 
 void OnAttemptSurvived(RelayState& state, const RelayCall& call) {
-  const SuspectKey key{SuspectKind::kRequest, call.m_fingerprint};
+  const SuspectKey key = RequestKey(call);
   if (!ClearSuspect(state.m_crashes, key)) return;
-  LogLine("suspect_cleared")
-      .Add("request", call.m_metadata.m_attempt)
-      .Add("fingerprint", std::to_string(call.m_fingerprint))
-      .Add("endpoint", call.m_attempt.m_endpoint);
-}
-
-void ReportCrash(RelayState& state, const RelayCall& call) {
-  schema::CrashReport report;
-  report.set_fingerprint(call.m_fingerprint);
-  report.set_endpoint(call.m_attempt.m_endpoint);
-  report.set_born_ms(call.m_attempt.m_born_ms);
-  RecordCrash(state, report);
-  if (state.m_on_crash) state.m_on_crash(report);
+  LogSuspect(state, "suspect_cleared", key, call.m_attempt.m_endpoint);
+  PublishSuspect(state, key);
 }
 
-void RecordCrash(RelayState& state, const schema::CrashReport& crash) {
-  const SuspectKey key{SuspectKind::kRequest, crash.fingerprint()};
-  const CrashStrike strike{CrashId(crash.endpoint(), crash.born_ms()),
+void OnAttemptCrashed(RelayState& state, const RelayCall& call) {
+  const EndpointAttempt& attempt = call.m_attempt;
+  const SuspectKey key = RequestKey(call);
+  const CrashStrike strike{CrashId(attempt.m_endpoint, attempt.m_born_ms),
                            state.m_clock()};
   if (!AddStrike(state.m_crashes, key, strike)) return;
-  LogLine("endpoint_crashed")
-      .Add("fingerprint", std::to_string(crash.fingerprint()))
-      .Add("endpoint", crash.endpoint())
-      .Add("crashes",
-           static_cast<std::int64_t>(CountStrikes(state.m_crashes, key)));
+  LogSuspect(state, "endpoint_crashed", key, attempt.m_endpoint);
+  PublishSuspect(state, key);
+}
+
+void MergeSuspects(RelayState& state, const schema::SuspectList& suspects) {
+  const Instant now = state.m_clock();
+  for (const schema::Suspect& suspect : suspects.suspects()) {
+    const SuspectKey key = DecodeSuspectKey(suspect);
+    const bool was_refused = IsCondemned(state.m_crashes, key, now);
+    MergeSuspect(state.m_crashes, key, DecodeSuspectRow(suspect, now));
+    if (IsCondemned(state.m_crashes, key, now) != was_refused) {
+      LogSuspect(state, "suspect_reported", key, "");
+    }
+  }
 }
 
 bool IsRefusedSuspect(const RelayState& state, const RelayCall& call) {
   if (call.m_events >= kEventsPastStart) return false;
-  return IsCondemned(state.m_crashes,
-                     {SuspectKind::kRequest, call.m_fingerprint},
-                     state.m_clock());
+  return IsCondemned(state.m_crashes, RequestKey(call), state.m_clock());
 }
 
 }  // namespace comfreypaddle
--- a/src/crashwatch.h
+++ b/src/crashwatch.h
@@ -5,6 +5,10 @@
 
 namespace comfreypaddle {
 
+// What the attempts of this instance say about crashes of endpoints, and which
+// requests are refused for it. The table of suspects is shared with the other
+// instances (crashsync.h).
+
 // Whether the current attempt has not got past the start of its response. Only
 // then is the loss of its connection blamed on the request: one that crashes
 // endpoints does so as they begin to answer, while the others on the same
@@ -15,11 +19,11 @@
 // gets past the start of its response and when it ends with a whole response.
 void OnAttemptSurvived(RelayState& state, const RelayCall& call);
 
-// Reports that an endpoint crashed while it ran the request.
-void ReportCrash(RelayState& state, const RelayCall& call);
+// Blames the request for the crash of the endpoint of its attempt.
+void OnAttemptCrashed(RelayState& state, const RelayCall& call);
 
-// Adds a crash that this or another instance reported to the table.
-void RecordCrash(RelayState& state, const schema::CrashReport& crash);
+// Merges the suspects of other instances.
+void MergeSuspects(RelayState& state, const schema::SuspectList& suspects);
 
 // Whether the request has crashed too many endpoints to be run. To be asked
 // before each attempt: crashes are reported while a request waits, is prefilled
--- a/src/peersync.cpp
+++ b/src/peersync.cpp
@@ -40,7 +40,6 @@
 enum class QueryPurpose {
   kFollow,  // Long poll of the upstream.
   kSearch,  // The local state is stale.
-  kCrash,   // Report of a crash.
 };
 
 // Called with the answer, or null if the query failed.
@@ -72,8 +71,6 @@
     case QueryPurpose::kSearch:
       return effect == AnswerEffect::kApplied ||
              state.m_search.m_rounds <= kFullyLoggedRounds;
-    case QueryPurpose::kCrash:
-      return false;
   }
   return false;
 }
@@ -261,15 +258,4 @@
   }
 }
 
-void BroadcastCrash(ControlState& state, const schema::CrashReport& crash) {
-  schema::InstanceQuery query;
-  query.set_name(state.m_options.m_name);
-  *query.add_crashes() = crash;
-  for (const std::string& name : OtherInstances(state)) {
-    SendQuery(state, state.m_instances.at(name).peers(), query,
-              QueryPurpose::kCrash,
-              [](const schema::InstanceState* /*other*/) {});
-  }
-}
-
 }  // namespace comfreypaddle
--- a/src/peersync.h
+++ b/src/peersync.h
@@ -23,10 +23,6 @@
 // store nor the upstream keeps this instance current. Call it every tick.
 void SearchPeers(ControlState& state);
 
-// Reports to all other instances that an endpoint crashed while it ran a
-// request.
-void BroadcastCrash(ControlState& state, const schema::CrashReport& crash);
-
 }  // namespace comfreypaddle
 
 #endif  // COMFREYPADDLE_PEERSYNC_H_
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -108,9 +108,9 @@
   m_state.m_unsent_bytes = [this](std::uint64_t id) {
     return m_callers->UnsentBytes(id);
   };
-  m_state.m_on_crash = [this](const schema::CrashReport& crash) {
+  m_state.m_on_suspects = [this](const schema::SuspectList& changed) {
     schema::ControlMessage message;
-    *message.mutable_crash() = crash;
+    *message.mutable_suspects() = changed;
     m_ports.m_control->Post(std::move(message));
   };
   m_tick =
@@ -161,8 +161,8 @@
     case schema::RelayMessage::kPeers:
       m_state.m_resends.m_instances = message.peers().instances();
       break;
-    case schema::RelayMessage::kCrash:
-      RecordCrash(m_state, message.crash());
+    case schema::RelayMessage::kSuspects:
+      MergeSuspects(m_state, message.suspects());
       break;
     case schema::RelayMessage::kOthers:
       ApplyPeerLoad(message.others());
--- a/src/relayattempt.cpp
+++ b/src/relayattempt.cpp
@@ -303,7 +303,7 @@
     return;
   }
   const bool lost = result.m_error == HttpError::kConnectionLost;
-  if (lost && IsAtStart(call)) ReportCrash(state, call);
+  if (lost && IsAtStart(call)) OnAttemptCrashed(state, call);
   // An attempt whose response is lost counts as usage, because most have begun
   // to run. Only those still in prefill at a crashed endpoint have not.
   if (call.m_attempt.m_events == 0) {
--- a/src/relaymetrics.cpp
+++ b/src/relaymetrics.cpp
@@ -86,6 +86,9 @@
                endpoints.Counters().m_unmatched_responses);
   text.Gauge("relay_endpoints", "known endpoints",
              static_cast<double>(state.m_balance.m_endpoints.size()));
+  text.Gauge("relay_crash_suspects",
+             "suspects of crashes of endpoints, also those cleared since",
+             static_cast<double>(state.m_crashes.m_rows.size()));
   text.Gauge("relay_catalog_version", "version of the configuration",
              state.m_catalog == nullptr
                  ? 0
--- a/src/relaystate.h
+++ b/src/relaystate.h
@@ -155,8 +155,8 @@
   // later steps of the system clock have no effect.
   Duration m_unix_at_zero{0};
   std::function<std::size_t(std::uint64_t)> m_unsent_bytes;  // Unsent bytes.
-  // Tells the other instances of a crash.
-  std::function<void(const schema::CrashReport&)> m_on_crash;
+  // Tells the other instances of suspects that changed.
+  std::function<void(const schema::SuspectList&)> m_on_suspects;
 
   std::shared_ptr<const CatalogIndex> m_catalog;  // Null until received.
   BalanceState m_balance;
--- a/src/statequery.cpp
+++ b/src/statequery.cpp
@@ -91,7 +91,6 @@
   answer.set_endpoints_age_ms(AgeMs(state, state.m_endpoints_cursor));
   answer.set_store_answers(IsServedByStore(state));
   if (state.m_catalog) answer.set_catalog_version(state.m_catalog->version());
-  if (query.crashes_size() > 0) return answer;
   answer.set_catalog_offset(ReadOffset(state.m_catalog_cursor));
   if (answer.catalog_offset() > query.catalog_offset() && state.m_catalog) {
     *answer.mutable_catalog() = *state.m_catalog;
@@ -108,11 +107,6 @@
 
 void AnswerStateQuery(ControlState& state, const schema::InstanceQuery& query,
                       const StateQueryCallback& respond) {
-  for (const schema::CrashReport& crash : query.crashes()) {
-    schema::RelayMessage message;
-    *message.mutable_crash() = crash;
-    state.m_relay->Post(std::move(message));
-  }
   if (query.asker_served()) {
     RecordServed(state, query.name(), state.m_clock());
   }
--- a/tests/crashes_test.cpp
+++ b/tests/crashes_test.cpp
@@ -63,9 +63,9 @@
     "a crash is reported for the lifetime to which the request was sent") {
   RelayFixture f;
   ALLOW_CALL(f.m_callers, Respond(_, _, _, _));
-  std::vector<schema::CrashReport> reports;
-  f.m_state.m_on_crash = [&reports](const schema::CrashReport& report) {
-    reports.push_back(report);
+  std::vector<schema::SuspectList> reports;
+  f.m_state.m_on_suspects = [&reports](const schema::SuspectList& changed) {
+    reports.push_back(changed);
   };
   for (auto& [id, endpoint] : f.m_state.m_balance.m_endpoints) {
     endpoint.m_born_ms = 7;
@@ -78,11 +78,12 @@
       endpoint.m_born_ms = 8;
     }
   }
-  f.Break(0, true);
-  f.Break(1, true);
-  REQUIRE(reports.size() == 2);
-  CHECK(reports[0].born_ms() == 7);
-  CHECK(reports[1].born_ms() == 7);
+  for (std::size_t i = 0; i < 2; ++i) {
+    f.Break(i, true);
+    REQUIRE(reports.size() == i + 1);
+    CHECK(reports[i].suspects(0).strikes(0).crash() ==
+          CrashId(f.m_endpoints.To(i), 7));
+  }
 }
 
 // Failure: a sound request that is sent often was refused for ten minutes after
--- a/tests/relaycall_test.cpp
+++ b/tests/relaycall_test.cpp
@@ -180,14 +180,11 @@
 TEST_CASE("a request that crashed three endpoints is not run any more") {
   RelayFixture f;
   f.Ask(1, "/stream/x");
-  const std::uint64_t fingerprint = FindRelayCall(f.m_state, 1)->m_fingerprint;
+  const SuspectKey key{SuspectKind::kRequest,
+                       FindRelayCall(f.m_state, 1)->m_fingerprint};
   OnCallerDisconnected(f.m_state, 1);
   for (const char* endpoint : {"a", "b", "c"}) {
-    schema::CrashReport crash;
-    crash.set_fingerprint(fingerprint);
-    crash.set_endpoint(endpoint);
-    crash.set_born_ms(1);
-    RecordCrash(f.m_state, crash);
+    AddStrike(f.m_state.m_crashes, key, {CrashId(endpoint, 1), f.m_now});
   }
   REQUIRE_CALL(f.m_callers, Respond(2U, 503, _, _));
   f.Ask(2, "/stream/x");
@@ -198,9 +195,9 @@
 // broken connection counts as a crash.
 TEST_CASE("bytes that are no answer are not taken for a crash") {
   RelayFixture f;
-  std::vector<std::string> crashed;
-  f.m_state.m_on_crash = [&crashed](const schema::CrashReport& report) {
-    crashed.push_back(report.endpoint());
+  std::vector<schema::SuspectList> crashed;
+  f.m_state.m_on_suspects = [&crashed](const schema::SuspectList& changed) {
+    crashed.push_back(changed);
   };
   ALLOW_CALL(f.m_callers, Respond(_, 502, _, _));
   f.Ask(1, "/stream/x");
--- a/tests/support_instances.cpp
+++ b/tests/support_instances.cpp
@@ -1,9 +1,10 @@
 #include "support_instances.h"
 
-#include <random>
 #include <utility>
 
 #include "controltick.h"
+#include "crashsync.h"
+#include "crashwatch.h"
 #include "entryduties.h"
 #include "loadlink.h"
 #include "peersync.h"
@@ -223,16 +224,21 @@
   }
 }
 
-// Records when each configuration version was applied.
+// Relay task: records when each configuration version was applied, and holds
+// the suspects of crashes.
 class InstanceFleet::Inbox : public Port<schema::RelayMessage> {
  public:
-  explicit Inbox(Schedule& schedule) : m_schedule(schedule) {}
+  explicit Inbox(Schedule& schedule) : m_schedule(schedule) {
+    m_relay.m_clock = [&schedule] { return schedule.Now(); };
+  }
   void Post(schema::RelayMessage message) override {
     if (message.has_catalog()) {
       m_versions[message.catalog().version()] = m_schedule.Now();
     }
+    if (message.has_suspects()) MergeSuspects(m_relay, message.suspects());
   }
 
+  RelayState m_relay;
   std::map<std::uint64_t, Instant> m_versions;
 
  private:
@@ -270,8 +276,9 @@
                   const SimulatedZone& zone);
 
   std::string m_name;
-  std::string m_region;
+  SimulatedZone m_zone;
   bool m_dead = false;
+  bool m_cut_off = false;
   Instant m_link_free{};  // When the link has sent all queued answers.
   std::unique_ptr<StreamPort> m_store;
   InstanceFleet::Duties m_duties;
@@ -313,7 +320,7 @@
     VirtualInstance& other = *found->second;
     m_fleet.m_schedule.After(m_fleet.OneWayLatency(m_self, other),
                              [this, &other, target, call, end] {
-                               if (other.m_dead) return;
+                               if (other.m_dead || IsCut(other)) return;
                                Answer(other, target, call.m_body, end);
                              });
     return 0;
@@ -324,6 +331,10 @@
  private:
   using End = std::function<void(const HttpResult&, const std::string&)>;
 
+  bool IsCut(const VirtualInstance& other) const {
+    return m_self.m_cut_off || other.m_cut_off;
+  }
+
   void Answer(VirtualInstance& other, const std::string& target,
               const std::string& body, const End& end) {
     if (target == kHandoverTarget) {
@@ -335,6 +346,14 @@
                     });
       return;
     }
+    if (target == kSuspectTarget) {
+      schema::SuspectExchange exchange;
+      exchange.ParseFromString(body);
+      SendAnswer(other,
+                 AnswerSuspects(other.m_state, exchange).SerializeAsString(),
+                 end);
+      return;
+    }
     if (target != kStateQueryTarget) return;
     schema::InstanceQuery query;
     query.ParseFromString(body);
@@ -364,7 +383,7 @@
 VirtualInstance::VirtualInstance(InstanceFleet& fleet, const std::string& name,
                                  const SimulatedZone& zone)
     : m_name(name),
-      m_region(zone.m_region),
+      m_zone(zone),
       m_store(fleet.Store().Connect(name)),
       m_duties(fleet),
       m_peers(std::make_unique<InstanceFleet::PeerPort>(fleet, *this)),
@@ -384,26 +403,73 @@
   m_state.m_relay = &m_inbox;
   m_state.m_clock = [&fleet] { return fleet.Time().Now(); };
   m_state.m_store_answered = fleet.Time().Now();
+  m_inbox.m_relay.m_on_suspects = [this](const schema::SuspectList& changed) {
+    AddSuspects(m_state, changed);
+  };
 }
 
 InstanceFleet::InstanceFleet(const std::vector<SimulatedZone>& zones,
                              std::uint64_t seed)
-    : m_store(m_schedule) {
-  std::mt19937_64 random(seed);
+    : m_store(m_schedule), m_random(seed) {
   WriteCatalog(1);
   for (const SimulatedZone& zone : zones) {
     for (int i = 1; i <= zone.m_instances; ++i) {
-      const std::string name = zone.m_name + "-" + std::to_string(i);
-      auto instance = std::make_unique<VirtualInstance>(*this, name, zone);
-      m_by_address[name + ":1"] = instance.get();
-      const Duration phase(
-          static_cast<std::int64_t>(random() % kControlTick.count()));
-      m_schedule.After(phase, [this, at = instance.get()] { Tick(*at); });
-      m_instances[name] = std::move(instance);
+      Start(zone.m_name + "-" + std::to_string(i), zone, 1);
     }
   }
 }
 
+void InstanceFleet::Start(const std::string& name, const SimulatedZone& zone,
+                          std::uint64_t incarnation) {
+  auto instance = std::make_unique<VirtualInstance>(*this, name, zone);
+  instance->m_state.m_options.m_incarnation = incarnation;
+  instance->m_state.m_holder.m_options.m_incarnation = incarnation;
+  m_by_address[name + ":1"] = instance.get();
+  const Duration phase(
+      static_cast<std::int64_t>(m_random() % kControlTick.count()));
+  m_schedule.After(phase, [this, at = instance.get()] { Tick(*at); });
+  m_instances[name] = std::move(instance);
+}
+
+void InstanceFleet::Restart(const std::string& name) {
+  VirtualInstance& old = *m_instances.at(name);
+  old.m_dead = true;
+  const SimulatedZone zone = old.m_zone;
+  const std::uint64_t incarnation = old.m_state.m_options.m_incarnation + 1;
+  m_replaced.push_back(std::move(m_instances.at(name)));
+  Start(name, zone, incarnation);
+}
+
+void InstanceFleet::Cut(const std::string& name) {
+  m_instances.at(name)->m_cut_off = true;
+}
+
+void InstanceFleet::Heal(const std::string& name) {
+  m_instances.at(name)->m_cut_off = false;
+}
+
+void InstanceFleet::CrashEndpoint(const std::string& name,
+                                  std::uint64_t fingerprint,
+                                  const std::string& endpoint) {
+  RelayCall call;
+  call.m_fingerprint = fingerprint;
+  call.m_attempt.m_endpoint = endpoint;
+  OnAttemptCrashed(m_instances.at(name)->m_inbox.m_relay, call);
+}
+
+void InstanceFleet::Answer(const std::string& name, std::uint64_t fingerprint) {
+  RelayCall call;
+  call.m_fingerprint = fingerprint;
+  OnAttemptSurvived(m_instances.at(name)->m_inbox.m_relay, call);
+}
+
+bool InstanceFleet::Refuses(const std::string& name,
+                            std::uint64_t fingerprint) {
+  RelayCall call;
+  call.m_fingerprint = fingerprint;
+  return IsRefusedSuspect(m_instances.at(name)->m_inbox.m_relay, call);
+}
+
 InstanceFleet::~InstanceFleet() = default;
 
 void InstanceFleet::Tick(VirtualInstance& instance) {
@@ -414,7 +480,8 @@
 
 Duration InstanceFleet::OneWayLatency(const VirtualInstance& a,
                                       const VirtualInstance& b) const {
-  return a.m_region == b.m_region ? kRegionLatency : kInterRegionLatency;
+  return a.m_zone.m_region == b.m_zone.m_region ? kRegionLatency
+                                                : kInterRegionLatency;
 }
 
 void InstanceFleet::WriteCatalog(std::uint64_t version) {
--- a/tests/support_instances.h
+++ b/tests/support_instances.h
@@ -6,11 +6,13 @@
 #include <map>
 #include <memory>
 #include <queue>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "controlstate.h"
+#include "relaystate.h"
 
 namespace comfreypaddle::testing {
 
@@ -136,6 +138,22 @@
   // Stops the instance: it runs no more ticks and answers no more calls.
   void Kill(const std::string& name);
 
+  // Replaces the instance by a new process that knows nothing.
+  void Restart(const std::string& name);
+
+  // Cuts the instance off from all others: calls get no answer.
+  void Cut(const std::string& name);
+  void Heal(const std::string& name);
+
+  // Ends a run of the request, by fingerprint, at the instance: its endpoint
+  // crashes, or answers.
+  void CrashEndpoint(const std::string& name, std::uint64_t fingerprint,
+                     const std::string& endpoint);
+  void Answer(const std::string& name, std::uint64_t fingerprint);
+
+  // Whether the instance refuses the request.
+  bool Refuses(const std::string& name, std::uint64_t fingerprint);
+
   std::vector<std::string> Names() const;
   ControlState& State(const std::string& name);
 
@@ -154,6 +172,8 @@
   class Inbox;
   class Duties;
 
+  void Start(const std::string& name, const SimulatedZone& zone,
+             std::uint64_t incarnation);
   void Tick(VirtualInstance& instance);
   void CountRequest(VirtualInstance& instance);
   Duration OneWayLatency(const VirtualInstance& a,
@@ -161,7 +181,10 @@
 
   Schedule m_schedule;
   VirtualStore m_store;
+  std::mt19937_64 m_random;
   std::map<std::string, std::unique_ptr<VirtualInstance>> m_instances;
+  // Replaced processes, which scheduled actions may still refer to.
+  std::vector<std::unique_ptr<VirtualInstance>> m_replaced;
   std::map<std::string, VirtualInstance*> m_by_address;
   std::uint64_t m_peer_calls = 0;
   bool m_requests_run = false;
