--- /dev/null
+++ b/tests/crashparts_test.cpp
@@ -0,0 +1,133 @@
+// Parts of prompts that crash each endpoint that begins to answer a request
+// with them, at one instance.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <random>
+
+#include "support_relay.h"
+
+namespace comfreypaddle::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using trompeloeil::_;
+
+// Most crashes of one part: five, and three more requests later than
+// kContactTime after the fifth.
+constexpr std::size_t kMaxCrashes = 8;
+constexpr Duration kContactTime = milliseconds(4000);
+
+// Traffic of one route: requests that share the first part of their prompts. A
+// share of them has the deadly part.
+struct Traffic {
+  explicit Traffic(std::uint64_t seed) : m_random(seed) {}
+
+  // Sends one request. Its endpoint answers it, or crashes.
+  void SendNext();
+
+  // Ends sound requests that an endpoint has begun to answer.
+  void AnswerOpen();
+
+  RelayFixture m_fixture;
+  std::mt19937_64 m_random;
+  std::uint64_t m_deadly_period = 4;  // Each how many requests one is deadly.
+  std::string m_deadly_part = "deadly";
+  std::uint64_t m_next_id = 1;
+  std::vector<Instant> m_crashes;
+  std::size_t m_sound = 0;
+  std::size_t m_sound_begun = 0;    // At their first attempt.
+  std::vector<std::size_t> m_open;  // Calls whose head has arrived.
+};
+
+void Traffic::SendNext() {
+  RelayFixture& f = m_fixture;
+  const std::uint64_t id = m_next_id++;
+  const bool deadly = id % m_deadly_period == 0;
+  const std::string other = "other" + std::to_string(m_random() % 50);
+  const std::string middle = deadly ? m_deadly_part : other;
+  const std::size_t call = f.m_endpoints.m_calls.size();
+  f.AskPrompt(id, "/stream/x", "first," + middle + ",own" + std::to_string(id));
+  m_sound += deadly ? 0 : 1;
+  if (f.m_endpoints.m_calls.size() == call) return;
+  f.m_endpoints.m_events.at(call).m_on_head(200, {{"stream", "1"}});
+  if (!deadly) {
+    ++m_sound_begun;
+    m_open.push_back(call);
+    return;
+  }
+  m_crashes.push_back(f.m_now);
+  const std::string endpoint = f.m_endpoints.To(call);
+  f.Break(call, true);
+  // The requests beside it are lost too, some right after their head.
+  std::erase_if(m_open, [&](std::size_t open) {
+    if (f.m_endpoints.To(open) != endpoint) return false;
+    f.Break(open, true);
+    return true;
+  });
+  ++f.m_state.m_balance.m_endpoints.at(endpoint).m_born_ms;
+}
+
+void Traffic::AnswerOpen() {
+  for (const std::size_t call : std::exchange(m_open, {})) {
+    m_fixture.m_endpoints.m_events.at(call).m_on_body(
+        "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    m_fixture.m_endpoints.m_events.at(call).m_on_end(
+        {HttpError::kOk, 200, true});
+  }
+}
+
+// Sends this many requests, ten a second. Those begun are answered after 300
+// ms.
+void Run(Traffic& traffic, int requests) {
+  ALLOW_CALL(traffic.m_fixture.m_callers, Respond(_, _, _, _));
+  ALLOW_CALL(traffic.m_fixture.m_callers, StartStream(_, _, _));
+  ALLOW_CALL(traffic.m_fixture.m_callers, Write(_, _));
+  ALLOW_CALL(traffic.m_fixture.m_callers, FinishStream(_));
+  ALLOW_CALL(traffic.m_fixture.m_callers, Abort(_));
+  constexpr int kAnswerPeriod = 3;
+  for (int i = 0; i < requests; ++i) {
+    traffic.SendNext();
+    if (i % kAnswerPeriod == 0) traffic.AnswerOpen();
+    traffic.m_fixture.m_now += milliseconds(100);
+    TickCalls(traffic.m_fixture.m_state);
+  }
+}
+
+constexpr std::uint64_t kSeeds = 20;
+
+// Failure: requests that share a part of their prompt, no two alike, crashed
+// endpoints on and on, because only whole requests were recognized.
+TEST_CASE("a prompt part that crashes endpoints is refused") {
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    CAPTURE(seed);
+    Traffic traffic(seed);
+    Run(traffic, 300);
+    CHECK(traffic.m_crashes.size() <= kMaxCrashes);
+    // Those after the fifth come later than kContactTime by one at a time.
+    const auto late =
+        std::count_if(traffic.m_crashes.begin(), traffic.m_crashes.end(),
+                      [&traffic](Instant at) {
+                        return traffic.m_crashes.size() > 5 &&
+                               at > traffic.m_crashes[4] + kContactTime;
+                      });
+    CHECK(late <= 3);
+  }
+}
+
+// Failure: requests that share their caller and other parts with the deadly
+// ones are refused with them.
+TEST_CASE("sound requests beside a crashing prompt part begin at once") {
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    for (const std::uint64_t period : {2, 4, 10}) {
+      CAPTURE(seed);
+      CAPTURE(period);
+      Traffic traffic(seed);
+      traffic.m_deadly_period = period;
+      Run(traffic, 300);
+      CHECK(10 * traffic.m_sound_begun >= 9 * traffic.m_sound);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace comfreypaddle::testing
--- a/tests/support_relay.h
+++ b/tests/support_relay.h
@@ -5,6 +5,7 @@
 
 #include <doctest/trompeloeil.hpp>
 #include <memory>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,12 @@
     terms.m_attempt = "t" + std::to_string(request.m_id);
     terms.m_time_left = std::chrono::seconds(20);
     terms.m_prompt_tokens = m_prompt_tokens;
+    const std::string* parts = FindFieldIgnoreCase(request.m_headers, "parts");
+    if (parts == nullptr) return terms;
+    std::istringstream ids(*parts);
+    for (std::string id; std::getline(ids, id, ',');) {
+      terms.m_parts.push_back({id, 1});
+    }
     return terms;
   }
   HttpFields EndpointFields(const HttpRequest& /*request*/,
@@ -143,6 +150,18 @@
     return route;
   }
 
+  // `parts` lists the ids of the parts of the prompt, separated by commas.
+  void AskPrompt(std::uint64_t id, const std::string& target,
+                 const std::string& parts) {
+    HttpRequest request;
+    request.m_id = id;
+    request.m_method = "POST";
+    request.m_target = target;
+    request.m_headers = {{"k", "secret"}, {"parts", parts}};
+    request.m_body = std::to_string(id);  // No two alike.
+    AcceptRequest(m_state, std::move(request));
+  }
+
   void Ask(std::uint64_t id, const std::string& target,
            const std::string& key = "secret") {
     HttpRequest request;
