Refuse prompt parts that crash the endpoints that answer them

Callers saw: endpoints of a kind of request crashed one after the other, and with them the streams beside.

Requests that share a deadly part are no two alike, so that no row ever reached three crashes.

Ruled out, by the log of the parts: blaming the whole prefix or the workspace (sound requests share them), and blaming every attempt on the crashed endpoint (61 of 82 had forwarded events or not begun).

Change: a crash is blamed on the shared parts of the prompts that the endpoint had just begun to answer, besides on the request. A part at three crashes, 200 ms apart or more, is refused, unless a request with it got past its start since: the parts that sound requests share are cleared by them within a moment. The table and its exchange are those of requests.

--- a/src/accept.cpp
+++ b/src/accept.cpp
@@ -18,6 +18,9 @@
 constexpr int kQueueTimeDivisor = 8;
 constexpr Duration kMinQueueTime = std::chrono::milliseconds(25);
 
+// Parts of one prompt that are watched for crashes.
+constexpr std::size_t kMaxSharedParts = 32;
+
 // Time limit of a request when neither its route nor its caller sets one.
 constexpr Duration kDefaultTimeLimit = std::chrono::seconds(60);
 
@@ -32,6 +35,17 @@
                   HashText(request.m_target, HashText(terms.m_key)));
 }
 
+// Hashes of the parts of the prompt that other requests may share: all but the
+// last one.
+std::vector<std::uint64_t> SharedParts(const RequestMetadata& terms) {
+  std::vector<std::uint64_t> hashes;
+  const std::vector<PromptPart>& parts = terms.m_parts;
+  for (std::size_t i = 0; i + 1 < parts.size() && i < kMaxSharedParts; ++i) {
+    hashes.push_back(HashText(parts[i].m_id));
+  }
+  return hashes;
+}
+
 Duration TimeLimitOf(const RequestMetadata& terms,
                      const schema::CatalogRoute& route) {
   Duration time =
@@ -112,6 +126,7 @@
     return;
   }
   call.m_fingerprint = FingerprintOf(call.m_request, call.m_metadata);
+  call.m_shared_parts = SharedParts(call.m_metadata);
   SetDeadlines(call, now);
   call.m_service =
       ChooseService(*call.m_route, ServiceSplitHash(call.m_metadata));
--- a/src/crashtable.cpp
+++ b/src/crashtable.cpp
@@ -13,11 +13,32 @@
 // Crashes after which a suspect is condemned.
 constexpr std::size_t kCrashesToCondemn = 3;
 
+// Crashes of a prompt part within this time count as one.
+constexpr Duration kIncidentLength = std::chrono::milliseconds(200);
+
 std::size_t CountBlamed(const SuspectRow& row) {
   return std::count_if(row.m_strikes.begin(), row.m_strikes.end(),
                        [](const CrashStrike& s) { return !s.m_cleared; });
 }
 
+// Number of incidents among the crashes blamed on the suspect: crashes that are
+// close together count as one.
+std::size_t CountIncidents(const SuspectRow& row) {
+  std::vector<Instant> times;
+  for (const CrashStrike& strike : row.m_strikes) {
+    if (!strike.m_cleared) times.push_back(strike.m_at);
+  }
+  std::sort(times.begin(), times.end());
+  std::size_t incidents = 0;
+  Instant end{};
+  for (const Instant at : times) {
+    if (incidents > 0 && at < end) continue;
+    ++incidents;
+    end = at + kIncidentLength;
+  }
+  return incidents;
+}
+
 // Makes room for a new suspect.
 void EvictWeakest(CrashTable& table) {
   const auto weakest = std::min_element(
@@ -129,7 +150,10 @@
   const auto found = table.m_rows.find(key);
   if (found == table.m_rows.end()) return false;
   const SuspectRow& row = found->second;
-  return CountBlamed(row) >= kCrashesToCondemn &&
+  const std::size_t crashes = key.m_kind == SuspectKind::kPromptPart
+                                  ? CountIncidents(row)
+                                  : CountBlamed(row);
+  return crashes >= kCrashesToCondemn &&
          now - NewestStrike(row) < kCrashRetention;
 }
 
--- a/src/crashtable.h
+++ b/src/crashtable.h
@@ -16,13 +16,15 @@
 
 // What a crash may be blamed on.
 enum class SuspectKind {
-  kRequest,  // Requests with the same caller, target and body.
+  kRequest,     // Requests with the same caller, target and body.
+  kPromptPart,  // Requests that share this part of their prompt.
 };
 
 template <>
 struct EnumNames<SuspectKind> {
-  static constexpr std::array<EnumName<SuspectKind>, 1> kTable{
-      {{SuspectKind::kRequest, "request"}}};
+  static constexpr std::array<EnumName<SuspectKind>, 2> kTable{
+      {{SuspectKind::kRequest, "request"},
+       {SuspectKind::kPromptPart, "prompt_part"}}};
 };
 
 struct SuspectKey {
@@ -89,7 +91,10 @@
 // Number of crashes blamed on the suspect.
 std::size_t CountStrikes(const CrashTable& table, const SuspectKey& key);
 
-// Whether requests with the suspect are refused.
+// Whether requests with the suspect are refused. A prompt part must have been
+// at several crashes some time apart: one incident that ends many connections
+// at once says nothing of the parts that happened to be on them, and sound
+// requests with the part get the time to clear it.
 bool IsCondemned(const CrashTable& table, const SuspectKey& key, Instant now);
 
 }  // namespace comfreypaddle
--- a/src/crashwatch.cpp
+++ b/src/crashwatch.cpp
@@ -1,5 +1,7 @@
 #include "crashwatch.h"
 
+#include <algorithm>
+
 #include "crashcodec.h"
 #include "eventlog.h"
 
@@ -11,8 +13,19 @@
 // endpoint may still send the first one as it crashes.
 constexpr std::uint32_t kEventsPastStart = 2;
 
-SuspectKey RequestKey(const RelayCall& call) {
-  return {SuspectKind::kRequest, call.m_fingerprint};
+// What a crash under the request may be blamed on.
+std::vector<SuspectKey> SuspectsOf(const RelayCall& call) {
+  std::vector<SuspectKey> keys{{SuspectKind::kRequest, call.m_fingerprint}};
+  for (const std::uint64_t part : call.m_shared_parts) {
+    keys.push_back({SuspectKind::kPromptPart, part});
+  }
+  return keys;
+}
+
+// Whether the endpoint had begun to answer. Requests in its queue have not read
+// their prompts and say nothing of the parts.
+bool HasBegunToAnswer(const RelayCall& call) {
+  return call.m_attempt.m_status != 0;
 }
 
 // Logs a change of what is known of a suspect.
@@ -43,20 +56,25 @@
 }
 
 void OnAttemptSurvived(RelayState& state, const RelayCall& call) {
-  const SuspectKey key = RequestKey(call);
-  if (!ClearSuspect(state.m_crashes, key)) return;
-  LogSuspect(state, "suspect_cleared", key, call.m_attempt.m_endpoint);
-  PublishSuspect(state, key);
+  if (state.m_crashes.m_rows.empty()) return;
+  for (const SuspectKey& key : SuspectsOf(call)) {
+    if (!ClearSuspect(state.m_crashes, key)) continue;
+    LogSuspect(state, "suspect_cleared", key, call.m_attempt.m_endpoint);
+    PublishSuspect(state, key);
+  }
 }
 
 void OnAttemptCrashed(RelayState& state, const RelayCall& call) {
   const EndpointAttempt& attempt = call.m_attempt;
-  const SuspectKey key = RequestKey(call);
   const CrashStrike strike{CrashId(attempt.m_endpoint, attempt.m_born_ms),
                            state.m_clock()};
-  if (!AddStrike(state.m_crashes, key, strike)) return;
-  LogSuspect(state, "endpoint_crashed", key, attempt.m_endpoint);
-  PublishSuspect(state, key);
+  for (const SuspectKey& key : SuspectsOf(call)) {
+    const bool is_part = key.m_kind == SuspectKind::kPromptPart;
+    if (is_part && !HasBegunToAnswer(call)) continue;
+    if (!AddStrike(state.m_crashes, key, strike)) continue;
+    LogSuspect(state, "endpoint_crashed", key, attempt.m_endpoint);
+    PublishSuspect(state, key);
+  }
 }
 
 void MergeSuspects(RelayState& state, const schema::SuspectList& suspects) {
@@ -72,8 +90,14 @@
 }
 
 bool IsRefusedSuspect(const RelayState& state, const RelayCall& call) {
+  if (state.m_crashes.m_rows.empty()) return false;
   if (call.m_events >= kEventsPastStart) return false;
-  return IsCondemned(state.m_crashes, RequestKey(call), state.m_clock());
+  const Instant now = state.m_clock();
+  const std::vector<SuspectKey> keys = SuspectsOf(call);
+  return std::any_of(keys.begin(), keys.end(),
+                     [&state, now](const SuspectKey& key) {
+                       return IsCondemned(state.m_crashes, key, now);
+                     });
 }
 
 }  // namespace comfreypaddle
--- a/src/crashwatch.h
+++ b/src/crashwatch.h
@@ -15,17 +15,20 @@
 // endpoint may have run for long.
 bool IsAtStart(const RelayCall& call);
 
-// Clears the request of the crashes known so far. To be called when an attempt
-// gets past the start of its response and when it ends with a whole response.
+// Clears the request and its prompt parts of the crashes known so far. To be
+// called when an attempt gets past the start of its response and when it ends
+// with a whole response.
 void OnAttemptSurvived(RelayState& state, const RelayCall& call);
 
-// Blames the request for the crash of the endpoint of its attempt.
+// Blames the request for the crash of the endpoint of its attempt, and the
+// shared parts of its prompt if the endpoint had begun to answer.
 void OnAttemptCrashed(RelayState& state, const RelayCall& call);
 
 // Merges the suspects of other instances.
 void MergeSuspects(RelayState& state, const schema::SuspectList& suspects);
 
-// Whether the request has crashed too many endpoints to be run. To be asked
+// Whether the request, or requests with a part of its prompt, have crashed too
+// many endpoints to be run. To be asked
 // before each attempt: crashes are reported while a request waits, is prefilled
 // or runs. A request past the start of its response is not at fault.
 bool IsRefusedSuspect(const RelayState& state, const RelayCall& call);
--- a/src/relaystate.h
+++ b/src/relaystate.h
@@ -98,6 +98,7 @@
   std::string m_service;
   std::uint32_t m_urgency = 0;
   std::uint64_t m_fingerprint = 0;
+  std::vector<std::uint64_t> m_shared_parts;  // Hashes of their ids.
   Instant m_arrived{};
   Instant m_deadline{};
   Instant m_queue_deadline{};
