Try refused prompt parts again with one request at a time

Cause: only a request that runs can clear a part, and none runs once it is refused.

Ruled out: letting verdicts lapse after some seconds. All instances would try at once. Blaming a part only where no other explains the crash: both parts were at the same crashes, so nothing tells them apart but a trial.

Change: a refused part is tried five seconds after its last crash, with twice the delay for each further incident, by the instance that its hash chooses among the live ones. A request is a trial only if all that refuses it is due. Retry-After of a refusal is the time until then.

--- a/src/crashtable.cpp
+++ b/src/crashtable.cpp
@@ -16,6 +16,12 @@
 // Crashes of a prompt part within this time count as one.
 constexpr Duration kIncidentLength = std::chrono::milliseconds(200);
 
+// Time from the crash that condemned a prompt part to its first trial.
+constexpr Duration kFirstTrialDelay = std::chrono::seconds(5);
+
+// Time after which a trial without a result may be followed by another.
+constexpr Duration kTrialTime = std::chrono::seconds(10);
+
 std::size_t CountBlamed(const SuspectRow& row) {
   return std::count_if(row.m_strikes.begin(), row.m_strikes.end(),
                        [](const CrashStrike& s) { return !s.m_cleared; });
@@ -39,6 +45,30 @@
   return incidents;
 }
 
+// Time from the newest crash of a condemned part to its next trial. It doubles
+// with each incident.
+Duration TrialDelay(const SuspectRow& row) {
+  Duration delay = kFirstTrialDelay;
+  for (std::size_t i = kCrashesToCondemn; i < CountIncidents(row); ++i) {
+    delay = std::min(2 * delay, kCrashRetention);
+  }
+  return delay;
+}
+
+// When the condemned suspect is tried again or forgotten.
+Instant TrialDue(const SuspectKey& key, const SuspectRow& row) {
+  if (key.m_kind != SuspectKind::kPromptPart) {
+    return NewestStrike(row) + kCrashRetention;
+  }
+  return std::max(NewestStrike(row) + TrialDelay(row), row.m_trial_ends);
+}
+
+// Whether this instance tries the suspect.
+bool IsTriedHere(const SuspectKey& key, const TrialShare& share) {
+  return key.m_kind == SuspectKind::kPromptPart && share.m_instances > 0 &&
+         key.m_hash % share.m_instances == share.m_position;
+}
+
 // Makes room for a new suspect.
 void EvictWeakest(CrashTable& table) {
   const auto weakest = std::min_element(
@@ -157,4 +187,35 @@
          now - NewestStrike(row) < kCrashRetention;
 }
 
+SuspectVerdict JudgeSuspects(const CrashTable& table,
+                             const std::vector<SuspectKey>& keys,
+                             const TrialShare& share, Instant now) {
+  SuspectVerdict verdict = SuspectVerdict::kSound;
+  for (const SuspectKey& key : keys) {
+    if (!IsCondemned(table, key, now)) continue;
+    const bool due = now >= TrialDue(key, table.m_rows.at(key));
+    if (!due || !IsTriedHere(key, share)) return SuspectVerdict::kRefused;
+    verdict = SuspectVerdict::kTrial;
+  }
+  return verdict;
+}
+
+void BeginTrial(CrashTable& table, const std::vector<SuspectKey>& keys,
+                Instant now) {
+  for (const SuspectKey& key : keys) {
+    if (!IsCondemned(table, key, now)) continue;
+    table.m_rows.at(key).m_trial_ends = now + kTrialTime;
+  }
+}
+
+Instant NextTrial(const CrashTable& table, const std::vector<SuspectKey>& keys,
+                  Instant now) {
+  Instant next = now;
+  for (const SuspectKey& key : keys) {
+    if (!IsCondemned(table, key, now)) continue;
+    next = std::max(next, TrialDue(key, table.m_rows.at(key)));
+  }
+  return next;
+}
+
 }  // namespace comfreypaddle
--- a/src/crashtable.h
+++ b/src/crashtable.h
@@ -53,6 +53,7 @@
 
 struct SuspectRow {
   std::vector<CrashStrike> m_strikes;  // Each crash id is listed once.
+  Instant m_trial_ends{};  // Of the last trial of this instance; not shared.
 };
 
 struct CrashTable {
@@ -91,12 +92,50 @@
 // Number of crashes blamed on the suspect.
 std::size_t CountStrikes(const CrashTable& table, const SuspectKey& key);
 
-// Whether requests with the suspect are refused. A prompt part must have been
+// Whether the suspect is held to crash endpoints. A prompt part must have been
 // at several crashes some time apart: one incident that ends many connections
 // at once says nothing of the parts that happened to be on them, and sound
 // requests with the part get the time to clear it.
 bool IsCondemned(const CrashTable& table, const SuspectKey& key, Instant now);
 
+// A condemned prompt part is tried again with one request at a time, ever more
+// rarely, so that a wrong verdict ends and a right one costs few endpoints.
+// Each part is tried by one instance, chosen by its hash among those in the
+// list.
+struct TrialShare {
+  std::uint32_t m_instances = 1;
+  std::uint32_t m_position = 0;  // Of this instance in the list.
+};
+
+// How a request with these suspects is handled.
+enum class SuspectVerdict {
+  kSound,  // It runs.
+  kTrial,  // It runs to try a condemned prompt part again.
+  kRefused,
+};
+
+template <>
+struct EnumNames<SuspectVerdict> {
+  static constexpr std::array<EnumName<SuspectVerdict>, 3> kTable{
+      {{SuspectVerdict::kSound, "sound"},
+       {SuspectVerdict::kTrial, "trial"},
+       {SuspectVerdict::kRefused, "refused"}}};
+};
+
+// Decides on a request. It is a trial only if all that condemns it is due:
+// otherwise a crash would be no evidence.
+SuspectVerdict JudgeSuspects(const CrashTable& table,
+                             const std::vector<SuspectKey>& keys,
+                             const TrialShare& share, Instant now);
+
+// Records that a request with these suspects runs as a trial.
+void BeginTrial(CrashTable& table, const std::vector<SuspectKey>& keys,
+                Instant now);
+
+// When a refused request may be worth sending again.
+Instant NextTrial(const CrashTable& table, const std::vector<SuspectKey>& keys,
+                  Instant now);
+
 }  // namespace comfreypaddle
 
 #endif  // COMFREYPADDLE_CRASHTABLE_H_
--- a/src/crashwatch.cpp
+++ b/src/crashwatch.cpp
@@ -64,7 +64,8 @@
   }
 }
 
-void OnAttemptCrashed(RelayState& state, const RelayCall& call) {
+void OnAttemptCrashed(RelayState& state, RelayCall& call) {
+  call.m_is_trial = false;
   const EndpointAttempt& attempt = call.m_attempt;
   const CrashStrike strike{CrashId(attempt.m_endpoint, attempt.m_born_ms),
                            state.m_clock()};
@@ -89,15 +90,25 @@
   }
 }
 
-bool IsRefusedSuspect(const RelayState& state, const RelayCall& call) {
-  if (state.m_crashes.m_rows.empty()) return false;
-  if (call.m_events >= kEventsPastStart) return false;
+bool AdmitSuspect(RelayState& state, RelayCall& call) {
+  if (state.m_crashes.m_rows.empty()) return true;
+  if (call.m_events >= kEventsPastStart || call.m_is_trial) return true;
   const Instant now = state.m_clock();
   const std::vector<SuspectKey> keys = SuspectsOf(call);
-  return std::any_of(keys.begin(), keys.end(),
-                     [&state, now](const SuspectKey& key) {
-                       return IsCondemned(state.m_crashes, key, now);
-                     });
+  const SuspectVerdict verdict =
+      JudgeSuspects(state.m_crashes, keys, state.m_trials, now);
+  if (verdict != SuspectVerdict::kTrial) {
+    return verdict == SuspectVerdict::kSound;
+  }
+  BeginTrial(state.m_crashes, keys, now);
+  call.m_is_trial = true;
+  LogLine("suspect_trial").Add("request", call.m_metadata.m_attempt);
+  return true;
+}
+
+Duration SuspectRetryAfter(const RelayState& state, const RelayCall& call) {
+  const Instant now = state.m_clock();
+  return NextTrial(state.m_crashes, SuspectsOf(call), now) - now;
 }
 
 }  // namespace comfreypaddle
--- a/src/crashwatch.h
+++ b/src/crashwatch.h
@@ -22,16 +22,19 @@
 
 // Blames the request for the crash of the endpoint of its attempt, and the
 // shared parts of its prompt if the endpoint had begun to answer.
-void OnAttemptCrashed(RelayState& state, const RelayCall& call);
+void OnAttemptCrashed(RelayState& state, RelayCall& call);
 
 // Merges the suspects of other instances.
 void MergeSuspects(RelayState& state, const schema::SuspectList& suspects);
 
-// Whether the request, or requests with a part of its prompt, have crashed too
-// many endpoints to be run. To be asked
-// before each attempt: crashes are reported while a request waits, is prefilled
-// or runs. A request past the start of its response is not at fault.
-bool IsRefusedSuspect(const RelayState& state, const RelayCall& call);
+// Whether the request may run: neither it nor a part of its prompt has crashed
+// too many endpoints, or it is chosen to try such a part again. To be asked
+// before each attempt, because crashes are reported while a request waits, is
+// prefilled or runs. A request past the start of its response is not at fault.
+bool AdmitSuspect(RelayState& state, RelayCall& call);
+
+// Time after which a request that may not run is worth sending again.
+Duration SuspectRetryAfter(const RelayState& state, const RelayCall& call);
 
 }  // namespace comfreypaddle
 
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -160,6 +160,8 @@
       break;
     case schema::RelayMessage::kPeers:
       m_state.m_resends.m_instances = message.peers().instances();
+      m_state.m_trials = {message.peers().instances(),
+                          message.peers().position()};
       break;
     case schema::RelayMessage::kSuspects:
       MergeSuspects(m_state, message.suspects());
--- a/src/relayattempt.cpp
+++ b/src/relayattempt.cpp
@@ -369,10 +369,15 @@
   FinishFailed(state, call, EndReason::kNoEndpoint);
 }
 
+void RefuseSuspect(RelayState& state, RelayCall& call) {
+  call.m_backlog = SuspectRetryAfter(state, call);
+  FinishFailed(state, call, EndReason::kCrashesEndpoints);
+}
+
 // Runs the request at a decode endpoint with the prefilled KV cache.
 void RunWithPrefilledCache(RelayState& state, RelayCall& call) {
-  if (IsRefusedSuspect(state, call)) {
-    FinishFailed(state, call, EndReason::kCrashesEndpoints);
+  if (!AdmitSuspect(state, call)) {
+    RefuseSuspect(state, call);
     return;
   }
   const Instant now = state.m_clock();
@@ -470,8 +475,8 @@
     RunWithPrefilledCache(state, call);
     return;
   }
-  if (IsRefusedSuspect(state, call)) {
-    FinishFailed(state, call, EndReason::kCrashesEndpoints);
+  if (!AdmitSuspect(state, call)) {
+    RefuseSuspect(state, call);
     return;
   }
   // A resumed stream needs the KV cache of its prompt and its output so far, so
--- a/tests/crashparts_test.cpp
+++ b/tests/crashparts_test.cpp
@@ -32,6 +32,7 @@
   std::mt19937_64 m_random;
   std::uint64_t m_deadly_period = 4;  // Each how many requests one is deadly.
   std::string m_deadly_part = "deadly";
+  bool m_is_deadly = true;  // The part crashes endpoints.
   std::uint64_t m_next_id = 1;
   std::vector<Instant> m_crashes;
   std::size_t m_sound = 0;
@@ -42,9 +43,10 @@
 void Traffic::SendNext() {
   RelayFixture& f = m_fixture;
   const std::uint64_t id = m_next_id++;
-  const bool deadly = id % m_deadly_period == 0;
+  const bool has_part = id % m_deadly_period == 0;
+  const bool deadly = has_part && m_is_deadly;
   const std::string other = "other" + std::to_string(m_random() % 50);
-  const std::string middle = deadly ? m_deadly_part : other;
+  const std::string middle = has_part ? m_deadly_part : other;
   const std::size_t call = f.m_endpoints.m_calls.size();
   f.AskPrompt(id, "/stream/x", "first," + middle + ",own" + std::to_string(id));
   m_sound += deadly ? 0 : 1;
@@ -129,5 +131,22 @@
   }
 }
 
+// Failure: a part stays refused after it has stopped crashing endpoints, or
+// after endpoints had crashed for another reason.
+TEST_CASE("a prompt part that crashes nothing any more is served again") {
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    CAPTURE(seed);
+    Traffic traffic(seed);
+    Run(traffic, 40);
+    REQUIRE_FALSE(traffic.m_crashes.empty());
+    traffic.m_is_deadly = false;
+    Run(traffic, 250);
+    const std::size_t begun = traffic.m_sound_begun;
+    const std::size_t sound = traffic.m_sound;
+    Run(traffic, 100);
+    CHECK(traffic.m_sound_begun - begun == traffic.m_sound - sound);
+  }
+}
+
 }  // namespace
 }  // namespace comfreypaddle::testing
--- a/tests/crashtable_test.cpp
+++ b/tests/crashtable_test.cpp
@@ -7,7 +7,7 @@
 namespace comfreypaddle {
 namespace {
 
-using std::chrono::minutes;
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 constexpr Instant kStart{seconds(1000)};
@@ -65,5 +65,74 @@
   CHECK(CountStrikes(table, Request(1)) == 0);
 }
 
+SuspectKey Part(std::uint64_t hash) { return {SuspectKind::kPromptPart, hash}; }
+
+// Failure: connections that break at one moment, as when a link fails, condemn
+// the prompt parts that happened to be on them.
+TEST_CASE("crashes at one moment do not condemn a prompt part") {
+  CrashTable table;
+  for (std::uint64_t crash = 1; crash <= 8; ++crash) {
+    AddStrike(table, Part(1), {crash, kStart + milliseconds(20 * crash)});
+  }
+  CHECK_FALSE(IsCondemned(table, Part(1), kStart + seconds(1)));
+  // Crashes that follow one another closely still do.
+  for (std::uint64_t crash = 1; crash <= 8; ++crash) {
+    AddStrike(table, Part(2), {crash, kStart + milliseconds(70 * crash)});
+  }
+  CHECK(IsCondemned(table, Part(2), kStart + seconds(1)));
+}
+
+// Failure: a part that was condemned wrongly stays refused, because no request
+// with it runs any more that could clear it.
+TEST_CASE("a condemned part is tried again by one instance at a time") {
+  CrashTable table;
+  const SuspectKey part = Part(5);
+  Condemn(table, part, 3);
+  const TrialShare here{4, 1};
+  const TrialShare elsewhere{4, 2};
+  Instant now = kStart + seconds(3);
+  CHECK(JudgeSuspects(table, {part}, here, now) == SuspectVerdict::kRefused);
+  now = NextTrial(table, {part}, now);
+  CHECK(now - kStart <= seconds(8));
+  CHECK(JudgeSuspects(table, {part}, here, now) == SuspectVerdict::kTrial);
+  CHECK(JudgeSuspects(table, {part}, elsewhere, now) ==
+        SuspectVerdict::kRefused);
+  BeginTrial(table, {part}, now);
+  CHECK(JudgeSuspects(table, {part}, here, now) == SuspectVerdict::kRefused);
+  ClearSuspect(table, part);
+  CHECK(JudgeSuspects(table, {part}, elsewhere, now) == SuspectVerdict::kSound);
+}
+
+// Failure: trials of a part that goes on crashing endpoints are as frequent as
+// the first ones.
+TEST_CASE("trials of a part become rare") {
+  CrashTable table;
+  Condemn(table, Part(0), 5);
+  const Instant fifth = kStart + seconds(4);
+  std::size_t trials = 0;
+  for (Instant now = fifth; now < fifth + seconds(60);
+       now += milliseconds(50)) {
+    if (JudgeSuspects(table, {Part(0)}, {}, now) != SuspectVerdict::kTrial) {
+      continue;
+    }
+    BeginTrial(table, {Part(0)}, now);
+    AddStrike(table, Part(0), {100 + ++trials, now});
+  }
+  CHECK(trials >= 1);
+  CHECK(trials <= 3);
+}
+
+// Failure: a request with two condemned parts tries the one that is due and
+// crashes an endpoint through the other.
+TEST_CASE("a request is a trial only if all its condemned parts are due") {
+  CrashTable table;
+  Condemn(table, Part(0), 3);
+  Condemn(table, Part(1), 6);
+  const Instant due = NextTrial(table, {Part(0)}, kStart + seconds(6));
+  CHECK(JudgeSuspects(table, {Part(0)}, {}, due) == SuspectVerdict::kTrial);
+  CHECK(JudgeSuspects(table, {Part(0), Part(1)}, {}, due) ==
+        SuspectVerdict::kRefused);
+}
+
 }  // namespace
 }  // namespace comfreypaddle
