Do not take a response cut within its head for a whole one

Callers saw (report of other operators): a 200 with an empty or short body, framed as whole. It could happen here in serve, whose calls to endpoints and services go through libcurl; entry has its own client, which failed such calls before.

Cause: libcurl ends a transfer without an error when the connection is closed within the head, once a status line has arrived, and the client reported the head it had so far.

--- a/src/curlclient.cpp
+++ b/src/curlclient.cpp
@@ -64,6 +64,7 @@
   HttpFields m_response_headers;
   Instant m_last_activity;
   bool m_head_reported = false;
+  bool m_head_complete = false;
   std::size_t m_head_bytes = 0;
   std::uint64_t m_body_bytes = 0;
   bool m_too_large = false;
@@ -126,6 +127,11 @@
       return CURL_WRITEFUNC_ERROR;
     }
     if (line.substr(0, 5) == "HTTP/") transfer.m_response_headers.clear();
+    if (line == "\r\n" || line == "\n") {
+      constexpr int kFirstFinalStatus = 200;
+      transfer.m_head_complete |= transfer.Status() >= kFirstFinalStatus;
+      return line.size();
+    }
     const std::size_t colon = line.find(':');
     if (colon == std::string_view::npos) return line.size();
     std::string name(line.substr(0, colon));
@@ -350,10 +356,15 @@
   const std::unique_ptr<Transfer> transfer = std::move(found->second);
   m_transfers.erase(found);
   HttpResult result;
-  result.m_status = transfer->Status();
+  if (transfer->m_head_complete) result.m_status = transfer->Status();
   result.m_sent = transfer->Sent();
   HttpError error =
       transfer->m_too_large ? HttpError::kTooLarge : ToHttpError(code);
+  // libcurl takes the end of the connection within a head for the end of the
+  // response.
+  if (error == HttpError::kOk && !transfer->m_head_complete) {
+    error = HttpError::kConnectionLost;
+  }
   if (error == HttpError::kTimeout && !result.m_sent) {
     error = HttpError::kConnectFailed;
   }
