Answer requests that are still open at the end of a planned stop

Callers saw (report of other operators): requests that came late in the grace of a planned stop were taken and passed on, and cut with no answer at its end, among them requests that may not be repeated (LOST). It could happen here.

Cause: at the time limit the relay task stopped its loop and closed its sockets. Besides, requests were accepted for the notice of the load balancer and 0.8 s more whatever the grace was, so that a grace of 3 s left nothing for them.

Change: the task ends each open request before it stops: 503 if it cannot have run, 502 if it may have, an abort if its stream has begun. Requests are accepted in the first half of the grace at most; at the graces of the known deployments (8 s and more) that changes nothing.

--- a/src/accept.cpp
+++ b/src/accept.cpp
@@ -110,6 +110,15 @@
   call.m_queue_deadline = std::min(now + wait, call.m_deadline);
 }
 
+// Ids of the open requests in the order of their arrival.
+std::vector<std::uint64_t> OpenCallIds(const RelayState& state) {
+  std::vector<std::uint64_t> ids;
+  ids.reserve(state.m_calls.size());
+  for (const auto& [id, call] : state.m_calls) ids.push_back(id);
+  std::sort(ids.begin(), ids.end());
+  return ids;
+}
+
 }  // namespace
 
 void AcceptRequest(RelayState& state, HttpRequest request) {
@@ -143,14 +152,16 @@
   if (call != nullptr) FinishDisconnected(state, *call);
 }
 
+void EndAllCalls(RelayState& state) {
+  for (const std::uint64_t id : OpenCallIds(state)) {
+    RelayCall* call = FindRelayCall(state, id);
+    if (call != nullptr) FinishFailed(state, *call, EndReason::kStopping);
+  }
+}
+
 void TickCalls(RelayState& state) {
   const Instant now = state.m_clock();
-  std::vector<std::uint64_t> ids;
-  ids.reserve(state.m_calls.size());
-  for (const auto& [id, call] : state.m_calls) ids.push_back(id);
-  // Ids increase with the time of arrival: older requests are dispatched first.
-  std::sort(ids.begin(), ids.end());
-  for (const std::uint64_t id : ids) {
+  for (const std::uint64_t id : OpenCallIds(state)) {
     RelayCall* call = FindRelayCall(state, id);
     if (call == nullptr) continue;
     if (now >= call->m_deadline) {
--- a/src/accept.h
+++ b/src/accept.h
@@ -16,6 +16,10 @@
 // running attempts for timeouts.
 void TickCalls(RelayState& state);
 
+// Ends all open requests at the end of a planned stop, each with a response
+// that says whether it may have been executed.
+void EndAllCalls(RelayState& state);
+
 }  // namespace comfreypaddle
 
 #endif  // COMFREYPADDLE_ACCEPT_H_
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -29,6 +29,14 @@
 // accepted.
 constexpr Duration kLateArrivalGrace = std::chrono::milliseconds(800);
 
+// Longest part of the grace time of a planned stop in which requests are
+// accepted. The rest is left for them to finish.
+constexpr double kAcceptingPart = 0.5;
+
+// Time between the last responses and the end of the task, in which they are
+// written.
+constexpr Duration kLastWriteTime = std::chrono::milliseconds(50);
+
 // Period at which endpoint loads are shared with other instances.
 constexpr Duration kLoadSharePeriod = std::chrono::milliseconds(50);
 
@@ -177,8 +185,9 @@
       BeginDrain();
       break;
     case schema::RelayMessage::kStop:
+      EndAllCalls(m_state);
       HandOverUsage();
-      Loop().Stop();
+      Loop().StartTimer(kLastWriteTime, [this] { Loop().Stop(); });
       break;
     default:
       break;
@@ -238,9 +247,12 @@
 void Relay::BeginDrain() {
   m_state.m_stopping = true;
   m_drain_began = Now();
+  const Duration notice =
+      std::chrono::milliseconds(m_settings.stop().notice_ms());
+  const Duration most =
+      FromMs(m_settings.stop().grace_s() * kMsPerSecond * kAcceptingPart);
   m_state.m_refuse_from =
-      m_drain_began + std::chrono::milliseconds(m_settings.stop().notice_ms()) +
-      kLateArrivalGrace;
+      m_drain_began + std::min(notice + kLateArrivalGrace, most);
   m_callers->AnnounceClose();
 }
 
--- a/tests/support_platform.cpp
+++ b/tests/support_platform.cpp
@@ -204,6 +204,7 @@
   }
   if (m_leaving) response_fields.push_back({"Server-Leaving", "1"});
   m_requests.push_back(request);
+  if (m_hanging) return;
   const bool stream = request.m_target.rfind("/stream/", 0) == 0 ||
                       request.m_target.rfind("/again/", 0) == 0;
   if (!stream) {
@@ -315,7 +316,8 @@
                       << "\n[platform]\nstore = " << local(store)
                       << "\norders = " << local(m_duties.Port())
                       << "\n[duties]\nusage_window_s = 1\nusage_delay_s = 4\n"
-                      << "[stop]\nnotice_ms = 300\n";
+                      << "[stop]\n"
+                      << m_stop_settings;
   m_entries[index] = std::make_unique<Process>(
       "comfreypaddle", std::vector<std::string>{"entry", "--config", path},
       LogPath(index));
--- a/tests/support_platform.h
+++ b/tests/support_platform.h
@@ -110,6 +110,9 @@
   }
   int Rejections() const { return m_rejections; }
 
+  // While set, requests are received and not answered.
+  void SetHanging(bool hanging) { m_hanging = hanging; }
+
   // While set, every response says that the endpoint leaves.
   void SetLeaving(bool leaving) { m_leaving = leaving; }
 
@@ -127,6 +130,7 @@
   std::string m_retry_after;
   int m_rejections = 0;
   bool m_leaving = false;
+  bool m_hanging = false;
 };
 
 // Entry instances that run against stand-ins of the platform.
@@ -158,6 +162,9 @@
   // /again/ of the service "plain" and one workspace "w" with these keys.
   void Configure(int version, const std::string& keys_json);
 
+  // Settings of planned stops of instances that are started later.
+  void SetStop(const std::string& settings) { m_stop_settings = settings; }
+
   // Starts an entry instance and waits until it is ready.
   void StartEntry(int index);
 
@@ -197,6 +204,7 @@
   FakeStore m_store;
   FakeDuties m_duties;
   std::vector<std::unique_ptr<FakeEndpoint>> m_endpoints;
+  std::string m_stop_settings = "notice_ms = 300\n";
   bool m_use_proxies = false;
   std::vector<std::unique_ptr<TcpProxy>> m_endpoint_proxies;
   std::map<int, std::unique_ptr<TcpProxy>> m_store_proxies;
