Show that an error of the next endpoint does not enter a begun stream

Tried: eight ways in which the second endpoint of a resumable stream can fail, among them errors that bear the type of a stream, a whole response, rejections and a gap in the events. In each the caller's stream is aborted and nothing is written after the first event. It cannot happen here: only a 200 of the type of a stream is forwarded as events, and a request whose stream has begun is only ever finished by such a stream or aborted.

No functional change

--- a/tests/relaycall_test.cpp
+++ b/tests/relaycall_test.cpp
@@ -147,6 +147,40 @@
   f.Answer(1, 200, {{"stream", "1"}}, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
 }
 
+// Failure: the text or head of an error in the middle of a stream that has
+// begun, or a stream that ends as if it were complete (ORDER, MIXED).
+TEST_CASE("an error of the next endpoint does not enter a begun stream") {
+  RelayFixture f;
+  f.Ask(1, "/again/x");
+  REQUIRE_CALL(f.m_callers, StartStream(1U, 200, _));
+  REQUIRE_CALL(f.m_callers, Write(1U, "id: 1\ndata: a\n\n"));
+  REQUIRE_CALL(f.m_callers, Abort(1U));
+  f.m_endpoints.m_events.at(0).m_on_head(200, {{"stream", "1"}});
+  f.m_endpoints.m_events.at(0).m_on_body("id: 1\ndata: a\n\n");
+  f.Break(0, true);
+  REQUIRE(f.m_endpoints.m_calls.size() == 2);
+  const std::string text = "id: 2\ndata: error\n\n";
+  SUBCASE("server error") { f.Answer(1, 500, {}, text); }
+  SUBCASE("server error of the type of a stream") {
+    f.Answer(1, 500, {{"stream", "1"}}, text);
+  }
+  SUBCASE("caller's error") { f.Answer(1, 404, {{"stream", "1"}}, text); }
+  SUBCASE("whole response") { f.Answer(1, 200, {}, text); }
+  SUBCASE("no content") { f.Answer(1, 204, {}, ""); }
+  SUBCASE("rejections, until no endpoint is left") {
+    f.Answer(1, 503, {{"not-run", "1"}}, text);
+    REQUIRE(f.m_endpoints.m_calls.size() == 3);
+    f.Answer(2, 503, {{"not-run", "1"}}, text);
+    f.m_now += seconds(4);
+    TickCalls(f.m_state);
+  }
+  SUBCASE("a stream that goes on elsewhere") {
+    f.Answer(1, 200, {{"stream", "1"}}, "id: 3\ndata: c\n\n");
+  }
+  SUBCASE("no answer") { f.Break(1, true); }
+  CHECK(f.m_state.m_calls.empty());
+}
+
 // Guards against buffering an endless event until memory is exhausted.
 TEST_CASE(
     "an event without end is given up, and the stream goes on elsewhere") {
