Compare suspects as the linter accepts

Cause: clang-tidy 14 takes a defaulted three-way comparison for a use of zero as a null pointer. The order is the same.

No functional change

--- a/src/crashtable.h
+++ b/src/crashtable.h
@@ -1,10 +1,10 @@
 #ifndef COMFREYPADDLE_CRASHTABLE_H_
 #define COMFREYPADDLE_CRASHTABLE_H_
 
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "types.h"
@@ -31,7 +31,9 @@
   SuspectKind m_kind = SuspectKind::kRequest;
   std::uint64_t m_hash = 0;
 
-  auto operator<=>(const SuspectKey&) const = default;
+  bool operator<(const SuspectKey& other) const {
+    return std::tie(m_kind, m_hash) < std::tie(other.m_kind, other.m_hash);
+  }
 };
 
 // Crash of one lifetime of an endpoint.
