Name quarantine, probes and crash records as the field does

Cause: strike, verdict, condemned and trial are not the field's terms for a request that is kept from endpoints and let through again one at a time.

No functional change

--- a/src/crashcodec.cpp
+++ b/src/crashcodec.cpp
@@ -7,11 +7,11 @@
   schema::Suspect* suspect = list->add_suspects();
   suspect->set_kind(static_cast<schema::SuspectKind>(key.m_kind));
   suspect->set_hash(key.m_hash);
-  for (const CrashStrike& strike : row.m_strikes) {
-    schema::CrashStrike* entry = suspect->add_strikes();
-    entry->set_crash(strike.m_crash);
-    entry->set_age_ms(ToMs(now - strike.m_at));
-    entry->set_cleared(strike.m_cleared);
+  for (const CrashRecord& crash : row.m_crashes) {
+    schema::CrashRecord* entry = suspect->add_crashes();
+    entry->set_id(crash.m_id);
+    entry->set_age_ms(ToMs(now - crash.m_at));
+    entry->set_cleared(crash.m_cleared);
   }
 }
 
@@ -21,12 +21,12 @@
 
 SuspectRow DecodeSuspectRow(const schema::Suspect& suspect, Instant now) {
   SuspectRow row;
-  for (const schema::CrashStrike& entry : suspect.strikes()) {
+  for (const schema::CrashRecord& entry : suspect.crashes()) {
     const bool valid =
         entry.age_ms() >= 0 && entry.age_ms() < ToMs(kCrashRetention);
     if (!valid) continue;
-    row.m_strikes.push_back(
-        {entry.crash(), now - FromMs(entry.age_ms()), entry.cleared()});
+    row.m_crashes.push_back(
+        {entry.id(), now - FromMs(entry.age_ms()), entry.cleared()});
   }
   return row;
 }
--- a/src/crashsync.cpp
+++ b/src/crashsync.cpp
@@ -56,7 +56,7 @@
 void AddTable(const ControlState& state, schema::SuspectList* list) {
   std::vector<std::pair<Instant, SuspectKey>> newest;
   for (const auto& [key, row] : state.m_suspects.m_table.m_rows) {
-    newest.emplace_back(NewestStrike(row), key);
+    newest.emplace_back(NewestCrash(row), key);
   }
   std::sort(newest.rbegin(), newest.rend());
   if (newest.size() > kMaxSentSuspects) newest.resize(kMaxSentSuspects);
@@ -142,7 +142,7 @@
 void CompareTables(ControlState& state) {
   SuspectSync& sync = state.m_suspects;
   if (sync.m_comparing || state.m_clock() < sync.m_compare_due) return;
-  ExpireStrikes(sync.m_table, state.m_clock());
+  ExpireCrashes(sync.m_table, state.m_clock());
   const std::vector<UpstreamCandidate> others = OtherInstances(state);
   if (others.empty()) return;
   const std::string& name = state.m_options.m_name;
--- a/src/crashtable.h
+++ b/src/crashtable.h
@@ -37,8 +37,8 @@
 };
 
 // Crash of one lifetime of an endpoint.
-struct CrashStrike {
-  std::uint64_t m_crash = 0;  // Id, from CrashId.
+struct CrashRecord {
+  std::uint64_t m_id = 0;  // From CrashId.
   Instant m_at{};
   // A request with the suspect got past the start of its response after this
   // crash was known: the suspect did not cause it.
@@ -48,14 +48,14 @@
 // Limits of the table. Callers can add a suspect with each request that they
 // have on a crashing endpoint.
 inline constexpr std::size_t kMaxSuspectRows = 4096;
-inline constexpr std::size_t kMaxStrikesPerSuspect = 16;
+inline constexpr std::size_t kMaxCrashesPerSuspect = 16;
 
 // Time after which a crash is forgotten.
 inline constexpr Duration kCrashRetention = std::chrono::minutes(10);
 
 struct SuspectRow {
-  std::vector<CrashStrike> m_strikes;  // Each crash id is listed once.
-  Instant m_trial_ends{};  // Of the last trial of this instance; not shared.
+  std::vector<CrashRecord> m_crashes;  // Each crash id is listed once.
+  Instant m_probe_ends{};  // Of the last probe of this instance; not shared.
 };
 
 struct CrashTable {
@@ -66,13 +66,13 @@
 std::uint64_t CrashId(const std::string& endpoint, std::uint64_t born_ms);
 
 // Time of the newest crash of the suspect.
-Instant NewestStrike(const SuspectRow& row);
+Instant NewestCrash(const SuspectRow& row);
 
 // Records the crash. Returns whether it was added. In a full table it takes the
 // place of the suspect with the fewest crashes, or of the oldest of these; in a
 // full row that of a cleared crash.
-bool AddStrike(CrashTable& table, const SuspectKey& key,
-               const CrashStrike& strike);
+bool AddCrash(CrashTable& table, const SuspectKey& key,
+              const CrashRecord& crash);
 
 // Merges what another instance knows of the suspect: crashes that are new, and
 // that the suspect was cleared of known ones. Instances that have merged the
@@ -85,57 +85,57 @@
 std::uint64_t DigestOf(const CrashTable& table);
 
 // Forgets crashes older than kCrashRetention.
-void ExpireStrikes(CrashTable& table, Instant now);
+void ExpireCrashes(CrashTable& table, Instant now);
 
 // Clears the suspect of all crashes known so far. Returns whether there were
 // any.
 bool ClearSuspect(CrashTable& table, const SuspectKey& key);
 
 // Number of crashes blamed on the suspect.
-std::size_t CountStrikes(const CrashTable& table, const SuspectKey& key);
+std::size_t CountCrashes(const CrashTable& table, const SuspectKey& key);
 
 // Whether the suspect is held to crash endpoints. A prompt part must have been
 // at several crashes some time apart: one incident that ends many connections
 // at once says nothing of the parts that happened to be on them, and sound
 // requests with the part get the time to clear it.
-bool IsCondemned(const CrashTable& table, const SuspectKey& key, Instant now);
+bool IsQuarantined(const CrashTable& table, const SuspectKey& key, Instant now);
 
-// A condemned prompt part is tried again with one request at a time, ever more
-// rarely, so that a wrong verdict ends and a right one costs few endpoints.
-// Each part is tried by one instance, chosen by its hash among those in the
-// list.
-struct TrialShare {
+// A quarantined prompt part is tried again with one request at a time, ever
+// more rarely, so that a wrong decision ends and a right one costs few
+// endpoints. Each part is tried by one instance, chosen by its hash among those
+// in the list.
+struct ProbeShare {
   std::uint32_t m_instances = 1;
   std::uint32_t m_position = 0;  // Of this instance in the list.
 };
 
 // How a request with these suspects is handled.
-enum class SuspectVerdict {
+enum class SuspectDecision {
   kSound,  // It runs.
-  kTrial,  // It runs to try a condemned prompt part again.
+  kProbe,  // It runs to try a quarantined prompt part again.
   kRefused,
 };
 
 template <>
-struct EnumNames<SuspectVerdict> {
-  static constexpr std::array<EnumName<SuspectVerdict>, 3> kTable{
-      {{SuspectVerdict::kSound, "sound"},
-       {SuspectVerdict::kTrial, "trial"},
-       {SuspectVerdict::kRefused, "refused"}}};
+struct EnumNames<SuspectDecision> {
+  static constexpr std::array<EnumName<SuspectDecision>, 3> kTable{
+      {{SuspectDecision::kSound, "sound"},
+       {SuspectDecision::kProbe, "probe"},
+       {SuspectDecision::kRefused, "refused"}}};
 };
 
-// Decides on a request. It is a trial only if all that condemns it is due:
+// Decides on a request. It is a probe only if all that quarantines it is due:
 // otherwise a crash would be no evidence.
-SuspectVerdict JudgeSuspects(const CrashTable& table,
-                             const std::vector<SuspectKey>& keys,
-                             const TrialShare& share, Instant now);
+SuspectDecision CheckSuspects(const CrashTable& table,
+                              const std::vector<SuspectKey>& keys,
+                              const ProbeShare& share, Instant now);
 
-// Records that a request with these suspects runs as a trial.
-void BeginTrial(CrashTable& table, const std::vector<SuspectKey>& keys,
+// Records that a request with these suspects runs as a probe.
+void BeginProbe(CrashTable& table, const std::vector<SuspectKey>& keys,
                 Instant now);
 
 // When a refused request may be worth sending again.
-Instant NextTrial(const CrashTable& table, const std::vector<SuspectKey>& keys,
+Instant NextProbe(const CrashTable& table, const std::vector<SuspectKey>& keys,
                   Instant now);
 
 }  // namespace comfreypaddle
--- a/src/crashwatch.cpp
+++ b/src/crashwatch.cpp
@@ -36,9 +36,9 @@
       .Add("suspect", std::to_string(key.m_hash))
       .Add("endpoint", endpoint)
       .Add("crashes",
-           static_cast<std::int64_t>(CountStrikes(state.m_crashes, key)))
+           static_cast<std::int64_t>(CountCrashes(state.m_crashes, key)))
       .Add("refused",
-           IsCondemned(state.m_crashes, key, state.m_clock()) ? 1 : 0);
+           IsQuarantined(state.m_crashes, key, state.m_clock()) ? 1 : 0);
 }
 
 // Tells the other instances what is known of the suspect.
@@ -65,14 +65,14 @@
 }
 
 void OnAttemptCrashed(RelayState& state, RelayCall& call) {
-  call.m_is_trial = false;
+  call.m_is_probe = false;
   const EndpointAttempt& attempt = call.m_attempt;
-  const CrashStrike strike{CrashId(attempt.m_endpoint, attempt.m_born_ms),
-                           state.m_clock()};
+  const CrashRecord crash{CrashId(attempt.m_endpoint, attempt.m_born_ms),
+                          state.m_clock()};
   for (const SuspectKey& key : SuspectsOf(call)) {
     const bool is_part = key.m_kind == SuspectKind::kPromptPart;
     if (is_part && !HasBegunToAnswer(call)) continue;
-    if (!AddStrike(state.m_crashes, key, strike)) continue;
+    if (!AddCrash(state.m_crashes, key, crash)) continue;
     LogSuspect(state, "endpoint_crashed", key, attempt.m_endpoint);
     PublishSuspect(state, key);
   }
@@ -82,33 +82,33 @@
   const Instant now = state.m_clock();
   for (const schema::Suspect& suspect : suspects.suspects()) {
     const SuspectKey key = DecodeSuspectKey(suspect);
-    const bool was_refused = IsCondemned(state.m_crashes, key, now);
+    const bool was_refused = IsQuarantined(state.m_crashes, key, now);
     MergeSuspect(state.m_crashes, key, DecodeSuspectRow(suspect, now));
-    if (IsCondemned(state.m_crashes, key, now) != was_refused) {
+    if (IsQuarantined(state.m_crashes, key, now) != was_refused) {
       LogSuspect(state, "suspect_reported", key, "");
     }
   }
 }
 
-bool AdmitSuspect(RelayState& state, RelayCall& call) {
+bool MayRun(RelayState& state, RelayCall& call) {
   if (state.m_crashes.m_rows.empty()) return true;
-  if (call.m_events >= kEventsPastStart || call.m_is_trial) return true;
+  if (call.m_events >= kEventsPastStart || call.m_is_probe) return true;
   const Instant now = state.m_clock();
   const std::vector<SuspectKey> keys = SuspectsOf(call);
-  const SuspectVerdict verdict =
-      JudgeSuspects(state.m_crashes, keys, state.m_trials, now);
-  if (verdict != SuspectVerdict::kTrial) {
-    return verdict == SuspectVerdict::kSound;
+  const SuspectDecision decision =
+      CheckSuspects(state.m_crashes, keys, state.m_probes, now);
+  if (decision != SuspectDecision::kProbe) {
+    return decision == SuspectDecision::kSound;
   }
-  BeginTrial(state.m_crashes, keys, now);
-  call.m_is_trial = true;
-  LogLine("suspect_trial").Add("request", call.m_metadata.m_attempt);
+  BeginProbe(state.m_crashes, keys, now);
+  call.m_is_probe = true;
+  LogLine("suspect_probe").Add("request", call.m_metadata.m_attempt);
   return true;
 }
 
 Duration SuspectRetryAfter(const RelayState& state, const RelayCall& call) {
   const Instant now = state.m_clock();
-  return NextTrial(state.m_crashes, SuspectsOf(call), now) - now;
+  return NextProbe(state.m_crashes, SuspectsOf(call), now) - now;
 }
 
 }  // namespace comfreypaddle
--- a/src/crashwatch.h
+++ b/src/crashwatch.h
@@ -31,7 +31,7 @@
 // too many endpoints, or it is chosen to try such a part again. To be asked
 // before each attempt, because crashes are reported while a request waits, is
 // prefilled or runs. A request past the start of its response is not at fault.
-bool AdmitSuspect(RelayState& state, RelayCall& call);
+bool MayRun(RelayState& state, RelayCall& call);
 
 // Time after which a request that may not run is worth sending again.
 Duration SuspectRetryAfter(const RelayState& state, const RelayCall& call);
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -168,7 +168,7 @@
       break;
     case schema::RelayMessage::kPeers:
       m_state.m_resends.m_instances = message.peers().instances();
-      m_state.m_trials = {message.peers().instances(),
+      m_state.m_probes = {message.peers().instances(),
                           message.peers().position()};
       break;
     case schema::RelayMessage::kSuspects:
--- a/src/relayattempt.cpp
+++ b/src/relayattempt.cpp
@@ -376,7 +376,7 @@
 
 // Runs the request at a decode endpoint with the prefilled KV cache.
 void RunWithPrefilledCache(RelayState& state, RelayCall& call) {
-  if (!AdmitSuspect(state, call)) {
+  if (!MayRun(state, call)) {
     RefuseSuspect(state, call);
     return;
   }
@@ -475,7 +475,7 @@
     RunWithPrefilledCache(state, call);
     return;
   }
-  if (!AdmitSuspect(state, call)) {
+  if (!MayRun(state, call)) {
     RefuseSuspect(state, call);
     return;
   }
--- a/src/relaystate.h
+++ b/src/relaystate.h
@@ -99,7 +99,7 @@
   std::uint32_t m_urgency = 0;
   std::uint64_t m_fingerprint = 0;
   std::vector<std::uint64_t> m_shared_parts;  // Hashes of their ids.
-  bool m_is_trial = false;  // Of a suspect that is otherwise refused.
+  bool m_is_probe = false;  // Of a suspect that is otherwise refused.
   Instant m_arrived{};
   Instant m_deadline{};
   Instant m_queue_deadline{};
@@ -166,7 +166,7 @@
   std::unordered_map<std::uint64_t, std::unique_ptr<RelayCall>> m_calls;
   std::map<UsageWindowKey, std::uint64_t> m_usage;  // Not handed over yet.
   CrashTable m_crashes;
-  TrialShare m_trials;
+  ProbeShare m_probes;
   RelayCounters m_counters;
   schema::KnowledgeStatus m_knowledge;  // As of m_knowledge_at.
   Instant m_knowledge_at{};
--- a/tests/crashparts_test.cpp
+++ b/tests/crashparts_test.cpp
@@ -18,7 +18,7 @@
 constexpr Duration kContactTime = milliseconds(4000);
 
 // Traffic of one route: requests that share the first part of their prompts. A
-// share of them has the deadly part.
+// share of them has the crashing part.
 struct Traffic {
   explicit Traffic(std::uint64_t seed) : m_random(seed) {}
 
@@ -30,9 +30,10 @@
 
   RelayFixture m_fixture;
   std::mt19937_64 m_random;
-  std::uint64_t m_deadly_period = 4;  // Each how many requests one is deadly.
-  std::string m_deadly_part = "deadly";
-  bool m_is_deadly = true;  // The part crashes endpoints.
+  std::uint64_t m_crashing_period =
+      4;  // Each how many requests one is crashing.
+  std::string m_crashing_part = "crashing";
+  bool m_is_crashing = true;  // The part crashes endpoints.
   std::uint64_t m_next_id = 1;
   std::vector<Instant> m_crashes;
   std::size_t m_sound = 0;
@@ -43,16 +44,16 @@
 void Traffic::SendNext() {
   RelayFixture& f = m_fixture;
   const std::uint64_t id = m_next_id++;
-  const bool has_part = id % m_deadly_period == 0;
-  const bool deadly = has_part && m_is_deadly;
+  const bool has_part = id % m_crashing_period == 0;
+  const bool crashing = has_part && m_is_crashing;
   const std::string other = "other" + std::to_string(m_random() % 50);
-  const std::string middle = has_part ? m_deadly_part : other;
+  const std::string middle = has_part ? m_crashing_part : other;
   const std::size_t call = f.m_endpoints.m_calls.size();
   f.AskPrompt(id, "/stream/x", "first," + middle + ",own" + std::to_string(id));
-  m_sound += deadly ? 0 : 1;
+  m_sound += crashing ? 0 : 1;
   if (f.m_endpoints.m_calls.size() == call) return;
   f.m_endpoints.m_events.at(call).m_on_head(200, {{"stream", "1"}});
-  if (!deadly) {
+  if (!crashing) {
     ++m_sound_begun;
     m_open.push_back(call);
     return;
@@ -116,7 +117,7 @@
   }
 }
 
-// Failure: requests that share their caller and other parts with the deadly
+// Failure: requests that share their caller and other parts with the crashing
 // ones are refused with them.
 TEST_CASE("sound requests beside a crashing prompt part begin at once") {
   for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
@@ -124,7 +125,7 @@
       CAPTURE(seed);
       CAPTURE(period);
       Traffic traffic(seed);
-      traffic.m_deadly_period = period;
+      traffic.m_crashing_period = period;
       Run(traffic, 300);
       CHECK(10 * traffic.m_sound_begun >= 9 * traffic.m_sound);
     }
@@ -139,7 +140,7 @@
     Traffic traffic(seed);
     Run(traffic, 40);
     REQUIRE_FALSE(traffic.m_crashes.empty());
-    traffic.m_is_deadly = false;
+    traffic.m_is_crashing = false;
     Run(traffic, 250);
     const std::size_t begun = traffic.m_sound_begun;
     const std::size_t sound = traffic.m_sound;
--- a/tests/relaycall_test.cpp
+++ b/tests/relaycall_test.cpp
@@ -218,7 +218,7 @@
                        FindRelayCall(f.m_state, 1)->m_fingerprint};
   OnCallerDisconnected(f.m_state, 1);
   for (const char* endpoint : {"a", "b", "c"}) {
-    AddStrike(f.m_state.m_crashes, key, {CrashId(endpoint, 1), f.m_now});
+    AddCrash(f.m_state.m_crashes, key, {CrashId(endpoint, 1), f.m_now});
   }
   REQUIRE_CALL(f.m_callers, Respond(2U, 503, _, _));
   f.Ask(2, "/stream/x");
--- a/tests/support_instances.cpp
+++ b/tests/support_instances.cpp
@@ -467,7 +467,7 @@
                             std::uint64_t fingerprint) {
   RelayCall call;
   call.m_fingerprint = fingerprint;
-  return !AdmitSuspect(m_instances.at(name)->m_inbox.m_relay, call);
+  return !MayRun(m_instances.at(name)->m_inbox.m_relay, call);
 }
 
 InstanceFleet::~InstanceFleet() = default;
