Review case 3: a frozen neighbour brings a replica that has left back into use

Cause: an instance takes a pause of its own confirmations for an outage of the store and keeps removed entries for 2.2 s (directory.cpp); an instance that follows it takes them over again (statemerge.cpp).

--- a/review/standins/standins.h
+++ b/review/standins/standins.h
@@ -605,6 +605,13 @@
     }).detach();
   }
 
+  // Ends for good.
+  void Exit() {
+    m_silent = true;
+    m_down = true;
+    m_server.Shut();
+  }
+
   // Leaves without a report: the entry is removed, and the replica goes on
   // serving.
   void RemoveEntry() {
