Review case 5: a request that makes replicas go dark is never refused

Cause: relayattempt.cpp blames a request only for a lost connection, not for an attempt that is given up as silent or at the deadline.

--- a/review/standins/standins.h
+++ b/review/standins/standins.h
@@ -605,6 +605,32 @@
     }).detach();
   }
 
+  // Falls silent now: its channels stay open without a byte. It is back after
+  // the time, under another id, and then resets them. Returns at once.
+  void GoDark(double down_s) {
+    if (m_down.exchange(true)) return;
+    m_dark_until = Seconds() + down_s;
+    std::thread([this, down_s] {
+      const std::string id = Id();
+      Sleep(down_s);
+      if (m_ending) return;
+      BeginLifetime();
+      m_down = false;
+      Report();
+      // The entry of the old lifetime expires after three missed reports.
+      Sleep(std::max(0.0, 3.6 - down_s));
+      m_store.Put("keyed.servers", id, "");
+    }).detach();
+  }
+
+  // Waits for the end of the dark time. Returns false at once if the replica is
+  // not dark.
+  bool WaitDark() const {
+    if (!m_down) return false;
+    Sleep(std::max(0.0, m_dark_until - Seconds()) + 0.05);
+    return true;
+  }
+
   // Ends for good.
   void Exit() {
     m_silent = true;
@@ -652,6 +678,7 @@
   }
 
   bool Handle(int fd, const Message& request) {
+    if (m_dark_until > Seconds() && WaitDark()) return false;
     const std::string fields =
         "Attempt-Id: " + request.Field("Attempt-Id") +
         "\r\nServer-Stamp: stamp-" + m_name +
@@ -676,6 +703,7 @@
   int m_lifetimes = 0;
   std::atomic<bool> m_down{false};
   std::atomic<bool> m_silent{false};
+  std::atomic<double> m_dark_until{-1};
   std::atomic<bool> m_ending{false};
   Server m_server;
   std::thread m_heart;
