--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -14,16 +14,16 @@
 
 namespace {
 
-constexpr double kGraceS = 8.0;       // graceS
-constexpr double kGapS = 1.0;         // gap_s of roll_term
+constexpr double kGraceS = 8.0;  // graceS
+constexpr double kGapS = 1.0;    // gap_s of roll_term
 constexpr double kRestartS = 0.5;
-constexpr double kRoundS = 9.3;        // Up to a second more, at random.
+constexpr double kRoundS = 9.3;  // Up to a second more, at random.
 constexpr int kRounds = 9;
 constexpr int kMachines = 3;
 constexpr int kEvents = 10;
 constexpr double kFirstEventS = 0.05;
 constexpr double kEventGapS = 0.03;
-constexpr double kPeriodS = 0.08;     // Between two requests.
+constexpr double kPeriodS = 0.08;  // Between two requests.
 
 const char* const kConfiguration =
     R"({"version":3,"routeTable":[{"name":"summary","hostname":"h.example",)"
@@ -143,8 +143,8 @@
     const std::lock_guard<std::mutex> lock(mutex);
     const Trace trace = traces[attempt];
     const double term = machine.m_term_at;
-    const bool planned = answer.m_sent > term &&
-                         answer.m_ended < term + kGraceS * 5 / 6;
+    const bool planned =
+        answer.m_sent > term && answer.m_ended < term + kGraceS * 5 / 6;
     record.Line(
         "request " + attempt + " to " + machine.m_entry->Place().m_name +
         ", sent " + std::to_string(answer.m_sent - term) +
@@ -162,16 +162,19 @@
       for (const auto& machine : machines) {
         if (machine->m_in_rotation) candidates.push_back(machine.get());
       }
-      const bool all = !candidates.empty() &&
-                       2 * candidates.size() < static_cast<std::size_t>(kMachines);
+      const bool all =
+          !candidates.empty() &&
+          2 * candidates.size() < static_cast<std::size_t>(kMachines);
       if (all) {
         candidates.clear();
-        for (const auto& machine : machines) candidates.push_back(machine.get());
+        for (const auto& machine : machines)
+          candidates.push_back(machine.get());
       }
       if (!candidates.empty()) {
         Machine* machine = candidates[random() % candidates.size()];
         const int number = ++sent;
-        requests.emplace_back([&ask, machine, number] { ask(*machine, number); });
+        requests.emplace_back(
+            [&ask, machine, number] { ask(*machine, number); });
       }
       Sleep(kPeriodS);
     }
@@ -180,7 +183,8 @@
 
   for (int round = 0; round < kRounds && lost == 0; ++round) {
     const double begin = Seconds();
-    const double end = begin + kRoundS + (std::random_device{}() % 1000) / 1000.0;
+    const double end =
+        begin + kRoundS + (std::random_device{}() % 1000) / 1000.0;
     for (int step = 0; Trouble() && step < kMachines; ++step) {
       Machine& machine = *machines[(round + step) % kMachines];
       Sleep(std::max(0.0, begin + step * kGapS - Seconds()));
@@ -210,10 +214,10 @@
   traffic.join();
   for (std::thread& thread : balancer) thread.join();
   if (answered * 2 < sent) CannotRun("most requests fail");
-  record.Line("requests: " + std::to_string(sent.load()) +
-              ", answered with 200: " + std::to_string(answered.load()) +
-              ", passed on and cut by a planned stop: " +
-              std::to_string(lost.load()));
+  record.Line(
+      "requests: " + std::to_string(sent.load()) +
+      ", answered with 200: " + std::to_string(answered.load()) +
+      ", passed on and cut by a planned stop: " + std::to_string(lost.load()));
   record.Line(lost > 0 ? "LOST is broken" : "LOST holds");
   return lost > 0 ? 1 : 0;
 }
--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -3,11 +3,11 @@
 // Four entry processes in three zones serve one idempotent route of a plain
 // service. Requests go to the second process of the first zone, which nothing
 // impairs. In each round its neighbour, the first process of the zone, stands
-// still for 4 s, and a replica leaves without reporting `draining`: its entry is
-// removed 0.2 s after the freeze began, and it goes on serving for 8 s.
+// still for 4 s, and a replica leaves without reporting `draining`: its entry
+// is removed 0.2 s after the freeze began, and it goes on serving for 8 s.
 //
-// Rule DRAIN: no request reaches that replica from a machine in touch later than
-// drainMs after the store has confirmed that it is gone.
+// Rule DRAIN: no request reaches that replica from a machine in touch later
+// than drainMs after the store has confirmed that it is gone.
 #include "standins.h"
 
 using namespace review;
--- a/review/standins/standins.h
+++ b/review/standins/standins.h
@@ -272,8 +272,7 @@
       if (colon == std::string::npos) continue;
       std::size_t begin = colon + 1;
       while (begin < line.size() && line[begin] == ' ') ++begin;
-      message->m_fields.emplace_back(line.substr(0, colon),
-                                     line.substr(begin));
+      message->m_fields.emplace_back(line.substr(0, colon), line.substr(begin));
     }
   }
 
@@ -500,9 +499,8 @@
         "{\"offset\":" + std::to_string(offset) +
         ",\"endOffset\":" + std::to_string(topic.m_records.size()) + "}";
     lock.unlock();
-    return SendAll(fd,
-                   Response(status, "Content-Type: application/json\r\n",
-                            answer));
+    return SendAll(
+        fd, Response(status, "Content-Type: application/json\r\n", answer));
   }
 
   bool Read(int fd, const std::string& target) {
@@ -537,12 +535,12 @@
       items += "{\"key\":\"" + key + "\",\"value\":\"" + Base64(value) +
                "\",\"offset\":" + std::to_string(offset) + "}";
     }
-    const std::string body =
-        "{\"items\":[" + items + "],\"hasMore\":false,\"endOffset\":" +
-        std::to_string(topic.m_records.size()) + "}";
+    const std::string body = "{\"items\":[" + items +
+                             "],\"hasMore\":false,\"endOffset\":" +
+                             std::to_string(topic.m_records.size()) + "}";
     lock.unlock();
-    return SendAll(
-        fd, Response(200, "Content-Type: application/json\r\n", body));
+    return SendAll(fd,
+                   Response(200, "Content-Type: application/json\r\n", body));
   }
 
   std::mutex m_mutex;
@@ -561,8 +559,8 @@
   using Run = std::function<bool(Replica& self, int fd, const Message& request,
                                  const std::string& fields)>;
 
-  Replica(Store& store, std::string name, std::string service,
-          std::string zone, const std::string& ip, int slots, Run run)
+  Replica(Store& store, std::string name, std::string service, std::string zone,
+          const std::string& ip, int slots, Run run)
       : m_store(store),
         m_name(std::move(name)),
         m_service(std::move(service)),
@@ -679,10 +677,9 @@
 
   bool Handle(int fd, const Message& request) {
     if (m_dark_until > Seconds() && WaitDark()) return false;
-    const std::string fields =
-        "Attempt-Id: " + request.Field("Attempt-Id") +
-        "\r\nServer-Stamp: stamp-" + m_name +
-        "\r\nKeep-Alive: timeout=5\r\n";
+    const std::string fields = "Attempt-Id: " + request.Field("Attempt-Id") +
+                               "\r\nServer-Stamp: stamp-" + m_name +
+                               "\r\nKeep-Alive: timeout=5\r\n";
     const std::string expected = request.Field("Expect-Instance");
     if (!expected.empty() && expected != Id()) {
       return SendAll(fd, Response(421, fields + "Not-Executed: 1\r\n", ""));
@@ -810,7 +807,9 @@
     return false;
   }
 
-  std::string LogPath() const { return m_folder + "/" + m_place.m_name + ".log"; }
+  std::string LogPath() const {
+    return m_folder + "/" + m_place.m_name + ".log";
+  }
 
  private:
   int FreePort() const {
@@ -895,7 +894,8 @@
       std::cerr << "kept " << m_path << std::endl;
       return;
     }
-    for (const std::string& name : m_names) unlink((m_path + "/" + name).c_str());
+    for (const std::string& name : m_names)
+      unlink((m_path + "/" + name).c_str());
     rmdir(m_path.c_str());
   }
   void Expect(const std::string& entry) {
@@ -924,7 +924,7 @@
 // ---------------------------------------------------------------- client
 
 struct Answer {
-  int m_status = 0;       // Zero: none.
+  int m_status = 0;  // Zero: none.
   bool m_complete = false;
   std::string m_body;
   std::string m_retry_after;
