--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -78,6 +78,7 @@
             const std::lock_guard<std::mutex> lock(mutex);
             traces[attempt].m_reached_replica = true;
           }
+          record.Line("a replica runs " + attempt);
           Sleep(kFirstEventS);
           bool open = SendAll(fd, "HTTP/1.1 200 OK\r\n" + fields +
                                       "Content-Type: text/event-stream\r\n"
@@ -137,6 +138,9 @@
                 attempt + "\r\nDeadline-Ms: 3000\r\nKey: key1\r\n",
             "prompt", 5);
     if (answer.m_complete) {
+      record.Line("request " + attempt + " to " +
+                  machine.m_entry->Place().m_name + " is answered with " +
+                  std::to_string(answer.m_status));
       if (answer.m_status == 200) ++answered;
       return;
     }
--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -80,15 +80,20 @@
     if (!entry->WaitReady(15)) CannotRun("an entry process is not ready");
   }
   std::atomic<bool> ending{false};
+  std::atomic<int> sent{0};
+  std::atomic<int> answered{0};
   std::vector<std::thread> clients;
   for (int c = 0; c < 6; ++c) {
     clients.emplace_back([&, c] {
       for (int i = 0; !ending; ++i) {
-        Ask(*entries[1],
+        ++sent;
+        const Answer answer = Ask(
+            *entries[1],
             "GET /lookup/a HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: c" +
                 std::to_string(c) + "-" + std::to_string(i) +
                 "\r\nDeadline-Ms: 3000\r\nKey: key1\r\nConnection: close\r\n",
             "", 4);
+        if (answer.m_status == 200) ++answered;
         Sleep(0.05);
       }
     });
@@ -123,12 +128,16 @@
         continue;
       }
       ++arrived;
+      record.Line(leaving.Name() + " runs " + arrival.m_attempt +
+                  ", which arrived " + std::to_string(arrival.m_at - removed) +
+                  " s after it was gone");
       if (arrival.m_at <= removed + kDrainS) continue;
       ++late;
-      record.Line(leaving.Name() + " got " + arrival.m_attempt + " " +
-                  std::to_string(arrival.m_at - removed) +
-                  " s after it was gone");
     }
+    record.Line("so far " + std::to_string(sent.load()) + " requests sent to " +
+                entries[1]->Place().m_name + ", " +
+                std::to_string(answered.load()) + " answered with 200, " +
+                std::to_string(arrivals.size()) + " run");
     record.Line(leaving.Name() + " got " + std::to_string(arrived) +
                 " requests after it was gone, " + std::to_string(late) +
                 " of them later than drainMs");
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -5,10 +5,13 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/comfreypaddle ] && [ -x target/review/case2 ] || exit 2
 export TROUBLE="${TROUBLE:-1}"
+TMPDIR=$(mktemp -d) || exit 2
+export TMPDIR
+trap 'rm -rf "$TMPDIR"' EXIT
 # The case ends its entry processes; if it is ended itself, they end with it.
 timeout -k 2 115 target/review/case2 review/2 &
 child=$!
-trap 'kill "$child"; exit 2' INT TERM
+trap 'kill "$child"; wait "$child"; exit 2' INT TERM
 wait "$child"
 code=$?
 # A time limit or a crash of the case is no result.
