Log when a planned stop finds an instance idle

Change: drain_idle with the time for which requests are still accepted, and relay_stopping with what is open.

No functional change

--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -185,6 +185,11 @@
       BeginDrain();
       break;
     case schema::RelayMessage::kStop:
+      LogLine("relay_stopping")
+          .Add("calls", static_cast<std::int64_t>(m_state.m_calls.size()))
+          .Add("connections",
+               static_cast<std::int64_t>(m_callers->Connections()))
+          .Add("was_idle", m_idle_reported ? 1 : 0);
       EndAllCalls(m_state);
       HandOverUsage();
       Loop().StartTimer(kLastWriteTime, [this] { Loop().Stop(); });
@@ -273,6 +278,9 @@
   m_callers->CloseIdle();
   if (m_callers->Connections() > 0 || !m_state.m_calls.empty()) return;
   m_idle_reported = true;
+  LogLine("drain_idle")
+      .AddMs("after_ms", Now() - m_drain_began)
+      .AddMs("accepts_for_ms", m_state.m_refuse_from - Now());
   HandOverUsage();
   schema::SupervisorMessage idle;
   idle.mutable_relay_idle();
