Close the listener before a stopping instance counts as idle

Cause: the instance reported itself idle as soon as, from 2.2 s after SIGTERM, a tick saw no connection and no request, and nothing asked again before the end. But it accepted connections until 3.0 s, and in the last 50 ms as well, so idle was not final. Ruled out: the grace limit (no call open at relay_stopping in 51 stops).

Change: the steps of a stop are a decision module (drain): accepting, closing (what waits at the listener is accepted, then it is closed), idle. Idle is reported only in the closing phase, when nothing can arrive any more. At the grace limit the open requests are ended first, then all later ones refused as not run, then usage is handed over; until now the handover was skipped there. The control task reports the handover only after the relay's last counts, so an answer to the first drain can't end the process before they are stored.

Why it works: what is accepted is either open, which keeps the phase, or refused with a response.

--- a/src/accept.cpp
+++ b/src/accept.cpp
@@ -84,7 +84,7 @@
 // request, or nothing.
 std::optional<EndReason> ResolveRoute(const RelayState& state, RelayCall& call,
                                       Instant now) {
-  if (now >= state.m_refuse_from) return EndReason::kStopping;
+  if (now >= state.m_drain.m_refuse_from) return EndReason::kStopping;
   if (state.m_catalog == nullptr) return EndReason::kNoCatalog;
   call.m_catalog = state.m_catalog;
   call.m_route = call.m_catalog->FindRoute(call.m_metadata.m_host,
@@ -153,6 +153,7 @@
 }
 
 void EndAllCalls(RelayState& state) {
+  CutDrain(state.m_drain, state.m_clock());
   for (const std::uint64_t id : OpenCallIds(state)) {
     RelayCall* call = FindRelayCall(state, id);
     if (call != nullptr) FinishFailed(state, *call, EndReason::kStopping);
--- a/src/control.cpp
+++ b/src/control.cpp
@@ -112,7 +112,9 @@
       break;
     case schema::ControlMessage::kDrain:
       m_state->m_stopping = true;
-      m_drain_reported = false;
+      break;
+    case schema::ControlMessage::kFinish:
+      m_finishing = true;
       break;
     case schema::ControlMessage::kStop:
       Loop().Stop();
@@ -141,8 +143,8 @@
 void Control::Tick() {
   ControlState& state = *m_state;
   TickControl(state);
-  if (!state.m_stopping || m_drain_reported || !IsHandedOver(state)) return;
-  m_drain_reported = true;
+  if (!m_finishing || !IsHandedOver(state)) return;
+  m_finishing = false;
   schema::SupervisorMessage done;
   done.mutable_control_done();
   m_ports.m_supervisor->Post(std::move(done));
--- a/src/control.h
+++ b/src/control.h
@@ -54,7 +54,7 @@
   std::unique_ptr<platform::Adapter> m_adapter;
   std::unique_ptr<ControlState> m_state;
   std::unique_ptr<PeriodicTimer> m_tick;
-  bool m_drain_reported = false;
+  bool m_finishing = false;  // The end of the handover is to be reported.
 };
 
 }  // namespace comfreypaddle
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -16,8 +16,10 @@
 
 namespace {
 
-// Part of the shutdown time limit reserved for the final handover.
-constexpr Duration kHandoverReserve = std::chrono::milliseconds(700);
+// Time before the end of the grace time at which the requests that are still
+// open are ended, and at which the process ends in any case.
+constexpr Duration kFinishReserve = std::chrono::milliseconds(700);
+constexpr Duration kExitReserve = std::chrono::milliseconds(300);
 
 // Time limit for handing over duties and usage.
 constexpr Duration kHandoverTimeout = std::chrono::milliseconds(1500);
@@ -96,34 +98,35 @@
   void BeginStop() {
     m_stopping = true;
     LogLine("drain_started").Add("instance", m_settings.instance().name());
-    schema::RelayMessage drain;
-    drain.mutable_drain();
-    m_relay->Inbox().Post(std::move(drain));
-    // A stopping instance releases its duties first and claims no others.
-    DrainControl();
-    const Duration limit = FromMs(m_settings.stop().grace_s() * kMsPerSecond);
-    m_loop.StartTimer(limit - kHandoverReserve, [this] {
-      LogLine line("drain_timeout");
-      line.Add("instance", m_settings.instance().name());
-      m_loop.Stop();
-    });
+    schema::RelayMessage drain_relay;
+    drain_relay.mutable_drain();
+    m_relay->Inbox().Post(std::move(drain_relay));
+    schema::ControlMessage drain_control;
+    drain_control.mutable_drain();
+    m_control->Inbox().Post(std::move(drain_control));
+    const Duration grace = FromMs(m_settings.stop().grace_s() * kMsPerSecond);
+    m_loop.StartTimer(grace - kFinishReserve, [this] { FinishRelay(); });
+    m_loop.StartTimer(grace - kExitReserve, [this] { m_loop.Stop(); });
+  }
+
+  void FinishRelay() {
+    if (m_relay_idle) return;
+    LogLine("drain_timeout").Add("instance", m_settings.instance().name());
+    schema::RelayMessage finish;
+    finish.mutable_finish();
+    m_relay->Inbox().Post(std::move(finish));
   }
 
   void OnMessage(const schema::SupervisorMessage& message) {
-    if (message.has_relay_idle()) {
-      m_relay_idle = true;
-      // The final usage counts have arrived since the first drain.
-      DrainControl();
-      m_loop.StartTimer(kHandoverTimeout, [this] { m_loop.Stop(); });
-    } else if (m_relay_idle) {
+    if (message.has_control_done()) {
       m_loop.Stop();
+      return;
     }
-  }
-
-  void DrainControl() {
-    schema::ControlMessage drain;
-    drain.mutable_drain();
-    m_control->Inbox().Post(std::move(drain));
+    m_relay_idle = true;
+    schema::ControlMessage finish;
+    finish.mutable_finish();
+    m_control->Inbox().Post(std::move(finish));
+    m_loop.StartTimer(kHandoverTimeout, [this] { m_loop.Stop(); });
   }
 
   void StopTasks() {
--- a/src/httpserver.cpp
+++ b/src/httpserver.cpp
@@ -270,32 +270,49 @@
 
 HttpServer::~HttpServer() {
   m_expiry_check.reset();
-  if (m_listener >= 0) {
-    m_sockets.Remove(m_listener_watch_id);
-    close(m_listener);
-  }
+  CloseListener();
   m_connections.clear();
 }
 
 std::error_code HttpServer::Listen(const std::string& ip, std::uint16_t port) {
   m_listener = ListenTcp(ip, port);
   if (m_listener < 0) return HttpError::kListenFailed;
-  m_listener_watch_id =
-      m_sockets.Add(m_listener, EPOLLIN, [this](std::uint32_t) { Accept(); });
+  m_listener_watch_id = m_sockets.Add(m_listener, EPOLLIN,
+                                      [this](std::uint32_t) { AcceptBatch(); });
   m_expiry_check = std::make_unique<PeriodicTimer>(
       m_sockets.Loop(), kExpiryCheckPeriod, [this] { CloseExpired(); });
   return HttpError::kOk;
 }
 
-void HttpServer::Accept() {
-  for (int i = 0; i < kAcceptBatch; ++i) {
-    const int descriptor =
-        accept4(m_listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    if (descriptor < 0) return;
-    const int on = 1;
-    setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-    const std::uint64_t id = m_next_id++;
-    m_connections[id] = std::make_unique<Connection>(*this, id, descriptor);
+void HttpServer::StopListening() {
+  if (m_listener < 0) return;
+  // Closing the socket would reset the connections in its queue.
+  while (AcceptOne()) {
+  }
+  CloseListener();
+}
+
+void HttpServer::CloseListener() {
+  if (m_listener < 0) return;
+  m_sockets.Remove(m_listener_watch_id);
+  close(m_listener);
+  m_listener = -1;
+}
+
+// Accepts one connection. Returns whether there was one.
+bool HttpServer::AcceptOne() {
+  const int descriptor =
+      accept4(m_listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+  if (descriptor < 0) return false;
+  const int on = 1;
+  setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  const std::uint64_t id = m_next_id++;
+  m_connections[id] = std::make_unique<Connection>(*this, id, descriptor);
+  return true;
+}
+
+void HttpServer::AcceptBatch() {
+  for (int i = 0; i < kAcceptBatch && AcceptOne(); ++i) {
   }
 }
 
--- a/src/httpserver.h
+++ b/src/httpserver.h
@@ -48,6 +48,10 @@
   // Closes each connection after its next response (Connection: close).
   void AnnounceClose() { m_announce_close = true; }
 
+  // Accepts the connections that are waiting and closes the listening socket.
+  // Callers that connect later are refused by the system.
+  void StopListening();
+
   // Closes the connections that have no open request.
   void CloseIdle();
 
@@ -68,7 +72,9 @@
  private:
   class Connection;
 
-  void Accept();
+  void CloseListener();
+  bool AcceptOne();
+  void AcceptBatch();
   void CloseExpired();
   Connection* FindRequest(std::uint64_t id) const;
   void CloseConnection(std::uint64_t connection);
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -25,18 +25,6 @@
 // Period at which deadlines are checked and waiting requests are dispatched.
 constexpr Duration kTickPeriod = std::chrono::milliseconds(20);
 
-// Time after the load balancer's notice period in which late requests are still
-// accepted.
-constexpr Duration kLateArrivalGrace = std::chrono::milliseconds(800);
-
-// Longest part of the grace time of a planned stop in which requests are
-// accepted. The rest is left for them to finish.
-constexpr double kAcceptingPart = 0.5;
-
-// Time between the last responses and the end of the task, in which they are
-// written.
-constexpr Duration kLastWriteTime = std::chrono::milliseconds(50);
-
 // Period at which endpoint loads are shared with other instances.
 constexpr Duration kLoadSharePeriod = std::chrono::milliseconds(50);
 
@@ -182,17 +170,13 @@
       m_state.m_knowledge_at = Now();
       break;
     case schema::RelayMessage::kDrain:
-      BeginDrain();
+      StartDrain();
       break;
-    case schema::RelayMessage::kStop:
-      LogLine("relay_stopping")
-          .Add("calls", static_cast<std::int64_t>(m_state.m_calls.size()))
-          .Add("connections",
-               static_cast<std::int64_t>(m_callers->Connections()))
-          .Add("was_idle", m_idle_reported ? 1 : 0);
+    case schema::RelayMessage::kFinish:
       EndAllCalls(m_state);
-      HandOverUsage();
-      Loop().StartTimer(kLastWriteTime, [this] { Loop().Stop(); });
+      break;
+    case schema::RelayMessage::kStop:
+      Loop().Stop();
       break;
     default:
       break;
@@ -249,15 +233,11 @@
 
 // Fails the readiness check, and serves callers until the load balancer has
 // removed this instance.
-void Relay::BeginDrain() {
-  m_state.m_stopping = true;
-  m_drain_began = Now();
-  const Duration notice =
-      std::chrono::milliseconds(m_settings.stop().notice_ms());
-  const Duration most =
-      FromMs(m_settings.stop().grace_s() * kMsPerSecond * kAcceptingPart);
-  m_state.m_refuse_from =
-      m_drain_began + std::min(notice + kLateArrivalGrace, most);
+void Relay::StartDrain() {
+  BeginDrain(m_state.m_drain,
+             {std::chrono::milliseconds(m_settings.stop().notice_ms()),
+              FromMs(m_settings.stop().grace_s() * kMsPerSecond)},
+             Now());
   m_callers->AnnounceClose();
 }
 
@@ -267,20 +247,34 @@
   if (ready != m_was_ready) {
     m_was_ready = ready;
     LogLine(ready ? "ready" : "not_ready")
-        .Add("stopping", m_state.m_stopping ? 1 : 0)
+        .Add("stopping", IsStopping(m_state.m_drain) ? 1 : 0)
         .Add("endpoints",
              static_cast<std::int64_t>(m_state.m_balance.m_endpoints.size()));
   }
-  if (!m_state.m_stopping || m_idle_reported) return;
-  const Duration notice =
-      std::chrono::milliseconds(m_settings.stop().notice_ms());
-  if (Now() - m_drain_began < notice) return;
-  m_callers->CloseIdle();
-  if (m_callers->Connections() > 0 || !m_state.m_calls.empty()) return;
-  m_idle_reported = true;
-  LogLine("drain_idle")
-      .AddMs("after_ms", Now() - m_drain_began)
-      .AddMs("accepts_for_ms", m_state.m_refuse_from - Now());
+  TickDrain();
+}
+
+// Carries out the steps of a planned stop.
+void Relay::TickDrain() {
+  const Instant now = Now();
+  if (ClosesIdleConnections(m_state.m_drain, now)) m_callers->CloseIdle();
+  const OpenWork open{m_callers->Connections(), m_state.m_calls.size()};
+  if (!AdvanceDrain(m_state.m_drain, open, now)) return;
+  LogLine("drain_phase")
+      .Add("phase", ToName(m_state.m_drain.m_phase))
+      .AddMs("after_ms", now - m_state.m_drain.m_began)
+      .Add("connections", static_cast<std::int64_t>(open.m_connections))
+      .Add("requests", static_cast<std::int64_t>(open.m_requests))
+      .Add("refuses", now >= m_state.m_drain.m_refuse_from ? 1 : 0);
+  if (m_state.m_drain.m_phase == DrainPhase::kClosing) {
+    m_callers->StopListening();
+  } else {
+    ReportIdle();
+  }
+}
+
+// Nothing is counted after this: the usage that is handed over is complete.
+void Relay::ReportIdle() {
   HandOverUsage();
   schema::SupervisorMessage idle;
   idle.mutable_relay_idle();
@@ -349,7 +343,7 @@
 
 bool Relay::IsReady() const {
   return m_state.m_catalog != nullptr &&
-         !m_state.m_balance.m_endpoints.empty() && !m_state.m_stopping;
+         !m_state.m_balance.m_endpoints.empty() && !IsStopping(m_state.m_drain);
 }
 
 void Relay::AnswerReady(const HttpRequest& request) {
--- a/src/relay.h
+++ b/src/relay.h
@@ -34,8 +34,10 @@
   void OpenListeners();
   void SetCatalog(const schema::Catalog& catalog);
   void SetEndpoints(const schema::EndpointList& list);
-  void BeginDrain();
+  void StartDrain();
   void Tick();
+  void TickDrain();
+  void ReportIdle();
   void PublishLoad();
   void ApplyPeerLoad(const schema::LoadList& list);
   void ApplyPeerPrefixes(const schema::LoadList& list, Instant now);
@@ -57,8 +59,6 @@
   std::unique_ptr<PeriodicTimer> m_usage_tick;
   RelayState m_state;
   bool m_was_ready = false;
-  Instant m_drain_began{};
-  bool m_idle_reported = false;
 };
 
 }  // namespace comfreypaddle
--- a/src/relaystate.h
+++ b/src/relaystate.h
@@ -13,6 +13,7 @@
 #include "balance.h"
 #include "catalog.h"
 #include "crashtable.h"
+#include "drain.h"
 #include "metrics.h"
 #include "resend.h"
 #include "ssesplit.h"
@@ -170,10 +171,7 @@
   RelayCounters m_counters;
   schema::KnowledgeStatus m_knowledge;  // As of m_knowledge_at.
   Instant m_knowledge_at{};
-  bool m_stopping = false;
-  // During shutdown, requests that arrive from this time on are refused,
-  // because too little time is left to finish them.
-  Instant m_refuse_from = Instant::max();
+  DrainState m_drain;
 };
 
 // Returns the call with this id, or null.
--- a/tests/relaycall_test.cpp
+++ b/tests/relaycall_test.cpp
@@ -202,7 +202,7 @@
 // Guards against accepting requests that a stopping instance cannot finish.
 TEST_CASE("late in a planned stop requests are refused as not run") {
   RelayFixture f;
-  f.m_state.m_refuse_from = f.m_now + seconds(1);
+  f.m_state.m_drain.m_refuse_from = f.m_now + seconds(1);
   f.Ask(1, "/once/x");
   CHECK(f.m_endpoints.m_calls.size() == 1);
   f.m_now += seconds(1);
@@ -211,6 +211,18 @@
   CHECK(f.m_endpoints.m_calls.size() == 1);
 }
 
+// Failure (LOST): requests that arrived while the last responses were written
+// were passed on and never answered.
+TEST_CASE("a request after the end of the open ones is refused as not run") {
+  RelayFixture f;
+  f.Ask(1, "/once/x");
+  REQUIRE_CALL(f.m_callers, Respond(1U, 502, _, _));
+  EndAllCalls(f.m_state);
+  REQUIRE_CALL(f.m_callers, Respond(2U, 503, _, _));
+  f.Ask(2, "/once/x");
+  CHECK(f.m_endpoints.m_calls.size() == 1);
+}
+
 TEST_CASE("a request that crashed three endpoints is not run any more") {
   RelayFixture f;
   f.Ask(1, "/stream/x");
--- a/tests/stop_system_test.cpp
+++ b/tests/stop_system_test.cpp
@@ -3,6 +3,9 @@
 #include <doctest/doctest.h>
 #include <signal.h>
 
+#include <algorithm>
+#include <vector>
+
 #include "support_platform.h"
 
 namespace comfreypaddle {
@@ -56,5 +59,41 @@
   CHECK(cluster.Endpoint(0).Requests().empty());
 }
 
+// Failure (LOST): an instance that was idle for a moment ended its planned stop
+// although it still accepted requests, and cut the streams that it had passed
+// on meanwhile. The store is down, so that the handover takes all its time.
+TEST_CASE("a request that a stopping instance passes on is answered") {
+  PlatformCluster cluster("stop-idle");
+  cluster.SetStop("notice_ms = 1500\ngrace_s = 8\n");
+  cluster.Configure(1, R"(["k1"])");
+  cluster.AddEndpoint("plain");
+  cluster.Endpoint(0).SetEventGap(milliseconds(300));
+  cluster.StartEntry(1);
+  const Reply counted = cluster.Call(1, "GET", "/safe/x");
+  REQUIRE(counted.m_status == 200);
+  cluster.Store().SetDown(true);
+  cluster.Entry(1).Signal(SIGTERM);
+  std::vector<std::shared_ptr<Reply>> streams;
+  for (int i = 0; i < 4; ++i) {
+    const Instant next =
+        Now() + (i == 0 ? milliseconds(1700) : milliseconds(100));
+    cluster.Until([&] { return Now() >= next; });
+    streams.push_back(cluster.Start(1, "POST", "/stream/x"));
+  }
+  REQUIRE(cluster.Until([&] {
+    return std::all_of(streams.begin(), streams.end(),
+                       [](const auto& stream) { return stream->m_ended; });
+  }));
+  const auto answered =
+      std::count_if(streams.begin(), streams.end(), [](const auto& stream) {
+        return !stream->m_error && stream->m_status == 200;
+      });
+  const std::size_t passed_on = cluster.Endpoint(0).Requests().size() - 1;
+  CHECK(static_cast<std::size_t>(answered) == passed_on);
+  REQUIRE(
+      cluster.Until([&] { return cluster.Entry(1).ExitCode().has_value(); }));
+  CHECK(*cluster.Entry(1).ExitCode() == 0);
+}
+
 }  // namespace
 }  // namespace comfreypaddle
--- a/tests/support_platform.cpp
+++ b/tests/support_platform.cpp
@@ -230,7 +230,7 @@
     return;
   }
   m_server.Write(id, "id: " + std::to_string(event) + "\ndata: x\n\n");
-  m_sockets.Loop().StartTimer(std::chrono::milliseconds(20),
+  m_sockets.Loop().StartTimer(m_event_gap,
                               [this, id, event] { SendEvent(id, event + 1); });
 }
 
--- a/tests/support_platform.h
+++ b/tests/support_platform.h
@@ -90,7 +90,8 @@
   bool m_conflicting_reports = false;
 };
 
-// Stand-in of an endpoint. A stream has five events, sent 20 ms apart.
+// Stand-in of an endpoint. A stream has five events, sent 20 ms apart unless
+// SetEventGap sets another gap.
 class FakeEndpoint {
  public:
   FakeEndpoint(SocketSet& sockets, std::string id);
@@ -110,6 +111,9 @@
   }
   int Rejections() const { return m_rejections; }
 
+  // Sets the time between the events of a stream.
+  void SetEventGap(Duration gap) { m_event_gap = gap; }
+
   // While set, requests are received and not answered.
   void SetHanging(bool hanging) { m_hanging = hanging; }
 
@@ -126,6 +130,7 @@
   HttpServer m_server;
   std::vector<HttpRequest> m_requests;
   int m_break_after = 0;
+  Duration m_event_gap = std::chrono::milliseconds(20);
   bool m_overloaded = false;
   std::string m_retry_after;
   int m_rejections = 0;
