Answer pipelined and just begun requests in a planned stop

A stopping instance closed a connection after the response to the first of several requests that it had read, and closed connections as idle while the next buffered request was about to be parsed, while input had not been read yet, or right after they were accepted.

Change: a connection is idle only without buffered and unread input, and a new one only after 250 ms; Connection: close is sent with the response to the last request that has been read.

--- a/src/httpserver.cpp
+++ b/src/httpserver.cpp
@@ -25,6 +25,10 @@
 // the response.
 constexpr Duration kLingerTimeout = std::chrono::seconds(1);
 
+// Time for which a new connection may wait for its first request before it
+// counts as idle.
+constexpr Duration kFirstRequestTime = std::chrono::milliseconds(250);
+
 // Maximum size of pipelined input buffered while a request is open.
 constexpr std::size_t kMaxPipelinedBytes = 256U << 10U;
 
@@ -166,7 +170,13 @@
     return false;
   }
 
-  bool IsIdle() const { return m_request == 0 && !m_parser.Started(); }
+  // Whether closing the connection now loses no request that the caller has
+  // sent, as far as this side can know.
+  bool IsIdle(Instant now) const {
+    if (m_request != 0 || m_parser.Started() || !m_input.empty()) return false;
+    if (m_is_new && now - m_last_activity < kFirstRequestTime) return false;
+    return !m_channel.HasUnreadInput();
+  }
   std::uint64_t Id() const { return m_id; }
   std::size_t UnsentBytes() const { return m_channel.Pending(); }
 
@@ -175,8 +185,11 @@
     return {m_server.m_limits.m_head_bytes, m_server.m_limits.m_body_bytes};
   }
 
+  // A request that the caller has already sent behind this one is answered
+  // before the connection is closed.
   bool ShouldKeepAlive() const {
-    return m_head.m_keep_alive && !m_server.m_announce_close;
+    const bool closes = m_server.m_announce_close && m_input.empty();
+    return m_head.m_keep_alive && !closes;
   }
 
   // Parses buffered input up to the end of the next request.
@@ -196,6 +209,7 @@
   }
 
   void DispatchRequest() {
+    m_is_new = false;
     HttpRequest request;
     m_request = m_server.m_next_id++;
     m_server.m_requests[m_request] = this;
@@ -262,6 +276,7 @@
   bool m_chunked = false;
   bool m_persistent = false;
   bool m_lingering = false;
+  bool m_is_new = true;  // No request has arrived.
   Channel m_channel;
 };
 
@@ -326,9 +341,10 @@
 }
 
 void HttpServer::CloseIdle() {
+  const Instant now = Now();
   std::vector<std::uint64_t> idle;
   for (const auto& [id, connection] : m_connections) {
-    if (connection->IsIdle()) idle.push_back(id);
+    if (connection->IsIdle(now)) idle.push_back(id);
   }
   for (const std::uint64_t id : idle) CloseConnection(id);
 }
--- a/src/httpserver.h
+++ b/src/httpserver.h
@@ -45,14 +45,16 @@
 
   void SetLimits(const RequestLimits& limits) { m_limits = limits; }
 
-  // Closes each connection after its next response (Connection: close).
+  // Closes each connection after its next response (Connection: close), or
+  // after the responses to the requests that the caller has sent behind it.
   void AnnounceClose() { m_announce_close = true; }
 
   // Accepts the connections that are waiting and closes the listening socket.
   // Callers that connect later are refused by the system.
   void StopListening();
 
-  // Closes the connections that have no open request.
+  // Closes the connections that have no open request and have not just been
+  // opened.
   void CloseIdle();
 
   // Number of open connections, idle ones included.
--- a/tests/httpwire_test.cpp
+++ b/tests/httpwire_test.cpp
@@ -347,5 +347,59 @@
   CHECK(caller.ReceiveAll().find("/1") < caller.ReceiveAll().find("/2"));
 }
 
+// Failure (LOST): a planned stop closed connections after the response to the
+// first of several requests that the instance had read.
+TEST_CASE("Pipelined requests are answered after a close was announced") {
+  Fixture f;
+  RawCaller caller(f.m_port);
+  caller.Send(
+      "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"
+      "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+  REQUIRE(RunUntil(f.m_loop, kTestTimeout,
+                   [&] { return f.m_requests.size() == 1; }));
+  f.m_server->AnnounceClose();
+  f.m_server->Respond(f.m_requests[0].m_id, 200, {}, "one");
+  f.m_server->CloseIdle();
+  REQUIRE(RunUntil(f.m_loop, kTestTimeout,
+                   [&] { return f.m_requests.size() == 2; }));
+  f.m_server->Respond(f.m_requests[1].m_id, 200, {}, "two");
+  REQUIRE(RunUntil(f.m_loop, kTestTimeout, [&] {
+    return caller.ReceiveAll().find("two") != std::string::npos;
+  }));
+  const std::string received = caller.ReceiveAll();
+  CHECK(received.find("Connection: close") > received.find("one"));
+}
+
+// Failure: a planned stop closed connections that had just been accepted, while
+// their first request was on its way.
+TEST_CASE("A new connection is not idle before its first request") {
+  Fixture f;
+  RawCaller caller(f.m_port);
+  REQUIRE(RunUntil(f.m_loop, kTestTimeout,
+                   [&] { return f.m_server->Connections() == 1; }));
+  f.m_server->CloseIdle();
+  CHECK(f.m_server->Connections() == 1);
+  CHECK(RunUntil(f.m_loop, kTestTimeout, [&] {
+    f.m_server->CloseIdle();
+    return f.m_server->Connections() == 0;
+  }));
+}
+
+// Failure: connections that waited in the queue of a listener that was closed
+// were reset.
+TEST_CASE("Waiting connections are served after the listener was closed") {
+  Fixture f;
+  RawCaller caller(f.m_port);
+  caller.Send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+  f.m_server->StopListening();
+  CHECK(f.m_server->Connections() == 1);
+  f.m_server->CloseIdle();
+  CHECK(RunUntil(f.m_loop, kTestTimeout,
+                 [&] { return f.m_requests.size() == 1; }));
+  f.Call({.m_url = f.Url("/2")});
+  REQUIRE(f.Ended());
+  CHECK(f.m_result->m_error == HttpError::kConnectFailed);
+}
+
 }  // namespace
 }  // namespace comfreypaddle
