Log the source of each change of the endpoint list and of grace periods

Change: endpoint_list has the source and the read offset, also for changes learnt from other instances, lapses and expiries; endpoint_grace is logged when a grace period starts, with the time without confirmation and the failed calls. The functions that change the list are a module of their own (endpointlist), split off storereader and statemerge.

No functional change

--- a/src/directory.cpp
+++ b/src/directory.cpp
@@ -29,14 +29,15 @@
 
 }  // namespace
 
-void OnStoreAnswer(EndpointDirectory& directory, Instant now) {
+bool OnStoreAnswer(EndpointDirectory& directory, Instant now) {
   // Another instance may report an answer older than the last one.
-  if (now <= directory.m_last_answer) return;
+  if (now <= directory.m_last_answer) return false;
   const bool first = directory.m_last_answer == Instant{};
-  if (!first && now - directory.m_last_answer > kOutageThreshold) {
-    directory.m_grace_ends = now + kLapseGracePeriod;
-  }
+  const bool outage =
+      !first && now - directory.m_last_answer > kOutageThreshold;
+  if (outage) directory.m_grace_ends = now + kLapseGracePeriod;
   directory.m_last_answer = now;
+  return outage;
 }
 
 bool UpsertEntry(EndpointDirectory& directory,
@@ -81,17 +82,20 @@
   return true;
 }
 
-bool ExpireEntries(EndpointDirectory& directory, Instant now) {
-  bool changed = false;
+std::vector<std::string> ExpireEntries(EndpointDirectory& directory,
+                                       Instant now) {
+  std::vector<std::string> ids;
   for (auto at = directory.m_endpoints.begin();
        at != directory.m_endpoints.end();) {
     const bool expired =
         at->second.m_lapsed && now >= at->second.m_lapse_expires;
-    if (expired) RecordRemoval(directory, at->first);
+    if (expired) {
+      RecordRemoval(directory, at->first);
+      ids.push_back(at->first);
+    }
     at = expired ? directory.m_endpoints.erase(at) : std::next(at);
-    changed = changed || expired;
   }
-  return changed;
+  return ids;
 }
 
 schema::EndpointList ListEntries(const EndpointDirectory& directory) {
--- a/src/directory.h
+++ b/src/directory.h
@@ -47,8 +47,8 @@
 };
 
 // Records an answer of the store. The first one after an outage starts the
-// grace period.
-void OnStoreAnswer(EndpointDirectory& directory, Instant now);
+// grace period. Returns whether it did.
+bool OnStoreAnswer(EndpointDirectory& directory, Instant now);
 
 // Adds or updates an entry. Returns whether a change affects routing.
 bool UpsertEntry(EndpointDirectory& directory,
@@ -66,9 +66,9 @@
 // Removes an entry at once. Returns whether it existed.
 bool EraseEntry(EndpointDirectory& directory, const std::string& id);
 
-// Removes lapsed entries whose grace period has ended. Returns whether there
-// were any.
-bool ExpireEntries(EndpointDirectory& directory, Instant now);
+// Removes lapsed entries whose grace period has ended. Returns their ids.
+std::vector<std::string> ExpireEntries(EndpointDirectory& directory,
+                                       Instant now);
 
 // All entries, including draining and lapsed ones.
 schema::EndpointList ListEntries(const EndpointDirectory& directory);
--- /dev/null
+++ b/src/endpointlist.cpp
@@ -0,0 +1,196 @@
+#include "endpointlist.h"
+
+#include <set>
+#include <string>
+#include <vector>
+
+#include "eventlog.h"
+
+namespace comfreypaddle {
+
+namespace {
+
+enum class EndpointChange {
+  kChanged,
+  kRemoved,  // By a record of the store, or by another instance.
+  kMissing,  // From a snapshot, or from another instance's whole list.
+  kLapsed,   // Removed, but usable until its grace period ends.
+  kExpired,  // Its grace period has ended.
+};
+
+}  // namespace
+
+template <>
+struct EnumNames<EndpointChange> {
+  static constexpr std::array<EnumName<EndpointChange>, 5> kTable{
+      {{EndpointChange::kChanged, "changed"},
+       {EndpointChange::kRemoved, "removed"},
+       {EndpointChange::kMissing, "missing"},
+       {EndpointChange::kLapsed, "lapsed"},
+       {EndpointChange::kExpired, "expired"}}};
+};
+
+namespace {
+
+// Whether the entry is older than the known one. Records may arrive out of
+// order.
+bool IsOutdated(const ControlState& state, const schema::EndpointEntry& entry) {
+  const auto found = state.m_directory.m_endpoints.find(entry.id());
+  if (found == state.m_directory.m_endpoints.end()) return false;
+  const schema::EndpointEntry& known = found->second.m_entry;
+  if (entry.born_ms() != known.born_ms()) {
+    return entry.born_ms() < known.born_ms();
+  }
+  return entry.sequence() < known.sequence();
+}
+
+void LogEndpoint(const ControlState& state, EndpointChange change,
+                 const std::string& id, std::string_view source) {
+  LogLine line("endpoint_list");
+  line.Add("change", ToName(change))
+      .Add("endpoint", id)
+      .Add("source", source)
+      .Add("read_offset",
+           static_cast<std::int64_t>(state.m_endpoints_cursor.m_next));
+  const auto found = state.m_directory.m_endpoints.find(id);
+  if (found == state.m_directory.m_endpoints.end()) return;
+  const schema::EndpointEntry& entry = found->second.m_entry;
+  line.Add("service", entry.service())
+      .Add("address", entry.address())
+      .Add("zone", entry.zone())
+      .Add("draining", entry.draining() ? 1 : 0)
+      .Add("phase", schema::EnginePhase_Name(entry.phase()))
+      .Add("cheap", entry.cheap() ? 1 : 0)
+      .Add("born_ms", static_cast<std::int64_t>(entry.born_ms()))
+      .Add("sequence", static_cast<std::int64_t>(entry.sequence()));
+}
+
+// Sends the list to the relay task.
+void PublishEndpoints(ControlState& state) {
+  schema::RelayMessage message;
+  *message.mutable_endpoints() = ListEntries(state.m_directory);
+  state.m_relay->Post(std::move(message));
+}
+
+void Upsert(ControlState& state, const schema::EndpointEntry& entry,
+            std::string_view source) {
+  if (!UpsertEntry(state.m_directory, entry)) return;
+  LogEndpoint(state, EndpointChange::kChanged, entry.id(), source);
+}
+
+// Removes an entry that the store no longer has.
+void Remove(ControlState& state, EndpointChange change, const std::string& id) {
+  if (state.m_directory.m_endpoints.count(id) == 0) return;
+  const bool erased = RemoveEntry(state.m_directory, id, state.m_clock());
+  LogEndpoint(state, erased ? change : EndpointChange::kLapsed, id,
+              kStoreSource);
+}
+
+void Erase(ControlState& state, EndpointChange change, const std::string& id,
+           std::string_view source) {
+  if (EraseEntry(state.m_directory, id)) LogEndpoint(state, change, id, source);
+}
+
+void ApplyEndpointRecord(ControlState& state, const StreamRecord& record) {
+  if (record.m_removed) {
+    Remove(state, EndpointChange::kRemoved, record.m_key);
+    return;
+  }
+  const auto entry = state.m_records->DecodeEndpoint(record);
+  if (!entry) {
+    ++state.m_counters.m_unreadable;
+    LogLine("record_decode_failed")
+        .Add("stream", ToName(Stream::kEndpoints))
+        .Add("key", record.m_key)
+        .Add("offset", static_cast<std::int64_t>(record.m_offset));
+    return;
+  }
+  if (!IsOutdated(state, *entry)) Upsert(state, *entry, kStoreSource);
+}
+
+// Ids of the known entries that are not among the given ones.
+std::vector<std::string> MissingIds(const ControlState& state,
+                                    const std::set<std::string>& present) {
+  std::vector<std::string> missing;
+  for (const auto& [id, known] : state.m_directory.m_endpoints) {
+    if (present.count(id) == 0) missing.push_back(id);
+  }
+  return missing;
+}
+
+void RemoveMissingFromSnapshot(ControlState& state, const ReadResult& result) {
+  std::set<std::string> present;
+  for (const StreamRecord& record : result.m_records) {
+    present.insert(record.m_key);
+  }
+  for (const std::string& id : MissingIds(state, present)) {
+    Remove(state, EndpointChange::kMissing, id);
+  }
+}
+
+// Removes what the other instance has removed. It keeps lapsed entries in its
+// list during their grace period, so entries that are missing from it are
+// removed at once.
+void ApplyPeerRemovals(ControlState& state,
+                       const schema::InstanceState& other) {
+  for (const std::string& id : other.removed_endpoints()) {
+    Erase(state, EndpointChange::kRemoved, id, other.name());
+  }
+  if (!other.list_whole()) return;
+  std::set<std::string> present;
+  for (const schema::EndpointEntry& entry : other.endpoints().endpoints()) {
+    present.insert(entry.id());
+  }
+  for (const std::string& id : MissingIds(state, present)) {
+    Erase(state, EndpointChange::kMissing, id, other.name());
+  }
+}
+
+}  // namespace
+
+void ApplyEndpointRecords(ControlState& state, const ReadResult& result,
+                          bool is_snapshot) {
+  const std::uint64_t before = state.m_directory.m_version;
+  for (const StreamRecord& record : result.m_records) {
+    ApplyEndpointRecord(state, record);
+  }
+  if (is_snapshot) RemoveMissingFromSnapshot(state, result);
+  if (state.m_directory.m_version != before) PublishEndpoints(state);
+}
+
+void ApplyPeerEndpoints(ControlState& state,
+                        const schema::InstanceState& other) {
+  const std::uint64_t before = state.m_directory.m_version;
+  for (const schema::EndpointEntry& entry : other.endpoints().endpoints()) {
+    Upsert(state, entry, other.name());
+  }
+  ApplyPeerRemovals(state, other);
+  for (const schema::LapsedEndpoint& lapsed : other.lapsed_endpoints()) {
+    MarkEntryLapsed(state.m_directory, lapsed.id(),
+                    state.m_clock() + FromMs(lapsed.ends_in_ms()));
+  }
+  if (state.m_directory.m_version != before) PublishEndpoints(state);
+}
+
+void ConfirmEndpointList(ControlState& state, Instant confirmed,
+                         std::string_view source) {
+  const Instant before = state.m_directory.m_last_answer;
+  if (!OnStoreAnswer(state.m_directory, confirmed)) return;
+  LogLine("endpoint_grace")
+      .Add("source", source)
+      .AddMs("unconfirmed_ms", confirmed - before)
+      .AddMs("store_silent_ms", state.m_clock() - state.m_store_answered)
+      .Add("store_faults",
+           static_cast<std::int64_t>(state.m_counters.m_store_faults));
+}
+
+void ExpireEndpoints(ControlState& state) {
+  const std::vector<std::string> expired =
+      ExpireEntries(state.m_directory, state.m_clock());
+  for (const std::string& id : expired) {
+    LogEndpoint(state, EndpointChange::kExpired, id, kStoreSource);
+  }
+  if (!expired.empty()) PublishEndpoints(state);
+}
+
+}  // namespace comfreypaddle
--- a/src/statemerge.cpp
+++ b/src/statemerge.cpp
@@ -1,10 +1,8 @@
 #include "statemerge.h"
 
 #include <algorithm>
-#include <set>
-#include <string>
-#include <vector>
 
+#include "endpointlist.h"
 #include "servedinstances.h"
 #include "statequery.h"
 #include "storereader.h"
@@ -13,35 +11,8 @@
 
 namespace {
 
-// Replaces the endpoint list.
-void ReplaceList(ControlState& state, const schema::InstanceState& other) {
-  std::set<std::string> present;
-  for (const schema::EndpointEntry& entry : other.endpoints().endpoints()) {
-    present.insert(entry.id());
-    UpsertEntry(state.m_directory, entry);
-  }
-  std::vector<std::string> missing;
-  for (const auto& [id, known] : state.m_directory.m_endpoints) {
-    if (present.count(id) == 0) missing.push_back(id);
-  }
-  for (const std::string& id : missing) EraseEntry(state.m_directory, id);
-}
-
-// Applies the changes since the version of the other instance's list that was
-// applied last.
-void ApplyListChanges(ControlState& state, const schema::InstanceState& other) {
-  for (const schema::EndpointEntry& entry : other.endpoints().endpoints()) {
-    UpsertEntry(state.m_directory, entry);
-  }
-  for (const std::string& id : other.removed_endpoints()) {
-    EraseEntry(state.m_directory, id);
-  }
-}
-
 // Applies the endpoint list of an instance whose read offset is not behind this
-// one's. The sender keeps lapsed entries in its list during their grace period,
-// so entries that are missing from it are removed at once. Returns whether the
-// list was applied.
+// one's. Returns whether the list was applied.
 bool MergeEndpointList(ControlState& state,
                        const schema::InstanceState& other) {
   UpstreamLink& link = state.m_upstream_link;
@@ -54,22 +25,12 @@
     link.m_list_owner.clear();
     return false;
   }
-  const std::uint64_t before = state.m_directory.m_version;
-  if (whole) {
-    ReplaceList(state, other);
-  } else {
-    ApplyListChanges(state, other);
-  }
-  for (const schema::LapsedEndpoint& lapsed : other.lapsed_endpoints()) {
-    MarkEntryLapsed(state.m_directory, lapsed.id(),
-                    state.m_clock() + FromMs(lapsed.ends_in_ms()));
-  }
+  ApplyPeerEndpoints(state, other);
   link.m_list_owner = other.name();
   link.m_list_incarnation = other.incarnation();
   link.m_list_version = other.list_version();
   state.m_endpoints_cursor.m_next = other.endpoints_offset();
   state.m_endpoints_cursor.m_initialized = true;
-  if (state.m_directory.m_version != before) PublishEndpoints(state);
   return true;
 }
 
@@ -119,7 +80,7 @@
   if (!listed && !ahead) return;
   const Instant confirmed = made_at - FromMs(other.endpoints_age_ms());
   ConfirmStream(state.m_endpoints_cursor, confirmed);
-  OnStoreAnswer(state.m_directory, confirmed);
+  ConfirmEndpointList(state, confirmed, other.name());
 }
 
 }  // namespace
--- a/src/storereader.cpp
+++ b/src/storereader.cpp
@@ -1,8 +1,8 @@
 #include "storereader.h"
 
 #include <algorithm>
-#include <set>
 
+#include "endpointlist.h"
 #include "entryduties.h"
 #include "eventlog.h"
 #include "usageflush.h"
@@ -52,86 +52,6 @@
   }
 }
 
-// Whether the entry is older than the known one. Records may arrive out of
-// order.
-bool IsOutdated(const ControlState& state, const schema::EndpointEntry& entry) {
-  const auto found = state.m_directory.m_endpoints.find(entry.id());
-  if (found == state.m_directory.m_endpoints.end()) return false;
-  const schema::EndpointEntry& known = found->second.m_entry;
-  if (entry.born_ms() != known.born_ms()) {
-    return entry.born_ms() < known.born_ms();
-  }
-  return entry.sequence() < known.sequence();
-}
-
-void LogEndpoint(const ControlState& state, std::string_view change,
-                 const std::string& id) {
-  LogLine line("endpoint_list");
-  line.Add("change", change).Add("endpoint", id);
-  const auto found = state.m_directory.m_endpoints.find(id);
-  if (found == state.m_directory.m_endpoints.end()) return;
-  const schema::EndpointEntry& entry = found->second.m_entry;
-  line.Add("service", entry.service())
-      .Add("address", entry.address())
-      .Add("zone", entry.zone())
-      .Add("draining", entry.draining() ? 1 : 0)
-      .Add("phase", schema::EnginePhase_Name(entry.phase()))
-      .Add("cheap", entry.cheap() ? 1 : 0)
-      .Add("born_ms", static_cast<std::int64_t>(entry.born_ms()))
-      .Add("sequence", static_cast<std::int64_t>(entry.sequence()));
-}
-
-// Applies one record to the endpoint list. Returns whether the list changed.
-bool ApplyEndpointRecord(ControlState& state, const StreamRecord& record) {
-  const Instant now = state.m_clock();
-  if (record.m_removed) {
-    LogEndpoint(state, "removed", record.m_key);
-    return RemoveEntry(state.m_directory, record.m_key, now);
-  }
-  const auto entry = state.m_records->DecodeEndpoint(record);
-  if (!entry) {
-    ++state.m_counters.m_unreadable;
-    LogLine("record_decode_failed")
-        .Add("stream", ToName(Stream::kEndpoints))
-        .Add("key", record.m_key)
-        .Add("offset", static_cast<std::int64_t>(record.m_offset));
-    return false;
-  }
-  if (IsOutdated(state, *entry)) return false;
-  const bool changed = UpsertEntry(state.m_directory, *entry);
-  if (changed) LogEndpoint(state, "changed", record.m_key);
-  return changed;
-}
-
-// Removes entries that are missing from a snapshot. Returns whether the list
-// changed.
-bool RemoveMissingEntries(ControlState& state, const ReadResult& result) {
-  std::set<std::string> present;
-  for (const StreamRecord& record : result.m_records) {
-    present.insert(record.m_key);
-  }
-  std::vector<std::string> missing;
-  for (const auto& [id, known] : state.m_directory.m_endpoints) {
-    if (present.count(id) == 0) missing.push_back(id);
-  }
-  bool changed = false;
-  for (const std::string& id : missing) {
-    LogEndpoint(state, "missing", id);
-    changed |= RemoveEntry(state.m_directory, id, state.m_clock());
-  }
-  return changed;
-}
-
-void ApplyEndpointRecords(ControlState& state, const ReadResult& result,
-                          bool is_newest) {
-  bool changed = false;
-  for (const StreamRecord& record : result.m_records) {
-    changed |= ApplyEndpointRecord(state, record);
-  }
-  if (is_newest) changed |= RemoveMissingEntries(state, result);
-  if (changed) PublishEndpoints(state);
-}
-
 void ApplyInstanceRecords(ControlState& state, const ReadResult& result) {
   ++state.m_instance_reads;
   for (const StreamRecord& record : result.m_records) {
@@ -221,7 +141,7 @@
     } else {
       cursor.m_confirmed = state.m_clock();
       if (stream == Stream::kEndpoints) {
-        OnStoreAnswer(state.m_directory, cursor.m_confirmed);
+        ConfirmEndpointList(state, cursor.m_confirmed, kStoreSource);
       }
       cursor.m_initialized = true;
       cursor.m_next = result.m_next;
@@ -255,12 +175,6 @@
   return true;
 }
 
-void PublishEndpoints(ControlState& state) {
-  schema::RelayMessage message;
-  *message.mutable_endpoints() = ListEntries(state.m_directory);
-  state.m_relay->Post(std::move(message));
-}
-
 void RecordStoreCall(ControlState& state, StoreFault fault,
                      std::string_view detail) {
   ++state.m_counters.m_store_calls;
@@ -331,9 +245,7 @@
 }
 
 void PollStore(ControlState& state) {
-  if (ExpireEntries(state.m_directory, state.m_clock())) {
-    PublishEndpoints(state);
-  }
+  ExpireEndpoints(state);
   LogStoreReading(state);
   if (!ShouldReadStore(state)) return;
   const bool probes = IsProbingStore(state);
--- a/src/storereader.h
+++ b/src/storereader.h
@@ -34,9 +34,6 @@
 bool ApplyCatalog(ControlState& state, const schema::Catalog& catalog,
                   std::string_view source);
 
-// Sends the endpoint list to the relay task.
-void PublishEndpoints(ControlState& state);
-
 // Stores an instance record unless one of a newer incarnation is known.
 void ApplyInstanceRecord(ControlState& state,
                          const schema::InstanceRecord& record);
--- a/tests/catalog_test.cpp
+++ b/tests/catalog_test.cpp
@@ -116,8 +116,9 @@
   CHECK_FALSE(RemoveEntry(directory, "b", now));
   CHECK(ListEntries(directory).endpoints_size() == 2);
   CHECK(UpsertEntry(directory, Entry("a")));
-  CHECK_FALSE(ExpireEntries(directory, now + seconds(2)));
-  CHECK(ExpireEntries(directory, now + milliseconds(2300)));
+  CHECK(ExpireEntries(directory, now + seconds(2)).empty());
+  CHECK(ExpireEntries(directory, now + milliseconds(2300)) ==
+        std::vector<std::string>{"b"});
   REQUIRE(ListEntries(directory).endpoints_size() == 1);
   CHECK(ListEntries(directory).endpoints(0).id() == "a");
 }
