Take no outage for a pause and no older record for news

A pause of 1.5 s between two confirmations counted as an outage of the store, also when the own process or the instance that it follows was frozen. Removed entries then stayed usable for 2.2 s more. 2. The answer to an own read that was in flight while another instance's newer list was merged was applied on top of it: a heartbeat from before the removal brought the entry back, and the cursor went back. 3. A list at the same read offset was taken whole, so an instance that had erased the entry got it back from the one that kept it as lapsed. Ruled out: the store (it answered all the while), the sequence of the endpoint (a follower does not see each heartbeat, so it cannot order the records), withdrawn keys (configurations are ordered by version, and the cursor no longer goes back), crash rows and Server-Leaving (not part of this merge).

Change: the order of the store's records decides. Each entry carries the offset of its record. An entry that an instance lacks, although it has read past that record, has been removed and is not taken from others; a known entry is replaced only by a later record. Reads skip records before the read offset; an answer that ends before it is ignored (read_outdated). A grace period needs calls that failed for 0.75 s before the answer. A lapsed entry stays until its own grace period ends.

Why it works: every instance is complete up to its read offset, so what it lacks there is gone, whoever says otherwise; and a later record, such as that of a new lifetime, has a later offset and comes in.

Two cases of catalog_test and neighbours_test set up an outage as a pause without calls; they now have the failed call that an outage causes, their checks are unchanged.

--- a/src/controlstate.h
+++ b/src/controlstate.h
@@ -24,13 +24,16 @@
 
 // Read position in one stream of the store.
 struct StreamCursor {
-  bool m_initialized = false;  // The initial snapshot has been read.
+  bool m_initialized = false;  // The local copy has a first state.
   bool m_busy = false;         // A read is in flight.
   std::uint64_t m_next = 0;    // Offset of the next record to read.
   Instant m_due{};             // Earliest time of the next read.
   // Latest time at which the local copy is known to have matched the store, by
   // a read of this instance or of another one that it learned from.
   Instant m_confirmed{};
+  // The records after m_next are no longer retained, so that the next read must
+  // be a snapshot.
+  bool m_needs_snapshot = false;
 };
 
 // Usage counts that have not been stored yet.
--- a/src/directory.cpp
+++ b/src/directory.cpp
@@ -29,14 +29,20 @@
 
 }  // namespace
 
+void OnStoreFault(EndpointDirectory& directory, Instant now) {
+  if (!directory.m_first_fault) directory.m_first_fault = now;
+}
+
 bool OnStoreAnswer(EndpointDirectory& directory, Instant now) {
   // Another instance may report an answer older than the last one.
   if (now <= directory.m_last_answer) return false;
   const bool first = directory.m_last_answer == Instant{};
+  directory.m_last_answer = now;
+  if (!directory.m_first_fault || now < *directory.m_first_fault) return false;
   const bool outage =
-      !first && now - directory.m_last_answer > kOutageThreshold;
+      !first && now - *directory.m_first_fault > kOutageThreshold;
+  directory.m_first_fault.reset();
   if (outage) directory.m_grace_ends = now + kLapseGracePeriod;
-  directory.m_last_answer = now;
   return outage;
 }
 
--- a/src/directory.h
+++ b/src/directory.h
@@ -2,6 +2,7 @@
 #define COMFREYPADDLE_DIRECTORY_H_
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -14,8 +15,12 @@
 // whose lease expired during the outage are written again within it.
 inline constexpr Duration kLapseGracePeriod = std::chrono::milliseconds(2200);
 
-// Time without an answer of the store beyond which it counts as an outage.
-inline constexpr Duration kOutageThreshold = std::chrono::milliseconds(1500);
+// Time from the first failed call to the store to its next answer beyond which
+// it counts as an outage. It is longer than the pause between two reads of the
+// list (0.6 s), so that one failed call is no outage, and short enough for an
+// outage of 2.4 s, the shortest in which entries lapse: the first call in it
+// fails after 1.6 s at the latest.
+inline constexpr Duration kOutageThreshold = std::chrono::milliseconds(750);
 
 struct KnownEndpoint {
   schema::EndpointEntry m_entry;
@@ -29,6 +34,8 @@
 struct EndpointDirectory {
   std::map<std::string, KnownEndpoint, std::less<>> m_endpoints;
   Instant m_last_answer{};  // Last answer of the store.
+  // First failed call to the store since that answer.
+  std::optional<Instant> m_first_fault;
   // End of the grace period after an outage.
   Instant m_grace_ends{};
   // Increases with each change that affects routing.
@@ -46,8 +53,12 @@
   std::vector<std::string> m_removed;
 };
 
+// Records that a call to the store failed.
+void OnStoreFault(EndpointDirectory& directory, Instant now);
+
 // Records an answer of the store. The first one after an outage starts the
-// grace period. Returns whether it did.
+// grace period. Returns whether it did. Time without an answer is no outage by
+// itself: this process or the instance that it follows may have been frozen.
 bool OnStoreAnswer(EndpointDirectory& directory, Instant now);
 
 // Adds or updates an entry. Returns whether a change affects routing.
--- a/src/endpointlist.cpp
+++ b/src/endpointlist.cpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "eventlog.h"
+#include "statequery.h"
 
 namespace comfreypaddle {
 
@@ -86,8 +87,15 @@
               kStoreSource);
 }
 
+// Erases an entry that another instance has erased. A lapsed one stays until
+// its own grace period ends: the other instance may not have noticed the
+// outage.
 void Erase(ControlState& state, EndpointChange change, const std::string& id,
            std::string_view source) {
+  const auto found = state.m_directory.m_endpoints.find(id);
+  const bool lapsed =
+      found != state.m_directory.m_endpoints.end() && found->second.m_lapsed;
+  if (lapsed) return;
   if (EraseEntry(state.m_directory, id)) LogEndpoint(state, change, id, source);
 }
 
@@ -96,7 +104,7 @@
     Remove(state, EndpointChange::kRemoved, record.m_key);
     return;
   }
-  const auto entry = state.m_records->DecodeEndpoint(record);
+  auto entry = state.m_records->DecodeEndpoint(record);
   if (!entry) {
     ++state.m_counters.m_unreadable;
     LogLine("record_decode_failed")
@@ -105,9 +113,22 @@
         .Add("offset", static_cast<std::int64_t>(record.m_offset));
     return;
   }
+  entry->set_record_end(record.m_offset + 1);
   if (!IsOutdated(state, *entry)) Upsert(state, *entry, kStoreSource);
 }
 
+// Whether an entry that another instance has is newer than what this instance
+// has read itself. Instances of earlier versions do not send the record's
+// offset; their entries are taken as they are.
+bool IsNews(const ControlState& state, const schema::EndpointEntry& entry) {
+  if (entry.record_end() == 0) return !IsOutdated(state, entry);
+  const auto found = state.m_directory.m_endpoints.find(entry.id());
+  if (found != state.m_directory.m_endpoints.end()) {
+    return entry.record_end() > found->second.m_entry.record_end();
+  }
+  return entry.record_end() > ReadOffset(state.m_endpoints_cursor);
+}
+
 // Ids of the known entries that are not among the given ones.
 std::vector<std::string> MissingIds(const ControlState& state,
                                     const std::set<std::string>& present) {
@@ -162,7 +183,7 @@
                         const schema::InstanceState& other) {
   const std::uint64_t before = state.m_directory.m_version;
   for (const schema::EndpointEntry& entry : other.endpoints().endpoints()) {
-    Upsert(state, entry, other.name());
+    if (IsNews(state, entry)) Upsert(state, entry, other.name());
   }
   ApplyPeerRemovals(state, other);
   for (const schema::LapsedEndpoint& lapsed : other.lapsed_endpoints()) {
--- a/src/endpointlist.h
+++ b/src/endpointlist.h
@@ -20,8 +20,10 @@
                           bool is_snapshot);
 
 // Applies the list, or the changes of it, in the answer of another instance
-// that has read at least as far as this one. Sends the list to the relay task
-// if it changed.
+// that has read at least as far as this one. The order of the store's records
+// decides: an entry that this instance does not have, although it has read past
+// the entry's record, has been removed since and is not taken. Sends the list
+// to the relay task if it changed.
 void ApplyPeerEndpoints(ControlState& state,
                         const schema::InstanceState& other);
 
--- a/src/storereader.cpp
+++ b/src/storereader.cpp
@@ -5,6 +5,7 @@
 #include "endpointlist.h"
 #include "entryduties.h"
 #include "eventlog.h"
+#include "statequery.h"
 #include "usageflush.h"
 
 namespace comfreypaddle {
@@ -85,6 +86,18 @@
   return std::min(kInitialProbeBackoff * (1U << doublings), kMaxProbeBackoff);
 }
 
+// Records of a read that are not covered by the local copy yet. Another
+// instance may have advanced it while the read was in flight.
+ReadResult RecordsFrom(ReadResult result, std::uint64_t offset) {
+  auto& records = result.m_records;
+  records.erase(std::remove_if(records.begin(), records.end(),
+                               [offset](const StreamRecord& record) {
+                                 return record.m_offset < offset;
+                               }),
+                records.end());
+  return result;
+}
+
 void ApplyRecords(ControlState& state, Stream stream, const ReadResult& result,
                   bool is_newest) {
   switch (stream) {
@@ -123,7 +136,7 @@
   const Instant now = state.m_clock();
   if (cursor.m_busy || now < cursor.m_due) return;
   cursor.m_busy = true;
-  const bool newest = !cursor.m_initialized;
+  const bool newest = !cursor.m_initialized || cursor.m_needs_snapshot;
   const auto done = [&state, &cursor, stream, pause,
                      newest](const ReadResult& result) {
     cursor.m_busy = false;
@@ -134,18 +147,25 @@
                     result.m_detail);
     if (result.m_fault == StoreFault::kTrimmed) {
       LogLine("history_trimmed").Add("stream", ToName(stream));
-      cursor.m_initialized = false;
+      cursor.m_needs_snapshot = true;
       cursor.m_due = {};
     } else if (result.m_fault != StoreFault::kNone) {
       cursor.m_due = state.m_clock() + NextRetryDelay(state);
+    } else if (result.m_next < ReadOffset(cursor)) {
+      LogLine("read_outdated")
+          .Add("stream", ToName(stream))
+          .Add("end_offset", static_cast<std::int64_t>(result.m_next))
+          .Add("read_offset", static_cast<std::int64_t>(cursor.m_next));
     } else {
+      const std::uint64_t covered = newest ? 0 : ReadOffset(cursor);
       cursor.m_confirmed = state.m_clock();
       if (stream == Stream::kEndpoints) {
         ConfirmEndpointList(state, cursor.m_confirmed, kStoreSource);
       }
       cursor.m_initialized = true;
+      if (newest) cursor.m_needs_snapshot = false;
       cursor.m_next = result.m_next;
-      ApplyRecords(state, stream, result, newest);
+      ApplyRecords(state, stream, RecordsFrom(result, covered), newest);
     }
   };
   if (newest) {
@@ -194,6 +214,7 @@
     return;
   }
   ++state.m_counters.m_store_faults;
+  OnStoreFault(state.m_directory, now);
   if (state.m_store_lost || now - state.m_store_answered < kStoreLostTimeout)
     return;
   state.m_store_lost = true;
--- a/tests/catalog_test.cpp
+++ b/tests/catalog_test.cpp
@@ -111,7 +111,8 @@
   CHECK(UpsertEntry(directory, Entry("a")));
   CHECK(UpsertEntry(directory, Entry("b")));
   now += seconds(10);
-  OnStoreAnswer(directory, now);
+  OnStoreFault(directory, now - seconds(3));
+  CHECK(OnStoreAnswer(directory, now));
   CHECK_FALSE(RemoveEntry(directory, "a", now));
   CHECK_FALSE(RemoveEntry(directory, "b", now));
   CHECK(ListEntries(directory).endpoints_size() == 2);
@@ -123,6 +124,21 @@
   CHECK(ListEntries(directory).endpoints(0).id() == "a");
 }
 
+// Failure (DRAIN): an instance that was frozen, or followed a frozen one, took
+// the pause for an outage and kept what had been removed meanwhile.
+TEST_CASE("a pause without a failed call is no outage") {
+  EndpointDirectory directory;
+  Instant now(seconds(100));
+  OnStoreAnswer(directory, now);
+  UpsertEntry(directory, Entry("a"));
+  now += seconds(4);
+  // A call that was in flight during a freeze fails at the thaw.
+  OnStoreFault(directory, now);
+  CHECK_FALSE(OnStoreAnswer(directory, now + milliseconds(300)));
+  CHECK(RemoveEntry(directory, "a", now + milliseconds(300)));
+  CHECK(ListEntries(directory).endpoints_size() == 0);
+}
+
 TEST_CASE("an entry that is removed without an outage is erased at once") {
   EndpointDirectory directory;
   Instant now(seconds(100));
--- a/tests/drain_test.cpp
+++ b/tests/drain_test.cpp
@@ -10,10 +10,10 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-const Instant kBegin{seconds(1000)};
-const OpenWork kNothing{};
-const OpenWork kOneRequest{1, 1};
-const OpenWork kOneConnection{1, 0};
+constexpr Instant kBegin{seconds(1000)};
+constexpr OpenWork kNothing{};
+constexpr OpenWork kOneRequest{1, 1};
+constexpr OpenWork kOneConnection{1, 0};
 
 DrainState Begun() {
   DrainState drain;
--- a/tests/neighbours_test.cpp
+++ b/tests/neighbours_test.cpp
@@ -371,6 +371,7 @@
   PollUpstream(follower);
   pair.Deliver();
   OnStoreAnswer(read, pair.m_reader.m_now - seconds(5));
+  OnStoreFault(read, pair.m_reader.m_now - seconds(3));
   OnStoreAnswer(read, pair.m_reader.m_now);
   RemoveEntry(read, "i-1", pair.m_reader.m_now);
   REQUIRE(read.m_endpoints.count("i-1") == 1);
--- a/tests/support_instances.cpp
+++ b/tests/support_instances.cpp
@@ -51,13 +51,13 @@
   }
 };
 
-const SchemaRecordFormat& SharedRecordFormat() {
+}  // namespace
+
+const RecordDecoder& SchemaRecords() {
   static const SchemaRecordFormat records;
   return records;
 }
 
-}  // namespace
-
 void Schedule::At(Instant when, std::function<void()> action) {
   m_entries.push({std::max(when, m_now), m_next_order++, std::move(action)});
 }
@@ -275,10 +275,21 @@
   VirtualInstance(InstanceFleet& fleet, const std::string& name,
                   const SimulatedZone& zone);
 
+  // Runs an action in the process, or at the thaw if it is frozen.
+  void Run(std::function<void()> action) {
+    if (m_frozen) {
+      m_deferred.push_back(std::move(action));
+    } else {
+      action();
+    }
+  }
+
   std::string m_name;
   SimulatedZone m_zone;
   bool m_dead = false;
   bool m_cut_off = false;
+  bool m_frozen = false;
+  std::vector<std::function<void()>> m_deferred;  // Until the thaw.
   Instant m_link_free{};  // When the link has sent all queued answers.
   std::unique_ptr<StreamPort> m_store;
   InstanceFleet::Duties m_duties;
@@ -287,6 +298,38 @@
   ControlState m_state;
 };
 
+// Store of one instance, whose answers wait while the instance is frozen.
+class InstanceFleet::StorePort : public StreamPort {
+ public:
+  StorePort(VirtualInstance& self, std::unique_ptr<StreamPort> store)
+      : m_self(self), m_store(std::move(store)) {}
+
+  void Append(StreamAppend append,
+              std::function<void(const AppendResult&)> done) override {
+    m_store->Append(std::move(append), Deferred(std::move(done)));
+  }
+  void Read(Stream stream, std::uint64_t from, Duration wait,
+            std::function<void(const ReadResult&)> done) override {
+    m_store->Read(stream, from, wait, Deferred(std::move(done)));
+  }
+  void ReadNewest(Stream stream,
+                  std::function<void(const ReadResult&)> done) override {
+    m_store->ReadNewest(stream, Deferred(std::move(done)));
+  }
+
+ private:
+  template <typename Result>
+  std::function<void(const Result&)> Deferred(
+      std::function<void(const Result&)> done) {
+    return [this, done = std::move(done)](const Result& result) {
+      m_self.Run([done, result] { done(result); });
+    };
+  }
+
+  VirtualInstance& m_self;
+  std::unique_ptr<StreamPort> m_store;
+};
+
 // Simulated HTTP client for the calls of one instance to the others.
 class InstanceFleet::PeerPort : public HttpPort {
  public:
@@ -300,8 +343,10 @@
                                           const std::string& body) {
       if (!*open || m_self.m_dead) return;
       *open = false;
-      if (!body.empty()) events.m_on_body(body);
-      events.m_on_end(result);
+      m_self.Run([events, result, body] {
+        if (!body.empty()) events.m_on_body(body);
+        events.m_on_end(result);
+      });
     };
     m_fleet.m_schedule.After(call.m_timeout, [end] {
       end({HttpError::kTimeout, 0, true}, "");
@@ -321,7 +366,9 @@
     m_fleet.m_schedule.After(m_fleet.OneWayLatency(m_self, other),
                              [this, &other, target, call, end] {
                                if (other.m_dead || IsCut(other)) return;
-                               Answer(other, target, call.m_body, end);
+                               other.Run([this, &other, target, call, end] {
+                                 Answer(other, target, call.m_body, end);
+                               });
                              });
     return 0;
   }
@@ -384,7 +431,8 @@
                                  const SimulatedZone& zone)
     : m_name(name),
       m_zone(zone),
-      m_store(fleet.Store().Connect(name)),
+      m_store(std::make_unique<InstanceFleet::StorePort>(
+          *this, fleet.Store().Connect(name))),
       m_duties(fleet),
       m_peers(std::make_unique<InstanceFleet::PeerPort>(fleet, *this)),
       m_inbox(fleet.Time()) {
@@ -398,7 +446,7 @@
   m_state.m_holder.m_options.m_incarnation = 1;
   m_state.m_store = m_store.get();
   m_state.m_duty_port = &m_duties;
-  m_state.m_records = &SharedRecordFormat();
+  m_state.m_records = &SchemaRecords();
   m_state.m_peers = m_peers.get();
   m_state.m_relay = &m_inbox;
   m_state.m_clock = [&fleet] { return fleet.Time().Now(); };
@@ -440,6 +488,16 @@
   Start(name, zone, incarnation);
 }
 
+void InstanceFleet::Freeze(const std::string& name) {
+  m_instances.at(name)->m_frozen = true;
+}
+
+void InstanceFleet::Thaw(const std::string& name) {
+  VirtualInstance& instance = *m_instances.at(name);
+  instance.m_frozen = false;
+  for (const auto& action : std::exchange(instance.m_deferred, {})) action();
+}
+
 void InstanceFleet::Cut(const std::string& name) {
   m_instances.at(name)->m_cut_off = true;
 }
@@ -475,7 +533,9 @@
 void InstanceFleet::Tick(VirtualInstance& instance) {
   if (instance.m_dead) return;
   TickControl(instance.m_state);
-  m_schedule.After(kControlTick, [this, &instance] { Tick(instance); });
+  m_schedule.After(kControlTick, [this, &instance] {
+    instance.Run([this, &instance] { Tick(instance); });
+  });
 }
 
 Duration InstanceFleet::OneWayLatency(const VirtualInstance& a,
@@ -502,6 +562,10 @@
   m_store.Write(Stream::kEndpoints, id, entry.SerializeAsString());
 }
 
+void InstanceFleet::RemoveEndpoint(const std::string& id) {
+  m_store.Write(Stream::kEndpoints, id, "");
+}
+
 void InstanceFleet::StartRequests() {
   m_requests_run = true;
   for (const auto& [name, instance] : m_instances) CountRequest(*instance);
--- a/tests/support_instances.h
+++ b/tests/support_instances.h
@@ -16,6 +16,9 @@
 
 namespace comfreypaddle::testing {
 
+// Decoder of records that are serialized messages of the schema.
+const RecordDecoder& SchemaRecords();
+
 // Discrete-event queue with a virtual clock.
 class Schedule {
  public:
@@ -120,6 +123,7 @@
   void WriteCatalog(std::uint64_t version);
   void WriteEndpoint(const std::string& id, std::uint64_t sequence,
                      bool draining);
+  void RemoveEndpoint(const std::string& id);
 
   // From now on each instance counts two requests per second.
   void StartRequests();
@@ -141,6 +145,11 @@
   // Replaces the instance by a new process that knows nothing.
   void Restart(const std::string& name);
 
+  // Freezes the process: it neither runs nor receives anything until the thaw,
+  // when it receives all of it.
+  void Freeze(const std::string& name);
+  void Thaw(const std::string& name);
+
   // Cuts the instance off from all others: calls get no answer.
   void Cut(const std::string& name);
   void Heal(const std::string& name);
@@ -169,6 +178,7 @@
  private:
   friend struct VirtualInstance;
   class PeerPort;
+  class StorePort;
   class Inbox;
   class Duties;
 
