Let callers read their responses to the end in a planned stop

Cause: the time of the lingering close began with the response, not with its last byte, and a connection counted as idle while its response was in the output buffer. Ruled out: the grace limit; the answers would have ended 7.0 s after SIGTERM, before it.

Change: a connection with unsent bytes is neither idle nor at the end of its lingering; it is closed if the caller reads nothing for the idle time of the configuration.

--- a/src/httpserver.cpp
+++ b/src/httpserver.cpp
@@ -158,8 +158,9 @@
   // Returns whether the connection must be closed. Rejects a request that takes
   // too long to arrive.
   bool IsExpired(Instant now) {
-    if (m_lingering) return now > m_linger_deadline;
     if (m_request != 0) return false;
+    if (UnsentBytes() > 0) return IsWriteStalled(now);
+    if (m_lingering) return now > m_linger_deadline;
     if (!m_parser.Started())
       return now - m_last_activity > m_server.m_limits.m_idle_time;
     const bool slow_head =
@@ -174,6 +175,7 @@
   // sent, as far as this side can know.
   bool IsIdle(Instant now) const {
     if (m_request != 0 || m_parser.Started() || !m_input.empty()) return false;
+    if (UnsentBytes() > 0) return false;
     if (m_is_new && now - m_last_activity < kFirstRequestTime) return false;
     return !m_channel.HasUnreadInput();
   }
@@ -185,6 +187,19 @@
     return {m_server.m_limits.m_head_bytes, m_server.m_limits.m_body_bytes};
   }
 
+  // Returns whether the caller has read nothing of its response for the idle
+  // time. The times for idle and lingering connections begin after the last
+  // byte was written.
+  bool IsWriteStalled(Instant now) {
+    if (UnsentBytes() == m_unsent_before) {
+      return now - m_last_activity > m_server.m_limits.m_idle_time;
+    }
+    m_unsent_before = UnsentBytes();
+    m_last_activity = now;
+    m_linger_deadline = now + kLingerTimeout;
+    return false;
+  }
+
   // A request that the caller has already sent behind this one is answered
   // before the connection is closed.
   bool ShouldKeepAlive() const {
@@ -273,6 +288,7 @@
   Instant m_last_activity;      // Time of the last input or response.
   Instant m_request_start{};    // Arrival of the request's first byte.
   Instant m_linger_deadline{};
+  std::size_t m_unsent_before = 0;  // At the last check for expiry.
   bool m_chunked = false;
   bool m_persistent = false;
   bool m_lingering = false;
--- a/tests/httpwire_test.cpp
+++ b/tests/httpwire_test.cpp
@@ -102,6 +102,17 @@
     return m_received;
   }
 
+  // Reads up to this many bytes without keeping them. Returns how many, or
+  // nothing once the connection has ended.
+  std::optional<std::size_t> Discard(std::size_t size) const {
+    std::string buffer(size, '\0');
+    const ssize_t count =
+        recv(m_descriptor, buffer.data(), buffer.size(), MSG_DONTWAIT);
+    if (count > 0) return static_cast<std::size_t>(count);
+    if (count < 0 && errno == EAGAIN) return 0;
+    return std::nullopt;
+  }
+
   void Close() {
     if (m_descriptor >= 0) close(m_descriptor);
     m_descriptor = -1;
@@ -401,5 +412,49 @@
   CHECK(f.m_result->m_error == HttpError::kConnectFailed);
 }
 
+// Failure (LOST): a planned stop cut responses that callers read slowly, one
+// second after they were handed over, or as idle.
+TEST_CASE("A response that is read slowly is complete after a close") {
+  constexpr std::size_t kBodySize = 24U << 20U;
+  constexpr std::size_t kReadSize = 1U << 20U;
+  Fixture f;
+  RawCaller caller(f.m_port);
+  caller.Send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+  REQUIRE(RunUntil(f.m_loop, kTestTimeout,
+                   [&] { return f.m_requests.size() == 1; }));
+  f.m_server->AnnounceClose();
+  f.m_server->Respond(f.m_requests[0].m_id, 200, {},
+                      std::string(kBodySize, 'x'));
+  std::size_t received = 0;
+  std::optional<std::size_t> count = 0;
+  Instant next = Now();
+  REQUIRE(RunUntil(f.m_loop, 2 * kTestTimeout, [&] {
+    if (Now() < next) return false;
+    next = Now() + std::chrono::milliseconds(100);
+    f.m_server->CloseIdle();
+    count = caller.Discard(kReadSize);
+    received += count.value_or(0);
+    return !count;
+  }));
+  CHECK(received > kBodySize);
+}
+
+// Failure: a caller that stops reading its response holds the connection, and a
+// planned stop, forever.
+TEST_CASE("A caller that reads nothing of its response is disconnected") {
+  Fixture f;
+  RequestLimits limits;
+  limits.m_idle_time = std::chrono::milliseconds(600);
+  f.m_server->SetLimits(limits);
+  RawCaller caller(f.m_port);
+  caller.Send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+  REQUIRE(RunUntil(f.m_loop, kTestTimeout,
+                   [&] { return f.m_requests.size() == 1; }));
+  f.m_server->Respond(f.m_requests[0].m_id, 200, {},
+                      std::string(24U << 20U, 'x'));
+  CHECK(RunUntil(f.m_loop, kTestTimeout,
+                 [&] { return f.m_server->Connections() == 0; }));
+}
+
 }  // namespace
 }  // namespace comfreypaddle
