Refuse requests after serve has reported the end of its drain

Change: from that report on requests are refused with the problem draining, outcome not_run.

Test: dispatch_test 'a request after the end of a planned stop is refused as not run' fails before (the request was sent to an endpoint) and passes now.

--- a/src/calls.h
+++ b/src/calls.h
@@ -187,6 +187,9 @@
   Permission m_permission;
   Instant m_last_admitted{};  // Last time the permission was valid.
   bool m_draining = false;
+  // The last open request of a planned stop has ended and its usage has been
+  // handed over, so that nothing may run any more.
+  bool m_drained = false;
 
   std::unordered_map<std::uint64_t, std::unique_ptr<OpenCall>> m_calls;
   std::unordered_map<std::uint64_t, std::uint64_t> m_claims;  // By ticket.
--- a/src/dispatch.cpp
+++ b/src/dispatch.cpp
@@ -349,6 +349,12 @@
   ++state.m_counters.m_requests;
   const Instant now = state.m_clock();
   const std::uint64_t id = request.m_id;
+  if (state.m_drained) {
+    ++state.m_counters.m_refused;
+    AnswerProblem(state, id,
+                  {ProblemCode::kDraining, Outcome::kNotRun, "", ""});
+    return;
+  }
   ValidationOptions options;
   options.m_default_deadline = state.m_options.m_default_deadline;
   options.m_generated_id = state.m_options.m_instance + "." +
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -246,9 +246,9 @@
 }
 
 void Gateway::CheckDrained() {
-  if (m_accepting || m_drained) return;
+  if (m_accepting || m_state.m_drained) return;
   if (!m_state.m_calls.empty() || m_listener->OpenRequests() > 0) return;
-  m_drained = true;
+  m_state.m_drained = true;
   FlushUsage();
   LOG(INFO) << "drain finished: no open requests";
   schema::ServeMessage message;
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -55,7 +55,6 @@
   std::optional<CurlClient> m_client;
   std::vector<std::unique_ptr<PeriodicTimer>> m_timers;
   bool m_accepting = true;
-  bool m_drained = false;
 };
 
 }  // namespace comfreypaddle
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -151,6 +151,18 @@
 }
 
 // Events of an earlier attempt must not reach the caller.
+// Failure: a request on a kept connection was passed on after the instance had
+// reported the end of its planned stop, and was cut.
+TEST_CASE("a request after the end of a planned stop is refused as not run") {
+  GatewayFixture f;
+  f.m_state.m_drained = true;
+  f.Accept(1, true);
+  CHECK(f.m_started.empty());
+  REQUIRE(f.m_answers.size() == 1);
+  CHECK(f.m_answers[0].first == 503);
+  CHECK(Has(f.m_answers[0].second, "not_run"));
+}
+
 TEST_CASE("late events of a broken attempt are ignored after a resume") {
   GatewayFixture bench;
   bench.Accept(1, true);
