--- a/src/drain.cpp
+++ b/src/drain.cpp
@@ -10,9 +10,9 @@
 // accepted.
 constexpr Duration kLateArrivalGrace = std::chrono::milliseconds(800);
 
-// Longest part of the grace time in which requests are accepted. The rest is
+// Requests are accepted for the grace time divided by this at most. The rest is
 // left for them to finish.
-constexpr int kAcceptingPart = 2;
+constexpr int kAcceptingDivisor = 2;
 
 // Time after the open requests were ended in which their responses are written.
 constexpr Duration kLastWriteTime = std::chrono::milliseconds(50);
@@ -45,7 +45,7 @@
   drain.m_began = now;
   drain.m_notice_ends = now + limits.m_notice;
   drain.m_refuse_from = now + std::min(limits.m_notice + kLateArrivalGrace,
-                                       limits.m_grace / kAcceptingPart);
+                                       limits.m_grace / kAcceptingDivisor);
 }
 
 void CutDrain(DrainState& drain, Instant now) {
--- a/tests/endpointlist_test.cpp
+++ b/tests/endpointlist_test.cpp
@@ -192,9 +192,10 @@
   }
 
   InstanceFleet& Fleet() { return m_fleet; }
-  // Name and time since the removal of the last use of the removed endpoint by
-  // an instance that was not frozen.
+  // Time from the removal to the last moment at which an instance that was not
+  // frozen still listed the endpoint.
   Duration LastUse() const { return m_last_use; }
+  // Whether an instance that was not frozen listed the endpoint again.
   bool CameBack() const { return m_came_back; }
   void Freeze(const std::string& name) {
     m_fleet.Freeze(name);
