--- a/src/attemptlimits.cpp
+++ b/src/attemptlimits.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "eventlog.h"
 #include "refusal.h"
 
 namespace comfreypaddle {
@@ -49,18 +50,34 @@
   return call.m_route->kind() == schema::REPEAT_STREAM;
 }
 
+bool ChargeRetry(RelayState& state, const RelayCall& call) {
+  const Instant now = state.m_clock();
+  const ResendUse use = ResendUseOf(state.m_resends, call.m_service, now);
+  const bool charged = TryConsumeResend(state.m_resends, call.m_service, now);
+  if (!charged) ++state.m_counters.m_retries_denied;
+  LogLine("retry_budget")
+      .Add("request", call.m_metadata.m_attempt)
+      .Add("service", call.m_service)
+      .Add("outcome", charged ? "charged" : "denied")
+      .Add("requests", std::to_string(use.m_requests))
+      .Add("spent", std::to_string(use.m_resends))
+      .Add("allowed", std::to_string(use.m_allowed))
+      .Add("slack_share", std::to_string(SlackShare(state.m_resends)))
+      .Add("instances", state.m_resends.m_instances);
+  return charged;
+}
+
 bool MayRetryExecuted(RelayState& state, const RelayCall& call) {
   const Instant now = state.m_clock();
   return IsRepeatable(call) && call.m_runs < call.m_route->max_attempts() &&
          call.m_sends < kMaxSends && call.m_deadline - now > kMinTimeLeft &&
-         TryConsumeResend(state.m_resends, call.m_service, now);
+         ChargeRetry(state, call);
 }
 
 bool MayRetryNotExecuted(RelayState& state, const RelayCall& call) {
   const Instant now = state.m_clock();
   return call.m_sends + call.m_prefills <= kMaxSends &&
-         call.m_deadline - now > kMinTimeLeft &&
-         TryConsumeResend(state.m_resends, call.m_service, now);
+         call.m_deadline - now > kMinTimeLeft && ChargeRetry(state, call);
 }
 
 bool MayRetryUnsent(const RelayState& state, const RelayCall& call) {
--- a/src/attemptlimits.h
+++ b/src/attemptlimits.h
@@ -11,6 +11,10 @@
 // Whether the response to the request is an event stream.
 bool IsStream(const RelayCall& call);
 
+// Charges one retry of the request to the retry budget of its service. Returns
+// false if the budget is used up.
+bool ChargeRetry(RelayState& state, const RelayCall& call);
+
 // Whether a request that may have been executed may be retried. Charges the
 // retry budget if so.
 bool MayRetryExecuted(RelayState& state, const RelayCall& call);
--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -49,6 +49,17 @@
   m_text.append(name).append(" ").append(std::to_string(value)).append("\n");
 }
 
+void MetricsText::Gauges(std::string_view name, std::string_view help,
+                         std::string_view label,
+                         const std::map<std::string, double>& values) {
+  Head(name, help, "gauge");
+  for (const auto& [label_value, value] : values) {
+    m_text.append(name).append("{").append(label).append("=\"");
+    m_text.append(label_value).append("\"} ");
+    m_text.append(std::to_string(value)).append("\n");
+  }
+}
+
 void MetricsText::Summary(std::string_view name, std::string_view help,
                           const DurationStats& stats) {
   Head(name, help, "summary");
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -8,6 +8,7 @@
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 
@@ -50,6 +51,11 @@
   void Counter(std::string_view name, std::string_view help,
                std::uint64_t value);
   void Gauge(std::string_view name, std::string_view help, double value);
+
+  // A gauge with one value for each value of the label.
+  void Gauges(std::string_view name, std::string_view help,
+              std::string_view label,
+              const std::map<std::string, double>& values);
   void Summary(std::string_view name, std::string_view help,
                const DurationStats& stats);
 
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -155,9 +155,7 @@
       SetEndpoints(message.endpoints());
       break;
     case schema::RelayMessage::kPeers:
-      m_state.m_resends.m_instances = message.peers().instances();
-      m_state.m_probes = {message.peers().instances(),
-                          message.peers().position()};
+      SetPeers(message.peers());
       break;
     case schema::RelayMessage::kSuspects:
       MergeSuspects(m_state, message.suspects());
@@ -205,6 +203,16 @@
   }
 }
 
+void Relay::SetPeers(const schema::PeerCount& peers) {
+  m_state.m_probes = {peers.instances(), peers.position()};
+  ResendState& resends = m_state.m_resends;
+  if (resends.m_instances == peers.instances()) return;
+  resends.m_instances = peers.instances();
+  LogLine("retry_budget_share")
+      .Add("instances", peers.instances())
+      .Add("slack_share", std::to_string(SlackShare(resends)));
+}
+
 void Relay::SetEndpoints(const schema::EndpointList& list) {
   std::vector<BalanceEndpoint> endpoints;
   endpoints.reserve(list.endpoints_size());
--- a/src/relay.h
+++ b/src/relay.h
@@ -33,6 +33,7 @@
 
   void OpenListeners();
   void SetCatalog(const schema::Catalog& catalog);
+  void SetPeers(const schema::PeerCount& peers);
   void SetEndpoints(const schema::EndpointList& list);
   void StartDrain();
   void Tick();
--- a/src/relayattempt.cpp
+++ b/src/relayattempt.cpp
@@ -424,8 +424,7 @@
   RecordRejection(state, attempt, result);
   // A prefill does not execute the request, which is dispatched again. A
   // prefill call that was sent and failed is charged to the retry budget.
-  if (result.m_sent &&
-      !TryConsumeResend(state.m_resends, call.m_service, state.m_clock())) {
+  if (result.m_sent && !ChargeRetry(state, call)) {
     FinishFailed(state, call, EndReason::kRejected);
     return;
   }
--- a/src/relaymetrics.cpp
+++ b/src/relaymetrics.cpp
@@ -1,5 +1,8 @@
 #include "relaymetrics.h"
 
+#include <map>
+#include <string>
+
 #include "eventlog.h"
 #include "metrics.h"
 
@@ -41,6 +44,31 @@
                 known.questions_failed());
 }
 
+// Adds this instance's share of the retry budget and what it has used of it.
+void AddRetryBudget(const RelayState& state, MetricsText* text) {
+  const ResendState& resends = state.m_resends;
+  text->Counter("relay_retries_denied_total",
+                "retries that the budget did not allow",
+                state.m_counters.m_retries_denied);
+  text->Gauge("relay_retry_budget_instances",
+              "instances that share the slack of the retry budget",
+              resends.m_instances);
+  text->Gauge("relay_retry_budget_slack_share",
+              "retries of the slack that this instance may use",
+              SlackShare(resends));
+  std::map<std::string, double> spent;
+  std::map<std::string, double> allowed;
+  for (const auto& [service, buckets] : resends.m_services) {
+    const ResendUse use = ResendUseOf(resends, service, state.m_clock());
+    spent[service] = use.m_resends;
+    allowed[service] = use.m_allowed;
+  }
+  text->Gauges("relay_retry_budget_spent", "retries in the current window",
+               "service", spent);
+  text->Gauges("relay_retry_budget_allowed",
+               "retries allowed in the current window", "service", allowed);
+}
+
 }  // namespace
 
 std::string RelayMetrics(const RelayState& state, const HttpServer& callers,
@@ -93,6 +121,7 @@
              state.m_catalog == nullptr
                  ? 0
                  : static_cast<double>(state.m_catalog->Message().version()));
+  AddRetryBudget(state, &text);
   AddStoreFreshness(state, &text);
   text.Counter("relay_log_lines_lost_total", "log lines left out",
                DroppedLogLines());
--- a/src/relaystate.h
+++ b/src/relaystate.h
@@ -133,6 +133,7 @@
   std::uint64_t m_prefills = 0;
   std::uint64_t m_sends = 0;
   std::uint64_t m_resends = 0;
+  std::uint64_t m_retries_denied = 0;  // By the retry budget.
   std::uint64_t m_resumed = 0;
   std::uint64_t m_not_run = 0;  // Rejections of endpoints.
   std::uint64_t m_leaving = 0;  // Endpoints that said that they leave.
--- a/src/resend.cpp
+++ b/src/resend.cpp
@@ -15,40 +15,58 @@
 // checked.
 constexpr double kUsableFraction = 0.8;
 
+std::int64_t BucketIndex(Instant now) {
+  return now.time_since_epoch() / kBucketLength;
+}
+
+// Index of the oldest bucket in the window.
+std::int64_t OldestIndex(const ResendState& state, Instant now) {
+  return BucketIndex(now) - state.m_limits.m_window / kBucketLength;
+}
+
 ResendBucket& CurrentBucket(ResendState& state, const std::string& service,
                             Instant now) {
-  const std::int64_t index = now.time_since_epoch() / kBucketLength;
-  const std::int64_t oldest = index - state.m_limits.m_window / kBucketLength;
+  const std::int64_t oldest = OldestIndex(state, now);
   std::deque<ResendBucket>& buckets = state.m_services[service];
   while (!buckets.empty() && buckets.front().m_index < oldest)
     buckets.pop_front();
-  if (buckets.empty() || buckets.back().m_index != index) {
-    buckets.push_back({index, 0, 0});
+  if (buckets.empty() || buckets.back().m_index != BucketIndex(now)) {
+    buckets.push_back({BucketIndex(now), 0, 0});
   }
   return buckets.back();
 }
 
 }  // namespace
 
+double SlackShare(const ResendState& state) {
+  return state.m_limits.m_slack / std::max<std::uint32_t>(state.m_instances, 1);
+}
+
+ResendUse ResendUseOf(const ResendState& state, const std::string& service,
+                      Instant now) {
+  ResendUse use;
+  const auto found = state.m_services.find(service);
+  if (found != state.m_services.end()) {
+    for (const ResendBucket& bucket : found->second) {
+      if (bucket.m_index < OldestIndex(state, now)) continue;
+      use.m_requests += static_cast<double>(bucket.m_requests);
+      use.m_resends += static_cast<double>(bucket.m_resends);
+    }
+  }
+  use.m_allowed = kUsableFraction *
+                  (state.m_limits.m_ratio * use.m_requests + SlackShare(state));
+  return use;
+}
+
 void CountRequest(ResendState& state, const std::string& service, Instant now) {
   ++CurrentBucket(state, service, now).m_requests;
 }
 
 bool TryConsumeResend(ResendState& state, const std::string& service,
                       Instant now) {
-  ResendBucket& current = CurrentBucket(state, service, now);
-  double requests = 0;
-  double resends = 0;
-  for (const ResendBucket& bucket : state.m_services[service]) {
-    requests += static_cast<double>(bucket.m_requests);
-    resends += static_cast<double>(bucket.m_resends);
-  }
-  const double share =
-      state.m_limits.m_slack / std::max<std::uint32_t>(state.m_instances, 1);
-  const double allowed =
-      kUsableFraction * (state.m_limits.m_ratio * requests + share);
-  if (resends + 1 > allowed) return false;
-  ++current.m_resends;
+  const ResendUse use = ResendUseOf(state, service, now);
+  if (use.m_resends + 1 > use.m_allowed) return false;
+  ++CurrentBucket(state, service, now).m_resends;
   return true;
 }
 
--- a/src/resend.h
+++ b/src/resend.h
@@ -30,6 +30,19 @@
   std::map<std::string, std::deque<ResendBucket>, std::less<>> m_services;
 };
 
+// Use of a service's retry budget in the current window by this instance.
+struct ResendUse {
+  double m_requests = 0;
+  double m_resends = 0;
+  double m_allowed = 0;  // Retries.
+};
+
+// Part of the slack that this instance may use, in retries.
+double SlackShare(const ResendState& state);
+
+ResendUse ResendUseOf(const ResendState& state, const std::string& service,
+                      Instant now);
+
 // Counts a request to the service, whether it is sent or not.
 void CountRequest(ResendState& state, const std::string& service, Instant now);
 
