Divide the retry slack by the most instances of the current window

Cause: an instance divided the slack by the number of live instances of the moment.

Now the slack is divided by the largest number of instances in the window, and an instance in a planned stop has no part of it: what it spent before is out of the window when the others' share grows.

--- a/src/attemptlimits.cpp
+++ b/src/attemptlimits.cpp
@@ -62,8 +62,8 @@
       .Add("requests", std::to_string(use.m_requests))
       .Add("spent", std::to_string(use.m_resends))
       .Add("allowed", std::to_string(use.m_allowed))
-      .Add("slack_share", std::to_string(SlackShare(state.m_resends)))
-      .Add("instances", state.m_resends.m_instances);
+      .Add("slack_share", std::to_string(SlackShare(state.m_resends, now)))
+      .Add("instances", SharingInstances(state.m_resends, now));
   return charged;
 }
 
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -207,10 +207,12 @@
   m_state.m_probes = {peers.instances(), peers.position()};
   ResendState& resends = m_state.m_resends;
   if (resends.m_instances == peers.instances()) return;
-  resends.m_instances = peers.instances();
+  const Instant now = Now();
+  SetInstances(resends, peers.instances(), now);
   LogLine("retry_budget_share")
-      .Add("instances", peers.instances())
-      .Add("slack_share", std::to_string(SlackShare(resends)));
+      .Add("live", peers.instances())
+      .Add("instances", SharingInstances(resends, now))
+      .Add("slack_share", std::to_string(SlackShare(resends, now)));
 }
 
 void Relay::SetEndpoints(const schema::EndpointList& list) {
@@ -246,6 +248,7 @@
              {std::chrono::milliseconds(m_settings.stop().notice_ms()),
               FromMs(m_settings.stop().grace_s() * kMsPerSecond)},
              Now());
+  m_state.m_resends.m_stopping = true;
   m_callers->AnnounceClose();
 }
 
--- a/src/relaymetrics.cpp
+++ b/src/relaymetrics.cpp
@@ -47,19 +47,20 @@
 // Adds this instance's share of the retry budget and what it has used of it.
 void AddRetryBudget(const RelayState& state, MetricsText* text) {
   const ResendState& resends = state.m_resends;
+  const Instant now = state.m_clock();
   text->Counter("relay_retries_denied_total",
                 "retries that the budget did not allow",
                 state.m_counters.m_retries_denied);
   text->Gauge("relay_retry_budget_instances",
               "instances that share the slack of the retry budget",
-              resends.m_instances);
+              SharingInstances(resends, now));
   text->Gauge("relay_retry_budget_slack_share",
               "retries of the slack that this instance may use",
-              SlackShare(resends));
+              SlackShare(resends, now));
   std::map<std::string, double> spent;
   std::map<std::string, double> allowed;
   for (const auto& [service, buckets] : resends.m_services) {
-    const ResendUse use = ResendUseOf(resends, service, state.m_clock());
+    const ResendUse use = ResendUseOf(resends, service, now);
     spent[service] = use.m_resends;
     allowed[service] = use.m_allowed;
   }
--- a/src/resend.cpp
+++ b/src/resend.cpp
@@ -24,6 +24,11 @@
   return BucketIndex(now) - state.m_limits.m_window / kBucketLength;
 }
 
+// Whether a time is so recent that retries made then still count.
+bool IsInWindow(const ResendState& state, Instant time, Instant now) {
+  return now - time <= state.m_limits.m_window + kBucketLength;
+}
+
 ResendBucket& CurrentBucket(ResendState& state, const std::string& service,
                             Instant now) {
   const std::int64_t oldest = OldestIndex(state, now);
@@ -38,8 +43,28 @@
 
 }  // namespace
 
-double SlackShare(const ResendState& state) {
-  return state.m_limits.m_slack / std::max<std::uint32_t>(state.m_instances, 1);
+void SetInstances(ResendState& state, std::uint32_t instances, Instant now) {
+  std::erase_if(state.m_former_counts, [&](const FormerCount& former) {
+    return !IsInWindow(state, former.m_replaced_at, now);
+  });
+  if (instances == state.m_instances) return;
+  state.m_former_counts.push_back({state.m_instances, now});
+  state.m_instances = instances;
+}
+
+std::uint32_t SharingInstances(const ResendState& state, Instant now) {
+  std::uint32_t instances = std::max<std::uint32_t>(state.m_instances, 1);
+  for (const FormerCount& former : state.m_former_counts) {
+    if (IsInWindow(state, former.m_replaced_at, now)) {
+      instances = std::max(instances, former.m_instances);
+    }
+  }
+  return instances;
+}
+
+double SlackShare(const ResendState& state, Instant now) {
+  if (state.m_stopping) return 0;
+  return state.m_limits.m_slack / SharingInstances(state, now);
 }
 
 ResendUse ResendUseOf(const ResendState& state, const std::string& service,
@@ -53,8 +78,8 @@
       use.m_resends += static_cast<double>(bucket.m_resends);
     }
   }
-  use.m_allowed = kUsableFraction *
-                  (state.m_limits.m_ratio * use.m_requests + SlackShare(state));
+  use.m_allowed = kUsableFraction * (state.m_limits.m_ratio * use.m_requests +
+                                     SlackShare(state, now));
   return use;
 }
 
--- a/src/resend.h
+++ b/src/resend.h
@@ -4,6 +4,7 @@
 #include <deque>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "types.h"
 
@@ -24,9 +25,17 @@
   std::uint64_t m_resends = 0;
 };
 
+// A number of instances that a later one has replaced.
+struct FormerCount {
+  std::uint32_t m_instances = 0;
+  Instant m_replaced_at{};
+};
+
 struct ResendState {
   ResendLimits m_limits;
-  std::uint32_t m_instances = 1;  // Number that shares the slack.
+  std::uint32_t m_instances = 1;             // Live instances.
+  std::vector<FormerCount> m_former_counts;  // In the current window.
+  bool m_stopping = false;                   // In a planned stop.
   std::map<std::string, std::deque<ResendBucket>, std::less<>> m_services;
 };
 
@@ -37,8 +46,16 @@
   double m_allowed = 0;  // Retries.
 };
 
-// Part of the slack that this instance may use, in retries.
-double SlackShare(const ResendState& state);
+// Sets the number of live instances.
+void SetInstances(ResendState& state, std::uint32_t instances, Instant now);
+
+// Number of instances that share the slack: the largest in the current window,
+// because the retries of instances that have left still count.
+std::uint32_t SharingInstances(const ResendState& state, Instant now);
+
+// Part of the slack that this instance may use, in retries. None in a planned
+// stop, after which the other instances divide the slack without this one.
+double SlackShare(const ResendState& state, Instant now);
 
 ResendUse ResendUseOf(const ResendState& state, const std::string& service,
                       Instant now);
--- a/tests/retrybudget_test.cpp
+++ b/tests/retrybudget_test.cpp
@@ -27,12 +27,11 @@
   return state;
 }
 
-void TellInstances(ResendState& state, std::uint32_t instances,
-                   Instant /*now*/) {
-  state.m_instances = instances;
+void TellInstances(ResendState& state, std::uint32_t instances, Instant now) {
+  SetInstances(state, instances, now);
 }
 
-void BeginStop(ResendState& /*state*/) {}
+void BeginStop(ResendState& state) { state.m_stopping = true; }
 
 // One place for a process, which serves callers or is down.
 struct Place {
