Give no retry slack to instances that the others may not count

What callers' endpoints saw: retries above the budget of all instances together (BUDGET) when instances start or join.

Cause: the number of instances was one until the first list arrived, so a process that served before had the whole slack; and nothing ensured that the others counted a new instance when it began to spend.

Now an instance has no part of the slack until it has found itself in the list of instances for a whole window (so that the others count it and the retries of its predecessor are out), nor when the list is older than the window, because instances may have joined. Retries backed by its own requests remain. The first window of a process is part of that rule.

retrybudget_test: "processes that know no other instance stay in the budget" failed before (2.6 times) and passes. "instances that are cut off while others join stay in the budget" is new and fails without the age of the list (1.125 times).

--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -87,7 +87,6 @@
   m_state.m_unix_at_zero = unix_at_zero;
   m_state.m_balance.m_zone = settings.instance().availability_zone();
   m_state.m_balance.m_region = settings.instance().region();
-  m_state.m_resends.m_started = Now();
   ResendLimits& resends = m_state.m_resends.m_limits;
   resends.m_ratio = settings.retry().budget_ratio();
   resends.m_window = FromMs(settings.retry().window_s() * kMsPerSecond);
@@ -165,8 +164,7 @@
       ApplyPeerLoad(message.others());
       break;
     case schema::RelayMessage::kKnowledge:
-      m_state.m_knowledge = message.knowledge();
-      m_state.m_knowledge_at = Now();
+      SetKnowledge(message.knowledge());
       break;
     case schema::RelayMessage::kDrain:
       StartDrain();
@@ -207,15 +205,27 @@
 void Relay::SetPeers(const schema::PeerCount& peers) {
   m_state.m_probes = {peers.instances(), peers.position()};
   ResendState& resends = m_state.m_resends;
-  if (resends.m_instances == peers.instances()) return;
+  const bool was_listed = resends.m_listed_at.has_value();
+  const bool changed = resends.m_instances != peers.instances();
   const Instant now = Now();
-  SetInstances(resends, peers.instances(), now);
+  SetInstances(resends, {peers.instances(), peers.listed()}, now);
+  if (!changed && was_listed == peers.listed()) return;
   LogLine("retry_budget_share")
       .Add("live", peers.instances())
+      .Add("listed", peers.listed() ? 1 : 0)
       .Add("instances", SharingInstances(resends, now))
       .Add("slack_share", std::to_string(SlackShare(resends, now)));
 }
 
+// Configuration and list of instances come the same ways, so that the list is
+// as current as the configuration.
+void Relay::SetKnowledge(const schema::KnowledgeStatus& status) {
+  m_state.m_knowledge = status;
+  m_state.m_knowledge_at = Now();
+  m_state.m_resends.m_list_confirmed_at =
+      Now() - FromMs(status.catalog_age_ms());
+}
+
 void Relay::SetEndpoints(const schema::EndpointList& list) {
   std::vector<BalanceEndpoint> endpoints;
   endpoints.reserve(list.endpoints_size());
--- a/src/relay.h
+++ b/src/relay.h
@@ -34,6 +34,7 @@
   void OpenListeners();
   void SetCatalog(const schema::Catalog& catalog);
   void SetPeers(const schema::PeerCount& peers);
+  void SetKnowledge(const schema::KnowledgeStatus& status);
   void SetEndpoints(const schema::EndpointList& list);
   void StartDrain();
   void Tick();
--- a/src/resend.cpp
+++ b/src/resend.cpp
@@ -43,13 +43,18 @@
 
 }  // namespace
 
-void SetInstances(ResendState& state, std::uint32_t instances, Instant now) {
+void SetInstances(ResendState& state, const InstanceCount& count, Instant now) {
+  if (!count.m_listed) {
+    state.m_listed_at.reset();
+  } else if (!state.m_listed_at) {
+    state.m_listed_at = now;
+  }
   std::erase_if(state.m_former_counts, [&](const FormerCount& former) {
     return !IsInWindow(state, former.m_replaced_at, now);
   });
-  if (instances == state.m_instances) return;
+  if (count.m_live == state.m_instances) return;
   state.m_former_counts.push_back({state.m_instances, now});
-  state.m_instances = instances;
+  state.m_instances = count.m_live;
 }
 
 std::uint32_t SharingInstances(const ResendState& state, Instant now) {
@@ -63,7 +68,9 @@
 }
 
 double SlackShare(const ResendState& state, Instant now) {
-  if (state.m_stopping || IsInWindow(state, state.m_started, now)) return 0;
+  if (state.m_stopping || !state.m_listed_at) return 0;
+  if (IsInWindow(state, *state.m_listed_at, now)) return 0;
+  if (!IsInWindow(state, state.m_list_confirmed_at, now)) return 0;
   return state.m_limits.m_slack / SharingInstances(state, now);
 }
 
--- a/src/resend.h
+++ b/src/resend.h
@@ -3,6 +3,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -36,7 +37,10 @@
   Instant m_started{};                       // When this process started.
   std::uint32_t m_instances = 1;             // Live instances.
   std::vector<FormerCount> m_former_counts;  // In the current window.
-  bool m_stopping = false;                   // In a planned stop.
+  // Since when this process has found itself in the list of instances.
+  std::optional<Instant> m_listed_at;
+  Instant m_list_confirmed_at{};  // When the list was last known to be current.
+  bool m_stopping = false;        // In a planned stop.
   std::map<std::string, std::deque<ResendBucket>, std::less<>> m_services;
 };
 
@@ -47,17 +51,25 @@
   double m_allowed = 0;  // Retries.
 };
 
+// The list of instances, as far as it matters here.
+struct InstanceCount {
+  std::uint32_t m_live = 0;
+  bool m_listed = false;  // This one is among them.
+};
+
 // Sets the number of live instances.
-void SetInstances(ResendState& state, std::uint32_t instances, Instant now);
+void SetInstances(ResendState& state, const InstanceCount& count, Instant now);
 
 // Number of instances that share the slack: the largest in the current window,
 // because the retries of instances that have left still count.
 std::uint32_t SharingInstances(const ResendState& state, Instant now);
 
-// Part of the slack that this instance may use, in retries. None in a planned
-// stop, after which the other instances divide the slack without this one, and
-// none in the first window of a process, which does not know what its
-// predecessor has spent.
+// Part of the slack that this instance may use, in retries. None
+// - in a planned stop, after which the others divide the slack without it;
+// - in the first window in which it is listed, because it does not know what
+// its
+//   predecessor has spent, and the others may not count it yet;
+// - when the list is older than the window, because instances may have joined.
 double SlackShare(const ResendState& state, Instant now);
 
 ResendUse ResendUseOf(const ResendState& state, const std::string& service,
--- a/src/storereader.cpp
+++ b/src/storereader.cpp
@@ -253,15 +253,18 @@
 void PublishInstances(ControlState& state) {
   std::uint32_t live = 0;
   std::uint32_t before = 0;  // Those whose names precede this one's.
+  bool listed = false;
   for (const auto& [name, known] : state.m_instances) {
     if (known.left()) continue;
     ++live;
+    if (name == state.m_options.m_name) listed = true;
     if (name < state.m_options.m_name) ++before;
   }
   state.m_live_instances = std::max<std::uint32_t>(live, 1);
   schema::RelayMessage message;
   message.mutable_peers()->set_instances(state.m_live_instances);
   message.mutable_peers()->set_position(before);
+  message.mutable_peers()->set_listed(listed);
   state.m_relay->Post(std::move(message));
 }
 
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -183,7 +183,8 @@
 TEST_CASE("retries stay within the instance's share of the budget") {
   ResendState state;
   state.m_limits = {0.2, seconds(10), 60};
-  state.m_instances = 6;
+  SetInstances(state, {6, true}, kStart - seconds(60));
+  state.m_list_confirmed_at = Instant::max();
   Instant now = kStart;
   int taken = 0;
   for (int i = 0; i < 2000; ++i) {
--- a/tests/retrybudget_test.cpp
+++ b/tests/retrybudget_test.cpp
@@ -23,13 +23,13 @@
 
 ResendState StartProcess(Instant now) {
   ResendState state;
-  state.m_started = now;
+  state.m_list_confirmed_at = now;
   state.m_limits = kLimits;
   return state;
 }
 
 void TellInstances(ResendState& state, std::uint32_t instances, Instant now) {
-  SetInstances(state, instances, now);
+  SetInstances(state, {instances, true}, now);
 }
 
 void BeginStop(ResendState& state) { state.m_stopping = true; }
@@ -37,6 +37,7 @@
 // One place for a process, which serves callers or is down.
 struct Place {
   std::optional<ResendState> m_process;
+  bool m_is_cut_off = false;
 };
 
 // Instances that serve the same callers, and what they send.
@@ -56,8 +57,11 @@
   void Stop(std::size_t place) { BeginStop(*m_places[place].m_process); }
   void Add() { m_places.emplace_back(); }
 
+  // The process gets no news from now on.
+  void CutOff(std::size_t place) { m_places[place].m_is_cut_off = true; }
+
   void Tell(std::size_t place, std::uint32_t instances) {
-    if (!m_places[place].m_process) return;
+    if (!m_places[place].m_process || m_places[place].m_is_cut_off) return;
     TellInstances(*m_places[place].m_process, instances, m_now);
   }
   void TellAll(std::uint32_t instances) {
@@ -71,7 +75,9 @@
     m_retries.push_back(0);
     std::vector<ResendState*> serving;
     for (Place& place : m_places) {
-      if (place.m_process) serving.push_back(&*place.m_process);
+      if (!place.m_process) continue;
+      if (!place.m_is_cut_off) place.m_process->m_list_confirmed_at = m_now;
+      serving.push_back(&*place.m_process);
     }
     for (int i = 0; i < m_requests_per_step && !serving.empty(); ++i) {
       ResendState& state = *serving[m_next++ % serving.size()];
@@ -219,6 +225,21 @@
   CHECK(fleet.LargestUse() <= 1);
 }
 
+// Guards against instances that go on with their old share when they cannot
+// learn that others have joined.
+TEST_CASE("instances that are cut off while others join stay in the budget") {
+  Fleet fleet(kInstances, kRequestsPerStep);
+  fleet.Run(seconds(20));
+  for (std::size_t i = 0; i < kInstances; ++i) fleet.CutOff(i);
+  for (std::size_t i = kInstances; i < 2 * kInstances; ++i) {
+    fleet.Add();
+    fleet.Start(i);
+  }
+  fleet.TellAll(kInstances + 1);
+  fleet.Run(seconds(40));
+  CHECK(fleet.LargestUse() <= 1);
+}
+
 // Guards against mixtures of the cases above.
 TEST_CASE("random stops, kills, starts and late news stay in the budget") {
   for (unsigned seed = 1; seed <= 40; ++seed) {
