Show that endpoints that send without end exhaust the memory in a test

flood_system_test starts a real instance and lets an endpoint send without end to 48 calls, in ten ways.

No functional change

--- a/tests/support_platform.cpp
+++ b/tests/support_platform.cpp
@@ -35,10 +35,12 @@
   return text;
 }
 
-HttpServerEvents OnRequest(std::function<void(const HttpRequest&)> handle) {
+HttpServerEvents OnRequest(
+    std::function<void(const HttpRequest&)> handle,
+    std::function<void(std::uint64_t)> disconnect = [](std::uint64_t) {}) {
   HttpServerEvents events;
   events.m_on_request = std::move(handle);
-  events.m_on_disconnect = [](std::uint64_t) {};
+  events.m_on_disconnect = std::move(disconnect);
   events.m_on_rejected = [](int, ParseError) {};
   return events;
 }
@@ -180,11 +182,51 @@
     : m_sockets(sockets),
       m_id(std::move(id)),
       m_port(FreePort()),
-      m_server(sockets,
-               OnRequest([this](const HttpRequest& r) { Handle(r); })) {
+      m_server(sockets, OnRequest([this](const HttpRequest& r) { Handle(r); },
+                                  [this](std::uint64_t id) { EndRun(id); })) {
   REQUIRE_FALSE(m_server.Listen("127.0.0.1", m_port));
 }
 
+void FakeEndpoint::EndRun(std::uint64_t id) {
+  const auto found = m_run_of_request.find(id);
+  if (found == m_run_of_request.end()) return;
+  m_runs[found->second].m_ended = Now();
+  m_run_of_request.erase(found);
+}
+
+void FakeEndpoint::Act(const HttpRequest& request, EndpointAct act) {
+  const std::uint64_t id = request.m_id;
+  if (act == EndpointAct::kRefuse) {
+    m_server.Respond(
+        id, 503,
+        {{"Attempt-Id", FieldOf(request, "Attempt-Id")}, {"Not-Executed", "1"}},
+        "");
+    return;
+  }
+  if (act == EndpointAct::kCloseUnread) {
+    m_server.Abort(id);
+    return;
+  }
+  m_run_of_request[id] = m_runs.size();
+  m_runs.push_back({request.m_target, Now(), std::nullopt});
+  switch (act) {
+    case EndpointAct::kHang:
+      return;
+    case EndpointAct::kLoseAnswer:
+      EndRun(id);
+      m_server.Abort(id);
+      return;
+    case EndpointAct::kAnswerLate:
+      m_sockets.Loop().StartTimer(std::chrono::seconds(1), [this, request, id] {
+        if (m_run_of_request.count(id) > 0) Answer(request);
+      });
+      return;
+    default:
+      m_break_after = act == EndpointAct::kBreakStream ? 2 : 0;
+      Answer(request);
+  }
+}
+
 void FakeEndpoint::Handle(const HttpRequest& request) {
   HttpFields response_fields = {{"Attempt-Id", FieldOf(request, "Attempt-Id")},
                                 {"Server-Stamp", "stamp-" + m_id},
@@ -193,6 +235,10 @@
     m_server.Respond(request.m_id, 421, {}, "");
     return;
   }
+  if (m_choose_act) {
+    Act(request, m_choose_act());
+    return;
+  }
   if (m_overloaded) {
     ++m_rejections;
     response_fields.push_back({"Not-Executed", "1"});
@@ -202,12 +248,20 @@
     m_server.Respond(request.m_id, 503, response_fields, "");
     return;
   }
-  if (m_leaving) response_fields.push_back({"Server-Leaving", "1"});
   m_requests.push_back(request);
   if (m_hanging) return;
+  Answer(request);
+}
+
+void FakeEndpoint::Answer(const HttpRequest& request) {
+  HttpFields response_fields = {{"Attempt-Id", FieldOf(request, "Attempt-Id")},
+                                {"Server-Stamp", "stamp-" + m_id},
+                                {"Keep-Alive", "timeout=5"}};
+  if (m_leaving) response_fields.push_back({"Server-Leaving", "1"});
   const bool stream = request.m_target.rfind("/stream/", 0) == 0 ||
                       request.m_target.rfind("/again/", 0) == 0;
   if (!stream) {
+    EndRun(request.m_id);
     m_server.Respond(request.m_id, 200, response_fields,
                      "ran " + request.m_target);
     return;
@@ -222,10 +276,12 @@
 void FakeEndpoint::SendEvent(std::uint64_t id, int event) {
   constexpr int kEvents = 5;
   if (event > kEvents) {
+    EndRun(id);
     m_server.FinishStream(id);
     return;
   }
   if (m_break_after > 0 && event > m_break_after) {
+    EndRun(id);
     m_server.Abort(id);
     return;
   }
@@ -258,6 +314,12 @@
     m_endpoint_proxies.push_back(std::make_unique<TcpProxy>(m_loop, port));
     port = m_endpoint_proxies.back()->Port();
   }
+  RegisterEndpoint(id, service, port);
+}
+
+void PlatformCluster::RegisterEndpoint(const std::string& id,
+                                       const std::string& service,
+                                       std::uint16_t port) {
   m_store.Put("keyed.servers", id,
               R"({"service":")" + service + R"(","address":"127.0.0.1:)" +
                   std::to_string(port) +
--- a/tests/support_platform.h
+++ b/tests/support_platform.h
@@ -1,6 +1,7 @@
 #ifndef COMFREYPADDLE_TESTS_SUPPORT_PLATFORM_H_
 #define COMFREYPADDLE_TESTS_SUPPORT_PLATFORM_H_
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -90,6 +91,25 @@
   bool m_conflicting_reports = false;
 };
 
+// What an endpoint does with a request.
+enum class EndpointAct {
+  kAnswer,
+  kAnswerLate,   // After it has run for a second.
+  kHang,         // Runs until the caller leaves.
+  kLoseAnswer,   // Runs, and resets the connection instead of answering.
+  kBreakStream,  // Resets the connection after two events.
+  kRefuse,       // Does not run it and says so.
+  kCloseUnread,  // Does not run it and closes the connection.
+};
+inline constexpr int kEndpointActs = 7;
+
+// Work of an endpoint on one request.
+struct EndpointRun {
+  std::string m_target;
+  Instant m_began{};
+  std::optional<Instant> m_ended;  // Answered, or the caller has left.
+};
+
 // Stand-in of an endpoint. A stream has five events, sent 20 ms apart unless
 // SetEventGap sets another gap.
 class FakeEndpoint {
@@ -117,16 +137,28 @@
   // While set, requests are received and not answered.
   void SetHanging(bool hanging) { m_hanging = hanging; }
 
+  // Decides on each request from now on, in place of the settings above.
+  void SetActs(std::function<EndpointAct()> choose) {
+    m_choose_act = std::move(choose);
+  }
+  const std::vector<EndpointRun>& Runs() const { return m_runs; }
+
   // While set, every response says that the endpoint leaves.
   void SetLeaving(bool leaving) { m_leaving = leaving; }
 
  private:
   void Handle(const HttpRequest& request);
+  void Act(const HttpRequest& request, EndpointAct act);
+  void Answer(const HttpRequest& request);
   void SendEvent(std::uint64_t id, int event);
+  void EndRun(std::uint64_t id);
 
   SocketSet& m_sockets;
   std::string m_id;
   std::uint16_t m_port;
+  std::function<EndpointAct()> m_choose_act;
+  std::vector<EndpointRun> m_runs;
+  std::map<std::uint64_t, std::size_t> m_run_of_request;
   HttpServer m_server;
   std::vector<HttpRequest> m_requests;
   int m_break_after = 0;
@@ -163,6 +195,11 @@
   // Starts an endpoint of the service and registers it in the store.
   void AddEndpoint(const std::string& service);
 
+  // Registers an endpoint that the test itself runs in the store.
+  void RegisterEndpoint(const std::string& id, const std::string& service,
+                        std::uint16_t port);
+  SocketSet& Sockets() { return m_sockets; }
+
   // Writes a configuration with the routes /safe/, /once/, /stream/ and
   // /again/ of the service "plain" and one workspace "w" with these keys.
   void Configure(int version, const std::string& keys_json);
--- a/tests/support_process.cpp
+++ b/tests/support_process.cpp
@@ -89,6 +89,18 @@
   if (m_pid > 0 && !m_exit_code) kill(m_pid, signal);
 }
 
+double Process::PeakMemoryMb() const {
+  std::ifstream status("/proc/" + std::to_string(m_pid) + "/status");
+  const std::string label = "VmHWM:";
+  std::string line;
+  while (std::getline(status, line)) {
+    if (line.rfind(label, 0) != 0) continue;
+    constexpr double kKbPerMb = 1024;
+    return std::stod(line.substr(label.size())) / kKbPerMb;
+  }
+  return 0;
+}
+
 std::optional<int> Process::ExitCode() {
   if (m_exit_code) return m_exit_code;
   int status = 0;
--- a/tests/support_process.h
+++ b/tests/support_process.h
@@ -29,6 +29,9 @@
 
   void Signal(int signal) const;
 
+  // Largest resident memory so far, MB. Zero if it cannot be read.
+  double PeakMemoryMb() const;
+
   // Returns the exit code, or 128 plus the signal number, once the process has
   // exited.
   std::optional<int> ExitCode();
