Limit the response data that an instance holds for all requests together

What operators saw: a faulty endpoint sent without end; the instance that called it kept it all, ran out of memory and ended, and with it the requests of others.

Cause: each call has a limit (8 MiB a response, 1 MiB an event, 4 MiB of backlog of a slow caller), but nothing bounds their sum, and an instance may have 160 MB. Class of fault: a limit of each part in place of one of the whole.

Now, when a response grows beyond 32 KiB, all that is held is added up; above 32 MiB the request that holds most is ended, so that small responses of others are not. Streams that nobody reads count. The default limit of calls that set none falls from 64 to 16 MiB.

--- a/src/http.h
+++ b/src/http.h
@@ -82,8 +82,10 @@
   virtual void Abort(std::uint64_t id) = 0;
 };
 
-// Default limit of the size of a response body, bytes.
-inline constexpr std::uint64_t kDefaultMaxBodyBytes = 64U << 20U;
+// Default limit of the size of a response body, bytes: several times the
+// largest page of the platform's store, and a tenth of the smallest machine's
+// memory.
+inline constexpr std::uint64_t kDefaultMaxBodyBytes = 16U << 20U;
 
 // How a response relates to the call that waits on its connection.
 enum class ResponseMatch {
--- a/src/relayattempt.cpp
+++ b/src/relayattempt.cpp
@@ -7,6 +7,7 @@
 #include "crashwatch.h"
 #include "eventlog.h"
 #include "finish.h"
+#include "responsememory.h"
 
 namespace comfreypaddle {
 
@@ -206,13 +207,31 @@
   OnRunEnd(state, call, {HttpError::kTooLarge, call.m_attempt.m_status, true});
 }
 
+// Ends the request that holds the most response data if all together hold too
+// much.
+void LimitHeldBytes(RelayState& state, const RelayCall& grown) {
+  RelayCall* excess = FindExcessCall(state, grown);
+  if (excess == nullptr) return;
+  LogLine("response_memory_exceeded")
+      .Add("request", excess->m_metadata.m_attempt)
+      .Add("endpoint", excess->m_attempt.m_endpoint)
+      .Add("bytes", static_cast<std::int64_t>(HeldBytes(state, *excess)));
+  if (excess->m_attempt.m_call == 0 || excess->m_response_started) {
+    FinishFailed(state, *excess, EndReason::kSlowCaller);
+  } else {
+    AbortOversized(state, *excess);
+  }
+}
+
 void OnRunBody(RelayState& state, RelayCall& call, std::string_view bytes) {
   EndpointAttempt& attempt = call.m_attempt;
   if (!IsEventStream(attempt)) {
     attempt.m_body.append(bytes);
     if (attempt.m_body.size() > kMaxResponseBytes) {
       AbortOversized(state, call);
+      return;
     }
+    LimitHeldBytes(state, call);
     return;
   }
   for (const RawSseEvent& event : attempt.m_splitter.Feed(bytes)) {
@@ -232,7 +251,9 @@
   if (state.m_unsent_bytes &&
       state.m_unsent_bytes(call.m_id) > kMaxBacklogBytes) {
     FinishFailed(state, call, EndReason::kSlowCaller);
+    return;
   }
+  LimitHeldBytes(state, call);
 }
 
 // Records at the endpoint why it did not accept the request.
--- a/src/ssesplit.h
+++ b/src/ssesplit.h
@@ -27,6 +27,9 @@
   // Whether the incomplete event exceeds kMaxEventBytes.
   bool IsTooLarge() const { return m_partial.size() > kMaxEventBytes; }
 
+  // Size of the incomplete event.
+  std::size_t PartialBytes() const { return m_partial.size(); }
+
   static constexpr std::size_t kMaxEventBytes = 1U << 20U;
 
  private:
--- a/tests/flood_system_test.cpp
+++ b/tests/flood_system_test.cpp
@@ -134,6 +134,33 @@
   };
 }
 
+// A caller that sends a request and reads nothing.
+class SilentCaller {
+ public:
+  SilentCaller(std::uint16_t port, const std::string& target)
+      : m_descriptor(ConnectTcp("127.0.0.1", port)),
+        m_request("POST " + target +
+                  " HTTP/1.1\r\nHost: h.example\r\nKey: k1\r\n"
+                  "Attempt-Id: silent\r\nDeadline-Ms: 9000\r\n"
+                  "Content-Length: 0\r\n\r\n") {}
+  ~SilentCaller() { close(m_descriptor); }
+  SilentCaller(const SilentCaller&) = delete;
+  SilentCaller& operator=(const SilentCaller&) = delete;
+
+  // Returns whether the request has been sent.
+  bool Send() {
+    if (m_request.empty()) return true;
+    const ssize_t sent = send(m_descriptor, m_request.data(), m_request.size(),
+                              MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (sent > 0) m_request.erase(0, sent);
+    return m_request.empty();
+  }
+
+ private:
+  int m_descriptor;
+  std::string m_request;
+};
+
 // One instance, a sound endpoint and a flooding one.
 void CheckFlood(const FloodCase& flood) {
   CAPTURE(flood.m_name);
@@ -190,5 +217,35 @@
   for (const FloodCase& flood : FloodCases()) CheckFlood(flood);
 }
 
+// Guards against streams without end whose callers do not read: each stays
+// within the limit of its own backlog, and all together fill the memory.
+TEST_CASE("streams without end that nobody reads do not exhaust the memory") {
+  PlatformCluster cluster("flood");
+  cluster.Configure(1, R"(["k1"])");
+  FloodServer server(cluster.Sockets(), event_head, "data: xxxxxxxxxxxx\n\n");
+  for (int i = 0; i < 4; ++i) {
+    cluster.RegisterEndpoint("flood-" + std::to_string(i), "plain",
+                             server.Port());
+  }
+  cluster.StartEntry(1);
+  std::vector<std::unique_ptr<SilentCaller>> callers;
+  for (int i = 0; i < 2 * kCalls; ++i) {
+    callers.push_back(std::make_unique<SilentCaller>(
+        cluster.CallerPort(1), "/stream/" + std::to_string(i)));
+  }
+  const auto all_sent = [&callers] {
+    return std::all_of(callers.begin(), callers.end(),
+                       [](const auto& caller) { return caller->Send(); });
+  };
+  CHECK(cluster.Until(all_sent));
+  cluster.Until([] { return false; }, seconds(6));
+  CHECK(server.Accepted() > 0);
+  CHECK_FALSE(cluster.Entry(1).ExitCode().has_value());
+  const double peak_mb = cluster.Entry(1).PeakMemoryMb();
+  MESSAGE(server.Accepted(), " calls, peak ", peak_mb, " MB");
+  CHECK(peak_mb > 0);
+  CHECK(peak_mb < kMachineMemoryMb);
+}
+
 }  // namespace
 }  // namespace comfreypaddle
--- a/tests/relaycall_test.cpp
+++ b/tests/relaycall_test.cpp
@@ -51,6 +51,39 @@
   f.Break(2, true);
 }
 
+// Guards against responses that are each within the limit and fill the memory
+// together. The one that holds most is ended, and the small one is not.
+TEST_CASE("responses that are too large together are cut down to a limit") {
+  constexpr std::size_t kPieceBytes = 1U << 20U;
+  constexpr std::size_t kMaxTogether = 33U << 20U;
+  RelayFixture f;
+  for (auto& [id, endpoint] : f.m_state.m_balance.m_endpoints) {
+    endpoint.m_slots = 20;
+  }
+  f.Ask(1, "/once/small");
+  f.m_endpoints.m_events.at(0).m_on_head(200, {});
+  f.m_endpoints.m_events.at(0).m_on_body("small");
+  ALLOW_CALL(f.m_callers, Respond(_, 502, _, _));
+  for (std::uint64_t id = 2; id <= 12; ++id) {
+    f.Ask(id, "/once/large");
+    f.m_endpoints.m_events.at(id - 1).m_on_head(200, {});
+  }
+  for (int piece = 0; piece < 7; ++piece) {
+    for (std::uint64_t id = 2; id <= 12; ++id) {
+      if (FindRelayCall(f.m_state, id) == nullptr) continue;
+      f.m_endpoints.m_events.at(id - 1).m_on_body(
+          std::string(kPieceBytes, 'x'));
+      std::size_t held = 0;
+      for (const auto& [key, call] : f.m_state.m_calls) {
+        held += call->m_attempt.m_body.size();
+      }
+      CHECK(held <= kMaxTogether);
+    }
+  }
+  REQUIRE_CALL(f.m_callers, Respond(1U, 200, _, "small"));
+  f.m_endpoints.m_events.at(0).m_on_end({HttpError::kOk, 200, true});
+}
+
 // Guards against reporting an executed request as not executed.
 TEST_CASE("a rejected request goes elsewhere and is refused as not run") {
   RelayFixture f;
--- a/tests/support_platform.h
+++ b/tests/support_platform.h
@@ -231,6 +231,10 @@
 
   std::string LogPath(int entry) const;
 
+  std::uint16_t CallerPort(int entry) const {
+    return m_ports.at(entry).m_callers;
+  }
+
  private:
   struct InstancePorts {
     std::uint16_t m_callers = 0;
