Probe no suspect before the list of instances is known

What endpoints would see: an instance that has just started probes every quarantined prompt part, as it takes itself for the only instance, so that parts are probed by several instances at once and crash more endpoints.

Cause: the default of the share was one instance. It is the class of the retry budget's fault (a share of a limit over all instances, taken before the others are known), found by reading.

crashtable_test "an instance that knows no list of instances probes nothing" fails before.

--- a/src/crashtable.h
+++ b/src/crashtable.h
@@ -105,8 +105,8 @@
 // endpoints. Each part is tried by one instance, chosen by its hash among those
 // in the list.
 struct ProbeShare {
-  std::uint32_t m_instances = 1;
-  std::uint32_t m_position = 0;  // Of this instance in the list.
+  std::uint32_t m_instances = 0;  // Zero: not known yet.
+  std::uint32_t m_position = 0;   // Of this instance in the list.
 };
 
 // How a request with these suspects is handled.
--- a/tests/crashtable_test.cpp
+++ b/tests/crashtable_test.cpp
@@ -12,6 +12,9 @@
 
 constexpr Instant kStart{seconds(1000)};
 
+// The only instance.
+constexpr ProbeShare kAlone{1, 0};
+
 SuspectKey Request(std::uint64_t hash) { return {SuspectKind::kRequest, hash}; }
 
 // Adds crashes of this many endpoints, a second apart.
@@ -104,6 +107,18 @@
         SuspectDecision::kSound);
 }
 
+// Failure: each process that has just started probes every part, because it
+// takes itself for the only instance.
+TEST_CASE("an instance that knows no list of instances probes nothing") {
+  CrashTable table;
+  Quarantine(table, Part(5), 3);
+  const Instant due = NextProbe(table, {Part(5)}, kStart + seconds(3));
+  CHECK(CheckSuspects(table, {Part(5)}, kAlone, due) ==
+        SuspectDecision::kProbe);
+  CHECK(CheckSuspects(table, {Part(5)}, ProbeShare{}, due) ==
+        SuspectDecision::kRefused);
+}
+
 // Failure: probes of a part that goes on crashing endpoints are as frequent as
 // the first ones.
 TEST_CASE("probes of a part become rare") {
@@ -113,7 +128,8 @@
   std::size_t probes = 0;
   for (Instant now = fifth; now < fifth + seconds(60);
        now += milliseconds(50)) {
-    if (CheckSuspects(table, {Part(0)}, {}, now) != SuspectDecision::kProbe) {
+    if (CheckSuspects(table, {Part(0)}, kAlone, now) !=
+        SuspectDecision::kProbe) {
       continue;
     }
     BeginProbe(table, {Part(0)}, now);
@@ -130,8 +146,9 @@
   Quarantine(table, Part(0), 3);
   Quarantine(table, Part(1), 6);
   const Instant due = NextProbe(table, {Part(0)}, kStart + seconds(6));
-  CHECK(CheckSuspects(table, {Part(0)}, {}, due) == SuspectDecision::kProbe);
-  CHECK(CheckSuspects(table, {Part(0), Part(1)}, {}, due) ==
+  CHECK(CheckSuspects(table, {Part(0)}, kAlone, due) ==
+        SuspectDecision::kProbe);
+  CHECK(CheckSuspects(table, {Part(0), Part(1)}, kAlone, due) ==
         SuspectDecision::kRefused);
 }
 
--- a/tests/support_relay.h
+++ b/tests/support_relay.h
@@ -123,6 +123,7 @@
     m_state.m_format = &m_format;
     m_state.m_clock = [this] { return m_now; };
     m_state.m_resends.m_limits = {1, std::chrono::seconds(10), 100};
+    m_state.m_probes = {1, 0};
     m_state.m_resends.m_listed_at = Instant{};
     m_state.m_resends.m_list_confirmed_at = Instant::max();
     for (const char* id : {"e1", "e2", "e3"}) {
