Tell responses held for a caller from those an endpoint floods

A request whose caller reads nothing is ended as a slow caller, one whose endpoint sends too much as a failed attempt; the state of the attempt does not tell. The body of a failed attempt is freed at once. A leftover member of the retry budget goes.

--- a/src/relayattempt.cpp
+++ b/src/relayattempt.cpp
@@ -216,7 +216,7 @@
       .Add("request", excess->m_metadata.m_attempt)
       .Add("endpoint", excess->m_attempt.m_endpoint)
       .Add("bytes", static_cast<std::int64_t>(HeldBytes(state, *excess)));
-  if (excess->m_attempt.m_call == 0 || excess->m_response_started) {
+  if (IsHeldForCaller(state, *excess)) {
     FinishFailed(state, *excess, EndReason::kSlowCaller);
   } else {
     AbortOversized(state, *excess);
@@ -317,6 +317,7 @@
 }
 
 void OnRunFailed(RelayState& state, RelayCall& call, const HttpResult& result) {
+  call.m_attempt.m_body = std::string();  // Frees the memory.
   LogFailure(state, call, "broken", result);
   OnEndpointFailed(state.m_balance, call.m_attempt.m_endpoint, state.m_clock());
   if (!result.m_sent) {
--- a/src/resend.h
+++ b/src/resend.h
@@ -34,7 +34,6 @@
 
 struct ResendState {
   ResendLimits m_limits;
-  Instant m_started{};                       // When this process started.
   std::uint32_t m_instances = 1;             // Live instances.
   std::vector<FormerCount> m_former_counts;  // In the current window.
   // Since when this process has found itself in the list of instances.
@@ -44,7 +43,7 @@
   std::map<std::string, std::deque<ResendBucket>, std::less<>> m_services;
 };
 
-// Use of a service's retry budget in the current window by this instance.
+// Requests and retries of this instance, and how many retries it may make.
 struct ResendUse {
   double m_requests = 0;
   double m_resends = 0;
@@ -64,14 +63,14 @@
 // because the retries of instances that have left still count.
 std::uint32_t SharingInstances(const ResendState& state, Instant now);
 
-// Part of the slack that this instance may use, in retries. None
-// - in a planned stop, after which the others divide the slack without it;
-// - in the first window in which it is listed, because it does not know what
-// its
-//   predecessor has spent, and the others may not count it yet;
-// - when the list is older than the window, because instances may have joined.
+// Part of the slack that this instance may use, in retries. None in a planned
+// stop, after which the others divide the slack without it. None in the first
+// window in which it is listed: it does not know what its predecessor has
+// spent, and the others may not count it yet. None when the list is older than
+// the window: instances may have joined.
 double SlackShare(const ResendState& state, Instant now);
 
+// Use of the budget of the service in the window that ends now.
 ResendUse ResendUseOf(const ResendState& state, const std::string& service,
                       Instant now);
 
--- a/src/responsememory.cpp
+++ b/src/responsememory.cpp
@@ -12,13 +12,19 @@
 // smaller, and adding up takes time that grows with the open requests.
 constexpr std::size_t kMinCheckedBytes = 32U << 10U;
 
+std::size_t UnsentBytes(const RelayState& state, const RelayCall& call) {
+  return state.m_unsent_bytes ? state.m_unsent_bytes(call.m_id) : 0;
+}
+
 }  // namespace
 
 std::size_t HeldBytes(const RelayState& state, const RelayCall& call) {
-  const std::size_t unsent =
-      state.m_unsent_bytes ? state.m_unsent_bytes(call.m_id) : 0;
   return call.m_attempt.m_body.capacity() +
-         call.m_attempt.m_splitter.PartialBytes() + unsent;
+         call.m_attempt.m_splitter.PartialBytes() + UnsentBytes(state, call);
+}
+
+bool IsHeldForCaller(const RelayState& state, const RelayCall& call) {
+  return 2 * UnsentBytes(state, call) > HeldBytes(state, call);
 }
 
 RelayCall* FindExcessCall(RelayState& state, const RelayCall& grown) {
--- a/src/responsememory.h
+++ b/src/responsememory.h
@@ -15,6 +15,9 @@
 // the incomplete event, and what its caller has not read.
 std::size_t HeldBytes(const RelayState& state, const RelayCall& call);
 
+// Whether most of it waits for the caller to read.
+bool IsHeldForCaller(const RelayState& state, const RelayCall& call);
+
 // Returns the request that holds the most if all together hold too much, or
 // null. The caller ends it. `grown` has just received data.
 RelayCall* FindExcessCall(RelayState& state, const RelayCall& grown);
