--- a/tests/flood_system_test.cpp
+++ b/tests/flood_system_test.cpp
@@ -21,7 +21,7 @@
 using testing::Reply;
 
 constexpr double kMachineMemoryMb = 160;
-constexpr int kCalls = 48;
+constexpr std::size_t kCalls = 48;
 
 // Answers each connection with a prefix and then repeats bytes until the caller
 // closes.
@@ -178,7 +178,7 @@
   cluster.Endpoint(0).SetOverloaded(true);
   std::vector<std::shared_ptr<Reply>> calls;
   REQUIRE(cluster.Until([&] {
-    for (int i = 0; i < kCalls / 8; ++i) {
+    for (std::size_t i = 0; i < kCalls / 8; ++i) {
       calls.push_back(cluster.Start(
           1, "POST", flood.m_target + std::to_string(calls.size())));
     }
@@ -229,7 +229,7 @@
   }
   cluster.StartEntry(1);
   std::vector<std::unique_ptr<SilentCaller>> callers;
-  for (int i = 0; i < 2 * kCalls; ++i) {
+  for (std::size_t i = 0; i < 2 * kCalls; ++i) {
     callers.push_back(std::make_unique<SilentCaller>(
         cluster.CallerPort(1), "/stream/" + std::to_string(i)));
   }
--- a/tests/retrybudget_test.cpp
+++ b/tests/retrybudget_test.cpp
@@ -28,8 +28,8 @@
   return state;
 }
 
-void TellInstances(ResendState& state, std::uint32_t instances, Instant now) {
-  SetInstances(state, {instances, true}, now);
+void TellInstances(ResendState& state, std::size_t instances, Instant now) {
+  SetInstances(state, {static_cast<std::uint32_t>(instances), true}, now);
 }
 
 void BeginStop(ResendState& state) { state.m_stopping = true; }
@@ -43,7 +43,7 @@
 // Instances that serve the same callers, and what they send.
 class Fleet {
  public:
-  Fleet(std::uint32_t instances, int requests_per_step)
+  Fleet(std::size_t instances, int requests_per_step)
       : m_places(instances), m_requests_per_step(requests_per_step) {
     for (std::size_t i = 0; i < m_places.size(); ++i) Start(i);
     TellAll(instances);
@@ -60,11 +60,11 @@
   // The process gets no news from now on.
   void CutOff(std::size_t place) { m_places[place].m_is_cut_off = true; }
 
-  void Tell(std::size_t place, std::uint32_t instances) {
+  void Tell(std::size_t place, std::size_t instances) {
     if (!m_places[place].m_process || m_places[place].m_is_cut_off) return;
     TellInstances(*m_places[place].m_process, instances, m_now);
   }
-  void TellAll(std::uint32_t instances) {
+  void TellAll(std::size_t instances) {
     for (std::size_t i = 0; i < m_places.size(); ++i) Tell(i, instances);
   }
 
@@ -132,13 +132,13 @@
   std::vector<int> m_retries;
 };
 
-constexpr std::uint32_t kInstances = 6;
+constexpr std::size_t kInstances = 6;
 constexpr int kRequestsPerStep = 3;
 
 // Guards against a fix that spends nothing: calm instances use most of the
 // budget.
 TEST_CASE("a calm fleet uses most of its retry budget and no more") {
-  for (const std::uint32_t instances : {1U, 6U, 88U}) {
+  for (const std::size_t instances : {1U, 6U, 88U}) {
     CAPTURE(instances);
     Fleet fleet(instances, kRequestsPerStep * 10);
     fleet.Run(seconds(40));
@@ -193,7 +193,7 @@
 TEST_CASE("instances that leave one after the other stay in the budget") {
   Fleet fleet(kInstances, kRequestsPerStep);
   fleet.Run(seconds(20));
-  for (std::uint32_t left = 1; left < kInstances; ++left) {
+  for (std::size_t left = 1; left < kInstances; ++left) {
     fleet.Stop(left);
     for (std::size_t i = 0; i < kInstances; ++i) {
       fleet.Tell(i, kInstances - left);
@@ -261,10 +261,10 @@
         fleet.Stop(place);
         stopping[place] = true;
       }
-      const auto live = static_cast<std::uint32_t>(
+      const auto live = static_cast<std::size_t>(
           std::count(stopping.begin(), stopping.end(), false));
       for (std::size_t i = 0; i < kInstances; ++i) {
-        if (below(3) > 0) fleet.Tell(i, std::max(live, 1U));
+        if (below(3) > 0) fleet.Tell(i, std::max<std::size_t>(live, 1));
       }
       fleet.Run(milliseconds(200 + below(2000)));
     }
