Show that a stream can run at two endpoints at once in a test

A resumable stream whose endpoint sends nothing for a second goes on at another endpoint, after its connection was reset.

No functional change

--- a/tests/history_system_test.cpp
+++ b/tests/history_system_test.cpp
@@ -91,7 +91,8 @@
   // Half of the requests are answered.
   EndpointAct ChooseAct() {
     if (RandomBelow(2) == 0) return EndpointAct::kAnswer;
-    return static_cast<EndpointAct>(RandomBelow(testing::kEndpointActs));
+    return testing::kEndpointActs.at(
+        RandomBelow(static_cast<int>(testing::kEndpointActs.size())));
   }
 
   void StartCall() {
--- a/tests/support_platform.cpp
+++ b/tests/support_platform.cpp
@@ -207,8 +207,15 @@
     m_server.Abort(id);
     return;
   }
-  m_run_of_request[id] = m_runs.size();
+  const std::size_t run = m_runs.size();
   m_runs.push_back({request.m_target, Now(), std::nullopt});
+  if (act == EndpointAct::kRunOn) {
+    m_sockets.Loop().StartTimer(std::chrono::seconds(4), [this, run] {
+      m_runs.at(run).m_ended = Now();
+    });
+    return;
+  }
+  m_run_of_request[id] = run;
   switch (act) {
     case EndpointAct::kHang:
       return;
--- a/tests/support_platform.h
+++ b/tests/support_platform.h
@@ -1,6 +1,7 @@
 #ifndef COMFREYPADDLE_TESTS_SUPPORT_PLATFORM_H_
 #define COMFREYPADDLE_TESTS_SUPPORT_PLATFORM_H_
 
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -96,12 +97,17 @@
   kAnswer,
   kAnswerLate,   // After it has run for a second.
   kHang,         // Runs until the caller leaves.
+  kRunOn,        // Runs for seconds, also when the caller has left.
   kLoseAnswer,   // Runs, and resets the connection instead of answering.
   kBreakStream,  // Resets the connection after two events.
   kRefuse,       // Does not run it and says so.
   kCloseUnread,  // Does not run it and closes the connection.
 };
-inline constexpr int kEndpointActs = 7;
+// Those that an endpoint that works as it should may choose from.
+inline constexpr std::array<EndpointAct, 7> kEndpointActs = {
+    EndpointAct::kAnswer,     EndpointAct::kAnswerLate,  EndpointAct::kHang,
+    EndpointAct::kLoseAnswer, EndpointAct::kBreakStream, EndpointAct::kRefuse,
+    EndpointAct::kCloseUnread};
 
 // Work of an endpoint on one request.
 struct EndpointRun {
