Show that requests go on elsewhere while their endpoint works on in tests

The stand-in of an endpoint moves from the tests to standins/, so that a process of its own can use it; it also answers reports now. A test that cannot start a program says which and where it looks.

No functional change

--- /dev/null
+++ b/standins/common_endpoint.cpp
@@ -0,0 +1,213 @@
+#include "common_endpoint.h"
+
+#include <utility>
+
+namespace comfreypaddle::standins {
+
+namespace {
+
+// How long an endpoint works on after its caller has left, if it does.
+constexpr Duration kRunOnTime = std::chrono::seconds(4);
+
+// Age of the state that a report shows.
+constexpr Duration kReportLag = std::chrono::milliseconds(300);
+
+// Events after which a stream breaks off or stalls.
+constexpr int kEventsBeforeFault = 2;
+
+HttpServerEvents ServerEvents(
+    std::function<void(const HttpRequest&)> on_request,
+    std::function<void(std::uint64_t)> on_disconnect) {
+  HttpServerEvents events;
+  events.m_on_request = std::move(on_request);
+  events.m_on_disconnect = std::move(on_disconnect);
+  events.m_on_rejected = [](int, ParseError) {};
+  return events;
+}
+
+std::string FieldOf(const HttpRequest& request, const char* name) {
+  const std::string* value = FindFieldIgnoreCase(request.m_headers, name);
+  return value == nullptr ? "" : *value;
+}
+
+bool IsStreamTarget(const std::string& target) {
+  return target.rfind("/stream/", 0) == 0 || target.rfind("/again/", 0) == 0;
+}
+
+bool RanAt(const EndpointRun& run, Instant time) {
+  return run.m_began <= time && (!run.m_ended || *run.m_ended > time);
+}
+
+}  // namespace
+
+FakeEndpoint::FakeEndpoint(SocketSet& sockets, std::string id,
+                           std::uint16_t port)
+    : m_sockets(sockets),
+      m_id(std::move(id)),
+      m_port(port),
+      m_server(sockets,
+               ServerEvents([this](const HttpRequest& r) { Handle(r); },
+                            [this](std::uint64_t id) { EndRun(id); })) {}
+
+std::size_t FakeEndpoint::BeginRun(const HttpRequest& request) {
+  const std::size_t run = m_runs.size();
+  m_runs.push_back({request.m_target, Now(), std::nullopt,
+                    FieldOf(request, "Attempt-Id"), 0});
+  if (m_on_run) m_on_run(run);
+  return run;
+}
+
+void FakeEndpoint::NoteEnd(std::size_t run) {
+  m_runs.at(run).m_ended = Now();
+  if (m_on_run) m_on_run(run);
+}
+
+void FakeEndpoint::EndRun(std::uint64_t id) {
+  const auto found = m_run_of_request.find(id);
+  if (found == m_run_of_request.end()) return;
+  NoteEnd(found->second);
+  m_run_of_request.erase(found);
+}
+
+void FakeEndpoint::EndRunLater(std::size_t run) {
+  m_sockets.Loop().StartTimer(kRunOnTime, [this, run] { NoteEnd(run); });
+}
+
+void FakeEndpoint::Act(const HttpRequest& request, EndpointAct act) {
+  const std::uint64_t id = request.m_id;
+  const HttpField attempt{"Attempt-Id", FieldOf(request, "Attempt-Id")};
+  if (act == EndpointAct::kRefuse) {
+    m_server.Respond(id, 503, {attempt, {"Not-Executed", "1"}}, "");
+    return;
+  }
+  if (act == EndpointAct::kCloseUnread) {
+    m_server.Abort(id);
+    return;
+  }
+  const std::size_t run = BeginRun(request);
+  if (act == EndpointAct::kRunOn || act == EndpointAct::kStall) {
+    EndRunLater(run);
+    if (act == EndpointAct::kRunOn || !IsStreamTarget(request.m_target)) return;
+    m_server.StartStream(id, 200,
+                         {attempt,
+                          {"Server-Stamp", "stamp-" + m_id},
+                          {"Content-Type", "text/event-stream"}});
+    for (int event = 1; event <= kEventsBeforeFault; ++event) {
+      m_server.Write(id, "id: " + std::to_string(event) + "\ndata: x\n\n");
+    }
+    return;
+  }
+  m_run_of_request[id] = run;
+  switch (act) {
+    case EndpointAct::kHang:
+      return;
+    case EndpointAct::kLoseAnswer:
+      EndRun(id);
+      m_server.Abort(id);
+      return;
+    case EndpointAct::kFail:
+      EndRun(id);
+      m_server.Respond(id, 500, {attempt, {"Server-Stamp", "stamp-" + m_id}},
+                       "failed");
+      return;
+    case EndpointAct::kAnswerLate:
+      m_sockets.Loop().StartTimer(std::chrono::seconds(1), [this, request, id] {
+        if (m_run_of_request.count(id) > 0) Answer(request);
+      });
+      return;
+    default:
+      m_break_after = act == EndpointAct::kBreakStream ? kEventsBeforeFault : 0;
+      Answer(request);
+  }
+}
+
+// Lists the runs of some time ago.
+void FakeEndpoint::AnswerReport(const HttpRequest& request) {
+  ++m_reports;
+  const Instant as_of = Now() - kReportLag;
+  std::string runs;
+  int active = 0;
+  for (const EndpointRun& run : m_runs) {
+    if (!RanAt(run, as_of)) continue;
+    ++active;
+    if (!runs.empty()) runs += ",";
+    runs += R"([")" + run.m_attempt + R"(",0,)" + std::to_string(run.m_events) +
+            ",5]";
+  }
+  m_server.Respond(request.m_id, 200, {{"Content-Type", "application/json"}},
+                   R"({"phase":"decode","busy":false,"sequence":1,"queued":0,)"
+                   R"("active":)" +
+                       std::to_string(active) + R"(,"runs":[)" + runs + "]}");
+}
+
+void FakeEndpoint::Handle(const HttpRequest& request) {
+  if (request.m_target == "/comfreypaddle/report") {
+    AnswerReport(request);
+    return;
+  }
+  HttpFields response_fields = {{"Attempt-Id", FieldOf(request, "Attempt-Id")},
+                                {"Server-Stamp", "stamp-" + m_id},
+                                {"Keep-Alive", "timeout=5"}};
+  if (FieldOf(request, "Expect-Instance") != m_id) {
+    m_server.Respond(request.m_id, 421, {}, "");
+    return;
+  }
+  m_arrivals.push_back(
+      {request.m_target, FieldOf(request, "Attempt-Id"), Now()});
+  if (m_on_arrival) m_on_arrival(m_arrivals.back());
+  if (m_choose_act) {
+    Act(request, m_choose_act());
+    return;
+  }
+  if (m_overloaded) {
+    ++m_rejections;
+    response_fields.push_back({"Not-Executed", "1"});
+    if (!m_retry_after.empty()) {
+      response_fields.push_back({"Retry-After", m_retry_after});
+    }
+    m_server.Respond(request.m_id, 503, response_fields, "");
+    return;
+  }
+  m_requests.push_back(request);
+  if (m_hanging) return;
+  Answer(request);
+}
+
+void FakeEndpoint::Answer(const HttpRequest& request) {
+  HttpFields response_fields = {{"Attempt-Id", FieldOf(request, "Attempt-Id")},
+                                {"Server-Stamp", "stamp-" + m_id},
+                                {"Keep-Alive", "timeout=5"}};
+  if (m_leaving) response_fields.push_back({"Server-Leaving", "1"});
+  if (!IsStreamTarget(request.m_target)) {
+    EndRun(request.m_id);
+    m_server.Respond(request.m_id, 200, response_fields,
+                     "ran " + request.m_target);
+    return;
+  }
+  HttpFields fields = response_fields;
+  fields.push_back({"Content-Type", "text/event-stream"});
+  m_server.StartStream(request.m_id, 200, fields);
+  const std::string after = FieldOf(request, "Last-Event-Id");
+  SendEvent(request.m_id, after.empty() ? 1 : std::stoi(after) + 1);
+}
+
+void FakeEndpoint::SendEvent(std::uint64_t id, int event) {
+  constexpr int kEvents = 5;
+  if (event > kEvents) {
+    EndRun(id);
+    m_server.FinishStream(id);
+    return;
+  }
+  if (m_break_after > 0 && event > m_break_after) {
+    EndRun(id);
+    m_server.Abort(id);
+    return;
+  }
+  m_server.Write(id, "id: " + std::to_string(event) + "\ndata: x\n\n");
+  const auto run = m_run_of_request.find(id);
+  if (run != m_run_of_request.end()) ++m_runs.at(run->second).m_events;
+  m_sockets.Loop().StartTimer(m_event_gap,
+                              [this, id, event] { SendEvent(id, event + 1); });
+}
+
+}  // namespace comfreypaddle::standins
--- a/tests/support_history.cpp
+++ b/tests/support_history.cpp
@@ -1,6 +1,8 @@
 #include "support_history.h"
 
+#include <algorithm>
 #include <map>
+#include <set>
 
 namespace comfreypaddle::testing {
 namespace {
@@ -110,4 +112,65 @@
   return violations;
 }
 
+std::vector<std::string> CheckOverlaps(const std::vector<WorkInterval>& work,
+                                       Duration allowed) {
+  std::map<std::string, std::vector<WorkInterval>> by_request;
+  for (const WorkInterval& each : work) {
+    by_request[each.m_request].push_back(each);
+  }
+  std::vector<std::string> violations;
+  for (const auto& [request, intervals] : by_request) {
+    for (const WorkInterval& earlier : intervals) {
+      for (const WorkInterval& later : intervals) {
+        if (later.m_began <= earlier.m_began) continue;
+        if (earlier.m_ended <= later.m_began + allowed) continue;
+        violations.push_back(
+            request + " runs again " +
+            std::to_string(ToMs(later.m_began - earlier.m_began)) +
+            " ms after a begin whose run goes on");
+      }
+    }
+  }
+  return violations;
+}
+
+BudgetUse MeasureRetryBudget(const std::vector<TimedRequest>& sent,
+                             std::vector<TimedRequest> arrived,
+                             const BudgetRule& rule) {
+  std::sort(arrived.begin(), arrived.end(),
+            [](const TimedRequest& a, const TimedRequest& b) {
+              return a.m_at < b.m_at;
+            });
+  std::set<std::string> seen;
+  std::vector<Instant> repeated;
+  for (const TimedRequest& arrival : arrived) {
+    if (!seen.insert(arrival.m_request).second) {
+      repeated.push_back(arrival.m_at);
+    }
+  }
+  const auto sent_from = [&](Instant begin) {
+    return std::count_if(sent.begin(), sent.end(), [&](const TimedRequest& r) {
+      return r.m_at >= begin && r.m_at < begin + rule.m_window;
+    });
+  };
+  BudgetUse worst;
+  double highest = 0;
+  for (const Instant begin : repeated) {
+    BudgetUse use;
+    use.m_repeated = std::count_if(
+        repeated.begin(), repeated.end(),
+        [&](Instant at) { return at >= begin && at < begin + rule.m_window; });
+    use.m_requests =
+        std::max({sent_from(begin), sent_from(begin - rule.m_window),
+                  sent_from(begin - rule.m_window / 2)});
+    use.m_allowed =
+        rule.m_ratio * static_cast<double>(use.m_requests) + rule.m_slack;
+    const double share = static_cast<double>(use.m_repeated) / use.m_allowed;
+    if (share <= highest) continue;
+    highest = share;
+    worst = use;
+  }
+  return worst;
+}
+
 }  // namespace comfreypaddle::testing
--- a/tests/support_history.h
+++ b/tests/support_history.h
@@ -1,6 +1,7 @@
 #ifndef COMFREYPADDLE_TESTS_SUPPORT_HISTORY_H_
 #define COMFREYPADDLE_TESTS_SUPPORT_HISTORY_H_
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -66,6 +67,47 @@
     const std::vector<CallerEvent>& callers,
     const std::vector<ExecutionCount>& endpoints);
 
+// Work of an endpoint on a request, or of one of several requests that must not
+// overlap.
+struct WorkInterval {
+  std::string m_request;
+  Instant m_began{};
+  Instant m_ended = Instant::max();
+};
+
+// Returns a description of each pair of intervals of one request in which the
+// earlier one lasts for more than `allowed` beyond the begin of the later one.
+std::vector<std::string> CheckOverlaps(const std::vector<WorkInterval>& work,
+                                       Duration allowed);
+
+// Arrival of a request at a service, or the time at which its caller sent it.
+struct TimedRequest {
+  std::string m_request;
+  Instant m_at{};
+};
+
+struct BudgetRule {
+  double m_ratio = 0;
+  Duration m_window{0};
+  double m_slack = 0;
+};
+
+// Repeated arrivals in one window and how many are allowed.
+struct BudgetUse {
+  std::int64_t m_repeated = 0;
+  std::int64_t m_requests = 0;
+  double m_allowed = 0;
+};
+
+// Measures the use of the retry budget as the platform does, and returns the
+// window in which the largest part of it is used. In each window, the
+// arrivals beyond the first of each request must not exceed the slack and the
+// ratio of the requests sent in it, in the one before it or in the one half a
+// window before it, whichever has most.
+BudgetUse MeasureRetryBudget(const std::vector<TimedRequest>& sent,
+                             std::vector<TimedRequest> arrived,
+                             const BudgetRule& rule);
+
 }  // namespace comfreypaddle::testing
 
 #endif  // COMFREYPADDLE_TESTS_SUPPORT_HISTORY_H_
--- a/tests/support_platform.cpp
+++ b/tests/support_platform.cpp
@@ -4,6 +4,7 @@
 
 #include <filesystem>
 #include <fstream>
+#include <sstream>
 
 #include "base64.h"
 
@@ -178,125 +179,6 @@
   REQUIRE_FALSE(m_server.Listen("127.0.0.1", m_port));
 }
 
-FakeEndpoint::FakeEndpoint(SocketSet& sockets, std::string id)
-    : m_sockets(sockets),
-      m_id(std::move(id)),
-      m_port(FreePort()),
-      m_server(sockets, OnRequest([this](const HttpRequest& r) { Handle(r); },
-                                  [this](std::uint64_t id) { EndRun(id); })) {
-  REQUIRE_FALSE(m_server.Listen("127.0.0.1", m_port));
-}
-
-void FakeEndpoint::EndRun(std::uint64_t id) {
-  const auto found = m_run_of_request.find(id);
-  if (found == m_run_of_request.end()) return;
-  m_runs[found->second].m_ended = Now();
-  m_run_of_request.erase(found);
-}
-
-void FakeEndpoint::Act(const HttpRequest& request, EndpointAct act) {
-  const std::uint64_t id = request.m_id;
-  if (act == EndpointAct::kRefuse) {
-    m_server.Respond(
-        id, 503,
-        {{"Attempt-Id", FieldOf(request, "Attempt-Id")}, {"Not-Executed", "1"}},
-        "");
-    return;
-  }
-  if (act == EndpointAct::kCloseUnread) {
-    m_server.Abort(id);
-    return;
-  }
-  const std::size_t run = m_runs.size();
-  m_runs.push_back({request.m_target, Now(), std::nullopt});
-  if (act == EndpointAct::kRunOn) {
-    m_sockets.Loop().StartTimer(std::chrono::seconds(4), [this, run] {
-      m_runs.at(run).m_ended = Now();
-    });
-    return;
-  }
-  m_run_of_request[id] = run;
-  switch (act) {
-    case EndpointAct::kHang:
-      return;
-    case EndpointAct::kLoseAnswer:
-      EndRun(id);
-      m_server.Abort(id);
-      return;
-    case EndpointAct::kAnswerLate:
-      m_sockets.Loop().StartTimer(std::chrono::seconds(1), [this, request, id] {
-        if (m_run_of_request.count(id) > 0) Answer(request);
-      });
-      return;
-    default:
-      m_break_after = act == EndpointAct::kBreakStream ? 2 : 0;
-      Answer(request);
-  }
-}
-
-void FakeEndpoint::Handle(const HttpRequest& request) {
-  HttpFields response_fields = {{"Attempt-Id", FieldOf(request, "Attempt-Id")},
-                                {"Server-Stamp", "stamp-" + m_id},
-                                {"Keep-Alive", "timeout=5"}};
-  if (FieldOf(request, "Expect-Instance") != m_id) {
-    m_server.Respond(request.m_id, 421, {}, "");
-    return;
-  }
-  if (m_choose_act) {
-    Act(request, m_choose_act());
-    return;
-  }
-  if (m_overloaded) {
-    ++m_rejections;
-    response_fields.push_back({"Not-Executed", "1"});
-    if (!m_retry_after.empty()) {
-      response_fields.push_back({"Retry-After", m_retry_after});
-    }
-    m_server.Respond(request.m_id, 503, response_fields, "");
-    return;
-  }
-  m_requests.push_back(request);
-  if (m_hanging) return;
-  Answer(request);
-}
-
-void FakeEndpoint::Answer(const HttpRequest& request) {
-  HttpFields response_fields = {{"Attempt-Id", FieldOf(request, "Attempt-Id")},
-                                {"Server-Stamp", "stamp-" + m_id},
-                                {"Keep-Alive", "timeout=5"}};
-  if (m_leaving) response_fields.push_back({"Server-Leaving", "1"});
-  const bool stream = request.m_target.rfind("/stream/", 0) == 0 ||
-                      request.m_target.rfind("/again/", 0) == 0;
-  if (!stream) {
-    EndRun(request.m_id);
-    m_server.Respond(request.m_id, 200, response_fields,
-                     "ran " + request.m_target);
-    return;
-  }
-  HttpFields fields = response_fields;
-  fields.push_back({"Content-Type", "text/event-stream"});
-  m_server.StartStream(request.m_id, 200, fields);
-  const std::string after = FieldOf(request, "Last-Event-Id");
-  SendEvent(request.m_id, after.empty() ? 1 : std::stoi(after) + 1);
-}
-
-void FakeEndpoint::SendEvent(std::uint64_t id, int event) {
-  constexpr int kEvents = 5;
-  if (event > kEvents) {
-    EndRun(id);
-    m_server.FinishStream(id);
-    return;
-  }
-  if (m_break_after > 0 && event > m_break_after) {
-    EndRun(id);
-    m_server.Abort(id);
-    return;
-  }
-  m_server.Write(id, "id: " + std::to_string(event) + "\ndata: x\n\n");
-  m_sockets.Loop().StartTimer(m_event_gap,
-                              [this, id, event] { SendEvent(id, event + 1); });
-}
-
 PlatformCluster::PlatformCluster(const std::string& name)
     : m_folder((std::filesystem::temp_directory_path() /
                 ("comfreypaddle-" + name + "-" + std::to_string(getpid())))
@@ -313,15 +195,58 @@
   std::filesystem::remove_all(m_folder);
 }
 
+std::uint16_t PlatformCluster::PublicPort(std::uint16_t port) {
+  if (!m_use_proxies) return port;
+  m_endpoint_proxies.push_back(std::make_unique<TcpProxy>(m_loop, port));
+  return m_endpoint_proxies.back()->Port();
+}
+
 void PlatformCluster::AddEndpoint(const std::string& service) {
   const std::string id = "i-" + std::to_string(m_endpoints.size());
-  m_endpoints.push_back(std::make_unique<FakeEndpoint>(m_sockets, id));
-  std::uint16_t port = m_endpoints.back()->Port();
-  if (m_use_proxies) {
-    m_endpoint_proxies.push_back(std::make_unique<TcpProxy>(m_loop, port));
-    port = m_endpoint_proxies.back()->Port();
+  m_endpoints.push_back(
+      std::make_unique<FakeEndpoint>(m_sockets, id, FreePort()));
+  REQUIRE_FALSE(m_endpoints.back()->Listen());
+  RegisterEndpoint(id, service, PublicPort(m_endpoints.back()->Port()));
+}
+
+void PlatformCluster::AddEndpointProcess(const std::string& service,
+                                         const std::string& acts,
+                                         unsigned seed) {
+  const std::size_t index = m_endpoint_processes.size();
+  const std::string id = "p-" + std::to_string(index);
+  const std::uint16_t port = FreePort();
+  m_endpoint_processes.push_back(std::make_unique<Process>(
+      "fake_endpoint",
+      std::vector<std::string>{"--port", std::to_string(port), "--id", id,
+                               "--seed", std::to_string(seed + index), "--acts",
+                               acts},
+      EndpointLogPath(index)));
+  RegisterEndpoint(id, service, PublicPort(port));
+}
+
+EndpointHistory PlatformCluster::HistoryOf(std::size_t index) const {
+  EndpointHistory history;
+  std::map<std::string, std::size_t> open;  // Runs by target and attempt.
+  std::ifstream log(EndpointLogPath(index));
+  std::string line;
+  while (std::getline(log, line)) {
+    std::istringstream fields(line);
+    std::string what;
+    std::string target;
+    std::string attempt;
+    std::int64_t at_us = 0;
+    if (!(fields >> what >> target >> attempt >> at_us)) continue;
+    const Instant at{Duration(at_us)};
+    if (what == "arrived") {
+      history.m_arrivals.push_back({target, attempt, at});
+    } else if (what == "began") {
+      open[target + " " + attempt] = history.m_runs.size();
+      history.m_runs.push_back({target, at, std::nullopt, attempt, 0});
+    } else if (what == "ended") {
+      history.m_runs.at(open.at(target + " " + attempt)).m_ended = at;
+    }
   }
-  RegisterEndpoint(id, service, port);
+  return history;
 }
 
 void PlatformCluster::RegisterEndpoint(const std::string& id,
@@ -330,8 +255,9 @@
   m_store.Put("keyed.servers", id,
               R"({"service":")" + service + R"(","address":"127.0.0.1:)" +
                   std::to_string(port) +
-                  R"(","zone":"z1","version":"v1","slots":4,"state":"ready",)" +
-                  R"("coldRemainingMs":0,"sequence":1})");
+                  R"(","zone":"z1","version":"v1","slots":)" +
+                  std::to_string(m_slots) +
+                  R"(,"state":"ready","coldRemainingMs":0,"sequence":1})");
 }
 
 void PlatformCluster::Configure(int version, const std::string& keys_json) {
@@ -386,7 +312,8 @@
                       << "\norders = " << local(m_duties.Port())
                       << "\n[duties]\nusage_window_s = 1\nusage_delay_s = 4\n"
                       << "[stop]\n"
-                      << m_stop_settings;
+                      << m_stop_settings << "[retry]\n"
+                      << m_retry_settings << "[log]\nlines_per_s = 20000\n";
   m_entries[index] = std::make_unique<Process>(
       "comfreypaddle", std::vector<std::string>{"entry", "--config", path},
       LogPath(index));
@@ -449,6 +376,23 @@
   return RunUntil(m_loop, limit, condition);
 }
 
+std::string PlatformCluster::EndpointLogPath(std::size_t index) const {
+  return m_folder + "/endpoint-" + std::to_string(index) + ".log";
+}
+
+std::size_t PlatformCluster::CountLogLines(int entry, const std::string& event,
+                                           const std::string& text) const {
+  std::ifstream log(LogPath(entry));
+  std::size_t count = 0;
+  for (std::string line; std::getline(log, line);) {
+    if (line.find(event) != std::string::npos &&
+        line.find(text) != std::string::npos) {
+      ++count;
+    }
+  }
+  return count;
+}
+
 std::string PlatformCluster::LogPath(int entry) const {
   return m_folder + "/entry-" + std::to_string(entry) + ".log";
 }
--- a/tests/support_platform.h
+++ b/tests/support_platform.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "common_endpoint.h"
 #include "httpclient.h"
 #include "httpserver.h"
 #include "support_process.h"
@@ -92,88 +93,21 @@
   bool m_conflicting_reports = false;
 };
 
-// What an endpoint does with a request.
-enum class EndpointAct {
-  kAnswer,
-  kAnswerLate,   // After it has run for a second.
-  kHang,         // Runs until the caller leaves.
-  kRunOn,        // Runs for seconds, also when the caller has left.
-  kLoseAnswer,   // Runs, and resets the connection instead of answering.
-  kBreakStream,  // Resets the connection after two events.
-  kRefuse,       // Does not run it and says so.
-  kCloseUnread,  // Does not run it and closes the connection.
-};
-// Those that an endpoint that works as it should may choose from.
+using standins::EndpointAct;
+using standins::EndpointArrival;
+using standins::EndpointRun;
+using standins::FakeEndpoint;
+
+// Acts of an endpoint that works as it should.
 inline constexpr std::array<EndpointAct, 7> kEndpointActs = {
     EndpointAct::kAnswer,     EndpointAct::kAnswerLate,  EndpointAct::kHang,
     EndpointAct::kLoseAnswer, EndpointAct::kBreakStream, EndpointAct::kRefuse,
     EndpointAct::kCloseUnread};
 
-// Work of an endpoint on one request.
-struct EndpointRun {
-  std::string m_target;
-  Instant m_began{};
-  std::optional<Instant> m_ended;  // Answered, or the caller has left.
-};
-
-// Stand-in of an endpoint. A stream has five events, sent 20 ms apart unless
-// SetEventGap sets another gap.
-class FakeEndpoint {
- public:
-  FakeEndpoint(SocketSet& sockets, std::string id);
-
-  std::uint16_t Port() const { return m_port; }
-  const std::string& Id() const { return m_id; }
-  const std::vector<HttpRequest>& Requests() const { return m_requests; }
-
-  // Aborts the connection of each stream after this many events; 0 disables it.
-  void AbortStreamsAfter(int events) { m_break_after = events; }
-
-  // While set, every request is rejected with 503 and Not-Executed, and with
-  // this Retry-After unless it is empty.
-  void SetOverloaded(bool overloaded, const std::string& retry_after = "") {
-    m_overloaded = overloaded;
-    m_retry_after = retry_after;
-  }
-  int Rejections() const { return m_rejections; }
-
-  // Sets the time between the events of a stream.
-  void SetEventGap(Duration gap) { m_event_gap = gap; }
-
-  // While set, requests are received and not answered.
-  void SetHanging(bool hanging) { m_hanging = hanging; }
-
-  // Decides on each request from now on, in place of the settings above.
-  void SetActs(std::function<EndpointAct()> choose) {
-    m_choose_act = std::move(choose);
-  }
-  const std::vector<EndpointRun>& Runs() const { return m_runs; }
-
-  // While set, every response says that the endpoint leaves.
-  void SetLeaving(bool leaving) { m_leaving = leaving; }
-
- private:
-  void Handle(const HttpRequest& request);
-  void Act(const HttpRequest& request, EndpointAct act);
-  void Answer(const HttpRequest& request);
-  void SendEvent(std::uint64_t id, int event);
-  void EndRun(std::uint64_t id);
-
-  SocketSet& m_sockets;
-  std::string m_id;
-  std::uint16_t m_port;
-  std::function<EndpointAct()> m_choose_act;
+// What an endpoint that is a process of its own has recorded.
+struct EndpointHistory {
+  std::vector<EndpointArrival> m_arrivals;
   std::vector<EndpointRun> m_runs;
-  std::map<std::uint64_t, std::size_t> m_run_of_request;
-  HttpServer m_server;
-  std::vector<HttpRequest> m_requests;
-  int m_break_after = 0;
-  Duration m_event_gap = std::chrono::milliseconds(20);
-  bool m_overloaded = false;
-  std::string m_retry_after;
-  int m_rejections = 0;
-  bool m_leaving = false;
-  bool m_hanging = false;
 };
 
 // Entry instances that run against stand-ins of the platform.
@@ -201,6 +135,15 @@
   // Starts an endpoint of the service and registers it in the store.
   void AddEndpoint(const std::string& service);
 
+  // Starts an endpoint of the service as a process of its own that chooses
+  // among these acts, and registers it in the store.
+  void AddEndpointProcess(const std::string& service, const std::string& acts,
+                          unsigned seed);
+  Process& EndpointProcess(std::size_t index) {
+    return *m_endpoint_processes.at(index);
+  }
+  EndpointHistory HistoryOf(std::size_t index) const;
+
   // Registers an endpoint that the test itself runs in the store.
   void RegisterEndpoint(const std::string& id, const std::string& service,
                         std::uint16_t port);
@@ -210,9 +153,15 @@
   // /again/ of the service "plain" and one workspace "w" with these keys.
   void Configure(int version, const std::string& keys_json);
 
+  // Slots of endpoints that are registered later.
+  void SetSlots(int slots) { m_slots = slots; }
+
   // Settings of planned stops of instances that are started later.
   void SetStop(const std::string& settings) { m_stop_settings = settings; }
 
+  // Settings of the retry budget of instances that are started later.
+  void SetRetry(const std::string& settings) { m_retry_settings = settings; }
+
   // Starts an entry instance and waits until it is ready.
   void StartEntry(int index);
 
@@ -236,12 +185,19 @@
              Duration limit = std::chrono::seconds(20));
 
   std::string LogPath(int entry) const;
+  // Number of log lines of an instance that contain both texts.
+  std::size_t CountLogLines(int entry, const std::string& event,
+                            const std::string& text) const;
+  std::string EndpointLogPath(std::size_t index) const;
 
   std::uint16_t CallerPort(int entry) const {
     return m_ports.at(entry).m_callers;
   }
 
  private:
+  // Port under which callers reach an endpoint, through a proxy if one is used.
+  std::uint16_t PublicPort(std::uint16_t port);
+
   struct InstancePorts {
     std::uint16_t m_callers = 0;
     std::uint16_t m_ready = 0;
@@ -256,7 +212,10 @@
   FakeStore m_store;
   FakeDuties m_duties;
   std::vector<std::unique_ptr<FakeEndpoint>> m_endpoints;
+  std::vector<std::unique_ptr<Process>> m_endpoint_processes;
   std::string m_stop_settings = "notice_ms = 300\n";
+  std::string m_retry_settings;
+  int m_slots = 4;
   bool m_use_proxies = false;
   std::vector<std::unique_ptr<TcpProxy>> m_endpoint_proxies;
   std::map<int, std::unique_ptr<TcpProxy>> m_store_proxies;
--- a/tests/support_process.cpp
+++ b/tests/support_process.cpp
@@ -10,6 +10,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cstdlib>
 #include <filesystem>
@@ -75,6 +76,8 @@
                   environ) != 0) {
     m_pid = -1;
     m_exit_code = 127;
+    MESSAGE("cannot start ", path,
+            "; COMFREYPADDLE_BUILD names the build folder");
   }
   posix_spawn_file_actions_destroy(&actions);
 }
@@ -115,6 +118,10 @@
   int m_client = -1;
   int m_server = -1;
   bool m_stalled = false;
+  // What a silent link holds.
+  std::string m_to_client;
+  std::string m_to_server;
+  bool m_closed_while_silent = false;
 };
 
 TcpProxy::TcpProxy(EventLoop& loop, std::uint16_t target_port)
@@ -154,6 +161,11 @@
 void TcpProxy::Forward(ProxiedConnection& connection, int from, int to) {
   std::array<char, 65536> buffer{};
   const ssize_t count = recv(from, buffer.data(), buffer.size(), 0);
+  const std::string_view bytes(
+      buffer.data(), static_cast<std::size_t>(std::max<ssize_t>(count, 0)));
+  if (!connection.m_stalled && Hold(connection, from, bytes, count <= 0)) {
+    return;
+  }
   if (count <= 0) {
     if (connection.m_stalled) {
       m_loop.Unwatch(from);
@@ -176,6 +188,47 @@
   }
 }
 
+bool TcpProxy::Hold(ProxiedConnection& connection, int from,
+                    std::string_view bytes, bool closed) {
+  if (!m_silent) return false;
+  const bool from_client = from == connection.m_client;
+  (from_client ? connection.m_to_server : connection.m_to_client) += bytes;
+  if (!closed) return true;
+  m_loop.Unwatch(from);
+  connection.m_closed_while_silent = true;
+  const bool holds_data =
+      !connection.m_to_server.empty() || !connection.m_to_client.empty();
+  if (!holds_data) Close(connection);
+  return true;
+}
+
+void TcpProxy::Release(ProxiedConnection& connection) {
+  const auto deliver = [](int to, std::string& bytes) {
+    if (to >= 0 && !bytes.empty()) {
+      send(to, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    }
+    bytes.clear();
+  };
+  deliver(connection.m_server, connection.m_to_server);
+  deliver(connection.m_client, connection.m_to_client);
+  if (connection.m_closed_while_silent) Close(connection);
+}
+
+void TcpProxy::SetSilent(bool silent) {
+  m_silent = silent;
+  if (silent) return;
+  for (const auto& connection : m_proxied_connections) Release(*connection);
+}
+
+void TcpProxy::BreakTowardsClients() {
+  for (const auto& connection : m_proxied_connections) {
+    if (connection->m_client < 0) continue;
+    m_loop.Unwatch(connection->m_client);
+    close(connection->m_client);
+    connection->m_client = -1;
+  }
+}
+
 void TcpProxy::Close(ProxiedConnection& connection) {
   for (int* descriptor : {&connection.m_client, &connection.m_server}) {
     if (*descriptor < 0) continue;
--- a/tests/support_process.h
+++ b/tests/support_process.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "curlclient.h"
@@ -56,6 +57,15 @@
   // closing them. New connections are forwarded.
   void StallOpenConnections();
 
+  // Makes the link silent: what arrives is held, also of new connections, and
+  // is delivered when the link opens again, even if its sender has closed the
+  // connection since.
+  void SetSilent(bool silent);
+
+  // Closes the open connections towards the clients only: the server does not
+  // see that they broke.
+  void BreakTowardsClients();
+
   // Simulates a partition that drops packets: while it lasts, no connection
   // forwards data and new ones are accepted without a response. Ending the
   // partition closes them.
@@ -66,6 +76,10 @@
 
   void Accept();
   void Forward(ProxiedConnection& connection, int from, int to);
+  // Holds the data of a silent link. Returns false if the link is open.
+  bool Hold(ProxiedConnection& connection, int from, std::string_view bytes,
+            bool closed);
+  void Release(ProxiedConnection& connection);
   void Close(ProxiedConnection& connection);
 
   EventLoop& m_loop;
@@ -73,6 +87,7 @@
   std::uint16_t m_port = 0;
   int m_listener = -1;
   bool m_partitioned = false;
+  bool m_silent = false;
   std::vector<std::unique_ptr<ProxiedConnection>> m_proxied_connections;
 };
 
