Send a request elsewhere only if its attempt is known to be over

Callers saw nothing of it.

Cause: a closed connection was taken for the end of the work. An endpoint that is paused, that computes without looking at its connections, or that is cut off from the close works on, or begins later. Six paths did so: silence of a stream, of a plain request and of a prefill, a broken connection, a response that is invalid or too large, and timeouts that have expired when a paused instance wakes. Class: an order that was sent is taken for one that was carried out.

Change: one rule in runend.h, "only a proof allows another attempt", which all paths ask through OnAttemptEnded. Proofs are: nothing was sent; the endpoint says that it did not execute it; a complete response; the endpoint broke the connection and accepts no other; the endpoint reports what it runs, and the attempt is not among it (twice, half a second apart, if it was never seen there); the attempt may be repeated by its kind. An open connection proves nothing, so that silence keeps a request at its endpoint until its deadline; other requests avoid that endpoint as before. Without a proof within 1.5 s the caller is told, and may resume the stream itself. Retries are charged to the budget when they are sent, no longer when they are decided. The log line request_continued and the metric relay_continued say the proof, endpoint_report what an endpoint answered.

Tests that expected a second attempt at once after a broken connection let the endpoint refuse the question first; the one on long prompts checks that the endpoint is avoided, where it checked that the attempt was cancelled. history_system_test may choose any act now, those of endpoints that work on included.

--- a/src/accept.cpp
+++ b/src/accept.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "continuation.h"
 #include "eventlog.h"
 #include "finish.h"
 #include "relayattempt.h"
@@ -169,8 +170,10 @@
       FinishFailed(state, *call, EndReason::kDeadline);
     } else if (call->m_stage == CallStage::kWaiting) {
       DispatchCall(state, *call);
+    } else if (call->m_stage == CallStage::kProving) {
+      CheckEndProof(state, *call);
     } else {
-      CheckAttemptTimeout(state, *call);
+      NoteSilence(state, *call);
     }
   }
 }
--- a/src/attemptlimits.cpp
+++ b/src/attemptlimits.cpp
@@ -20,72 +20,96 @@
 // Minimum time to the deadline for another attempt.
 constexpr Duration kMinTimeLeft = std::chrono::milliseconds(40);
 
-// Timeout for the response head of a stream at an endpoint that sends nothing
-// to any request and is therefore considered dead. An endpoint that still
-// responds to other requests is only busy, and a retry elsewhere would add to
-// the load.
+// Time without a response head after which the endpoint of a stream is avoided
+// if it sends nothing to any request. One that still responds to others is only
+// busy.
 constexpr Duration kDeadEndpointTimeout = std::chrono::milliseconds(1000);
 
 // Factor of the estimated time to the first event that is added to both
-// timeouts of streams: an endpoint that computes a long prompt answers nobody
+// times of streams: an endpoint that computes a long prompt answers nobody
 // meanwhile.
 constexpr double kExpectedTimeFactor = 1.5;
 
-// Timeout for the response head of a stream whose endpoint responds to other
-// requests.
+// Time without a response head after which the endpoint of a stream is avoided
+// although it responds to other requests.
 constexpr Duration kStreamHeadTimeout = std::chrono::milliseconds(2500);
 
-// Timeout for the response head of an idempotent request that is not streamed,
-// as a fraction of the route's target time.
+// Time without a response head after which the endpoint of a request that is
+// not streamed is avoided, as a fraction of the route's target time.
 constexpr double kPlainHeadTimeoutRatio = 0.6;
 
+bool HasTimeLeft(const RelayState& state, const RelayCall& call) {
+  return call.m_deadline - state.m_clock() > kMinTimeLeft;
+}
+
+}  // namespace
+
 bool IsRepeatable(const RelayCall& call) {
   return call.m_route->kind() == schema::REPEAT_ALLOWED ||
          (IsStream(call) && call.m_route->resumable());
 }
 
-}  // namespace
-
 bool IsStream(const RelayCall& call) {
   return call.m_route->kind() == schema::REPEAT_STREAM;
 }
 
-bool ChargeRetry(RelayState& state, const RelayCall& call) {
+namespace {
+
+void LogRetryBudget(const RelayState& state, const RelayCall& call,
+                    const ResendUse& use, std::string_view outcome) {
   const Instant now = state.m_clock();
-  const ResendUse use = ResendUseOf(state.m_resends, call.m_service, now);
-  const bool charged = TryConsumeResend(state.m_resends, call.m_service, now);
-  if (!charged) ++state.m_counters.m_retries_denied;
   LogLine("retry_budget")
       .Add("request", call.m_metadata.m_attempt)
       .Add("service", call.m_service)
-      .Add("outcome", charged ? "charged" : "denied")
+      .Add("outcome", outcome)
       .Add("requests", std::to_string(use.m_requests))
       .Add("spent", std::to_string(use.m_resends))
       .Add("allowed", std::to_string(use.m_allowed))
       .Add("slack_share", std::to_string(SlackShare(state.m_resends, now)))
       .Add("instances", SharingInstances(state.m_resends, now));
-  return charged;
 }
 
-bool MayRetryExecuted(RelayState& state, const RelayCall& call) {
+}  // namespace
+
+bool HasRetryBudget(RelayState& state, const RelayCall& call) {
   const Instant now = state.m_clock();
-  return IsRepeatable(call) && call.m_runs < call.m_route->max_attempts() &&
-         call.m_sends < kMaxSends && call.m_deadline - now > kMinTimeLeft &&
-         ChargeRetry(state, call);
+  if (MayResend(state.m_resends, call.m_service, now)) return true;
+  ++state.m_counters.m_retries_denied;
+  LogRetryBudget(state, call, ResendUseOf(state.m_resends, call.m_service, now),
+                 "denied");
+  return false;
 }
 
-bool MayRetryNotExecuted(RelayState& state, const RelayCall& call) {
+bool ChargeRetry(RelayState& state, const RelayCall& call) {
+  if (!HasRetryBudget(state, call)) return false;
   const Instant now = state.m_clock();
-  return call.m_sends + call.m_prefills <= kMaxSends &&
-         call.m_deadline - now > kMinTimeLeft && ChargeRetry(state, call);
+  const ResendUse use = ResendUseOf(state.m_resends, call.m_service, now);
+  TryConsumeResend(state.m_resends, call.m_service, now);
+  LogRetryBudget(state, call, use, "charged");
+  return true;
 }
 
-bool MayRetryUnsent(const RelayState& state, const RelayCall& call) {
-  return call.m_query.m_excluded.size() < kMaxEndpointsTried &&
-         call.m_deadline - state.m_clock() > kMinTimeLeft;
+bool MayTryAgain(const RelayState& state, const RelayCall& call) {
+  // A prefill does not execute the request.
+  if (call.m_attempt.m_is_prefill) return true;
+  if (!HasTimeLeft(state, call)) return false;
+  switch (call.m_attempt.m_end) {
+    case AttemptEnd::kOpen:
+      return false;
+    case AttemptEnd::kUnsent:
+      return call.m_query.m_excluded.size() < kMaxEndpointsTried;
+    case AttemptEnd::kNotExecuted:
+      return call.m_sends + call.m_prefills <= kMaxSends;
+    case AttemptEnd::kAnswered:
+    case AttemptEnd::kBroken:
+    case AttemptEnd::kAborted:
+      break;
+  }
+  return IsRepeatable(call) && call.m_runs < call.m_route->max_attempts() &&
+         call.m_sends < kMaxSends;
 }
 
-bool HasTimedOut(RelayState& state, const RelayCall& call, Instant now) {
+bool IsSilent(RelayState& state, const RelayCall& call, Instant now) {
   const Duration elapsed = now - call.m_attempt.m_sent;
   if (!IsStream(call)) {
     constexpr double kMicrosPerMs = 1000;
--- a/src/attemptlimits.h
+++ b/src/attemptlimits.h
@@ -11,24 +11,24 @@
 // Whether the response to the request is an event stream.
 bool IsStream(const RelayCall& call);
 
+// Whether the request may be executed more than once, at one time or after
+// another.
+bool IsRepeatable(const RelayCall& call);
+
+// Whether the retry budget of the request's service allows another retry.
+bool HasRetryBudget(RelayState& state, const RelayCall& call);
+
 // Charges one retry of the request to the retry budget of its service. Returns
 // false if the budget is used up.
 bool ChargeRetry(RelayState& state, const RelayCall& call);
 
-// Whether a request that may have been executed may be retried. Charges the
-// retry budget if so.
-bool MayRetryExecuted(RelayState& state, const RelayCall& call);
-
-// Whether a request that its endpoint did not execute may be retried. Charges
-// the retry budget if so.
-bool MayRetryNotExecuted(RelayState& state, const RelayCall& call);
-
-// Whether a request that reached no endpoint may be tried elsewhere. It is not
-// charged to the retry budget, which bounds what arrives at the service.
-bool MayRetryUnsent(const RelayState& state, const RelayCall& call);
+// Whether the request may be tried again after its last attempt, by its kind,
+// the number of attempts and the time left.
+bool MayTryAgain(const RelayState& state, const RelayCall& call);
 
-// Whether the attempt has exceeded its timeout for the response head.
-bool HasTimedOut(RelayState& state, const RelayCall& call, Instant now);
+// Whether the attempt has gone unanswered for so long that its endpoint should
+// get no other request meanwhile.
+bool IsSilent(RelayState& state, const RelayCall& call, Instant now);
 
 // Whether the caller of a prompt that was not sent yet leaves before its first
 // event, at the endpoint that serves it first.
--- /dev/null
+++ b/src/continuation.cpp
@@ -0,0 +1,209 @@
+#include "continuation.h"
+
+#include <algorithm>
+
+#include "attemptlimits.h"
+#include "eventlog.h"
+#include "finish.h"
+#include "relayattempt.h"
+
+namespace comfreypaddle {
+
+namespace {
+
+// Time for which a request waits for the proof that its attempt has ended.
+// Callers give up a stream that pauses for longer, and can resume it themselves
+// once they are told.
+constexpr Duration kMaxProofTime = std::chrono::milliseconds(1500);
+
+// Time between two questions to one endpoint.
+constexpr Duration kInquiryPeriod = std::chrono::milliseconds(250);
+
+// Time limit of a question, the time to connect included.
+constexpr Duration kInquiryTimeout = std::chrono::seconds(1);
+
+// Maximum size of a report, which names each request that runs.
+constexpr std::uint64_t kMaxReportBytes = 256U << 10U;
+
+EndReason ReasonOfNoRetry(const RelayCall& call) {
+  return call.m_runs > 0 ? EndReason::kEndpointFailed : EndReason::kRejected;
+}
+
+AttemptEvidence EvidenceOf(const RelayCall& call) {
+  AttemptEvidence evidence;
+  evidence.m_end = call.m_attempt.m_end;
+  // A prefill does not execute the request.
+  evidence.m_is_idempotent = call.m_attempt.m_is_prefill ||
+                             call.m_route->kind() == schema::REPEAT_ALLOWED;
+  evidence.m_is_unreachable = call.m_attempt.m_is_unreachable;
+  evidence.m_is_absent = call.m_attempt.m_absence.m_is_proven;
+  return evidence;
+}
+
+// Sends the request elsewhere if its attempt is known to be over. Returns
+// whether it is; the call may then be deleted.
+bool ContinueIfOver(RelayState& state, RelayCall& call) {
+  const EndProof proof = FindEndProof(EvidenceOf(call));
+  if (proof == EndProof::kNone) return false;
+  const EndpointAttempt& attempt = call.m_attempt;
+  ++state.m_counters.m_continued[proof];
+  if (call.m_response_started) ++state.m_counters.m_resumed;
+  LogLine("request_continued")
+      .Add("request", call.m_metadata.m_attempt)
+      .Add("endpoint", attempt.m_endpoint)
+      .Add("stage", attempt.m_is_prefill ? "prefill" : "run")
+      .Add("end", ToName(attempt.m_end))
+      .Add("proof", ToName(proof))
+      .Add("events", attempt.m_events)
+      .AddMs("after_ms", state.m_clock() - attempt.m_ended_at);
+  DispatchCall(state, call);
+  return true;
+}
+
+std::optional<Instant> ResponseBegin(const EndpointAttempt& attempt) {
+  if (attempt.m_status == 0) return std::nullopt;
+  return attempt.m_head_at;
+}
+
+// What an endpoint said in answer to a question.
+struct InquiryResult {
+  bool m_is_unreachable = false;
+  std::optional<WorkReport> m_report;
+  ReportTimes m_times;
+};
+
+// Applies the answer to a request that waits for it.
+void ApplyInquiry(RelayState& state, RelayCall& call,
+                  const InquiryResult& result) {
+  EndpointAttempt& attempt = call.m_attempt;
+  if (result.m_is_unreachable) attempt.m_is_unreachable = true;
+  if (result.m_report && result.m_times.m_asked >= attempt.m_ended_at) {
+    AddReport(attempt.m_absence, *result.m_report, call.m_metadata.m_attempt,
+              ResponseBegin(attempt), result.m_times);
+  }
+  ContinueIfOver(state, call);
+}
+
+void OnInquiryEnd(RelayState& state, const std::string& endpoint,
+                  const HttpResult& http, const std::string& body) {
+  constexpr int kOk = 200;
+  EndpointInquiry& inquiry = state.m_inquiries[endpoint];
+  inquiry.m_call = 0;
+  InquiryResult result;
+  result.m_times = {inquiry.m_asked, state.m_clock()};
+  result.m_is_unreachable =
+      http.m_error == HttpError::kConnectFailed ||
+      (!http.m_error && state.m_format->ParseResponseMetadata(http.m_status, {})
+                            .m_wrong_endpoint);
+  if (!http.m_error && http.m_status == kOk) {
+    result.m_report = state.m_format->ParseWorkReport(body);
+  }
+  LogLine("endpoint_report")
+      .Add("endpoint", endpoint)
+      .Add("status", http.m_status)
+      .Add("error", http.m_error ? http.m_error.message() : "none")
+      .Add("names_runs", result.m_report && result.m_report->m_runs ? 1 : 0)
+      .Add("queued", result.m_report ? result.m_report->m_queued : 0)
+      .Add("active", result.m_report ? result.m_report->m_active : 0)
+      .AddMs("after_ms", state.m_clock() - inquiry.m_asked);
+  std::vector<std::uint64_t> waiting;
+  for (const auto& [id, call] : state.m_calls) {
+    if (call->m_stage == CallStage::kProving &&
+        call->m_attempt.m_endpoint == endpoint) {
+      waiting.push_back(id);
+    }
+  }
+  std::sort(waiting.begin(), waiting.end());
+  for (const std::uint64_t id : waiting) {
+    RelayCall* call = FindRelayCall(state, id);
+    if (call != nullptr) ApplyInquiry(state, *call, result);
+  }
+}
+
+// Asks the endpoint of the request's last attempt what it works on, over a new
+// connection. One question at a time serves all requests.
+void AskEndpoint(RelayState& state, const RelayCall& call) {
+  const Instant now = state.m_clock();
+  const EndpointAttempt& attempt = call.m_attempt;
+  const BalanceEndpoint* known =
+      FindEndpoint(state.m_balance, attempt.m_endpoint);
+  // It wants nothing from this instance.
+  if (known != nullptr && now < known->m_full_until) return;
+  std::erase_if(state.m_inquiries, [now](const auto& entry) {
+    return entry.second.m_call == 0 &&
+           now - entry.second.m_asked > kInquiryPeriod;
+  });
+  EndpointInquiry& inquiry = state.m_inquiries[attempt.m_endpoint];
+  if (inquiry.m_call != 0) return;
+  const bool was_asked_since = inquiry.m_asked >= attempt.m_ended_at;
+  if (was_asked_since && now - inquiry.m_asked < kInquiryPeriod) return;
+  inquiry.m_asked = now;
+  ++state.m_counters.m_reports_asked;
+  ReportQuestion question = state.m_format->AskForReport(attempt.m_endpoint);
+  HttpCall http;
+  http.m_url = "http://" + attempt.m_address + question.m_target;
+  http.m_headers = std::move(question.m_fields);
+  http.m_connect_timeout = state.m_options.m_connect_timeout;
+  http.m_timeout = kInquiryTimeout;
+  http.m_max_body_bytes = kMaxReportBytes;
+  http.m_force_new_connection = true;
+  const auto body = std::make_shared<std::string>();
+  HttpEvents events;
+  events.m_on_body = [body](std::string_view bytes) { body->append(bytes); };
+  events.m_on_end = [&state, endpoint = attempt.m_endpoint,
+                     body](const HttpResult& result) {
+    OnInquiryEnd(state, endpoint, result, *body);
+  };
+  inquiry.m_call = state.m_endpoints->Start(std::move(http), std::move(events));
+}
+
+// Adjusts what is counted of the request's attempts to how the last one ended.
+void CountEnd(RelayCall& call, AttemptEnd end) {
+  const bool is_run = !call.m_attempt.m_is_prefill;
+  const bool was_sent = end != AttemptEnd::kUnsent;
+  const bool may_have_run = was_sent && end != AttemptEnd::kNotExecuted;
+  if (is_run) call.m_query.m_excluded.push_back(call.m_attempt.m_endpoint);
+  if (is_run && !may_have_run && call.m_runs > 0) --call.m_runs;
+  if (is_run && !was_sent && call.m_sends > 0) --call.m_sends;
+  // An endpoint that was not reached has not fetched the prefilled KV cache.
+  if (was_sent) call.m_source.reset();
+  if (was_sent) call.m_is_retry_due = true;
+}
+
+}  // namespace
+
+void OnAttemptEnded(RelayState& state, RelayCall& call, AttemptEnd end) {
+  call.m_attempt.m_end = end;
+  call.m_attempt.m_ended_at = state.m_clock();
+  CountEnd(call, end);
+  if (!MayTryAgain(state, call) ||
+      (call.m_is_retry_due && !HasRetryBudget(state, call))) {
+    FinishFailed(state, call, ReasonOfNoRetry(call));
+    return;
+  }
+  if (ContinueIfOver(state, call)) return;
+  call.m_stage = CallStage::kProving;
+  AskEndpoint(state, call);
+}
+
+void CheckEndProof(RelayState& state, RelayCall& call) {
+  const Instant now = state.m_clock();
+  if (now - call.m_attempt.m_ended_at < kMaxProofTime) {
+    AskEndpoint(state, call);
+    return;
+  }
+  FinishFailed(state, call, EndReason::kMayStillRun);
+}
+
+bool PayForRetry(RelayState& state, RelayCall& call) {
+  if (!call.m_is_retry_due) return true;
+  call.m_is_retry_due = false;
+  if (ChargeRetry(state, call)) {
+    ++state.m_counters.m_resends;
+    return true;
+  }
+  FinishFailed(state, call, ReasonOfNoRetry(call));
+  return false;
+}
+
+}  // namespace comfreypaddle
--- a/src/http.cpp
+++ b/src/http.cpp
@@ -31,6 +31,8 @@
         return "call cancelled";
       case HttpError::kListenFailed:
         return "cannot listen on the address";
+      case HttpError::kNoSocket:
+        return "no socket available";
     }
     return "unknown HTTP error";
   }
--- a/src/http.h
+++ b/src/http.h
@@ -38,6 +38,7 @@
   kTooLarge,           // The response exceeds the size limit of the call.
   kCancelled,          // The owner cancelled the call.
   kListenFailed,       // The listening socket cannot be opened.
+  kNoSocket,           // This machine has no socket left for a connection.
 };
 
 const std::error_category& HttpCategory();
--- a/src/httpclient.cpp
+++ b/src/httpclient.cpp
@@ -1,6 +1,7 @@
 #include "httpclient.h"
 
 #include <algorithm>
+#include <cerrno>
 #include <charconv>
 #include <optional>
 #include <utility>
@@ -40,6 +41,20 @@
   return {url.substr(kSchemeSize, slash - kSchemeSize), url.substr(slash)};
 }
 
+// Error of a call for which no connection could be begun.
+HttpError ConnectError(int error) {
+  switch (error) {
+    case EMFILE:
+    case ENFILE:
+    case ENOBUFS:
+    case ENOMEM:
+    case EADDRNOTAVAIL:
+      return HttpError::kNoSocket;
+    default:
+      return HttpError::kConnectFailed;
+  }
+}
+
 // Returns how long the connection may stay idle and be reused after a response
 // with this head.
 Duration IdleTimeout(const HttpHead& head) {
@@ -309,9 +324,11 @@
                                                        socket_address->m_port)
                                           : -1;
     if (descriptor < 0) {
-      m_sockets.Loop().StartTimer(Duration(0), [events = std::move(events)] {
-        events.m_on_end({HttpError::kConnectFailed, 0, false});
-      });
+      const HttpError error = ConnectError(errno);
+      m_sockets.Loop().StartTimer(Duration(0),
+                                  [error, events = std::move(events)] {
+                                    events.m_on_end({error, 0, false});
+                                  });
       return id;
     }
     ++m_counters.m_opened;
--- a/src/relayattempt.cpp
+++ b/src/relayattempt.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "attemptlimits.h"
+#include "continuation.h"
 #include "crashwatch.h"
 #include "eventlog.h"
 #include "finish.h"
@@ -105,39 +106,6 @@
   OnRequestDispatched(state.m_balance, endpoint.m_id, work_ms);
 }
 
-void SendRun(RelayState& state, RelayCall& call, const std::string& id,
-             double work_ms, const std::string& fetch_address);
-
-// Retries a request that the endpoint did not execute, or ends it. `sent` tells
-// whether it reached the endpoint.
-void RetryNotExecuted(RelayState& state, RelayCall& call, bool sent) {
-  call.m_query.m_excluded.push_back(call.m_attempt.m_endpoint);
-  if (call.m_stage == CallStage::kRun && call.m_runs > 0) --call.m_runs;
-  if (!sent && call.m_sends > 0) --call.m_sends;
-  // An endpoint that was not reached has not fetched the prefilled KV cache.
-  if (sent) call.m_source.reset();
-  if (sent ? MayRetryNotExecuted(state, call) : MayRetryUnsent(state, call)) {
-    ++state.m_counters.m_resends;
-    DispatchCall(state, call);
-  } else {
-    FinishFailed(state, call, EndReason::kRejected);
-  }
-}
-
-// Retries a request that the endpoint may have executed, or ends it.
-void RetryExecuted(RelayState& state, RelayCall& call) {
-  ++state.m_counters.m_failures;
-  call.m_query.m_excluded.push_back(call.m_attempt.m_endpoint);
-  call.m_source.reset();
-  if (MayRetryExecuted(state, call)) {
-    ++state.m_counters.m_resends;
-    if (call.m_response_started) ++state.m_counters.m_resumed;
-    DispatchCall(state, call);
-  } else {
-    FinishFailed(state, call, EndReason::kEndpointFailed);
-  }
-}
-
 // Forwards an event to the caller. Returns false if events are missing.
 bool ForwardEvent(RelayState& state, RelayCall& call,
                   const RawSseEvent& event) {
@@ -281,7 +249,7 @@
   ++state.m_counters.m_not_run;
   LogFailure(state, call, "rejected", result);
   RecordRejection(state, call.m_attempt, result);
-  RetryNotExecuted(state, call, true);
+  OnAttemptEnded(state, call, AttemptEnd::kNotExecuted);
 }
 
 void OnStreamComplete(RelayState& state, RelayCall& call) {
@@ -301,12 +269,11 @@
   OnEndpointAnswered(state.m_balance, attempt.m_endpoint, state.m_clock());
   OnAttemptSurvived(state, call);
   CountUsage(state, call, attempt.m_sent);
-  if (attempt.m_status >= kMinServerErrorStatus &&
-      MayRetryExecuted(state, call)) {
+  call.m_attempt.m_end = AttemptEnd::kAnswered;
+  if (attempt.m_status >= kMinServerErrorStatus && MayTryAgain(state, call) &&
+      HasRetryBudget(state, call)) {
     LogFailure(state, call, "server_error", result);
-    call.m_query.m_excluded.push_back(attempt.m_endpoint);
-    ++state.m_counters.m_resends;
-    DispatchCall(state, call);
+    OnAttemptEnded(state, call, AttemptEnd::kAnswered);
     return;
   }
   if (call.m_response_started) {
@@ -316,12 +283,21 @@
   }
 }
 
+// How the connection of an attempt ended that brought no usable response.
+AttemptEnd EndOf(const HttpResult& result) {
+  if (!result.m_error) return AttemptEnd::kAnswered;
+  if (!result.m_sent) return AttemptEnd::kUnsent;
+  return result.m_error == HttpError::kConnectionLost ? AttemptEnd::kBroken
+                                                      : AttemptEnd::kAborted;
+}
+
 void OnRunFailed(RelayState& state, RelayCall& call, const HttpResult& result) {
   call.m_attempt.m_body = std::string();  // Frees the memory.
   LogFailure(state, call, "broken", result);
   OnEndpointFailed(state.m_balance, call.m_attempt.m_endpoint, state.m_clock());
-  if (!result.m_sent) {
-    RetryNotExecuted(state, call, false);
+  const AttemptEnd end = EndOf(result);
+  if (end == AttemptEnd::kUnsent) {
+    OnAttemptEnded(state, call, end);
     return;
   }
   const bool lost = result.m_error == HttpError::kConnectionLost;
@@ -331,7 +307,8 @@
   if (call.m_attempt.m_events == 0) {
     CountUsage(state, call, call.m_attempt.m_sent);
   }
-  RetryExecuted(state, call);
+  ++state.m_counters.m_failures;
+  OnAttemptEnded(state, call, end);
 }
 
 void OnRunEnd(RelayState& state, RelayCall& call, const HttpResult& result) {
@@ -415,9 +392,16 @@
     }
     decode = *other;
   }
+  if (!PayForRetry(state, call)) return;
   SendRun(state, call, decode, 0, "");
 }
 
+AttemptEnd PrefillEndOf(const EndpointAttempt& attempt,
+                        const HttpResult& result) {
+  const bool was_rejected = !result.m_error && attempt.m_metadata.m_not_run;
+  return was_rejected ? AttemptEnd::kNotExecuted : EndOf(result);
+}
+
 void OnPrefillEnd(RelayState& state, RelayCall& call, const HttpResult& result,
                   double work_tokens) {
   EndpointAttempt& attempt = call.m_attempt;
@@ -444,13 +428,7 @@
   }
   LogFailure(state, call, "prefill", result);
   RecordRejection(state, attempt, result);
-  // A prefill does not execute the request, which is dispatched again. A
-  // prefill call that was sent and failed is charged to the retry budget.
-  if (result.m_sent && !ChargeRetry(state, call)) {
-    FinishFailed(state, call, EndReason::kRejected);
-    return;
-  }
-  DispatchCall(state, call);
+  OnAttemptEnded(state, call, PrefillEndOf(attempt, result));
 }
 
 void SendPrefill(RelayState& state, RelayCall& call,
@@ -459,6 +437,7 @@
       *FindEndpoint(state.m_balance, choice.m_prefill);
   BeginAttempt(state, call, endpoint, choice.m_work_ms);
   call.m_stage = CallStage::kPrefill;
+  call.m_attempt.m_is_prefill = true;
   call.m_planned_decode = choice.m_endpoint;
   ++call.m_prefills;
   ++state.m_counters.m_prefills;
@@ -518,6 +497,7 @@
     FinishFailed(state, call, EndReason::kTooLate);
     return;
   }
+  if (!PayForRetry(state, call)) return;
   LogLine("endpoint_selected")
       .Add("request", call.m_metadata.m_attempt)
       .Add("service", call.m_service)
@@ -541,26 +521,17 @@
   }
 }
 
-void CheckAttemptTimeout(RelayState& state, RelayCall& call) {
+void NoteSilence(RelayState& state, RelayCall& call) {
   EndpointAttempt& attempt = call.m_attempt;
-  if (attempt.m_call == 0 || attempt.m_status != 0) return;
-  const Instant now = state.m_clock();
-  if (!HasTimedOut(state, call, now)) return;
-  const HttpResult result{HttpError::kInactivityTimeout, 0, true};
-  if (call.m_stage == CallStage::kPrefill) {
-    state.m_endpoints->Cancel(attempt.m_call);
-    OnPrefillEnd(state, call, result, 0);
+  if (attempt.m_call == 0 || attempt.m_status != 0 || attempt.m_is_silent) {
     return;
   }
-  if (!MayRetryExecuted(state, call)) return;
-  LogFailure(state, call, "silent", result);
-  state.m_endpoints->Cancel(attempt.m_call);
-  ReleaseLoad(state, call);
+  const bool is_watched = attempt.m_is_prefill || IsRepeatable(call);
+  const Instant now = state.m_clock();
+  if (!is_watched || !IsSilent(state, call, now)) return;
+  attempt.m_is_silent = true;
+  LogFailure(state, call, "silent", {HttpError::kInactivityTimeout, 0, true});
   OnEndpointFailed(state.m_balance, attempt.m_endpoint, now);
-  call.m_query.m_excluded.push_back(attempt.m_endpoint);
-  call.m_source.reset();
-  ++state.m_counters.m_resends;
-  DispatchCall(state, call);
 }
 
 }  // namespace comfreypaddle
--- a/src/relayattempt.h
+++ b/src/relayattempt.h
@@ -10,10 +10,10 @@
 // deleted on return.
 void DispatchCall(RelayState& state, RelayCall& call);
 
-// Abandons an attempt without a response head within its timeout and retries
-// the request at another endpoint if that is allowed. The call may be deleted
-// on return.
-void CheckAttemptTimeout(RelayState& state, RelayCall& call);
+// Lets other requests avoid an endpoint that leaves the request unanswered for
+// long. The request itself goes on waiting: the response may still arrive, and
+// the endpoint may be at work on it.
+void NoteSilence(RelayState& state, RelayCall& call);
 
 }  // namespace comfreypaddle
 
--- a/src/relaymetrics.cpp
+++ b/src/relaymetrics.cpp
@@ -70,6 +70,25 @@
                "retries allowed in the current window", "service", allowed);
 }
 
+// Adds why requests could go on at another endpoint.
+void AddContinuations(const RelayCounters& counters, MetricsText* text) {
+  std::map<std::string, double> continued;
+  for (const EnumName<EndProof>& row : EnumNames<EndProof>::kTable) {
+    if (row.m_value == EndProof::kNone) continue;
+    const auto found = counters.m_continued.find(row.m_value);
+    const std::uint64_t count =
+        found == counters.m_continued.end() ? 0 : found->second;
+    continued[std::string(row.m_name)] = static_cast<double>(count);
+  }
+  text->Gauges("relay_continued",
+               "requests that went on at another endpoint, by the proof that "
+               "their attempt had ended",
+               "proof", continued);
+  text->Counter("relay_reports_asked_total",
+                "questions to endpoints about attempts that broke off",
+                counters.m_reports_asked);
+}
+
 }  // namespace
 
 std::string RelayMetrics(const RelayState& state, const HttpServer& callers,
@@ -95,6 +114,7 @@
                "rejections that asked for a pause", counters.m_pauses);
   text.Counter("relay_failures_total", "attempts that broke off",
                counters.m_failures);
+  AddContinuations(counters, &text);
   for (const auto& [reason, count] : counters.m_ends) {
     text.Counter("relay_ends_" + std::string(ToName(reason)) + "_total",
                  "requests that ended for this reason", count);
--- a/src/relaystate.h
+++ b/src/relaystate.h
@@ -16,6 +16,7 @@
 #include "drain.h"
 #include "metrics.h"
 #include "resend.h"
+#include "runend.h"
 #include "ssesplit.h"
 #include "wireformat.h"
 
@@ -25,14 +26,16 @@
   kWaiting,  // For an endpoint with a free slot.
   kPrefill,  // An endpoint runs the prefill only.
   kRun,      // An endpoint runs the request.
+  kProving,  // The last attempt broke off and is not known to have ended.
 };
 
 template <>
 struct EnumNames<CallStage> {
-  static constexpr std::array<EnumName<CallStage>, 3> kTable{
+  static constexpr std::array<EnumName<CallStage>, 4> kTable{
       {{CallStage::kWaiting, "waiting"},
        {CallStage::kPrefill, "prefill"},
-       {CallStage::kRun, "run"}}};
+       {CallStage::kRun, "run"},
+       {CallStage::kProving, "proving"}}};
 };
 
 // Reason for the end of a request.
@@ -45,6 +48,7 @@
   kTooLate,     // It cannot be answered before its caller leaves.
   kRejected,    // By an endpoint, and no further attempt is allowed.
   kEndpointFailed,
+  kMayStillRun,  // At an endpoint whose connection broke.
   kDeadline,
   kCallerLeft,
   kSlowCaller,  // The caller does not read its response.
@@ -54,7 +58,7 @@
 
 template <>
 struct EnumNames<EndReason> {
-  static constexpr std::array<EnumName<EndReason>, 13> kTable{
+  static constexpr std::array<EnumName<EndReason>, 14> kTable{
       {{EndReason::kAnswered, "answered"},
        {EndReason::kNoCatalog, "no_catalog"},
        {EndReason::kNoRoute, "no_route"},
@@ -63,6 +67,7 @@
        {EndReason::kTooLate, "too_late"},
        {EndReason::kRejected, "rejected"},
        {EndReason::kEndpointFailed, "endpoint_failed"},
+       {EndReason::kMayStillRun, "may_still_run"},
        {EndReason::kDeadline, "deadline"},
        {EndReason::kCallerLeft, "caller_left"},
        {EndReason::kSlowCaller, "slow_caller"},
@@ -77,6 +82,12 @@
   std::string m_address;
   std::uint64_t m_born_ms = 0;  // Start of the endpoint's lifetime, Unix time.
   Instant m_sent{};
+  bool m_is_prefill = false;
+  bool m_is_silent = false;  // It has gone unanswered for long.
+  AttemptEnd m_end = AttemptEnd::kOpen;
+  Instant m_ended_at{};
+  bool m_is_unreachable = false;  // The endpoint accepts no new connection.
+  AbsenceRecord m_absence;
   double m_work_ms = 0;        // Prefill work; zero after the first event.
   int m_status = 0;            // Zero until the response head arrives.
   Instant m_head_at{};         // When it arrived.
@@ -115,12 +126,19 @@
   std::uint32_t m_prefills = 0;
   std::uint32_t m_sends = 0;        // Without those for prefill only.
   std::uint32_t m_runs = 0;         // Sends that may have been executed.
+  bool m_is_retry_due = false;      // The next send is charged as a retry.
   bool m_response_started = false;  // The stream's head was sent.
   std::optional<std::uint64_t> m_last_event;  // At the caller.
   std::uint32_t m_events = 0;
   Instant m_first_event{};
 };
 
+// Question to an endpoint about its work.
+struct EndpointInquiry {
+  HttpPort::CallId m_call = 0;  // Zero if none is open.
+  Instant m_asked{};
+};
+
 struct RelayOptions {
   std::string m_instance;
   Duration m_connect_timeout = std::chrono::milliseconds(400);
@@ -139,6 +157,8 @@
   std::uint64_t m_leaving = 0;  // Endpoints that said that they leave.
   std::uint64_t m_pauses = 0;   // Rejections that asked for a pause.
   std::uint64_t m_failures = 0;
+  std::uint64_t m_reports_asked = 0;
+  std::map<EndProof, std::uint64_t> m_continued;  // Requests, by proof.
   std::map<EndReason, std::uint64_t> m_ends;
   DurationStats m_first_answer;  // Until the first byte of the response.
   DurationStats m_total;
@@ -165,6 +185,7 @@
   std::shared_ptr<const CatalogIndex> m_catalog;  // Null until received.
   BalanceState m_balance;
   ResendState m_resends;
+  std::map<std::string, EndpointInquiry> m_inquiries;  // By endpoint.
   std::unordered_map<std::uint64_t, std::unique_ptr<RelayCall>> m_calls;
   std::map<UsageWindowKey, std::uint64_t> m_usage;  // Not handed over yet.
   CrashTable m_crashes;
--- a/src/resend.cpp
+++ b/src/resend.cpp
@@ -94,10 +94,15 @@
   ++CurrentBucket(state, service, now).m_requests;
 }
 
+bool MayResend(const ResendState& state, const std::string& service,
+               Instant now) {
+  const ResendUse use = ResendUseOf(state, service, now);
+  return use.m_resends + 1 <= use.m_allowed;
+}
+
 bool TryConsumeResend(ResendState& state, const std::string& service,
                       Instant now) {
-  const ResendUse use = ResendUseOf(state, service, now);
-  if (use.m_resends + 1 > use.m_allowed) return false;
+  if (!MayResend(state, service, now)) return false;
   ++CurrentBucket(state, service, now).m_resends;
   return true;
 }
--- a/src/resend.h
+++ b/src/resend.h
@@ -77,6 +77,10 @@
 // Counts a request to the service, whether it is sent or not.
 void CountRequest(ResendState& state, const std::string& service, Instant now);
 
+// Whether the budget allows another retry.
+bool MayResend(const ResendState& state, const std::string& service,
+               Instant now);
+
 // Charges one retry to the budget. Returns false if the budget is used up.
 bool TryConsumeResend(ResendState& state, const std::string& service,
                       Instant now);
--- a/src/wireformat.h
+++ b/src/wireformat.h
@@ -9,6 +9,7 @@
 
 #include "http.h"
 #include "relay.pb.h"
+#include "runend.h"
 
 namespace comfreypaddle {
 
@@ -70,6 +71,12 @@
   std::uint32_t m_tokens = 0;
 };
 
+// Question to an endpoint about its work.
+struct ReportQuestion {
+  std::string m_target;
+  HttpFields m_fields;
+};
+
 // Encoding of the metadata of proxied requests and responses. The platform
 // adapter implements it; it contains no decisions.
 class WireFormat {
@@ -103,6 +110,14 @@
   // Target of the DELETE request that releases a cache handle.
   virtual std::string CacheReleaseTarget(std::string_view handle) const = 0;
 
+  // Question to the endpoint with this id about its work. Another endpoint at
+  // its address responds that it is the wrong one.
+  virtual ReportQuestion AskForReport(std::string_view endpoint) const = 0;
+
+  // Returns nullopt if the report is malformed.
+  virtual std::optional<WorkReport> ParseWorkReport(
+      std::string_view body) const = 0;
+
   // Target of the load balancer's readiness check.
   virtual std::string_view ReadinessTarget() const = 0;
 };
--- a/tests/crashes_test.cpp
+++ b/tests/crashes_test.cpp
@@ -18,6 +18,7 @@
   f.m_endpoints.m_events.at(call).m_on_head(200, {{"stream", "1"}});
   f.m_endpoints.m_events.at(call).m_on_end(
       {HttpError::kConnectionLost, 200, true});
+  f.m_endpoints.RefuseInquiries();
   ++f.m_state.m_balance.m_endpoints.at(endpoint).m_born_ms;
 }
 
--- a/tests/history_system_test.cpp
+++ b/tests/history_system_test.cpp
@@ -91,8 +91,8 @@
   // Half of the requests are answered.
   EndpointAct ChooseAct() {
     if (RandomBelow(2) == 0) return EndpointAct::kAnswer;
-    return testing::kEndpointActs.at(
-        RandomBelow(static_cast<int>(testing::kEndpointActs.size())));
+    constexpr auto& kActs = EnumNames<EndpointAct>::kTable;
+    return kActs.at(RandomBelow(static_cast<int>(kActs.size()))).m_value;
   }
 
   void StartCall() {
--- a/tests/relaycall_test.cpp
+++ b/tests/relaycall_test.cpp
@@ -173,7 +173,7 @@
   REQUIRE_CALL(f.m_callers, FinishStream(1U)).IN_SEQUENCE(order);
   f.m_endpoints.m_events.at(0).m_on_head(200, {{"stream", "1"}});
   f.m_endpoints.m_events.at(0).m_on_body("id: 1\ndata: a\n\nid: 2\nda");
-  f.Break(0, true);
+  f.Crash(0);
   REQUIRE(f.m_endpoints.m_calls.size() == 2);
   CHECK(*FindFieldIgnoreCase(f.m_endpoints.m_calls.at(1).m_headers, "after") ==
         "1");
@@ -190,7 +190,7 @@
   REQUIRE_CALL(f.m_callers, Abort(1U));
   f.m_endpoints.m_events.at(0).m_on_head(200, {{"stream", "1"}});
   f.m_endpoints.m_events.at(0).m_on_body("id: 1\ndata: a\n\n");
-  f.Break(0, true);
+  f.Crash(0);
   REQUIRE(f.m_endpoints.m_calls.size() == 2);
   const std::string text = "id: 2\ndata: error\n\n";
   SUBCASE("server error") { f.Answer(1, 500, {}, text); }
@@ -210,7 +210,7 @@
   SUBCASE("a stream that goes on elsewhere") {
     f.Answer(1, 200, {{"stream", "1"}}, "id: 3\ndata: c\n\n");
   }
-  SUBCASE("no answer") { f.Break(1, true); }
+  SUBCASE("no answer") { f.Crash(1); }
   CHECK(f.m_state.m_calls.empty());
 }
 
@@ -224,9 +224,17 @@
   f.m_endpoints.m_events.at(0).m_on_head(200, {{"stream", "1"}});
   f.m_endpoints.m_events.at(0).m_on_body("id: 1\ndata: a\n\nid: 2\ndata: ");
   const std::string piece(256U << 10U, 'x');
-  for (int i = 0; i < 8 && f.m_endpoints.m_calls.size() == 1; ++i) {
+  for (int i = 0; i < 8 && f.m_endpoints.m_cancelled.empty(); ++i) {
     f.m_endpoints.m_events.at(0).m_on_body(piece);
   }
+  REQUIRE(f.m_endpoints.m_cancelled.size() == 1);
+  CHECK(f.m_endpoints.m_calls.size() == 1);
+  // The endpoint says that it does not work on it any more.
+  f.m_now += seconds(1);
+  f.m_endpoints.AnswerInquiries("0 0");
+  CHECK(f.m_endpoints.m_calls.size() == 1);
+  TickCalls(f.m_state);
+  f.m_endpoints.AnswerInquiries("0 0");
   REQUIRE(f.m_endpoints.m_calls.size() == 2);
   CHECK(*FindFieldIgnoreCase(f.m_endpoints.m_calls.at(1).m_headers, "after") ==
         "1");
@@ -334,15 +342,23 @@
   f.m_state.m_balance.m_speeds["s"].m_prefill_tokens_per_ms = 80;
   f.Ask(1, "/again/x");
   REQUIRE(f.m_endpoints.m_calls.size() == 1);
+  const auto avoided = [&f] {
+    int count = 0;
+    for (const auto& [id, endpoint] : f.m_state.m_balance.m_endpoints) {
+      if (endpoint.m_avoid_until > f.m_now) ++count;
+    }
+    return count;
+  };
   // 60,000 tokens take 2.5 s at the speed of a decode endpoint.
   f.m_now += milliseconds(3200);
   TickCalls(f.m_state);
-  CHECK(f.m_endpoints.m_cancelled.empty());
+  CHECK(avoided() == 0);
   f.m_format.m_prompt_tokens = 100;
   f.Ask(2, "/again/x");
   f.m_now += milliseconds(1200);
   TickCalls(f.m_state);
-  CHECK(f.m_endpoints.m_cancelled.size() == 1);
+  CHECK(avoided() == 1);
+  CHECK(f.m_endpoints.m_cancelled.empty());
 }
 
 // Guards against a prompt that is computed in vain because its caller leaves
--- a/tests/support_platform.h
+++ b/tests/support_platform.h
@@ -98,12 +98,6 @@
 using standins::EndpointRun;
 using standins::FakeEndpoint;
 
-// Acts of an endpoint that works as it should.
-inline constexpr std::array<EndpointAct, 7> kEndpointActs = {
-    EndpointAct::kAnswer,     EndpointAct::kAnswerLate,  EndpointAct::kHang,
-    EndpointAct::kLoseAnswer, EndpointAct::kBreakStream, EndpointAct::kRefuse,
-    EndpointAct::kCloseUnread};
-
 // What an endpoint that is a process of its own has recorded.
 struct EndpointHistory {
   std::vector<EndpointArrival> m_arrivals;
--- a/tests/support_relay.h
+++ b/tests/support_relay.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <sstream>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "accept.h"
@@ -70,6 +71,22 @@
   std::string CacheReleaseTarget(std::string_view handle) const override {
     return "/free/" + std::string(handle);
   }
+  ReportQuestion AskForReport(std::string_view endpoint) const override {
+    return {"/report", {{"to", std::string(endpoint)}}};
+  }
+  // QUEUED ACTIVE [ATTEMPT...], or "unnamed" in place of the attempts.
+  std::optional<WorkReport> ParseWorkReport(
+      std::string_view body) const override {
+    std::istringstream text{std::string(body)};
+    WorkReport report;
+    if (!(text >> report.m_queued >> report.m_active)) return std::nullopt;
+    report.m_runs.emplace();
+    for (std::string attempt; text >> attempt;) {
+      report.m_runs->push_back(attempt);
+    }
+    if (body.find("unnamed") != std::string_view::npos) report.m_runs.reset();
+    return report;
+  }
   std::string_view ReadinessTarget() const override { return "/ready"; }
 
   std::uint32_t m_prompt_tokens = 0;
@@ -89,12 +106,32 @@
 class ScriptedEndpoints : public HttpPort {
  public:
   CallId Start(HttpCall call, HttpEvents events) override {
+    constexpr CallId kFirstInquiry = 1'000'000;
+    if (call.m_url.find("/report") != std::string::npos) {
+      m_inquiries.push_back(std::move(events));
+      return kFirstInquiry + m_inquiries.size();
+    }
     m_calls.push_back(std::move(call));
     m_events.push_back(std::move(events));
     return m_calls.size();
   }
   void Cancel(CallId id) override { m_cancelled.push_back(id); }
 
+  // Answers the questions about work that are open.
+  void AnswerInquiries(const std::string& report) {
+    for (const HttpEvents& events : std::exchange(m_inquiries, {})) {
+      events.m_on_body(report);
+      events.m_on_end({HttpError::kOk, 200, true});
+    }
+  }
+
+  // Ends them as an endpoint does that accepts no connection.
+  void RefuseInquiries() {
+    for (const HttpEvents& events : std::exchange(m_inquiries, {})) {
+      events.m_on_end({HttpError::kConnectFailed, 0, false});
+    }
+  }
+
   std::string To(std::size_t index) const {
     return m_calls.at(index).m_headers.at(0).m_value;
   }
@@ -102,6 +139,7 @@
   std::vector<HttpCall> m_calls;
   std::vector<HttpEvents> m_events;
   std::vector<CallId> m_cancelled;
+  std::vector<HttpEvents> m_inquiries;  // Open questions about work.
 };
 
 // Relay state of one instance with fake callers, endpoints and clock. Each
@@ -188,6 +226,12 @@
          sent});
   }
 
+  // Breaks the connection as an endpoint does that crashes.
+  void Crash(std::size_t call) {
+    Break(call, true);
+    m_endpoints.RefuseInquiries();
+  }
+
   FakeWireFormat m_format;
   MockCallers m_callers;
   ScriptedEndpoints m_endpoints;
