Count retries until their endpoint has read them

What was seen: more retries arrived at a service than the budget of all instances allows (rule BUDGET). Real processes, two endpoints that fail, one of them paused for 8 s, or behind a link that is silent for 7 s: 532 and 501 repeated arrivals in a window, 410 allowed, on; 531 and 500 with the rule for going on elsewhere.

Cause: a retry was charged to the window in which it was decided or sent, and arrives in another one if its endpoint is paused or the link holds it. Charges of several windows arrive in one. Class: a limit of what arrives is counted by what is sent.

Change: a retry counts from its send until its endpoint responds to anything, or is gone from the list, and for a window after that. Nothing is counted twice: a response moves the retries from the unread ones to its window.

--- a/src/attemptlimits.cpp
+++ b/src/attemptlimits.cpp
@@ -80,11 +80,12 @@
   return false;
 }
 
-bool ChargeRetry(RelayState& state, const RelayCall& call) {
+bool ChargeRetry(RelayState& state, const RelayCall& call,
+                 const std::string& endpoint) {
   if (!HasRetryBudget(state, call)) return false;
   const Instant now = state.m_clock();
   const ResendUse use = ResendUseOf(state.m_resends, call.m_service, now);
-  TryConsumeResend(state.m_resends, call.m_service, now);
+  TryConsumeResend(state.m_resends, call.m_service, endpoint, now);
   LogRetryBudget(state, call, use, "charged");
   return true;
 }
--- a/src/attemptlimits.h
+++ b/src/attemptlimits.h
@@ -18,9 +18,10 @@
 // Whether the retry budget of the request's service allows another retry.
 bool HasRetryBudget(RelayState& state, const RelayCall& call);
 
-// Charges one retry of the request to the retry budget of its service. Returns
-// false if the budget is used up.
-bool ChargeRetry(RelayState& state, const RelayCall& call);
+// Charges one retry of the request, which is about to be sent to the endpoint,
+// to the retry budget of its service. Returns false if the budget is used up.
+bool ChargeRetry(RelayState& state, const RelayCall& call,
+                 const std::string& endpoint);
 
 // Whether the request may be tried again after its last attempt, by its kind,
 // the number of attempts and the time left.
--- a/src/continuation.cpp
+++ b/src/continuation.cpp
@@ -195,10 +195,11 @@
   FinishFailed(state, call, EndReason::kMayStillRun);
 }
 
-bool PayForRetry(RelayState& state, RelayCall& call) {
+bool PayForRetry(RelayState& state, RelayCall& call,
+                 const std::string& endpoint) {
   if (!call.m_is_retry_due) return true;
   call.m_is_retry_due = false;
-  if (ChargeRetry(state, call)) {
+  if (ChargeRetry(state, call, endpoint)) {
     ++state.m_counters.m_resends;
     return true;
   }
--- a/src/continuation.h
+++ b/src/continuation.h
@@ -18,9 +18,11 @@
 // long. The call may be deleted on return.
 void CheckEndProof(RelayState& state, RelayCall& call);
 
-// Charges the retry that is about to be sent, if it is one. Ends the request,
-// deletes the call and returns false if the budget is used up.
-bool PayForRetry(RelayState& state, RelayCall& call);
+// Charges the retry that is about to be sent to the endpoint, if it is one.
+// Ends the request, deletes the call and returns false if the budget is used
+// up.
+bool PayForRetry(RelayState& state, RelayCall& call,
+                 const std::string& endpoint);
 
 }  // namespace comfreypaddle
 
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -247,6 +247,12 @@
   }
   const std::vector<std::string> obsolete =
       UpdateEndpoints(m_state.m_balance, std::move(endpoints), Now());
+  ForgetEndpoints(
+      m_state.m_resends,
+      [this](const std::string& id) {
+        return FindEndpoint(m_state.m_balance, id) != nullptr;
+      },
+      Now());
   for (const std::string& address : obsolete) {
     m_client->CloseIdleConnections(address);
   }
--- a/src/relayattempt.cpp
+++ b/src/relayattempt.cpp
@@ -158,6 +158,8 @@
   attempt.m_head_at = state.m_clock();
   attempt.m_fields = fields;
   attempt.m_metadata = state.m_format->ParseResponseMetadata(status, fields);
+  OnResendsRead(state.m_resends, call.m_service, attempt.m_endpoint,
+                attempt.m_head_at);
   if (!attempt.m_metadata.m_leaving) return;
   if (!OnEndpointLeaving(state.m_balance, attempt.m_endpoint)) return;
   ++state.m_counters.m_leaving;
@@ -392,7 +394,7 @@
     }
     decode = *other;
   }
-  if (!PayForRetry(state, call)) return;
+  if (!PayForRetry(state, call, decode)) return;
   SendRun(state, call, decode, 0, "");
 }
 
@@ -497,7 +499,11 @@
     FinishFailed(state, call, EndReason::kTooLate);
     return;
   }
-  if (!PayForRetry(state, call)) return;
+  const bool is_split = !choice->m_prefill.empty();
+  if (!PayForRetry(state, call,
+                   is_split ? choice->m_prefill : choice->m_endpoint)) {
+    return;
+  }
   LogLine("endpoint_selected")
       .Add("request", call.m_metadata.m_attempt)
       .Add("service", call.m_service)
@@ -513,11 +519,11 @@
            static_cast<std::int64_t>(call.m_query.m_suffix_tokens))
       .Add("send", call.m_sends + 1)
       .AddMs("waited_ms", now - call.m_arrived);
-  if (choice->m_prefill.empty()) {
+  if (is_split) {
+    SendPrefill(state, call, *choice);
+  } else {
     SendRun(state, call, choice->m_endpoint, choice->m_work_ms,
             choice->m_fetch_address);
-  } else {
-    SendPrefill(state, call, *choice);
   }
 }
 
--- a/src/relaymetrics.cpp
+++ b/src/relaymetrics.cpp
@@ -59,7 +59,7 @@
               SlackShare(resends, now));
   std::map<std::string, double> spent;
   std::map<std::string, double> allowed;
-  for (const auto& [service, buckets] : resends.m_services) {
+  for (const auto& [service, counts] : resends.m_services) {
     const ResendUse use = ResendUseOf(resends, service, now);
     spent[service] = use.m_resends;
     allowed[service] = use.m_allowed;
--- a/src/resend.cpp
+++ b/src/resend.cpp
@@ -32,7 +32,7 @@
 ResendBucket& CurrentBucket(ResendState& state, const std::string& service,
                             Instant now) {
   const std::int64_t oldest = OldestIndex(state, now);
-  std::deque<ResendBucket>& buckets = state.m_services[service];
+  std::deque<ResendBucket>& buckets = state.m_services[service].m_buckets;
   while (!buckets.empty() && buckets.front().m_index < oldest)
     buckets.pop_front();
   if (buckets.empty() || buckets.back().m_index != BucketIndex(now)) {
@@ -79,11 +79,14 @@
   ResendUse use;
   const auto found = state.m_services.find(service);
   if (found != state.m_services.end()) {
-    for (const ResendBucket& bucket : found->second) {
+    for (const ResendBucket& bucket : found->second.m_buckets) {
       if (bucket.m_index < OldestIndex(state, now)) continue;
       use.m_requests += static_cast<double>(bucket.m_requests);
       use.m_resends += static_cast<double>(bucket.m_resends);
     }
+    for (const auto& [endpoint, retries] : found->second.m_unread) {
+      use.m_resends += static_cast<double>(retries);
+    }
   }
   use.m_allowed = kUsableFraction * (state.m_limits.m_ratio * use.m_requests +
                                      SlackShare(state, now));
@@ -101,10 +104,36 @@
 }
 
 bool TryConsumeResend(ResendState& state, const std::string& service,
-                      Instant now) {
+                      const std::string& endpoint, Instant now) {
   if (!MayResend(state, service, now)) return false;
-  ++CurrentBucket(state, service, now).m_resends;
+  ++state.m_services[service].m_unread[endpoint];
   return true;
 }
 
+void OnResendsRead(ResendState& state, const std::string& service,
+                   const std::string& endpoint, Instant now) {
+  const auto found = state.m_services.find(service);
+  if (found == state.m_services.end()) return;
+  const auto unread = found->second.m_unread.find(endpoint);
+  if (unread == found->second.m_unread.end()) return;
+  const std::uint64_t retries = unread->second;
+  found->second.m_unread.erase(unread);
+  CurrentBucket(state, service, now).m_resends += retries;
+}
+
+void ForgetEndpoints(
+    ResendState& state,
+    const std::function<bool(const std::string& endpoint)>& is_known,
+    Instant now) {
+  for (auto& [service, resends] : state.m_services) {
+    std::vector<std::string> gone;
+    for (const auto& [endpoint, retries] : resends.m_unread) {
+      if (!is_known(endpoint)) gone.push_back(endpoint);
+    }
+    for (const std::string& endpoint : gone) {
+      OnResendsRead(state, service, endpoint, now);
+    }
+  }
+}
+
 }  // namespace comfreypaddle
--- a/src/resend.h
+++ b/src/resend.h
@@ -2,6 +2,7 @@
 #define COMFREYPADDLE_RESEND_H_
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -26,6 +27,15 @@
   std::uint64_t m_resends = 0;
 };
 
+// What this instance has sent to one service.
+struct ServiceResends {
+  std::deque<ResendBucket> m_buckets;
+  // Retries by endpoint that may be unread: sent since it last responded. The
+  // budget bounds what arrives, and an endpoint that is paused, or a link that
+  // is silent, may let them arrive together much later.
+  std::map<std::string, std::uint64_t> m_unread;
+};
+
 // A number of instances that a later one has replaced.
 struct FormerCount {
   std::uint32_t m_instances = 0;
@@ -40,13 +50,13 @@
   std::optional<Instant> m_listed_at;
   Instant m_list_confirmed_at{};  // When the list was last known to be current.
   bool m_stopping = false;        // In a planned stop.
-  std::map<std::string, std::deque<ResendBucket>, std::less<>> m_services;
+  std::map<std::string, ServiceResends, std::less<>> m_services;
 };
 
 // Requests and retries of this instance, and how many retries it may make.
 struct ResendUse {
   double m_requests = 0;
-  double m_resends = 0;
+  double m_resends = 0;  // Those that may be unread included.
   double m_allowed = 0;  // Retries.
 };
 
@@ -81,9 +91,21 @@
 bool MayResend(const ResendState& state, const std::string& service,
                Instant now);
 
-// Charges one retry to the budget. Returns false if the budget is used up.
+// Charges one retry to the budget, which is about to be sent to the endpoint.
+// Returns false if the budget is used up.
 bool TryConsumeResend(ResendState& state, const std::string& service,
-                      Instant now);
+                      const std::string& endpoint, Instant now);
+
+// Records that the endpoint has responded, so that the retries sent to it have
+// arrived by now, or that it is gone. They count in the window that begins now.
+void OnResendsRead(ResendState& state, const std::string& service,
+                   const std::string& endpoint, Instant now);
+
+// Calls OnResendsRead for the endpoints that the predicate does not know.
+void ForgetEndpoints(
+    ResendState& state,
+    const std::function<bool(const std::string& endpoint)>& is_known,
+    Instant now);
 
 }  // namespace comfreypaddle
 
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -190,13 +190,15 @@
   for (int i = 0; i < 2000; ++i) {
     now += milliseconds(5);
     CountRequest(state, "s", now);
-    if (TryConsumeResend(state, "s", now)) ++taken;
+    if (TryConsumeResend(state, "s", "e", now)) ++taken;
   }
   // 2,000 requests in 10 s, plus one sixth of the slack.
   CHECK(taken <= 0.2 * 2000 + 10);
   CHECK(taken > 200);
-  CHECK_FALSE(TryConsumeResend(state, "s", now));
-  CHECK(TryConsumeResend(state, "s", now + seconds(30)));
+  CHECK_FALSE(TryConsumeResend(state, "s", "e", now));
+  OnResendsRead(state, "s", "e", now);
+  CHECK_FALSE(TryConsumeResend(state, "s", "e", now));
+  CHECK(TryConsumeResend(state, "s", "e", now + seconds(30)));
 }
 
 // Guards against computing a long prefix again that another endpoint has.
--- a/tests/retrybudget_test.cpp
+++ b/tests/retrybudget_test.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <optional>
 #include <random>
+#include <utility>
 #include <vector>
 
 #include "resend.h"
@@ -20,6 +21,7 @@
 constexpr Duration kStep = milliseconds(100);
 constexpr ResendLimits kLimits{0.2, seconds(10), 52};
 const std::string service = "s";
+const std::string endpoint = "e";
 
 ResendState StartProcess(Instant now) {
   ResendState state;
@@ -68,6 +70,18 @@
     for (std::size_t i = 0; i < m_places.size(); ++i) Tell(i, instances);
   }
 
+  // While held, retries do not arrive; they arrive together afterwards.
+  void Hold(bool held) {
+    m_is_held = held;
+    if (held) return;
+    m_retries.back() += std::exchange(m_held, 0);
+    for (Place& place : m_places) {
+      if (place.m_process) {
+        OnResendsRead(*place.m_process, service, endpoint, m_now);
+      }
+    }
+  }
+
   // Spreads the requests of one step over the instances that serve.
   void Step() {
     m_now += kStep;
@@ -82,7 +96,13 @@
     for (int i = 0; i < m_requests_per_step && !serving.empty(); ++i) {
       ResendState& state = *serving[m_next++ % serving.size()];
       CountRequest(state, service, m_now);
-      if (TryConsumeResend(state, service, m_now)) ++m_retries.back();
+      if (!TryConsumeResend(state, service, endpoint, m_now)) continue;
+      if (m_is_held) {
+        ++m_held;
+        continue;
+      }
+      ++m_retries.back();
+      OnResendsRead(state, service, endpoint, m_now);
     }
   }
   void Run(Duration time) {
@@ -128,6 +148,8 @@
   int m_requests_per_step;
   std::size_t m_next = 0;
   Instant m_now = kStart;
+  bool m_is_held = false;
+  int m_held = 0;               // Retries that have not arrived.
   std::vector<int> m_requests;  // By step.
   std::vector<int> m_retries;
 };
@@ -240,6 +262,28 @@
   CHECK(fleet.LargestUse() <= 1);
 }
 
+// Guards against retries that a paused endpoint or a silent link holds: charged
+// in several windows, they arrive in one.
+TEST_CASE("retries that are held and arrive together stay in the budget") {
+  for (const Duration held :
+       {seconds(2), seconds(5), seconds(9), seconds(15), seconds(25)}) {
+    CAPTURE(ToMs(held));
+    Fleet fleet(kInstances, kRequestsPerStep);
+    fleet.Run(seconds(20));
+    for (int round = 0; round < 3; ++round) {
+      fleet.Hold(true);
+      fleet.Run(held);
+      fleet.Hold(false);
+      fleet.Run(seconds(7));
+    }
+    CHECK(fleet.LargestUse() <= 1);
+    fleet.Run(seconds(20));
+    const double allowed =
+        kLimits.m_ratio * kRequestsPerStep * 100 + kLimits.m_slack;
+    CHECK(fleet.LastRetries() > 0.6 * allowed);
+  }
+}
+
 // Guards against mixtures of the cases above.
 TEST_CASE("random stops, kills, starts and late news stay in the budget") {
   for (unsigned seed = 1; seed <= 40; ++seed) {
