Reject requests that arrive while a listener is destroyed

A process of `serve` would abort as it stops.

Cause: the destructor resumes the suspended connections and runs the daemon once more before it stops it. A request that arrives in that run was passed on and suspended again.

Ruled out: requests that were suspended before; they are resumed.

Change: a listener that is being destroyed passes no request on and suspends nothing; a request that arrives then is rejected as not run.

--- a/src/listener.cpp
+++ b/src/listener.cpp
@@ -26,6 +26,8 @@
 
 constexpr std::size_t kStreamBlockBytes = 16U << 10U;
 
+constexpr int kServiceUnavailable = 503;
+
 // Memory per connection in addition to the request head.
 constexpr std::size_t kConnectionMemoryBytes = 16U << 10U;
 
@@ -158,12 +160,14 @@
       m_on_disconnect(std::move(on_disconnect)) {}
 
 // libmicrohttpd requires that suspended connections are resumed before the
-// daemon is stopped.
+// daemon is stopped. Requests that arrive in the last run are rejected, so that
+// none is suspended again.
 Listener::~Listener() {
   m_slow_check.reset();
   if (m_run_timer != 0) m_loop.CancelTimer(m_run_timer);
   if (m_daemon != nullptr) {
     m_on_disconnect = nullptr;
+    m_is_closing = true;
     for (auto& [id, exchange] : m_exchanges) {
       exchange->m_state = ResponseState::kAborted;
       Resume(*exchange);
@@ -256,6 +260,11 @@
     Reject(exchange, 413, "body_too_large", "The request body is too large.");
     return QueueResponse(exchange);
   }
+  if (m_is_closing) {
+    Reject(exchange, kServiceUnavailable, "stopping",
+           "The instance is stopping.");
+    return QueueResponse(exchange);
+  }
   WatchForHangup(exchange);
   m_on_request(std::move(exchange.m_request));
   if (exchange.m_state != ResponseState::kNone) return QueueResponse(exchange);
@@ -316,7 +325,7 @@
 }
 
 void Listener::Suspend(Exchange& exchange) {
-  if (exchange.m_suspended) return;
+  if (exchange.m_suspended || m_is_closing) return;
   exchange.m_suspended = true;
   MHD_suspend_connection(exchange.m_connection);
 }
--- a/src/listener.h
+++ b/src/listener.h
@@ -97,6 +97,7 @@
   std::uint64_t m_next_connection = 1;
   bool m_running_daemon = false;
   bool m_announce_close = false;
+  bool m_is_closing = false;  // In the destructor.
 };
 
 }  // namespace comfreypaddle
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -227,5 +227,34 @@
   }
 }
 
+// Guards against an abort of the process: the HTTP library must not be stopped
+// while a connection waits for its response, also if the request arrives as the
+// listener is destroyed.
+TEST_CASE(
+    "a request that arrives as the listener is destroyed is not passed on") {
+  Fixture f;
+  const int descriptor = ConnectTo(f.m_port);
+  const auto send_request = [descriptor] {
+    const std::string request = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+    CHECK(send(descriptor, request.data(), request.size(), MSG_NOSIGNAL) ==
+          static_cast<ssize_t>(request.size()));
+  };
+  std::size_t passed_on = 0;
+  SUBCASE("the first request of its connection") {
+    // The connection is accepted, and the request waits in the socket.
+    RunUntil(f.m_loop, std::chrono::milliseconds(200), [] { return false; });
+    send_request();
+  }
+  SUBCASE("behind another one") {
+    send_request();
+    RunUntil(f.m_loop, kTestTimeout, [&f] { return !f.m_requests.empty(); });
+    passed_on = 1;
+    send_request();
+  }
+  f.m_listener.reset();
+  CHECK(f.m_requests.size() == passed_on);
+  close(descriptor);
+}
+
 }  // namespace
 }  // namespace comfreypaddle
