Accept fewer observations as a proof that an attempt is over

Cause: three observations were taken for more than they show. A connection to the endpoint that found no answer in 400 ms (one lost packet does that) counted as refused. A report counted as 500 ms old at most, where the platform says "some hundred ms". A stream that ended within an event counted as complete if its response has no length, whoever closed the connection.

Change: a refused connection proves at once, one without an answer only twice in a row; reports may be a second old; a stream that ends within an event is broken.

Ruled out: taking silence and a refused connection together for an end; an endpoint that leaves refuses connections and works on.

Tests: continuation_test "one connection that times out does not show that nothing runs" and "a stream that ends within an event is broken", runend_test with the longer age.

--- a/src/continuation.cpp
+++ b/src/continuation.cpp
@@ -25,6 +25,10 @@
 // Maximum size of a report, which names each request that runs.
 constexpr std::uint64_t kMaxReportBytes = 256U << 10U;
 
+// Questions in a row without a connection after which an endpoint counts as
+// unreachable if it does not refuse them: a single packet may be lost.
+constexpr std::uint32_t kMaxConnectTimeouts = 2;
+
 EndReason ReasonOfNoRetry(const RelayCall& call) {
   return call.m_runs > 0 ? EndReason::kEndpointFailed : EndReason::kRejected;
 }
@@ -67,7 +71,8 @@
 
 // What an endpoint said in answer to a question.
 struct InquiryResult {
-  bool m_is_unreachable = false;
+  bool m_is_refused = false;  // Nothing listens, or another endpoint.
+  bool m_is_timeout = false;  // No connection in time.
   std::optional<WorkReport> m_report;
   ReportTimes m_times;
 };
@@ -76,7 +81,10 @@
 void ApplyInquiry(RelayState& state, RelayCall& call,
                   const InquiryResult& result) {
   EndpointAttempt& attempt = call.m_attempt;
-  if (result.m_is_unreachable) attempt.m_is_unreachable = true;
+  attempt.m_connect_timeouts =
+      result.m_is_timeout ? attempt.m_connect_timeouts + 1 : 0;
+  attempt.m_is_unreachable =
+      result.m_is_refused || attempt.m_connect_timeouts >= kMaxConnectTimeouts;
   if (result.m_report && result.m_times.m_asked >= attempt.m_ended_at) {
     AddReport(attempt.m_absence, *result.m_report, call.m_metadata.m_attempt,
               ResponseBegin(attempt), result.m_times);
@@ -91,7 +99,8 @@
   inquiry.m_call = 0;
   InquiryResult result;
   result.m_times = {inquiry.m_asked, state.m_clock()};
-  result.m_is_unreachable =
+  result.m_is_timeout = http.m_error == HttpError::kConnectTimeout;
+  result.m_is_refused =
       http.m_error == HttpError::kConnectFailed ||
       (!http.m_error && state.m_format->ParseResponseMetadata(http.m_status, {})
                             .m_wrong_endpoint);
--- a/src/httpclient.cpp
+++ b/src/httpclient.cpp
@@ -200,7 +200,7 @@
   // Returns the error of the timeout that has expired, or kOk.
   HttpError ExpiredTimeout(Instant now) const {
     if (!m_connected && now - m_start_time > m_connect_limit) {
-      return HttpError::kConnectFailed;
+      return HttpError::kConnectTimeout;
     }
     if (m_total_timeout > Duration(0) && now - m_start_time > m_total_timeout) {
       return HttpError::kTimeout;
--- a/src/relayattempt.cpp
+++ b/src/relayattempt.cpp
@@ -286,7 +286,11 @@
 }
 
 // How the connection of an attempt ended that brought no usable response.
-AttemptEnd EndOf(const HttpResult& result) {
+AttemptEnd EndOf(const EndpointAttempt& attempt, const HttpResult& result) {
+  // A response without a length ends with its connection, whoever closes it.
+  if (attempt.m_splitter.HasPartial() && !result.m_error) {
+    return AttemptEnd::kBroken;
+  }
   if (!result.m_error) return AttemptEnd::kAnswered;
   if (!result.m_sent) return AttemptEnd::kUnsent;
   return result.m_error == HttpError::kConnectionLost ? AttemptEnd::kBroken
@@ -297,7 +301,7 @@
   call.m_attempt.m_body = std::string();  // Frees the memory.
   LogFailure(state, call, "broken", result);
   OnEndpointFailed(state.m_balance, call.m_attempt.m_endpoint, state.m_clock());
-  const AttemptEnd end = EndOf(result);
+  const AttemptEnd end = EndOf(call.m_attempt, result);
   if (end == AttemptEnd::kUnsent) {
     OnAttemptEnded(state, call, end);
     return;
@@ -401,7 +405,7 @@
 AttemptEnd PrefillEndOf(const EndpointAttempt& attempt,
                         const HttpResult& result) {
   const bool was_rejected = !result.m_error && attempt.m_metadata.m_not_run;
-  return was_rejected ? AttemptEnd::kNotExecuted : EndOf(result);
+  return was_rejected ? AttemptEnd::kNotExecuted : EndOf(attempt, result);
 }
 
 void OnPrefillEnd(RelayState& state, RelayCall& call, const HttpResult& result,
--- a/src/runend.cpp
+++ b/src/runend.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 // Greatest age of the state that an endpoint reports.
-constexpr Duration kReportLag = std::chrono::milliseconds(500);
+constexpr Duration kReportLag = std::chrono::seconds(1);
 
 // Whether the report names all work of the endpoint, without the attempt.
 bool LacksAttempt(const WorkReport& report, const std::string& attempt) {
--- a/tests/continuation_test.cpp
+++ b/tests/continuation_test.cpp
@@ -182,7 +182,7 @@
   const BrokenStream broken = ChooseBrokenStream();
   BreakStream(f, broken);
   f.m_endpoints.AnswerInquiries("0 1 t1");
-  for (int i = 0; i < 60; ++i) {
+  for (int i = 0; i < 72; ++i) {
     f.m_endpoints.AnswerInquiries("0 1 t2");
     Pass(f, milliseconds(20));
   }
@@ -202,6 +202,39 @@
   CHECK(f.m_state.m_counters.m_continued[EndProof::kUnreachable] == 1);
 }
 
+// Guards against a lost packet that is taken for an endpoint that is gone.
+TEST_CASE("one connection that times out does not show that nothing runs") {
+  RelayFixture f;
+  f.Ask(1, "/again/x");
+  f.Break(0, true);
+  f.m_endpoints.RefuseInquiries(HttpError::kConnectTimeout);
+  CHECK(f.m_endpoints.m_calls.size() == 1);
+  Pass(f, milliseconds(300));
+  SUBCASE("it answers the next question") {
+    f.m_endpoints.AnswerInquiries("0 1 t1");
+    Pass(f, milliseconds(300));
+    f.m_endpoints.RefuseInquiries(HttpError::kConnectTimeout);
+    CHECK(f.m_endpoints.m_calls.size() == 1);
+  }
+  SUBCASE("nothing answers again") {
+    f.m_endpoints.RefuseInquiries(HttpError::kConnectTimeout);
+    CHECK(f.m_endpoints.m_calls.size() == 2);
+  }
+}
+
+// Guards against a response without a length that is taken for complete, though
+// its last event is cut.
+TEST_CASE("a stream that ends within an event is broken") {
+  RelayFixture f;
+  ALLOW_CALL(f.m_callers, StartStream(1U, 200, _));
+  ALLOW_CALL(f.m_callers, Write(1U, _));
+  f.Ask(1, "/again/x");
+  f.Answer(0, 200, {{"stream", "1"}}, "id: 1\ndata: a\n\nid: 2\nda");
+  CHECK(f.m_endpoints.m_calls.size() == 1);
+  f.m_endpoints.RefuseInquiries();
+  CHECK(f.m_endpoints.m_calls.size() == 2);
+}
+
 // Guards against endpoints that accept no connections but work on: what the
 // instance closed itself says nothing about them.
 TEST_CASE("a stream that the instance gave up needs more than a refusal") {
--- a/tests/runend_test.cpp
+++ b/tests/runend_test.cpp
@@ -51,9 +51,9 @@
 // Guards against a report that is older than the begin of the run.
 TEST_CASE("a report proves the end of a run that was seen before") {
   AbsenceRecord record;
-  AddReport(record, Runs({"b"}), "a", kStart, After(300, 310));
+  AddReport(record, Runs({"b"}), "a", kStart, After(900, 910));
   CHECK_FALSE(record.m_is_proven);
-  AddReport(record, Runs({"b"}), "a", kStart, After(500, 510));
+  AddReport(record, Runs({"b"}), "a", kStart, After(1000, 1010));
   CHECK(record.m_is_proven);
 }
 
@@ -63,9 +63,9 @@
   AbsenceRecord record;
   AddReport(record, Runs({}), "a", std::nullopt, After(900, 1000));
   CHECK_FALSE(record.m_is_proven);
-  AddReport(record, Runs({}), "a", std::nullopt, After(1200, 1210));
+  AddReport(record, Runs({}), "a", std::nullopt, After(1900, 1910));
   CHECK_FALSE(record.m_is_proven);
-  AddReport(record, Runs({}), "a", std::nullopt, After(1500, 1510));
+  AddReport(record, Runs({}), "a", std::nullopt, After(2000, 2010));
   CHECK(record.m_is_proven);
 }
 
@@ -84,7 +84,7 @@
     report.m_active = 2;
   }
   SUBCASE("runs are not named") { report.m_active = 0; }
-  AddReport(record, report, "a", kStart, After(900, 910));
+  AddReport(record, report, "a", kStart, After(1900, 1910));
   CHECK_FALSE(record.m_is_proven);
 }
 
@@ -96,7 +96,7 @@
   AddReport(record, Runs({"a"}), "a", std::nullopt, After(300, 310));
   AddReport(record, Runs({}), "a", std::nullopt, After(600, 610));
   CHECK_FALSE(record.m_is_proven);
-  AddReport(record, Runs({}), "a", std::nullopt, After(1200, 1210));
+  AddReport(record, Runs({}), "a", std::nullopt, After(1700, 1710));
   CHECK(record.m_is_proven);
 }
 
--- a/tests/support_relay.h
+++ b/tests/support_relay.h
@@ -125,10 +125,11 @@
     }
   }
 
-  // Ends them as an endpoint does that accepts no connection.
-  void RefuseInquiries() {
+  // Ends them as an endpoint does that accepts no connection, or a link on
+  // which nothing arrives.
+  void RefuseInquiries(HttpError error = HttpError::kConnectFailed) {
     for (const HttpEvents& events : std::exchange(m_inquiries, {})) {
-      events.m_on_end({HttpError::kConnectFailed, 0, false});
+      events.m_on_end({error, 0, false});
     }
   }
 
