Release retries whose connection has ended from the count of unread ones

Cause: a retry counted as unread until its endpoint sent the head of any response. An endpoint that breaks every connection never does, so that its retries held the budget for as long as it was listed.

--- a/src/continuation.cpp
+++ b/src/continuation.cpp
@@ -184,6 +184,10 @@
 void OnAttemptEnded(RelayState& state, RelayCall& call, AttemptEnd end) {
   call.m_attempt.m_end = end;
   call.m_attempt.m_ended_at = state.m_clock();
+  if (call.m_is_retry) {
+    OnResendEnded(state.m_resends, call.m_service, call.m_attempt.m_endpoint,
+                  state.m_clock());
+  }
   CountEnd(call, end);
   if (!MayTryAgain(state, call) ||
       (call.m_is_retry_due && !HasRetryBudget(state, call))) {
@@ -206,6 +210,7 @@
 
 bool PayForRetry(RelayState& state, RelayCall& call,
                  const std::string& endpoint) {
+  call.m_is_retry = call.m_is_retry_due;
   if (!call.m_is_retry_due) return true;
   call.m_is_retry_due = false;
   if (ChargeRetry(state, call, endpoint)) {
--- a/src/relaystate.h
+++ b/src/relaystate.h
@@ -128,6 +128,7 @@
   std::uint32_t m_sends = 0;        // Without those for prefill only.
   std::uint32_t m_runs = 0;         // Sends that may have been executed.
   bool m_is_retry_due = false;      // The next send is charged as a retry.
+  bool m_is_retry = false;          // The last send was.
   bool m_response_started = false;  // The stream's head was sent.
   std::optional<std::uint64_t> m_last_event;  // At the caller.
   std::uint32_t m_events = 0;
--- a/src/resend.cpp
+++ b/src/resend.cpp
@@ -1,6 +1,7 @@
 #include "resend.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace comfreypaddle {
 
@@ -41,6 +42,20 @@
   return buckets.back();
 }
 
+// Counts this many of the endpoint's unread retries, at most, in the current
+// window.
+void MoveUnread(ResendState& state, const std::string& service,
+                const std::string& endpoint, std::uint64_t most, Instant now) {
+  const auto found = state.m_services.find(service);
+  if (found == state.m_services.end()) return;
+  const auto unread = found->second.m_unread.find(endpoint);
+  if (unread == found->second.m_unread.end()) return;
+  const std::uint64_t retries = std::min(unread->second, most);
+  unread->second -= retries;
+  if (unread->second == 0) found->second.m_unread.erase(unread);
+  CurrentBucket(state, service, now).m_resends += retries;
+}
+
 }  // namespace
 
 void SetInstances(ResendState& state, const InstanceCount& count, Instant now) {
@@ -112,13 +127,13 @@
 
 void OnResendsRead(ResendState& state, const std::string& service,
                    const std::string& endpoint, Instant now) {
-  const auto found = state.m_services.find(service);
-  if (found == state.m_services.end()) return;
-  const auto unread = found->second.m_unread.find(endpoint);
-  if (unread == found->second.m_unread.end()) return;
-  const std::uint64_t retries = unread->second;
-  found->second.m_unread.erase(unread);
-  CurrentBucket(state, service, now).m_resends += retries;
+  constexpr std::uint64_t kAll = std::numeric_limits<std::uint64_t>::max();
+  MoveUnread(state, service, endpoint, kAll, now);
+}
+
+void OnResendEnded(ResendState& state, const std::string& service,
+                   const std::string& endpoint, Instant now) {
+  MoveUnread(state, service, endpoint, 1, now);
 }
 
 void ForgetEndpoints(
--- a/src/resend.h
+++ b/src/resend.h
@@ -101,6 +101,11 @@
 void OnResendsRead(ResendState& state, const std::string& service,
                    const std::string& endpoint, Instant now);
 
+// Records that the connection of one retry to the endpoint has ended from the
+// other side, or was never made. It counts in the window that begins now.
+void OnResendEnded(ResendState& state, const std::string& service,
+                   const std::string& endpoint, Instant now);
+
 // Calls OnResendsRead for the endpoints that the predicate does not know.
 void ForgetEndpoints(
     ResendState& state,
--- a/tests/continuation_test.cpp
+++ b/tests/continuation_test.cpp
@@ -298,5 +298,45 @@
   CHECK(ResendUseOf(f.m_state.m_resends, "s", f.m_now).m_resends == 1);
 }
 
+// Guards against retries that hold the budget for good, because their endpoint
+// breaks every connection without a response.
+TEST_CASE("a retry whose connection broke leaves the budget after a window") {
+  RelayFixture f;
+  ALLOW_CALL(f.m_callers, Respond(_, 502, _, _));
+  f.Ask(1, "/safe/x");
+  f.Break(0, true);
+  REQUIRE(f.m_endpoints.m_calls.size() == 2);
+  SUBCASE("broken") { f.Break(1, true); }
+  SUBCASE("not connected") { f.Break(1, false); }
+  CHECK(ResendUseOf(f.m_state.m_resends, "s", f.m_now).m_resends == 1);
+  CHECK(
+      ResendUseOf(f.m_state.m_resends, "s", f.m_now + seconds(11)).m_resends ==
+      0);
+}
+
+// Guards against retries that are forgotten while they may still arrive.
+TEST_CASE("a retry that was given up counts until its endpoint responds") {
+  RelayFixture f;
+  ALLOW_CALL(f.m_callers, Respond(_, _, _, _));
+  f.Ask(1, "/safe/x");
+  f.Break(0, true);
+  REQUIRE(f.m_endpoints.m_calls.size() == 2);
+  Pass(f, milliseconds(3100));
+  CHECK(f.m_state.m_calls.empty());
+  const auto used = [&f] {
+    return ResendUseOf(f.m_state.m_resends, "s", f.m_now).m_resends;
+  };
+  Pass(f, seconds(15));
+  CHECK(used() == 1);
+  for (auto& [id, endpoint] : f.m_state.m_balance.m_endpoints) {
+    endpoint.m_draining = id != f.m_endpoints.To(1);
+  }
+  f.Ask(2, "/safe/x");
+  f.Answer(2, 200, {}, "body");
+  CHECK(used() == 1);
+  Pass(f, seconds(11));
+  CHECK(used() == 0);
+}
+
 }  // namespace
 }  // namespace comfreypaddle::testing
