Let an answered retry release no other one from the budget

Cause: an attempt that ends releases one unread retry of its endpoint. One whose response had begun had released all of them before, so that it released another attempt's retry, which may not have arrived.

Change: only an attempt without a response releases its retry as it ends.

Evidence: continuation_test "a retry that breaks after its response began releases no other" fails without the change (0 of 1 retries counted) and passes with it.

--- a/src/continuation.cpp
+++ b/src/continuation.cpp
@@ -184,7 +184,8 @@
 void OnAttemptEnded(RelayState& state, RelayCall& call, AttemptEnd end) {
   call.m_attempt.m_end = end;
   call.m_attempt.m_ended_at = state.m_clock();
-  if (call.m_is_retry) {
+  // A response has released all retries to the endpoint before.
+  if (call.m_is_retry && call.m_attempt.m_status == 0) {
     OnResendEnded(state.m_resends, call.m_service, call.m_attempt.m_endpoint,
                   state.m_clock());
   }
--- a/tests/continuation_test.cpp
+++ b/tests/continuation_test.cpp
@@ -314,6 +314,34 @@
       0);
 }
 
+// Guards against an attempt that releases another one's retry when it ends.
+TEST_CASE("a retry that breaks after its response began releases no other") {
+  RelayFixture f;
+  ALLOW_CALL(f.m_callers, StartStream(_, _, _));
+  ALLOW_CALL(f.m_callers, Write(_, _));
+  ALLOW_CALL(f.m_callers, Abort(1U));
+  const auto use_only = [&f](const std::string& used) {
+    for (auto& [id, endpoint] : f.m_state.m_balance.m_endpoints) {
+      endpoint.m_draining = id != used;
+    }
+  };
+  use_only("e1");
+  f.Ask(1, "/again/x");
+  use_only("e2");
+  f.Crash(0);
+  f.m_endpoints.m_events.at(1).m_on_head(200, {{"stream", "1"}});
+  f.m_endpoints.m_events.at(1).m_on_body("id: 1\ndata: a\n\n");
+  use_only("e3");
+  f.Ask(2, "/safe/x");
+  use_only("e2");
+  f.Break(2, true);
+  REQUIRE(f.m_endpoints.To(3) == "e2");
+  f.Break(1, true);
+  CHECK(
+      ResendUseOf(f.m_state.m_resends, "s", f.m_now + seconds(11)).m_resends ==
+      1);
+}
+
 // Guards against retries that are forgotten while they may still arrive.
 TEST_CASE("a retry that was given up counts until its endpoint responds") {
   RelayFixture f;
