Log from which instance and in which form an endpoint list comes

Change: a line endpoint_list_source when the source or the form changes, or a list is not taken. Changes that follow a list of the same instance give no line.

No functional change

--- a/src/statemerge.cpp
+++ b/src/statemerge.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "endpointlist.h"
+#include "eventlog.h"
 #include "servedinstances.h"
 #include "statequery.h"
 #include "storereader.h"
@@ -11,17 +12,71 @@
 
 namespace {
 
+// What becomes of the endpoint list in an answer of another instance.
+enum class ListOutcome {
+  kApplied,
+  kBehind,  // The other instance has read less of the store than this one.
+  kNoBase,  // Changes since a list that this instance does not have.
+};
+
+}  // namespace
+
+template <>
+struct EnumNames<ListOutcome> {
+  static constexpr std::array<EnumName<ListOutcome>, 3> kTable{
+      {{ListOutcome::kApplied, "applied"},
+       {ListOutcome::kBehind, "behind"},
+       {ListOutcome::kNoBase, "no_base"}}};
+};
+
+namespace {
+
+ListOutcome OutcomeOf(const ControlState& state,
+                      const schema::InstanceState& other) {
+  const UpstreamLink& link = state.m_upstream_link;
+  if (other.endpoints_offset() < ReadOffset(state.m_endpoints_cursor)) {
+    return ListOutcome::kBehind;
+  }
+  const bool follows = link.m_list_owner == other.name() &&
+                       link.m_list_incarnation == other.incarnation() &&
+                       link.m_list_version == other.list_base();
+  return other.list_whole() || follows ? ListOutcome::kApplied
+                                       : ListOutcome::kNoBase;
+}
+
+// Logs from which instance and in which form the endpoint list comes, whenever
+// this changes. Changes since a list that was applied from the same instance
+// are not logged.
+void LogListSource(const ControlState& state,
+                   const schema::InstanceState& other, ListOutcome outcome) {
+  const std::string& owner = state.m_upstream_link.m_list_owner;
+  const bool is_applied = outcome == ListOutcome::kApplied;
+  if (is_applied ? owner == other.name() && !other.list_whole()
+                 : owner.empty()) {
+    return;
+  }
+  LogLine("endpoint_list_source")
+      .Add("instance", other.name())
+      .Add("outcome", ToName(outcome))
+      .Add("whole", other.list_whole() ? 1 : 0)
+      .Add("offset", static_cast<std::int64_t>(other.endpoints_offset()))
+      .Add("read_offset",
+           static_cast<std::int64_t>(ReadOffset(state.m_endpoints_cursor)))
+      .Add("version", static_cast<std::int64_t>(other.list_version()))
+      .Add("base", static_cast<std::int64_t>(other.list_base()))
+      .Add("entries",
+           static_cast<std::int64_t>(other.endpoints().endpoints_size()))
+      .Add("removed", other.removed_endpoints_size());
+}
+
 // Applies the endpoint list of an instance whose read offset is not behind this
 // one's. Returns whether the list was applied.
 bool MergeEndpointList(ControlState& state,
                        const schema::InstanceState& other) {
   UpstreamLink& link = state.m_upstream_link;
-  const bool whole = other.list_whole();
-  const bool follows = link.m_list_owner == other.name() &&
-                       link.m_list_incarnation == other.incarnation() &&
-                       link.m_list_version == other.list_base();
-  const std::uint64_t known = ReadOffset(state.m_endpoints_cursor);
-  if (other.endpoints_offset() < known || (!whole && !follows)) {
+  const ListOutcome outcome = OutcomeOf(state, other);
+  LogListSource(state, other, outcome);
+  if (outcome != ListOutcome::kApplied) {
     link.m_list_owner.clear();
     return false;
   }
