Ask for a whole list after reading the store in place of an upstream

Fault 1 of 2 that can do this. Cause: an instance takes changes of the endpoint list since the version that it applied last. Meanwhile it may have read the store itself, because the store did not answer the instance that it follows. What it read then is in neither list, so no change names its removal, and the changes were taken as complete. Evidence: listchanges_test on the parent: an entry read from the store stays after changes that cover its removal. Ruled out: a late report (the endpoint wrote one record only), and slow spread. Change: records read from the store end the base for changes, so that the next answer is a whole list. A read without records keeps it.

--- a/src/endpointlist.cpp
+++ b/src/endpointlist.cpp
@@ -176,6 +176,11 @@
     ApplyEndpointRecord(state, record);
   }
   if (is_snapshot) RemoveMissingFromSnapshot(state, result);
+  // What is read here is in no list of another instance, so that changes since
+  // such a list leave it out.
+  if (is_snapshot || !result.m_records.empty()) {
+    state.m_upstream_link.m_list_owner.clear();
+  }
   if (state.m_directory.m_version != before) PublishEndpoints(state);
 }
 
