Take no outage of one instance for an outage of the store

Cause: entries that vanish in an outage of the store stay in use for 2.2 s after its return. An instance whose own calls had failed for 0.75 s took that for an outage of the store, although other instances had told it all the while what they read. So a removal was taken for a lapse, and the instances that follow it took the entry over for up to 2.2 s after its return, however long ago the removal was. Change: besides a failed call, an outage needs 1.8 s without an answer of the store to any instance known here; the shortest outage in which entries lapse is 2.4 s.

--- a/src/directory.cpp
+++ b/src/directory.cpp
@@ -1,5 +1,7 @@
 #include "directory.h"
 
+#include <utility>
+
 namespace comfreypaddle {
 
 namespace {
@@ -37,10 +39,10 @@
   // Another instance may report an answer older than the last one.
   if (now <= directory.m_last_answer) return false;
   const bool first = directory.m_last_answer == Instant{};
-  directory.m_last_answer = now;
+  const Duration silence = now - std::exchange(directory.m_last_answer, now);
   if (!directory.m_first_fault || now < *directory.m_first_fault) return false;
-  const bool outage =
-      !first && now - *directory.m_first_fault > kOutageThreshold;
+  const bool outage = !first && silence >= kMinOutageSilence &&
+                      now - *directory.m_first_fault > kOutageThreshold;
   directory.m_first_fault.reset();
   if (outage) directory.m_grace_ends = now + kLapseGracePeriod;
   return outage;
--- a/src/directory.h
+++ b/src/directory.h
@@ -22,6 +22,12 @@
 // fails after 1.6 s at the latest.
 inline constexpr Duration kOutageThreshold = std::chrono::milliseconds(750);
 
+// Time without an answer of the store to any instance that is known here, below
+// which there was no outage in which entries lapse, whatever failed. An
+// instance that alone is cut off learns of the answers to the others within a
+// second.
+inline constexpr Duration kMinOutageSilence = std::chrono::milliseconds(1800);
+
 struct KnownEndpoint {
   schema::EndpointEntry m_entry;
   std::uint64_t m_changed = 0;  // List version of the last change.
@@ -33,7 +39,7 @@
 // Endpoint list, versioned so that only changes need to be sent.
 struct EndpointDirectory {
   std::map<std::string, KnownEndpoint, std::less<>> m_endpoints;
-  Instant m_last_answer{};  // Last answer of the store.
+  Instant m_last_answer{};  // Last answer of the store to any instance.
   // First failed call to the store since that answer.
   std::optional<Instant> m_first_fault;
   // End of the grace period after an outage.
@@ -56,9 +62,11 @@
 // Records that a call to the store failed.
 void OnStoreFault(EndpointDirectory& directory, Instant now);
 
-// Records an answer of the store. The first one after an outage starts the
-// grace period. Returns whether it did. Time without an answer is no outage by
-// itself: this process or the instance that it follows may have been frozen.
+// Records an answer of the store to this or another instance. The first one
+// after an outage starts the grace period. Returns whether it did. Time without
+// an answer is no outage by itself: this process or the instance that it
+// follows may have been frozen. Nor are failed calls: this instance alone may
+// be cut off.
 bool OnStoreAnswer(EndpointDirectory& directory, Instant now);
 
 // Adds or updates an entry. Returns whether a change affects routing.
