Keep an endpoint out of use until the end of a lifetime in which it left

Cause: the list forgot lifetime and sequence of an endpoint with its entry, took a ready report with the sequence of the draining one, and took another instance's later record of an older report, so that leaving could be undone. Change: a draining report holds until a newer lifetime. What the endpoint had reported last is kept with its removal; in that lifetime it returns with a higher sequence only, as one does that was cut off from the store. Removals beyond the retained number discard the older half instead of all. An endpoint that an instance never knew can still be brought up by a report that reaches the store after its removal.

--- a/src/directory.cpp
+++ b/src/directory.cpp
@@ -1,13 +1,16 @@
 #include "directory.h"
 
+#include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace comfreypaddle {
 
 namespace {
 
-// Removals retained for followers that request changes.
-constexpr std::size_t kMaxRetainedRemovals = 512;
+// Removals retained for followers that request changes, and against old reports
+// of endpoints that have left. Beyond this number the older half is discarded.
+constexpr std::size_t kMaxRetainedRemovals = 1024;
 
 // Whether two entries differ in a field that routing uses. The sequence number
 // alone changes with each heartbeat.
@@ -21,12 +24,53 @@
          (a.cold_ms() > 0) != (b.cold_ms() > 0);
 }
 
+// Discards the older half of the retained removals.
+void DiscardOldRemovals(EndpointDirectory& directory) {
+  std::vector<std::uint64_t> versions;
+  versions.reserve(directory.m_removed.size());
+  for (const auto& [id, removed] : directory.m_removed) {
+    versions.push_back(removed.m_version);
+  }
+  const auto middle =
+      versions.begin() + static_cast<std::ptrdiff_t>(versions.size() / 2);
+  std::nth_element(versions.begin(), middle, versions.end());
+  directory.m_discarded_removals_end = *middle;
+  std::erase_if(directory.m_removed, [&](const auto& entry) {
+    return entry.second.m_version <= directory.m_discarded_removals_end;
+  });
+}
+
 // Records a removal under a new version of the list.
-void RecordRemoval(EndpointDirectory& directory, const std::string& id) {
-  directory.m_removed[id] = ++directory.m_version;
-  if (directory.m_removed.size() <= kMaxRetainedRemovals) return;
-  directory.m_removed.clear();
-  directory.m_discarded_removals_end = directory.m_version;
+void RecordRemoval(EndpointDirectory& directory, const std::string& id,
+                   const schema::EndpointEntry& last) {
+  directory.m_removed[id] = {++directory.m_version, last.born_ms(),
+                             last.sequence(), last.draining()};
+  if (directory.m_removed.size() > kMaxRetainedRemovals) {
+    DiscardOldRemovals(directory);
+  }
+}
+
+// Last report of the endpoint that this instance has applied, whether its entry
+// is present or removed; nothing if it has never been known.
+std::optional<RemovedEndpoint> LastReport(const EndpointDirectory& directory,
+                                          const std::string& id) {
+  const auto present = directory.m_endpoints.find(id);
+  if (present != directory.m_endpoints.end()) {
+    const schema::EndpointEntry& entry = present->second.m_entry;
+    return RemovedEndpoint{0, entry.born_ms(), entry.sequence(),
+                           entry.draining()};
+  }
+  const auto removed = directory.m_removed.find(id);
+  if (removed == directory.m_removed.end()) return std::nullopt;
+  return removed->second;
+}
+
+// Whether the endpoint has reported that it drains in the lifetime of the
+// entry.
+bool HasDrained(const EndpointDirectory& directory,
+                const schema::EndpointEntry& entry) {
+  const auto last = LastReport(directory, entry.id());
+  return last && last->m_born_ms == entry.born_ms() && last->m_draining;
 }
 
 }  // namespace
@@ -48,18 +92,38 @@
   return outage;
 }
 
+bool IsOfFormerLifetime(const EndpointDirectory& directory,
+                        const schema::EndpointEntry& entry) {
+  const auto last = LastReport(directory, entry.id());
+  return last && entry.born_ms() < last->m_born_ms;
+}
+
+bool IsOutdated(const EndpointDirectory& directory,
+                const schema::EndpointEntry& entry) {
+  const auto last = LastReport(directory, entry.id());
+  if (!last) return false;
+  if (entry.born_ms() != last->m_born_ms) {
+    return entry.born_ms() < last->m_born_ms;
+  }
+  const bool is_present = directory.m_endpoints.count(entry.id()) > 0;
+  return is_present ? entry.sequence() < last->m_sequence
+                    : entry.sequence() <= last->m_sequence;
+}
+
 bool UpsertEntry(EndpointDirectory& directory,
-                 const schema::EndpointEntry& entry) {
+                 const schema::EndpointEntry& reported) {
+  schema::EndpointEntry entry = reported;
+  if (HasDrained(directory, entry)) entry.set_draining(true);
   const auto [place, inserted] =
       directory.m_endpoints.try_emplace(entry.id(), KnownEndpoint{entry});
   KnownEndpoint& known = place->second;
   const bool changed =
       inserted || known.m_lapsed || DiffersForRouting(known.m_entry, entry);
-  known.m_entry = entry;
+  known.m_entry = std::move(entry);
   known.m_lapsed = false;
   if (changed) {
     known.m_changed = ++directory.m_version;
-    directory.m_removed.erase(entry.id());
+    directory.m_removed.erase(reported.id());
   }
   return changed;
 }
@@ -85,8 +149,10 @@
 }
 
 bool EraseEntry(EndpointDirectory& directory, const std::string& id) {
-  if (directory.m_endpoints.erase(id) == 0) return false;
-  RecordRemoval(directory, id);
+  const auto found = directory.m_endpoints.find(id);
+  if (found == directory.m_endpoints.end()) return false;
+  RecordRemoval(directory, id, found->second.m_entry);
+  directory.m_endpoints.erase(found);
   return true;
 }
 
@@ -98,7 +164,7 @@
     const bool expired =
         at->second.m_lapsed && now >= at->second.m_lapse_expires;
     if (expired) {
-      RecordRemoval(directory, at->first);
+      RecordRemoval(directory, at->first, at->second.m_entry);
       ids.push_back(at->first);
     }
     at = expired ? directory.m_endpoints.erase(at) : std::next(at);
@@ -124,8 +190,8 @@
     *changes.m_entries.add_endpoints() = known.m_entry;
   }
   if (changes.m_is_complete) return changes;
-  for (const auto& [id, version] : directory.m_removed) {
-    if (version > since) changes.m_removed.push_back(id);
+  for (const auto& [id, removed] : directory.m_removed) {
+    if (removed.m_version > since) changes.m_removed.push_back(id);
   }
   return changes;
 }
--- a/src/directory.h
+++ b/src/directory.h
@@ -36,6 +36,15 @@
   Instant m_lapse_expires{};
 };
 
+// What an endpoint had reported in its last lifetime when its entry was
+// removed.
+struct RemovedEndpoint {
+  std::uint64_t m_version = 0;  // Version of the list at the removal.
+  std::uint64_t m_born_ms = 0;
+  std::uint64_t m_sequence = 0;
+  bool m_draining = false;
+};
+
 // Endpoint list, versioned so that only changes need to be sent.
 struct EndpointDirectory {
   std::map<std::string, KnownEndpoint, std::less<>> m_endpoints;
@@ -46,9 +55,9 @@
   Instant m_grace_ends{};
   // Increases with each change that affects routing.
   std::uint64_t m_version = 0;
-  // Version of each retained removal, and the version up to which removals have
-  // been discarded.
-  std::map<std::string, std::uint64_t, std::less<>> m_removed;
+  // Retained removals, and the version up to which removals have been
+  // discarded.
+  std::map<std::string, RemovedEndpoint, std::less<>> m_removed;
   std::uint64_t m_discarded_removals_end = 0;
 };
 
@@ -69,7 +78,20 @@
 // be cut off.
 bool OnStoreAnswer(EndpointDirectory& directory, Instant now);
 
-// Adds or updates an entry. Returns whether a change affects routing.
+// Whether the entry is of a lifetime of the endpoint before the one that is
+// known, or was known when its entry was removed.
+bool IsOfFormerLifetime(const EndpointDirectory& directory,
+                        const schema::EndpointEntry& entry);
+
+// Whether the entry is an older report of the endpoint than the one that is
+// known. One that was removed returns with a higher sequence number only: its
+// earlier reports may reach the store after the removal.
+bool IsOutdated(const EndpointDirectory& directory,
+                const schema::EndpointEntry& entry);
+
+// Adds or updates an entry. An endpoint that drains does so until the end of
+// its lifetime, whatever a later entry says. Returns whether a change affects
+// routing.
 bool UpsertEntry(EndpointDirectory& directory,
                  const schema::EndpointEntry& entry);
 
--- a/src/endpointlist.cpp
+++ b/src/endpointlist.cpp
@@ -17,53 +17,55 @@
   kMissing,  // From a snapshot, or from another instance's whole list.
   kLapsed,   // Removed, but usable until its grace period ends.
   kExpired,  // Its grace period has ended.
+  kOutdated  // Not taken: an older report than the one that is known.
 };
 
 }  // namespace
 
 template <>
 struct EnumNames<EndpointChange> {
-  static constexpr std::array<EnumName<EndpointChange>, 5> kTable{
+  static constexpr std::array<EnumName<EndpointChange>, 6> kTable{
       {{EndpointChange::kChanged, "changed"},
        {EndpointChange::kRemoved, "removed"},
        {EndpointChange::kMissing, "missing"},
        {EndpointChange::kLapsed, "lapsed"},
-       {EndpointChange::kExpired, "expired"}}};
+       {EndpointChange::kExpired, "expired"},
+       {EndpointChange::kOutdated, "outdated"}}};
 };
 
 namespace {
 
-// Whether the entry is older than the known one. Records may arrive out of
-// order.
-bool IsOutdated(const ControlState& state, const schema::EndpointEntry& entry) {
-  const auto found = state.m_directory.m_endpoints.find(entry.id());
-  if (found == state.m_directory.m_endpoints.end()) return false;
-  const schema::EndpointEntry& known = found->second.m_entry;
-  if (entry.born_ms() != known.born_ms()) {
-    return entry.born_ms() < known.born_ms();
-  }
-  return entry.sequence() < known.sequence();
+void AddEntry(LogLine& line, const schema::EndpointEntry& entry) {
+  line.Add("service", entry.service())
+      .Add("address", entry.address())
+      .Add("zone", entry.zone())
+      .Add("draining", entry.draining() ? 1 : 0)
+      .Add("phase", schema::EnginePhase_Name(entry.phase()))
+      .Add("cheap", entry.cheap() ? 1 : 0)
+      .Add("born_ms", static_cast<std::int64_t>(entry.born_ms()))
+      .Add("sequence", static_cast<std::int64_t>(entry.sequence()));
 }
 
-void LogEndpoint(const ControlState& state, EndpointChange change,
-                 const std::string& id, std::string_view source) {
+// Logs a change, with the entry that it is about if there is one.
+void LogChange(const ControlState& state, EndpointChange change,
+               const std::string& id, std::string_view source,
+               const schema::EndpointEntry* entry) {
   LogLine line("endpoint_list");
   line.Add("change", ToName(change))
       .Add("endpoint", id)
       .Add("source", source)
       .Add("read_offset",
            static_cast<std::int64_t>(state.m_endpoints_cursor.m_next));
+  if (entry != nullptr) AddEntry(line, *entry);
+}
+
+// Logs a change with the known entry of the endpoint.
+void LogEndpoint(const ControlState& state, EndpointChange change,
+                 const std::string& id, std::string_view source) {
   const auto found = state.m_directory.m_endpoints.find(id);
-  if (found == state.m_directory.m_endpoints.end()) return;
-  const schema::EndpointEntry& entry = found->second.m_entry;
-  line.Add("service", entry.service())
-      .Add("address", entry.address())
-      .Add("zone", entry.zone())
-      .Add("draining", entry.draining() ? 1 : 0)
-      .Add("phase", schema::EnginePhase_Name(entry.phase()))
-      .Add("cheap", entry.cheap() ? 1 : 0)
-      .Add("born_ms", static_cast<std::int64_t>(entry.born_ms()))
-      .Add("sequence", static_cast<std::int64_t>(entry.sequence()));
+  const bool known = found != state.m_directory.m_endpoints.end();
+  LogChange(state, change, id, source,
+            known ? &found->second.m_entry : nullptr);
 }
 
 // Sends the list to the relay task.
@@ -114,14 +116,21 @@
     return;
   }
   entry->set_record_end(record.m_offset + 1);
-  if (!IsOutdated(state, *entry)) Upsert(state, *entry, kStoreSource);
+  if (IsOutdated(state.m_directory, *entry)) {
+    LogChange(state, EndpointChange::kOutdated, entry->id(), kStoreSource,
+              &*entry);
+    return;
+  }
+  Upsert(state, *entry, kStoreSource);
 }
 
 // Whether an entry that another instance has is newer than what this instance
 // has read itself. Instances of earlier versions do not send the record's
-// offset; their entries are taken as they are.
+// offset; their entries are taken as they are. The sequence number does not
+// decide: an instance that follows another one is not told of each report.
 bool IsNews(const ControlState& state, const schema::EndpointEntry& entry) {
-  if (entry.record_end() == 0) return !IsOutdated(state, entry);
+  if (entry.record_end() == 0) return !IsOutdated(state.m_directory, entry);
+  if (IsOfFormerLifetime(state.m_directory, entry)) return false;
   const auto found = state.m_directory.m_endpoints.find(entry.id());
   if (found != state.m_directory.m_endpoints.end()) {
     return entry.record_end() > found->second.m_entry.record_end();
