Date the confirmation of the endpoint list by the sending of the read

Cause: the answer to a read made the list count as current at the moment in which it was processed. After a pause of the process an old answer hid that the list was out of date, so that the instance asked nobody else. Evidence: endpointlist_test 'a read confirms the list as of the time at which it was sent' fails on the parent. Ruled out: answers of other instances, which are dated by the sending already. Change: reads that do not wait for records count as of their sending. Those that wait (configuration) still count as of their answer. Conclusion: fixed for the list of endpoints.

--- a/src/storereader.cpp
+++ b/src/storereader.cpp
@@ -129,6 +129,13 @@
       .AddMs("store_silent_ms", state.m_clock() - state.m_store_answered);
 }
 
+// Time as of which an answer to a read is known to match the store: that of the
+// sending, because the process may have been paused since. The answer to a read
+// that waits for records is made up to the wait later, and counts as of now.
+Instant ConfirmedBy(Instant sent, Duration wait, Instant now) {
+  return wait == Duration(0) ? sent : now;
+}
+
 // Reads a keyed stream: first a snapshot of the newest record per key, then the
 // records appended since.
 void ReadKeyedStream(ControlState& state, Stream stream, StreamCursor& cursor,
@@ -137,8 +144,8 @@
   if (cursor.m_busy || now < cursor.m_due) return;
   cursor.m_busy = true;
   const bool newest = !cursor.m_initialized || cursor.m_needs_snapshot;
-  const auto done = [&state, &cursor, stream, pause,
-                     newest](const ReadResult& result) {
+  const auto done = [&state, &cursor, stream, wait, pause, newest,
+                     now](const ReadResult& result) {
     cursor.m_busy = false;
     cursor.m_due = state.m_clock() + pause;
     RecordStoreCall(state,
@@ -158,7 +165,8 @@
           .Add("read_offset", static_cast<std::int64_t>(cursor.m_next));
     } else {
       const std::uint64_t covered = newest ? 0 : ReadOffset(cursor);
-      cursor.m_confirmed = state.m_clock();
+      cursor.m_confirmed =
+          std::max(cursor.m_confirmed, ConfirmedBy(now, wait, state.m_clock()));
       if (stream == Stream::kEndpoints) {
         ConfirmEndpointList(state, cursor.m_confirmed, kStoreSource);
       }
--- a/tests/endpointlist_test.cpp
+++ b/tests/endpointlist_test.cpp
@@ -149,6 +149,21 @@
   CHECK(reader.m_state.m_endpoints_cursor.m_next == 30);
 }
 
+// Failure (DRAIN): after a pause of the process, the answer to a read sent
+// before it made the list look current, so that the instance asked nobody for
+// removals.
+TEST_CASE("a read confirms the list as of the time at which it was sent") {
+  Reader reader;
+  PollStore(reader.m_state);
+  REQUIRE(reader.m_store.m_read_done.size() == 1);
+  const Instant sent = reader.m_now;
+  reader.m_now += seconds(3);
+  ReadResult late;
+  late.m_next = 20;
+  reader.m_store.m_read_done[0](late);
+  CHECK(reader.m_state.m_endpoints_cursor.m_confirmed == sent);
+}
+
 // Failure: after the store has deleted the next records, an instance took an
 // older list than its own from another one.
 TEST_CASE("deleted history does not make an older list acceptable") {
