--- a/standins/common_endpoint.cpp
+++ b/standins/common_endpoint.cpp
@@ -178,6 +178,7 @@
                                 {"Server-Stamp", "stamp-" + m_id},
                                 {"Keep-Alive", "timeout=5"}};
   if (m_leaving) response_fields.push_back({"Server-Leaving", "1"});
+  if (!m_limit.empty()) response_fields.push_back({"Server-Limit", m_limit});
   if (!IsStreamTarget(request.m_target)) {
     EndRun(request.m_id);
     m_server.Respond(request.m_id, 200, response_fields,
--- a/standins/common_endpoint.h
+++ b/standins/common_endpoint.h
@@ -112,6 +112,10 @@
   // While set, every response says that the endpoint leaves.
   void SetLeaving(bool leaving) { m_leaving = leaving; }
 
+  // While not empty, every response names this limit, in requests per second
+  // from all instances.
+  void SetLimit(const std::string& limit) { m_limit = limit; }
+
   // Number of reports that were asked for.
   int Reports() const { return m_reports; }
 
@@ -144,6 +148,7 @@
   int m_rejections = 0;
   int m_reports = 0;
   bool m_leaving = false;
+  std::string m_limit;
   bool m_hanging = false;
 };
 
