Keep the limits that endpoints name, by a few holders each

Cause: nothing read the limit; and no instance can keep it alone, because the requests of all count. Ruled out: an even division among all instances. 88 of them that may each send one request can send 88 in four seconds. Change: a decision module, endpointlimit. A few instances hold a limit, selected alike everywhere by rendezvous hashing over the live ones: three, and one more for each two requests a second. Each sends its part and saves up one request at most, so that any four seconds get the limit and one request a holder. What a response says (a limit, another one, none) goes to all instances with the load they exchange; the newest counts. If the holders have nothing to send, the others may ask in turn. A stopping or unlisted instance holds nothing. Selection leaves out endpoints that this instance may not send to, the run is counted with its prefill, and a request that only limits keep from every endpoint is refused at once, with the time to the next request as its Retry-After.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <utility>
 
 namespace comfreypaddle {
 
@@ -57,15 +58,19 @@
 // milliseconds: it evicts others from the cache.
 constexpr double kPrefixCopyCostMs = 60;
 
+// Time after which a caller is asked to return if this instance holds no part
+// of any limit: its next attempt most likely reaches another instance.
+constexpr Duration kTimeToOtherInstance = std::chrono::milliseconds(1000);
+
 bool IsExcluded(const BalanceQuery& query, const std::string& id) {
   return std::find(query.m_excluded.begin(), query.m_excluded.end(), id) !=
          query.m_excluded.end();
 }
 
 // An instance may use all slots of an endpoint, because the others may be idle.
-bool HasRoom(const BalanceEndpoint& endpoint, Instant now) {
-  return AcceptsRequests(endpoint, now) &&
-         endpoint.m_running < endpoint.m_slots;
+bool HasRoom(const BalanceState& state, const BalanceEndpoint& endpoint,
+             Instant now) {
+  return MaySend(state, endpoint, now) && endpoint.m_running < endpoint.m_slots;
 }
 
 double NetworkCostMs(const BalanceState& state,
@@ -136,7 +141,7 @@
     if (endpoint.m_service != query.m_service || endpoint.m_stage != stage) {
       continue;
     }
-    if (!HasRoom(endpoint, now) || IsExcluded(query, id)) continue;
+    if (!HasRoom(state, endpoint, now) || IsExcluded(query, id)) continue;
     (now < endpoint.m_avoid_until ? failed : good).push_back(&endpoint);
   }
   *last_resort = good.empty();
@@ -210,19 +215,21 @@
 }
 
 // The home of a prefix among the endpoints of the stage. Room and recent
-// failures, which each instance sees differently, do not matter.
+// failures, which each instance sees differently, do not matter. An endpoint
+// with a limit, which all instances know, is the home only if all have one.
 const BalanceEndpoint* FindHome(const BalanceState& state,
                                 const BalanceQuery& query, EngineStage stage,
                                 Instant now) {
   const BalanceEndpoint* home = nullptr;
-  std::uint64_t highest = 0;
+  std::pair<bool, std::uint64_t> highest;
   for (const auto& [id, endpoint] : state.m_endpoints) {
     if (endpoint.m_service != query.m_service || endpoint.m_stage != stage ||
         !AcceptsRequests(endpoint, now)) {
       continue;
     }
-    const std::uint64_t rank =
-        RendezvousRank(endpoint, query.m_shared_prefix_hash);
+    const std::pair<bool, std::uint64_t> rank{
+        !IsLimited(endpoint.m_limit),
+        RendezvousRank(endpoint, query.m_shared_prefix_hash)};
     if (home != nullptr && rank <= highest) continue;
     home = &endpoint;
     highest = rank;
@@ -457,6 +464,25 @@
                        AddressOf(split.m_access.m_source)};
 }
 
+std::optional<Duration> TimeToLimitedEndpoint(const BalanceState& state,
+                                              const BalanceQuery& query,
+                                              Instant now) {
+  const EngineStage stage =
+      query.m_is_prompt ? EngineStage::kDecode : EngineStage::kNone;
+  std::optional<Duration> shortest;
+  for (const auto& [id, endpoint] : state.m_endpoints) {
+    if (endpoint.m_service != query.m_service || endpoint.m_stage != stage ||
+        !AcceptsRequests(endpoint, now) || IsExcluded(query, id)) {
+      continue;
+    }
+    if (MaySend(state, endpoint, now)) return std::nullopt;
+    const Duration time = TimeToNext(endpoint.m_limit, state.m_limit_peers, now)
+                              .value_or(kTimeToOtherInstance);
+    shortest = std::min(shortest.value_or(time), time);
+  }
+  return shortest;
+}
+
 std::optional<std::string> ChooseDecode(const BalanceState& state,
                                         const BalanceQuery& query,
                                         Instant now) {
--- a/src/balance.h
+++ b/src/balance.h
@@ -61,6 +61,13 @@
 std::optional<std::string> ChooseDecode(const BalanceState& state,
                                         const BalanceQuery& query, Instant now);
 
+// Time until a limit lets this instance send the request, where limits are all
+// that is in the way at every endpoint of the service. Nothing if an endpoint
+// without a limit may take it soon, or if limits are not in the way.
+std::optional<Duration> TimeToLimitedEndpoint(const BalanceState& state,
+                                              const BalanceQuery& query,
+                                              Instant now);
+
 }  // namespace comfreypaddle
 
 #endif  // COMFREYPADDLE_BALANCE_H_
--- a/src/endpointstate.cpp
+++ b/src/endpointstate.cpp
@@ -98,6 +98,7 @@
   entry.m_last_response_at = known.m_last_response_at;
   entry.m_full_until = known.m_full_until;
   entry.m_avoid_until = known.m_avoid_until;
+  entry.m_limit = known.m_limit;
   entry.m_failures = known.m_failures;
   entry.m_failure_rate = known.m_failure_rate;
 }
@@ -110,6 +111,7 @@
   if (IsSameLifetime(entry, vanished.m_born_ms, vanished.m_address)) {
     entry.m_leaving = vanished.m_leaving;
     entry.m_full_until = vanished.m_full_until;
+    entry.m_limit = vanished.m_limit;
   }
   state.m_vanished.erase(found);
 }
@@ -117,10 +119,13 @@
 // Keeps what an endpoint said that is no longer in the list.
 void RecordVanished(BalanceState& state, const BalanceEndpoint& endpoint,
                     Instant now) {
-  if (!endpoint.m_leaving && endpoint.m_full_until <= now) return;
+  if (!endpoint.m_leaving && endpoint.m_full_until <= now &&
+      !IsLimited(endpoint.m_limit)) {
+    return;
+  }
   state.m_vanished[endpoint.m_id] = {endpoint.m_born_ms, endpoint.m_address,
                                      endpoint.m_leaving, endpoint.m_full_until,
-                                     now};
+                                     endpoint.m_limit,   now};
 }
 
 void DiscardOldVanished(BalanceState& state, Instant now) {
@@ -175,6 +180,33 @@
          now >= endpoint.m_full_until;
 }
 
+bool MaySend(const BalanceState& state, const BalanceEndpoint& endpoint,
+             Instant now) {
+  return AcceptsRequests(endpoint, now) &&
+         MaySendWithin(endpoint.m_limit, state.m_limit_peers, now);
+}
+
+void CountToLimit(BalanceState& state, const std::string& endpoint,
+                  Instant now) {
+  BalanceEndpoint* found = FindEndpoint(state, endpoint);
+  if (found != nullptr) CountSent(found->m_limit, now);
+}
+
+bool OnLimitStatement(BalanceState& state, const std::string& endpoint,
+                      const LimitStatement& statement, Instant now) {
+  BalanceEndpoint* found = FindEndpoint(state, endpoint);
+  return found != nullptr &&
+         ApplyStatement(found->m_limit, statement, found->m_hash,
+                        state.m_limit_peers, now);
+}
+
+void SetLimitPeers(BalanceState& state, LimitPeers peers, Instant now) {
+  state.m_limit_peers = std::move(peers);
+  for (auto& [id, endpoint] : state.m_endpoints) {
+    SelectHolders(endpoint.m_limit, endpoint.m_hash, state.m_limit_peers, now);
+  }
+}
+
 void OnRequestDispatched(BalanceState& state, const std::string& endpoint,
                          double work_ms) {
   BalanceEndpoint* found = FindEndpoint(state, endpoint);
--- a/src/endpointstate.h
+++ b/src/endpointstate.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "endpointlimit.h"
 #include "prefixmap.h"
 #include "types.h"
 
@@ -61,6 +62,7 @@
   // Set when it failed; it gets no request before this time unless no other
   // endpoint can take one.
   Instant m_avoid_until{};
+  EndpointLimit m_limit;  // Named by the endpoint for all instances together.
   std::uint32_t m_failures = 0;  // Consecutive failures.
   double m_failure_rate = 0;     // Moving average over all responses.
 };
@@ -80,6 +82,7 @@
   std::string m_address;
   bool m_leaving = false;
   Instant m_full_until{};
+  EndpointLimit m_limit;
   Instant m_vanished{};
 };
 
@@ -98,6 +101,7 @@
   std::vector<CachedPrefix> m_new_prefixes;
   std::string m_zone;  // Zone of this instance.
   std::string m_region;
+  LimitPeers m_limit_peers;
 };
 
 // Replaces the list of endpoints. An endpoint keeps the load and health that
@@ -117,6 +121,24 @@
 // asked for a pause that still lasts.
 bool AcceptsRequests(const BalanceEndpoint& endpoint, Instant now);
 
+// Whether this instance may send the endpoint a request now: it accepts
+// requests, and the limit that it has named leaves one for this instance.
+bool MaySend(const BalanceState& state, const BalanceEndpoint& endpoint,
+             Instant now);
+
+// Counts a request that is about to be sent, or is bound to be, to the limit of
+// the endpoint.
+void CountToLimit(BalanceState& state, const std::string& endpoint,
+                  Instant now);
+
+// Records what a response to this or another instance said of the endpoint's
+// limit. Returns whether the limit changed.
+bool OnLimitStatement(BalanceState& state, const std::string& endpoint,
+                      const LimitStatement& statement, Instant now);
+
+// Sets the instances that may hold limits.
+void SetLimitPeers(BalanceState& state, LimitPeers peers, Instant now);
+
 // Accounts for a request that was sent to the endpoint.
 void OnRequestDispatched(BalanceState& state, const std::string& endpoint,
                          double work_ms);
--- a/src/loadlink.cpp
+++ b/src/loadlink.cpp
@@ -24,21 +24,29 @@
 
 using LoadCallback = std::function<void(const schema::LoadList* list)>;
 
-LoadTable ToTable(const schema::LoadList& list) {
+LoadTable ToTable(const schema::LoadList& list, Instant now) {
   LoadTable table;
   for (const schema::SharedLoad& load : list.loads()) {
-    table[load.endpoint()] = {load.running(), load.prefill_ms()};
+    EndpointLoad& entry = table[load.endpoint()];
+    entry.m_running = load.running();
+    entry.m_prefill_ms = load.prefill_ms();
+    if (!load.has_limit_rate()) continue;
+    entry.m_limit = {load.limit_rate(), now - FromMs(load.limit_age_ms())};
   }
   return table;
 }
 
-schema::LoadList ToList(const LoadTable& table) {
+schema::LoadList ToList(const LoadTable& table, Instant now) {
   schema::LoadList list;
   for (const auto& [endpoint, load] : table) {
     schema::SharedLoad* entry = list.add_loads();
     entry->set_endpoint(endpoint);
     entry->set_running(load.m_running);
     entry->set_prefill_ms(static_cast<float>(load.m_prefill_ms));
+    if (!load.m_limit) continue;
+    entry->set_limit_rate(load.m_limit->m_rate);
+    entry->set_limit_age_ms(
+        static_cast<float>(ToMs(now - load.m_limit->m_said_at)));
   }
   return list;
 }
@@ -64,15 +72,16 @@
 // The load of all instances except this one of this zone, and the uses that it
 // was not told yet.
 schema::LoadList ListForMember(ControlState& state, const std::string& name) {
-  schema::LoadList list =
-      ToList(SumOtherLoad(state.m_load, name, state.m_clock()));
+  const Instant now = state.m_clock();
+  schema::LoadList list = ToList(SumOtherLoad(state.m_load, name, now), now);
   AddToList(TakeUsesForMember(state.m_load.m_uses, name), &list);
   return list;
 }
 
 // The load of this zone, and the uses that the other zone was not told yet.
 schema::LoadList ListForZone(ControlState& state, const std::string& zone) {
-  schema::LoadList list = ToList(SumZoneLoad(state.m_load, state.m_clock()));
+  const Instant now = state.m_clock();
+  schema::LoadList list = ToList(SumZoneLoad(state.m_load, now), now);
   AddToList(TakeUsesForZone(state.m_load.m_uses, zone), &list);
   return list;
 }
@@ -169,7 +178,7 @@
              const Instant now = state.m_clock();
              if (sum != nullptr) {
                OnUpstreamSuccess(done.m_reader, name);
-               SetZoneLoad(state.m_load, zone, ToTable(*sum), now);
+               SetZoneLoad(state.m_load, zone, ToTable(*sum, now), now);
                AddUses(state.m_load.m_uses, UseOrigin::kZone, zone,
                        ToUses(*sum));
              } else {
@@ -205,7 +214,8 @@
   }
   const std::string& name = state.m_options.m_name;
   AddOwnUses(state, own);
-  SetMemberLoad(state.m_load, name, ToTable(own), state.m_clock());
+  SetMemberLoad(state.m_load, name, ToTable(own, state.m_clock()),
+                state.m_clock());
   ExchangeWithZones(state);
   SendToRelay(state, ListForMember(state, name));
 }
@@ -214,8 +224,8 @@
                                 const schema::LoadShare& share) {
   const Instant now = state.m_clock();
   if (share.of_zone()) {
-    SetZoneLoad(state.m_load, share.availability_zone(), ToTable(share.load()),
-                now);
+    SetZoneLoad(state.m_load, share.availability_zone(),
+                ToTable(share.load(), now), now);
     ZoneLoadExchange& exchange =
         state.m_zone_exchanges[share.availability_zone()];
     exchange.m_last_sender = share.name();
@@ -224,7 +234,7 @@
             ToUses(share.load()));
     return ListForZone(state, share.availability_zone());
   }
-  SetMemberLoad(state.m_load, share.name(), ToTable(share.load()), now);
+  SetMemberLoad(state.m_load, share.name(), ToTable(share.load(), now), now);
   AddUses(state.m_load.m_uses, UseOrigin::kMember, share.name(),
           ToUses(share.load()));
   return ListForMember(state, share.name());
--- a/src/loadshare.cpp
+++ b/src/loadshare.cpp
@@ -37,6 +37,10 @@
     EndpointLoad& total = (*sum)[endpoint];
     total.m_running += part.m_running;
     total.m_prefill_ms += part.m_prefill_ms;
+    if (part.m_limit && (!total.m_limit ||
+                         part.m_limit->m_said_at > total.m_limit->m_said_at)) {
+      total.m_limit = part.m_limit;
+    }
   }
 }
 
--- a/src/loadshare.h
+++ b/src/loadshare.h
@@ -5,9 +5,11 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "endpointlimit.h"
 #include "types.h"
 
 namespace comfreypaddle {
@@ -21,6 +23,8 @@
 struct EndpointLoad {
   std::uint32_t m_running = 0;  // Requests in progress.
   double m_prefill_ms = 0;      // Prefill work of those without a first token.
+  // Newest statement of the endpoint on its limit that is to be told.
+  std::optional<LimitStatement> m_limit;
 };
 
 // Load by the lower half of the hash of the endpoint id.
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -11,6 +11,7 @@
 #include "crashwatch.h"
 #include "eventlog.h"
 #include "platform/adapter.h"
+#include "relayattempt.h"
 #include "relaymetrics.h"
 #include "settings.h"
 
@@ -87,6 +88,8 @@
   m_state.m_unix_at_zero = unix_at_zero;
   m_state.m_balance.m_zone = settings.instance().availability_zone();
   m_state.m_balance.m_region = settings.instance().region();
+  m_state.m_balance.m_limit_peers.m_self =
+      InstanceHash(settings.instance().name());
   ResendLimits& resends = m_state.m_resends.m_limits;
   resends.m_ratio = settings.retry().budget_ratio();
   resends.m_window = FromMs(settings.retry().window_s() * kMsPerSecond);
@@ -204,6 +207,10 @@
 
 void Relay::SetPeers(const schema::PeerCount& peers) {
   m_state.m_probes = {peers.instances(), peers.position()};
+  LimitPeers limit_peers = m_state.m_balance.m_limit_peers;
+  limit_peers.m_instances.assign(peers.name_hashes().begin(),
+                                 peers.name_hashes().end());
+  SetLimitPeers(m_state.m_balance, std::move(limit_peers), Now());
   ResendState& resends = m_state.m_resends;
   const bool was_listed = resends.m_listed_at.has_value();
   const bool changed = resends.m_instances != peers.instances();
@@ -266,6 +273,7 @@
               FromMs(m_settings.stop().grace_s() * kMsPerSecond)},
              Now());
   m_state.m_resends.m_stopping = true;
+  m_state.m_balance.m_limit_peers.m_stopping = true;
   m_callers->AnnounceClose();
 }
 
@@ -325,12 +333,17 @@
 void Relay::PublishLoad() {
   schema::ControlMessage message;
   schema::LoadList* list = message.mutable_load();
+  const Instant now = Now();
   for (const auto& [id, endpoint] : m_state.m_balance.m_endpoints) {
-    if (endpoint.m_running == 0) continue;
+    const auto limit = StatementToShare(endpoint.m_limit, now);
+    if (endpoint.m_running == 0 && !limit) continue;
     schema::SharedLoad* load = list->add_loads();
     load->set_endpoint(static_cast<std::uint32_t>(endpoint.m_hash));
     load->set_running(endpoint.m_running);
     load->set_prefill_ms(static_cast<float>(endpoint.m_prefill_ms));
+    if (!limit) continue;
+    load->set_limit_rate(limit->m_rate);
+    load->set_limit_age_ms(static_cast<float>(ToMs(now - limit->m_said_at)));
   }
   for (const CachedPrefix& prefix : TakeNewPrefixes(m_state.m_balance)) {
     schema::PrefixUse* use = list->add_prefix_uses();
@@ -352,6 +365,12 @@
     endpoint.m_remote_running = idle ? 0 : found->second->running();
     endpoint.m_remote_prefill_ms = idle ? 0 : found->second->prefill_ms();
     endpoint.m_remote_reported_at = now;
+    if (idle || !found->second->has_limit_rate()) continue;
+    const LimitStatement told{found->second->limit_rate(),
+                              now - FromMs(found->second->limit_age_ms())};
+    if (OnLimitStatement(m_state.m_balance, id, told, now)) {
+      LogEndpointLimit(endpoint, "instance");
+    }
   }
   ApplyPeerPrefixes(list, now);
 }
--- a/src/relayattempt.cpp
+++ b/src/relayattempt.cpp
@@ -106,6 +106,31 @@
   OnRequestDispatched(state.m_balance, endpoint.m_id, work_ms);
 }
 
+// Counts the attempt to the limit of its endpoint, unless this was done when
+// the prefill was sent.
+void CountAttemptToLimit(RelayState& state, RelayCall& call,
+                         const std::string& endpoint) {
+  const bool counted = std::exchange(call.m_is_decode_counted, false) &&
+                       endpoint == call.m_planned_decode;
+  if (!counted) CountToLimit(state.m_balance, endpoint, state.m_clock());
+}
+
+// Records what a response says of the limit of its endpoint.
+void RecordLimit(RelayState& state, const EndpointAttempt& attempt) {
+  const BalanceEndpoint* endpoint =
+      FindEndpoint(state.m_balance, attempt.m_endpoint);
+  if (endpoint == nullptr || endpoint->m_born_ms != attempt.m_born_ms ||
+      attempt.m_metadata.m_wrong_endpoint) {
+    return;
+  }
+  const LimitStatement statement =
+      StatementOf(attempt.m_metadata.m_limit_rate, attempt.m_head_at);
+  if (OnLimitStatement(state.m_balance, attempt.m_endpoint, statement,
+                       attempt.m_head_at)) {
+    LogEndpointLimit(*endpoint, "response");
+  }
+}
+
 // Forwards an event to the caller. Returns false if events are missing.
 bool ForwardEvent(RelayState& state, RelayCall& call,
                   const RawSseEvent& event) {
@@ -160,6 +185,7 @@
   attempt.m_metadata = state.m_format->ParseResponseMetadata(status, fields);
   OnResendsRead(state.m_resends, call.m_service, attempt.m_endpoint,
                 attempt.m_head_at);
+  RecordLimit(state, attempt);
   if (!attempt.m_metadata.m_leaving) return;
   if (!OnEndpointLeaving(state.m_balance, attempt.m_endpoint)) return;
   ++state.m_counters.m_leaving;
@@ -334,6 +360,7 @@
 void SendRun(RelayState& state, RelayCall& call, const std::string& id,
              double work_ms, const std::string& fetch_address) {
   const BalanceEndpoint& endpoint = *FindEndpoint(state.m_balance, id);
+  CountAttemptToLimit(state, call, id);
   BeginAttempt(state, call, endpoint, work_ms);
   call.m_stage = CallStage::kRun;
   ++call.m_sends;
@@ -388,8 +415,10 @@
   const Instant now = state.m_clock();
   std::string decode = call.m_planned_decode;
   const BalanceEndpoint* planned = FindEndpoint(state.m_balance, decode);
-  const bool usable = planned != nullptr && AcceptsRequests(*planned, now) &&
-                      now >= planned->m_avoid_until;
+  const bool usable =
+      planned != nullptr && now >= planned->m_avoid_until &&
+      (call.m_is_decode_counted ? AcceptsRequests(*planned, now)
+                                : MaySend(state.m_balance, *planned, now));
   if (!usable) {
     const auto other = ChooseDecode(state.m_balance, call.m_query, now);
     if (!other) {
@@ -441,6 +470,12 @@
                  const BalanceChoice& choice) {
   const BalanceEndpoint& endpoint =
       *FindEndpoint(state.m_balance, choice.m_prefill);
+  CountToLimit(state.m_balance, choice.m_prefill, state.m_clock());
+  // The run is bound to follow, and its place must not be taken meanwhile: the
+  // prefill would be in vain.
+  CountToLimit(state.m_balance, choice.m_endpoint, state.m_clock());
+  call.m_is_decode_counted =
+      IsLimited(FindEndpoint(state.m_balance, choice.m_endpoint)->m_limit);
   BeginAttempt(state, call, endpoint, choice.m_work_ms);
   call.m_stage = CallStage::kPrefill;
   call.m_attempt.m_is_prefill = true;
@@ -473,8 +508,29 @@
       state.m_endpoints->Start(std::move(http), std::move(events));
 }
 
+// Refuses a request that only limits keep from every endpoint if none of them
+// lets it through in time. Returns whether it did.
+bool RefuseLimited(RelayState& state, RelayCall& call, Instant now) {
+  const auto time = TimeToLimitedEndpoint(state.m_balance, call.m_query, now);
+  if (!time || now + *time <= call.m_queue_deadline) return false;
+  call.m_backlog = *time;
+  FinishFailed(state, call, EndReason::kLimited);
+  return true;
+}
+
 }  // namespace
 
+void LogEndpointLimit(const BalanceEndpoint& endpoint,
+                      std::string_view source) {
+  const EndpointLimit& limit = endpoint.m_limit;
+  LogLine("endpoint_limit")
+      .Add("endpoint", endpoint.m_id)
+      .Add("source", source)
+      .Add("rate", std::to_string(limit.m_statement->m_rate))
+      .Add("holder", IsHolder(limit) ? 1 : 0)
+      .Add("holders", limit.m_holders);
+}
+
 void DispatchCall(RelayState& state, RelayCall& call) {
   const Instant now = state.m_clock();
   if (call.m_source) {
@@ -492,6 +548,7 @@
   if (!choice) {
     call.m_stage = CallStage::kWaiting;
     const bool resumes = call.m_response_started;
+    if (!resumes && RefuseLimited(state, call, now)) return;
     if (!resumes && now >= call.m_queue_deadline) {
       FinishFailed(state, call, EndReason::kNoEndpoint);
     }
--- a/src/relayattempt.h
+++ b/src/relayattempt.h
@@ -1,6 +1,8 @@
 #ifndef COMFREYPADDLE_RELAYATTEMPT_H_
 #define COMFREYPADDLE_RELAYATTEMPT_H_
 
+#include <string_view>
+
 #include "relaystate.h"
 
 namespace comfreypaddle {
@@ -15,6 +17,9 @@
 // the endpoint may be at work on it.
 void NoteSilence(RelayState& state, RelayCall& call);
 
+// Logs the limit of an endpoint after a change, with its source.
+void LogEndpointLimit(const BalanceEndpoint& endpoint, std::string_view source);
+
 }  // namespace comfreypaddle
 
 #endif  // COMFREYPADDLE_RELAYATTEMPT_H_
--- a/src/relaystate.h
+++ b/src/relaystate.h
@@ -45,6 +45,7 @@
   kNoRoute,
   kBadKey,
   kNoEndpoint,  // None became available in time.
+  kLimited,     // The limits of all endpoints are used up.
   kTooLate,     // It cannot be answered before its caller leaves.
   kRejected,    // By an endpoint, and no further attempt is allowed.
   kEndpointFailed,
@@ -58,12 +59,13 @@
 
 template <>
 struct EnumNames<EndReason> {
-  static constexpr std::array<EnumName<EndReason>, 14> kTable{
+  static constexpr std::array<EnumName<EndReason>, 15> kTable{
       {{EndReason::kAnswered, "answered"},
        {EndReason::kNoCatalog, "no_catalog"},
        {EndReason::kNoRoute, "no_route"},
        {EndReason::kBadKey, "bad_key"},
        {EndReason::kNoEndpoint, "no_endpoint"},
+       {EndReason::kLimited, "limited"},
        {EndReason::kTooLate, "too_late"},
        {EndReason::kRejected, "rejected"},
        {EndReason::kEndpointFailed, "endpoint_failed"},
@@ -122,6 +124,7 @@
   // KV cache prefilled for the request that no endpoint has fetched yet.
   std::optional<CacheSource> m_source;
   std::string m_planned_decode;
+  bool m_is_decode_counted = false;  // To the limit of the planned decode.
   Duration m_backlog{0};   // At the endpoint that was considered last.
   Duration m_expected{0};  // Estimated time to the first event when dispatched.
   std::uint32_t m_prefills = 0;
--- a/src/storereader.cpp
+++ b/src/storereader.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "endpointlimit.h"
 #include "endpointlist.h"
 #include "entryduties.h"
 #include "eventlog.h"
@@ -262,14 +263,15 @@
   std::uint32_t live = 0;
   std::uint32_t before = 0;  // Those whose names precede this one's.
   bool listed = false;
+  schema::RelayMessage message;
   for (const auto& [name, known] : state.m_instances) {
     if (known.left()) continue;
     ++live;
+    message.mutable_peers()->add_name_hashes(InstanceHash(name));
     if (name == state.m_options.m_name) listed = true;
     if (name < state.m_options.m_name) ++before;
   }
   state.m_live_instances = std::max<std::uint32_t>(live, 1);
-  schema::RelayMessage message;
   message.mutable_peers()->set_instances(state.m_live_instances);
   message.mutable_peers()->set_position(before);
   message.mutable_peers()->set_listed(listed);
--- a/src/wireformat.h
+++ b/src/wireformat.h
@@ -63,6 +63,9 @@
   // Time for which the endpoint wants no requests from this instance. Set only
   // if it rejected the request for lack of capacity; as received, unchecked.
   std::optional<double> m_retry_after_s;
+  // Requests per second that the endpoint takes from all instances together; as
+  // received, unchecked. Not a number if it cannot be read.
+  std::optional<double> m_limit_rate;
 };
 
 // Result of a prefill-only request.
