Log unreadable limits, and select holders for endpoints that return

Cause: an unreadable limit was ignored without a line in the log; an endpoint that had vanished from the list came back with the holders of that time. Change: a line endpoint_limit_unreadable; the holders are selected again.

--- a/src/endpointlimit.cpp
+++ b/src/endpointlimit.cpp
@@ -40,8 +40,6 @@
   return x ^ x >> 33U;
 }
 
-bool IsReadable(double rate) { return std::isfinite(rate) && rate >= 0; }
-
 // Requests per second that a holder may send.
 double RateOfHolder(const EndpointLimit& limit) {
   return limit.m_statement->m_rate / limit.m_holders;
@@ -89,9 +87,11 @@
   return IsLimited(limit) && limit.m_rank < limit.m_holders;
 }
 
+bool IsReadableRate(double rate) { return std::isfinite(rate) && rate >= 0; }
+
 LimitStatement StatementOf(std::optional<double> named_rate, Instant now) {
   if (!named_rate) return {0, now};
-  if (!IsReadable(*named_rate)) return {*named_rate, now};
+  if (!IsReadableRate(*named_rate)) return {*named_rate, now};
   return {std::max(*named_rate, kMinRate), now};
 }
 
@@ -124,7 +124,7 @@
 bool ApplyStatement(EndpointLimit& limit, const LimitStatement& statement,
                     std::uint64_t endpoint_hash, const LimitPeers& peers,
                     Instant now) {
-  if (!IsReadable(statement.m_rate)) return false;
+  if (!IsReadableRate(statement.m_rate)) return false;
   const bool known = limit.m_statement.has_value();
   if (!known && statement.m_rate <= 0) return false;
   if (known && statement.m_said_at <= limit.m_statement->m_said_at) {
--- a/src/endpointlimit.h
+++ b/src/endpointlimit.h
@@ -53,12 +53,14 @@
 // Hash of an instance's name, by which holders are selected.
 std::uint64_t InstanceHash(std::string_view name);
 
+// Whether a rate can be applied: no negative or infinite one, and a number.
+bool IsReadableRate(double rate);
+
 // Statement of a response that names this limit, or none.
 LimitStatement StatementOf(std::optional<double> named_rate, Instant now);
 
 // Applies a statement unless a newer one is known. Returns whether the limit
-// changed. An unreadable rate (negative, infinite or no number) changes
-// nothing.
+// changed. An unreadable rate changes nothing.
 bool ApplyStatement(EndpointLimit& limit, const LimitStatement& statement,
                     std::uint64_t endpoint_hash, const LimitPeers& peers,
                     Instant now);
--- a/src/endpointstate.cpp
+++ b/src/endpointstate.cpp
@@ -104,7 +104,7 @@
 }
 
 // Restores what an endpoint that was missing from the list had said.
-void RestoreVanished(BalanceState& state, BalanceEndpoint& entry) {
+void RestoreVanished(BalanceState& state, BalanceEndpoint& entry, Instant now) {
   const auto found = state.m_vanished.find(entry.m_id);
   if (found == state.m_vanished.end()) return;
   const VanishedEndpoint& vanished = found->second;
@@ -112,6 +112,7 @@
     entry.m_leaving = vanished.m_leaving;
     entry.m_full_until = vanished.m_full_until;
     entry.m_limit = vanished.m_limit;
+    SelectHolders(entry.m_limit, entry.m_hash, state.m_limit_peers, now);
   }
   state.m_vanished.erase(found);
 }
@@ -146,7 +147,7 @@
   for (BalanceEndpoint& entry : list) {
     const BalanceEndpoint* known = FindEndpoint(state, entry.m_id);
     if (known == nullptr) {
-      RestoreVanished(state, entry);
+      RestoreVanished(state, entry, now);
     } else if (IsSameLifetime(entry, known->m_born_ms, known->m_address)) {
       KeepLearntState(*known, entry);
     } else {
--- a/src/relayattempt.cpp
+++ b/src/relayattempt.cpp
@@ -123,8 +123,14 @@
       attempt.m_metadata.m_wrong_endpoint) {
     return;
   }
-  const LimitStatement statement =
-      StatementOf(attempt.m_metadata.m_limit_rate, attempt.m_head_at);
+  const std::optional<double> rate = attempt.m_metadata.m_limit_rate;
+  if (rate && !IsReadableRate(*rate)) {
+    LogLine("endpoint_limit_unreadable")
+        .Add("endpoint", attempt.m_endpoint)
+        .Add("rate", std::to_string(*rate));
+    return;
+  }
+  const LimitStatement statement = StatementOf(rate, attempt.m_head_at);
   if (OnLimitStatement(state.m_balance, attempt.m_endpoint, statement,
                        attempt.m_head_at)) {
     LogEndpointLimit(*endpoint, "response");
