--- a/tests/adapter_test.cpp
+++ b/tests/adapter_test.cpp
@@ -3,6 +3,9 @@
 
 #include <doctest/doctest.h>
 
+#include <cmath>
+#include <optional>
+
 #include "httpparse.h"
 
 namespace comfreypaddle {
@@ -119,6 +122,25 @@
   CHECK(terms.m_time_left == std::chrono::milliseconds(5000));
 }
 
+// Failure (LIMIT): a limit that cannot be read counts as none, which would end
+// one that holds.
+TEST_CASE("a response names the limit of its endpoint") {
+  const auto limit = [](const HttpFields& fields) {
+    return platform::RequestFormat()
+        .ParseResponseMetadata(200, fields)
+        .m_limit_rate;
+  };
+  CHECK_FALSE(limit({}));
+  CHECK(limit({{"Server-Limit", "2.5"}}) == 2.5);
+  CHECK(limit({{"server-limit", " 7 "}}) == 7.0);
+  for (const char* value : {"", "many", "1e999", "3 a second"}) {
+    CAPTURE(value);
+    const std::optional<double> unreadable = limit({{"Server-Limit", value}});
+    REQUIRE(unreadable);
+    CHECK(std::isnan(*unreadable));
+  }
+}
+
 TEST_CASE("a response says whether its endpoint leaves or wants a pause") {
   const WireFormat& format = platform::RequestFormat();
   CHECK(format.ParseResponseMetadata(200, {{"Server-Leaving", "1"}}).m_leaving);
--- a/tests/support_relay.h
+++ b/tests/support_relay.h
@@ -52,6 +52,8 @@
     terms.m_leaving = FindFieldIgnoreCase(fields, "leaving") != nullptr;
     const std::string* pause = FindFieldIgnoreCase(fields, "pause");
     if (pause != nullptr) terms.m_retry_after_s = std::stod(*pause);
+    const std::string* limit = FindFieldIgnoreCase(fields, "limit");
+    if (limit != nullptr) terms.m_limit_rate = std::stod(*limit);
     return terms;
   }
   ResponseMatch MatchAttempt(const HttpFields& /*fields*/,
