Combine hashes for rendezvous hashing in one place

Cause: endpointlimit had its own copy of the mixing function of balance. Change: hashmix.h, used by both. The choice of endpoints for prompts is the same; the holders of limits are other instances than before, selected alike.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -5,6 +5,8 @@
 #include <limits>
 #include <utility>
 
+#include "hashmix.h"
+
 namespace comfreypaddle {
 
 namespace {
@@ -80,21 +82,11 @@
                                              : kCrossRegionCostMs;
 }
 
-// Combines the endpoint's hash with another value (MurmurHash3 finalizer).
-std::uint64_t MixHash(const BalanceEndpoint& endpoint, std::uint64_t other) {
-  std::uint64_t x = endpoint.m_hash ^ other;
-  x ^= x >> 33U;
-  x *= 0xff51afd7ed558ccdULL;
-  x ^= x >> 33U;
-  x *= 0xc4ceb9fe1a85ec53ULL;
-  return x ^ x >> 33U;
-}
-
 // Rendezvous hash of an endpoint for a prompt prefix. The endpoint with the
 // highest value is preferred, and all instances compute the same one.
 std::uint64_t RendezvousRank(const BalanceEndpoint& endpoint,
                              std::uint64_t prefix_hash) {
-  return MixHash(endpoint, prefix_hash);
+  return MixHashes(endpoint.m_hash, prefix_hash);
 }
 
 // Pseudo-random amount below kTieBreakMs that is added to an estimate. It
@@ -103,7 +95,8 @@
 // select the same one.
 double TieBreakMs(const BalanceEndpoint& endpoint, const BalanceQuery& query) {
   constexpr std::uint64_t kSteps = 1024;
-  const std::uint64_t step = MixHash(endpoint, query.m_tie_break_seed) % kSteps;
+  const std::uint64_t step =
+      MixHashes(endpoint.m_hash, query.m_tie_break_seed) % kSteps;
   return kTieBreakMs * static_cast<double>(step) / kSteps;
 }
 
--- a/src/endpointlimit.cpp
+++ b/src/endpointlimit.cpp
@@ -6,6 +6,8 @@
 #include <cmath>
 #include <limits>
 
+#include "hashmix.h"
+
 namespace comfreypaddle {
 
 namespace {
@@ -30,16 +32,6 @@
 // Time for which other instances are told that there is no limit any more.
 constexpr Duration kEndNewsTime = std::chrono::seconds(5);
 
-// Combines two hashes (MurmurHash3 finalizer).
-std::uint64_t Mix(std::uint64_t a, std::uint64_t b) {
-  std::uint64_t x = a ^ (b * 0x9e3779b97f4a7c15ULL);
-  x ^= x >> 33U;
-  x *= 0xff51afd7ed558ccdULL;
-  x ^= x >> 33U;
-  x *= 0xc4ceb9fe1a85ec53ULL;
-  return x ^ x >> 33U;
-}
-
 // Requests per second that a holder may send.
 double RateOfHolder(const EndpointLimit& limit) {
   return limit.m_statement->m_rate / limit.m_holders;
@@ -103,12 +95,12 @@
   const auto live = static_cast<std::uint32_t>(peers.m_instances.size());
   const double further =
       std::min<double>(limit.m_statement->m_rate / kRatePerHolder, live);
-  const std::uint64_t own = Mix(endpoint_hash, peers.m_self);
+  const std::uint64_t own = MixHashes(endpoint_hash, peers.m_self);
   bool is_listed = false;
   limit.m_rank = 0;
   for (const std::uint64_t instance : peers.m_instances) {
     if (instance == peers.m_self) is_listed = true;
-    if (Mix(endpoint_hash, instance) > own) ++limit.m_rank;
+    if (MixHashes(endpoint_hash, instance) > own) ++limit.m_rank;
   }
   // The others do not count an instance that is not listed.
   if (!is_listed) limit.m_rank = std::numeric_limits<std::uint32_t>::max();
