Log the connection of each attempt and count repeated requests on one

Cause of the gap: no line named the connection of an attempt or how many calls it had carried, and no counter told how often a connection carries a request that it has carried before, so the hypotheses could not be told apart. Change: attempt_failed and request_end name the connection and its calls, no line is added; relay_endpoint_repeated_total counts. A call names the request that it carries, and a connection records the hashes of these ids. The record is bounded: a connection is closed after 256 calls. What is answered, and where requests go, does not change.

--- a/src/finish.cpp
+++ b/src/finish.cpp
@@ -5,6 +5,7 @@
 #include <cstdio>
 #include <utility>
 
+#include "attemptlog.h"
 #include "eventlog.h"
 #include "refusal.h"
 
@@ -73,6 +74,7 @@
       .AddMs("left_ms", call.m_deadline - now)
       .Add("catalog",
            static_cast<std::int64_t>(call.m_catalog->Message().version()));
+  AddConnection(call.m_attempt, &line);
   if (call.m_events > 0) {
     line.AddMs("first_ms", call.m_first_event - call.m_arrived);
   }
--- a/src/http.h
+++ b/src/http.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <system_error>
@@ -125,6 +126,9 @@
   // ones on a connection that carried a call before: they may be late copies.
   // Unset: accepts every response. Used by HttpClient only.
   std::function<ResponseMatch(const HttpFields& headers)> m_match_response;
+  // Id of the request that the call carries. Other calls may carry the same
+  // one. Unset: it carries none that responses repeat. Used by HttpClient only.
+  std::optional<std::string> m_request_id;
 };
 
 // How a call ended.
@@ -132,6 +136,10 @@
   std::error_code m_error;
   int m_status = 0;     // Zero if no status line was received.
   bool m_sent = false;  // Whether a byte of the request may have been sent.
+  // Number of the connection among those of its client, and the calls that it
+  // has carried, this one included. Zero if unknown. Set by HttpClient only.
+  std::uint64_t m_connection = 0;
+  std::uint32_t m_connection_calls = 0;
 };
 
 // Callbacks of one call, in this order. None follows on_end or Cancel.
--- a/src/httpclient.cpp
+++ b/src/httpclient.cpp
@@ -1,5 +1,7 @@
 #include "httpclient.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <cerrno>
 #include <charconv>
@@ -33,6 +35,10 @@
 // Maximum number of idle connections per address.
 constexpr std::size_t kMaxIdlePerAddress = 32;
 
+// Calls after which a connection is closed. Bounds its record of the requests
+// that it has carried.
+constexpr std::uint32_t kMaxCallsPerConnection = 256;
+
 // Splits "http://IP:PORT/TARGET" at the target.
 std::pair<std::string, std::string> SplitUrl(const std::string& url) {
   constexpr std::size_t kSchemeSize = 7;
@@ -41,6 +47,10 @@
   return {url.substr(kSchemeSize, slash - kSchemeSize), url.substr(slash)};
 }
 
+std::uint64_t HashRequestId(const std::string& id) {
+  return XXH64(id.data(), id.size(), 0);
+}
+
 // Error of a call for which no connection could be begun.
 HttpError ConnectError(int error) {
   switch (error) {
@@ -78,6 +88,7 @@
  public:
   Connection(HttpClient& client, std::string address, int descriptor)
       : m_client(client),
+        m_number(client.m_next_connection++),
         m_address(std::move(address)),
         m_parser(HttpMessageKind::kResponse, ParseLimits{}, *this) {
     m_channel.emplace(client.m_sockets, descriptor, Channel::State::kConnecting,
@@ -90,6 +101,7 @@
     m_events = std::make_shared<HttpEvents>(std::move(events));
     m_match_response = call.m_match_response;
     ++m_calls;
+    RecordRequest(call);
     m_start_time = Now();
     m_last_input_time = m_start_time;
     m_connect_limit = call.m_connect_timeout;
@@ -223,10 +235,21 @@
 
   // A server that sent a response to another call may send more of them.
   bool IsPersistent() const {
-    return m_at_message_end && !m_saw_unmatched && m_idle_timeout > Duration(0);
+    return m_at_message_end && !m_saw_unmatched &&
+           m_idle_timeout > Duration(0) && m_calls < kMaxCallsPerConnection;
+  }
+
+  // Whether a call on this connection carried this request.
+  bool HasCarried(std::uint64_t request) const {
+    return std::find(m_requests.begin(), m_requests.end(), request) !=
+           m_requests.end();
   }
+
+  HttpResult ResultOf(std::error_code error, bool sent) const {
+    return {error, m_status, sent, m_number, m_calls};
+  }
+
   bool Sent() const { return m_request_written && m_channel->AnySent(); }
-  int Status() const { return m_status; }
   const std::string& Address() const { return m_address; }
 
   // Discards what the kernel has not sent yet when the socket is closed. It
@@ -240,6 +263,13 @@
   }
 
  private:
+  void RecordRequest(const HttpCall& call) {
+    if (!call.m_request_id) return;
+    const std::uint64_t request = HashRequestId(*call.m_request_id);
+    if (HasCarried(request)) ++m_client.m_counters.m_repeated_requests;
+    m_requests.push_back(request);
+  }
+
   // An unidentified response is trusted only if no earlier call on this
   // connection can have caused it.
   bool IsResponseToCall(const HttpFields& fields) const {
@@ -276,11 +306,13 @@
   }
 
   HttpClient& m_client;
+  std::uint64_t m_number;
   std::string m_address;
   CallId m_id = 0;  // Zero: the connection is idle.
   std::shared_ptr<HttpEvents> m_events;
   std::function<ResponseMatch(const HttpFields&)> m_match_response;
-  std::uint32_t m_calls = 0;  // Dispatched on this connection.
+  std::uint32_t m_calls = 0;              // Dispatched on this connection.
+  std::vector<std::uint64_t> m_requests;  // Hashes of the ids carried.
   HttpParser m_parser;
   int m_status = 0;
   bool m_connected = false;
@@ -372,7 +404,7 @@
   const auto found = m_active.find(id);
   std::unique_ptr<Connection> connection = std::move(found->second);
   m_active.erase(found);
-  const HttpResult result{HttpError::kOk, connection->Status(), true};
+  const HttpResult result = connection->ResultOf(HttpError::kOk, true);
   const std::shared_ptr<HttpEvents> events = connection->DetachCall();
   auto& idle = m_idle[connection->Address()];
   if (connection->IsPersistent() && idle.size() < kMaxIdlePerAddress) {
@@ -388,7 +420,7 @@
   if (found == m_active.end()) return;
   std::unique_ptr<Connection> connection = std::move(found->second);
   m_active.erase(found);
-  const HttpResult result{error, connection->Status(), connection->Sent()};
+  const HttpResult result = connection->ResultOf(error, connection->Sent());
   const std::shared_ptr<HttpEvents> events = connection->DetachCall();
   connection->ResetOnClose();
   Retire(std::move(connection));
--- a/src/httpclient.h
+++ b/src/httpclient.h
@@ -17,6 +17,8 @@
   std::uint64_t m_opened = 0;               // Connections opened.
   std::uint64_t m_reused = 0;               // Calls on a reused connection.
   std::uint64_t m_unmatched_responses = 0;  // Responses that matched no call.
+  // Calls on a connection that had carried the same request.
+  std::uint64_t m_repeated_requests = 0;
 };
 
 // HTTP/1.1 client over the sockets of one task. Unlike libcurl it never resends
@@ -50,6 +52,7 @@
   SocketSet& m_sockets;
   HttpClientCounters m_counters;
   CallId m_next_id = 1;
+  std::uint64_t m_next_connection = 1;
   std::unordered_map<CallId, std::unique_ptr<Connection>> m_active;
   std::unordered_map<std::string, std::deque<std::unique_ptr<Connection>>>
       m_idle;
--- a/src/relayattempt.cpp
+++ b/src/relayattempt.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "attemptlimits.h"
+#include "attemptlog.h"
 #include "continuation.h"
 #include "crashwatch.h"
 #include "eventlog.h"
@@ -27,9 +28,6 @@
 // that holds its KV cache keeps it for longer.
 constexpr Duration kDecodeWait = std::chrono::milliseconds(300);
 
-// Parts of a prompt that a log line names.
-constexpr std::size_t kMaxLoggedParts = 16;
-
 // Lowest HTTP status of a server error.
 constexpr int kMinServerErrorStatus = 500;
 
@@ -42,34 +40,10 @@
   OnRequestCompleted(state.m_balance, attempt.m_endpoint);
 }
 
-// Ids of the parts of the prompt that other requests may share.
-std::string SharedPartIds(const RelayCall& call) {
-  const std::vector<PromptPart>& parts = call.m_metadata.m_parts;
-  std::string ids;
-  for (std::size_t i = 0; i + 1 < parts.size() && i < kMaxLoggedParts; ++i) {
-    if (i > 0) ids += ',';
-    ids += parts[i].m_id;
-  }
-  return ids;
-}
-
-void LogFailure(const RelayState& state, const RelayCall& call,
-                std::string_view reason, const HttpResult& result) {
-  const EndpointAttempt& attempt = call.m_attempt;
-  LogLine line("attempt_failed");
-  line.Add("request", call.m_metadata.m_attempt)
-      .Add("stage", ToName(call.m_stage))
-      .Add("endpoint", attempt.m_endpoint)
-      .Add("reason", reason)
-      .Add("status", attempt.m_status)
-      .Add("error", result.m_error ? result.m_error.message() : "none")
-      .Add("sent", result.m_sent ? 1 : 0)
-      .Add("events", attempt.m_events)
-      .Add("parts", SharedPartIds(call))
-      .AddMs("after_ms", state.m_clock() - attempt.m_sent);
-  if (attempt.m_status != 0) {
-    line.AddMs("since_head_ms", state.m_clock() - attempt.m_head_at);
-  }
+// Records on which connection the call of the attempt ended.
+void RecordConnection(EndpointAttempt& attempt, const HttpResult& result) {
+  attempt.m_connection = result.m_connection;
+  attempt.m_connection_calls = result.m_connection_calls;
 }
 
 // Builds the HTTP call that sends the request to an endpoint.
@@ -87,6 +61,7 @@
   http.m_body = call.m_request.m_body;
   http.m_connect_timeout = state.m_options.m_connect_timeout;
   http.m_max_body_bytes = IsStream(call) ? 0 : kMaxResponseBytes;
+  http.m_request_id = call.m_metadata.m_attempt;
   http.m_match_response =
       [format = state.m_format,
        attempt = call.m_metadata.m_attempt](const HttpFields& fields) {
@@ -351,6 +326,7 @@
 
 void OnRunEnd(RelayState& state, RelayCall& call, const HttpResult& result) {
   ReleaseLoad(state, call);
+  RecordConnection(call.m_attempt, result);
   const EndpointAttempt& attempt = call.m_attempt;
   if (result.m_error || attempt.m_splitter.HasPartial()) {
     OnRunFailed(state, call, result);
@@ -448,6 +424,7 @@
   EndpointAttempt& attempt = call.m_attempt;
   const double work_ms = attempt.m_work_ms;
   ReleaseLoad(state, call);
+  RecordConnection(attempt, result);
   constexpr int kOk = 200;
   const auto read = !result.m_error && attempt.m_status == kOk
                         ? state.m_format->ParsePrefillResult(attempt.m_body)
--- a/src/relaystate.h
+++ b/src/relaystate.h
@@ -91,10 +91,12 @@
   std::uint32_t m_connect_timeouts = 0;  // Of questions to the endpoint.
   bool m_is_unreachable = false;  // The endpoint accepts no new connection.
   AbsenceRecord m_absence;
-  double m_work_ms = 0;        // Prefill work; zero after the first event.
-  int m_status = 0;            // Zero until the response head arrives.
-  Instant m_head_at{};         // When it arrived.
-  std::uint32_t m_events = 0;  // Events of a stream received.
+  double m_work_ms = 0;            // Prefill work; zero after the first event.
+  int m_status = 0;                // Zero until the response head arrives.
+  Instant m_head_at{};             // When it arrived.
+  std::uint64_t m_connection = 0;  // Number of its connection.
+  std::uint32_t m_connection_calls = 0;  // Carried by it, this one included.
+  std::uint32_t m_events = 0;            // Events of a stream received.
   HttpFields m_fields;
   ResponseMetadata m_metadata;
   std::string m_body;  // Of a response that is not streamed.
