Never carry one request twice on a connection to an endpoint

Callers saw: requests that must run once ran twice (TWICE), or were refused as not run and ran (REFUSED). Cause: endpoints that were tried are excluded by id, idle connections are kept by address. Where an address is listed under two ids, or gets a prefill and then the run, the same connection carried the request twice. A copy of the first response has the id of the request and was taken for the response to the second call. Class of fault: an identifier that is not unique where it is used to match. Change: the client passes over idle connections that have carried the request and opens another one if none is left. The counter of repeated requests, now always zero, becomes that of connections passed over. Rejected: excluding endpoints by address (a request would miss the successor that can run it, and a prefill its decode endpoint); a new connection for each attempt after the first (the same cost, decided at each caller of the client); closing each connection after a refusal (more new connections, and a result of a prefill is no refusal); a number of its own for each attempt (endpoints repeat only the id that the caller chose, and it must reach them unchanged).

--- a/src/http.h
+++ b/src/http.h
@@ -127,7 +127,9 @@
   // Unset: accepts every response. Used by HttpClient only.
   std::function<ResponseMatch(const HttpFields& headers)> m_match_response;
   // Id of the request that the call carries. Other calls may carry the same
-  // one. Unset: it carries none that responses repeat. Used by HttpClient only.
+  // one, each on another connection: a copy of an earlier response to the
+  // request could not be told from the response to this call. Unset: it carries
+  // none that responses repeat. Used by HttpClient only.
   std::optional<std::string> m_request_id;
 };
 
--- a/src/httpclient.cpp
+++ b/src/httpclient.cpp
@@ -47,8 +47,10 @@
   return {url.substr(kSchemeSize, slash - kSchemeSize), url.substr(slash)};
 }
 
-std::uint64_t HashRequestId(const std::string& id) {
-  return XXH64(id.data(), id.size(), 0);
+// Hash of the id of the request that the call carries, if it has one.
+std::optional<std::uint64_t> RequestHash(const HttpCall& call) {
+  if (!call.m_request_id) return std::nullopt;
+  return XXH64(call.m_request_id->data(), call.m_request_id->size(), 0);
 }
 
 // Error of a call for which no connection could be begun.
@@ -101,7 +103,7 @@
     m_events = std::make_shared<HttpEvents>(std::move(events));
     m_match_response = call.m_match_response;
     ++m_calls;
-    RecordRequest(call);
+    if (const auto request = RequestHash(call)) m_requests.push_back(*request);
     m_start_time = Now();
     m_last_input_time = m_start_time;
     m_connect_limit = call.m_connect_timeout;
@@ -239,7 +241,7 @@
            m_idle_timeout > Duration(0) && m_calls < kMaxCallsPerConnection;
   }
 
-  // Whether a call on this connection carried this request.
+  // Whether a call on this connection carried the request with this hash.
   bool HasCarried(std::uint64_t request) const {
     return std::find(m_requests.begin(), m_requests.end(), request) !=
            m_requests.end();
@@ -263,13 +265,6 @@
   }
 
  private:
-  void RecordRequest(const HttpCall& call) {
-    if (!call.m_request_id) return;
-    const std::uint64_t request = HashRequestId(*call.m_request_id);
-    if (HasCarried(request)) ++m_client.m_counters.m_repeated_requests;
-    m_requests.push_back(request);
-  }
-
   // An unidentified response is trusted only if no earlier call on this
   // connection can have caused it.
   bool IsResponseToCall(const HttpFields& fields) const {
@@ -347,7 +342,9 @@
   const CallId id = m_next_id++;
   const auto [address, target] = SplitUrl(call.m_url);
   std::unique_ptr<Connection> connection;
-  if (!call.m_force_new_connection) connection = TakeIdle(address);
+  if (!call.m_force_new_connection) {
+    connection = TakeIdle(address, RequestHash(call));
+  }
   if (connection != nullptr) {
     ++m_counters.m_reused;
   } else {
@@ -385,14 +382,21 @@
   m_idle.erase(address);
 }
 
+// Takes the connection that was used last of those that have not carried the
+// request.
 std::unique_ptr<HttpClient::Connection> HttpClient::TakeIdle(
-    const std::string& address) {
+    const std::string& address, std::optional<std::uint64_t> request) {
   const auto found = m_idle.find(address);
   if (found == m_idle.end()) return nullptr;
   const Instant now = Now();
-  while (!found->second.empty()) {
-    std::unique_ptr<Connection> connection = std::move(found->second.back());
-    found->second.pop_back();
+  auto& idle = found->second;
+  for (std::size_t i = idle.size(); i-- > 0;) {
+    if (request && idle[i]->HasCarried(*request)) {
+      ++m_counters.m_passed_over;
+      continue;
+    }
+    std::unique_ptr<Connection> connection = std::move(idle[i]);
+    idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i));
     if (connection->IsReusable(now)) return connection;
   }
   return nullptr;
--- a/src/httpclient.h
+++ b/src/httpclient.h
@@ -3,6 +3,7 @@
 
 #include <deque>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -17,8 +18,8 @@
   std::uint64_t m_opened = 0;               // Connections opened.
   std::uint64_t m_reused = 0;               // Calls on a reused connection.
   std::uint64_t m_unmatched_responses = 0;  // Responses that matched no call.
-  // Calls on a connection that had carried the same request.
-  std::uint64_t m_repeated_requests = 0;
+  // Idle connections that were not reused because they had carried the request.
+  std::uint64_t m_passed_over = 0;
 };
 
 // HTTP/1.1 client over the sockets of one task. Unlike libcurl it never resends
@@ -42,7 +43,8 @@
  private:
   class Connection;
 
-  std::unique_ptr<Connection> TakeIdle(const std::string& address);
+  std::unique_ptr<Connection> TakeIdle(const std::string& address,
+                                       std::optional<std::uint64_t> request);
   void CompleteCall(CallId id);
   void RemoveIdle(Connection* connection);
   void FailCall(CallId id, HttpError error);
--- a/src/relaymetrics.cpp
+++ b/src/relaymetrics.cpp
@@ -131,9 +131,9 @@
                endpoints.Counters().m_opened);
   text.Counter("relay_endpoint_reused_total", "calls on kept connections",
                endpoints.Counters().m_reused);
-  text.Counter("relay_endpoint_repeated_total",
-               "calls on a connection that had carried the same request",
-               endpoints.Counters().m_repeated_requests);
+  text.Counter("relay_endpoint_passed_over_total",
+               "kept connections not used as they had carried the request",
+               endpoints.Counters().m_passed_over);
   text.Counter("relay_stray_answers_total", "answers that belong to no call",
                endpoints.Counters().m_unmatched_responses);
   text.Gauge("relay_endpoints", "known endpoints",
--- a/standins/common_endpoint.cpp
+++ b/standins/common_endpoint.cpp
@@ -15,6 +15,9 @@
 // Events after which a stream breaks off or stalls.
 constexpr int kEventsBeforeFault = 2;
 
+constexpr int kOk = 200;
+constexpr int kUnavailable = 503;
+
 HttpServerEvents ServerEvents(
     std::function<void(const HttpRequest&)> on_request,
     std::function<void(std::uint64_t)> on_disconnect) {
@@ -77,7 +80,7 @@
   const std::uint64_t id = request.m_id;
   const HttpField attempt{"Attempt-Id", FieldOf(request, "Attempt-Id")};
   if (act == EndpointAct::kRefuse) {
-    m_server.Respond(id, 503, {attempt, {"Not-Executed", "1"}}, "");
+    Refuse(request, kUnavailable, {});
     return;
   }
   if (act == EndpointAct::kCloseUnread) {
@@ -145,11 +148,18 @@
     AnswerReport(request);
     return;
   }
-  HttpFields response_fields = {{"Attempt-Id", FieldOf(request, "Attempt-Id")},
-                                {"Server-Stamp", "stamp-" + m_id},
-                                {"Keep-Alive", "timeout=5"}};
+  if (request.m_method == "DELETE") {
+    m_server.Respond(request.m_id, kOk, {}, "");
+    return;
+  }
   if (FieldOf(request, "Expect-Instance") != m_id) {
-    m_server.Respond(request.m_id, 421, {}, "");
+    if (m_other_id_status != kOk) {
+      Refuse(request, m_other_id_status, {});
+      return;
+    }
+  }
+  if (FieldOf(request, "Serving-Phase") == "prefill") {
+    Prefill(request);
     return;
   }
   m_arrivals.push_back(
@@ -161,11 +171,9 @@
   }
   if (m_overloaded) {
     ++m_rejections;
-    response_fields.push_back({"Not-Executed", "1"});
-    if (!m_retry_after.empty()) {
-      response_fields.push_back({"Retry-After", m_retry_after});
-    }
-    m_server.Respond(request.m_id, 503, response_fields, "");
+    HttpFields fields;
+    if (!m_retry_after.empty()) fields = {{"Retry-After", m_retry_after}};
+    Refuse(request, kUnavailable, std::move(fields));
     return;
   }
   m_requests.push_back(request);
@@ -173,6 +181,45 @@
   Answer(request);
 }
 
+void FakeEndpoint::Refuse(const HttpRequest& request, int status,
+                          HttpFields fields) {
+  if (status == kUnavailable) fields.push_back({"Not-Executed", "1"});
+  SendRepeated(request, {status, std::move(fields), ""});
+}
+
+// A response after which the request may come again.
+void FakeEndpoint::SendRepeated(const HttpRequest& request, Response response) {
+  response.m_fields.push_back({"Attempt-Id", FieldOf(request, "Attempt-Id")});
+  response.m_fields.push_back({"Keep-Alive", "timeout=5"});
+  const Response sent = WithCopy(request, response);
+  if (m_copies) m_copied[request.m_connection] = std::move(response);
+  m_server.Respond(request.m_id, sent.m_status, sent.m_fields, sent.m_body);
+}
+
+FakeEndpoint::Response FakeEndpoint::WithCopy(const HttpRequest& request,
+                                              Response response) {
+  const auto found = m_copied.find(request.m_connection);
+  if (found == m_copied.end()) return response;
+  Response both = std::move(found->second);
+  m_copied.erase(found);
+  // Ends the copy and begins the response.
+  both.m_fields.push_back(
+      {"Content-Length", std::to_string(both.m_body.size()) + "\r\n\r\n" +
+                             both.m_body + "HTTP/1.1 " +
+                             std::to_string(response.m_status) + " " +
+                             StatusReason(response.m_status)});
+  both.m_fields.insert(both.m_fields.end(), response.m_fields.begin(),
+                       response.m_fields.end());
+  both.m_body = std::move(response.m_body);
+  return both;
+}
+
+void FakeEndpoint::Prefill(const HttpRequest& request) {
+  SendRepeated(request, {200,
+                         {{"Content-Type", "application/json"}},
+                         R"({"kvHandle":"h1","tokenCount":100,"version":1})"});
+}
+
 void FakeEndpoint::Answer(const HttpRequest& request) {
   HttpFields response_fields = {{"Attempt-Id", FieldOf(request, "Attempt-Id")},
                                 {"Server-Stamp", "stamp-" + m_id},
@@ -181,13 +228,14 @@
   if (!m_limit.empty()) response_fields.push_back({"Server-Limit", m_limit});
   if (!IsStreamTarget(request.m_target)) {
     EndRun(request.m_id);
-    m_server.Respond(request.m_id, 200, response_fields,
-                     "ran " + request.m_target);
+    const Response sent =
+        WithCopy(request, {200, response_fields, "ran " + request.m_target});
+    m_server.Respond(request.m_id, sent.m_status, sent.m_fields, sent.m_body);
     return;
   }
-  HttpFields fields = response_fields;
-  fields.push_back({"Content-Type", "text/event-stream"});
-  m_server.StartStream(request.m_id, 200, fields);
+  response_fields.push_back({"Content-Type", "text/event-stream"});
+  const Response sent = WithCopy(request, {200, response_fields, ""});
+  m_server.StartStream(request.m_id, sent.m_status, sent.m_fields);
   const std::string after = FieldOf(request, "Last-Event-Id");
   SendEvent(request.m_id, after.empty() ? 1 : std::stoi(after) + 1);
 }
--- a/standins/common_endpoint.h
+++ b/standins/common_endpoint.h
@@ -116,13 +116,33 @@
   // from all instances.
   void SetLimit(const std::string& limit) { m_limit = limit; }
 
+  // While set, a copy of each refusal and of each result of a prefill is sent
+  // on its connection in front of the next response there.
+  void SetCopies(bool copies) { m_copies = copies; }
+
+  // Response to requests that name another endpoint: 421, 503 as of an endpoint
+  // that is full, or 200 to treat them as its own.
+  void SetOtherIdStatus(int status) { m_other_id_status = status; }
+
   // Number of reports that were asked for.
   int Reports() const { return m_reports; }
 
  private:
+  struct Response {
+    int m_status = 0;
+    HttpFields m_fields;
+    std::string m_body;
+  };
+
   void Handle(const HttpRequest& request);
   void Act(const HttpRequest& request, EndpointAct act);
   void Answer(const HttpRequest& request);
+  void Refuse(const HttpRequest& request, int status, HttpFields fields);
+  void SendRepeated(const HttpRequest& request, Response response);
+  // Puts the copy of an earlier response in front of the response if one is
+  // due on the connection.
+  Response WithCopy(const HttpRequest& request, Response response);
+  void Prefill(const HttpRequest& request);
   void AnswerReport(const HttpRequest& request);
   void SendEvent(std::uint64_t id, int event);
   std::size_t BeginRun(const HttpRequest& request);
@@ -149,6 +169,9 @@
   int m_reports = 0;
   bool m_leaving = false;
   std::string m_limit;
+  bool m_copies = false;
+  std::map<std::uint64_t, Response> m_copied;  // Last one, by connection.
+  int m_other_id_status = 421;
   bool m_hanging = false;
 };
 
--- a/standins/fake_endpoint.cpp
+++ b/standins/fake_endpoint.cpp
@@ -19,6 +19,10 @@
               "what it does with requests, separated by commas; each request "
               "gets one of them at random");
 
+DEFINE_bool(copies, false,
+            "sends a copy of each refusal in front of the next response on its "
+            "connection");
+
 namespace comfreypaddle::standins {
 namespace {
 
@@ -45,6 +49,7 @@
   SocketSet sockets(loop);
   FakeEndpoint endpoint(sockets, FLAGS_id,
                         static_cast<std::uint16_t>(FLAGS_port));
+  endpoint.SetCopies(FLAGS_copies);
   std::mt19937 random(FLAGS_seed);
   endpoint.SetActs([&random, &acts] {
     return acts.at(
--- a/tests/httpwire_test.cpp
+++ b/tests/httpwire_test.cpp
@@ -4,7 +4,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <map>
 #include <optional>
+#include <set>
 
 #include "httpclient.h"
 #include "httpserver.h"
@@ -223,6 +225,7 @@
   HttpCall CallWithId(const std::string& id) const {
     HttpCall call;
     call.m_url = m_url;
+    call.m_request_id = id;
     call.m_match_response = [id](const HttpFields& fields) {
       const std::string* found = FindFieldIgnoreCase(fields, "id");
       if (found == nullptr) return ResponseMatch::kUnidentified;
@@ -283,6 +286,62 @@
   }
 }
 
+// Guards against the copy of a refusal that is taken for the response to the
+// same request, sent once more on the connection: its id tells nothing then.
+TEST_CASE("A connection does not carry one request twice") {
+  for (const int status : {421, 503, 200}) {
+    CAPTURE(status);
+    Fixture fixture;
+    RawServer server;
+    fixture.Call(server.CallWithId("first"));
+    server.Accept(fixture.m_loop);
+    server.Send(Answer(status, "id: first\r\n", "copied"));
+    REQUIRE(fixture.Ended());
+    fixture.m_body.clear();
+    fixture.Call(server.CallWithId("first"));
+    server.Send(Answer(status, "id: first\r\n", "copied"));
+    CHECK(fixture.m_client.Counters().m_opened == 2);
+    if (fixture.m_client.Counters().m_opened == 2) {
+      server.Accept(fixture.m_loop);
+      server.Send(Answer(200, "id: first\r\n", "own"));
+    }
+    REQUIRE(fixture.Ended());
+    CHECK(fixture.m_result->m_status == 200);
+    CHECK(fixture.m_body == "own");
+  }
+}
+
+// Guards against the same where the request is not the last one that the
+// connection has carried, and against connections that are given up although
+// another request may use them.
+TEST_CASE("A connection carries many requests, each of them once") {
+  constexpr int kCalls = 2000;
+  constexpr int kRepeatPeriod = 20;
+  constexpr int kRepeatedIds = 5;
+  Fixture fixture;
+  fixture.m_handle = [&fixture](const HttpRequest& request) {
+    fixture.m_server->Respond(request.m_id, 200, {{"Keep-Alive", "timeout=9"}},
+                              "");
+  };
+  std::set<std::pair<std::uint64_t, std::string>> carried;
+  std::map<std::uint64_t, int> calls;
+  for (int i = 0; i < kCalls; ++i) {
+    HttpCall call;
+    call.m_url = fixture.Url("/");
+    call.m_request_id =
+        i % kRepeatPeriod == 0
+            ? "again-" + std::to_string(i / kRepeatPeriod % kRepeatedIds)
+            : std::to_string(i);
+    fixture.Call(call);
+    REQUIRE(fixture.Ended());
+    const std::uint64_t connection = fixture.m_requests.back().m_connection;
+    CHECK(carried.emplace(connection, *call.m_request_id).second);
+    ++calls[connection];
+  }
+  for (const auto& [connection, count] : calls) CHECK(count <= 256);
+  CHECK(fixture.m_client.Counters().m_opened < 40);
+}
+
 TEST_CASE("An unidentified response is accepted on a new connection") {
   Fixture fixture;
   RawServer server;
--- a/tests/support_platform.cpp
+++ b/tests/support_platform.cpp
@@ -251,10 +251,13 @@
 
 void PlatformCluster::RegisterEndpoint(const std::string& id,
                                        const std::string& service,
-                                       std::uint16_t port) {
+                                       std::uint16_t port,
+                                       const std::string& phase) {
+  const std::string phase_field =
+      phase.empty() ? "" : R"("phase":")" + phase + R"(",)";
   m_store.Put("keyed.servers", id,
-              R"({"service":")" + service + R"(","address":"127.0.0.1:)" +
-                  std::to_string(port) +
+              "{" + phase_field + R"("service":")" + service +
+                  R"(","address":"127.0.0.1:)" + std::to_string(port) +
                   R"(","zone":"z1","version":"v1","slots":)" +
                   std::to_string(m_slots) +
                   R"(,"state":"ready","coldRemainingMs":0,"sequence":1})");
@@ -268,14 +271,16 @@
            R"(","timeoutMs":5000,"targetLatencyMs":400,"priority":1,)" +
            R"("service":"plain","public":false,"maxAttempts":)" +
            std::to_string(attempts) + R"(,"resumable":)" +
-           (resumable ? "true" : "false") + "}";
+           (resumable ? "true" : "false") + R"(,"sessionAffinity":)" +
+           (name == "prompt" ? "true" : "false") + "}";
   };
   m_store.Put("keyed.op", "config",
               R"({"version":)" + std::to_string(version) +
                   R"(,"routeTable":[)" + route("safe", "idempotent", 2, false) +
                   "," + route("once", "non_idempotent", 1, false) + "," +
                   route("stream", "streaming", 1, false) + "," +
-                  route("again", "streaming", 2, true) +
+                  route("again", "streaming", 2, true) + "," +
+                  route("prompt", "non_idempotent", 1, false) +
                   R"(],"serviceTable":[{"name":"plain"}],"limits":{},)" +
                   R"("tenants":[{"name":"w","apiKeys":)" + keys_json + "}]}");
 }
@@ -348,6 +353,8 @@
                     {"Key", key},
                     {"Tenant", "forged"},
                     {"Deadline-Ms", "4000"}};
+  call.m_headers.insert(call.m_headers.end(), m_request_fields.begin(),
+                        m_request_fields.end());
   if (method == "POST") call.m_body = "body of " + target;
   auto reply = std::make_shared<Reply>();
   HttpEvents events;
--- a/tests/support_platform.h
+++ b/tests/support_platform.h
@@ -138,13 +138,20 @@
   }
   EndpointHistory HistoryOf(std::size_t index) const;
 
-  // Registers an endpoint that the test itself runs in the store.
+  // Registers an endpoint that the test itself runs in the store, in this phase
+  // unless it is empty.
   void RegisterEndpoint(const std::string& id, const std::string& service,
-                        std::uint16_t port);
+                        std::uint16_t port, const std::string& phase = "");
+
+  // Removes an endpoint from the store.
+  void RemoveEndpoint(const std::string& id) {
+    m_store.Put("keyed.servers", id, "");
+  }
   SocketSet& Sockets() { return m_sockets; }
 
   // Writes a configuration with the routes /safe/, /once/, /stream/ and
-  // /again/ of the service "plain" and one workspace "w" with these keys.
+  // /again/ of the service "plain" and one workspace "w" with these keys, and
+  // the route /prompt/, whose requests may be prefilled and run once.
   void Configure(int version, const std::string& keys_json);
 
   // Slots of endpoints that are registered later.
@@ -165,6 +172,11 @@
   bool IsReady(int entry);
   Process& Entry(int index) { return *m_entries.at(index); }
 
+  // Header fields of requests that are sent later, beside the usual ones.
+  void SetRequestFields(HttpFields fields) {
+    m_request_fields = std::move(fields);
+  }
+
   // Sends a request to an entry instance. The reply is filled in while the
   // event loop runs.
   std::shared_ptr<Reply> Start(int entry, const std::string& method,
@@ -215,6 +227,7 @@
   std::map<int, std::unique_ptr<TcpProxy>> m_store_proxies;
   std::map<int, InstancePorts> m_ports;
   std::map<int, std::unique_ptr<Process>> m_entries;
+  HttpFields m_request_fields;
   int m_next_attempt = 1;
 };
 
