Do not take the response to a request for that to a cache release

Cause: the call that releases a KV cache names no request, so it took whatever response came next on its connection, also the copy of a refusal with the id of a request. The connection, whose endpoint sends copies, was then kept. Class of fault: a response is matched by its place on the connection. Ruled out: reports of endpoints, which are asked over new connections. Change: a response that names a request is skipped, and its connection closed, like any response to another call. The adapter tells which ones do. Not changed: a copy without an id on a kept connection cannot be told from the response to the release; only a log line depends on it.

--- a/src/finish.cpp
+++ b/src/finish.cpp
@@ -172,6 +172,11 @@
                   state.m_format->CacheReleaseTarget(call.m_source->m_handle);
   release.m_connect_timeout = state.m_options.m_connect_timeout;
   release.m_timeout = kReleaseTimeout;
+  // It has no id, so that a response with one belongs to another call.
+  release.m_match_response = [format =
+                                  state.m_format](const HttpFields& fields) {
+    return format->MatchAttempt(fields, "");
+  };
   HttpEvents events;
   events.m_on_end = [attempt =
                          call.m_metadata.m_attempt](const HttpResult& result) {
--- a/tests/relaycall_test.cpp
+++ b/tests/relaycall_test.cpp
@@ -1,5 +1,6 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "crashwatch.h"
+#include "finish.h"
 #include "support_relay.h"
 
 namespace comfreypaddle::testing {
@@ -428,5 +429,18 @@
   f.Answer(3, 503, {{"not-run", "1"}});
 }
 
+// Guards against the copy of a response to a request that is taken for the
+// response to the release of a KV cache on the same connection.
+TEST_CASE("the release of a KV cache takes no response to a request") {
+  RelayFixture f;
+  RelayCall call;
+  call.m_source = CacheSource{"e1", "127.0.0.1:1", "h"};
+  ReleaseKvCache(f.m_state, call);
+  const HttpCall& release = f.m_endpoints.m_calls.at(0);
+  REQUIRE(release.m_match_response);
+  CHECK(release.m_match_response({{"attempt", "t1"}}) == ResponseMatch::kOther);
+  CHECK(release.m_match_response({}) == ResponseMatch::kOwn);
+}
+
 }  // namespace
 }  // namespace comfreypaddle::testing
--- a/tests/support_relay.h
+++ b/tests/support_relay.h
@@ -56,9 +56,14 @@
     if (limit != nullptr) terms.m_limit_rate = std::stod(*limit);
     return terms;
   }
-  ResponseMatch MatchAttempt(const HttpFields& /*fields*/,
-                             std::string_view /*attempt*/) const override {
-    return ResponseMatch::kOwn;
+  ResponseMatch MatchAttempt(const HttpFields& fields,
+                             std::string_view attempt) const override {
+    const std::string* id = FindFieldIgnoreCase(fields, "attempt");
+    if (id == nullptr) {
+      return attempt.empty() ? ResponseMatch::kOwn
+                             : ResponseMatch::kUnidentified;
+    }
+    return *id == attempt ? ResponseMatch::kOwn : ResponseMatch::kOther;
   }
   HttpFields CallerFields(const HttpFields& fields) const override {
     return fields;
