serve: use a new connection for each attempt after the first

Cause: endpoints that were tried return when all are excluded, and connections are reused for requests that may be repeated. The copy of a refusal could be taken for the response to the next attempt on the same connection, and the caller be told not_run while the attempt runs. Same class as in entry. Change: attempts after the first one open a connection of their own, as resumed streams do. Rejected: matching by an id as in entry; endpoints of serve repeat none. Open: without ids, a copy of one request's response may still be taken for that of another request which reuses the connection for its first attempt. No figures; what it costs is one connection a retry.

--- a/src/attempt.cpp
+++ b/src/attempt.cpp
@@ -354,6 +354,9 @@
       });
   http.m_connect_timeout = state.m_options.m_connect_timeout;
   http.m_timeout = std::max(call.m_deadline - now, Duration(1000));
+  // A connection that carried an earlier attempt may bring a copy of its
+  // response.
+  if (call.m_attempt > 1) http.m_force_new_connection = true;
   OnSending(call.m_exchange, call.m_attempt);
   call.m_http = state.m_endpoints->Start(std::move(http),
                                          EventsOf(state, id, call.m_attempt));
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -200,6 +200,19 @@
   CHECK(bench.m_answers.empty());
 }
 
+// Guards against the copy of a refusal that is taken for the response to the
+// next attempt of its request, on the connection that has carried the refusal:
+// the caller would be told "not run" while the attempt runs.
+TEST_CASE("attempts after the first one use new connections") {
+  GatewayFixture bench;
+  bench.Accept(1, true);
+  REQUIRE(bench.m_started.size() == 1);
+  CHECK_FALSE(bench.m_started[0].m_call.m_force_new_connection);
+  bench.End(0, HttpError::kConnectFailed, false);
+  REQUIRE(bench.m_started.size() == 2);
+  CHECK(bench.m_started[1].m_call.m_force_new_connection);
+}
+
 // Work must stop when its caller disconnects, and events of two requests must
 // not be mixed up.
 TEST_CASE("a disconnected caller's stream is cancelled at the engine") {
