Test runs beyond the attempts of a route, and the budget beside copies

A run whose response was mistaken for a refusal did not count as a run, so the request ran at more endpoints than max_attempts of its route allows, which the platform's rules name BUDGET as well. Change: tests and stand-ins only. The endpoint stand-in records arrivals that name another endpoint too.

No functional change

--- a/standins/common_endpoint.cpp
+++ b/standins/common_endpoint.cpp
@@ -152,6 +152,9 @@
     m_server.Respond(request.m_id, kOk, {}, "");
     return;
   }
+  m_arrivals.push_back(
+      {request.m_target, FieldOf(request, "Attempt-Id"), Now()});
+  if (m_on_arrival) m_on_arrival(m_arrivals.back());
   if (FieldOf(request, "Expect-Instance") != m_id) {
     if (m_other_id_status != kOk) {
       Refuse(request, m_other_id_status, {});
@@ -162,9 +165,6 @@
     Prefill(request);
     return;
   }
-  m_arrivals.push_back(
-      {request.m_target, FieldOf(request, "Attempt-Id"), Now()});
-  if (m_on_arrival) m_on_arrival(m_arrivals.back());
   if (m_choose_act) {
     Act(request, m_choose_act());
     return;
--- a/tests/copies_system_test.cpp
+++ b/tests/copies_system_test.cpp
@@ -11,6 +11,8 @@
 namespace comfreypaddle {
 namespace {
 
+using testing::EndpointAct;
+using testing::EndpointRun;
 using testing::FakeEndpoint;
 using testing::PlatformCluster;
 using testing::Reply;
@@ -61,29 +63,38 @@
     for (const std::string& id : others) m_cluster.RemoveEndpoint(id);
   }
 
-  // Checks that no request ran twice, or ran and was refused as not run.
-  void Check() {
+  // Number of runs of each request.
+  std::map<std::string, int> CountRuns() {
     std::map<std::string, int> runs;
     for (std::size_t i = 0; i < m_cluster.EndpointCount(); ++i) {
-      for (const HttpRequest& request : m_cluster.Endpoint(i).Requests()) {
+      const FakeEndpoint& endpoint = m_cluster.Endpoint(i);
+      for (const HttpRequest& request : endpoint.Requests()) {
         ++runs[request.m_target];
       }
+      for (const EndpointRun& run : endpoint.Runs()) ++runs[run.m_target];
     }
+    return runs;
+  }
+
+  // Checks that no request ran more often than its route allows, or ran and was
+  // refused as not run.
+  void Check(int max_attempts = 1) {
+    std::map<std::string, int> runs = CountRuns();
     int served = 0;
-    int twice = 0;
+    int too_often = 0;
     int refused_but_run = 0;
     for (const auto& [target, status] : m_statuses) {
       served += status == 200 ? 1 : 0;
-      twice += runs[target] > 1 ? 1 : 0;
+      too_often += runs[target] > max_attempts ? 1 : 0;
       refused_but_run += status == 503 && runs[target] > 0 ? 1 : 0;
     }
     const std::size_t other_id =
         m_cluster.CountLogLines(1, "event=attempt_failed", "endpoint=former-");
     MESSAGE(m_statuses.size(), " requests, ", served, " served, ", other_id,
-            " refused under another id, ", twice, " ran twice, ",
+            " refused under another id, ", too_often, " ran too often, ",
             refused_but_run, " ran and were refused");
     CHECK(other_id > 0);
-    CHECK(twice == 0);
+    CHECK(too_often == 0);
     CHECK(refused_but_run == 0);
     CHECK(served > 0);
   }
@@ -129,6 +140,20 @@
   f.Check();
 }
 
+// Guards against an idempotent request that runs at more endpoints than its
+// route allows, because a run whose response was mistaken for a refusal does
+// not count (BUDGET).
+TEST_CASE("a copied refusal does not hide a run from the attempts of a route") {
+  CopyingEndpoints f("attempts", 3);
+  f.m_cluster.Endpoint(0).SetOtherIdStatus(503);
+  f.Start();
+  for (std::size_t i = 1; i < 3; ++i) {
+    f.m_cluster.Endpoint(i).SetActs([] { return EndpointAct::kFail; });
+  }
+  for (int i = 0; i < kRequests; ++i) f.CallBesideOtherIds("/safe/", i, 1);
+  f.Check(2);
+}
+
 // Prompts that are prefilled under another id of the endpoint that runs them.
 struct CopiedPrefills : CopyingEndpoints {
   CopiedPrefills(const std::string& name, int prefill_status)
--- a/tests/linkhistory_system_test.cpp
+++ b/tests/linkhistory_system_test.cpp
@@ -37,6 +37,9 @@
 
 constexpr testing::BudgetRule kBudget = {0.2, seconds(10), 20};
 
+// Time for which an id that an endpoint had before stays listed.
+constexpr Duration kListPeriod = seconds(1);
+
 enum class LinkFault {
   kEntryStops,
   kEntryKilled,
@@ -55,6 +58,9 @@
   // Compares what arrives with what instances charge to the budget. Killed ones
   // leave incomplete logs.
   bool m_counts_charges = false;
+  // Further ids listed at each address, which change each second. Endpoints
+  // then send copies of their refusals.
+  int m_former_ids = 0;
 };
 
 struct SentCall {
@@ -77,6 +83,7 @@
         m_cluster("linkhistory-" + std::to_string(seed)) {
     m_cluster.UseProxies();
     m_cluster.SetSlots(m_plan.m_slots);
+    m_cluster.SetCopies(m_plan.m_former_ids > 0);
     m_cluster.Configure(1, R"(["k1"])");
     m_cluster.SetRetry("budget_ratio = 0.2\nwindow_s = 10\nslack = 20\n");
     for (int i = 0; i < kEndpoints; ++i) {
@@ -90,6 +97,8 @@
                         [this] { StartCall(); });
     PeriodicTimer faults(m_cluster.Loop(), m_plan.m_fault_period,
                          [this] { InjectFault(); });
+    PeriodicTimer lists(m_cluster.Loop(), kListPeriod,
+                        [this] { ReplaceFormerIds(); });
     const Instant begin = Now();
     m_cluster.Until([&] { return Now() - begin > time; }, 2 * time);
   }
@@ -149,6 +158,18 @@
                          kind == "safe" ? "GET" : "POST", target)});
   }
 
+  // Endpoints restart under new ids all the time: those that they had stay
+  // listed for a moment.
+  void ReplaceFormerIds() {
+    for (const std::string& id : m_former_ids) m_cluster.RemoveEndpoint(id);
+    m_former_ids.clear();
+    for (int i = 0; i < kEndpoints * m_plan.m_former_ids; ++i) {
+      m_former_ids.push_back("former-" + std::to_string(m_next_former_id++));
+      m_cluster.RegisterEndpoint(m_former_ids.back(), "plain",
+                                 m_cluster.EndpointProcessPort(i % kEndpoints));
+    }
+  }
+
   // Marks something as disturbed and ends that after a time. Returns false if
   // it was disturbed already.
   bool Disturb(const std::string& name, Duration time,
@@ -267,6 +288,8 @@
   LinkPlan m_plan;
   std::vector<SentCall> m_calls;
   std::set<std::string> m_disturbed;
+  std::vector<std::string> m_former_ids;
+  int m_next_former_id = 0;
   int m_faults = 0;
   PlatformCluster m_cluster;
 };
@@ -310,5 +333,19 @@
             true});
 }
 
+// Guards against more repeated arrivals than the retry budget allows, and
+// against requests that run twice or run though they were refused, where
+// several ids of an address refuse a request in a row and copies of these
+// refusals follow.
+TEST_CASE("the retry budget holds while refusals are copied") {
+  RunSeeds({"answer,answer,answer,fail,refuse",
+            milliseconds(10),
+            milliseconds(1500),
+            {LinkFault::kEntryStops, LinkFault::kEntryPaused},
+            24,
+            true,
+            3});
+}
+
 }  // namespace
 }  // namespace comfreypaddle
--- a/tests/support_platform.cpp
+++ b/tests/support_platform.cpp
@@ -219,9 +219,10 @@
       "fake_endpoint",
       std::vector<std::string>{"--port", std::to_string(port), "--id", id,
                                "--seed", std::to_string(seed + index), "--acts",
-                               acts},
+                               acts, m_copies ? "--copies" : "--nocopies"},
       EndpointLogPath(index)));
-  RegisterEndpoint(id, service, PublicPort(port));
+  m_endpoint_process_ports.push_back(PublicPort(port));
+  RegisterEndpoint(id, service, m_endpoint_process_ports.back());
 }
 
 EndpointHistory PlatformCluster::HistoryOf(std::size_t index) const {
--- a/tests/support_platform.h
+++ b/tests/support_platform.h
@@ -133,6 +133,14 @@
   // among these acts, and registers it in the store.
   void AddEndpointProcess(const std::string& service, const std::string& acts,
                           unsigned seed);
+  // Endpoints that are started as processes later send copies of their
+  // refusals.
+  void SetCopies(bool copies) { m_copies = copies; }
+
+  // Port under which callers reach an endpoint that is a process of its own.
+  std::uint16_t EndpointProcessPort(std::size_t index) const {
+    return m_endpoint_process_ports.at(index);
+  }
   Process& EndpointProcess(std::size_t index) {
     return *m_endpoint_processes.at(index);
   }
@@ -219,6 +227,8 @@
   FakeDuties m_duties;
   std::vector<std::unique_ptr<FakeEndpoint>> m_endpoints;
   std::vector<std::unique_ptr<Process>> m_endpoint_processes;
+  std::vector<std::uint16_t> m_endpoint_process_ports;
+  bool m_copies = false;
   std::string m_stop_settings = "notice_ms = 300\n";
   std::string m_retry_settings;
   int m_slots = 4;
