Carry the era of the store with its answers, and log when it rises

Each answer now carries the era; a line store_era tells when a higher one is first seen, from where, and after what silence; read_outdated names the era. The stores of the tests can be replaced by a copy. Nothing decides by the era yet.

No functional change

--- a/src/controlstate.h
+++ b/src/controlstate.h
@@ -196,6 +196,8 @@
   std::map<std::string, ZoneLoadExchange> m_zone_exchanges;
   SearchState m_search;
   SuspectSync m_suspects;
+  // Era of the store as last named by it or by another instance.
+  std::optional<std::uint64_t> m_store_era;
   Instant m_store_answered{};  // Last answer of the store to any call.
   bool m_store_lost = false;
   std::uint32_t m_failed_probes = 0;  // Consecutive failures.
--- a/src/entryduties.cpp
+++ b/src/entryduties.cpp
@@ -39,7 +39,7 @@
                           done.m_next = result.m_first;
                           return;
                         }
-                        RecordStoreCall(state, result.m_fault, result.m_detail);
+                        RecordStoreCall(state, result);
                         if (result.m_fault != StoreFault::kNone) {
                           done.m_due = state.m_clock() + kRetryDelay;
                           return;
@@ -64,7 +64,7 @@
           done.m_next = result.m_first;
           return;
         }
-        RecordStoreCall(state, result.m_fault, result.m_detail);
+        RecordStoreCall(state, result);
         if (result.m_fault != StoreFault::kNone) {
           done.m_due = state.m_clock() + kRetryDelay;
           return;
@@ -134,7 +134,7 @@
       NextDutyAppend(state.m_holder, next, changed, state.m_clock());
   if (!append) return;
   state.m_store->Append(*append, [&state](const AppendResult& result) {
-    RecordStoreCall(state, result.m_fault, result.m_detail);
+    RecordStoreCall(state, result);
     OnDutyAppended(state.m_holder, result, state.m_clock());
     if (result.m_fault != StoreFault::kNone) {
       LogLine("duty_append_failed")
--- a/src/peersync.cpp
+++ b/src/peersync.cpp
@@ -213,7 +213,7 @@
       append, [&state, left = state.m_stopping](const AppendResult& result) {
         state.m_registering = false;
         state.m_register_due = state.m_clock() + kRegisterRetryDelay;
-        RecordStoreCall(state, result.m_fault, result.m_detail);
+        RecordStoreCall(state, result);
         if (result.m_fault == StoreFault::kNone) state.m_registered = !left;
       });
 }
--- a/src/storereader.cpp
+++ b/src/storereader.cpp
@@ -7,6 +7,7 @@
 #include "entryduties.h"
 #include "eventlog.h"
 #include "statequery.h"
+#include "storeera.h"
 #include "usageflush.h"
 
 namespace comfreypaddle {
@@ -149,10 +150,7 @@
                      now](const ReadResult& result) {
     cursor.m_busy = false;
     cursor.m_due = state.m_clock() + pause;
-    RecordStoreCall(state,
-                    result.m_fault == StoreFault::kTrimmed ? StoreFault::kNone
-                                                           : result.m_fault,
-                    result.m_detail);
+    RecordStoreCall(state, result);
     if (result.m_fault == StoreFault::kTrimmed) {
       LogLine("history_trimmed").Add("stream", ToName(stream));
       cursor.m_needs_snapshot = true;
@@ -163,7 +161,8 @@
       LogLine("read_outdated")
           .Add("stream", ToName(stream))
           .Add("end_offset", static_cast<std::int64_t>(result.m_next))
-          .Add("read_offset", static_cast<std::int64_t>(cursor.m_next));
+          .Add("read_offset", static_cast<std::int64_t>(cursor.m_next))
+          .Add("era", static_cast<std::int64_t>(EraOf(state, result)));
     } else {
       const std::uint64_t covered = newest ? 0 : ReadOffset(cursor);
       cursor.m_confirmed =
@@ -204,10 +203,11 @@
   return true;
 }
 
-void RecordStoreCall(ControlState& state, StoreFault fault,
-                     std::string_view detail) {
+void RecordStoreCall(ControlState& state, const StoreAnswer& answer) {
   ++state.m_counters.m_store_calls;
+  if (answer.m_era) ObserveEra(state, *answer.m_era, kStoreEraSource);
   const Instant now = state.m_clock();
+  const StoreFault fault = answer.m_fault;
   const bool answered = fault != StoreFault::kUnanswered &&
                         fault != StoreFault::kRefused &&
                         fault != StoreFault::kMalformed;
@@ -229,7 +229,7 @@
   state.m_store_lost = true;
   LogLine("store_unavailable")
       .Add("fault", ToName(fault))
-      .Add("detail", detail)
+      .Add("detail", answer.m_detail)
       .AddMs("silent_ms", now - state.m_store_answered);
 }
 
--- a/src/storereader.h
+++ b/src/storereader.h
@@ -41,10 +41,9 @@
 // Sends the number of live instances to the relay task.
 void PublishInstances(ControlState& state);
 
-// Records the outcome of a store call. Logs when the store becomes unreachable
-// and when it is reachable again.
-void RecordStoreCall(ControlState& state, StoreFault fault,
-                     std::string_view detail);
+// Records the outcome of a store call and the era of the store that answered.
+// Logs when the store becomes unreachable and when it is reachable again.
+void RecordStoreCall(ControlState& state, const StoreAnswer& answer);
 
 }  // namespace comfreypaddle
 
--- a/src/stream.h
+++ b/src/stream.h
@@ -1,6 +1,7 @@
 #ifndef COMFREYPADDLE_STREAM_H_
 #define COMFREYPADDLE_STREAM_H_
 
+#include <compare>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -40,18 +41,30 @@
   kTrimmed,     // The records are no longer retained.
   kUnanswered,  // The call may have taken effect or may still do so.
   kMalformed,   // The answer cannot be parsed.
+  kEraChanged,  // The store was replaced by a copy of itself meanwhile.
 };
 
 template <>
 struct EnumNames<StoreFault> {
-  static constexpr std::array<EnumName<StoreFault>, 7> kTable{
+  static constexpr std::array<EnumName<StoreFault>, 8> kTable{
       {{StoreFault::kNone, "none"},
        {StoreFault::kRefused, "refused"},
        {StoreFault::kCondition, "condition"},
        {StoreFault::kRepeated, "repeated"},
        {StoreFault::kTrimmed, "trimmed"},
        {StoreFault::kUnanswered, "unanswered"},
-       {StoreFault::kMalformed, "malformed"}}};
+       {StoreFault::kMalformed, "malformed"},
+       {StoreFault::kEraChanged, "era_changed"}}};
+};
+
+// Position in a stream. A store that comes back from a copy of itself gives
+// offsets out again, so that an offset counts only within its era.
+struct StreamPosition {
+  std::uint64_t m_era = 0;
+  std::uint64_t m_offset = 0;
+
+  friend auto operator<=>(const StreamPosition&,
+                          const StreamPosition&) = default;
 };
 
 struct StreamRecord {
@@ -69,16 +82,20 @@
   std::optional<std::uint64_t> m_expected_end;
 };
 
-struct AppendResult {
+// What all answers of the store have in common.
+struct StoreAnswer {
   StoreFault m_fault = StoreFault::kNone;
   std::string m_detail;  // What the store or the connection said, for logs.
+  // Era of the store that answered; nothing if no answer named one.
+  std::optional<std::uint64_t> m_era;
+};
+
+struct AppendResult : StoreAnswer {
   std::uint64_t m_offset = 0;
   std::uint64_t m_end = 0;  // Also set with kCondition.
 };
 
-struct ReadResult {
-  StoreFault m_fault = StoreFault::kNone;
-  std::string m_detail;  // What the store or the connection said, for logs.
+struct ReadResult : StoreAnswer {
   std::vector<StreamRecord> m_records;
   std::uint64_t m_next = 0;   // Offset after the last record read.
   std::uint64_t m_first = 0;  // First retained offset, set with kTrimmed.
--- a/src/usageflush.cpp
+++ b/src/usageflush.cpp
@@ -106,7 +106,7 @@
   state.m_store->Append(std::move(append), [&state, sent = std::move(sent)](
                                                const AppendResult& result) {
     state.m_usage_batch.m_busy = false;
-    RecordStoreCall(state, result.m_fault, result.m_detail);
+    RecordStoreCall(state, result);
     for (const PendingHandover& handover : sent) {
       schema::HandoverResult answer;
       if (result.m_fault == StoreFault::kNone) {
--- a/tests/neighbours_test.cpp
+++ b/tests/neighbours_test.cpp
@@ -245,7 +245,7 @@
   PollUpstream(follower);
   pair.Deliver();
   REQUIRE(follower.m_upstream_link.m_busy);
-  RecordStoreCall(reader, StoreFault::kNone, "");
+  RecordStoreCall(reader, StoreAnswer{});
   reader.m_catalog_cursor.m_confirmed = pair.m_reader.m_now;
   reader.m_endpoints_cursor.m_confirmed = pair.m_reader.m_now;
   AnswerPendingQueries(reader);
@@ -307,7 +307,7 @@
   PollUpstream(follower);
   pair.Deliver();
   pair.Advance(milliseconds(1800));
-  RecordStoreCall(follower, StoreFault::kUnanswered, "");
+  RecordStoreCall(follower, {StoreFault::kUnanswered, "", std::nullopt});
   PollUpstream(follower);
   REQUIRE(ShouldReadStore(follower));
   REQUIRE(follower.m_store_lost);
@@ -317,7 +317,7 @@
   CHECK_FALSE(follower.m_endpoints_cursor.m_busy);
   CHECK_FALSE(follower.m_instances_cursor.m_busy);
   CHECK_FALSE(follower.m_duties_cursor.m_busy);
-  RecordStoreCall(follower, StoreFault::kNone, "");
+  RecordStoreCall(follower, StoreAnswer{});
   PollStore(follower);
   RunDuties(follower);
   CHECK(follower.m_endpoints_cursor.m_busy);
--- a/tests/support_platform.cpp
+++ b/tests/support_platform.cpp
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
@@ -69,9 +70,32 @@
       std::string(1, static_cast<char>(key.size())) + key + value);
 }
 
+void FakeStore::Restore(
+    const std::map<std::string, std::size_t>& lost_by_topic) {
+  for (const auto& [name, lost] : lost_by_topic) {
+    Topic& topic = m_topics[name];
+    topic.m_records.resize(topic.m_records.size() -
+                           std::min(lost, topic.m_records.size()));
+    topic.m_newest.clear();
+    if (name.rfind("keyed.", 0) != 0) continue;
+    for (std::size_t i = 0; i < topic.m_records.size(); ++i) {
+      const std::string& record = topic.m_records[i];
+      const auto size = static_cast<unsigned char>(record.front());
+      topic.m_newest[record.substr(1, size)] = i;
+    }
+  }
+  ++m_era;
+  CompleteReads();
+}
+
+void FakeStore::Respond(std::uint64_t id, int status, std::string body) {
+  m_server.Respond(id, status, {{"Store-Era", std::to_string(m_era)}},
+                   std::move(body));
+}
+
 void FakeStore::Handle(const HttpRequest& request) {
   if (m_down) {
-    m_server.Respond(request.m_id, 503, {}, "");
+    Respond(request.m_id, 503, "");
   } else if (request.m_target.find("log-append") != std::string::npos) {
     Append(request);
   } else if (request.m_target.find("log-read") != std::string::npos) {
@@ -79,7 +103,7 @@
   } else if (request.m_target.find("log-newest") != std::string::npos) {
     Newest(request);
   } else {
-    m_server.Respond(request.m_id, 404, {}, "");
+    Respond(request.m_id, 404, "");
   }
 }
 
@@ -87,10 +111,9 @@
   const std::string name = *FindParameter(request.m_target, "topic");
   Topic& topic = m_topics[name];
   const auto answer = [&](int status, std::uint64_t offset) {
-    m_server.Respond(request.m_id, status, {},
-                     R"({"offset":)" + std::to_string(offset) +
-                         R"(,"endOffset":)" +
-                         std::to_string(topic.m_records.size()) + "}");
+    Respond(request.m_id, status,
+            R"({"offset":)" + std::to_string(offset) + R"(,"endOffset":)" +
+                std::to_string(topic.m_records.size()) + "}");
   };
   const auto at = FindParameter(request.m_target, "at");
   if (at && ToNumber(at) != topic.m_records.size()) return answer(412, 0);
@@ -128,6 +151,10 @@
   std::vector<PendingRead> pending;
   for (const PendingRead& read : m_pending_reads) {
     const Topic& topic = m_topics[read.m_topic];
+    if (read.m_from > topic.m_records.size()) {
+      Respond(read.m_id, 410, R"({"firstOffset":0})");
+      continue;
+    }
     if (read.m_from >= topic.m_records.size() && Now() < read.m_deadline) {
       pending.push_back(read);
       continue;
@@ -138,7 +165,7 @@
       body +=
           EncodeBigEndian(topic.m_records[i].size(), 4) + topic.m_records[i];
     }
-    m_server.Respond(read.m_id, 200, {}, body);
+    Respond(read.m_id, 200, std::move(body));
   }
   m_pending_reads = std::move(pending);
 }
@@ -152,10 +179,9 @@
     items += R"({"key":")" + key + R"(","value":")" + EncodeBase64(value) +
              R"(","offset":)" + std::to_string(offset) + "}";
   }
-  m_server.Respond(request.m_id, 200, {},
-                   R"({"items":[)" + items + R"(],"hasMore":false,)" +
-                       R"("endOffset":)" +
-                       std::to_string(topic.m_records.size()) + "}");
+  Respond(request.m_id, 200,
+          R"({"items":[)" + items + R"(],"hasMore":false,)" +
+              R"("endOffset":)" + std::to_string(topic.m_records.size()) + "}");
 }
 
 FakeDuties::FakeDuties(SocketSet& sockets)
--- a/tests/support_platform.h
+++ b/tests/support_platform.h
@@ -28,6 +28,14 @@
   void Put(const std::string& topic, const std::string& key,
            const std::string& value);
 
+  // Replaces the store by a copy of itself that lacks the newest records of
+  // each topic: their offsets are given out again, and the era rises.
+  void Restore(const std::map<std::string, std::size_t>& lost_by_topic);
+
+  std::size_t RecordsIn(const std::string& topic) {
+    return m_topics[topic].m_records.size();
+  }
+
   // While down, every call is rejected with 503.
   void SetDown(bool down) { m_down = down; }
 
@@ -53,10 +61,12 @@
   void Read(const HttpRequest& request);
   void Newest(const HttpRequest& request);
   void CompleteReads();
+  void Respond(std::uint64_t id, int status, std::string body);
 
   std::uint16_t m_port;
   HttpServer m_server;
   bool m_down = false;
+  std::uint64_t m_era = 1;
   std::map<std::string, Topic> m_topics;
   std::vector<PendingRead> m_pending_reads;
   PeriodicTimer m_poll_timer;
--- a/tests/support_store.cpp
+++ b/tests/support_store.cpp
@@ -73,18 +73,7 @@
     ++m_store.m_calls;
     if (DeniesRead(kStoreTimeout, done)) return;
     m_store.m_schedule.After(kStoreServiceTime, [this, stream, done] {
-      std::map<std::string, StreamRecord> newest;
-      ReadResult result = m_store.ReadFrom(stream, 0);
-      for (StreamRecord& record : result.m_records) {
-        if (record.m_removed) {
-          newest.erase(record.m_key);
-        } else {
-          newest[record.m_key] = record;
-        }
-      }
-      result.m_records.clear();
-      for (auto& [key, record] : newest) result.m_records.push_back(record);
-      done(result);
+      done(m_store.ReadNewestOf(stream));
     });
   }
 
@@ -135,6 +124,7 @@
 AppendResult VirtualStore::Append(const StreamAppend& append) {
   std::vector<StreamRecord>& records = m_records[append.m_stream];
   AppendResult result;
+  result.m_era = m_era;
   result.m_end = records.size();
   if (append.m_expected_end && *append.m_expected_end != records.size()) {
     result.m_fault = StoreFault::kCondition;
@@ -147,13 +137,19 @@
   record.m_removed = append.m_value.empty();
   result.m_offset = record.m_offset;
   records.push_back(std::move(record));
+  m_written[append.m_stream].push_back(m_schedule.Now());
   result.m_end = records.size();
   return result;
 }
 
 ReadResult VirtualStore::ReadFrom(Stream stream, std::uint64_t from) {
   ReadResult result;
+  result.m_era = m_era;
   const std::vector<StreamRecord>& records = m_records[stream];
+  if (from > records.size()) {
+    result.m_fault = StoreFault::kTrimmed;
+    return result;
+  }
   for (std::uint64_t i = from; i < records.size(); ++i) {
     result.m_records.push_back(records[i]);
   }
@@ -161,13 +157,59 @@
   return result;
 }
 
+ReadResult VirtualStore::ReadNewestOf(Stream stream) {
+  std::map<std::string, StreamRecord> newest;
+  ReadResult result = ReadFrom(stream, 0);
+  for (StreamRecord& record : result.m_records) {
+    if (record.m_removed) {
+      newest.erase(record.m_key);
+    } else {
+      newest[record.m_key] = record;
+    }
+  }
+  result.m_records.clear();
+  for (auto& [key, record] : newest) result.m_records.push_back(record);
+  return result;
+}
+
+std::vector<StreamRecord> VirtualStore::TakeRecordsSince(Stream stream,
+                                                         Instant since) {
+  std::vector<StreamRecord>& records = m_records[stream];
+  std::vector<Instant>& written = m_written[stream];
+  const auto kept = static_cast<std::size_t>(
+      std::upper_bound(written.begin(), written.end(), since) -
+      written.begin());
+  std::vector<StreamRecord> taken(records.begin() + kept, records.end());
+  records.resize(kept);
+  written.resize(kept);
+  return taken;
+}
+
+void VirtualStore::Restore(Duration age, Duration rewrite_delay) {
+  const Instant since = m_schedule.Now() - age;
+  for (const Stream stream :
+       {Stream::kInstances, Stream::kDuties, Stream::kUsage}) {
+    TakeRecordsSince(stream, since);
+  }
+  for (const Stream stream : {Stream::kConfiguration, Stream::kEndpoints}) {
+    for (const StreamRecord& record : TakeRecordsSince(stream, since)) {
+      m_schedule.After(rewrite_delay, [this, stream, record] {
+        Write(stream, record.m_key, record.m_value);
+      });
+    }
+  }
+  m_era = m_era.value_or(0) + 1;
+  ServeWaiting();
+}
+
 void VirtualStore::ServeWaiting() {
   const std::vector<std::shared_ptr<WaitingRead>> waiting =
       std::exchange(m_waiting, {});
   for (const std::shared_ptr<WaitingRead>& read : waiting) {
     if (read->m_ended) continue;
-    const bool has_records = m_records[read->m_stream].size() > read->m_from;
-    if (!has_records || !Serves(read->m_name)) {
+    // A read from beyond the end is answered at once, too.
+    const bool has_answer = m_records[read->m_stream].size() != read->m_from;
+    if (!has_answer || !Serves(read->m_name)) {
       m_waiting.push_back(read);
       continue;
     }
--- a/tests/support_store.h
+++ b/tests/support_store.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <set>
 #include <string>
@@ -49,7 +50,8 @@
 // or it refuses the call.
 enum class StoreDenial { kSilent, kRefuses };
 
-// Simulated store in virtual time. Streams retain all their records.
+// Simulated store in virtual time. Streams retain all their records, and lose
+// them only if the store is replaced by a copy.
 class VirtualStore {
  public:
   explicit VirtualStore(Schedule& schedule) : m_schedule(schedule) {}
@@ -64,6 +66,14 @@
     return m_denied.count(name) == 0;
   }
 
+  // Names an era in all answers from now on.
+  void NameEra() { m_era = 1; }
+
+  // Replaces the store by a copy of itself of that age: the records written
+  // since are gone, their offsets are given out again, and the era rises. What
+  // external writers wrote since is written again after a delay.
+  void Restore(Duration age, Duration rewrite_delay);
+
   // Port of one instance.
   std::unique_ptr<StreamPort> Connect(const std::string& name);
 
@@ -88,10 +98,16 @@
               const std::function<void(StoreFault)>& fail);
   AppendResult Append(const StreamAppend& append);
   ReadResult ReadFrom(Stream stream, std::uint64_t from);
+  ReadResult ReadNewestOf(Stream stream);
   void ServeWaiting();
+  // Removes the records written after an instant, and returns them.
+  std::vector<StreamRecord> TakeRecordsSince(Stream stream, Instant since);
 
   Schedule& m_schedule;
   std::map<Stream, std::vector<StreamRecord>> m_records;
+  // When each record was written.
+  std::map<Stream, std::vector<Instant>> m_written;
+  std::optional<std::uint64_t> m_era;
   std::set<std::string> m_denied;
   StoreDenial m_denial = StoreDenial::kSilent;
   std::vector<std::shared_ptr<WaitingRead>> m_waiting;
