Compare positions in the store's streams by the store's era first

Cause: an offset was taken for an order in time.

Ruled out: the operator's records coming back late (restore_test writes them again after 0.8 s and fails without the change); the order of versions (ApplyCatalog never applies an older one, before or after).

Change: a position is an era and an offset, compared in this order, in the cursors, in state queries and answers and in endpoint entries. An answer from before the rise says nothing; one without the header counts for the known era. An instance also hands out its configuration if its version is higher, because a copy may have an older version at a later position. An entry that was removed is not taken from another instance with an older report.

Weighed: to forget the offsets at a rise, without eras in messages: an instance that has not asked the store since would bring its old state back. To restart the process: a planned stop for each instance of the deployment.

--- a/src/controlstate.h
+++ b/src/controlstate.h
@@ -26,6 +26,7 @@
 struct StreamCursor {
   bool m_initialized = false;  // The local copy has a first state.
   bool m_busy = false;         // A read is in flight.
+  std::uint64_t m_era = 0;     // Of the store that m_next belongs to.
   std::uint64_t m_next = 0;    // Offset of the next record to read.
   Instant m_due{};             // Earliest time of the next read.
   // Latest time at which the local copy is known to have matched the store, by
--- a/src/directory.cpp
+++ b/src/directory.cpp
@@ -92,6 +92,10 @@
   return outage;
 }
 
+void OnStoreRestored(EndpointDirectory& directory, Instant now) {
+  directory.m_grace_ends = now + kLapseGracePeriod;
+}
+
 bool IsOfFormerLifetime(const EndpointDirectory& directory,
                         const schema::EndpointEntry& entry) {
   const auto last = LastReport(directory, entry.id());
--- a/src/directory.h
+++ b/src/directory.h
@@ -78,6 +78,10 @@
 // be cut off.
 bool OnStoreAnswer(EndpointDirectory& directory, Instant now);
 
+// Starts the grace period of a store that has come back from a copy: entries
+// that it has lost are written again.
+void OnStoreRestored(EndpointDirectory& directory, Instant now);
+
 // Whether the entry is of a lifetime of the endpoint before the one that is
 // known, or was known when its entry was removed.
 bool IsOfFormerLifetime(const EndpointDirectory& directory,
--- a/src/endpointlist.cpp
+++ b/src/endpointlist.cpp
@@ -116,6 +116,7 @@
     return;
   }
   entry->set_record_end(record.m_offset + 1);
+  entry->set_record_era(state.m_endpoints_cursor.m_era);
   if (IsOutdated(state.m_directory, *entry)) {
     LogChange(state, EndpointChange::kOutdated, entry->id(), kStoreSource,
               &*entry);
@@ -124,6 +125,10 @@
   Upsert(state, *entry, kStoreSource);
 }
 
+StreamPosition RecordEnd(const schema::EndpointEntry& entry) {
+  return {entry.record_era(), entry.record_end()};
+}
+
 // Whether an entry that another instance has is newer than what this instance
 // has read itself. Instances of earlier versions do not send the record's
 // offset; their entries are taken as they are. The sequence number does not
@@ -133,9 +138,11 @@
   if (IsOfFormerLifetime(state.m_directory, entry)) return false;
   const auto found = state.m_directory.m_endpoints.find(entry.id());
   if (found != state.m_directory.m_endpoints.end()) {
-    return entry.record_end() > found->second.m_entry.record_end();
+    return RecordEnd(entry) > RecordEnd(found->second.m_entry);
   }
-  return entry.record_end() > ReadOffset(state.m_endpoints_cursor);
+  // A copy of the store has entries again that were removed before.
+  return RecordEnd(entry) > ReadPosition(state.m_endpoints_cursor) &&
+         !IsOutdated(state.m_directory, entry);
 }
 
 // Ids of the known entries that are not among the given ones.
@@ -171,8 +178,16 @@
   for (const schema::EndpointEntry& entry : other.endpoints().endpoints()) {
     present.insert(entry.id());
   }
+  // The other instance may have lost entries with the records of the store that
+  // this one still has from before; their endpoints write them again.
+  const bool is_of_newer_era =
+      other.endpoints_era() > state.m_endpoints_cursor.m_era;
   for (const std::string& id : MissingIds(state, present)) {
-    Erase(state, EndpointChange::kMissing, id, other.name());
+    if (is_of_newer_era) {
+      Remove(state, EndpointChange::kMissing, id);
+    } else {
+      Erase(state, EndpointChange::kMissing, id, other.name());
+    }
   }
 }
 
--- a/src/peersync.cpp
+++ b/src/peersync.cpp
@@ -142,9 +142,17 @@
 schema::InstanceQuery MakeQuery(const ControlState& state) {
   schema::InstanceQuery query;
   query.set_name(state.m_options.m_name);
-  query.set_catalog_offset(ReadOffset(state.m_catalog_cursor));
-  query.set_endpoints_offset(ReadOffset(state.m_endpoints_cursor));
-  query.set_instances_offset(ReadOffset(state.m_instances_cursor));
+  const StreamPosition catalog = ReadPosition(state.m_catalog_cursor);
+  query.set_catalog_offset(catalog.m_offset);
+  query.set_catalog_era(catalog.m_era);
+  if (state.m_catalog) query.set_catalog_version(state.m_catalog->version());
+  const StreamPosition endpoints = ReadPosition(state.m_endpoints_cursor);
+  query.set_endpoints_offset(endpoints.m_offset);
+  query.set_endpoints_era(endpoints.m_era);
+  const StreamPosition instances = ReadPosition(state.m_instances_cursor);
+  query.set_instances_offset(instances.m_offset);
+  query.set_instances_era(instances.m_era);
+  if (state.m_store_era) query.set_store_era(*state.m_store_era);
   query.set_list_owner(state.m_upstream_link.m_list_owner);
   query.set_list_incarnation(state.m_upstream_link.m_list_incarnation);
   query.set_list_version(state.m_upstream_link.m_list_version);
@@ -213,8 +221,9 @@
       append, [&state, left = state.m_stopping](const AppendResult& result) {
         state.m_registering = false;
         state.m_register_due = state.m_clock() + kRegisterRetryDelay;
-        RecordStoreCall(state, result);
-        if (result.m_fault == StoreFault::kNone) state.m_registered = !left;
+        if (RecordStoreCall(state, result) == StoreFault::kNone) {
+          state.m_registered = !left;
+        }
       });
 }
 
--- a/src/statemerge.cpp
+++ b/src/statemerge.cpp
@@ -6,6 +6,7 @@
 #include "eventlog.h"
 #include "servedinstances.h"
 #include "statequery.h"
+#include "storeera.h"
 #include "storereader.h"
 
 namespace comfreypaddle {
@@ -31,10 +32,29 @@
 
 namespace {
 
+StreamPosition CatalogPosition(const schema::InstanceState& other) {
+  return {other.catalog_era(), other.catalog_offset()};
+}
+
+StreamPosition EndpointsPosition(const schema::InstanceState& other) {
+  return {other.endpoints_era(), other.endpoints_offset()};
+}
+
+StreamPosition InstancesPosition(const schema::InstanceState& other) {
+  return {other.instances_era(), other.instances_offset()};
+}
+
+// Records that the local copy of a stream is as recent as this position.
+void AdvanceCursor(StreamCursor& cursor, const StreamPosition& position) {
+  cursor.m_era = position.m_era;
+  cursor.m_next = position.m_offset;
+  cursor.m_initialized = true;
+}
+
 ListOutcome OutcomeOf(const ControlState& state,
                       const schema::InstanceState& other) {
   const UpstreamLink& link = state.m_upstream_link;
-  if (other.endpoints_offset() < ReadOffset(state.m_endpoints_cursor)) {
+  if (EndpointsPosition(other) < ReadPosition(state.m_endpoints_cursor)) {
     return ListOutcome::kBehind;
   }
   const bool follows = link.m_list_owner == other.name() &&
@@ -60,8 +80,11 @@
       .Add("outcome", ToName(outcome))
       .Add("whole", other.list_whole() ? 1 : 0)
       .Add("offset", static_cast<std::int64_t>(other.endpoints_offset()))
-      .Add("read_offset",
-           static_cast<std::int64_t>(ReadOffset(state.m_endpoints_cursor)))
+      .Add("era", static_cast<std::int64_t>(other.endpoints_era()))
+      .Add("read_offset", static_cast<std::int64_t>(
+                              ReadPosition(state.m_endpoints_cursor).m_offset))
+      .Add("read_era",
+           static_cast<std::int64_t>(state.m_endpoints_cursor.m_era))
       .Add("version", static_cast<std::int64_t>(other.list_version()))
       .Add("base", static_cast<std::int64_t>(other.list_base()))
       .Add("entries",
@@ -69,8 +92,8 @@
       .Add("removed", other.removed_endpoints_size());
 }
 
-// Applies the endpoint list of an instance whose read offset is not behind this
-// one's. Returns whether the list was applied.
+// Applies the endpoint list of an instance whose read position is not behind
+// this one's. Returns whether the list was applied.
 bool MergeEndpointList(ControlState& state,
                        const schema::InstanceState& other) {
   UpstreamLink& link = state.m_upstream_link;
@@ -84,8 +107,7 @@
   link.m_list_owner = other.name();
   link.m_list_incarnation = other.incarnation();
   link.m_list_version = other.list_version();
-  state.m_endpoints_cursor.m_next = other.endpoints_offset();
-  state.m_endpoints_cursor.m_initialized = true;
+  AdvanceCursor(state.m_endpoints_cursor, EndpointsPosition(other));
   return true;
 }
 
@@ -93,20 +115,21 @@
 bool MergeCatalog(ControlState& state, const schema::InstanceState& other) {
   if (!other.has_catalog()) return false;
   const bool newer = ApplyCatalog(state, other.catalog(), other.name());
-  state.m_catalog_cursor.m_next =
-      std::max(state.m_catalog_cursor.m_next, other.catalog_offset());
-  state.m_catalog_cursor.m_initialized = true;
+  AdvanceCursor(
+      state.m_catalog_cursor,
+      std::max(ReadPosition(state.m_catalog_cursor), CatalogPosition(other)));
   return newer;
 }
 
 void MergeInstanceList(ControlState& state,
                        const schema::InstanceState& other) {
-  if (other.instances_offset() <= ReadOffset(state.m_instances_cursor)) return;
+  if (InstancesPosition(other) <= ReadPosition(state.m_instances_cursor)) {
+    return;
+  }
   for (const schema::InstanceRecord& record : other.instances()) {
     ApplyInstanceRecord(state, record);
   }
-  state.m_instances_cursor.m_next = other.instances_offset();
-  state.m_instances_cursor.m_initialized = true;
+  AdvanceCursor(state.m_instances_cursor, InstancesPosition(other));
   PublishInstances(state);
 }
 
@@ -116,11 +139,11 @@
 }
 
 // Updates the confirmation time of the configuration, unless the other
-// instance's read offset is ahead of this one's.
+// instance's read position is ahead of this one's.
 void ConfirmCatalog(ControlState& state, const schema::InstanceState& other,
                     Instant made_at) {
   if (other.catalog_offset() == 0) return;
-  if (ReadOffset(state.m_catalog_cursor) < other.catalog_offset()) return;
+  if (ReadPosition(state.m_catalog_cursor) < CatalogPosition(other)) return;
   ConfirmStream(state.m_catalog_cursor,
                 made_at - FromMs(other.catalog_age_ms()));
 }
@@ -131,7 +154,7 @@
   if (other.endpoints_offset() == 0) return;
   const bool listed = MergeEndpointList(state, other);
   const bool ahead =
-      ReadOffset(state.m_endpoints_cursor) > other.endpoints_offset();
+      ReadPosition(state.m_endpoints_cursor) > EndpointsPosition(other);
   if (!listed && !ahead) return;
   const Instant confirmed = made_at - FromMs(other.endpoints_age_ms());
   ConfirmStream(state.m_endpoints_cursor, confirmed);
@@ -144,6 +167,9 @@
                             const schema::InstanceState& other,
                             Instant sent_at) {
   MergeServed(state, other);
+  if (other.has_store_era()) {
+    ObserveEra(state, other.store_era(), other.name());
+  }
   // A lower bound of the time at which the answer was made, from which its ages
   // count. Transit time therefore never makes state look more recent than it
   // is, and instances without the store cannot keep each other's state fresh.
--- a/src/statequery.cpp
+++ b/src/statequery.cpp
@@ -13,6 +13,27 @@
   return ToMs(state.m_clock() - cursor.m_confirmed);
 }
 
+StreamPosition CatalogPosition(const schema::InstanceQuery& query) {
+  return {query.catalog_era(), query.catalog_offset()};
+}
+
+StreamPosition EndpointsPosition(const schema::InstanceQuery& query) {
+  return {query.endpoints_era(), query.endpoints_offset()};
+}
+
+StreamPosition InstancesPosition(const schema::InstanceQuery& query) {
+  return {query.instances_era(), query.instances_offset()};
+}
+
+// Whether the requester's configuration is older than this instance's. A store
+// that comes back from a copy may have an older version at a later position.
+bool IsCatalogNewer(const ControlState& state,
+                    const schema::InstanceQuery& query) {
+  return state.m_catalog &&
+         (ReadPosition(state.m_catalog_cursor) > CatalogPosition(query) ||
+          state.m_catalog->version() > query.catalog_version());
+}
+
 bool HasListVersion(const ControlState& state,
                     const schema::InstanceQuery& query) {
   return query.list_owner() == state.m_options.m_name &&
@@ -20,21 +41,19 @@
 }
 
 // Whether the requester can apply this instance's endpoint list. A requester
-// whose read offset is ahead would discard it.
+// whose read position is ahead would discard it.
 bool CanApplyList(const ControlState& state,
                   const schema::InstanceQuery& query) {
   return state.m_endpoints_cursor.m_initialized &&
-         ReadOffset(state.m_endpoints_cursor) >= query.endpoints_offset();
+         ReadPosition(state.m_endpoints_cursor) >= EndpointsPosition(query);
 }
 
 // Whether there is anything that the requester does not have yet.
 bool HasUpdate(const ControlState& state, const schema::InstanceQuery& query) {
   if (query.store_answered() != IsServedByStore(state)) return true;
-  if (state.m_catalog &&
-      ReadOffset(state.m_catalog_cursor) > query.catalog_offset()) {
-    return true;
-  }
-  if (ReadOffset(state.m_instances_cursor) > query.instances_offset()) {
+  if (state.m_store_era.value_or(0) > query.store_era()) return true;
+  if (IsCatalogNewer(state, query)) return true;
+  if (ReadPosition(state.m_instances_cursor) > InstancesPosition(query)) {
     return true;
   }
   return CanApplyList(state, query) &&
@@ -53,7 +72,9 @@
 // Adds the endpoint list, or the changes since the requester's version of it.
 void AddEndpoints(const ControlState& state, const schema::InstanceQuery& query,
                   schema::InstanceState* answer) {
-  answer->set_endpoints_offset(ReadOffset(state.m_endpoints_cursor));
+  const StreamPosition position = ReadPosition(state.m_endpoints_cursor);
+  answer->set_endpoints_offset(position.m_offset);
+  answer->set_endpoints_era(position.m_era);
   answer->set_list_version(state.m_directory.m_version);
   const std::uint64_t since =
       HasListVersion(state, query) ? query.list_version() : 0;
@@ -74,8 +95,10 @@
 
 void AddInstances(const ControlState& state, const schema::InstanceQuery& query,
                   schema::InstanceState* answer) {
-  answer->set_instances_offset(ReadOffset(state.m_instances_cursor));
-  if (answer->instances_offset() <= query.instances_offset()) return;
+  const StreamPosition position = ReadPosition(state.m_instances_cursor);
+  answer->set_instances_offset(position.m_offset);
+  answer->set_instances_era(position.m_era);
+  if (position <= InstancesPosition(query)) return;
   for (const auto& [name, known] : state.m_instances) {
     *answer->add_instances() = known;
   }
@@ -91,8 +114,11 @@
   answer.set_endpoints_age_ms(AgeMs(state, state.m_endpoints_cursor));
   answer.set_store_answers(IsServedByStore(state));
   if (state.m_catalog) answer.set_catalog_version(state.m_catalog->version());
-  answer.set_catalog_offset(ReadOffset(state.m_catalog_cursor));
-  if (answer.catalog_offset() > query.catalog_offset() && state.m_catalog) {
+  if (state.m_store_era) answer.set_store_era(*state.m_store_era);
+  const StreamPosition position = ReadPosition(state.m_catalog_cursor);
+  answer.set_catalog_offset(position.m_offset);
+  answer.set_catalog_era(position.m_era);
+  if (IsCatalogNewer(state, query)) {
     *answer.mutable_catalog() = *state.m_catalog;
   }
   if (CanApplyList(state, query) && IsListNewer(state, query)) {
@@ -135,8 +161,9 @@
   }
 }
 
-std::uint64_t ReadOffset(const StreamCursor& cursor) {
-  return cursor.m_initialized ? cursor.m_next : 0;
+StreamPosition ReadPosition(const StreamCursor& cursor) {
+  if (!cursor.m_initialized) return {};
+  return {cursor.m_era, cursor.m_next};
 }
 
 double StateAgeMs(const ControlState& state) {
--- a/src/statequery.h
+++ b/src/statequery.h
@@ -14,8 +14,8 @@
 // Call it every tick.
 void AnswerPendingQueries(ControlState& state);
 
-// Offset up to which a stream has been read, or zero if not at all.
-std::uint64_t ReadOffset(const StreamCursor& cursor);
+// Position up to which a stream has been read, or zero if not at all.
+StreamPosition ReadPosition(const StreamCursor& cursor);
 
 // Age of configuration and endpoint list: time since both are known to have
 // matched the store.
--- a/src/storeera.cpp
+++ b/src/storeera.cpp
@@ -1,5 +1,6 @@
 #include "storeera.h"
 
+#include "directory.h"
 #include "eventlog.h"
 
 namespace comfreypaddle {
@@ -17,6 +18,18 @@
       .AddMs("store_silent_ms", state.m_clock() - state.m_store_answered);
 }
 
+// Makes the local state follow a store that has come back from a copy. What is
+// known stays: operators and endpoints write their lost records again, and
+// older ones than those that are known are not applied.
+void FollowRestoredStore(ControlState& state) {
+  OnStoreRestored(state.m_directory, state.m_clock());
+  for (StreamCursor* cursor :
+       {&state.m_catalog_cursor, &state.m_endpoints_cursor,
+        &state.m_instances_cursor}) {
+    cursor->m_due = {};
+  }
+}
+
 }  // namespace
 
 std::uint64_t EraOf(const ControlState& state, const StoreAnswer& answer) {
@@ -29,7 +42,9 @@
     return era == *state.m_store_era;
   }
   LogEra(state, era, source);
+  const bool is_restored = state.m_store_era.has_value();
   state.m_store_era = era;
+  if (is_restored) FollowRestoredStore(state);
   return true;
 }
 
--- a/src/storereader.cpp
+++ b/src/storereader.cpp
@@ -138,6 +138,12 @@
   return wait == Duration(0) ? sent : now;
 }
 
+// Whether the next read of a keyed stream must be a snapshot.
+bool NeedsSnapshot(const ControlState& state, const StreamCursor& cursor) {
+  return !cursor.m_initialized || cursor.m_needs_snapshot ||
+         cursor.m_era < state.m_store_era.value_or(0);
+}
+
 // Reads a keyed stream: first a snapshot of the newest record per key, then the
 // records appended since.
 void ReadKeyedStream(ControlState& state, Stream stream, StreamCursor& cursor,
@@ -145,26 +151,34 @@
   const Instant now = state.m_clock();
   if (cursor.m_busy || now < cursor.m_due) return;
   cursor.m_busy = true;
-  const bool newest = !cursor.m_initialized || cursor.m_needs_snapshot;
+  const bool newest = NeedsSnapshot(state, cursor);
   const auto done = [&state, &cursor, stream, wait, pause, newest,
                      now](const ReadResult& result) {
     cursor.m_busy = false;
     cursor.m_due = state.m_clock() + pause;
-    RecordStoreCall(state, result);
-    if (result.m_fault == StoreFault::kTrimmed) {
+    const StoreFault fault = RecordStoreCall(state, result);
+    const StreamPosition end{EraOf(state, result), result.m_next};
+    if (fault == StoreFault::kTrimmed) {
       LogLine("history_trimmed").Add("stream", ToName(stream));
       cursor.m_needs_snapshot = true;
       cursor.m_due = {};
-    } else if (result.m_fault != StoreFault::kNone) {
+    } else if (fault == StoreFault::kEraChanged ||
+               (!newest && end.m_era != cursor.m_era)) {
+      LogLine("read_of_other_era")
+          .Add("stream", ToName(stream))
+          .Add("era", static_cast<std::int64_t>(end.m_era))
+          .Add("read_era", static_cast<std::int64_t>(cursor.m_era));
+      cursor.m_due = {};
+    } else if (fault != StoreFault::kNone) {
       cursor.m_due = state.m_clock() + NextRetryDelay(state);
-    } else if (result.m_next < ReadOffset(cursor)) {
+    } else if (end < ReadPosition(cursor)) {
       LogLine("read_outdated")
           .Add("stream", ToName(stream))
-          .Add("end_offset", static_cast<std::int64_t>(result.m_next))
+          .Add("end_offset", static_cast<std::int64_t>(end.m_offset))
           .Add("read_offset", static_cast<std::int64_t>(cursor.m_next))
-          .Add("era", static_cast<std::int64_t>(EraOf(state, result)));
+          .Add("era", static_cast<std::int64_t>(end.m_era));
     } else {
-      const std::uint64_t covered = newest ? 0 : ReadOffset(cursor);
+      const std::uint64_t covered = newest ? 0 : cursor.m_next;
       cursor.m_confirmed =
           std::max(cursor.m_confirmed, ConfirmedBy(now, wait, state.m_clock()));
       if (stream == Stream::kEndpoints) {
@@ -172,7 +186,8 @@
       }
       cursor.m_initialized = true;
       if (newest) cursor.m_needs_snapshot = false;
-      cursor.m_next = result.m_next;
+      cursor.m_era = end.m_era;
+      cursor.m_next = end.m_offset;
       ApplyRecords(state, stream, RecordsFrom(result, covered), newest);
     }
   };
@@ -203,11 +218,13 @@
   return true;
 }
 
-void RecordStoreCall(ControlState& state, const StoreAnswer& answer) {
+StoreFault RecordStoreCall(ControlState& state, const StoreAnswer& answer) {
   ++state.m_counters.m_store_calls;
-  if (answer.m_era) ObserveEra(state, *answer.m_era, kStoreEraSource);
+  const bool is_current =
+      !answer.m_era || ObserveEra(state, *answer.m_era, kStoreEraSource);
+  const StoreFault fault =
+      is_current ? answer.m_fault : StoreFault::kEraChanged;
   const Instant now = state.m_clock();
-  const StoreFault fault = answer.m_fault;
   const bool answered = fault != StoreFault::kUnanswered &&
                         fault != StoreFault::kRefused &&
                         fault != StoreFault::kMalformed;
@@ -220,17 +237,19 @@
     state.m_store_lost = false;
     state.m_failed_probes = 0;
     state.m_store_answered = now;
-    return;
+    return fault;
   }
   ++state.m_counters.m_store_faults;
   OnStoreFault(state.m_directory, now);
-  if (state.m_store_lost || now - state.m_store_answered < kStoreLostTimeout)
-    return;
+  if (state.m_store_lost || now - state.m_store_answered < kStoreLostTimeout) {
+    return fault;
+  }
   state.m_store_lost = true;
   LogLine("store_unavailable")
       .Add("fault", ToName(fault))
       .Add("detail", answer.m_detail)
       .AddMs("silent_ms", now - state.m_store_answered);
+  return fault;
 }
 
 bool IsServedByStore(const ControlState& state) {
--- a/src/storereader.h
+++ b/src/storereader.h
@@ -43,7 +43,9 @@
 
 // Records the outcome of a store call and the era of the store that answered.
 // Logs when the store becomes unreachable and when it is reachable again.
-void RecordStoreCall(ControlState& state, const StoreAnswer& answer);
+// Returns the fault of the call, which is kEraChanged if the answer is from
+// before the store was replaced: it says nothing of the store as it is now.
+StoreFault RecordStoreCall(ControlState& state, const StoreAnswer& answer);
 
 }  // namespace comfreypaddle
 
--- a/tests/listchanges_test.cpp
+++ b/tests/listchanges_test.cpp
@@ -79,7 +79,7 @@
   changes.set_list_base(kKnownVersion);
   changes.set_list_version(kKnownVersion + 1);
   MergePeerState(follower.m_state, changes, follower.m_now);
-  CHECK(ReadOffset(follower.m_state.m_endpoints_cursor) == 21);
+  CHECK(ReadPosition(follower.m_state.m_endpoints_cursor).m_offset == 21);
 
   schema::InstanceState whole = AnswerOfB(23);
   whole.set_list_whole(true);
@@ -104,7 +104,7 @@
   changes.set_list_version(kKnownVersion + 1);
   changes.add_removed_endpoints("e1");
   MergePeerState(follower.m_state, changes, follower.m_now);
-  CHECK(ReadOffset(follower.m_state.m_endpoints_cursor) == 23);
+  CHECK(ReadPosition(follower.m_state.m_endpoints_cursor).m_offset == 23);
   CHECK_FALSE(follower.Has("e1"));
 }
 
--- /dev/null
+++ b/tests/restore_test.cpp
@@ -0,0 +1,221 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include <random>
+
+#include "statequery.h"
+#include "support_instances.h"
+
+// Instances whose store is replaced by a copy of itself: its newest records are
+// gone and their offsets are given out again. In virtual time; only the ports
+// are simulated.
+
+namespace comfreypaddle {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using testing::InstanceFleet;
+using testing::PropagationTime;
+using testing::SimulatedZone;
+using testing::StoreDenial;
+
+// Limit for a confirmed change to be applied everywhere, and time after which a
+// leaving endpoint must get no new requests, of the small deployments.
+constexpr Duration kApplyLimit = milliseconds(2500);
+constexpr Duration kDrainTime = milliseconds(2500);
+
+// Time for all instances to discover each other and the configuration.
+constexpr Duration kStartupTime = seconds(12);
+
+// Delay after which operators and endpoints write their lost records again.
+constexpr Duration kRewriteDelay = milliseconds(800);
+
+std::vector<SimulatedZone> SmallDeployment() {
+  return {{"uppsala-a", "svealand", 2},
+          {"lulea-a", "norrland", 2},
+          {"malmo-a", "gotaland", 2}};
+}
+
+std::vector<SimulatedZone> GrownDeployment() {
+  return {{"uppsala-a", "svealand", 13}, {"uppsala-b", "svealand", 13},
+          {"lulea-a", "norrland", 16},   {"lulea-b", "norrland", 15},
+          {"malmo-a", "gotaland", 17},   {"malmo-b", "gotaland", 14}};
+}
+
+// Fleet that has run for a while, with some history to lose in each stream.
+std::unique_ptr<InstanceFleet> RunningFleet(std::vector<SimulatedZone> zones,
+                                            std::uint64_t seed) {
+  auto fleet = std::make_unique<InstanceFleet>(zones, seed);
+  fleet->WriteEndpoint("i-1", 1, false);
+  fleet->Run(kStartupTime);
+  for (std::uint64_t i = 2; i <= 9; ++i) {
+    fleet->WriteCatalog(i);
+    fleet->WriteEndpoint("i-1", i, false);
+    fleet->Run(seconds(1));
+  }
+  return fleet;
+}
+
+// Whether every live instance has the endpoint and uses it.
+bool IsUsedEverywhere(InstanceFleet& fleet, const std::string& id) {
+  for (const std::string& name : fleet.Names()) {
+    if (fleet.IsDead(name)) continue;
+    const auto& known = fleet.State(name).m_directory.m_endpoints;
+    const auto found = known.find(id);
+    if (found == known.end() || found->second.m_entry.draining()) return false;
+  }
+  return true;
+}
+
+// Whether some live instance uses the endpoint.
+bool IsUsedAnywhere(InstanceFleet& fleet, const std::string& id) {
+  for (const std::string& name : fleet.Names()) {
+    if (fleet.IsDead(name)) continue;
+    const auto& known = fleet.State(name).m_directory.m_endpoints;
+    const auto found = known.find(id);
+    if (found != known.end() && !found->second.m_entry.draining()) return true;
+  }
+  return false;
+}
+
+std::uint64_t VersionOf(InstanceFleet& fleet, const std::string& name) {
+  const auto& catalog = fleet.State(name).m_catalog;
+  return catalog ? catalog->version() : 0;
+}
+
+// Failure (CONFIG): instances take what a restored store says for outdated, so
+// that a change is not in force until its offset passes the lost ones.
+TEST_CASE("a change after a restore is applied everywhere in time") {
+  for (const auto& zones : {SmallDeployment(), GrownDeployment()}) {
+    for (const Duration age : {seconds(2), seconds(5), seconds(60)}) {
+      CAPTURE(age.count());
+      const auto fleet = RunningFleet(zones, 1);
+      fleet->Store().Restore(age, kRewriteDelay);
+      fleet->Run(seconds(1));
+      const Instant changed = fleet->Time().Now();
+      fleet->WriteCatalog(20);
+      fleet->Run(seconds(6));
+      CHECK(PropagationTime(*fleet, 20, changed) < kApplyLimit);
+    }
+  }
+}
+
+// Failure (CONFIG): a configuration that an instance has applied becomes older
+// while the operator's records are not written again yet.
+TEST_CASE("a restored store does not bring an older configuration back") {
+  const auto fleet = RunningFleet(SmallDeployment(), 1);
+  fleet->Store().Restore(seconds(5), seconds(4));
+  for (int i = 0; i < 60; ++i) {
+    fleet->Run(milliseconds(100));
+    for (const std::string& name : fleet->Names()) {
+      CHECK(VersionOf(*fleet, name) == 9);
+    }
+  }
+}
+
+// Failure (CONFIG): restores in quick succession, lost or frozen instances and
+// instances that the store does not serve until after it leave some of them
+// with positions of a former era.
+TEST_CASE("changes around restores are applied everywhere in time") {
+  constexpr std::uint64_t kSeeds = 40;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    CAPTURE(seed);
+    std::mt19937_64 random(seed);
+    const auto fleet = RunningFleet(SmallDeployment(), seed);
+    const std::vector<std::string> names = fleet->Names();
+    const std::string frozen = names[random() % names.size()];
+    const std::string denied = names[random() % names.size()];
+    const std::string restarted = names[random() % names.size()];
+    const StoreDenial denial =
+        seed % 2 == 0 ? StoreDenial::kRefuses : StoreDenial::kSilent;
+    fleet->Store().Deny({denied}, denial);
+    fleet->Run(milliseconds(random() % 2000));
+    fleet->Freeze(frozen);
+    fleet->Run(milliseconds(random() % 500));
+    fleet->Store().Restore(milliseconds(random() % 12'000), kRewriteDelay);
+    fleet->Run(milliseconds(random() % 1000));
+    if (seed % 3 == 0) fleet->Store().Restore(seconds(3), kRewriteDelay);
+    if (seed % 4 == 0) fleet->Restart(restarted);
+    fleet->Run(milliseconds(random() % 3000));
+    fleet->Thaw(frozen);
+    if (seed % 5 != 0) fleet->Store().ServeAll();
+    fleet->Run(seconds(2));
+    const Instant changed = fleet->Time().Now();
+    fleet->WriteCatalog(20);
+    fleet->Run(seconds(6));
+    CHECK(PropagationTime(*fleet, 20, changed) < kApplyLimit);
+  }
+}
+
+// Failure: instances do not learn of endpoints that come after a restore.
+TEST_CASE("an endpoint that comes after a restore is used everywhere") {
+  const auto fleet = RunningFleet(GrownDeployment(), 1);
+  fleet->Store().Restore(seconds(6), kRewriteDelay);
+  fleet->Run(seconds(1));
+  fleet->WriteEndpoint("i-2", 1, false);
+  fleet->Run(seconds(3));
+  CHECK(IsUsedEverywhere(*fleet, "i-2"));
+}
+
+// Failure (DRAIN): instances do not learn that an endpoint leaves after a
+// restore.
+TEST_CASE("an endpoint that leaves after a restore is known everywhere") {
+  for (const auto& zones : {SmallDeployment(), GrownDeployment()}) {
+    const auto fleet = RunningFleet(zones, 1);
+    fleet->Store().Restore(seconds(6), kRewriteDelay);
+    fleet->Run(seconds(1));
+    fleet->WriteEndpoint("i-1", 30, true);
+    fleet->Run(kDrainTime);
+    CHECK_FALSE(IsUsedAnywhere(*fleet, "i-1"));
+  }
+}
+
+// Failure (DRAIN): the record by which an endpoint left or was removed is lost,
+// and the copy of the store names it as usable.
+TEST_CASE("an endpoint that left before a restore is not used again") {
+  for (const bool removed : {false, true}) {
+    CAPTURE(removed);
+    const auto fleet = RunningFleet(GrownDeployment(), 1);
+    fleet->WriteEndpoint("i-2", 1, false);
+    fleet->Run(seconds(3));
+    fleet->WriteEndpoint("i-2", 2, true);
+    if (removed) fleet->RemoveEndpoint("i-2");
+    fleet->Run(seconds(2));
+    REQUIRE_FALSE(IsUsedAnywhere(*fleet, "i-2"));
+    fleet->Store().Restore(milliseconds(2500), seconds(20));
+    for (int i = 0; i < 50; ++i) {
+      fleet->Run(milliseconds(100));
+      CHECK_FALSE(IsUsedAnywhere(*fleet, "i-2"));
+    }
+  }
+}
+
+// Failure: an endpoint whose entry is lost is out of use until it has written
+// it again.
+TEST_CASE("an endpoint whose entry is lost stays in use") {
+  const auto fleet = RunningFleet(GrownDeployment(), 1);
+  fleet->WriteEndpoint("i-2", 1, false);
+  fleet->Run(seconds(2));
+  fleet->Store().Restore(milliseconds(2500), milliseconds(1500));
+  for (int i = 0; i < 50; ++i) {
+    fleet->Run(milliseconds(100));
+    CHECK(IsUsedEverywhere(*fleet, "i-2"));
+  }
+}
+
+// Failure: an instance that has not heard of a restore yet hands its positions
+// of the former era to one that has, which then takes the restored store for
+// outdated.
+TEST_CASE("positions of a former era are behind those of a later one") {
+  CHECK(StreamPosition{1, 500} < StreamPosition{2, 3});
+  StreamCursor cursor;
+  CHECK(ReadPosition(cursor) == StreamPosition{});
+  cursor.m_initialized = true;
+  cursor.m_era = 2;
+  cursor.m_next = 3;
+  CHECK(ReadPosition(cursor) == StreamPosition{2, 3});
+}
+
+}  // namespace
+}  // namespace comfreypaddle
--- a/tests/spread_test.cpp
+++ b/tests/spread_test.cpp
@@ -15,6 +15,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 using testing::InstanceFleet;
+using testing::PropagationTime;
 using testing::SimulatedZone;
 using testing::StoreDenial;
 
@@ -66,20 +67,6 @@
   return {names.begin(), names.begin() + static_cast<std::ptrdiff_t>(count)};
 }
 
-// Time from the change until the last live instance applied it, or
-// Duration::max() if one has not yet.
-Duration PropagationTime(InstanceFleet& fleet, std::uint64_t version,
-                         Instant changed) {
-  Duration slowest{0};
-  for (const std::string& name : fleet.Names()) {
-    if (fleet.IsDead(name)) continue;
-    const auto at = fleet.AppliedAt(name, version);
-    if (!at) return Duration::max();
-    slowest = std::max(slowest, *at - changed);
-  }
-  return slowest;
-}
-
 // Whether every live instance knows the endpoint as draining or not at all.
 bool IsDrainingEverywhere(InstanceFleet& fleet, const std::string& id) {
   const std::vector<std::string> names = fleet.Names();
--- a/tests/support_instances.cpp
+++ b/tests/support_instances.cpp
@@ -1,5 +1,6 @@
 #include "support_instances.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "controltick.h"
@@ -448,4 +449,16 @@
   return first;
 }
 
+Duration PropagationTime(const InstanceFleet& fleet, std::uint64_t version,
+                         Instant changed) {
+  Duration slowest{0};
+  for (const std::string& name : fleet.Names()) {
+    if (fleet.IsDead(name)) continue;
+    const auto at = fleet.AppliedAt(name, version);
+    if (!at) return Duration::max();
+    slowest = std::max(slowest, *at - changed);
+  }
+  return slowest;
+}
+
 }  // namespace comfreypaddle::testing
--- a/tests/support_instances.h
+++ b/tests/support_instances.h
@@ -122,6 +122,11 @@
   std::map<std::uint64_t, Report> m_reports;
 };
 
+// Time from the change until the last live instance applied it, or
+// Duration::max() if one has not yet.
+Duration PropagationTime(const InstanceFleet& fleet, std::uint64_t version,
+                         Instant changed);
+
 }  // namespace comfreypaddle::testing
 
 #endif  // COMFREYPADDLE_TESTS_SUPPORT_INSTANCES_H_
--- a/tests/support_store.cpp
+++ b/tests/support_store.cpp
@@ -192,13 +192,17 @@
     TakeRecordsSince(stream, since);
   }
   for (const Stream stream : {Stream::kConfiguration, Stream::kEndpoints}) {
+    std::map<std::string, std::string> newest;  // Value by key.
     for (const StreamRecord& record : TakeRecordsSince(stream, since)) {
-      m_schedule.After(rewrite_delay, [this, stream, record] {
-        Write(stream, record.m_key, record.m_value);
+      newest[record.m_key] = record.m_value;
+    }
+    for (const auto& [key, value] : newest) {
+      m_schedule.After(rewrite_delay, [this, stream, key = key, value = value] {
+        Write(stream, key, value);
       });
     }
   }
-  m_era = m_era.value_or(0) + 1;
+  ++m_era;
   ServeWaiting();
 }
 
--- a/tests/support_store.h
+++ b/tests/support_store.h
@@ -5,7 +5,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 #include <queue>
 #include <set>
 #include <string>
@@ -66,12 +65,9 @@
     return m_denied.count(name) == 0;
   }
 
-  // Names an era in all answers from now on.
-  void NameEra() { m_era = 1; }
-
   // Replaces the store by a copy of itself of that age: the records written
-  // since are gone, their offsets are given out again, and the era rises. What
-  // external writers wrote since is written again after a delay.
+  // since are gone, their offsets are given out again, and the era rises. The
+  // newest records of external writers are written again after a delay.
   void Restore(Duration age, Duration rewrite_delay);
 
   // Port of one instance.
@@ -107,7 +103,7 @@
   std::map<Stream, std::vector<StreamRecord>> m_records;
   // When each record was written.
   std::map<Stream, std::vector<Instant>> m_written;
-  std::optional<std::uint64_t> m_era;
+  std::uint64_t m_era = 1;
   std::set<std::string> m_denied;
   StoreDenial m_denial = StoreDenial::kSilent;
   std::vector<std::shared_ptr<WaitingRead>> m_waiting;
