Register an instance again after the store was restored

An instance wrote its record once. If a restored store had lost it, it was never written again, and instances that started later did not know this one: no upstream or handover to it, and wrong shares of budgets and limits.

Cause: the answer to the append was taken for proof that the record stays; this holds within an era only. Ruled out: the others forget nothing, so that only later starts are affected.

Evidence: restore_test, "instances register again after a restore": on the code before a late instance knows 1 live instance of 88; now all.

--- a/src/storeera.cpp
+++ b/src/storeera.cpp
@@ -28,6 +28,9 @@
         &state.m_instances_cursor}) {
     cursor->m_due = {};
   }
+  // The record of this instance may be lost, also the one that it has left.
+  state.m_registered = state.m_stopping;
+  state.m_register_due = {};
 }
 
 }  // namespace
--- a/tests/restore_test.cpp
+++ b/tests/restore_test.cpp
@@ -204,6 +204,22 @@
   }
 }
 
+// Failure: an instance whose record is lost does not write it again and is
+// unknown to those that start later.
+TEST_CASE("instances register again after a restore") {
+  const auto fleet = RunningFleet(GrownDeployment(), 1);
+  const std::vector<std::string> names = fleet->Names();
+  fleet->Restart(names.back());
+  fleet->Run(seconds(2));
+  fleet->Store().Restore(seconds(60), kRewriteDelay);
+  fleet->Run(seconds(3));
+  fleet->Restart(names.front());
+  fleet->Run(seconds(10));
+  const ControlState& late = fleet->State(names.front());
+  CHECK(late.m_live_instances == names.size());
+  CHECK(late.m_instances.at(names.back()).incarnation() == 2);
+}
+
 // Failure: an instance that has not heard of a restore yet hands its positions
 // of the former era to one that has, which then takes the restored store for
 // outdated.
