Keep an instance that has left out of the list over a restore of the store

A restored store may have the record of an instance from before it left. Readers took it, of the same incarnation, and counted the instance as live again: its share of budgets and limits went unused.

Cause: a record of the same incarnation replaced the known one, whatever it said. Change: an instance that has left stays so until its next incarnation.

Evidence: restore_test, "an instance that has left stays so over a restore", fails with the line that keeps it left removed.

What remains: an instance that starts after the restore and reads the copy counts the other one as live, as it does one that was killed.

--- a/src/storereader.cpp
+++ b/src/storereader.cpp
@@ -275,7 +275,11 @@
 void ApplyInstanceRecord(ControlState& state,
                          const schema::InstanceRecord& record) {
   schema::InstanceRecord& known = state.m_instances[record.name()];
+  const bool has_left =
+      known.left() && record.incarnation() == known.incarnation();
   if (record.incarnation() >= known.incarnation()) known = record;
+  // A copy of the store may have a record from before it left.
+  if (has_left) known.set_left(true);
 }
 
 void PublishInstances(ControlState& state) {
--- a/src/storereader.h
+++ b/src/storereader.h
@@ -34,7 +34,8 @@
 bool ApplyCatalog(ControlState& state, const schema::Catalog& catalog,
                   std::string_view source);
 
-// Stores an instance record unless one of a newer incarnation is known.
+// Stores an instance record unless one of a newer incarnation is known. An
+// instance that has left stays so until its next incarnation.
 void ApplyInstanceRecord(ControlState& state,
                          const schema::InstanceRecord& record);
 
--- a/tests/restore_test.cpp
+++ b/tests/restore_test.cpp
@@ -220,6 +220,22 @@
   CHECK(late.m_instances.at(names.back()).incarnation() == 2);
 }
 
+// Failure: a deregistration is lost, and the copy of the store names an
+// instance that has left as live.
+TEST_CASE("an instance that has left stays so over a restore") {
+  const auto fleet = RunningFleet(SmallDeployment(), 1);
+  const std::string left = fleet->Names().back();
+  fleet->State(left).m_stopping = true;
+  fleet->Run(seconds(1));
+  fleet->Kill(left);
+  fleet->Run(seconds(5));
+  const ControlState& other = fleet->State(fleet->Names().front());
+  REQUIRE(other.m_instances.at(left).left());
+  fleet->Store().Restore(seconds(8), kRewriteDelay);
+  fleet->Run(seconds(8));
+  CHECK(other.m_instances.at(left).left());
+}
+
 // Failure: an instance that has not heard of a restore yet hands its positions
 // of the former era to one that has, which then takes the restored store for
 // outdated.
