--- a/tests/adapter_test.cpp
+++ b/tests/adapter_test.cpp
@@ -170,6 +170,9 @@
  public:
   CallId Start(HttpCall call, HttpEvents events) override {
     m_calls.push_back(call);
+    if (m_status != 0 && events.m_on_head) {
+      events.m_on_head(m_status, m_fields);
+    }
     if (m_status != 0 && !m_body.empty()) events.m_on_body(m_body);
     events.m_on_end({m_error, m_status, m_sent});
     return m_calls.size();
@@ -177,6 +180,7 @@
   void Cancel(CallId /*id*/) override {}
 
   int m_status = 200;
+  HttpFields m_fields;
   std::string m_body;
   std::error_code m_error;
   bool m_sent = true;
@@ -228,6 +232,39 @@
   CHECK(result.m_next == 12);
 }
 
+// Failure: an answer of a store that was replaced by a copy is taken for one of
+// the store before, or an unreadable era for a change.
+TEST_CASE("each answer of the store carries its era") {
+  ScriptedHttpPort http;
+  platform::StoreClient store(http, "10.0.0.1:1");
+  ReadResult read;
+  const auto era_of_read = [&](const HttpFields& fields, int status) {
+    http.m_fields = fields;
+    http.m_status = status;
+    http.m_body = std::string(16, '\0');
+    store.Read(Stream::kEndpoints, 10, Duration(0),
+               [&read](const ReadResult& r) { read = r; });
+    return read.m_era;
+  };
+  CHECK(era_of_read({{"Store-Era", "7"}}, 200) == 7);
+  CHECK(era_of_read({{"store-era", "8"}}, 410) == 8);
+  CHECK(read.m_fault == StoreFault::kTrimmed);
+  CHECK(era_of_read({{"Store-Era", "9"}}, 503) == 9);
+  for (const char* odd :
+       {"", "x", "-1", "1.5", "1e3", " 2", "99999999999999999999999999"}) {
+    CAPTURE(odd);
+    CHECK_FALSE(era_of_read({{"Store-Era", odd}}, 200).has_value());
+  }
+  CHECK_FALSE(era_of_read({}, 200).has_value());
+  http.m_fields = {{"Store-Era", "7"}};
+  http.m_status = 412;
+  http.m_body = R"({"endOffset":9})";
+  AppendResult append;
+  store.Append({}, [&append](const AppendResult& r) { append = r; });
+  CHECK(append.m_fault == StoreFault::kCondition);
+  CHECK(append.m_era == 7);
+}
+
 TEST_CASE("a duty call carries the holder and the fencing token") {
   ScriptedHttpPort http;
   platform::DutyClient duties(http, "10.0.0.1:1");
--- a/tests/oddentries_test.cpp
+++ b/tests/oddentries_test.cpp
@@ -159,6 +159,9 @@
   CallId Start(HttpCall call, HttpEvents events) override {
     m_urls.push_back(call.m_url);
     const std::size_t page = std::min(m_urls.size(), m_pages.size()) - 1;
+    if (page < m_eras.size() && events.m_on_head) {
+      events.m_on_head(200, {{"Store-Era", m_eras[page]}});
+    }
     events.m_on_body(m_pages.at(page));
     if (m_urls.size() < kMaxCalls) events.m_on_end({HttpError::kOk, 200, true});
     return m_urls.size();
@@ -167,6 +170,7 @@
 
   static constexpr std::size_t kMaxCalls = 10;
   std::vector<std::string> m_pages;
+  std::vector<std::string> m_eras;  // Of the first pages.
   std::vector<std::string> m_urls;
 };
 
@@ -206,6 +210,21 @@
   CHECK(http.m_urls.size() == 1);
 }
 
+// Guards against a snapshot of which one page is from before the store was
+// replaced by a copy and the next one from after it.
+TEST_CASE("pages of two eras of the store are no snapshot") {
+  PagedHttpPort http;
+  http.m_pages = {Page(R"("i-1")", true), Page(R"("i-2")", false)};
+  http.m_eras = {"4", "5"};
+  platform::StoreClient store(http, "10.0.0.1:1");
+  std::optional<ReadResult> result;
+  store.ReadNewest(Stream::kEndpoints,
+                   [&result](const ReadResult& read) { result = read; });
+  REQUIRE(result);
+  CHECK(result->m_fault == StoreFault::kEraChanged);
+  CHECK(result->m_era == 5);
+}
+
 // Guards against odd numbers of callers and endpoints.
 TEST_CASE("numbers in header fields stay within their types") {
   const WireFormat& format = platform::RequestFormat();
