Retry a read with a delay after an answer of a lower era

Change: an answer of a lower era counts as a failed read, with its delay. Evidence: restore_test, "answers of a lower era are not applied and cost few calls", fails on the code before and passes now.

--- a/src/storereader.cpp
+++ b/src/storereader.cpp
@@ -162,15 +162,14 @@
       LogLine("history_trimmed").Add("stream", ToName(stream));
       cursor.m_needs_snapshot = true;
       cursor.m_due = {};
-    } else if (fault == StoreFault::kEraChanged ||
-               (!newest && end.m_era != cursor.m_era)) {
+    } else if (fault != StoreFault::kNone) {
+      cursor.m_due = state.m_clock() + NextRetryDelay(state);
+    } else if (!newest && end.m_era != cursor.m_era) {
       LogLine("read_of_other_era")
           .Add("stream", ToName(stream))
           .Add("era", static_cast<std::int64_t>(end.m_era))
           .Add("read_era", static_cast<std::int64_t>(cursor.m_era));
       cursor.m_due = {};
-    } else if (fault != StoreFault::kNone) {
-      cursor.m_due = state.m_clock() + NextRetryDelay(state);
     } else if (end < ReadPosition(cursor)) {
       LogLine("read_outdated")
           .Add("stream", ToName(stream))
--- a/tests/restore_test.cpp
+++ b/tests/restore_test.cpp
@@ -236,6 +236,27 @@
   CHECK(other.m_instances.at(left).left());
 }
 
+// Failure: a store that names a lower era than before is asked without pause,
+// or brings an older state back.
+TEST_CASE("answers of a lower era are not applied and cost few calls") {
+  const auto fleet = RunningFleet(SmallDeployment(), 1);
+  fleet->Store().Restore(seconds(5), kRewriteDelay);
+  fleet->Run(seconds(5));
+  const std::uint64_t before = fleet->Store().Calls();
+  fleet->Run(seconds(10));
+  const std::uint64_t usual = fleet->Store().Calls() - before;
+  fleet->Store().LowerEra();
+  fleet->WriteCatalog(3);
+  fleet->Run(seconds(10));
+  // Each instance reads three streams, with the delay after a failed read.
+  constexpr std::uint64_t kRetries = seconds(10) / milliseconds(250);
+  const std::uint64_t retried = 3 * kRetries * fleet->Names().size();
+  CHECK(fleet->Store().Calls() - before - usual <= usual + retried);
+  for (const std::string& name : fleet->Names()) {
+    CHECK(VersionOf(*fleet, name) == 9);
+  }
+}
+
 // Failure: an instance that has not heard of a restore yet hands its positions
 // of the former era to one that has, which then takes the restored store for
 // outdated.
--- a/tests/support_store.h
+++ b/tests/support_store.h
@@ -70,6 +70,9 @@
   // newest records of external writers are written again after a delay.
   void Restore(Duration age, Duration rewrite_delay);
 
+  // Names a lower era from now on, against the contract.
+  void LowerEra() { --m_era; }
+
   // Port of one instance.
   std::unique_ptr<StreamPort> Connect(const std::string& name);
 
