Take the era of the store into fencing numbers and leases

Cause: a fencing number was the offset of the record with which the holder took over, and the store gives the offsets of lost records out again. A lease was also taken to exclude others although its record may be lost, and a process that expected an end that no longer exists got 412 for as long as it did not.

Change: a duties record names the era in which it was written. The fencing number is the era (high 32 bits) and the offset, so that it rises over eras. No lease outlives its era: on a rise the duties stream is read again from the start, and a late append of an older era carries no lease. A record of an older era may lack a lost claim, whose holder may act until its lease ends: a claim over such a record waits for a lease and the drift of clocks from the moment the era was first seen. Only a process that held the duties when it saw the rise claims at once: nobody else can have claimed within its lease. A read whose offset is of an older era, an append that was sent in one and an answer of a lower era prove nothing. RecordStoreCall returns the effective fault.

A store that names no era behaves as before. With an era other than zero, the first claim on an empty stream also waits for a lease: an empty stream cannot be told from one whose claims are lost.

--- a/src/entryduties.cpp
+++ b/src/entryduties.cpp
@@ -30,24 +30,26 @@
   // Until the newest record is known, the read must not wait for new records.
   const Duration wait =
       state.m_holder.m_caught_up ? kDutiesReadWait : Duration(0);
-  follower.m_next = std::max(follower.m_next, state.m_holder.m_end);
-  state.m_store->Read(Stream::kDuties, follower.m_next, wait,
-                      [&state, now](const ReadResult& result) {
-                        StreamCursor& done = state.m_duties_cursor;
-                        done.m_busy = false;
-                        if (result.m_fault == StoreFault::kTrimmed) {
-                          done.m_next = result.m_first;
-                          return;
-                        }
-                        RecordStoreCall(state, result);
-                        if (result.m_fault != StoreFault::kNone) {
-                          done.m_due = state.m_clock() + kRetryDelay;
-                          return;
-                        }
-                        done.m_next = result.m_next;
-                        OnDutiesRead(state.m_holder, result, now,
-                                     state.m_clock());
-                      });
+  follower.m_next = state.m_holder.m_end;
+  state.m_store->Read(
+      Stream::kDuties, follower.m_next, wait,
+      [&state, now, era = state.m_holder.m_era,
+       from = follower.m_next](const ReadResult& result) {
+        StreamCursor& done = state.m_duties_cursor;
+        done.m_busy = false;
+        const StoreFault fault = RecordStoreCall(state, result);
+        // The offset was one of the older era.
+        if (era != state.m_holder.m_era && from != 0) return;
+        if (fault == StoreFault::kTrimmed) {
+          state.m_holder.m_end = std::max(state.m_holder.m_end, result.m_first);
+          return;
+        }
+        if (fault != StoreFault::kNone) {
+          done.m_due = state.m_clock() + kRetryDelay;
+          return;
+        }
+        OnDutiesRead(state.m_holder, result, now, state.m_clock());
+      });
 }
 
 void FollowUsage(ControlState& state) {
@@ -134,11 +136,12 @@
       NextDutyAppend(state.m_holder, next, changed, state.m_clock());
   if (!append) return;
   state.m_store->Append(*append, [&state](const AppendResult& result) {
-    RecordStoreCall(state, result);
-    OnDutyAppended(state.m_holder, result, state.m_clock());
-    if (result.m_fault != StoreFault::kNone) {
+    AppendResult checked = result;
+    checked.m_fault = RecordStoreCall(state, result);
+    OnDutyAppended(state.m_holder, checked, state.m_clock());
+    if (checked.m_fault != StoreFault::kNone) {
       LogLine("duty_append_failed")
-          .Add("fault", ToName(result.m_fault))
+          .Add("fault", ToName(checked.m_fault))
           .Add("end_offset", static_cast<std::int64_t>(result.m_end));
     }
   });
--- a/src/holder.cpp
+++ b/src/holder.cpp
@@ -15,6 +15,10 @@
          !record.released();
 }
 
+// Position of the era in a fencing number. The platform takes numbers of 64
+// bits, and offsets stay below 2^32.
+constexpr int kEraShift = 32;
+
 bool HasHolder(const HolderState& state) {
   return !state.m_newest.holder().empty() && !state.m_newest.released();
 }
@@ -23,12 +27,27 @@
 // socket is closed and for the bytes that are on their way.
 constexpr Duration kTransitReserve = std::chrono::milliseconds(150);
 
+// Whether the newest record was written before the store lost records.
+bool IsOfOlderEra(const HolderState& state) {
+  return state.m_newest.era() < state.m_era;
+}
+
 // Earliest time at which another process may claim.
 Instant ClaimableAt(const HolderState& state) {
-  if (!HasHolder(state)) return state.m_read_at + state.m_options.m_claim_wait;
   const Duration lease = state.m_options.m_lease;
-  return state.m_read_at + lease + lease / kDriftDivisor +
-         state.m_options.m_claim_wait;
+  const Duration expiry =
+      lease + lease / kDriftDivisor + state.m_options.m_claim_wait;
+  // A claim that is lost was sent before the era was seen.
+  if (IsOfOlderEra(state)) return state.m_era_seen + expiry;
+  if (!HasHolder(state)) return state.m_read_at + state.m_options.m_claim_wait;
+  return state.m_read_at + expiry;
+}
+
+// Whether this process held the duties when the era rose and nobody else can
+// have claimed them since.
+bool HoldsLostLease(const HolderState& state, Instant now) {
+  return state.m_held_at_rise && IsOfOlderEra(state) &&
+         now < state.m_claimed_at + state.m_options.m_lease;
 }
 
 StreamAppend MakeAppend(HolderState& state, Instant now) {
@@ -43,8 +62,19 @@
 
 }  // namespace
 
+void OnDutyEra(HolderState& state, std::uint64_t era, Instant now) {
+  // The lease of a process that stops may have been released by a lost record.
+  state.m_held_at_rise = !state.m_stopping &&
+                         (IsHolder(state) || state.m_held_at_rise) &&
+                         now < state.m_claimed_at + state.m_options.m_lease;
+  state.m_era = era;
+  state.m_era_seen = now;
+  state.m_end = 0;
+  state.m_caught_up = false;
+}
+
 bool IsHolder(const HolderState& state) {
-  return IsOwnRecord(state, state.m_newest);
+  return !IsOfOlderEra(state) && IsOwnRecord(state, state.m_newest);
 }
 
 bool MayAct(const HolderState& state, Instant now) {
@@ -61,7 +91,7 @@
 
 // Offsets start at zero, but zero means no fencing number.
 std::uint64_t FencingNumberOf(const HolderState& state) {
-  return state.m_newest.fence() + 1;
+  return (state.m_newest.era() << kEraShift) | (state.m_newest.fence() + 1);
 }
 
 void OnDutiesRead(HolderState& state, const ReadResult& result, Instant sent,
@@ -72,8 +102,12 @@
     if (record.m_offset < state.m_end) continue;
     schema::DutyRecord parsed;
     if (!parsed.ParseFromString(record.m_value)) continue;
+    // A late append of an older era carries no lease.
+    if (parsed.era() < state.m_newest.era()) continue;
     // The record comes from an unanswered append, which was sent at this time.
-    if (IsOwnRecord(state, parsed)) state.m_claimed_at = state.m_append_sent;
+    if (parsed.era() == state.m_era && IsOwnRecord(state, parsed)) {
+      state.m_claimed_at = state.m_append_sent;
+    }
     state.m_newest = std::move(parsed);
     state.m_read_at = now;
   }
@@ -95,15 +129,20 @@
     state.m_pending.set_holder(state.m_options.m_name);
     state.m_pending.set_incarnation(state.m_options.m_incarnation);
     state.m_pending.set_fence(state.m_newest.fence());
+    state.m_pending.set_era(state.m_era);
     state.m_pending.set_released(state.m_stopping);
     return MakeAppend(state, now);
   }
-  if (state.m_stopping || now < ClaimableAt(state)) return std::nullopt;
+  if (state.m_stopping) return std::nullopt;
+  if (now < ClaimableAt(state) && !HoldsLostLease(state, now)) {
+    return std::nullopt;
+  }
   // The claim keeps the state that the last holder recorded.
   state.m_pending = state.m_newest;
   state.m_pending.set_holder(state.m_options.m_name);
   state.m_pending.set_incarnation(state.m_options.m_incarnation);
   state.m_pending.set_fence(state.m_end);
+  state.m_pending.set_era(state.m_era);
   state.m_pending.set_released(false);
   return MakeAppend(state, now);
 }
@@ -111,7 +150,10 @@
 void OnDutyAppended(HolderState& state, const AppendResult& result,
                     Instant now) {
   state.m_appending = false;
-  if (result.m_fault == StoreFault::kNone && result.m_offset >= state.m_end) {
+  // A record of an older era may be lost, or stand behind one that is unknown
+  // here.
+  if (result.m_fault == StoreFault::kNone && result.m_offset >= state.m_end &&
+      state.m_pending.era() == state.m_era) {
     state.m_newest = state.m_pending;
     state.m_claimed_at = state.m_append_sent;
     state.m_read_at = now;
@@ -125,6 +167,8 @@
 
 void OnFencingRejected(HolderState& state, Instant now) {
   state.m_newest.Clear();
+  state.m_newest.set_era(state.m_era);
+  state.m_held_at_rise = false;
   state.m_read_at = now + state.m_options.m_lease;
   state.m_caught_up = false;
 }
--- a/src/holder.h
+++ b/src/holder.h
@@ -12,8 +12,14 @@
 // All duties are held by one instance under a lease. A record of the duties
 // stream is appended only if the stream still ends at the offset that its
 // writer expects, so the newest record is the complete state and only one of
-// two concurrent claims succeeds. The offset of the record with which a holder
-// took over is its fencing number.
+// two concurrent claims succeeds. The era of the store and the offset of the
+// record with which a holder took over are its fencing number.
+//
+// A store that comes back from a copy of itself has lost its newest records and
+// gives their offsets out again; its era rises (storeera.h). No lease outlives
+// its era: records of an older one may lack the claim of the last holder, which
+// may act until its lease ends. A new holder waits for that time. Only the last
+// holder itself knows that nobody else has claimed, and claims at once.
 
 struct HolderOptions {
   std::string m_name;
@@ -30,8 +36,9 @@
 
 struct HolderState {
   HolderOptions m_options;
-  schema::DutyRecord m_newest;  // Empty if there is none.
-  std::uint64_t m_end = 0;      // End offset of the stream.
+  // Newest record of the highest era. Empty if there is none.
+  schema::DutyRecord m_newest;
+  std::uint64_t m_end = 0;  // End offset of the stream.
   bool m_caught_up = false;
   Instant m_read_at{};  // When the newest record was read or written.
   // Instant before the newest record was sent, if this instance wrote it.
@@ -40,9 +47,19 @@
   Instant m_append_sent{};
   schema::DutyRecord m_pending;
   bool m_stopping = false;
+  // Era of the store, zero if it names none, and when it was first seen here.
+  std::uint64_t m_era = 0;
+  Instant m_era_seen{};
+  // This process held the duties, by its clock, when it saw the era rise.
+  bool m_held_at_rise = false;
 };
 
-// Whether this process wrote the newest record and it is not a release.
+// Processes an era of the store, the first one seen or a higher one. What was
+// read before is read again.
+void OnDutyEra(HolderState& state, std::uint64_t era, Instant now);
+
+// Whether this process wrote the newest record, in this era, and it is not a
+// release.
 bool IsHolder(const HolderState& state);
 
 // Whether this process holds the duties and may act now.
@@ -53,7 +70,8 @@
 // platform checks fencing numbers.
 Duration CallTimeLeft(const HolderState& state, Instant now);
 
-// Fencing number of the current holder.
+// Fencing number of the current holder. It rises over eras, in which offsets
+// are given out again.
 std::uint64_t FencingNumberOf(const HolderState& state);
 
 // Processes the records of a read. `sent` is an instant before the read was
--- a/src/storeera.cpp
+++ b/src/storeera.cpp
@@ -47,6 +47,7 @@
   LogEra(state, era, source);
   const bool is_restored = state.m_store_era.has_value();
   state.m_store_era = era;
+  OnDutyEra(state.m_holder, era, state.m_clock());
   if (is_restored) FollowRestoredStore(state);
   return true;
 }
