--- a/src/controlstate.h
+++ b/src/controlstate.h
@@ -26,7 +26,6 @@
 struct StreamCursor {
   bool m_initialized = false;  // The local copy has a first state.
   bool m_busy = false;         // A read is in flight.
-  std::uint64_t m_era = 0;     // Of the store that m_next belongs to.
   std::uint64_t m_next = 0;    // Offset of the next record to read.
   Instant m_due{};             // Earliest time of the next read.
   // Latest time at which the local copy is known to have matched the store, by
@@ -35,6 +34,7 @@
   // The records after m_next are no longer retained, so that the next read must
   // be a snapshot.
   bool m_needs_snapshot = false;
+  std::uint64_t m_era = 0;  // Of the store that m_next belongs to.
 };
 
 // Usage counts that have not been stored yet.
