Send usage as totals, and again when the store has lost records

Cause: a usage record was a difference that counted once by its sequence number. Counts that the store had acknowledged were forgotten by their instance, so that counts that the store lost afterwards were never sent again. A holder that read the stream again could not tell which of its records it had added.

Change: a record carries totals: the requests that its process has counted so far in each window and workspace that changed since its last record. The aggregate keeps the highest total of each process and sums them, so that repetition and order do not matter, and needs no offset. An instance keeps its totals while their window may be reported. When the era rises (OnUsageRestored), it sends all of them at once, in records of at most 64 KB; the reader appends what has no room in one batch without a pause; the holder reads the usage stream from the start and fixes no window for 2.5 s and a retry delay. The sequence number remains the acknowledgement of the pending record.

Remaining: the totals of an instance that has died are only in the store and in the memory of the holder; if the store loses them and the holder changes, they are missing.

--- a/src/controlstate.h
+++ b/src/controlstate.h
@@ -37,9 +37,15 @@
   std::uint64_t m_era = 0;  // Of the store that m_next belongs to.
 };
 
-// Usage counts that have not been stored yet.
+// Window and workspace of a usage count.
+using UsageSlot = std::pair<std::uint64_t, std::string>;
+
+// Usage counts of this process, and their way into the store.
 struct UsageFlush {
-  std::map<std::pair<std::uint64_t, std::string>, std::uint64_t> m_counts;
+  // Requests so far, kept while their window may still be reported.
+  std::map<UsageSlot, std::uint64_t> m_totals;
+  // Slots whose total is not in a record that was sent.
+  std::set<UsageSlot> m_unsent;
   // Record that is sent again until it is known to be stored.
   std::optional<schema::UsageRecord> m_pending;
   std::uint64_t m_sequence = 1;  // Of the pending record, or the next one.
@@ -47,6 +53,7 @@
   bool m_handing_over = false;   // A call with it is in flight.
   Instant m_due{};
   bool m_failed = false;  // It was not stored on the last way tried.
+  bool m_split = false;   // It did not have room for all unsent totals.
 };
 
 using HandoverCallback = std::function<void(const schema::HandoverResult&)>;
--- a/src/entryduties.cpp
+++ b/src/entryduties.cpp
@@ -57,15 +57,18 @@
   follower.m_busy = true;
   state.m_store->Read(
       Stream::kUsage, follower.m_next, Duration(0),
-      [&state](const ReadResult& result) {
+      [&state, era = state.m_store_era,
+       from = follower.m_next](const ReadResult& result) {
         StreamCursor& done = state.m_usage_cursor;
         done.m_busy = false;
-        if (result.m_fault == StoreFault::kTrimmed) {
+        const StoreFault fault = RecordStoreCall(state, result);
+        // The offset was one of the older era.
+        if (era != state.m_store_era && from != 0) return;
+        if (fault == StoreFault::kTrimmed) {
           done.m_next = result.m_first;
           return;
         }
-        RecordStoreCall(state, result);
-        if (result.m_fault != StoreFault::kNone) {
+        if (fault != StoreFault::kNone) {
           done.m_due = state.m_clock() + kRetryDelay;
           return;
         }
@@ -74,6 +77,9 @@
         done.m_next = result.m_next;
         done.m_due =
             state.m_clock() + (more ? Duration(0) : kUsagePollInterval);
+        DropOldWindows(
+            state.m_usage_aggregate,
+            state.m_clock().time_since_epoch() + state.m_unix_at_zero);
         AddUsageRecords(state.m_usage_aggregate, result, state.m_clock());
       });
 }
--- a/src/storeera.cpp
+++ b/src/storeera.cpp
@@ -2,6 +2,7 @@
 
 #include "directory.h"
 #include "eventlog.h"
+#include "usageflush.h"
 
 namespace comfreypaddle {
 
@@ -45,10 +46,12 @@
     return era == *state.m_store_era;
   }
   LogEra(state, era, source);
-  const bool is_restored = state.m_store_era.has_value();
+  const bool has_risen = state.m_store_era.has_value();
   state.m_store_era = era;
   OnDutyEra(state.m_holder, era, state.m_clock());
-  if (is_restored) FollowRestoredStore(state);
+  if (has_risen) FollowRestoredStore(state);
+  // An instance that did not talk to the store may have missed a rise.
+  if (has_risen || !state.m_flush.m_totals.empty()) OnUsageRestored(state);
   return true;
 }
 
--- a/src/usageaggregate.h
+++ b/src/usageaggregate.h
@@ -4,7 +4,7 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <vector>
+#include <utility>
 
 #include "stream.h"
 
@@ -20,27 +20,31 @@
   Duration m_max_window_age = std::chrono::seconds(30);
 };
 
-// Newest usage record of an incarnation that was added up.
-struct UsageSequence {
-  std::uint64_t m_incarnation = 0;
-  std::uint64_t m_sequence = 0;
-};
+// Instance and incarnation that counted requests.
+using UsageSource = std::pair<std::string, std::uint64_t>;
+
+// Requests by workspace.
+using WorkspaceCounts = std::map<std::string, std::uint64_t>;
 
-// Sums of the usage records by window and workspace.
+// Highest totals of the usage records. A record that the store holds twice, or
+// that it has lost and holds again, changes nothing.
 struct UsageAggregate {
   UsageAggregateOptions m_options;
-  std::map<std::uint64_t, std::map<std::string, std::uint64_t>> m_windows;
-  // By instance, newest incarnation last.
-  std::map<std::string, std::vector<UsageSequence>> m_added;
-  std::uint64_t m_next = 0;  // Offset of the next record.
-  Instant m_read_at{};       // Time of the last successful read.
+  std::map<std::uint64_t, std::map<UsageSource, WorkspaceCounts>> m_windows;
+  std::uint64_t m_oldest = 0;  // Windows before this one are not kept.
+  Instant m_read_at{};         // Time of the last successful read.
   // No window is fixed before this time: after a store outage the other
   // instances need a moment to write the counts that they have kept.
   Instant m_complete_from{};
 };
 
-// Adds the records of a read to the sums. A record that is stored more than
-// once counts once.
+// Forgets the windows that are too old to be reported.
+void DropOldWindows(UsageAggregate& state, Duration unix_time);
+
+// Returns the sums over all processes in a window.
+WorkspaceCounts SumUsage(const UsageAggregate& state, std::uint64_t window);
+
+// Takes the totals of the records that a read returned.
 void AddUsageRecords(UsageAggregate& state, const ReadResult& result,
                      Instant now);
 
--- a/src/usageflush.cpp
+++ b/src/usageflush.cpp
@@ -31,6 +31,14 @@
 // Maximum size of a batch. The store accepts records of 256 KB.
 constexpr std::size_t kMaxBatchBytes = 128U << 10U;
 
+// Maximum size of the totals in one record, so that a batch that has room for
+// one more record stays within the limit of the store.
+constexpr std::size_t kMaxRecordBytes = 64U << 10U;
+
+// Time after a rise of the era within which all instances have learned of it
+// and stored their totals again, in addition to the retry delay.
+constexpr Duration kRestoreCatchUpTime = std::chrono::milliseconds(2500);
+
 // Delay before a record that the store did not accept is sent again, per live
 // instance, and its bounds.
 constexpr Duration kRetryDelayPerInstance = std::chrono::milliseconds(12);
@@ -57,21 +65,44 @@
       kMaxAppendInterval);
 }
 
-// Puts all counts that were not sent yet into a record.
-schema::UsageRecord MakeUsageRecord(const ControlState& state) {
+// Puts the totals that were not sent yet into a record, oldest windows first.
+schema::UsageRecord MakeUsageRecord(ControlState& state) {
+  UsageFlush& flush = state.m_flush;
   schema::UsageRecord record;
   record.set_instance(state.m_options.m_name);
   record.set_incarnation(state.m_options.m_incarnation);
-  record.set_sequence(state.m_flush.m_sequence);
-  for (const auto& [slot, requests] : state.m_flush.m_counts) {
-    schema::UsageCount* count = record.add_counts();
-    count->set_window(slot.first);
-    count->set_workspace(slot.second);
-    count->set_requests(requests);
+  record.set_sequence(flush.m_sequence);
+  std::size_t bytes = 0;
+  while (!flush.m_unsent.empty() && bytes < kMaxRecordBytes) {
+    const auto slot = flush.m_unsent.begin();
+    schema::UsageCount* count = record.add_totals();
+    count->set_window(slot->first);
+    count->set_workspace(slot->second);
+    count->set_requests(flush.m_totals.at(*slot));
+    bytes += count->ByteSizeLong();
+    flush.m_unsent.erase(slot);
   }
+  flush.m_split = !flush.m_unsent.empty();
   return record;
 }
 
+// Forgets the totals of windows that are too old to be reported, compared with
+// the newest one.
+void DropOldTotals(ControlState& state) {
+  UsageFlush& flush = state.m_flush;
+  const UsageAggregateOptions& options = state.m_usage_aggregate.m_options;
+  const auto kept = static_cast<std::uint64_t>(
+      options.m_max_window_age / options.m_window + 2);
+  while (!flush.m_totals.empty()) {
+    const auto& [oldest, requests] = *flush.m_totals.begin();
+    const std::uint64_t newest = flush.m_totals.rbegin()->first.first;
+    if (newest - oldest.first < kept || flush.m_unsent.count(oldest) != 0) {
+      return;
+    }
+    flush.m_totals.erase(flush.m_totals.begin());
+  }
+}
+
 // Ends the pending record if it is the one with this sequence number.
 void OnUsageStored(ControlState& state, std::uint64_t sequence) {
   UsageFlush& flush = state.m_flush;
@@ -81,7 +112,7 @@
   // Counts that accumulated while the record could not be stored are sent
   // immediately: after an outage the holder of the duties waits only for a
   // limited time.
-  if (flush.m_failed) flush.m_due = {};
+  if (flush.m_failed || flush.m_split) flush.m_due = {};
   flush.m_failed = false;
   ++flush.m_sequence;
 }
@@ -103,13 +134,15 @@
   StreamAppend append;
   append.m_stream = Stream::kUsage;
   append.m_value = batch.SerializeAsString();
+  // What had no room follows without a pause.
+  if (!queue.m_waiting.empty()) queue.m_due = {};
   state.m_store->Append(std::move(append), [&state, sent = std::move(sent)](
                                                const AppendResult& result) {
     state.m_usage_batch.m_busy = false;
-    RecordStoreCall(state, result);
+    const StoreFault fault = RecordStoreCall(state, result);
     for (const PendingHandover& handover : sent) {
       schema::HandoverResult answer;
-      if (result.m_fault == StoreFault::kNone) {
+      if (fault == StoreFault::kNone) {
         answer.set_sequence(handover.m_record.sequence());
       }
       handover.m_respond(answer);
@@ -209,9 +242,9 @@
   const bool through_upstream = GoesThroughUpstream(state);
   if (through_upstream ? flush.m_handing_over : flush.m_appending) return;
   if (!flush.m_pending) {
-    if (flush.m_counts.empty()) return;
+    if (flush.m_unsent.empty()) return;
     flush.m_pending = MakeUsageRecord(state);
-    flush.m_counts.clear();
+    DropOldTotals(state);
   }
   flush.m_due = now + FlushInterval(state);
   if (through_upstream) {
@@ -226,9 +259,24 @@
 
 void AddUsageCounts(ControlState& state, const schema::UsageCounts& counts) {
   for (const schema::UsageCount& count : counts.counts()) {
-    state.m_flush.m_counts[{count.window(), count.workspace()}] +=
-        count.requests();
+    const UsageSlot slot{count.window(), count.workspace()};
+    state.m_flush.m_totals[slot] += count.requests();
+    state.m_flush.m_unsent.insert(slot);
+  }
+}
+
+void OnUsageRestored(ControlState& state) {
+  UsageFlush& flush = state.m_flush;
+  LogLine("usage_sent_again")
+      .Add("totals", static_cast<std::int64_t>(flush.m_totals.size()));
+  for (const auto& [slot, requests] : flush.m_totals) {
+    flush.m_unsent.insert(slot);
   }
+  flush.m_due = {};
+  state.m_usage_cursor.m_next = 0;
+  state.m_usage_cursor.m_due = {};
+  state.m_usage_aggregate.m_complete_from =
+      state.m_clock() + kRestoreCatchUpTime + UsageRetryDelay(state);
 }
 
 Duration UsageRetryDelay(const ControlState& state) {
@@ -248,7 +296,7 @@
 }
 
 bool IsUsageStored(const ControlState& state) {
-  return state.m_flush.m_counts.empty() && !state.m_flush.m_pending &&
+  return state.m_flush.m_unsent.empty() && !state.m_flush.m_pending &&
          state.m_usage_batch.m_waiting.empty() && !state.m_usage_batch.m_busy;
 }
 
--- a/src/usageflush.h
+++ b/src/usageflush.h
@@ -8,9 +8,9 @@
 // Way of usage counts into the store. An instance sends its record to its
 // upstream, which appends the records of its followers in one batch, so that
 // the calls to the store grow with the number of availability zones. A record
-// keeps its sequence number on every way, and the holder of the duties adds up
-// each number once (usageaggregate.h): a record whose fate is unknown is sent
-// again, also on another way.
+// carries totals, of which the holder of the duties takes the highest
+// (usageaggregate.h): a record whose fate is unknown is sent again, also on
+// another way, and totals that the store has lost are sent again in a new one.
 
 // Request target of usage handovers between instances.
 inline constexpr std::string_view kHandoverTarget = "/v1/usage";
@@ -22,6 +22,10 @@
 // are due. Call it every tick.
 void FlushUsage(ControlState& state);
 
+// Sends all totals of windows that may still be reported again, after the store
+// has lost records, and has the holder read the usage stream from the start.
+void OnUsageRestored(ControlState& state);
+
 // Delay before a usage record that was not stored is sent again. It grows with
 // the number of live instances.
 Duration UsageRetryDelay(const ControlState& state);
