--- a/tests/support_instances.cpp
+++ b/tests/support_instances.cpp
@@ -83,12 +83,15 @@
   void ReportUsage(const DutyHolder& /*holder*/,
                    const schema::FixedWindow& window, Done done) override {
     Report& report = m_fleet.m_reports[window.window()];
+    std::uint64_t requests = 0;
+    for (const schema::UsageCount& count : window.counts()) {
+      requests += count.requests();
+    }
     if (report.m_at == Instant{}) {
       report.m_at = m_fleet.m_schedule.Now();
-      for (const schema::UsageCount& count : window.counts()) {
-        report.m_requests += count.requests();
-      }
+      report.m_requests = requests;
     }
+    report.m_changed = report.m_changed || requests != report.m_requests;
     m_fleet.m_schedule.After(kStoreServiceTime,
                              [done] { done(DutyResult::kAccepted); });
   }
--- a/tests/support_instances.h
+++ b/tests/support_instances.h
@@ -56,6 +56,7 @@
   struct Report {
     Instant m_at{};
     std::uint64_t m_requests = 0;
+    bool m_changed = false;  // Another report had other counts.
   };
   const std::map<std::uint64_t, Report>& Reports() const { return m_reports; }
 
