--- a/src/holder.cpp
+++ b/src/holder.cpp
@@ -1,7 +1,6 @@
 #include "holder.h"
 
 #include <algorithm>
-#include <map>
 #include <utility>
 
 namespace comfreypaddle {
@@ -74,18 +73,28 @@
 }  // namespace
 
 void MergeWindows(schema::DutyRecord& known, const schema::DutyRecord& other) {
-  std::map<std::uint64_t, schema::FixedWindow> fixed;
-  for (const schema::DutyRecord* record : {&std::as_const(known), &other}) {
-    for (const schema::FixedWindow& window : record->fixed()) {
-      fixed.try_emplace(window.window(), window);
-    }
-  }
   known.set_reported(std::max(known.reported(), other.reported()));
   known.set_abandoned(std::max(known.abandoned(), other.abandoned()));
-  known.clear_fixed();
-  for (auto& [number, window] : fixed) {
-    if (number > known.reported()) *known.add_fixed() = std::move(window);
+  auto& fixed = *known.mutable_fixed();
+  const auto is_known = [&fixed](std::uint64_t number) {
+    return std::any_of(fixed.begin(), fixed.end(),
+                       [number](const schema::FixedWindow& window) {
+                         return window.window() == number;
+                       });
+  };
+  for (const schema::FixedWindow& window : other.fixed()) {
+    if (!is_known(window.window())) *fixed.Add() = window;
   }
+  fixed.erase(std::remove_if(fixed.begin(), fixed.end(),
+                             [&known](const schema::FixedWindow& window) {
+                               return window.window() <= known.reported();
+                             }),
+              fixed.end());
+  std::sort(
+      fixed.pointer_begin(), fixed.pointer_end(),
+      [](const schema::FixedWindow* left, const schema::FixedWindow* right) {
+        return left->window() < right->window();
+      });
 }
 
 bool HoldsLostLease(const HolderState& state, Instant now) {
