Keep removed endpoints out of use when the store brings their entries back

What callers would see: requests go to an endpoint that is gone (DRAIN).

Cause: an entry in a copy of the store counted as a new report if its sequence number was higher than the last known one. A follower is told only of changes that matter for routing, and of removals only the id, so that it knows an early number. After an outage followers read the copy themselves; one that follows a restarted instance takes the entry from its list.

Change: a removal carries the last report (lifetime, sequence number, whether it drained, era), also with a whole list; a follower keeps the highest number.

An entry of a newer era replaces a known one only if it is no older report, so that phase and address do not go back either.

What remains: an instance that starts after the restore knows of no removal and takes the entry from the copy until the store drops it.

--- a/src/directory.cpp
+++ b/src/directory.cpp
@@ -44,7 +44,8 @@
 void RecordRemoval(EndpointDirectory& directory, const std::string& id,
                    const schema::EndpointEntry& last) {
   directory.m_removed[id] = {++directory.m_version, last.born_ms(),
-                             last.sequence(), last.draining()};
+                             last.sequence(), last.draining(),
+                             last.record_era()};
   if (directory.m_removed.size() > kMaxRetainedRemovals) {
     DiscardOldRemovals(directory);
   }
@@ -58,7 +59,7 @@
   if (present != directory.m_endpoints.end()) {
     const schema::EndpointEntry& entry = present->second.m_entry;
     return RemovedEndpoint{0, entry.born_ms(), entry.sequence(),
-                           entry.draining()};
+                           entry.draining(), entry.record_era()};
   }
   const auto removed = directory.m_removed.find(id);
   if (removed == directory.m_removed.end()) return std::nullopt;
@@ -114,6 +115,27 @@
                     : entry.sequence() <= last->m_sequence;
 }
 
+bool IsFromBeforeRemoval(const EndpointDirectory& directory,
+                         const schema::EndpointEntry& entry) {
+  const auto found = directory.m_removed.find(entry.id());
+  return found != directory.m_removed.end() &&
+         found->second.m_born_ms == entry.born_ms() &&
+         found->second.m_era < entry.record_era();
+}
+
+void LearnRemoval(EndpointDirectory& directory,
+                  const schema::RemovedEntry& removal) {
+  if (directory.m_endpoints.count(removal.id()) != 0) return;
+  const auto [place, inserted] = directory.m_removed.try_emplace(
+      removal.id(), RemovedEndpoint{directory.m_version, removal.born_ms(),
+                                    removal.sequence(), removal.draining(),
+                                    removal.record_era()});
+  RemovedEndpoint& known = place->second;
+  if (inserted || known.m_born_ms != removal.born_ms()) return;
+  known.m_sequence = std::max(known.m_sequence, removal.sequence());
+  known.m_draining = known.m_draining || removal.draining();
+}
+
 bool UpsertEntry(EndpointDirectory& directory,
                  const schema::EndpointEntry& reported) {
   schema::EndpointEntry entry = reported;
@@ -193,9 +215,14 @@
     if (!changes.m_is_complete && known.m_changed <= since) continue;
     *changes.m_entries.add_endpoints() = known.m_entry;
   }
-  if (changes.m_is_complete) return changes;
   for (const auto& [id, removed] : directory.m_removed) {
-    if (removed.m_version > since) changes.m_removed.push_back(id);
+    if (!changes.m_is_complete && removed.m_version <= since) continue;
+    schema::RemovedEntry& entry = changes.m_removed.emplace_back();
+    entry.set_id(id);
+    entry.set_born_ms(removed.m_born_ms);
+    entry.set_sequence(removed.m_sequence);
+    entry.set_draining(removed.m_draining);
+    entry.set_record_era(removed.m_era);
   }
   return changes;
 }
--- a/src/directory.h
+++ b/src/directory.h
@@ -43,6 +43,7 @@
   std::uint64_t m_born_ms = 0;
   std::uint64_t m_sequence = 0;
   bool m_draining = false;
+  std::uint64_t m_era = 0;  // Of the store, when its entry was read last.
 };
 
 // Endpoint list, versioned so that only changes need to be sent.
@@ -65,7 +66,8 @@
 struct DirectoryChanges {
   bool m_is_complete = false;  // The entries are the complete list.
   schema::EndpointList m_entries;
-  std::vector<std::string> m_removed;
+  // With a complete list, all that are remembered.
+  std::vector<schema::RemovedEntry> m_removed;
 };
 
 // Records that a call to the store failed.
@@ -93,6 +95,16 @@
 bool IsOutdated(const EndpointDirectory& directory,
                 const schema::EndpointEntry& entry);
 
+// Whether the entry is of a lifetime of the endpoint whose entry was removed in
+// an older era of the store. A copy of the store may still have it, from before
+// the removal; an endpoint that lives reports again.
+bool IsFromBeforeRemoval(const EndpointDirectory& directory,
+                         const schema::EndpointEntry& entry);
+
+// Records what another instance knows of a removed endpoint's last report.
+void LearnRemoval(EndpointDirectory& directory,
+                  const schema::RemovedEntry& removal);
+
 // Adds or updates an entry. An endpoint that drains does so until the end of
 // its lifetime, whatever a later entry says. Returns whether a change affects
 // routing.
--- a/src/endpointlist.cpp
+++ b/src/endpointlist.cpp
@@ -101,7 +101,8 @@
   if (EraseEntry(state.m_directory, id)) LogEndpoint(state, change, id, source);
 }
 
-void ApplyEndpointRecord(ControlState& state, const StreamRecord& record) {
+void ApplyEndpointRecord(ControlState& state, const StreamRecord& record,
+                         bool is_snapshot) {
   if (record.m_removed) {
     Remove(state, EndpointChange::kRemoved, record.m_key);
     return;
@@ -117,7 +118,8 @@
   }
   entry->set_record_end(record.m_offset + 1);
   entry->set_record_era(state.m_endpoints_cursor.m_era);
-  if (IsOutdated(state.m_directory, *entry)) {
+  if (IsOutdated(state.m_directory, *entry) ||
+      (is_snapshot && IsFromBeforeRemoval(state.m_directory, *entry))) {
     LogChange(state, EndpointChange::kOutdated, entry->id(), kStoreSource,
               &*entry);
     return;
@@ -138,7 +140,13 @@
   if (IsOfFormerLifetime(state.m_directory, entry)) return false;
   const auto found = state.m_directory.m_endpoints.find(entry.id());
   if (found != state.m_directory.m_endpoints.end()) {
-    return RecordEnd(entry) > RecordEnd(found->second.m_entry);
+    const schema::EndpointEntry& known = found->second.m_entry;
+    // A copy of the store may have an older report at a later position.
+    if (entry.record_era() > known.record_era() &&
+        IsOutdated(state.m_directory, entry)) {
+      return false;
+    }
+    return RecordEnd(entry) > RecordEnd(known);
   }
   // A copy of the store has entries again that were removed before.
   return RecordEnd(entry) > ReadPosition(state.m_endpoints_cursor) &&
@@ -197,7 +205,7 @@
                           bool is_snapshot) {
   const std::uint64_t before = state.m_directory.m_version;
   for (const StreamRecord& record : result.m_records) {
-    ApplyEndpointRecord(state, record);
+    ApplyEndpointRecord(state, record, is_snapshot);
   }
   if (is_snapshot) RemoveMissingFromSnapshot(state, result);
   // What is read here is in no list of another instance, so that changes since
@@ -215,6 +223,9 @@
     if (IsNews(state, entry)) Upsert(state, entry, other.name());
   }
   ApplyPeerRemovals(state, other);
+  for (const schema::RemovedEntry& removal : other.removals()) {
+    LearnRemoval(state.m_directory, removal);
+  }
   for (const schema::LapsedEndpoint& lapsed : other.lapsed_endpoints()) {
     MarkEntryLapsed(state.m_directory, lapsed.id(),
                     state.m_clock() + FromMs(lapsed.ends_in_ms()));
--- a/src/statequery.cpp
+++ b/src/statequery.cpp
@@ -82,8 +82,9 @@
   answer->set_list_whole(changes.m_is_complete);
   answer->set_list_base(since);
   *answer->mutable_endpoints() = changes.m_entries;
-  for (const std::string& id : changes.m_removed) {
-    answer->add_removed_endpoints(id);
+  for (const schema::RemovedEntry& removed : changes.m_removed) {
+    *answer->add_removals() = removed;
+    if (!changes.m_is_complete) answer->add_removed_endpoints(removed.id());
   }
   for (const auto& [id, known] : state.m_directory.m_endpoints) {
     if (!known.m_lapsed) continue;
--- a/tests/restore_test.cpp
+++ b/tests/restore_test.cpp
@@ -194,6 +194,70 @@
   }
 }
 
+// Failure (DRAIN): the record by which an endpoint was removed is lost. An
+// instance that follows another one is not told of each report of an endpoint,
+// and takes the endpoint's entry in the copy of the store for a newer report.
+TEST_CASE("an endpoint that was removed before a restore is not used again") {
+  for (const bool outage : {false, true}) {
+    CAPTURE(outage);
+    const auto fleet = RunningFleet(GrownDeployment(), 1);
+    for (std::uint64_t i = 1; i <= 5; ++i) {
+      fleet->WriteEndpoint("i-2", i, false);
+      fleet->Run(seconds(1));
+    }
+    fleet->RemoveEndpoint("i-2");
+    fleet->Run(seconds(2));
+    REQUIRE_FALSE(IsUsedAnywhere(*fleet, "i-2"));
+    if (outage) {
+      const std::vector<std::string> names = fleet->Names();
+      fleet->Store().Deny({names.begin(), names.end()}, StoreDenial::kRefuses);
+      fleet->Run(seconds(2));
+      fleet->Store().ServeAll();
+    }
+    fleet->Store().Restore(milliseconds(outage ? 4500 : 2500), seconds(20));
+    std::size_t users = 0;
+    for (int i = 0; i < 60; ++i) {
+      fleet->Run(milliseconds(100));
+      std::size_t now_used = 0;
+      for (const std::string& name : fleet->Names()) {
+        const auto& known = fleet->State(name).m_directory.m_endpoints;
+        if (known.count("i-2") != 0) ++now_used;
+      }
+      users = std::max(users, now_used);
+    }
+    CHECK(users == 0);
+  }
+}
+
+// Failure (DRAIN): an instance that follows one that started after a restore
+// takes the entry of a removed endpoint in the copy from it.
+TEST_CASE("a new upstream does not bring a removed endpoint back") {
+  const auto fleet = RunningFleet(GrownDeployment(), 1);
+  for (std::uint64_t i = 1; i <= 5; ++i) {
+    fleet->WriteEndpoint("i-2", i, false);
+    fleet->Run(seconds(1));
+  }
+  fleet->RemoveEndpoint("i-2");
+  fleet->Run(seconds(2));
+  std::set<std::string> restarted;
+  for (const char* zone : {"uppsala-a-1", "lulea-a-1", "malmo-a-1"}) {
+    restarted.insert(zone);
+  }
+  fleet->Store().Restore(milliseconds(2500), seconds(20));
+  for (const std::string& name : restarted) fleet->Restart(name);
+  std::set<std::string> users;
+  for (int i = 0; i < 60; ++i) {
+    fleet->Run(milliseconds(100));
+    for (const std::string& name : fleet->Names()) {
+      const auto& known = fleet->State(name).m_directory.m_endpoints;
+      if (restarted.count(name) == 0 && known.count("i-2") != 0) {
+        users.insert(name);
+      }
+    }
+  }
+  CHECK(users.size() == 0);
+}
+
 // Failure: an endpoint whose entry is lost is out of use until it has written
 // it again.
 TEST_CASE("an endpoint whose entry is lost stays in use") {
