--- a/tests/adapter_test.cpp
+++ b/tests/adapter_test.cpp
@@ -265,6 +265,36 @@
   CHECK(append.m_era == 7);
 }
 
+// First page of a snapshot is answered, the second call is lost.
+class LostPageHttpPort : public HttpPort {
+ public:
+  CallId Start(HttpCall /*call*/, HttpEvents events) override {
+    if (++m_calls == 1) {
+      events.m_on_head(200, {{"Store-Era", "7"}});
+      events.m_on_body(
+          R"({"items":[{"key":"a","value":"","offset":1}],"hasMore":true,"endOffset":9})");
+      events.m_on_end({{}, 200, true});
+    } else {
+      events.m_on_end({HttpError::kTimeout, 0, true});
+    }
+    return m_calls;
+  }
+  void Cancel(CallId /*id*/) override {}
+
+  CallId m_calls = 0;
+};
+
+// Failure: a page of a snapshot that got no answer counts as an answer of a
+// restored store, so that a store that is lost counts as one that answers.
+TEST_CASE("a lost page of a snapshot is unanswered, not of another era") {
+  LostPageHttpPort http;
+  platform::StoreClient store(http, "10.0.0.1:1");
+  ReadResult result;
+  store.ReadNewest(Stream::kEndpoints,
+                   [&result](const ReadResult& r) { result = r; });
+  CHECK(result.m_fault == StoreFault::kUnanswered);
+}
+
 TEST_CASE("a duty call carries the holder and the fencing token") {
   ScriptedHttpPort http;
   platform::DutyClient duties(http, "10.0.0.1:1");
