Ask a follower for the configuration that it knows and a reader does not

An instance that starts after a restore of the store reads the copy. While the operator has not written the newer configuration again, it has an older one than the others, and nobody told it: it reads the store for its zone, and only its followers ask it (CONFIG). Found by the review.

Change: a query names the version and the era that its sender knows; an instance that knows less asks the sender for its state, once for each such query, and follows the era.

--- a/src/controlstate.h
+++ b/src/controlstate.h
@@ -196,6 +196,9 @@
   Instant m_register_due{};
   std::uint32_t m_live_instances = 1;  // Including this one.
   std::uint32_t m_instance_reads = 0;  // Reads of the instance list.
+  // Instance that has named a newer configuration than this one's in a query;
+  // empty if it has been asked for it.
+  std::string m_newer_instance;
   UpstreamState m_upstream;
   UpstreamLink m_upstream_link;
   std::vector<PendingStateQuery> m_pending_queries;
--- a/src/peersync.cpp
+++ b/src/peersync.cpp
@@ -192,6 +192,15 @@
   ReselectUpstream(state, "no_answer");
 }
 
+// Asks the instance that has a newer configuration for it.
+void QueryNewerInstance(ControlState& state) {
+  const auto found =
+      state.m_instances.find(std::exchange(state.m_newer_instance, {}));
+  if (found == state.m_instances.end()) return;
+  SendQuery(state, found->second.peers(), MakeQuery(state),
+            QueryPurpose::kSearch, [](const schema::InstanceState*) {});
+}
+
 }  // namespace
 
 std::vector<UpstreamCandidate> LiveInstances(const ControlState& state) {
@@ -247,6 +256,7 @@
 }
 
 void SearchPeers(ControlState& state) {
+  QueryNewerInstance(state);
   if (!NeedsSearch(state)) {
     EndSearch(state.m_search);
     return;
--- a/src/statequery.cpp
+++ b/src/statequery.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "servedinstances.h"
+#include "storeera.h"
 #include "storereader.h"
 
 namespace comfreypaddle {
@@ -105,6 +106,19 @@
   }
 }
 
+// Follows what a query tells of the requester's state. An instance that has
+// started after a restore of the store may know less than its followers.
+void LearnFromQuery(ControlState& state, const schema::InstanceQuery& query) {
+  if (query.asker_served()) {
+    RecordServed(state, query.name(), state.m_clock());
+  }
+  if (query.has_store_era()) {
+    ObserveEra(state, query.store_era(), query.name());
+  }
+  const std::uint64_t own = state.m_catalog ? state.m_catalog->version() : 0;
+  if (query.catalog_version() > own) state.m_newer_instance = query.name();
+}
+
 // Builds the answer, with the state that the requester does not have yet.
 schema::InstanceState MakeAnswer(const ControlState& state,
                                  const schema::InstanceQuery& query) {
@@ -134,9 +148,7 @@
 
 void AnswerStateQuery(ControlState& state, const schema::InstanceQuery& query,
                       const StateQueryCallback& respond) {
-  if (query.asker_served()) {
-    RecordServed(state, query.name(), state.m_clock());
-  }
+  LearnFromQuery(state, query);
   if (query.wait_ms() == 0 || HasUpdate(state, query)) {
     respond(MakeAnswer(state, query));
   } else {
--- a/tests/restore_test.cpp
+++ b/tests/restore_test.cpp
@@ -258,6 +258,24 @@
   CHECK(users.size() == 0);
 }
 
+// Failure (CONFIG): an instance that starts after a restore takes the older
+// configuration of the copy, though other instances know the confirmed one.
+TEST_CASE("an instance that starts after a restore asks for the newest") {
+  for (const auto& zones : {SmallDeployment(), GrownDeployment()}) {
+    for (std::size_t i = 0; i < 6; ++i) {
+      CAPTURE(zones.size());
+      CAPTURE(i);
+      const auto fleet = RunningFleet(zones, 1);
+      const std::string name = fleet->Names()[i];
+      fleet->Store().Restore(seconds(5), seconds(8));
+      fleet->Run(seconds(1));
+      fleet->Restart(name);
+      fleet->Run(seconds(3));
+      CHECK(VersionOf(*fleet, name) == 9);
+    }
+  }
+}
+
 // Failure: an endpoint whose entry is lost is out of use until it has written
 // it again.
 TEST_CASE("an endpoint whose entry is lost stays in use") {
