Let a reader ask other instances once after its start

Change: an instance without an upstream queries three others as soon as it knows the list of instances, with the search that serves an instance without the store. Followers do not: their upstream tells them. The cost is three queries for each start of a reader.

Evidence: restore_test, "an instance that starts after a restore asks for the newest": 2 of 12 cases fail before, none now; restore_test 14 of 14, spread_test, neighbours_test, listchanges_test, loadlink_test pass.

What remains: an instance that starts when no other knows the newer version keeps the copy's until the operator writes again.

--- a/src/controlstate.h
+++ b/src/controlstate.h
@@ -199,6 +199,8 @@
   // Instance that has named a newer configuration than this one's in a query;
   // empty if it has been asked for it.
   std::string m_newer_instance;
+  // Whether this process has asked other instances since its start.
+  bool m_asked_at_start = false;
   UpstreamState m_upstream;
   UpstreamLink m_upstream_link;
   std::vector<PendingStateQuery> m_pending_queries;
--- a/src/peersync.cpp
+++ b/src/peersync.cpp
@@ -192,6 +192,14 @@
   ReselectUpstream(state, "no_answer");
 }
 
+// Whether to query other instances because this one has just started and reads
+// the store: a copy of the store may lack what they know.
+bool AsksAtStart(const ControlState& state) {
+  return !state.m_asked_at_start && !HasUpstream(state.m_upstream) &&
+         state.m_instances_cursor.m_initialized &&
+         !OtherInstances(state).empty();
+}
+
 // Asks the instance that has a newer configuration for it.
 void QueryNewerInstance(ControlState& state) {
   const auto found =
@@ -257,7 +265,8 @@
 
 void SearchPeers(ControlState& state) {
   QueryNewerInstance(state);
-  if (!NeedsSearch(state)) {
+  const bool asks_at_start = AsksAtStart(state);
+  if (!asks_at_start && !NeedsSearch(state)) {
     EndSearch(state.m_search);
     return;
   }
@@ -267,6 +276,7 @@
   const std::vector<std::string> round = SelectSearchTargets(
       state.m_search, state.m_options.m_name, OtherInstances(state),
       ServedInstances(state), state.m_clock());
+  if (asks_at_start) state.m_asked_at_start = !round.empty();
   for (const std::string& name : round) {
     SendQuery(state, state.m_instances.at(name).peers(), query,
               QueryPurpose::kSearch,
