Read the usage stream to its end before a window is fixed

A holder reads the usage stream from its start after the store was restored, and from where it left off after it took the duties.

Change: until a read returns no record the next one follows at once, and no window is fixed. It costs one more read each time an instance takes the duties.

Evidence: usagerestore_test with ten records a read: windows incomplete before ("incomplete == 0" fails with 2), complete now. spread_test, crashsync_test, restore_test, dutiesrestore_test, usageflush_test and fleetplan_test pass.

--- a/src/entryduties.cpp
+++ b/src/entryduties.cpp
@@ -72,15 +72,18 @@
           done.m_due = state.m_clock() + kRetryDelay;
           return;
         }
-        // The first read may not return all records.
-        const bool more = !result.m_records.empty() && done.m_next == 0;
+        // The first reads may not return all records. Until one returns none,
+        // the next follows at once and no window is fixed.
+        done.m_initialized |= result.m_records.empty();
         done.m_next = result.m_next;
-        done.m_due =
-            state.m_clock() + (more ? Duration(0) : kUsagePollInterval);
+        done.m_due = state.m_clock() +
+                     (done.m_initialized ? kUsagePollInterval : Duration(0));
         DropOldWindows(
             state.m_usage_aggregate,
             state.m_clock().time_since_epoch() + state.m_unix_at_zero);
-        AddUsageRecords(state.m_usage_aggregate, result, state.m_clock());
+        AddUsageRecords(state.m_usage_aggregate, result,
+                        done.m_initialized ? state.m_clock()
+                                           : state.m_usage_aggregate.m_read_at);
       });
 }
 
@@ -95,6 +98,8 @@
   const bool holder = IsHolder(state.m_holder);
   if (holder == state.m_was_holder) return;
   state.m_was_holder = holder;
+  // The usage stream was not followed meanwhile.
+  if (holder) state.m_usage_cursor.m_initialized = false;
   LogLine(holder ? "duties_taken" : "duties_lost")
       .Add("fence", static_cast<std::int64_t>(FencingNumberOf(state.m_holder)))
       .Add("holder", state.m_holder.m_newest.holder())
--- a/src/usageaggregate.h
+++ b/src/usageaggregate.h
@@ -32,7 +32,8 @@
   UsageAggregateOptions m_options;
   std::map<std::uint64_t, std::map<UsageSource, WorkspaceCounts>> m_windows;
   std::uint64_t m_oldest = 0;  // Windows before this one are not kept.
-  Instant m_read_at{};         // Time of the last successful read.
+  // Time of the last read after which all stored records are known.
+  Instant m_read_at{};
   // No window is fixed before this time: after a store outage the other
   // instances need a moment to write the counts that they have kept.
   Instant m_complete_from{};
--- a/src/usageflush.cpp
+++ b/src/usageflush.cpp
@@ -274,6 +274,7 @@
   }
   flush.m_due = {};
   state.m_usage_cursor.m_next = 0;
+  state.m_usage_cursor.m_initialized = false;
   state.m_usage_cursor.m_due = {};
   state.m_usage_aggregate.m_complete_from =
       state.m_clock() + kRestoreCatchUpTime + UsageRetryDelay(state);
--- a/tests/support_store.cpp
+++ b/tests/support_store.cpp
@@ -150,24 +150,27 @@
     result.m_fault = StoreFault::kTrimmed;
     return result;
   }
-  for (std::uint64_t i = from; i < records.size(); ++i) {
+  const std::uint64_t end =
+      std::min<std::uint64_t>(records.size(), from + m_max_read_records);
+  for (std::uint64_t i = from; i < end; ++i) {
     result.m_records.push_back(records[i]);
   }
-  result.m_next = records.size();
+  result.m_next = end;
   return result;
 }
 
 ReadResult VirtualStore::ReadNewestOf(Stream stream) {
   std::map<std::string, StreamRecord> newest;
-  ReadResult result = ReadFrom(stream, 0);
-  for (StreamRecord& record : result.m_records) {
+  for (const StreamRecord& record : m_records[stream]) {
     if (record.m_removed) {
       newest.erase(record.m_key);
     } else {
       newest[record.m_key] = record;
     }
   }
-  result.m_records.clear();
+  ReadResult result;
+  result.m_era = m_era;
+  result.m_next = m_records[stream].size();
   for (auto& [key, record] : newest) result.m_records.push_back(record);
   return result;
 }
--- a/tests/support_store.h
+++ b/tests/support_store.h
@@ -70,6 +70,9 @@
   // newest records of external writers are written again after a delay.
   void Restore(Duration age, Duration rewrite_delay);
 
+  // Number of records that one read returns at most.
+  void SetMaxReadRecords(std::size_t records) { m_max_read_records = records; }
+
   // Names a lower era from now on, against the contract.
   void LowerEra() { --m_era; }
 
@@ -107,6 +110,7 @@
   // When each record was written.
   std::map<Stream, std::vector<Instant>> m_written;
   std::uint64_t m_era = 1;
+  std::size_t m_max_read_records = 1U << 20U;
   std::set<std::string> m_denied;
   StoreDenial m_denial = StoreDenial::kSilent;
   std::vector<std::shared_ptr<WaitingRead>> m_waiting;
--- a/tests/usagerestore_test.cpp
+++ b/tests/usagerestore_test.cpp
@@ -34,6 +34,8 @@
 
 // Plays a restore in a fleet in which each instance reads the store.
 void PlayRestore(InstanceFleet& fleet, const Restores& restores) {
+  // The usage of 40 s takes many reads, as it does in a large deployment.
+  fleet.Store().SetMaxReadRecords(10);
   fleet.WriteCatalog(1);
   fleet.StartRequests();
   fleet.Run(seconds(40));
