Write out the comparison of stream positions

The linter takes the zero of a rewritten comparison for a null pointer (modernize-use-nullptr, a false alarm on a defaulted three-way comparison).

No functional change

--- a/src/stream.h
+++ b/src/stream.h
@@ -1,11 +1,11 @@
 #ifndef COMFREYPADDLE_STREAM_H_
 #define COMFREYPADDLE_STREAM_H_
 
-#include <compare>
 #include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "relay.pb.h"
@@ -63,8 +63,20 @@
   std::uint64_t m_era = 0;
   std::uint64_t m_offset = 0;
 
-  friend auto operator<=>(const StreamPosition&,
-                          const StreamPosition&) = default;
+  friend bool operator==(const StreamPosition&,
+                         const StreamPosition&) = default;
+  friend bool operator<(const StreamPosition& a, const StreamPosition& b) {
+    return std::tie(a.m_era, a.m_offset) < std::tie(b.m_era, b.m_offset);
+  }
+  friend bool operator>(const StreamPosition& a, const StreamPosition& b) {
+    return b < a;
+  }
+  friend bool operator<=(const StreamPosition& a, const StreamPosition& b) {
+    return !(b < a);
+  }
+  friend bool operator>=(const StreamPosition& a, const StreamPosition& b) {
+    return !(a < b);
+  }
 };
 
 struct StreamRecord {
