--- a/tests/restore_test.cpp
+++ b/tests/restore_test.cpp
@@ -47,8 +47,8 @@
 }
 
 // Fleet that has run for a while, with some history to lose in each stream.
-std::unique_ptr<InstanceFleet> RunningFleet(std::vector<SimulatedZone> zones,
-                                            std::uint64_t seed) {
+std::unique_ptr<InstanceFleet> RunningFleet(
+    const std::vector<SimulatedZone>& zones, std::uint64_t seed) {
   auto fleet = std::make_unique<InstanceFleet>(zones, seed);
   fleet->WriteEndpoint("i-1", 1, false);
   fleet->Run(kStartupTime);
--- a/tests/support_store.cpp
+++ b/tests/support_store.cpp
@@ -179,12 +179,11 @@
                                                          Instant since) {
   std::vector<StreamRecord>& records = m_records[stream];
   std::vector<Instant>& written = m_written[stream];
-  const auto kept = static_cast<std::size_t>(
-      std::upper_bound(written.begin(), written.end(), since) -
-      written.begin());
+  const auto kept =
+      std::upper_bound(written.begin(), written.end(), since) - written.begin();
   std::vector<StreamRecord> taken(records.begin() + kept, records.end());
-  records.resize(kept);
-  written.resize(kept);
+  records.erase(records.begin() + kept, records.end());
+  written.erase(written.begin() + kept, written.end());
   return taken;
 }
 
