copies_system_test: list the ids of one request together

Each id waited for a poll of the endpoint list of its own, so that the case of refusals in series took 18 s. All are listed first, then waited for: 6 s. The checks stay.

No functional change

--- a/tests/copies_system_test.cpp
+++ b/tests/copies_system_test.cpp
@@ -4,6 +4,7 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <map>
 
 #include "support_platform.h"
@@ -37,13 +38,18 @@
     m_cluster.Call(1, "POST", "/safe/first");
   }
 
-  // Lists another id at the address of the first endpoint and waits until the
-  // instance knows it.
-  void AddOtherId(const std::string& id, const std::string& phase = "") {
-    m_cluster.RegisterEndpoint(id, "plain", m_cluster.Endpoint(0).Port(),
-                               phase);
+  // Lists other ids at the address of the first endpoint and waits until the
+  // instance knows them.
+  void AddOtherIds(const std::vector<std::string>& ids,
+                   const std::string& phase) {
+    for (const std::string& id : ids) {
+      m_cluster.RegisterEndpoint(id, "plain", m_cluster.Endpoint(0).Port(),
+                                 phase);
+    }
     REQUIRE(m_cluster.Until([&] {
-      return m_cluster.CountLogLines(1, "endpoint_list ", "=" + id + " ") > 0;
+      return std::all_of(ids.begin(), ids.end(), [&](const std::string& id) {
+        return m_cluster.CountLogLines(1, "endpoint_list ", "=" + id + " ") > 0;
+      });
     }));
   }
 
@@ -54,8 +60,8 @@
     for (int i = 0; i < ids; ++i) {
       others.push_back("former-" + std::to_string(number) + "-" +
                        std::to_string(i));
-      AddOtherId(others.back(), phase);
     }
+    AddOtherIds(others, phase);
     const std::string target = prefix + std::to_string(number);
     const Reply reply = m_cluster.Call(1, "POST", target);
     m_statuses[target] = reply.m_status;
