Split the read of a keyed stream into its steps

The callback had grown to 40 lines with six outcomes. Sending, handling of the answer and applying it are functions of their own now, over a plain struct of the read. restore_test, neighbours_test, spread_test, listchanges_test, usagerestore_test and endpointlist_test pass.

No functional change

--- a/src/storereader.cpp
+++ b/src/storereader.cpp
@@ -144,6 +144,64 @@
          cursor.m_era < state.m_store_era.value_or(0);
 }
 
+// A read of a keyed stream.
+struct KeyedRead {
+  Stream m_stream = Stream::kConfiguration;
+  bool m_is_snapshot = false;
+  Duration m_wait{0};   // Longest wait of the store for new records.
+  Duration m_pause{0};  // Until the next read.
+  Instant m_sent{};
+};
+
+// Applies what a read has returned, up to its end position.
+void ApplyKeyedRead(ControlState& state, StreamCursor& cursor,
+                    const KeyedRead& read, const ReadResult& result,
+                    const StreamPosition& end) {
+  const std::uint64_t covered = read.m_is_snapshot ? 0 : cursor.m_next;
+  cursor.m_confirmed =
+      std::max(cursor.m_confirmed,
+               ConfirmedBy(read.m_sent, read.m_wait, state.m_clock()));
+  if (read.m_stream == Stream::kEndpoints) {
+    ConfirmEndpointList(state, cursor.m_confirmed, kStoreSource);
+  }
+  cursor.m_initialized = true;
+  if (read.m_is_snapshot) cursor.m_needs_snapshot = false;
+  cursor.m_era = end.m_era;
+  cursor.m_next = end.m_offset;
+  ApplyRecords(state, read.m_stream, RecordsFrom(result, covered),
+               read.m_is_snapshot);
+}
+
+// Handles the answer to a read of a keyed stream.
+void OnKeyedRead(ControlState& state, StreamCursor& cursor,
+                 const KeyedRead& read, const ReadResult& result) {
+  cursor.m_busy = false;
+  cursor.m_due = state.m_clock() + read.m_pause;
+  const StoreFault fault = RecordStoreCall(state, result);
+  const StreamPosition end{EraOf(state, result), result.m_next};
+  if (fault == StoreFault::kTrimmed) {
+    LogLine("history_trimmed").Add("stream", ToName(read.m_stream));
+    cursor.m_needs_snapshot = true;
+    cursor.m_due = {};
+  } else if (fault != StoreFault::kNone) {
+    cursor.m_due = state.m_clock() + NextRetryDelay(state);
+  } else if (!read.m_is_snapshot && end.m_era != cursor.m_era) {
+    LogLine("read_of_other_era")
+        .Add("stream", ToName(read.m_stream))
+        .Add("era", static_cast<std::int64_t>(end.m_era))
+        .Add("read_era", static_cast<std::int64_t>(cursor.m_era));
+    cursor.m_due = {};
+  } else if (end < ReadPosition(cursor)) {
+    LogLine("read_outdated")
+        .Add("stream", ToName(read.m_stream))
+        .Add("end_offset", static_cast<std::int64_t>(end.m_offset))
+        .Add("read_offset", static_cast<std::int64_t>(cursor.m_next))
+        .Add("era", static_cast<std::int64_t>(end.m_era));
+  } else {
+    ApplyKeyedRead(state, cursor, read, result, end);
+  }
+}
+
 // Reads a keyed stream: first a snapshot of the newest record per key, then the
 // records appended since.
 void ReadKeyedStream(ControlState& state, Stream stream, StreamCursor& cursor,
@@ -151,46 +209,11 @@
   const Instant now = state.m_clock();
   if (cursor.m_busy || now < cursor.m_due) return;
   cursor.m_busy = true;
-  const bool newest = NeedsSnapshot(state, cursor);
-  const auto done = [&state, &cursor, stream, wait, pause, newest,
-                     now](const ReadResult& result) {
-    cursor.m_busy = false;
-    cursor.m_due = state.m_clock() + pause;
-    const StoreFault fault = RecordStoreCall(state, result);
-    const StreamPosition end{EraOf(state, result), result.m_next};
-    if (fault == StoreFault::kTrimmed) {
-      LogLine("history_trimmed").Add("stream", ToName(stream));
-      cursor.m_needs_snapshot = true;
-      cursor.m_due = {};
-    } else if (fault != StoreFault::kNone) {
-      cursor.m_due = state.m_clock() + NextRetryDelay(state);
-    } else if (!newest && end.m_era != cursor.m_era) {
-      LogLine("read_of_other_era")
-          .Add("stream", ToName(stream))
-          .Add("era", static_cast<std::int64_t>(end.m_era))
-          .Add("read_era", static_cast<std::int64_t>(cursor.m_era));
-      cursor.m_due = {};
-    } else if (end < ReadPosition(cursor)) {
-      LogLine("read_outdated")
-          .Add("stream", ToName(stream))
-          .Add("end_offset", static_cast<std::int64_t>(end.m_offset))
-          .Add("read_offset", static_cast<std::int64_t>(cursor.m_next))
-          .Add("era", static_cast<std::int64_t>(end.m_era));
-    } else {
-      const std::uint64_t covered = newest ? 0 : cursor.m_next;
-      cursor.m_confirmed =
-          std::max(cursor.m_confirmed, ConfirmedBy(now, wait, state.m_clock()));
-      if (stream == Stream::kEndpoints) {
-        ConfirmEndpointList(state, cursor.m_confirmed, kStoreSource);
-      }
-      cursor.m_initialized = true;
-      if (newest) cursor.m_needs_snapshot = false;
-      cursor.m_era = end.m_era;
-      cursor.m_next = end.m_offset;
-      ApplyRecords(state, stream, RecordsFrom(result, covered), newest);
-    }
+  const KeyedRead read{stream, NeedsSnapshot(state, cursor), wait, pause, now};
+  const auto done = [&state, &cursor, read](const ReadResult& result) {
+    OnKeyedRead(state, cursor, read, result);
   };
-  if (newest) {
+  if (read.m_is_snapshot) {
     state.m_store->ReadNewest(stream, done);
   } else {
     state.m_store->Read(stream, cursor.m_next, wait, done);
