--- a/tests/restore_test.cpp
+++ b/tests/restore_test.cpp
@@ -15,9 +15,11 @@
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
+using testing::GrownDeployment;
 using testing::InstanceFleet;
 using testing::PropagationTime;
 using testing::SimulatedZone;
+using testing::SmallDeployment;
 using testing::StoreDenial;
 
 // Limit for a confirmed change to be applied everywhere, and time after which a
@@ -34,18 +36,6 @@
 // Interval at which endpoints write their entries.
 constexpr Duration kHeartbeat = milliseconds(1200);
 
-std::vector<SimulatedZone> SmallDeployment() {
-  return {{"uppsala-a", "svealand", 2},
-          {"lulea-a", "norrland", 2},
-          {"malmo-a", "gotaland", 2}};
-}
-
-std::vector<SimulatedZone> GrownDeployment() {
-  return {{"uppsala-a", "svealand", 13}, {"uppsala-b", "svealand", 13},
-          {"lulea-a", "norrland", 16},   {"lulea-b", "norrland", 15},
-          {"malmo-a", "gotaland", 17},   {"malmo-b", "gotaland", 14}};
-}
-
 // Fleet that has run for a while, with some history to lose in each stream.
 std::unique_ptr<InstanceFleet> RunningFleet(
     const std::vector<SimulatedZone>& zones, std::uint64_t seed) {
--- a/tests/spread_test.cpp
+++ b/tests/spread_test.cpp
@@ -14,9 +14,11 @@
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
+using testing::GrownDeployment;
 using testing::InstanceFleet;
 using testing::PropagationTime;
 using testing::SimulatedZone;
+using testing::SmallDeployment;
 using testing::StoreDenial;
 
 // Limit for a confirmed change to be applied everywhere: 2.5 s on the platform
@@ -39,18 +41,6 @@
 
 constexpr std::uint64_t kFirstSeed = 1;
 
-std::vector<SimulatedZone> SmallDeployment() {
-  return {{"uppsala-a", "svealand", 2},
-          {"lulea-a", "norrland", 2},
-          {"malmo-a", "gotaland", 2}};
-}
-
-std::vector<SimulatedZone> GrownDeployment() {
-  return {{"uppsala-a", "svealand", 13}, {"uppsala-b", "svealand", 13},
-          {"lulea-a", "norrland", 16},   {"lulea-b", "norrland", 15},
-          {"malmo-a", "gotaland", 17},   {"malmo-b", "gotaland", 14}};
-}
-
 // 380 instances in 11 zones of 5 regions.
 std::vector<SimulatedZone> LargeDeployment() {
   std::vector<SimulatedZone> zones;
--- a/tests/support_instances.cpp
+++ b/tests/support_instances.cpp
@@ -55,6 +55,18 @@
   return records;
 }
 
+std::vector<SimulatedZone> SmallDeployment() {
+  return {{"uppsala-a", "svealand", 2},
+          {"lulea-a", "norrland", 2},
+          {"malmo-a", "gotaland", 2}};
+}
+
+std::vector<SimulatedZone> GrownDeployment() {
+  return {{"uppsala-a", "svealand", 13}, {"uppsala-b", "svealand", 13},
+          {"lulea-a", "norrland", 16},   {"lulea-b", "norrland", 15},
+          {"malmo-a", "gotaland", 17},   {"malmo-b", "gotaland", 14}};
+}
+
 // Relay task: records when each configuration version was applied, and holds
 // the suspects of crashes.
 class InstanceFleet::Inbox : public Port<schema::RelayMessage> {
--- a/tests/support_instances.h
+++ b/tests/support_instances.h
@@ -25,6 +25,10 @@
   int m_instances = 0;
 };
 
+// Zones and instances of the small and the grown deployment.
+std::vector<SimulatedZone> SmallDeployment();
+std::vector<SimulatedZone> GrownDeployment();
+
 // Control-plane task of one instance, in virtual time.
 struct VirtualInstance;
 
