Tell a refused connection from one that was reset as it was made

The log line endpoint_report had the same error, "connection failed", for an endpoint at whose address nothing listens and for one that resets a new connection for lack of room, so that the two could not be told apart afterwards.

HttpClient now ends a call with kConnectRefused if nothing listens, and with kConnectFailed if the connection failed in another way. What is concluded from either does not change here. httpwire_test expects the new error where the listener is closed; a reset would no longer pass there.

--- a/src/channel.cpp
+++ b/src/channel.cpp
@@ -82,7 +82,8 @@
   socklen_t size = sizeof(error);
   getsockopt(m_descriptor, SOL_SOCKET, SO_ERROR, &error, &size);
   if (error != 0) {
-    m_owner.OnEnd(*this, ChannelEnd::kReset);
+    m_owner.OnEnd(*this, error == ECONNREFUSED ? ChannelEnd::kRefused
+                                               : ChannelEnd::kReset);
     return;
   }
   m_state = State::kOpen;
--- a/src/channel.h
+++ b/src/channel.h
@@ -13,6 +13,8 @@
 enum class ChannelEnd {
   kClosed,  // Orderly close; all its bytes were received.
   kReset,   // Reset or network error; bytes may be missing.
+  // No connection was made, because nothing listens at the address.
+  kRefused,
 };
 
 class Channel;
--- a/src/continuation.cpp
+++ b/src/continuation.cpp
@@ -102,6 +102,7 @@
   result.m_is_timeout = http.m_error == HttpError::kConnectTimeout;
   result.m_is_refused =
       http.m_error == HttpError::kConnectFailed ||
+      http.m_error == HttpError::kConnectRefused ||
       (!http.m_error && state.m_format->ParseResponseMetadata(http.m_status, {})
                             .m_wrong_endpoint);
   if (!http.m_error && http.m_status == kOk) {
--- a/src/http.cpp
+++ b/src/http.cpp
@@ -17,6 +17,8 @@
         return "success";
       case HttpError::kConnectFailed:
         return "connection failed";
+      case HttpError::kConnectRefused:
+        return "connection refused";
       case HttpError::kConnectTimeout:
         return "no connection in time";
       case HttpError::kConnectionLost:
--- a/src/http.h
+++ b/src/http.h
@@ -32,6 +32,7 @@
 enum class HttpError {
   kOk = 0,
   kConnectFailed,      // No connection was made; no byte was sent.
+  kConnectRefused,     // As above: nothing listens there. HttpClient only.
   kConnectTimeout,     // As above: nothing answered in time. HttpClient only.
   kConnectionLost,     // The connection closed before the response ended.
   kTimeout,            // The total timeout of the call expired.
--- a/src/httpclient.cpp
+++ b/src/httpclient.cpp
@@ -62,6 +62,8 @@
     case ENOMEM:
     case EADDRNOTAVAIL:
       return HttpError::kNoSocket;
+    case ECONNREFUSED:
+      return HttpError::kConnectRefused;
     default:
       return HttpError::kConnectFailed;
   }
@@ -175,8 +177,7 @@
       m_client.CompleteCall(m_id);
       return;
     }
-    m_client.FailCall(m_id, m_connected ? HttpError::kConnectionLost
-                                        : HttpError::kConnectFailed);
+    m_client.FailCall(m_id, ErrorOf(end));
   }
 
   void OnHead(HttpHead head) override {
@@ -274,6 +275,13 @@
            (match == ResponseMatch::kUnidentified && m_calls == 1);
   }
 
+  // Error of a call whose connection ended in this way.
+  HttpError ErrorOf(ChannelEnd end) const {
+    if (m_connected) return HttpError::kConnectionLost;
+    return end == ChannelEnd::kRefused ? HttpError::kConnectRefused
+                                       : HttpError::kConnectFailed;
+  }
+
   bool IsBodyTooLarge() const {
     return m_max_body_bytes > 0 && m_body_bytes > m_max_body_bytes;
   }
--- a/tests/httpwire_test.cpp
+++ b/tests/httpwire_test.cpp
@@ -468,7 +468,7 @@
                  [&] { return f.m_requests.size() == 1; }));
   f.Call({.m_url = f.Url("/2")});
   REQUIRE(f.Ended());
-  CHECK(f.m_result->m_error == HttpError::kConnectFailed);
+  CHECK(f.m_result->m_error == HttpError::kConnectRefused);
 }
 
 // Failure (LOST): a planned stop cut responses that callers read slowly, one
