Test a stream whose endpoint resets new connections (fails)

Two endpoints as processes, one instance, 16 resumable streams. After 0.3 s the first endpoint's connections are reset, and each new one, as an endpoint without room for connections does; it works on.

The fixture of elsewhere_system_test moves to support_overlap.h unchanged but for the number of slots and requests.

No functional change

--- a/tests/elsewhere_system_test.cpp
+++ b/tests/elsewhere_system_test.cpp
@@ -4,73 +4,13 @@
 #include <doctest/doctest.h>
 #include <signal.h>
 
-#include "support_history.h"
-#include "support_platform.h"
+#include "support_overlap.h"
 
 namespace comfreypaddle {
 namespace {
 
 using std::chrono::milliseconds;
-using std::chrono::seconds;
-using testing::PlatformCluster;
-using testing::Reply;
-using testing::WorkInterval;
-
-// Time after which an endpoint must no longer work on a request that goes on at
-// another one.
-constexpr Duration kMaxOverlap = milliseconds(400);
-
-// One instance and two endpoints with the same acts. Requests are sent to both.
-struct TwoEndpoints {
-  TwoEndpoints(const std::string& name, const std::string& acts)
-      : m_cluster("elsewhere-" + name) {
-    m_cluster.UseProxies();
-    m_cluster.Configure(1, R"(["k1"])");
-    // Retries are not to be prevented by the budget.
-    m_cluster.SetRetry("budget_ratio = 10\n");
-    m_cluster.AddEndpointProcess("plain", acts, 1);
-    m_cluster.AddEndpointProcess("plain", acts, 1);
-    m_cluster.StartEntry(1);
-  }
-
-  void Wait(Duration time) {
-    m_cluster.Until([] { return false; }, time);
-  }
-
-  void Send(const std::string& method, const std::string& prefix) {
-    constexpr int kRequests = 4;
-    for (int i = 0; i < kRequests; ++i) {
-      m_replies.push_back(
-          m_cluster.Start(1, method, prefix + std::to_string(i)));
-    }
-  }
-
-  // Waits for the end of the requests and of the runs.
-  void Check() {
-    CHECK(m_cluster.Until(
-        [this] {
-          return std::all_of(m_replies.begin(), m_replies.end(),
-                             [](const auto& reply) { return reply->m_ended; });
-        },
-        seconds(7)));
-    Wait(seconds(5));
-    std::vector<WorkInterval> work;
-    for (std::size_t i = 0; i < 2; ++i) {
-      for (const auto& run : m_cluster.HistoryOf(i).m_runs) {
-        work.push_back(
-            {run.m_target, run.m_began, run.m_ended.value_or(Instant::max())});
-      }
-    }
-    REQUIRE_FALSE(work.empty());
-    for (const std::string& overlap :
-         testing::CheckOverlaps(work, kMaxOverlap)) {
-      FAIL_CHECK(overlap);
-    }
-  }
-
-  PlatformCluster m_cluster;
-  std::vector<std::shared_ptr<Reply>> m_replies;
-};
+using testing::TwoEndpoints;
 
 // Guards against a stream that goes on elsewhere because its endpoint is
 // silent, though the endpoint works on it.
--- a/tests/support_process.cpp
+++ b/tests/support_process.cpp
@@ -16,6 +16,7 @@
 #include <filesystem>
 #include <fstream>
 #include <sstream>
+#include <utility>
 
 #include "completion.h"
 #include "http.pb.h"
@@ -56,6 +57,12 @@
   return descriptor;
 }
 
+void CloseWithReset(int descriptor) {
+  const linger reset{1, 0};
+  setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+  close(descriptor);
+}
+
 }  // namespace
 
 Process::Process(const std::string& program,
@@ -139,6 +146,10 @@
 void TcpProxy::Accept() {
   const int client = accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
   if (client < 0) return;
+  if (m_resetting) {
+    CloseWithReset(client);
+    return;
+  }
   auto connection = std::make_unique<ProxiedConnection>();
   connection->m_client = client;
   connection->m_stalled = m_partitioned;
@@ -229,6 +240,15 @@
   }
 }
 
+void TcpProxy::ResetClients() {
+  m_resetting = true;
+  for (const auto& connection : m_proxied_connections) {
+    if (connection->m_client < 0) continue;
+    m_loop.Unwatch(connection->m_client);
+    CloseWithReset(std::exchange(connection->m_client, -1));
+  }
+}
+
 void TcpProxy::Close(ProxiedConnection& connection) {
   for (int* descriptor : {&connection.m_client, &connection.m_server}) {
     if (*descriptor < 0) continue;
--- a/tests/support_process.h
+++ b/tests/support_process.h
@@ -66,6 +66,10 @@
   // see that they broke.
   void BreakTowardsClients();
 
+  // Resets the open connections towards the clients, unseen by the server, and
+  // from now on each new one, like an endpoint that has no room for it.
+  void ResetClients();
+
   // Simulates a partition that drops packets: while it lasts, no connection
   // forwards data and new ones are accepted without a response. Ending the
   // partition closes them.
@@ -88,6 +92,7 @@
   int m_listener = -1;
   bool m_partitioned = false;
   bool m_silent = false;
+  bool m_resetting = false;
   std::vector<std::unique_ptr<ProxiedConnection>> m_proxied_connections;
 };
 
