Take only a refused connection for an endpoint that is gone

Shown: a resumable stream whose connection broke went on at another endpoint while the first one worked on it.

Cause: to learn whether the attempt is over, the instance asks the endpoint over a new connection. Each connection that was not made counted as an endpoint that is gone, also one that the endpoint had reset because it has no room for it, and two in a row that timed out. Whether a reset is seen as a failed connect or as a lost connection is a race of the event loop, which fits the users' "most runs".

Ruled out for these runs: copies of refusals (none was sent), bytes that left on an attempt that counts as unsent (the attempts had answered).

Change: only a refused connection, or another endpoint at the address, is a proof that the process has ended. continuation_test held that two timeouts are a proof. That is wrong, as a full queue of new connections or lost packets look the same; the case now requires that no number of timeouts or resets is one, and that the caller is told in time.

Conclusion: fixed; whether this is what the users saw is not known.

--- a/src/continuation.cpp
+++ b/src/continuation.cpp
@@ -25,10 +25,6 @@
 // Maximum size of a report, which names each request that runs.
 constexpr std::uint64_t kMaxReportBytes = 256U << 10U;
 
-// Questions in a row without a connection after which an endpoint counts as
-// unreachable if it does not refuse them: a single packet may be lost.
-constexpr std::uint32_t kMaxConnectTimeouts = 2;
-
 EndReason ReasonOfNoRetry(const RelayCall& call) {
   return call.m_runs > 0 ? EndReason::kEndpointFailed : EndReason::kRejected;
 }
@@ -39,7 +35,7 @@
   // A prefill does not execute the request.
   evidence.m_is_idempotent = call.m_attempt.m_is_prefill ||
                              call.m_route->kind() == schema::REPEAT_ALLOWED;
-  evidence.m_is_unreachable = call.m_attempt.m_is_unreachable;
+  evidence.m_is_gone = call.m_attempt.m_is_gone;
   evidence.m_is_absent = call.m_attempt.m_absence.m_is_proven;
   return evidence;
 }
@@ -71,8 +67,9 @@
 
 // What an endpoint said in answer to a question.
 struct InquiryResult {
-  bool m_is_refused = false;  // Nothing listens, or another endpoint.
-  bool m_is_timeout = false;  // No connection in time.
+  // Nothing listens, or another endpoint. A connection that is reset or not
+  // made in time proves nothing: the endpoint may lack room for it and work on.
+  bool m_is_gone = false;
   std::optional<WorkReport> m_report;
   ReportTimes m_times;
 };
@@ -81,10 +78,7 @@
 void ApplyInquiry(RelayState& state, RelayCall& call,
                   const InquiryResult& result) {
   EndpointAttempt& attempt = call.m_attempt;
-  attempt.m_connect_timeouts =
-      result.m_is_timeout ? attempt.m_connect_timeouts + 1 : 0;
-  attempt.m_is_unreachable =
-      result.m_is_refused || attempt.m_connect_timeouts >= kMaxConnectTimeouts;
+  attempt.m_is_gone = result.m_is_gone;
   if (result.m_report && result.m_times.m_asked >= attempt.m_ended_at) {
     AddReport(attempt.m_absence, *result.m_report, call.m_metadata.m_attempt,
               ResponseBegin(attempt), result.m_times);
@@ -99,9 +93,7 @@
   inquiry.m_call = 0;
   InquiryResult result;
   result.m_times = {inquiry.m_asked, state.m_clock()};
-  result.m_is_timeout = http.m_error == HttpError::kConnectTimeout;
-  result.m_is_refused =
-      http.m_error == HttpError::kConnectFailed ||
+  result.m_is_gone =
       http.m_error == HttpError::kConnectRefused ||
       (!http.m_error && state.m_format->ParseResponseMetadata(http.m_status, {})
                             .m_wrong_endpoint);
--- a/src/relaystate.h
+++ b/src/relaystate.h
@@ -88,8 +88,7 @@
   bool m_is_silent = false;  // It has gone unanswered for long.
   AttemptEnd m_end = AttemptEnd::kOpen;
   Instant m_ended_at{};
-  std::uint32_t m_connect_timeouts = 0;  // Of questions to the endpoint.
-  bool m_is_unreachable = false;  // The endpoint accepts no new connection.
+  bool m_is_gone = false;  // The process of the endpoint has ended.
   AbsenceRecord m_absence;
   double m_work_ms = 0;            // Prefill work; zero after the first event.
   int m_status = 0;                // Zero until the response head arrives.
--- a/src/runend.cpp
+++ b/src/runend.cpp
@@ -34,8 +34,8 @@
       break;
   }
   if (evidence.m_is_idempotent) return EndProof::kIdempotent;
-  if (evidence.m_end == AttemptEnd::kBroken && evidence.m_is_unreachable) {
-    return EndProof::kUnreachable;
+  if (evidence.m_end == AttemptEnd::kBroken && evidence.m_is_gone) {
+    return EndProof::kGone;
   }
   return evidence.m_is_absent ? EndProof::kAbsent : EndProof::kNone;
 }
--- a/src/runend.h
+++ b/src/runend.h
@@ -43,7 +43,7 @@
   kUnsent,
   kNotExecuted,
   kAnswered,
-  kUnreachable,  // The endpoint broke the connection and accepts no other.
+  kGone,        // The endpoint broke the connection, and its process is gone.
   kAbsent,      // The endpoint reports what it runs, and the request is absent.
   kIdempotent,  // It may be repeated, also while it runs.
 };
@@ -55,7 +55,7 @@
        {EndProof::kUnsent, "unsent"},
        {EndProof::kNotExecuted, "not_executed"},
        {EndProof::kAnswered, "answered"},
-       {EndProof::kUnreachable, "unreachable"},
+       {EndProof::kGone, "gone"},
        {EndProof::kAbsent, "absent"},
        {EndProof::kIdempotent, "idempotent"}}};
 };
@@ -65,8 +65,9 @@
   AttemptEnd m_end = AttemptEnd::kOpen;
   // The attempt may be repeated, also while it runs.
   bool m_is_idempotent = false;
-  // Since the connection ended, the endpoint accepted no new one.
-  bool m_is_unreachable = false;
+  // Since the connection ended, nothing listened at the endpoint's address, or
+  // another endpoint did.
+  bool m_is_gone = false;
   bool m_is_absent = false;  // According to IsAbsentFromReports.
 };
 
--- a/tests/continuation_test.cpp
+++ b/tests/continuation_test.cpp
@@ -199,27 +199,29 @@
   CHECK(f.m_endpoints.m_calls.size() == 1);
   f.m_endpoints.RefuseInquiries();
   REQUIRE(f.m_endpoints.m_calls.size() == 2);
-  CHECK(f.m_state.m_counters.m_continued[EndProof::kUnreachable] == 1);
+  CHECK(f.m_state.m_counters.m_continued[EndProof::kGone] == 1);
 }
 
-// Guards against a lost packet that is taken for an endpoint that is gone.
-TEST_CASE("one connection that times out does not show that nothing runs") {
+// Guards against lost packets, and against resets by an endpoint that lacks
+// room for connections, that are taken for an endpoint that is gone (TWICE).
+TEST_CASE("connections that are not refused do not show that nothing runs") {
   RelayFixture f;
+  HttpError error = HttpError::kConnectTimeout;
+  SUBCASE("not made in time") {}
+  SUBCASE("reset as they were made") { error = HttpError::kConnectFailed; }
+  SUBCASE("reset by the endpoint") { error = HttpError::kConnectionLost; }
   f.Ask(1, "/again/x");
   f.Break(0, true);
-  f.m_endpoints.RefuseInquiries(HttpError::kConnectTimeout);
-  CHECK(f.m_endpoints.m_calls.size() == 1);
-  Pass(f, milliseconds(300));
-  SUBCASE("it answers the next question") {
-    f.m_endpoints.AnswerInquiries("0 1 t1");
-    Pass(f, milliseconds(300));
-    f.m_endpoints.RefuseInquiries(HttpError::kConnectTimeout);
+  f.m_endpoints.RefuseInquiries(error);
+  for (int i = 0; i < 4; ++i) {
     CHECK(f.m_endpoints.m_calls.size() == 1);
+    Pass(f, milliseconds(300));
+    f.m_endpoints.RefuseInquiries(error);
   }
-  SUBCASE("nothing answers again") {
-    f.m_endpoints.RefuseInquiries(HttpError::kConnectTimeout);
-    CHECK(f.m_endpoints.m_calls.size() == 2);
-  }
+  CHECK(f.m_endpoints.m_calls.size() == 1);
+  // Its caller is told in time to resume it itself.
+  REQUIRE_CALL(f.m_callers, Respond(1U, 502, _, _));
+  Pass(f, milliseconds(500));
 }
 
 // Guards against a response without a length that is taken for complete, though
--- a/tests/runend_test.cpp
+++ b/tests/runend_test.cpp
@@ -27,7 +27,7 @@
 TEST_CASE("only a proof allows another attempt") {
   AttemptEvidence evidence;
   // An open connection outweighs everything else that is known.
-  evidence.m_is_unreachable = true;
+  evidence.m_is_gone = true;
   evidence.m_is_absent = true;
   evidence.m_is_idempotent = true;
   CHECK(FindEndProof(evidence) == EndProof::kNone);
@@ -41,7 +41,7 @@
     CHECK(FindEndProof({end, false, false, true}) == EndProof::kAbsent);
   }
   CHECK(FindEndProof({AttemptEnd::kBroken, false, true, false}) ==
-        EndProof::kUnreachable);
+        EndProof::kGone);
   // The instance closed the connection itself, so that the endpoint may work on
   // although it accepts no other.
   CHECK(FindEndProof({AttemptEnd::kAborted, false, true, false}) ==
--- a/tests/support_relay.h
+++ b/tests/support_relay.h
@@ -132,9 +132,9 @@
     }
   }
 
-  // Ends them as an endpoint does that accepts no connection, or a link on
-  // which nothing arrives.
-  void RefuseInquiries(HttpError error = HttpError::kConnectFailed) {
+  // Ends them as the machine of an endpoint does that is gone, or with another
+  // error.
+  void RefuseInquiries(HttpError error = HttpError::kConnectRefused) {
     for (const HttpEvents& events : std::exchange(m_inquiries, {})) {
       events.m_on_end({error, 0, false});
     }
