Log the software version of endpoints and the attempt that a stream resumes

Nothing in the logs could show it. The version of an endpoint's entry was not decoded, and Resumes was not read.

endpoint_list, endpoint_selected and request_continued name the version of the endpoint, and request_end the attempt whose stream was taken up. An entry whose version alone changes is passed on to followers. No choice goes by the version yet.

--- a/src/continuation.cpp
+++ b/src/continuation.cpp
@@ -55,6 +55,7 @@
       .Add("end", ToName(attempt.m_end))
       .Add("proof", ToName(proof))
       .Add("events", attempt.m_events)
+      .Add("version", attempt.m_version)
       .AddMs("after_ms", state.m_clock() - attempt.m_ended_at);
   DispatchCall(state, call);
   return true;
--- a/src/directory.cpp
+++ b/src/directory.cpp
@@ -20,6 +20,7 @@
          a.zone() != b.zone() || a.slots() != b.slots() ||
          a.draining() != b.draining() || a.phase() != b.phase() ||
          a.cheap() != b.cheap() || a.born_ms() != b.born_ms() ||
+         a.version() != b.version() ||
          (a.leaves_ms() < 0) != (b.leaves_ms() < 0) ||
          (a.cold_ms() > 0) != (b.cold_ms() > 0);
 }
--- a/src/endpointlist.cpp
+++ b/src/endpointlist.cpp
@@ -42,6 +42,7 @@
       .Add("draining", entry.draining() ? 1 : 0)
       .Add("phase", schema::EnginePhase_Name(entry.phase()))
       .Add("cheap", entry.cheap() ? 1 : 0)
+      .Add("version", entry.version())
       .Add("born_ms", static_cast<std::int64_t>(entry.born_ms()))
       .Add("sequence", static_cast<std::int64_t>(entry.sequence()));
 }
--- a/src/finish.cpp
+++ b/src/finish.cpp
@@ -74,6 +74,9 @@
       .AddMs("left_ms", call.m_deadline - now)
       .Add("catalog",
            static_cast<std::int64_t>(call.m_catalog->Message().version()));
+  if (!call.m_metadata.m_resumed_attempt.empty()) {
+    line.Add("resumes", call.m_metadata.m_resumed_attempt);
+  }
   AddConnection(call.m_attempt, &line);
   if (call.m_events > 0) {
     line.AddMs("first_ms", call.m_first_event - call.m_arrived);
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -249,6 +249,7 @@
     endpoint.m_cheap = entry.cheap();
     endpoint.m_cold = entry.cold_ms() > 0;
     endpoint.m_born_ms = entry.born_ms();
+    endpoint.m_version = entry.version();
     endpoint.m_hash = XXH64(entry.id().data(), entry.id().size(), 0);
     endpoints.push_back(std::move(endpoint));
   }
--- a/src/relayattempt.cpp
+++ b/src/relayattempt.cpp
@@ -76,6 +76,7 @@
   call.m_attempt.m_endpoint = endpoint.m_id;
   call.m_attempt.m_address = endpoint.m_address;
   call.m_attempt.m_born_ms = endpoint.m_born_ms;
+  call.m_attempt.m_version = endpoint.m_version;
   call.m_attempt.m_sent = state.m_clock();
   call.m_attempt.m_work_ms = work_ms;
   OnRequestDispatched(state.m_balance, endpoint.m_id, work_ms);
@@ -553,6 +554,8 @@
       .Add("service", call.m_service)
       .Add("endpoint", choice->m_endpoint)
       .Add("prefill", choice->m_prefill)
+      .Add("version",
+           FindEndpoint(state.m_balance, choice->m_endpoint)->m_version)
       .Add("reason", ToName(choice->m_reason))
       .Add("fetch", choice->m_fetch_address)
       .Add("prefix", std::to_string(call.m_query.m_shared_prefix_hash))
--- a/src/relaystate.h
+++ b/src/relaystate.h
@@ -83,6 +83,7 @@
   std::string m_endpoint;
   std::string m_address;
   std::uint64_t m_born_ms = 0;  // Start of the endpoint's lifetime, Unix time.
+  std::string m_version;        // Of the endpoint's software.
   Instant m_sent{};
   bool m_is_prefill = false;
   bool m_is_silent = false;  // It has gone unanswered for long.
--- a/src/wireformat.h
+++ b/src/wireformat.h
@@ -32,6 +32,8 @@
   std::uint32_t m_output_hint = 0;  // Expected output tokens; zero: unknown.
   // Last event received by the caller of the stream that it resumes.
   std::optional<std::uint64_t> m_last_event;
+  // Id of the caller's attempt that began that stream; empty if there is none.
+  std::string m_resumed_attempt;
 };
 
 // Where an endpoint fetches the KV cache of a prompt from.
