--- a/tests/support_platform.cpp
+++ b/tests/support_platform.cpp
@@ -285,7 +285,7 @@
   m_store.Put("keyed.servers", id,
               "{" + phase_field + R"("service":")" + service +
                   R"(","address":"127.0.0.1:)" + std::to_string(port) +
-                  R"(","zone":"z1","version":"v1","slots":)" +
+                  R"(","zone":"z1","version":")" + m_version + R"(","slots":)" +
                   std::to_string(m_slots) +
                   R"(,"state":"ready","coldRemainingMs":0,"sequence":1})");
 }
--- a/tests/support_platform.h
+++ b/tests/support_platform.h
@@ -175,6 +175,9 @@
   // Slots of endpoints that are registered later.
   void SetSlots(int slots) { m_slots = slots; }
 
+  // Software version of endpoints that are registered later.
+  void SetVersion(const std::string& version) { m_version = version; }
+
   // Settings of planned stops of instances that are started later.
   void SetStop(const std::string& settings) { m_stop_settings = settings; }
 
@@ -201,6 +204,11 @@
                                const std::string& target,
                                const std::string& key = "k1");
 
+  // Id of the attempt that was started last.
+  std::string LastAttempt() const {
+    return "a" + std::to_string(m_next_attempt - 1);
+  }
+
   // Sends a request and waits for the end of the response.
   Reply Call(int entry, const std::string& method, const std::string& target,
              const std::string& key = "k1");
@@ -242,6 +250,7 @@
   std::string m_stop_settings = "notice_ms = 300\n";
   std::string m_retry_settings;
   int m_slots = 4;
+  std::string m_version = "v1";
   bool m_use_proxies = false;
   std::vector<std::unique_ptr<TcpProxy>> m_endpoint_proxies;
   std::map<int, std::unique_ptr<TcpProxy>> m_store_proxies;
