Let a stream go on within a response only at the version that began it

Shown: an endpoint of v1 crashes after some events, and the stream goes on at v1.1 within the same response.

Cause: the choice of an endpoint knows the ids that were tried and nothing of versions. Class of fault: one endpoint of a service stands for any other.

Change: the first event binds a resumable stream to the version of its endpoint; only endpoints of that version may run it from then on. If none is left and there are some of another version, the response ends at once with the reason version_gone, so that its caller can ask anew. A prefill may run at any version, as a KV cache depends on the weights only.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -122,6 +122,25 @@
   return kPerRequestDelayMs * load.m_running + kNoSlotPenaltyMs * over;
 }
 
+// Stage of the endpoints that run the request, rather than its prefill.
+EngineStage RunStage(const BalanceQuery& query) {
+  return query.m_is_prompt ? EngineStage::kDecode : EngineStage::kNone;
+}
+
+// Whether the endpoint serves the stage of the request's service.
+bool ServesStage(const BalanceQuery& query, const BalanceEndpoint& endpoint,
+                 EngineStage stage) {
+  return endpoint.m_service == query.m_service && endpoint.m_stage == stage;
+}
+
+// Whether the endpoint is one that may serve the stage of the request.
+bool IsEligible(const BalanceQuery& query, const BalanceEndpoint& endpoint,
+                EngineStage stage) {
+  const bool is_any = !query.m_version || stage == EngineStage::kPrefill;
+  return ServesStage(query, endpoint, stage) &&
+         (is_any || endpoint.m_version == *query.m_version);
+}
+
 using Candidates = std::vector<const BalanceEndpoint*>;
 
 // Endpoints of the stage that can take the request. Endpoints that failed
@@ -131,9 +150,7 @@
   Candidates good;
   Candidates failed;
   for (const auto& [id, endpoint] : state.m_endpoints) {
-    if (endpoint.m_service != query.m_service || endpoint.m_stage != stage) {
-      continue;
-    }
+    if (!IsEligible(query, endpoint, stage)) continue;
     if (!HasRoom(state, endpoint, now) || IsExcluded(query, id)) continue;
     (now < endpoint.m_avoid_until ? failed : good).push_back(&endpoint);
   }
@@ -457,14 +474,26 @@
                        AddressOf(split.m_access.m_source)};
 }
 
+bool IsVersionGone(const BalanceState& state, const BalanceQuery& query) {
+  if (!query.m_version) return false;
+  const EngineStage stage = RunStage(query);
+  bool has_other = false;
+  for (const auto& [id, endpoint] : state.m_endpoints) {
+    if (endpoint.m_draining || endpoint.m_leaving || IsExcluded(query, id)) {
+      continue;
+    }
+    if (IsEligible(query, endpoint, stage)) return false;
+    has_other = has_other || ServesStage(query, endpoint, stage);
+  }
+  return has_other;
+}
+
 std::optional<Duration> TimeToLimitedEndpoint(const BalanceState& state,
                                               const BalanceQuery& query,
                                               Instant now) {
-  const EngineStage stage =
-      query.m_is_prompt ? EngineStage::kDecode : EngineStage::kNone;
   std::optional<Duration> shortest;
   for (const auto& [id, endpoint] : state.m_endpoints) {
-    if (endpoint.m_service != query.m_service || endpoint.m_stage != stage ||
+    if (!IsEligible(query, endpoint, RunStage(query)) ||
         !AcceptsRequests(endpoint, now) || IsExcluded(query, id)) {
       continue;
     }
--- a/src/balance.h
+++ b/src/balance.h
@@ -23,6 +23,10 @@
   std::uint64_t m_tie_break_seed = 0;
   bool m_allow_split = true;            // Allow prefill on a separate endpoint.
   std::vector<std::string> m_excluded;  // Endpoints that have been tried.
+  // Version of the endpoints that may run the request: of a stream, the one
+  // that began it. Unset: any. A prefill may run at any version, because a KV
+  // cache depends on the weights only.
+  std::optional<std::string> m_version;
 };
 
 enum class BalanceReason {
@@ -61,6 +65,11 @@
 std::optional<std::string> ChooseDecode(const BalanceState& state,
                                         const BalanceQuery& query, Instant now);
 
+// Whether all endpoints of the version that may run the request have left or
+// have been tried, while some of another version remain: the caller had better
+// ask for a new stream.
+bool IsVersionGone(const BalanceState& state, const BalanceQuery& query);
+
 // Time until a limit lets this instance send the request, where limits are all
 // that is in the way at every endpoint of the service. Nothing if an endpoint
 // without a limit may take it soon, or if limits are not in the way.
--- a/src/continuation.cpp
+++ b/src/continuation.cpp
@@ -56,6 +56,7 @@
       .Add("proof", ToName(proof))
       .Add("events", attempt.m_events)
       .Add("version", attempt.m_version)
+      .Add("bound_to", call.m_query.m_version.value_or("any"))
       .AddMs("after_ms", state.m_clock() - attempt.m_ended_at);
   DispatchCall(state, call);
   return true;
--- a/src/relayattempt.cpp
+++ b/src/relayattempt.cpp
@@ -150,6 +150,9 @@
                  call.m_query.m_shared_prefix_hash,
                  call.m_query.m_shared_prefix_tokens, state.m_clock());
   call.m_source.reset();  // The endpoint has fetched it.
+  if (IsRepeatable(call) && !call.m_query.m_version) {
+    call.m_query.m_version = attempt.m_version;
+  }
   CountUsage(state, call, state.m_clock());
 }
 
@@ -525,6 +528,10 @@
     RefuseSuspect(state, call);
     return;
   }
+  if (IsVersionGone(state.m_balance, call.m_query)) {
+    FinishFailed(state, call, EndReason::kVersionGone);
+    return;
+  }
   // A resumed stream needs the KV cache of its prompt and its output so far, so
   // that a separate prefill of the prompt does not pay.
   if (call.m_response_started) call.m_query.m_allow_split = false;
--- a/src/relaystate.h
+++ b/src/relaystate.h
@@ -54,12 +54,13 @@
   kCallerLeft,
   kSlowCaller,  // The caller does not read its response.
   kCrashesEndpoints,
+  kVersionGone,  // No endpoint of the version that began the stream is left.
   kStopping,
 };
 
 template <>
 struct EnumNames<EndReason> {
-  static constexpr std::array<EnumName<EndReason>, 15> kTable{
+  static constexpr std::array<EnumName<EndReason>, 16> kTable{
       {{EndReason::kAnswered, "answered"},
        {EndReason::kNoCatalog, "no_catalog"},
        {EndReason::kNoRoute, "no_route"},
@@ -74,6 +75,7 @@
        {EndReason::kCallerLeft, "caller_left"},
        {EndReason::kSlowCaller, "slow_caller"},
        {EndReason::kCrashesEndpoints, "crashes_endpoints"},
+       {EndReason::kVersionGone, "version_gone"},
        {EndReason::kStopping, "stopping"}}};
 };
 
