Let a stream that is taken up go on only at the version that began it

Shown: the instance that began a stream is killed, its caller takes the stream up at another instance, and that one sends it to an endpoint of any version.

Cause: the version of a begun stream is known only to the instance that began it, and Resumes is not read. Class of fault: knowledge that others need is held by one process.

Weighed: the version as a function of the attempt's id and the list (lists differ during a release, and attempts fail over); spreading records with the load (cost grows with instances times streams); a guess by the listed versions (breaks the rule at the third wrong one).

Change: while a service has endpoints of several versions, or had some within 30 s, the first event of a resumable stream sends its version to three instances, chosen by rendezvous hashing of the attempt's id in different availability zones. Streams that began before the second version was listed follow when it is. An instance at which a stream is taken up looks at its own records, then asks the three at once. A stream whose version nobody knows goes on only if all that answered have seen one version only; otherwise it is refused as not run, never guessed. If no endpoint of the version is left, it is refused at once. Cost: three calls a stream while versions are mixed and three a return, at any number of instances.

--- a/src/accept.cpp
+++ b/src/accept.cpp
@@ -9,6 +9,7 @@
 #include "eventlog.h"
 #include "finish.h"
 #include "relayattempt.h"
+#include "resumption.h"
 
 namespace comfreypaddle {
 
@@ -145,7 +146,11 @@
     call.m_last_event = call.m_metadata.m_last_event;
   CountRequest(state.m_resends, call.m_service, now);
   state.m_calls[call.m_id] = std::move(owned);
-  DispatchCall(state, call);
+  if (IsTakenUp(call)) {
+    TakeUpStream(state, call);
+  } else {
+    DispatchCall(state, call);
+  }
 }
 
 void OnCallerDisconnected(RelayState& state, std::uint64_t id) {
--- a/src/control.cpp
+++ b/src/control.cpp
@@ -12,6 +12,7 @@
 #include "peersync.h"
 #include "settings.h"
 #include "statequery.h"
+#include "streamsync.h"
 #include "usageflush.h"
 
 namespace comfreypaddle {
@@ -107,6 +108,12 @@
     case schema::ControlMessage::kSuspects:
       AddSuspects(*m_state, message.suspects());
       break;
+    case schema::ControlMessage::kBegunStreams:
+      SendBegunStreams(*m_state, message.begun_streams());
+      break;
+    case schema::ControlMessage::kStreamQuestion:
+      AskForStream(*m_state, message.stream_question());
+      break;
     case schema::ControlMessage::kLoad:
       ExchangeLoad(*m_state, message.load());
       break;
@@ -157,6 +164,7 @@
       : request.m_target == kHandoverTarget   ? HandleUsageHandover(request)
       : request.m_target == kStateQueryTarget ? HandleStateQuery(request)
       : request.m_target == kSuspectTarget    ? HandleSuspectExchange(request)
+      : request.m_target == kStreamTarget     ? HandleStreamExchange(request)
                                               : false;
   if (!readable) m_peers->Respond(request.m_id, kBadRequest, {}, "");
 }
@@ -187,6 +195,14 @@
   return true;
 }
 
+bool Control::HandleStreamExchange(const HttpRequest& request) {
+  schema::StreamExchange call;
+  if (!call.ParseFromString(request.m_body)) return false;
+  m_peers->Respond(request.m_id, kOk, {},
+                   AnswerStreamExchange(*m_state, call).SerializeAsString());
+  return true;
+}
+
 bool Control::HandleStateQuery(const HttpRequest& request) {
   schema::InstanceQuery query;
   if (!query.ParseFromString(request.m_body)) return false;
--- a/src/controlstate.h
+++ b/src/controlstate.h
@@ -16,6 +16,7 @@
 #include "http.h"
 #include "loadshare.h"
 #include "searchplan.h"
+#include "streamversions.h"
 #include "task.h"
 #include "upstream.h"
 #include "usageaggregate.h"
@@ -143,6 +144,12 @@
   std::uint64_t m_comparisons = 0;
 };
 
+// Records of begun streams that this instance keeps for others.
+struct StreamRecords {
+  StreamTable m_table;
+  VersionHistory m_versions;
+};
+
 struct ControlOptions {
   std::string m_name;
   std::string m_zone;
@@ -209,6 +216,7 @@
   std::map<std::string, ZoneLoadExchange> m_zone_exchanges;
   SearchState m_search;
   SuspectSync m_suspects;
+  StreamRecords m_streams;
   // Era of the store as last named by it or by another instance.
   std::optional<std::uint64_t> m_store_era;
   Instant m_store_answered{};  // Last answer of the store to any call.
--- a/src/endpointlist.cpp
+++ b/src/endpointlist.cpp
@@ -6,6 +6,7 @@
 
 #include "eventlog.h"
 #include "statequery.h"
+#include "streamsync.h"
 
 namespace comfreypaddle {
 
@@ -71,6 +72,7 @@
 
 // Sends the list to the relay task.
 void PublishEndpoints(ControlState& state) {
+  UpdateListedVersions(state);
   schema::RelayMessage message;
   *message.mutable_endpoints() = ListEntries(state.m_directory);
   state.m_relay->Post(std::move(message));
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -13,6 +13,7 @@
 #include "platform/adapter.h"
 #include "relayattempt.h"
 #include "relaymetrics.h"
+#include "resumption.h"
 #include "settings.h"
 
 namespace comfreypaddle {
@@ -112,6 +113,16 @@
     *message.mutable_suspects() = changed;
     m_ports.m_control->Post(std::move(message));
   };
+  m_state.m_on_streams = [this](const schema::StreamBeginList& begun) {
+    schema::ControlMessage message;
+    *message.mutable_begun_streams() = begun;
+    m_ports.m_control->Post(std::move(message));
+  };
+  m_state.m_ask_stream = [this](const schema::StreamQuestion& question) {
+    schema::ControlMessage message;
+    *message.mutable_stream_question() = question;
+    m_ports.m_control->Post(std::move(message));
+  };
   m_tick =
       std::make_unique<PeriodicTimer>(Loop(), kTickPeriod, [this] { Tick(); });
   m_load_tick = std::make_unique<PeriodicTimer>(Loop(), kLoadSharePeriod,
@@ -163,6 +174,9 @@
     case schema::RelayMessage::kSuspects:
       MergeSuspects(m_state, message.suspects());
       break;
+    case schema::RelayMessage::kStreamVersion:
+      OnStreamAnswer(m_state, message.stream_version());
+      break;
     case schema::RelayMessage::kOthers:
       ApplyPeerLoad(message.others());
       break;
@@ -255,6 +269,7 @@
   }
   const std::vector<std::string> obsolete =
       UpdateEndpoints(m_state.m_balance, std::move(endpoints), Now());
+  UpdateEndpointVersions(m_state);
   ForgetEndpoints(
       m_state.m_resends,
       [this](const std::string& id) {
--- a/src/relayattempt.cpp
+++ b/src/relayattempt.cpp
@@ -10,6 +10,7 @@
 #include "eventlog.h"
 #include "finish.h"
 #include "responsememory.h"
+#include "resumption.h"
 
 namespace comfreypaddle {
 
@@ -150,9 +151,7 @@
                  call.m_query.m_shared_prefix_hash,
                  call.m_query.m_shared_prefix_tokens, state.m_clock());
   call.m_source.reset();  // The endpoint has fetched it.
-  if (IsRepeatable(call) && !call.m_query.m_version) {
-    call.m_query.m_version = attempt.m_version;
-  }
+  BindToVersion(state, call);
   CountUsage(state, call, state.m_clock());
 }
 
--- a/src/relaymetrics.cpp
+++ b/src/relaymetrics.cpp
@@ -89,6 +89,20 @@
                 counters.m_reports_asked);
 }
 
+// Adds what became of requests that take up a stream.
+void AddTakenUp(const RelayCounters& counters, MetricsText* text) {
+  std::map<std::string, double> taken_up;
+  for (const EnumName<TakeUpOutcome>& row : EnumNames<TakeUpOutcome>::kTable) {
+    const auto found = counters.m_taken_up.find(row.m_value);
+    const std::uint64_t count =
+        found == counters.m_taken_up.end() ? 0 : found->second;
+    taken_up[std::string(row.m_name)] = static_cast<double>(count);
+  }
+  text->Gauges("relay_streams_taken_up",
+               "requests that take up a stream, by what became of them",
+               "outcome", taken_up);
+}
+
 }  // namespace
 
 std::string RelayMetrics(const RelayState& state, const HttpServer& callers,
@@ -115,6 +129,7 @@
   text.Counter("relay_failures_total", "attempts that broke off",
                counters.m_failures);
   AddContinuations(counters, &text);
+  AddTakenUp(counters, &text);
   for (const auto& [reason, count] : counters.m_ends) {
     text.Counter("relay_ends_" + std::string(ToName(reason)) + "_total",
                  "requests that ended for this reason", count);
--- a/src/relaystate.h
+++ b/src/relaystate.h
@@ -18,24 +18,42 @@
 #include "resend.h"
 #include "runend.h"
 #include "ssesplit.h"
+#include "streamversions.h"
 #include "wireformat.h"
 
 namespace comfreypaddle {
 
 enum class CallStage {
-  kWaiting,  // For an endpoint with a free slot.
-  kPrefill,  // An endpoint runs the prefill only.
-  kRun,      // An endpoint runs the request.
-  kProving,  // The last attempt broke off and is not known to have ended.
+  kWaiting,    // For an endpoint with a free slot.
+  kPrefill,    // An endpoint runs the prefill only.
+  kRun,        // An endpoint runs the request.
+  kProving,    // The last attempt broke off and is not known to have ended.
+  kResolving,  // It takes up a stream; the version that began it is asked for.
 };
 
 template <>
 struct EnumNames<CallStage> {
-  static constexpr std::array<EnumName<CallStage>, 4> kTable{
+  static constexpr std::array<EnumName<CallStage>, 5> kTable{
       {{CallStage::kWaiting, "waiting"},
        {CallStage::kPrefill, "prefill"},
        {CallStage::kRun, "run"},
-       {CallStage::kProving, "proving"}}};
+       {CallStage::kProving, "proving"},
+       {CallStage::kResolving, "resolving"}}};
+};
+
+// What becomes of a request that takes up a stream.
+enum class TakeUpOutcome {
+  kGoesOn,
+  kVersionUnknown,  // Which version began it.
+  kVersionGone,     // No endpoint of that version is left.
+};
+
+template <>
+struct EnumNames<TakeUpOutcome> {
+  static constexpr std::array<EnumName<TakeUpOutcome>, 3> kTable{
+      {{TakeUpOutcome::kGoesOn, "goes_on"},
+       {TakeUpOutcome::kVersionUnknown, "version_unknown"},
+       {TakeUpOutcome::kVersionGone, "version_gone"}}};
 };
 
 // Reason for the end of a request.
@@ -54,13 +72,14 @@
   kCallerLeft,
   kSlowCaller,  // The caller does not read its response.
   kCrashesEndpoints,
-  kVersionGone,  // No endpoint of the version that began the stream is left.
+  kVersionUnknown,  // Which version began the stream that it takes up.
+  kVersionGone,     // No endpoint of the version that began the stream is left.
   kStopping,
 };
 
 template <>
 struct EnumNames<EndReason> {
-  static constexpr std::array<EnumName<EndReason>, 16> kTable{
+  static constexpr std::array<EnumName<EndReason>, 17> kTable{
       {{EndReason::kAnswered, "answered"},
        {EndReason::kNoCatalog, "no_catalog"},
        {EndReason::kNoRoute, "no_route"},
@@ -75,6 +94,7 @@
        {EndReason::kCallerLeft, "caller_left"},
        {EndReason::kSlowCaller, "slow_caller"},
        {EndReason::kCrashesEndpoints, "crashes_endpoints"},
+       {EndReason::kVersionUnknown, "version_unknown"},
        {EndReason::kVersionGone, "version_gone"},
        {EndReason::kStopping, "stopping"}}};
 };
@@ -169,6 +189,7 @@
   std::uint64_t m_reports_asked = 0;
   std::map<EndProof, std::uint64_t> m_continued;  // Requests, by proof.
   std::map<EndReason, std::uint64_t> m_ends;
+  std::map<TakeUpOutcome, std::uint64_t> m_taken_up;
   DurationStats m_first_answer;  // Until the first byte of the response.
   DurationStats m_total;
 };
@@ -190,6 +211,9 @@
   std::function<std::size_t(std::uint64_t)> m_unsent_bytes;  // Unsent bytes.
   // Tells the other instances of suspects that changed.
   std::function<void(const schema::SuspectList&)> m_on_suspects;
+  // Tells other instances of begun streams, and asks for the version of one.
+  std::function<void(const schema::StreamBeginList&)> m_on_streams;
+  std::function<void(const schema::StreamQuestion&)> m_ask_stream;
 
   std::shared_ptr<const CatalogIndex> m_catalog;  // Null until received.
   BalanceState m_balance;
@@ -197,6 +221,8 @@
   std::map<std::string, EndpointInquiry> m_inquiries;  // By endpoint.
   std::unordered_map<std::uint64_t, std::unique_ptr<RelayCall>> m_calls;
   std::map<UsageWindowKey, std::uint64_t> m_usage;  // Not handed over yet.
+  VersionHistory m_versions;
+  StreamTable m_streams;  // Begun or taken up at this instance.
   CrashTable m_crashes;
   ProbeShare m_probes;
   RelayCounters m_counters;
--- /dev/null
+++ b/src/resumption.cpp
@@ -0,0 +1,197 @@
+#include "resumption.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <set>
+
+#include "attemptlimits.h"
+#include "eventlog.h"
+#include "finish.h"
+#include "relayattempt.h"
+
+namespace comfreypaddle {
+
+namespace {
+
+// Time beyond its deadline for which a caller may still take a stream up: the
+// deadlines of its attempts are rounded.
+constexpr Duration kResumeSlack = std::chrono::seconds(1);
+
+// Age of the list of endpoints below which it shows which versions there are,
+// if no other instance answers.
+constexpr Duration kMaxListAge = std::chrono::seconds(3);
+
+std::uint64_t HashOf(const std::string& attempt) {
+  return XXH64(attempt.data(), attempt.size(), 0);
+}
+
+// Hash of the attempt that began the call's stream.
+std::uint64_t StreamOf(const RelayCall& call) {
+  const std::string& resumed = call.m_metadata.m_resumed_attempt;
+  return HashOf(resumed.empty() ? call.m_metadata.m_attempt : resumed);
+}
+
+bool IsResumable(const RelayCall& call) {
+  return IsStream(call) && call.m_route->resumable();
+}
+
+schema::StreamBegin ToMessage(std::uint64_t attempt, const BegunStream& stream,
+                              Instant now) {
+  schema::StreamBegin begin;
+  begin.set_attempt(attempt);
+  begin.set_service(stream.m_service);
+  begin.set_version(stream.m_version);
+  begin.set_ends_in_ms(ToMs(stream.m_ends - now));
+  return begin;
+}
+
+// Tells other instances of streams.
+void Publish(const RelayState& state, const schema::StreamBeginList& begun) {
+  if (state.m_on_streams && begun.streams_size() > 0) state.m_on_streams(begun);
+}
+
+void LogTakeUp(const RelayState& state, const RelayCall& call,
+               TakeUpOutcome outcome, std::string_view source) {
+  LogLine("stream_taken_up")
+      .Add("request", call.m_metadata.m_attempt)
+      .Add("resumes", call.m_metadata.m_resumed_attempt)
+      .Add("after_event", call.m_last_event
+                              ? static_cast<std::int64_t>(*call.m_last_event)
+                              : -1)
+      .Add("service", call.m_service)
+      .Add("version", call.m_query.m_version.value_or(""))
+      .Add("source", source)
+      .Add("outcome", ToName(outcome))
+      .AddMs("after_ms", state.m_clock() - call.m_arrived);
+}
+
+void GoOn(RelayState& state, RelayCall& call, const std::string& version,
+          std::string_view source) {
+  call.m_query.m_version = version;
+  const TakeUpOutcome outcome = IsVersionGone(state.m_balance, call.m_query)
+                                    ? TakeUpOutcome::kVersionGone
+                                    : TakeUpOutcome::kGoesOn;
+  ++state.m_counters.m_taken_up[outcome];
+  LogTakeUp(state, call, outcome, source);
+  DispatchCall(state, call);
+}
+
+// Refuses to guess: a stream that goes on at another version is corrupt, and a
+// caller that is refused can ask for a new one.
+void RefuseUnknown(RelayState& state, RelayCall& call) {
+  ++state.m_counters.m_taken_up[TakeUpOutcome::kVersionUnknown];
+  LogTakeUp(state, call, TakeUpOutcome::kVersionUnknown, "none");
+  FinishFailed(state, call, EndReason::kVersionUnknown);
+}
+
+// Records the call's stream with the version that it is bound to, and tells
+// other instances while the service is mixed.
+void Record(RelayState& state, const RelayCall& call) {
+  if (call.m_metadata.m_attempt.empty()) return;
+  const Instant now = state.m_clock();
+  const Duration left = call.m_metadata.m_time_left.value_or(kResumeWindow);
+  const BegunStream stream{
+      call.m_service, *call.m_query.m_version,
+      call.m_arrived + std::min(left + kResumeSlack, kResumeWindow)};
+  const std::uint64_t attempt = StreamOf(call);
+  if (!AddStream(state.m_streams, attempt, stream, now)) {
+    LogLine("stream_table_full").Add("request", call.m_metadata.m_attempt);
+  }
+  if (!IsMixed(state.m_versions, call.m_service, now)) return;
+  schema::StreamBeginList begun;
+  *begun.add_streams() = ToMessage(attempt, stream, now);
+  Publish(state, begun);
+}
+
+// Whether the list of endpoints is that of a moment ago. An instance that was
+// frozen or is cut off may not know of a second version.
+bool IsListCurrent(const RelayState& state) {
+  const Duration since = state.m_clock() - state.m_knowledge_at;
+  return since + FromMs(state.m_knowledge.endpoints_age_ms()) < kMaxListAge;
+}
+
+}  // namespace
+
+bool IsTakenUp(const RelayCall& call) {
+  return IsResumable(call) && (call.m_metadata.m_last_event ||
+                               !call.m_metadata.m_resumed_attempt.empty());
+}
+
+void TakeUpStream(RelayState& state, RelayCall& call) {
+  const Instant now = state.m_clock();
+  const std::uint64_t attempt = StreamOf(call);
+  const BegunStream* known =
+      FindStream(state.m_streams, attempt, call.m_service, now);
+  if (known != nullptr) {
+    GoOn(state, call, std::string(known->m_version), "this_instance");
+    return;
+  }
+  schema::StreamQuestion question;
+  question.set_request(call.m_id);
+  question.set_attempt(attempt);
+  question.set_service(call.m_service);
+  if (state.m_ask_stream && !call.m_metadata.m_resumed_attempt.empty()) {
+    call.m_stage = CallStage::kResolving;
+    state.m_ask_stream(question);
+    return;
+  }
+  call.m_stage = CallStage::kResolving;
+  schema::StreamAnswer answer;
+  answer.set_request(call.m_id);
+  answer.set_is_answered(true);
+  OnStreamAnswer(state, answer);
+}
+
+void OnStreamAnswer(RelayState& state, const schema::StreamAnswer& answer) {
+  RelayCall* call = FindRelayCall(state, answer.request());
+  if (call == nullptr || call->m_stage != CallStage::kResolving) return;
+  if (answer.has_version()) {
+    GoOn(state, *call, answer.version(), answer.instance());
+    return;
+  }
+  const std::string& service = call->m_service;
+  const auto only = OnlyVersion(state.m_versions, service);
+  const bool is_mixed =
+      answer.is_mixed() || IsMixed(state.m_versions, service, state.m_clock());
+  const bool is_known = answer.is_answered() || IsListCurrent(state);
+  if (!is_known || is_mixed || !only) {
+    RefuseUnknown(state, *call);
+    return;
+  }
+  GoOn(state, *call, *only, "only_version");
+}
+
+void BindToVersion(RelayState& state, RelayCall& call) {
+  if (!IsResumable(call)) return;
+  if (!call.m_query.m_version) {
+    call.m_query.m_version = call.m_attempt.m_version;
+  }
+  Record(state, call);
+}
+
+void UpdateEndpointVersions(RelayState& state) {
+  const Instant now = state.m_clock();
+  std::set<ServiceVersion> listed;
+  for (const auto& [id, endpoint] : state.m_balance.m_endpoints) {
+    listed.emplace(endpoint.m_service, endpoint.m_version);
+  }
+  const std::vector<std::string> mixed =
+      UpdateVersions(state.m_versions, listed, now);
+  if (mixed.empty()) return;
+  schema::StreamBeginList begun;
+  for (const auto& [attempt, stream] : state.m_streams.m_streams) {
+    const bool is_due =
+        stream.m_ends > now &&
+        std::find(mixed.begin(), mixed.end(), stream.m_service) != mixed.end();
+    if (is_due) *begun.add_streams() = ToMessage(attempt, stream, now);
+  }
+  for (const std::string& service : mixed) {
+    LogLine("versions_mixed")
+        .Add("service", service)
+        .Add("streams", begun.streams_size());
+  }
+  Publish(state, begun);
+}
+
+}  // namespace comfreypaddle
--- /dev/null
+++ b/src/streamsync.h
@@ -0,0 +1,31 @@
+#ifndef COMFREYPADDLE_STREAMSYNC_H_
+#define COMFREYPADDLE_STREAMSYNC_H_
+
+#include "controlstate.h"
+
+namespace comfreypaddle {
+
+// Records of begun streams that instances keep for each other (see
+// streamversions.h): the control task's part.
+
+// Request target of the calls between instances.
+inline constexpr std::string_view kStreamTarget = "/v1/streams";
+
+// Sends the records to the instances that hold them.
+void SendBegunStreams(ControlState& state,
+                      const schema::StreamBeginList& begun);
+
+// Asks the instances that may hold the record of a stream, all at once, and
+// tells the relay task the result.
+void AskForStream(ControlState& state, const schema::StreamQuestion& question);
+
+// Stores the records that another instance sent, and answers its question.
+schema::StreamAnswer AnswerStreamExchange(ControlState& state,
+                                          const schema::StreamExchange& call);
+
+// Applies the versions of the endpoints that are listed now.
+void UpdateListedVersions(ControlState& state);
+
+}  // namespace comfreypaddle
+
+#endif  // COMFREYPADDLE_STREAMSYNC_H_
--- /dev/null
+++ b/src/streamversions.cpp
@@ -0,0 +1,119 @@
+#include "streamversions.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "hashmix.h"
+
+namespace comfreypaddle {
+
+namespace {
+
+// Instances that hold the record of a stream. The one that began it is often
+// killed, and others with it.
+constexpr std::size_t kRecordHolders = 3;
+
+// Maximum number of streams in a table. At 6,500 requests per second over 380
+// instances, with three records of each stream, 30 s bring 1,600.
+constexpr std::size_t kMaxStreams = 1U << 16U;
+
+constexpr Duration kSweepInterval = std::chrono::seconds(1);
+
+}  // namespace
+
+std::vector<std::string> UpdateVersions(VersionHistory& history,
+                                        const std::set<ServiceVersion>& listed,
+                                        Instant now) {
+  std::set<std::string> were_mixed;
+  for (auto& [service, versions] : history.m_services) {
+    if (IsMixed(history, service, now)) were_mixed.insert(service);
+    for (auto& [version, span] : versions) {
+      if (std::exchange(span.m_is_listed, false)) span.m_last_listed = now;
+    }
+  }
+  std::set<std::string> services;
+  for (const auto& [service, version] : listed) {
+    history.m_services[service][version].m_is_listed = true;
+    services.insert(service);
+  }
+  std::vector<std::string> mixed;
+  for (const std::string& service : services) {
+    const bool is_new = were_mixed.count(service) == 0;
+    if (is_new && IsMixed(history, service, now)) mixed.push_back(service);
+  }
+  return mixed;
+}
+
+bool IsMixed(const VersionHistory& history, const std::string& service,
+             Instant now) {
+  const auto found = history.m_services.find(service);
+  if (found == history.m_services.end()) return false;
+  const auto recent = std::count_if(
+      found->second.begin(), found->second.end(), [now](const auto& entry) {
+        const VersionSpan& span = entry.second;
+        return span.m_is_listed || now - span.m_last_listed < kResumeWindow;
+      });
+  return recent > 1;
+}
+
+std::optional<std::string> OnlyVersion(const VersionHistory& history,
+                                       const std::string& service) {
+  const auto found = history.m_services.find(service);
+  if (found == history.m_services.end()) return std::nullopt;
+  std::optional<std::string> only;
+  for (const auto& [version, span] : found->second) {
+    if (!span.m_is_listed) continue;
+    if (only) return std::nullopt;
+    only = version;
+  }
+  return only;
+}
+
+bool AddStream(StreamTable& table, std::uint64_t attempt,
+               const BegunStream& stream, Instant now) {
+  if (now - table.m_swept >= kSweepInterval) {
+    table.m_swept = now;
+    std::erase_if(table.m_streams, [now](const auto& entry) {
+      return entry.second.m_ends <= now;
+    });
+  }
+  const auto found = table.m_streams.find(attempt);
+  if (found != table.m_streams.end()) {
+    found->second.m_ends = std::max(found->second.m_ends, stream.m_ends);
+    return true;
+  }
+  if (table.m_streams.size() >= kMaxStreams) return false;
+  table.m_streams.emplace(attempt, stream);
+  return true;
+}
+
+const BegunStream* FindStream(const StreamTable& table, std::uint64_t attempt,
+                              const std::string& service, Instant now) {
+  const auto found = table.m_streams.find(attempt);
+  if (found == table.m_streams.end()) return nullptr;
+  const BegunStream& stream = found->second;
+  return stream.m_ends > now && stream.m_service == service ? &stream : nullptr;
+}
+
+std::vector<std::size_t> ChooseHolders(
+    const std::vector<RecordHolder>& instances, std::uint64_t attempt) {
+  std::vector<std::size_t> ranked(instances.size());
+  for (std::size_t i = 0; i < ranked.size(); ++i) ranked[i] = i;
+  std::sort(ranked.begin(), ranked.end(), [&](std::size_t a, std::size_t b) {
+    return MixHashes(instances[a].m_hash, attempt) >
+           MixHashes(instances[b].m_hash, attempt);
+  });
+  // The first of each zone goes before the others.
+  std::set<std::string> zones;
+  std::vector<std::size_t> chosen;
+  std::vector<std::size_t> others;
+  for (const std::size_t i : ranked) {
+    const bool is_first = zones.insert(instances[i].m_zone).second;
+    (is_first ? chosen : others).push_back(i);
+  }
+  chosen.insert(chosen.end(), others.begin(), others.end());
+  chosen.resize(std::min(chosen.size(), kRecordHolders));
+  return chosen;
+}
+
+}  // namespace comfreypaddle
--- /dev/null
+++ b/src/streamversions.h
@@ -0,0 +1,85 @@
+#ifndef COMFREYPADDLE_STREAMVERSIONS_H_
+#define COMFREYPADDLE_STREAMVERSIONS_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "types.h"
+
+namespace comfreypaddle {
+
+// At which software version a stream began. A stream goes on only at endpoints
+// of that version, also when its caller takes it up at another instance because
+// the first one was killed. While a service has endpoints of several versions,
+// each begun stream is therefore recorded at a few instances that follow from
+// the id of the attempt, so that any instance knows whom to ask.
+
+// Longest time after its begin in which a caller takes a stream up.
+inline constexpr Duration kResumeWindow = std::chrono::seconds(30);
+
+// Versions of the endpoints of a service, and when they were listed last.
+struct VersionSpan {
+  bool m_is_listed = false;
+  Instant m_last_listed{};  // Of one that is not listed any more.
+};
+
+struct VersionHistory {
+  std::map<std::string, std::map<std::string, VersionSpan>> m_services;
+};
+
+// Service and version of an endpoint.
+using ServiceVersion = std::pair<std::string, std::string>;
+
+// Replaces the listed versions. Returns the services that have become mixed.
+std::vector<std::string> UpdateVersions(VersionHistory& history,
+                                        const std::set<ServiceVersion>& listed,
+                                        Instant now);
+
+// Whether endpoints of several versions have been listed within kResumeWindow.
+bool IsMixed(const VersionHistory& history, const std::string& service,
+             Instant now);
+
+// The version of all endpoints that are listed; nothing if they have several,
+// or if there are none.
+std::optional<std::string> OnlyVersion(const VersionHistory& history,
+                                       const std::string& service);
+
+struct BegunStream {
+  std::string m_service;
+  std::string m_version;
+  Instant m_ends{};  // When its caller no longer takes it up.
+};
+
+// Begun streams by the hash of the id of the attempt that began them.
+struct StreamTable {
+  std::unordered_map<std::uint64_t, BegunStream> m_streams;
+  Instant m_swept{};  // When expired streams were removed last.
+};
+
+// Records a stream. Returns false if the table is full.
+bool AddStream(StreamTable& table, std::uint64_t attempt,
+               const BegunStream& stream, Instant now);
+
+// Returns the stream that the attempt began, or null if it is not known.
+const BegunStream* FindStream(const StreamTable& table, std::uint64_t attempt,
+                              const std::string& service, Instant now);
+
+// Instance that may hold records of streams.
+struct RecordHolder {
+  std::uint64_t m_hash = 0;  // Of its name.
+  std::string m_zone;
+};
+
+// Chooses the instances that hold the record of a stream, by rendezvous hashing
+// and in as many availability zones as possible. Returns their indices.
+std::vector<std::size_t> ChooseHolders(
+    const std::vector<RecordHolder>& instances, std::uint64_t attempt);
+
+}  // namespace comfreypaddle
+
+#endif  // COMFREYPADDLE_STREAMVERSIONS_H_
--- a/tests/resumption_test.cpp
+++ b/tests/resumption_test.cpp
@@ -1,5 +1,7 @@
 // Streams that go on only at endpoints of the version that began them.
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "resumption.h"
+
 #include "support_relay.h"
 
 namespace comfreypaddle::testing {
@@ -13,6 +15,13 @@
     for (auto& [id, endpoint] : m_state.m_balance.m_endpoints) {
       endpoint.m_version = is_mixed && id != "e1" ? "2" : "1";
     }
+    m_state.m_on_streams = [this](const schema::StreamBeginList& begun) {
+      m_begun.MergeFrom(begun);
+    };
+    m_state.m_ask_stream = [this](const schema::StreamQuestion& question) {
+      m_questions.push_back(question);
+    };
+    UpdateEndpointVersions(m_state);
   }
 
   // Begins a stream at this endpoint.
@@ -30,9 +39,19 @@
     }
   }
 
+  schema::StreamAnswer AnswerTo(std::size_t question) const {
+    schema::StreamAnswer answer;
+    answer.set_request(m_questions.at(question).request());
+    answer.set_is_answered(true);
+    return answer;
+  }
+
   std::uint64_t Ended(EndReason reason) {
     return m_state.m_counters.m_ends[reason];
   }
+
+  schema::StreamBeginList m_begun;
+  std::vector<schema::StreamQuestion> m_questions;
 };
 
 // Guards against a stream whose endpoint crashes and that goes on at an
@@ -68,5 +87,83 @@
   CHECK(f.m_endpoints.To(1) == "e2");
 }
 
+// Guards against a caller that takes up a stream of another instance and is
+// served by an endpoint of any version (ORDER).
+TEST_CASE("a stream that is taken up goes on at the version that began it") {
+  VersionFixture f;
+  f.TakeUp(1, "begun-elsewhere");
+  CHECK(f.m_endpoints.m_calls.empty());
+  REQUIRE(f.m_questions.size() == 1);
+  schema::StreamAnswer answer = f.AnswerTo(0);
+  answer.set_version("1");
+  SUBCASE("an endpoint of the version is there") {
+    OnStreamAnswer(f.m_state, answer);
+    REQUIRE(f.m_endpoints.m_calls.size() == 1);
+    CHECK(f.m_endpoints.To(0) == "e1");
+    // A second answer has no effect.
+    OnStreamAnswer(f.m_state, answer);
+    CHECK(f.m_endpoints.m_calls.size() == 1);
+  }
+  SUBCASE("none is left") {
+    f.m_state.m_balance.m_endpoints.at("e1").m_draining = true;
+    REQUIRE_CALL(f.m_callers, Respond(1U, 503, _, _));
+    OnStreamAnswer(f.m_state, answer);
+    CHECK(f.Ended(EndReason::kVersionGone) == 1);
+  }
+}
+
+// Guards against a guess where nobody knows the version.
+TEST_CASE("a stream of unknown version goes on only if there is one version") {
+  const auto take_up = [](VersionFixture& f, bool answered, bool mixed) {
+    f.TakeUp(1, "begun-elsewhere");
+    REQUIRE(f.m_questions.size() == 1);
+    schema::StreamAnswer answer = f.AnswerTo(0);
+    answer.set_is_answered(answered);
+    answer.set_is_mixed(mixed);
+    OnStreamAnswer(f.m_state, answer);
+  };
+  SUBCASE("one version") {
+    VersionFixture f(false);
+    take_up(f, true, false);
+    CHECK(f.m_endpoints.m_calls.size() == 1);
+  }
+  SUBCASE("refused") {
+    VersionFixture f(false);
+    REQUIRE_CALL(f.m_callers, Respond(1U, 503, _, _));
+    SUBCASE("another instance has seen several") { take_up(f, true, true); }
+    SUBCASE("no other instance has answered") { take_up(f, false, false); }
+    CHECK(f.Ended(EndReason::kVersionUnknown) == 1);
+  }
+  SUBCASE("refused: several versions are listed") {
+    VersionFixture f;
+    REQUIRE_CALL(f.m_callers, Respond(1U, 503, _, _));
+    take_up(f, true, false);
+    CHECK(f.m_endpoints.m_calls.empty());
+  }
+}
+
+// Guards against streams that only the instance knows that may be killed:
+// those that begin beside a second version, and those before it.
+TEST_CASE("other instances are told of streams when versions are mixed") {
+  VersionFixture f(false);
+  ALLOW_CALL(f.m_callers, StartStream(_, 200, _));
+  ALLOW_CALL(f.m_callers, Write(_, _));
+  f.Begin(1, "e1");
+  CHECK(f.m_begun.streams().empty());
+  f.m_state.m_balance.m_endpoints.at("e2").m_version = "2";
+  UpdateEndpointVersions(f.m_state);
+  REQUIRE(f.m_begun.streams_size() == 1);
+  f.Begin(2, "e2");
+  REQUIRE(f.m_begun.streams_size() == 2);
+  CHECK(f.m_begun.streams(0).version() == "1");
+  CHECK(f.m_begun.streams(1).version() == "2");
+  // The instance itself needs no answer.
+  f.m_state.m_balance.m_endpoints.at("e3").m_draining = true;
+  f.TakeUp(3, "t2");
+  CHECK(f.m_questions.empty());
+  REQUIRE(f.m_endpoints.m_calls.size() == 3);
+  CHECK(f.m_endpoints.To(2) == "e2");
+}
+
 }  // namespace
 }  // namespace comfreypaddle::testing
--- a/tests/support_instances.cpp
+++ b/tests/support_instances.cpp
@@ -10,6 +10,7 @@
 #include "loadlink.h"
 #include "peersync.h"
 #include "statequery.h"
+#include "streamsync.h"
 #include "usageflush.h"
 
 namespace comfreypaddle::testing {
@@ -79,9 +80,11 @@
       m_versions[message.catalog().version()] = m_schedule.Now();
     }
     if (message.has_suspects()) MergeSuspects(m_relay, message.suspects());
+    if (message.has_stream_version()) m_answer = message.stream_version();
   }
 
   RelayState m_relay;
+  std::optional<schema::StreamAnswer> m_answer;  // To the last question.
   std::map<std::uint64_t, Instant> m_versions;
 
  private:
@@ -247,6 +250,15 @@
                  end);
       return;
     }
+    if (target == kStreamTarget) {
+      schema::StreamExchange exchange;
+      exchange.ParseFromString(body);
+      SendAnswer(
+          other,
+          AnswerStreamExchange(other.m_state, exchange).SerializeAsString(),
+          end);
+      return;
+    }
     if (target != kStateQueryTarget) return;
     schema::InstanceQuery query;
     query.ParseFromString(body);
@@ -367,6 +379,31 @@
   OnAttemptSurvived(m_instances.at(name)->m_inbox.m_relay, call);
 }
 
+void InstanceFleet::BeginStream(const std::string& name, std::uint64_t attempt,
+                                const std::string& version) {
+  schema::StreamBeginList begun;
+  schema::StreamBegin* stream = begun.add_streams();
+  stream->set_attempt(attempt);
+  stream->set_service("s");
+  stream->set_version(version);
+  stream->set_ends_in_ms(10'000);
+  SendBegunStreams(State(name), begun);
+}
+
+std::optional<schema::StreamAnswer> InstanceFleet::AskForStream(
+    const std::string& name, std::uint64_t attempt) {
+  Inbox& inbox = m_instances.at(name)->m_inbox;
+  inbox.m_answer.reset();
+  schema::StreamQuestion question;
+  question.set_attempt(attempt);
+  question.set_service("s");
+  comfreypaddle::AskForStream(State(name), question);
+  constexpr Duration kStep = std::chrono::milliseconds(10);
+  const Instant limit = m_schedule.Now() + std::chrono::seconds(1);
+  while (!inbox.m_answer && m_schedule.Now() < limit) Run(kStep);
+  return inbox.m_answer;
+}
+
 bool InstanceFleet::Refuses(const std::string& name,
                             std::uint64_t fingerprint) {
   RelayCall call;
--- a/tests/support_instances.h
+++ b/tests/support_instances.h
@@ -85,6 +85,15 @@
                      const std::string& endpoint);
   void Answer(const std::string& name, std::uint64_t fingerprint);
 
+  // Tells the holders of its record that a stream began at the instance.
+  void BeginStream(const std::string& name, std::uint64_t attempt,
+                   const std::string& version);
+
+  // Asks at the instance for the version that began a stream. Returns nothing
+  // if no answer came within a second.
+  std::optional<schema::StreamAnswer> AskForStream(const std::string& name,
+                                                   std::uint64_t attempt);
+
   // Whether the instance refuses the request.
   bool Refuses(const std::string& name, std::uint64_t fingerprint);
 
--- a/tests/support_relay.h
+++ b/tests/support_relay.h
@@ -27,6 +27,12 @@
     terms.m_attempt = "t" + std::to_string(request.m_id);
     terms.m_time_left = std::chrono::seconds(20);
     terms.m_prompt_tokens = m_prompt_tokens;
+    const std::string* resumes =
+        FindFieldIgnoreCase(request.m_headers, "resumes");
+    if (resumes != nullptr) {
+      terms.m_resumed_attempt = *resumes;
+      terms.m_last_event = 3;
+    }
     const std::string* parts = FindFieldIgnoreCase(request.m_headers, "parts");
     if (parts == nullptr) return terms;
     std::istringstream ids(*parts);
@@ -221,6 +227,16 @@
     AcceptRequest(m_state, std::move(request));
   }
 
+  // Takes up the stream that an earlier attempt began.
+  void TakeUp(std::uint64_t id, const std::string& attempt) {
+    HttpRequest request;
+    request.m_id = id;
+    request.m_method = "POST";
+    request.m_target = "/again/x";
+    request.m_headers = {{"k", "secret"}, {"resumes", attempt}};
+    AcceptRequest(m_state, std::move(request));
+  }
+
   void Answer(std::size_t call, int status, const HttpFields& fields,
               const std::string& body = "") {
     m_endpoints.m_events.at(call).m_on_head(status, fields);
