Bind a stream to the version of the lifetime that its endpoint has begun

An endpoint may start again under its id with another version. An instance whose list is old sends an attempt to the new lifetime and takes its stream for one of the former version.

Change: when the list names a new lifetime of an endpoint with another version while an attempt's connection to it is open, the attempt runs in that lifetime: its connection would have ended with the former process. The stream is bound to the new version, and its record is corrected.

resumption_test, "a stream is bound to the version of a restarted endpoint": the code before has no correction to send, and goes on at the former version.

--- a/src/resumption.cpp
+++ b/src/resumption.cpp
@@ -43,6 +43,7 @@
   begin.set_service(stream.m_service);
   begin.set_version(stream.m_version);
   begin.set_ends_in_ms(ToMs(stream.m_ends - now));
+  begin.set_is_corrected(stream.m_is_corrected);
   return begin;
 }
 
@@ -87,13 +88,14 @@
 
 // Records the call's stream with the version that it is bound to, and tells
 // other instances while the service is mixed.
-void Record(RelayState& state, const RelayCall& call) {
+void Record(RelayState& state, const RelayCall& call, bool is_corrected) {
   if (call.m_metadata.m_attempt.empty()) return;
   const Instant now = state.m_clock();
   const Duration left = call.m_metadata.m_time_left.value_or(kResumeWindow);
   const BegunStream stream{
       call.m_service, *call.m_query.m_version,
-      call.m_arrived + std::min(left + kResumeSlack, kResumeWindow)};
+      call.m_arrived + std::min(left + kResumeSlack, kResumeWindow),
+      is_corrected};
   const std::uint64_t attempt = StreamOf(call);
   if (!AddStream(state.m_streams, attempt, stream, now)) {
     LogLine("stream_table_full").Add("request", call.m_metadata.m_attempt);
@@ -104,6 +106,32 @@
   Publish(state, begun);
 }
 
+// Corrects the version of streams whose endpoint has begun a new lifetime under
+// its id. The attempt's connection would have ended with the process, so that
+// it was sent to the new lifetime, by a list that was old.
+void CorrectVersions(RelayState& state) {
+  for (const auto& [id, call] : state.m_calls) {
+    EndpointAttempt& attempt = call->m_attempt;
+    const bool has_begun = attempt.m_call != 0 && attempt.m_events > 0;
+    if (!has_begun || !IsResumable(*call)) continue;
+    const BalanceEndpoint* endpoint =
+        FindEndpoint(state.m_balance, attempt.m_endpoint);
+    if (endpoint == nullptr || endpoint->m_born_ms == attempt.m_born_ms ||
+        endpoint->m_version == attempt.m_version) {
+      continue;
+    }
+    LogLine("stream_version_corrected")
+        .Add("request", call->m_metadata.m_attempt)
+        .Add("endpoint", attempt.m_endpoint)
+        .Add("from", attempt.m_version)
+        .Add("to", endpoint->m_version);
+    attempt.m_born_ms = endpoint->m_born_ms;
+    attempt.m_version = endpoint->m_version;
+    call->m_query.m_version = endpoint->m_version;
+    Record(state, *call, true);
+  }
+}
+
 // Whether the list of endpoints is that of a moment ago. An instance that was
 // frozen or is cut off may not know of a second version.
 bool IsListCurrent(const RelayState& state) {
@@ -167,10 +195,11 @@
   if (!call.m_query.m_version) {
     call.m_query.m_version = call.m_attempt.m_version;
   }
-  Record(state, call);
+  Record(state, call, false);
 }
 
 void UpdateEndpointVersions(RelayState& state) {
+  CorrectVersions(state);
   const Instant now = state.m_clock();
   std::set<ServiceVersion> listed;
   for (const auto& [id, endpoint] : state.m_balance.m_endpoints) {
--- a/src/streamsync.cpp
+++ b/src/streamsync.cpp
@@ -61,7 +61,8 @@
 void Store(ControlState& state, const schema::StreamBegin& begin) {
   const Instant now = state.m_clock();
   const Duration left = std::min(FromMs(begin.ends_in_ms()), kResumeWindow);
-  const BegunStream stream{begin.service(), begin.version(), now + left};
+  const BegunStream stream{begin.service(), begin.version(), now + left,
+                           begin.is_corrected()};
   if (!AddStream(state.m_streams.m_table, begin.attempt(), stream, now)) {
     LogLine("stream_table_full").Add("service", begin.service());
   }
--- a/src/streamversions.cpp
+++ b/src/streamversions.cpp
@@ -79,7 +79,9 @@
   }
   const auto found = table.m_streams.find(attempt);
   if (found != table.m_streams.end()) {
-    found->second.m_ends = std::max(found->second.m_ends, stream.m_ends);
+    BegunStream& known = found->second;
+    known.m_ends = std::max(known.m_ends, stream.m_ends);
+    if (stream.m_is_corrected) known.m_version = stream.m_version;
     return true;
   }
   if (table.m_streams.size() >= kMaxStreams) return false;
--- a/src/streamversions.h
+++ b/src/streamversions.h
@@ -52,7 +52,8 @@
 struct BegunStream {
   std::string m_service;
   std::string m_version;
-  Instant m_ends{};  // When its caller no longer takes it up.
+  Instant m_ends{};             // When its caller no longer takes it up.
+  bool m_is_corrected = false;  // Replaces an earlier record of the version.
 };
 
 // Begun streams by the hash of the id of the attempt that began them.
--- a/tests/resumption_test.cpp
+++ b/tests/resumption_test.cpp
@@ -142,6 +142,27 @@
   }
 }
 
+// Guards against a stream that is bound to the version of an endpoint's former
+// lifetime, because the list was old when its attempt was sent (ORDER).
+TEST_CASE("a stream is bound to the version of a restarted endpoint") {
+  VersionFixture f;
+  ALLOW_CALL(f.m_callers, StartStream(1U, 200, _));
+  ALLOW_CALL(f.m_callers, Write(1U, _));
+  f.Begin(1, "e1");
+  REQUIRE(f.m_begun.streams_size() == 1);
+  BalanceEndpoint& restarted = f.m_state.m_balance.m_endpoints.at("e1");
+  restarted.m_born_ms = 5;
+  restarted.m_version = "2";
+  UpdateEndpointVersions(f.m_state);
+  REQUIRE(f.m_begun.streams_size() == 2);
+  CHECK(f.m_begun.streams(1).version() == "2");
+  CHECK(f.m_begun.streams(1).is_corrected());
+  f.m_state.m_balance.m_endpoints.at("e2").m_version = "1";
+  f.Crash(0);
+  REQUIRE(f.m_endpoints.m_calls.size() == 2);
+  CHECK(f.m_endpoints.To(1) == "e3");
+}
+
 // Guards against streams that only the instance knows that may be killed:
 // those that begin beside a second version, and those before it.
 TEST_CASE("other instances are told of streams when versions are mixed") {
