Send requests without an id on new connections

A response without an id counts as that of a request without one, also on a connection that carried another request before: a late copy that has lost its id would be taken for the response.

Change: such a request opens a new connection, on which no earlier request has been. relaycall_test, "a request without an id is sent on a new connection", failed before.

--- a/src/relayattempt.cpp
+++ b/src/relayattempt.cpp
@@ -63,6 +63,9 @@
   http.m_connect_timeout = state.m_options.m_connect_timeout;
   http.m_max_body_bytes = IsStream(call) ? 0 : kMaxResponseBytes;
   http.m_request_id = call.m_metadata.m_attempt;
+  // Without an id, its response cannot be told from a late one to a request
+  // before it on the connection.
+  http.m_force_new_connection = call.m_metadata.m_attempt.empty();
   http.m_match_response =
       [format = state.m_format,
        attempt = call.m_metadata.m_attempt](const HttpFields& fields) {
--- a/tests/relaycall_test.cpp
+++ b/tests/relaycall_test.cpp
@@ -442,5 +442,22 @@
   CHECK(release.m_match_response({}) == ResponseMatch::kOwn);
 }
 
+// Guards against a late response without an id, to an earlier request on the
+// connection, that is taken for the response to a request without an id
+// (REFUSED).
+TEST_CASE("a request without an id is sent on a new connection") {
+  RelayFixture f;
+  HttpRequest request;
+  request.m_id = 1;
+  request.m_method = "POST";
+  request.m_target = "/once/x";
+  request.m_headers = {{"k", "secret"}, {"unnamed", "1"}};
+  AcceptRequest(f.m_state, request);
+  f.Ask(2, "/once/x");
+  REQUIRE(f.m_endpoints.m_calls.size() == 2);
+  CHECK(f.m_endpoints.m_calls.at(0).m_force_new_connection);
+  CHECK_FALSE(f.m_endpoints.m_calls.at(1).m_force_new_connection);
+}
+
 }  // namespace
 }  // namespace comfreypaddle::testing
--- a/tests/support_relay.h
+++ b/tests/support_relay.h
@@ -24,7 +24,9 @@
     terms.m_host = "h";
     const std::string* key = FindFieldIgnoreCase(request.m_headers, "k");
     if (key != nullptr) terms.m_key = *key;
-    terms.m_attempt = "t" + std::to_string(request.m_id);
+    const bool is_named =
+        FindFieldIgnoreCase(request.m_headers, "unnamed") == nullptr;
+    if (is_named) terms.m_attempt = "t" + std::to_string(request.m_id);
     terms.m_time_left = std::chrono::seconds(20);
     terms.m_prompt_tokens = m_prompt_tokens;
     const std::string* resumes =
