Check the first event of a stream that is taken up against its caller's last

Callers may get an event twice, or miss one (ORDER): the ids of events were compared within a response only, so that the first event of a stream that a caller takes up passed whatever its id was.

Change: the event after the caller's last one must come first. Events before it are dropped; if one is missing, the request ends as failed.

--- a/src/relayattempt.cpp
+++ b/src/relayattempt.cpp
@@ -120,7 +120,8 @@
 // Forwards an event to the caller. Returns false if events are missing.
 bool ForwardEvent(RelayState& state, RelayCall& call,
                   const RawSseEvent& event) {
-  if (event.m_id && call.m_last_event && call.m_events > 0) {
+  const bool is_continued = call.m_events > 0 || IsTakenUp(call);
+  if (event.m_id && call.m_last_event && is_continued) {
     if (*event.m_id <= *call.m_last_event) return true;  // Duplicate.
     if (*event.m_id != *call.m_last_event + 1) return false;
   }
--- a/tests/resumption_test.cpp
+++ b/tests/resumption_test.cpp
@@ -186,5 +186,29 @@
   CHECK(f.m_endpoints.To(2) == "e2");
 }
 
+// Guards against a stream that is taken up and repeats events that the caller
+// has, or lacks one (ORDER).
+TEST_CASE("a stream that is taken up begins after the caller's last event") {
+  VersionFixture f(false);
+  f.TakeUp(1, "begun-elsewhere");
+  schema::StreamAnswer answer = f.AnswerTo(0);
+  answer.set_version("1");
+  OnStreamAnswer(f.m_state, answer);
+  f.m_endpoints.m_events.at(0).m_on_head(200, {{"stream", "1"}});
+  const auto send = [&f](const std::string& id) {
+    f.m_endpoints.m_events.at(0).m_on_body("id: " + id + "\ndata: a\n\n");
+  };
+  SUBCASE("it repeats an event") {
+    REQUIRE_CALL(f.m_callers, StartStream(1U, 200, _));
+    REQUIRE_CALL(f.m_callers, Write(1U, "id: 4\ndata: a\n\n"));
+    send("3");
+    send("4");
+  }
+  SUBCASE("it lacks an event") {
+    REQUIRE_CALL(f.m_callers, Respond(1U, 502, _, _));
+    send("5");
+  }
+}
+
 }  // namespace
 }  // namespace comfreypaddle::testing
