--- a/src/resumption.cpp
+++ b/src/resumption.cpp
@@ -155,20 +155,20 @@
     GoOn(state, call, std::string(known->m_version), "this_instance");
     return;
   }
+  call.m_stage = CallStage::kResolving;
+  if (!state.m_ask_stream || call.m_metadata.m_resumed_attempt.empty()) {
+    // Nobody can know a stream whose first attempt is not named.
+    schema::StreamAnswer answer;
+    answer.set_request(call.m_id);
+    answer.set_is_answered(true);
+    OnStreamAnswer(state, answer);
+    return;
+  }
   schema::StreamQuestion question;
   question.set_request(call.m_id);
   question.set_attempt(attempt);
   question.set_service(call.m_service);
-  if (state.m_ask_stream && !call.m_metadata.m_resumed_attempt.empty()) {
-    call.m_stage = CallStage::kResolving;
-    state.m_ask_stream(question);
-    return;
-  }
-  call.m_stage = CallStage::kResolving;
-  schema::StreamAnswer answer;
-  answer.set_request(call.m_id);
-  answer.set_is_answered(true);
-  OnStreamAnswer(state, answer);
+  state.m_ask_stream(question);
 }
 
 void OnStreamAnswer(RelayState& state, const schema::StreamAnswer& answer) {
--- a/tests/streamversions_test.cpp
+++ b/tests/streamversions_test.cpp
@@ -11,7 +11,7 @@
 
 using std::chrono::seconds;
 
-const Instant kStart{seconds(1000)};
+constexpr Instant kStart = Instant(seconds(1000));
 
 // Guards against streams whose version is inferred although endpoints of
 // another version served a moment ago.
