--- a/tests/entry_system_test.cpp
+++ b/tests/entry_system_test.cpp
@@ -249,8 +249,8 @@
   cluster.AddEndpoint("plain");
   for (int i = 1; i <= kEntries; ++i) cluster.StartEntry(i);
   const std::string sound_tail =
-      R"(","zone":"z1","slots":4,"state":"ready","coldRemainingMs":0,)"
-      R"("sequence":1})";
+      R"(","zone":"z1","version":"v1","slots":4,"state":"ready",)"
+      R"("coldRemainingMs":0,"sequence":1})";
   const std::string address = R"(,"address":"127.0.0.1:1)";
   cluster.Store().Put("keyed.servers", "odd-utf8",
                       "{\"service\":\"\xff\xfe\"" + address + sound_tail);
--- a/tests/oddentries_test.cpp
+++ b/tests/oddentries_test.cpp
@@ -59,9 +59,10 @@
           Repeat("{\"a\":", depth) + "1" + Repeat("}", depth)};
 }
 
-constexpr std::array<const char*, 11> kFields = {
-    "service", "address",  "zone", "slots", "state",    "coldRemainingMs",
-    "phase",   "sequence", "born", "spot",  "leaves_ms"};
+constexpr std::array<const char*, 12> kFields = {
+    "service", "address",         "zone",  "version",  "slots",
+    "state",   "coldRemainingMs", "phase", "sequence", "born",
+    "spot",    "leaves_ms"};
 
 StreamRecord Record(const std::string& key, const std::string& value) {
   return {0, key, value, false};
@@ -114,6 +115,20 @@
   }
 }
 
+// Guards against an entry of another writer that adds a version to a service,
+// and against records of streams that hold a long one.
+TEST_CASE("a version that is no name names no endpoint") {
+  const platform::JsonRecordDecoder records;
+  const auto decoded = [&records](const std::string& value) {
+    return records.DecodeEndpoint(Record("i-1", WithValue("version", value)))
+        .has_value();
+  };
+  CHECK(decoded("\"v1.1\""));
+  CHECK_FALSE(decoded("null"));
+  CHECK_FALSE(decoded("1"));
+  CHECK_FALSE(decoded("\"" + Repeat("x", 1U << 20U) + "\""));
+}
+
 // Guards against a header field or a message between instances that a key of
 // another writer breaks.
 TEST_CASE("a key that cannot be sent names no endpoint") {
