Do not count an instance's own lack of a record as an answer

An instance that was cut off, and whose list was old, took up streams that had begun at a version it had never heard of. It was one of the three holders of the record, had not received it, and counted its own empty table as the answer of one that holds records, so that the age of its list did not matter.

Change: only other instances answer. An instance counts as alone only once it has read the list of instances.

--- a/src/resumption.cpp
+++ b/src/resumption.cpp
@@ -160,7 +160,6 @@
     // Nobody can know a stream whose first attempt is not named.
     schema::StreamAnswer answer;
     answer.set_request(call.m_id);
-    answer.set_is_answered(true);
     OnStreamAnswer(state, answer);
     return;
   }
--- a/src/streamsync.cpp
+++ b/src/streamsync.cpp
@@ -120,7 +120,7 @@
 
 void AddAnswer(OpenQuestion& question, const schema::StreamAnswer& answer) {
   schema::StreamAnswer& all = question.m_answer;
-  all.set_is_answered(true);
+  all.set_is_answered(all.is_answered() || answer.is_answered());
   all.set_is_mixed(all.is_mixed() || answer.is_mixed());
   if (!answer.has_version()) return;
   all.set_version(answer.version());
@@ -151,9 +151,12 @@
       HoldersOf(state, ListHolders(state), question.attempt());
   const auto open = std::make_shared<OpenQuestion>();
   open->m_answer.set_request(question.request());
-  // Alone, this instance is the only one that can know.
-  const bool counts = holders.m_is_own || holders.m_others.empty();
-  if (counts) AddAnswer(*open, LookUp(state, question));
+  schema::StreamAnswer own = LookUp(state, question);
+  // An instance that is cut off gets no records: what it does not know shows
+  // nothing, unless there are no others.
+  own.set_is_answered(holders.m_others.empty() &&
+                      state.m_instances_cursor.m_initialized);
+  AddAnswer(*open, own);
   if (!open->m_answer.has_version()) open->m_open = holders.m_others.size();
   TellRelay(state, *open);
   if (open->m_is_told) return;
--- a/tests/streamsync_test.cpp
+++ b/tests/streamsync_test.cpp
@@ -88,5 +88,22 @@
   CHECK(unanswered > 0);
 }
 
+// Guards against an instance that is cut off, has an old list and holds the
+// records of a stream: it has not received any for a while, so that its own
+// answer shows nothing about the versions there are (ORDER).
+TEST_CASE("an instance that is cut off does not count its own answer") {
+  InstanceFleet fleet(SmallDeployment(), 1);
+  fleet.Run(kStartupTime);
+  const std::string cut = fleet.Names().back();
+  fleet.Cut(cut);
+  fleet.Run(seconds(5));
+  for (std::uint64_t attempt = 1; attempt <= 10; ++attempt) {
+    CAPTURE(attempt);
+    const auto answer = fleet.AskForStream(cut, attempt);
+    REQUIRE(answer);
+    CHECK_FALSE(answer->is_answered());
+  }
+}
+
 }  // namespace
 }  // namespace comfreypaddle::testing
