Check the version of the endpoint for which a prefill was made

A stream that is taken up and prefilled apart runs at the endpoint that was chosen with its prefill. If that one restarts with another version meanwhile, the stream went on there (ORDER).

resumption_test, "a prefilled stream does not run at an endpoint of another version", failed before.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -136,9 +136,8 @@
 // Whether the endpoint is one that may serve the stage of the request.
 bool IsEligible(const BalanceQuery& query, const BalanceEndpoint& endpoint,
                 EngineStage stage) {
-  const bool is_any = !query.m_version || stage == EngineStage::kPrefill;
   return ServesStage(query, endpoint, stage) &&
-         (is_any || endpoint.m_version == *query.m_version);
+         (stage == EngineStage::kPrefill || HasVersion(query, endpoint));
 }
 
 using Candidates = std::vector<const BalanceEndpoint*>;
@@ -474,6 +473,10 @@
                        AddressOf(split.m_access.m_source)};
 }
 
+bool HasVersion(const BalanceQuery& query, const BalanceEndpoint& endpoint) {
+  return !query.m_version || endpoint.m_version == *query.m_version;
+}
+
 bool IsVersionGone(const BalanceState& state, const BalanceQuery& query) {
   if (!query.m_version) return false;
   const EngineStage stage = RunStage(query);
--- a/src/balance.h
+++ b/src/balance.h
@@ -65,6 +65,10 @@
 std::optional<std::string> ChooseDecode(const BalanceState& state,
                                         const BalanceQuery& query, Instant now);
 
+// Whether the endpoint has the version of the endpoints that may run the
+// request.
+bool HasVersion(const BalanceQuery& query, const BalanceEndpoint& endpoint);
+
 // Whether all endpoints of the version that may run the request have left or
 // have been tried, while some of another version remain: the caller had better
 // ask for a new stream.
--- a/src/relayattempt.cpp
+++ b/src/relayattempt.cpp
@@ -405,7 +405,8 @@
   std::string decode = call.m_planned_decode;
   const BalanceEndpoint* planned = FindEndpoint(state.m_balance, decode);
   const bool usable =
-      planned != nullptr && now >= planned->m_avoid_until &&
+      planned != nullptr && HasVersion(call.m_query, *planned) &&
+      now >= planned->m_avoid_until &&
       (call.m_is_decode_counted ? AcceptsRequests(*planned, now)
                                 : MaySend(state.m_balance, *planned, now));
   if (!usable) {
--- a/tests/resumption_test.cpp
+++ b/tests/resumption_test.cpp
@@ -210,5 +210,35 @@
   }
 }
 
+// Guards against a stream that is taken up and runs at another version because
+// the endpoint for which its prefill was made has restarted meanwhile (ORDER).
+TEST_CASE("a prefilled stream does not run at an endpoint of another version") {
+  VersionFixture f(false);
+  f.m_format.m_prompt_tokens = 4000;
+  auto& endpoints = f.m_state.m_balance.m_endpoints;
+  endpoints.at("e1").m_stage = EngineStage::kPrefill;
+  endpoints.at("e2").m_stage = EngineStage::kDecode;
+  endpoints.at("e3").m_stage = EngineStage::kDecode;
+  schema::Catalog catalog = f.m_state.m_catalog->Message();
+  for (auto& route : *catalog.mutable_routes()) route.set_prompt(true);
+  f.m_state.m_catalog = std::make_shared<const CatalogIndex>(catalog);
+  f.TakeUp(1, "begun-elsewhere");
+  REQUIRE(f.m_questions.size() == 1);
+  schema::StreamAnswer answer = f.AnswerTo(0);
+  answer.set_version("1");
+  OnStreamAnswer(f.m_state, answer);
+  REQUIRE(f.m_endpoints.m_calls.size() == 1);
+  REQUIRE(f.m_endpoints.To(0) == "e1");  // The prefill.
+  const std::string planned =
+      f.m_state.m_calls.begin()->second->m_planned_decode;
+  BalanceEndpoint& restarted = endpoints.at(planned);
+  restarted.m_born_ms = 5;
+  restarted.m_version = "2";
+  UpdateEndpointVersions(f.m_state);
+  f.Answer(0, 200, {}, "handle");
+  REQUIRE(f.m_endpoints.m_calls.size() == 2);
+  CHECK(f.m_endpoints.To(1) != planned);
+}
+
 }  // namespace
 }  // namespace comfreypaddle::testing
