Send a stream that is taken up to the service that began it

Change: it chooses by the id of the attempt that began the stream.

resumption_test, "a stream that is taken up goes to the service that began it", failed before.

--- a/src/accept.cpp
+++ b/src/accept.cpp
@@ -74,12 +74,13 @@
 }
 
 // Hash that selects one of the route's services. Requests with a common prompt
-// prefix select the same one.
+// prefix select the same one, and so do all attempts at a stream.
 std::uint64_t ServiceSplitHash(const RequestMetadata& terms) {
   if (terms.m_parts.size() > 1) {
     return HashText(terms.m_parts[terms.m_parts.size() - 2].m_id);
   }
-  return HashText(terms.m_attempt);
+  return HashText(terms.m_resumed_attempt.empty() ? terms.m_attempt
+                                                  : terms.m_resumed_attempt);
 }
 
 // Resolves route, workspace and priority. Returns the reason for refusing the
--- a/tests/resumption_test.cpp
+++ b/tests/resumption_test.cpp
@@ -240,5 +240,41 @@
   CHECK(f.m_endpoints.To(1) != planned);
 }
 
+// Guards against a stream that goes on at another service of its route, where
+// its version is not known: the service follows from the attempt's id.
+TEST_CASE("a stream that is taken up goes to the service that began it") {
+  VersionFixture f(false);
+  ALLOW_CALL(f.m_callers, StartStream(_, 200, _));
+  ALLOW_CALL(f.m_callers, Write(_, _));
+  schema::Catalog catalog = f.m_state.m_catalog->Message();
+  for (auto& route : *catalog.mutable_routes()) {
+    schema::ServiceWeight* other = route.add_services();
+    other->set_service("t");
+    other->set_weight(1);
+  }
+  f.m_state.m_catalog = std::make_shared<const CatalogIndex>(catalog);
+  f.m_state.m_balance.m_endpoints.at("e3").m_service = "t";
+  UpdateEndpointVersions(f.m_state);
+  int elsewhere = 0;
+  for (std::uint64_t id = 1; id <= 16; ++id) {
+    const std::size_t begun = f.m_endpoints.m_calls.size();
+    f.Ask(id, "/again/x");
+    REQUIRE(f.m_endpoints.m_calls.size() == begun + 1);
+    const bool is_other = f.m_endpoints.To(begun) == "e3";
+    f.m_endpoints.m_events.at(begun).m_on_head(200, {{"stream", "1"}});
+    f.m_endpoints.m_events.at(begun).m_on_body("id: 1\ndata: a\n\n");
+    OnCallerDisconnected(f.m_state, id);
+    const std::size_t resumed = f.m_endpoints.m_calls.size();
+    f.TakeUp(100 + id, "t" + std::to_string(id));
+    if (f.m_endpoints.m_calls.size() == resumed) {
+      OnStreamAnswer(f.m_state, f.AnswerTo(f.m_questions.size() - 1));
+    }
+    REQUIRE(f.m_endpoints.m_calls.size() == resumed + 1);
+    elsewhere += (f.m_endpoints.To(resumed) == "e3") != is_other ? 1 : 0;
+    OnCallerDisconnected(f.m_state, 100 + id);
+  }
+  CHECK(elsewhere == 0);
+}
+
 }  // namespace
 }  // namespace comfreypaddle::testing
