Rebind a stream only if its attempt was sent to the new lifetime

It took an open connection for a proof that the attempt runs in the endpoint's new lifetime. The connection stays open if the machine lost power, so that streams with events of the former lifetime were bound to the new version, and their records too (ORDER). And an attempt whose new lifetime was listed before its first event was not corrected.

Change: the begin of the lifetime is compared with the time of sending. An attempt that was sent clearly later, by more than clocks differ, ran in the new lifetime; otherwise the former version stays.

resumption_test, "a stream keeps its version if its endpoint restarts after its events" and "a stream is bound to the version that is listed at its first event", failed before.

--- a/src/resumption.cpp
+++ b/src/resumption.cpp
@@ -18,6 +18,9 @@
 // deadlines of its attempts are rounded.
 constexpr Duration kResumeSlack = std::chrono::seconds(1);
 
+// Largest difference between the clocks of this machine and an endpoint's.
+constexpr Duration kMaxClockDifference = std::chrono::seconds(2);
+
 // Age of the list of endpoints below which it shows which versions there are,
 // if no other instance answers.
 constexpr Duration kMaxListAge = std::chrono::seconds(3);
@@ -106,27 +109,41 @@
   Publish(state, begun);
 }
 
-// Corrects the version of streams whose endpoint has begun a new lifetime under
-// its id. The attempt's connection would have ended with the process, so that
-// it was sent to the new lifetime, by a list that was old.
+// Whether the attempt was sent to the listed lifetime of its endpoint, which it
+// takes for a former one because the list was old. A connection that is open
+// does not show this: it stays open if the machine lost power.
+bool WasSentToNewLifetime(const RelayState& state,
+                          const EndpointAttempt& attempt,
+                          const BalanceEndpoint& endpoint) {
+  if (endpoint.m_born_ms == attempt.m_born_ms) return false;
+  const Duration born =
+      std::chrono::milliseconds(static_cast<std::int64_t>(endpoint.m_born_ms));
+  const Duration sent =
+      attempt.m_sent.time_since_epoch() + state.m_unix_at_zero;
+  return born + kMaxClockDifference < sent;
+}
+
+// Corrects the version of attempts that were sent to a new lifetime of their
+// endpoint, and of the streams that they have begun.
 void CorrectVersions(RelayState& state) {
   for (const auto& [id, call] : state.m_calls) {
     EndpointAttempt& attempt = call->m_attempt;
-    const bool has_begun = attempt.m_call != 0 && attempt.m_events > 0;
-    if (!has_begun || !IsResumable(*call)) continue;
+    if (attempt.m_call == 0 || !IsResumable(*call)) continue;
     const BalanceEndpoint* endpoint =
         FindEndpoint(state.m_balance, attempt.m_endpoint);
-    if (endpoint == nullptr || endpoint->m_born_ms == attempt.m_born_ms ||
-        endpoint->m_version == attempt.m_version) {
+    if (endpoint == nullptr || endpoint->m_version == attempt.m_version ||
+        !WasSentToNewLifetime(state, attempt, *endpoint)) {
       continue;
     }
     LogLine("stream_version_corrected")
         .Add("request", call->m_metadata.m_attempt)
         .Add("endpoint", attempt.m_endpoint)
         .Add("from", attempt.m_version)
-        .Add("to", endpoint->m_version);
+        .Add("to", endpoint->m_version)
+        .Add("events", attempt.m_events);
     attempt.m_born_ms = endpoint->m_born_ms;
     attempt.m_version = endpoint->m_version;
+    if (attempt.m_events == 0) continue;
     call->m_query.m_version = endpoint->m_version;
     Record(state, *call, true);
   }
--- a/tests/resumption_test.cpp
+++ b/tests/resumption_test.cpp
@@ -276,5 +276,52 @@
   CHECK(elsewhere == 0);
 }
 
+// Guards against a stream that is bound to the version of an endpoint's former
+// lifetime because the new one was listed between the attempt and its first
+// event (ORDER).
+TEST_CASE(
+    "a stream is bound to the version that is listed at its first event") {
+  VersionFixture f;
+  ALLOW_CALL(f.m_callers, StartStream(1U, 200, _));
+  ALLOW_CALL(f.m_callers, Write(1U, _));
+  f.m_state.m_balance.m_endpoints.at("e2").m_draining = true;
+  f.m_state.m_balance.m_endpoints.at("e3").m_draining = true;
+  f.Ask(1, "/again/x");
+  REQUIRE(f.m_endpoints.To(0) == "e1");
+  BalanceEndpoint& restarted = f.m_state.m_balance.m_endpoints.at("e1");
+  restarted.m_born_ms = 5;
+  restarted.m_version = "2";
+  UpdateEndpointVersions(f.m_state);
+  f.m_endpoints.m_events.at(0).m_on_head(200, {{"stream", "1"}});
+  f.m_endpoints.m_events.at(0).m_on_body("id: 1\ndata: a\n\n");
+  REQUIRE(f.m_begun.streams_size() == 1);
+  CHECK(f.m_begun.streams(0).version() == "2");
+}
+
+// Guards against a stream whose events came from the former lifetime of an
+// endpoint, and whose record is changed to the version of the new one because
+// its connection is still open: the machine lost power or was cut off, so that
+// nothing closed it (ORDER).
+TEST_CASE(
+    "a stream keeps its version if its endpoint restarts after its events") {
+  VersionFixture f;
+  ALLOW_CALL(f.m_callers, StartStream(1U, 200, _));
+  ALLOW_CALL(f.m_callers, Write(1U, _));
+  ALLOW_CALL(f.m_callers, Abort(1U));
+  f.Begin(1, "e1");
+  BalanceEndpoint& restarted = f.m_state.m_balance.m_endpoints.at("e1");
+  // Long after the attempt and its events.
+  restarted.m_born_ms = 4'000'000'000'000;
+  restarted.m_version = "2";
+  UpdateEndpointVersions(f.m_state);
+  for (const schema::StreamBegin& begin : f.m_begun.streams()) {
+    CHECK(begin.version() == "1");
+  }
+  f.m_state.m_balance.m_endpoints.at("e2").m_version = "1";
+  f.Crash(0);
+  REQUIRE(f.m_endpoints.m_calls.size() == 2);
+  CHECK(f.m_endpoints.To(1) == "e2");
+}
+
 }  // namespace
 }  // namespace comfreypaddle::testing
