--- a/tests/oddentries_test.cpp
+++ b/tests/oddentries_test.cpp
@@ -60,9 +60,8 @@
 }
 
 constexpr std::array<const char*, 12> kFields = {
-    "service", "address",         "zone",  "version",  "slots",
-    "state",   "coldRemainingMs", "phase", "sequence", "born",
-    "spot",    "leaves_ms"};
+    "service",         "address", "zone",     "version", "slots", "state",
+    "coldRemainingMs", "phase",   "sequence", "born",    "spot",  "leaves_ms"};
 
 StreamRecord Record(const std::string& key, const std::string& value) {
   return {0, key, value, false};
