Count the memory that requests hold at each endpoint

Cause: nobody counted the memory that running requests hold at an engine. Prompts reach 93,000 tokens, and on some deployments an engine that holds more than its memory crashes with all its requests.

Change: each instance counts the KV cache of its own requests (a shared prefix once), tells the sum with the load messages, and selects an endpoint only if the request fits. Any instance may add requests up to half of the memory, its owner by rendezvous hashing up to all of it.

--- a/src/accept.cpp
+++ b/src/accept.cpp
@@ -68,6 +68,7 @@
     query.m_shared_prefix_tokens += parts[i].m_tokens;
     query.m_shared_prefix_hash = HashText(parts[i].m_id, 1);
   }
+  query.m_output_tokens = call.m_metadata.m_max_output_tokens;
   query.m_suffix_tokens = std::max(
       0.0, call.m_metadata.m_prompt_tokens - query.m_shared_prefix_tokens);
   return query;
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -142,6 +142,34 @@
 
 using Candidates = std::vector<const BalanceEndpoint*>;
 
+EngineSpeed SpeedOf(const BalanceState& state, const std::string& service) {
+  const auto found = state.m_speeds.find(service);
+  return found == state.m_speeds.end() ? EngineSpeed{} : found->second;
+}
+
+// Whether this instance is the one that may fill the endpoint's memory.
+bool IsMemoryOwner(const BalanceState& state, const BalanceEndpoint& endpoint) {
+  const LimitPeers& peers = state.m_limit_peers;
+  const std::uint64_t own = MixHashes(endpoint.m_hash, peers.m_self);
+  return std::none_of(peers.m_instances.begin(), peers.m_instances.end(),
+                      [&endpoint, own](std::uint64_t instance) {
+                        return MixHashes(endpoint.m_hash, instance) > own;
+                      });
+}
+
+// Whether the endpoint has memory for the request in that stage.
+bool HasMemory(const BalanceState& state, const BalanceQuery& query,
+               const BalanceEndpoint& endpoint) {
+  if (!query.m_is_prompt) return true;
+  const MemoryNeed need = endpoint.m_stage == EngineStage::kPrefill
+                              ? NeedOfPrefill(query)
+                              : NeedOfRun(query);
+  const double capacity = SpeedOf(state, query.m_service).m_kv_tokens;
+  if (HasMemoryFor(endpoint.m_memory, need, capacity, false)) return true;
+  return HasMemoryFor(endpoint.m_memory, need, capacity, true) &&
+         IsMemoryOwner(state, endpoint);
+}
+
 // Endpoints of the stage that can take the request. Endpoints that failed
 // recently are left out unless there are no others.
 Candidates FindCandidates(const BalanceState& state, const BalanceQuery& query,
@@ -151,17 +179,13 @@
   for (const auto& [id, endpoint] : state.m_endpoints) {
     if (!IsEligible(query, endpoint, stage)) continue;
     if (!HasRoom(state, endpoint, now) || IsExcluded(query, id)) continue;
+    if (!HasMemory(state, query, endpoint)) continue;
     (now < endpoint.m_avoid_until ? failed : good).push_back(&endpoint);
   }
   *last_resort = good.empty();
   return good.empty() ? failed : good;
 }
 
-EngineSpeed SpeedOf(const BalanceState& state, const std::string& service) {
-  const auto found = state.m_speeds.find(service);
-  return found == state.m_speeds.end() ? EngineSpeed{} : found->second;
-}
-
 // Estimated prefill time at an endpoint.
 struct PrefillEstimate {
   double m_wait_ms = 0;
@@ -473,6 +497,35 @@
                        AddressOf(split.m_access.m_source)};
 }
 
+MemoryNeed NeedOfRun(const BalanceQuery& query) {
+  MemoryNeed need = NeedOfPrefill(query);
+  need.m_other_tokens += query.m_output_tokens;
+  return need;
+}
+
+MemoryNeed NeedOfPrefill(const BalanceQuery& query) {
+  return {query.m_shared_prefix_hash, query.m_shared_prefix_tokens,
+          query.m_suffix_tokens};
+}
+
+MemoryVerdict JudgeMemory(const BalanceState& state, const BalanceQuery& query,
+                          Instant now) {
+  const MemoryNeed need = NeedOfRun(query);
+  const double capacity = SpeedOf(state, query.m_service).m_kv_tokens;
+  const double tokens = need.m_prefix_tokens + need.m_other_tokens;
+  if (capacity > 0 && tokens > capacity) return MemoryVerdict::kTooLarge;
+  bool has_room = false;
+  for (const auto& [id, endpoint] : state.m_endpoints) {
+    if (!IsEligible(query, endpoint, RunStage(query)) ||
+        !HasRoom(state, endpoint, now) || IsExcluded(query, id)) {
+      continue;
+    }
+    if (HasMemory(state, query, endpoint)) return MemoryVerdict::kFits;
+    has_room = true;
+  }
+  return has_room ? MemoryVerdict::kShort : MemoryVerdict::kFits;
+}
+
 bool HasVersion(const BalanceQuery& query, const BalanceEndpoint& endpoint) {
   return !query.m_version || endpoint.m_version == *query.m_version;
 }
--- a/src/balance.h
+++ b/src/balance.h
@@ -18,6 +18,7 @@
   std::uint64_t m_shared_prefix_hash = 0;
   double m_shared_prefix_tokens = 0;  // Length of that prefix.
   double m_suffix_tokens = 0;         // Tokens after the prefix.
+  double m_output_tokens = 0;         // At most.
   bool m_is_prompt = false;
   // Per-request random value that breaks ties between equally loaded endpoints.
   std::uint64_t m_tie_break_seed = 0;
@@ -65,6 +66,21 @@
 std::optional<std::string> ChooseDecode(const BalanceState& state,
                                         const BalanceQuery& query, Instant now);
 
+// Memory that the request needs at the endpoint that runs it, or at the one
+// that does its prefill only.
+MemoryNeed NeedOfRun(const BalanceQuery& query);
+MemoryNeed NeedOfPrefill(const BalanceQuery& query);
+
+// What the memory of the endpoints that could run the request says of it.
+enum class MemoryVerdict {
+  kFits,      // At some endpoint that can take a request, or at none of them.
+  kShort,     // Those that can take a request lack memory now.
+  kTooLarge,  // It needs more than an endpoint has.
+};
+
+MemoryVerdict JudgeMemory(const BalanceState& state, const BalanceQuery& query,
+                          Instant now);
+
 // Whether the endpoint has the version of the endpoints that may run the
 // request.
 bool HasVersion(const BalanceQuery& query, const BalanceEndpoint& endpoint);
--- a/src/endpointstate.cpp
+++ b/src/endpointstate.cpp
@@ -99,6 +99,7 @@
   entry.m_full_until = known.m_full_until;
   entry.m_avoid_until = known.m_avoid_until;
   entry.m_limit = known.m_limit;
+  entry.m_memory = known.m_memory;
   entry.m_failures = known.m_failures;
   entry.m_failure_rate = known.m_failure_rate;
 }
@@ -248,6 +249,19 @@
   if (found != nullptr && found->m_running > 0) --found->m_running;
 }
 
+void HoldEndpointMemory(BalanceState& state, const std::string& endpoint,
+                        const MemoryNeed& need) {
+  BalanceEndpoint* found = FindEndpoint(state, endpoint);
+  if (found != nullptr) HoldMemory(found->m_memory, need);
+}
+
+void ReleaseEndpointMemory(BalanceState& state, const std::string& endpoint,
+                           std::uint64_t born_ms, const MemoryNeed& need) {
+  BalanceEndpoint* found = FindEndpoint(state, endpoint);
+  if (found == nullptr || found->m_born_ms != born_ms) return;
+  ReleaseMemory(found->m_memory, need);
+}
+
 void OnEndpointAnswered(BalanceState& state, const std::string& endpoint,
                         Instant now) {
   BalanceEndpoint* found = FindEndpoint(state, endpoint);
--- a/src/endpointstate.h
+++ b/src/endpointstate.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "endpointlimit.h"
+#include "endpointmemory.h"
 #include "prefixmap.h"
 #include "types.h"
 
@@ -63,7 +64,8 @@
   // Set when it failed; it gets no request before this time unless no other
   // endpoint can take one.
   Instant m_avoid_until{};
-  EndpointLimit m_limit;  // Named by the endpoint for all instances together.
+  EndpointLimit m_limit;    // Named by the endpoint for all instances together.
+  EndpointMemory m_memory;  // Held by the requests of all instances.
   std::uint32_t m_failures = 0;  // Consecutive failures.
   double m_failure_rate = 0;     // Moving average over all responses.
 };
@@ -74,6 +76,7 @@
   std::uint32_t m_samples = 0;          // Of the prefill speed.
   double m_kv_token_bytes = 0;
   double m_link_mbps = 0;
+  double m_kv_tokens = 0;  // Memory of an engine; zero if not known.
 };
 
 // What an endpoint that vanished from the list said about itself. An entry that
@@ -156,6 +159,13 @@
 void OnPeerPrefix(BalanceState& state, const BalanceEndpoint& endpoint,
                   std::uint64_t prefix_hash, Instant now);
 
+// Counts the memory of a request at the endpoint until it is released. A
+// request of an earlier lifetime of the endpoint releases nothing.
+void HoldEndpointMemory(BalanceState& state, const std::string& endpoint,
+                        const MemoryNeed& need);
+void ReleaseEndpointMemory(BalanceState& state, const std::string& endpoint,
+                           std::uint64_t born_ms, const MemoryNeed& need);
+
 // Account for the end of its prefill and of the whole request.
 void OnPrefillDone(BalanceState& state, const std::string& endpoint,
                    double work_ms);
--- a/src/finish.cpp
+++ b/src/finish.cpp
@@ -133,6 +133,8 @@
     OnPrefillDone(state.m_balance, attempt.m_endpoint, attempt.m_work_ms);
     attempt.m_work_ms = 0;
     OnRequestCompleted(state.m_balance, attempt.m_endpoint);
+    ReleaseEndpointMemory(state.m_balance, attempt.m_endpoint,
+                          attempt.m_born_ms, attempt.m_need);
   }
   ReleaseKvCache(state, call);
 }
--- a/src/loadlink.cpp
+++ b/src/loadlink.cpp
@@ -30,6 +30,7 @@
     EndpointLoad& entry = table[load.endpoint()];
     entry.m_running = load.running();
     entry.m_prefill_ms = load.prefill_ms();
+    entry.m_held_tokens = load.held_tokens();
     if (!load.has_limit_rate()) continue;
     entry.m_limit = {load.limit_rate(), now - FromMs(load.limit_age_ms())};
   }
@@ -43,6 +44,7 @@
     entry->set_endpoint(endpoint);
     entry->set_running(load.m_running);
     entry->set_prefill_ms(static_cast<float>(load.m_prefill_ms));
+    entry->set_held_tokens(static_cast<float>(load.m_held_tokens));
     if (!load.m_limit) continue;
     entry->set_limit_rate(load.m_limit->m_rate);
     entry->set_limit_age_ms(
--- a/src/loadshare.cpp
+++ b/src/loadshare.cpp
@@ -37,6 +37,7 @@
     EndpointLoad& total = (*sum)[endpoint];
     total.m_running += part.m_running;
     total.m_prefill_ms += part.m_prefill_ms;
+    total.m_held_tokens += part.m_held_tokens;
     if (part.m_limit && (!total.m_limit ||
                          part.m_limit->m_said_at > total.m_limit->m_said_at)) {
       total.m_limit = part.m_limit;
--- a/src/loadshare.h
+++ b/src/loadshare.h
@@ -23,6 +23,7 @@
 struct EndpointLoad {
   std::uint32_t m_running = 0;  // Requests in progress.
   double m_prefill_ms = 0;      // Prefill work of those without a first token.
+  double m_held_tokens = 0;     // KV cache that they hold or will hold.
   // Newest statement of the endpoint on its limit that is to be told.
   std::optional<LimitStatement> m_limit;
 };
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -216,6 +216,7 @@
     EngineSpeed& speed = m_state.m_balance.m_speeds[service.name()];
     speed.m_kv_token_bytes = service.engine().kv_token_bytes();
     speed.m_link_mbps = service.engine().link_mbps();
+    speed.m_kv_tokens = service.engine().kv_tokens();
   }
 }
 
@@ -357,6 +358,7 @@
     load->set_endpoint(static_cast<std::uint32_t>(endpoint.m_hash));
     load->set_running(endpoint.m_running);
     load->set_prefill_ms(static_cast<float>(endpoint.m_prefill_ms));
+    load->set_held_tokens(static_cast<float>(OwnTokens(endpoint.m_memory)));
     if (!limit) continue;
     load->set_limit_rate(limit->m_rate);
     load->set_limit_age_ms(static_cast<float>(ToMs(now - limit->m_said_at)));
@@ -380,6 +382,7 @@
     const bool idle = found == loads.end();
     endpoint.m_remote_running = idle ? 0 : found->second->running();
     endpoint.m_remote_prefill_ms = idle ? 0 : found->second->prefill_ms();
+    SetRemoteMemory(endpoint.m_memory, idle ? 0 : found->second->held_tokens());
     endpoint.m_remote_reported_at = now;
     if (idle || !found->second->has_limit_rate()) continue;
     const LimitStatement told{found->second->limit_rate(),
--- a/src/relayattempt.cpp
+++ b/src/relayattempt.cpp
@@ -39,6 +39,8 @@
   OnPrefillDone(state.m_balance, attempt.m_endpoint, attempt.m_work_ms);
   attempt.m_work_ms = 0;
   OnRequestCompleted(state.m_balance, attempt.m_endpoint);
+  ReleaseEndpointMemory(state.m_balance, attempt.m_endpoint, attempt.m_born_ms,
+                        attempt.m_need);
 }
 
 // Records on which connection the call of the attempt ended.
@@ -75,7 +77,8 @@
 }
 
 void BeginAttempt(RelayState& state, RelayCall& call,
-                  const BalanceEndpoint& endpoint, double work_ms) {
+                  const BalanceEndpoint& endpoint, double work_ms,
+                  const MemoryNeed& need) {
   call.m_attempt = EndpointAttempt{};
   call.m_attempt.m_endpoint = endpoint.m_id;
   call.m_attempt.m_address = endpoint.m_address;
@@ -83,7 +86,9 @@
   call.m_attempt.m_version = endpoint.m_version;
   call.m_attempt.m_sent = state.m_clock();
   call.m_attempt.m_work_ms = work_ms;
+  call.m_attempt.m_need = need;
   OnRequestDispatched(state.m_balance, endpoint.m_id, work_ms);
+  HoldEndpointMemory(state.m_balance, endpoint.m_id, need);
 }
 
 // Counts the attempt to the limit of its endpoint, unless this was done when
@@ -350,7 +355,7 @@
              double work_ms, const std::string& fetch_address) {
   const BalanceEndpoint& endpoint = *FindEndpoint(state.m_balance, id);
   CountAttemptToLimit(state, call, id);
-  BeginAttempt(state, call, endpoint, work_ms);
+  BeginAttempt(state, call, endpoint, work_ms, NeedOfRun(call.m_query));
   call.m_stage = CallStage::kRun;
   ++call.m_sends;
   ++call.m_runs;
@@ -467,7 +472,8 @@
   CountToLimit(state.m_balance, choice.m_endpoint, state.m_clock());
   call.m_is_decode_counted =
       IsLimited(FindEndpoint(state.m_balance, choice.m_endpoint)->m_limit);
-  BeginAttempt(state, call, endpoint, choice.m_work_ms);
+  BeginAttempt(state, call, endpoint, choice.m_work_ms,
+               NeedOfPrefill(call.m_query));
   call.m_stage = CallStage::kPrefill;
   call.m_attempt.m_is_prefill = true;
   call.m_planned_decode = choice.m_endpoint;
@@ -499,6 +505,18 @@
       state.m_endpoints->Start(std::move(http), std::move(events));
 }
 
+// Refuses a request that no endpoint has memory for: at once if none ever has,
+// otherwise when it may wait no longer. Returns whether it did.
+bool RefuseForMemory(RelayState& state, RelayCall& call, Instant now) {
+  if (!call.m_query.m_is_prompt) return false;
+  const MemoryVerdict verdict = JudgeMemory(state.m_balance, call.m_query, now);
+  if (verdict == MemoryVerdict::kFits) return false;
+  const bool may_wait = verdict == MemoryVerdict::kShort;
+  if (may_wait && now < call.m_queue_deadline) return false;
+  FinishFailed(state, call, EndReason::kNoMemory);
+  return true;
+}
+
 // Refuses a request that only limits keep from every endpoint if none of them
 // lets it through in time. Returns whether it did.
 bool RefuseLimited(RelayState& state, RelayCall& call, Instant now) {
@@ -544,6 +562,7 @@
     call.m_stage = CallStage::kWaiting;
     const bool resumes = call.m_response_started;
     if (!resumes && RefuseLimited(state, call, now)) return;
+    if (!resumes && RefuseForMemory(state, call, now)) return;
     if (!resumes && now >= call.m_queue_deadline) {
       FinishFailed(state, call, EndReason::kNoEndpoint);
     }
--- a/src/relaymetrics.cpp
+++ b/src/relaymetrics.cpp
@@ -70,6 +70,18 @@
                "retries allowed in the current window", "service", allowed);
 }
 
+// Adds the memory that requests of all instances hold at the endpoints.
+void AddEndpointMemory(const BalanceState& balance, MetricsText* text) {
+  std::map<std::string, double> held;
+  for (const auto& [id, endpoint] : balance.m_endpoints) {
+    const double tokens = HeldTokens(endpoint.m_memory);
+    if (tokens > 0) held[id] = tokens;
+  }
+  text->Gauges("relay_endpoint_held_tokens",
+               "KV cache that requests of all instances hold, tokens",
+               "endpoint", held);
+}
+
 // Adds why requests could go on at another endpoint.
 void AddContinuations(const RelayCounters& counters, MetricsText* text) {
   std::map<std::string, double> continued;
@@ -161,6 +173,7 @@
                  ? 0
                  : static_cast<double>(state.m_catalog->Message().version()));
   AddRetryBudget(state, &text);
+  AddEndpointMemory(state.m_balance, &text);
   AddStoreFreshness(state, &text);
   text.Counter("relay_log_lines_lost_total", "log lines left out",
                DroppedLogLines());
--- a/src/relaystate.h
+++ b/src/relaystate.h
@@ -64,6 +64,7 @@
   kBadKey,
   kNoEndpoint,  // None became available in time.
   kLimited,     // The limits of all endpoints are used up.
+  kNoMemory,    // The endpoints lack memory for it.
   kTooLate,     // It cannot be answered before its caller leaves.
   kRejected,    // By an endpoint, and no further attempt is allowed.
   kEndpointFailed,
@@ -79,13 +80,14 @@
 
 template <>
 struct EnumNames<EndReason> {
-  static constexpr std::array<EnumName<EndReason>, 17> kTable{
+  static constexpr std::array<EnumName<EndReason>, 18> kTable{
       {{EndReason::kAnswered, "answered"},
        {EndReason::kNoCatalog, "no_catalog"},
        {EndReason::kNoRoute, "no_route"},
        {EndReason::kBadKey, "bad_key"},
        {EndReason::kNoEndpoint, "no_endpoint"},
        {EndReason::kLimited, "limited"},
+       {EndReason::kNoMemory, "no_memory"},
        {EndReason::kTooLate, "too_late"},
        {EndReason::kRejected, "rejected"},
        {EndReason::kEndpointFailed, "endpoint_failed"},
@@ -114,6 +116,7 @@
   bool m_is_gone = false;  // The process of the endpoint has ended.
   AbsenceRecord m_absence;
   double m_work_ms = 0;            // Prefill work; zero after the first event.
+  MemoryNeed m_need;               // Counted at the endpoint until the end.
   int m_status = 0;                // Zero until the response head arrives.
   Instant m_head_at{};             // When it arrived.
   std::uint64_t m_connection = 0;  // Number of its connection.
