--- a/src/channel.cpp
+++ b/src/channel.cpp
@@ -40,6 +40,10 @@
   UpdateEvents();
 }
 
+bool Channel::IsDelivered() const {
+  return Pending() == 0 && !m_write_failed && IsSocketDelivered(m_descriptor);
+}
+
 void Channel::FinishWriting() {
   m_shutdown_pending = true;
   if (Pending() == 0) shutdown(m_descriptor, SHUT_WR);
--- a/src/channel.h
+++ b/src/channel.h
@@ -47,6 +47,10 @@
   // Number of bytes that the kernel has not accepted yet.
   std::size_t Pending() const { return m_output.size() - m_written; }
 
+  // Whether the peer has acknowledged all written bytes and the connection has
+  // not failed, a reset that follows an orderly close included.
+  bool IsDelivered() const;
+
   // Whether the kernel has accepted any byte since the channel was created.
   bool AnySent() const { return m_any_sent; }
 
--- a/src/curlclient.cpp
+++ b/src/curlclient.cpp
@@ -10,8 +10,12 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <optional>
 #include <utility>
 
+#include "httpparse.h"
+#include "sockets.h"
+
 namespace comfreypaddle {
 
 namespace {
@@ -33,6 +37,10 @@
 // Otherwise the kernel would retransmit a request long after its deadline.
 constexpr int kUserTimeoutMs = 3000;
 
+constexpr int kFirstFinalStatus = 200;
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
+
 std::int64_t ToMilliseconds(Duration duration) {
   return std::max<std::int64_t>(1, duration.count() / 1000);
 }
@@ -64,7 +72,15 @@
   HttpFields m_response_headers;
   Instant m_last_activity;
   bool m_head_reported = false;
+  bool m_head_open = false;  // Between a status line and the end of its head.
   bool m_head_complete = false;
+  int m_interim_responses = 0;
+  // The end of the connection delimits the body.
+  bool m_body_until_close = false;
+  // The socket failed, or the server had not got the whole request when the
+  // transfer ended.
+  bool m_undelivered = false;
+  bool m_malformed = false;
   std::size_t m_head_bytes = 0;
   std::uint64_t m_body_bytes = 0;
   bool m_too_large = false;
@@ -88,6 +104,52 @@
     return static_cast<int>(status);
   }
 
+  // Reads the line that starts a response. Returns whether it is valid.
+  bool StartHead(std::string_view line) {
+    while (!line.empty() && (line.back() == '\n' || line.back() == '\r')) {
+      line.remove_suffix(1);
+    }
+    const std::optional<int> status = ParseStatusLine(line);
+    if (m_head_open || m_head_complete || !status ||
+        !IsResponseStatus(*status)) {
+      return false;
+    }
+    m_response_headers.clear();
+    m_head_open = true;
+    return *status >= kFirstFinalStatus ||
+           ++m_interim_responses <= kMaxInterimResponses;
+  }
+
+  // Ends a head. Returns whether its body has an unambiguous length.
+  bool EndHead() {
+    if (!m_head_open) return m_head_complete;  // End of the trailer fields.
+    m_head_open = false;
+    const int status = Status();
+    if (status < kFirstFinalStatus) return true;
+    if (!HasUnambiguousLength(m_response_headers)) return false;
+    m_head_complete = true;
+    const bool bodyless = m_call.m_method == "HEAD" || status == kNoContent ||
+                          status == kNotModified;
+    m_body_until_close =
+        !bodyless && FindField(m_response_headers, "content-length").empty() &&
+        !EqualsIgnoreCase(FindField(m_response_headers, "transfer-encoding"),
+                          "chunked");
+    return true;
+  }
+
+  // Whether a response that libcurl reports as complete is so. libcurl takes
+  // the end of a connection for the end of the body also while the request is
+  // being written, after a failed write that consumed the error of the socket,
+  // and after a reset that follows an orderly close.
+  bool IsWhole() const {
+    if (!m_head_complete) return false;  // Closed within the head.
+    if (!m_body_until_close) return true;
+    curl_off_t written = 0;
+    curl_easy_getinfo(m_easy, CURLINFO_SIZE_UPLOAD_T, &written);
+    return !m_undelivered &&
+           written == static_cast<curl_off_t>(m_call.m_body.size());
+  }
+
   bool Sent() const {
     long bytes = 0;  // NOLINT(google-runtime-int): libcurl's type
     curl_easy_getinfo(m_easy, CURLINFO_REQUEST_SIZE, &bytes);
@@ -126,11 +188,12 @@
       transfer.m_too_large = true;
       return CURL_WRITEFUNC_ERROR;
     }
-    if (line.substr(0, 5) == "HTTP/") transfer.m_response_headers.clear();
-    if (line == "\r\n" || line == "\n") {
-      constexpr int kFirstFinalStatus = 200;
-      transfer.m_head_complete |= transfer.Status() >= kFirstFinalStatus;
-      return line.size();
+    const bool starts_head = line.substr(0, 5) == "HTTP/";
+    if (starts_head || line == "\r\n" || line == "\n") {
+      const bool valid =
+          starts_head ? transfer.StartHead(line) : transfer.EndHead();
+      transfer.m_malformed = !valid;
+      return valid ? line.size() : CURL_WRITEFUNC_ERROR;
     }
     const std::size_t colon = line.find(':');
     if (colon == std::string_view::npos) return line.size();
@@ -151,10 +214,11 @@
     return line.size();
   }
 
-  static int Socket(CURL* /*easy*/, curl_socket_t socket, int what,
-                    void* context, void* known) {
+  static int Socket(CURL* easy, curl_socket_t socket, int what, void* context,
+                    void* known) {
     auto* client = static_cast<CurlClient*>(context);
     if (what == CURL_POLL_REMOVE) {
+      CheckDelivery(easy, socket);
       epoll_ctl(client->m_descriptor, EPOLL_CTL_DEL, socket, nullptr);
       return 0;
     }
@@ -172,6 +236,14 @@
     return 0;
   }
 
+  // Called before libcurl closes the socket of a transfer or pools it.
+  static void CheckDelivery(CURL* easy, curl_socket_t socket) {
+    Transfer* transfer = nullptr;
+    curl_easy_getinfo(easy, CURLINFO_PRIVATE, &transfer);
+    if (transfer == nullptr || !transfer->m_body_until_close) return;
+    transfer->m_undelivered |= !IsSocketDelivered(socket);
+  }
+
   // NOLINTNEXTLINE(google-runtime-int): libcurl's type
   static int Timer(CURLM* /*multi*/, long timeout_ms, void* context) {
     static_cast<CurlClient*>(context)->SetTimer(timeout_ms);
@@ -358,11 +430,10 @@
   HttpResult result;
   if (transfer->m_head_complete) result.m_status = transfer->Status();
   result.m_sent = transfer->Sent();
-  HttpError error =
-      transfer->m_too_large ? HttpError::kTooLarge : ToHttpError(code);
-  // libcurl takes the end of the connection within a head for the end of the
-  // response.
-  if (error == HttpError::kOk && !transfer->m_head_complete) {
+  HttpError error = ToHttpError(code);
+  if (transfer->m_too_large) error = HttpError::kTooLarge;
+  if (transfer->m_malformed) error = HttpError::kMalformedResponse;
+  if (error == HttpError::kOk && !transfer->IsWhole()) {
     error = HttpError::kConnectionLost;
   }
   if (error == HttpError::kTimeout && !result.m_sent) {
--- a/src/httpclient.cpp
+++ b/src/httpclient.cpp
@@ -85,6 +85,20 @@
   return std::clamp(limit, kDefaultIdleTimeout, kMaxIdleTimeout);
 }
 
+// Whether the server may send a body after a head that ends the response. On a
+// reused connection it would be taken for the next response.
+bool HasUnexpectedBody(const HttpHead& head) {
+  constexpr int kNoContent = 204;
+  constexpr int kNotModified = 304;
+  if (head.m_status != kNoContent && head.m_status != kNotModified) {
+    return false;
+  }
+  const std::string* length =
+      FindFieldIgnoreCase(head.m_fields, "Content-Length");
+  return (length != nullptr && *length != "0") ||
+         FindFieldIgnoreCase(head.m_fields, "Transfer-Encoding") != nullptr;
+}
+
 }  // namespace
 
 // One connection and the call that uses it, if any.
@@ -114,6 +128,7 @@
     m_max_body_bytes = call.m_max_body_bytes;
     m_body_bytes = 0;
     m_skipped_bytes = 0;
+    m_interim_responses = 0;
     m_parser.Reset(ParseLimits{});
     m_status = 0;
     m_head_received = false;
@@ -145,7 +160,8 @@
       bytes.remove_prefix(used);
       // A callback may have cancelled the call.
       if (client.m_active.count(id) == 0) return;
-      if (m_parser.Error() != ParseError::kNone) {
+      if (m_parser.Error() != ParseError::kNone ||
+          m_interim_responses > kMaxInterimResponses) {
         client.FailCall(id, HttpError::kMalformedResponse);
         return;
       }
@@ -170,9 +186,7 @@
       m_client.RemoveIdle(this);
       return;
     }
-    const bool complete = end == ChannelEnd::kClosed && m_head_received &&
-                          m_body_until_close && m_parser.PutEof();
-    if (complete) {
+    if (end == ChannelEnd::kClosed && IsWholeAtClose()) {
       m_at_message_end = false;
       m_client.CompleteCall(m_id);
       return;
@@ -182,6 +196,7 @@
 
   void OnHead(HttpHead head) override {
     const bool interim = head.m_status < 200;
+    m_interim_responses += interim ? 1 : 0;
     const bool unmatched = !interim && !IsResponseToCall(head.m_fields);
     m_skipping = interim || unmatched;
     if (unmatched) {
@@ -190,7 +205,7 @@
     }
     if (m_skipping) return;
     m_head_received = true;
-    m_idle_timeout = IdleTimeout(head);
+    m_idle_timeout = HasUnexpectedBody(head) ? Duration(0) : IdleTimeout(head);
     m_body_until_close = head.m_body_until_close;
     m_status = head.m_status;
     const auto events = m_events;
@@ -282,6 +297,16 @@
                                        : HttpError::kConnectFailed;
   }
 
+  // Whether the orderly close that was read completes the response. The body
+  // must be one that ends with its connection; and the server must have got the
+  // whole request, which guards against a close during the upload: by a half
+  // close, or by a reset that a failed write saw before the read (Channel
+  // reports it as kReset) or that arrived between the close and this read.
+  bool IsWholeAtClose() {
+    return m_head_received && m_body_until_close && m_channel->IsDelivered() &&
+           m_parser.PutEof();
+  }
+
   bool IsBodyTooLarge() const {
     return m_max_body_bytes > 0 && m_body_bytes > m_max_body_bytes;
   }
@@ -335,6 +360,7 @@
   std::uint64_t m_max_body_bytes = 0;
   std::uint64_t m_body_bytes = 0;
   std::size_t m_skipped_bytes = 0;
+  int m_interim_responses = 0;
   bool m_closed = false;
   std::optional<Channel> m_channel;
 };
--- a/src/httpparse.cpp
+++ b/src/httpparse.cpp
@@ -82,8 +82,11 @@
     BeastError error;
     const std::size_t used =
         Base::put(boost::asio::buffer(bytes.data(), bytes.size()), error);
-    if (error && error != http::error::need_more) {
-      m_error = m_bad_framing ? ParseError::kBadFraming : ToParseError(error);
+    // Beast may go on behind a rejected head and overwrite its error.
+    if (m_bad_framing) {
+      m_error = ParseError::kBadFraming;
+    } else if (error && error != http::error::need_more) {
+      m_error = ToParseError(error);
     }
     return used;
   }
@@ -110,6 +113,9 @@
   void on_response_impl(int code, BeastView /*reason*/, int version,
                         BeastError& error) override {
     error = {};
+    // Ends the message: as an interim response, status 000 would be skipped,
+    // and the call would wait for another one until its deadline.
+    if (!IsResponseStatus(code)) error = http::error::bad_status;
     m_head.m_status = code;
     m_head.m_version = version;
   }
@@ -128,7 +134,9 @@
     m_head_complete = true;
     m_head.m_keep_alive = Base::keep_alive();
     m_head.m_body_until_close = Base::need_eof();
-    if (kIsRequest && !HasUnambiguousFraming(m_head)) {
+    const bool unambiguous = kIsRequest ? HasUnambiguousFraming(m_head)
+                                        : HasUnambiguousLength(m_head.m_fields);
+    if (!unambiguous) {
       m_bad_framing = true;
       error = http::error::bad_transfer_encoding;
       return;
@@ -143,7 +151,7 @@
 
   std::size_t on_body_impl(BeastView body, BeastError& error) override {
     error = {};
-    m_handler.OnBody(ToView(body));
+    if (!m_bad_framing) m_handler.OnBody(ToView(body));
     return body.size();
   }
 
@@ -155,7 +163,7 @@
   std::size_t on_chunk_body_impl(std::uint64_t /*remain*/, BeastView body,
                                  BeastError& error) override {
     error = {};
-    m_handler.OnBody(ToView(body));
+    if (!m_bad_framing) m_handler.OnBody(ToView(body));
     return body.size();
   }
 
@@ -225,10 +233,48 @@
 
 bool HttpParser::HasHead() const { return m_parser->HasHead(); }
 
-bool HttpParser::IsDone() const { return m_parser->IsDone(); }
+bool HttpParser::IsDone() const {
+  return m_parser->m_error == ParseError::kNone && m_parser->IsDone();
+}
 
 ParseError HttpParser::Error() const { return m_parser->m_error; }
 
+bool IsResponseStatus(int status) {
+  constexpr int kSwitchingProtocols = 101;
+  return status >= 100 && status <= 599 && status != kSwitchingProtocols;
+}
+
+std::optional<int> ParseStatusLine(std::string_view line) {
+  constexpr std::string_view kProtocol = "HTTP/1.";
+  constexpr std::size_t kStatusAt = kProtocol.size() + 2;  // "HTTP/1.x "
+  constexpr std::size_t kStatusDigits = 3;
+  constexpr std::size_t kStatusEnd = kStatusAt + kStatusDigits;
+  if (line.substr(0, kProtocol.size()) != kProtocol) return std::nullopt;
+  if (line.size() < kStatusEnd || line[kStatusAt - 1] != ' ') {
+    return std::nullopt;
+  }
+  const char minor_version = line[kProtocol.size()];
+  if (minor_version != '0' && minor_version != '1') return std::nullopt;
+  if (line.size() > kStatusEnd && line[kStatusEnd] != ' ') return std::nullopt;
+  int status = 0;
+  for (const char digit : line.substr(kStatusAt, kStatusDigits)) {
+    if (digit < '0' || digit > '9') return std::nullopt;
+    status = 10 * status + (digit - '0');
+  }
+  return status;
+}
+
+bool HasUnambiguousLength(const HttpFields& fields) {
+  const std::string* length = FindFieldIgnoreCase(fields, "Content-Length");
+  if (length == nullptr) return true;
+  return std::all_of(
+      fields.begin(), fields.end(), [length](const HttpField& field) {
+        if (EqualsIgnoreCase(field.m_name, "Transfer-Encoding")) return false;
+        return !EqualsIgnoreCase(field.m_name, "Content-Length") ||
+               field.m_value == *length;
+      });
+}
+
 std::string StatusReason(int status) {
   const BeastView reason =
       http::obsolete_reason(http::int_to_status(static_cast<unsigned>(status)));
--- a/src/httpparse.h
+++ b/src/httpparse.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -96,6 +97,23 @@
   std::unique_ptr<ParserBase> m_parser;
 };
 
+// Maximum number of interim (1xx) responses before the response to one call. A
+// faulty server may send them without end.
+inline constexpr int kMaxInterimResponses = 16;
+
+// Whether a response to a call may have this status: 100 to 599 without 101,
+// because no call asks for another protocol.
+bool IsResponseStatus(int status);
+
+// Returns the status of a status line, without its line end, or nothing if it
+// is not one of HTTP/1.0 or HTTP/1.1.
+std::optional<int> ParseStatusLine(std::string_view line);
+
+// Whether no two servers or clients interpret the body length of a response
+// with these fields differently: a length does not stand beside a transfer
+// coding, and lengths are equal.
+bool HasUnambiguousLength(const HttpFields& fields);
+
 // Returns the reason phrase of a status code, or a placeholder if unknown.
 std::string StatusReason(int status);
 
--- a/src/sockets.cpp
+++ b/src/sockets.cpp
@@ -2,9 +2,11 @@
 
 #include <arpa/inet.h>
 #include <glog/logging.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -134,4 +136,17 @@
   return descriptor;
 }
 
+bool IsSocketDelivered(int descriptor) {
+  int error = 0;
+  socklen_t size = sizeof(error);
+  int unacknowledged = 0;
+  if (getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &error, &size) != 0 ||
+      error != 0) {
+    return false;
+  }
+  // A kernel that cannot tell rules nothing out.
+  return ioctl(descriptor, SIOCOUTQ, &unacknowledged) != 0 ||
+         unacknowledged == 0;
+}
+
 }  // namespace comfreypaddle
--- a/src/sockets.h
+++ b/src/sockets.h
@@ -54,6 +54,11 @@
 // Starts a non-blocking TCP connect. Returns -1 and sets errno on failure.
 int ConnectTcp(const std::string& ip, std::uint16_t port);
 
+// Whether the peer has acknowledged all bytes that a TCP socket has accepted,
+// as far as the kernel tells, and the connection has not failed. Clears a
+// pending error of the socket.
+bool IsSocketDelivered(int descriptor);
+
 }  // namespace comfreypaddle
 
 #endif  // COMFREYPADDLE_SOCKETS_H_
