Apply allotments of workspaces to callers' requests

The platform adapter decodes them; each request of a caller is charged once before dispatch, and refused with 429 over the allotment. What ends without having run gives its cost back. Recent use and demand travel in the load exchange.

adapter_test, loadlink_test, allotment_test and allotmentcheck_test pass.

--- a/src/accept.cpp
+++ b/src/accept.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "allotmentcheck.h"
 #include "continuation.h"
 #include "eventlog.h"
 #include "finish.h"
@@ -137,6 +138,12 @@
     RefuseRequest(state, call.m_request, call.m_metadata, *refusal);
     return;
   }
+  const auto over_allotment = ChargeAllotment(state, call, now);
+  if (over_allotment) {
+    RefuseOverAllotment(state, call.m_request, call.m_metadata,
+                        *over_allotment);
+    return;
+  }
   call.m_fingerprint = FingerprintOf(call.m_request, call.m_metadata);
   call.m_shared_parts = SharedParts(call.m_metadata);
   SetDeadlines(call, now);
--- a/src/finish.cpp
+++ b/src/finish.cpp
@@ -13,8 +13,9 @@
 
 namespace {
 
-constexpr int kUnavailable = 503;  // Not executed.
-constexpr int kBadGateway = 502;   // May have been executed.
+constexpr int kTooManyRequests = 429;  // Not executed.
+constexpr int kUnavailable = 503;      // Not executed.
+constexpr int kBadGateway = 502;       // May have been executed.
 constexpr int kGatewayTimeout = 504;
 
 // Timeout of the call that releases a KV cache.
@@ -30,15 +31,21 @@
 int StatusOf(EndReason reason, bool may_have_run) {
   if (reason == EndReason::kNoRoute) return 404;
   if (reason == EndReason::kBadKey) return 401;
+  if (reason == EndReason::kAllotment ||
+      reason == EndReason::kAllotmentTooSmall) {
+    return kTooManyRequests;
+  }
   if (!may_have_run) return kUnavailable;
   return reason == EndReason::kDeadline ? kGatewayTimeout : kBadGateway;
 }
 
 HttpFields ErrorFields(const RelayState& state, int status,
-                       const std::string& attempt, Duration retry_after) {
+                       const std::string& attempt,
+                       std::optional<Duration> retry_after) {
   HttpFields fields = state.m_format->LocalResponseFields(attempt);
-  if (status == kUnavailable) {
-    fields.push_back({"Retry-After", SecondsText(retry_after)});
+  const bool may_return = status == kUnavailable || status == kTooManyRequests;
+  if (may_return && retry_after) {
+    fields.push_back({"Retry-After", SecondsText(*retry_after)});
   }
   return fields;
 }
@@ -56,6 +63,7 @@
 void CloseCall(RelayState& state, RelayCall& call, EndReason reason,
                int status) {
   const Instant now = state.m_clock();
+  RefundAllotment(state, call);
   ++state.m_counters.m_ends[reason];
   state.m_counters.m_total.Add(now - call.m_arrived);
   LogLine line("request_end");
@@ -84,6 +92,27 @@
   state.m_calls.erase(call.m_id);
 }
 
+// Responds to a request that was not accepted, and logs it.
+void Refuse(RelayState& state, const HttpRequest& request,
+            const RequestMetadata& terms, EndReason reason,
+            std::optional<Duration> retry_after) {
+  const int status = StatusOf(reason, false);
+  ++state.m_counters.m_ends[reason];
+  LogLine("request_refused")
+      .Add("request", terms.m_attempt)
+      .Add("reason", ToName(reason))
+      .Add("status", status)
+      .Add("host", terms.m_host)
+      .Add("target", std::string_view(request.m_target).substr(0, 80))
+      .Add("catalog", state.m_catalog == nullptr
+                          ? -1
+                          : static_cast<std::int64_t>(
+                                state.m_catalog->Message().version()));
+  state.m_callers->Respond(
+      request.m_id, status,
+      ErrorFields(state, status, terms.m_attempt, retry_after), "");
+}
+
 }  // namespace
 
 RelayCall* FindRelayCall(RelayState& state, std::uint64_t id) {
@@ -139,22 +168,13 @@
 
 void RefuseRequest(RelayState& state, const HttpRequest& request,
                    const RequestMetadata& terms, EndReason reason) {
-  const int status = StatusOf(reason, false);
-  ++state.m_counters.m_ends[reason];
-  LogLine("request_refused")
-      .Add("request", terms.m_attempt)
-      .Add("reason", ToName(reason))
-      .Add("status", status)
-      .Add("host", terms.m_host)
-      .Add("target", std::string_view(request.m_target).substr(0, 80))
-      .Add("catalog", state.m_catalog == nullptr
-                          ? -1
-                          : static_cast<std::int64_t>(
-                                state.m_catalog->Message().version()));
-  state.m_callers->Respond(request.m_id, status,
-                           ErrorFields(state, status, terms.m_attempt,
-                                       state.m_options.m_retry_after),
-                           "");
+  Refuse(state, request, terms, reason, state.m_options.m_retry_after);
+}
+
+void RefuseOverAllotment(RelayState& state, const HttpRequest& request,
+                         const RequestMetadata& terms,
+                         const AllotmentRefusal& refusal) {
+  Refuse(state, request, terms, refusal.m_reason, refusal.m_retry_after);
 }
 
 void ReleaseKvCache(RelayState& state, RelayCall& call) {
--- a/src/finish.h
+++ b/src/finish.h
@@ -1,6 +1,7 @@
 #ifndef COMFREYPADDLE_FINISH_H_
 #define COMFREYPADDLE_FINISH_H_
 
+#include "allotmentcheck.h"
 #include "relaystate.h"
 
 namespace comfreypaddle {
@@ -29,6 +30,11 @@
 void RefuseRequest(RelayState& state, const HttpRequest& request,
                    const RequestMetadata& terms, EndReason reason);
 
+// Responds to a request that was refused for the allotment of its workspace.
+void RefuseOverAllotment(RelayState& state, const HttpRequest& request,
+                         const RequestMetadata& terms,
+                         const AllotmentRefusal& refusal);
+
 // Releases a prefilled KV cache that no endpoint will fetch.
 void ReleaseKvCache(RelayState& state, RelayCall& call);
 
--- a/src/loadlink.cpp
+++ b/src/loadlink.cpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "allotmentcodec.h"
 #include "eventlog.h"
 #include "instancecall.h"
 #include "peersync.h"
@@ -75,6 +76,8 @@
   const Instant now = state.m_clock();
   schema::LoadList list = ToList(SumOtherLoad(state.m_load, name, now), now);
   AddToList(TakeUsesForMember(state.m_load.m_uses, name), &list);
+  *list.mutable_workspace_uses() =
+      ToMessage(SumOtherAllotments(state.m_load, name, now));
   return list;
 }
 
@@ -83,6 +86,8 @@
   const Instant now = state.m_clock();
   schema::LoadList list = ToList(SumZoneLoad(state.m_load, now), now);
   AddToList(TakeUsesForZone(state.m_load.m_uses, zone), &list);
+  *list.mutable_workspace_uses() =
+      ToMessage(SumZoneAllotments(state.m_load, now));
   return list;
 }
 
@@ -179,6 +184,8 @@
              if (sum != nullptr) {
                OnUpstreamSuccess(done.m_reader, name);
                SetZoneLoad(state.m_load, zone, ToTable(*sum, now), now);
+               SetZoneAllotments(state.m_load, zone,
+                                 FromMessage(sum->workspace_uses()), now);
                AddUses(state.m_load.m_uses, UseOrigin::kZone, zone,
                        ToUses(*sum));
              } else {
@@ -216,6 +223,8 @@
   AddOwnUses(state, own);
   SetMemberLoad(state.m_load, name, ToTable(own, state.m_clock()),
                 state.m_clock());
+  SetMemberAllotments(state.m_load, name, FromMessage(own.workspace_uses()),
+                      state.m_clock());
   ExchangeWithZones(state);
   SendToRelay(state, ListForMember(state, name));
 }
@@ -226,6 +235,8 @@
   if (share.of_zone()) {
     SetZoneLoad(state.m_load, share.availability_zone(),
                 ToTable(share.load(), now), now);
+    SetZoneAllotments(state.m_load, share.availability_zone(),
+                      FromMessage(share.load().workspace_uses()), now);
     ZoneLoadExchange& exchange =
         state.m_zone_exchanges[share.availability_zone()];
     exchange.m_last_sender = share.name();
@@ -235,6 +246,8 @@
     return ListForZone(state, share.availability_zone());
   }
   SetMemberLoad(state.m_load, share.name(), ToTable(share.load(), now), now);
+  SetMemberAllotments(state.m_load, share.name(),
+                      FromMessage(share.load().workspace_uses()), now);
   AddUses(state.m_load.m_uses, UseOrigin::kMember, share.name(),
           ToUses(share.load()));
   return ListForMember(state, share.name());
--- a/src/loadshare.cpp
+++ b/src/loadshare.cpp
@@ -10,6 +10,10 @@
 // Age after which a load is outdated: most of its requests have been answered.
 constexpr Duration kMaxLoadAge = std::chrono::milliseconds(500);
 
+// Age after which the use of allotments is outdated. It may be older than a
+// load: until then, the allotment of an instance that is silent stays reserved.
+constexpr Duration kMaxAllotmentAge = std::chrono::milliseconds(1200);
+
 // Number of uses that are kept for instances that have not been told yet.
 constexpr std::size_t kMaxKeptUses = 1024;
 
@@ -44,6 +48,15 @@
   }
 }
 
+void Add(const InstanceUses& part, InstanceUses* sum) {
+  sum->m_instances += part.m_instances;
+  for (const auto& [workspace, use] : part.m_uses) {
+    WorkspaceUse& total = sum->m_uses[workspace];
+    total.m_recent += use.m_recent;
+    total.m_demand += use.m_demand;
+  }
+}
+
 }  // namespace
 
 void SetMemberLoad(LoadShareState& state, const std::string& name,
@@ -73,6 +86,38 @@
   return sum;
 }
 
+void SetMemberAllotments(LoadShareState& state, const std::string& name,
+                         InstanceUses uses, Instant now) {
+  state.m_member_allotments[name] = {std::move(uses), now};
+}
+
+void SetZoneAllotments(LoadShareState& state, const std::string& zone,
+                       InstanceUses uses, Instant now) {
+  state.m_zone_allotments[zone] = {std::move(uses), now};
+}
+
+InstanceUses SumZoneAllotments(const LoadShareState& state, Instant now) {
+  InstanceUses sum;
+  for (const auto& [member, heard] : state.m_member_allotments) {
+    if (now - heard.m_at < kMaxAllotmentAge) Add(heard.m_uses, &sum);
+  }
+  return sum;
+}
+
+InstanceUses SumOtherAllotments(const LoadShareState& state,
+                                const std::string& name, Instant now) {
+  InstanceUses sum;
+  for (const auto& [member, heard] : state.m_member_allotments) {
+    if (member != name && now - heard.m_at < kMaxAllotmentAge) {
+      Add(heard.m_uses, &sum);
+    }
+  }
+  for (const auto& [zone, heard] : state.m_zone_allotments) {
+    if (now - heard.m_at < kMaxAllotmentAge) Add(heard.m_uses, &sum);
+  }
+  return sum;
+}
+
 void AddUses(UseLog& log, UseOrigin origin, const std::string& name,
              const std::vector<PrefixUse>& uses) {
   for (const PrefixUse& use : uses) {
--- a/src/loadshare.h
+++ b/src/loadshare.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "allotment.h"
 #include "endpointlimit.h"
 #include "types.h"
 
@@ -35,6 +36,11 @@
   Instant m_at{};
 };
 
+struct ReceivedUses {
+  InstanceUses m_uses;
+  Instant m_at{};
+};
+
 // An endpoint has the KV cache of a shared prompt prefix.
 struct PrefixUse {
   std::uint64_t m_prefix_hash = 0;
@@ -70,6 +76,9 @@
   std::map<std::string, ReceivedLoad, std::less<>> m_members;  // Of this zone.
   std::map<std::string, ReceivedLoad, std::less<>> m_zones;    // Other zones.
   UseLog m_uses;
+  // Use of allotments by instances of this zone, and by other zones.
+  std::map<std::string, ReceivedUses, std::less<>> m_member_allotments;
+  std::map<std::string, ReceivedUses, std::less<>> m_zone_allotments;
 };
 
 // Record the load of an instance of this zone, or the sum of another zone.
@@ -86,6 +95,18 @@
 LoadTable SumOtherLoad(const LoadShareState& state, const std::string& name,
                        Instant now);
 
+// Record the use of allotments by an instance of this zone, or by another zone.
+void SetMemberAllotments(LoadShareState& state, const std::string& name,
+                         InstanceUses uses, Instant now);
+void SetZoneAllotments(LoadShareState& state, const std::string& zone,
+                       InstanceUses uses, Instant now);
+
+// Sums over all instances of this zone, and over all instances of all zones
+// except the named one. Outdated uses are left out.
+InstanceUses SumZoneAllotments(const LoadShareState& state, Instant now);
+InstanceUses SumOtherAllotments(const LoadShareState& state,
+                                const std::string& name, Instant now);
+
 // Adds uses that an instance of this zone or the reader of another zone
 // reported.
 void AddUses(UseLog& log, UseOrigin origin, const std::string& name,
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "accept.h"
+#include "allotmentcodec.h"
 #include "crashwatch.h"
 #include "eventlog.h"
 #include "platform/adapter.h"
@@ -95,6 +96,9 @@
   resends.m_ratio = settings.retry().budget_ratio();
   resends.m_window = FromMs(settings.retry().window_s() * kMsPerSecond);
   resends.m_slack = settings.retry().slack();
+  m_state.m_allotments.m_tolerance = {
+      FromMs(settings.allotments().window_s() * kMsPerSecond),
+      settings.allotments().overshoot(), settings.allotments().slack()};
 }
 
 Relay::~Relay() = default;
@@ -225,6 +229,8 @@
   limit_peers.m_instances.assign(peers.name_hashes().begin(),
                                  peers.name_hashes().end());
   SetLimitPeers(m_state.m_balance, std::move(limit_peers), Now());
+  m_state.m_allotments.m_instances = peers.instances();
+  m_state.m_allotments.m_is_listed = peers.listed();
   ResendState& resends = m_state.m_resends;
   const bool was_listed = resends.m_listed_at.has_value();
   const bool changed = resends.m_instances != peers.instances();
@@ -366,6 +372,8 @@
     use->set_prefix_hash(prefix.m_prefix_hash);
     use->set_endpoint(static_cast<std::uint32_t>(prefix.m_endpoint_hash));
   }
+  *list->mutable_workspace_uses() =
+      ToMessage(UsesToShare(m_state.m_allotments, now));
   m_ports.m_control->Post(std::move(message));
 }
 
@@ -389,6 +397,7 @@
     }
   }
   ApplyPeerPrefixes(list, now);
+  SetOtherUses(m_state.m_allotments, FromMessage(list.workspace_uses()), now);
 }
 
 void Relay::ApplyPeerPrefixes(const schema::LoadList& list, Instant now) {
--- a/src/relaymetrics.cpp
+++ b/src/relaymetrics.cpp
@@ -3,6 +3,7 @@
 #include <map>
 #include <string>
 
+#include "allotmentcheck.h"
 #include "eventlog.h"
 #include "metrics.h"
 
@@ -161,6 +162,7 @@
                  ? 0
                  : static_cast<double>(state.m_catalog->Message().version()));
   AddRetryBudget(state, &text);
+  AddAllotments(state, &text);
   AddStoreFreshness(state, &text);
   text.Counter("relay_log_lines_lost_total", "log lines left out",
                DroppedLogLines());
--- a/src/relaystate.h
+++ b/src/relaystate.h
@@ -10,6 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "allotment.h"
 #include "balance.h"
 #include "catalog.h"
 #include "crashtable.h"
@@ -62,10 +63,12 @@
   kNoCatalog,  // No configuration was received yet.
   kNoRoute,
   kBadKey,
-  kNoEndpoint,  // None became available in time.
-  kLimited,     // The limits of all endpoints are used up.
-  kTooLate,     // It cannot be answered before its caller leaves.
-  kRejected,    // By an endpoint, and no further attempt is allowed.
+  kNoEndpoint,         // None became available in time.
+  kAllotment,          // Its workspace has used its allotment.
+  kAllotmentTooSmall,  // It costs more than the allotment can ever cover.
+  kLimited,            // The limits of all endpoints are used up.
+  kTooLate,            // It cannot be answered before its caller leaves.
+  kRejected,           // By an endpoint, and no further attempt is allowed.
   kEndpointFailed,
   kMayStillRun,  // At an endpoint whose connection broke.
   kDeadline,
@@ -79,12 +82,14 @@
 
 template <>
 struct EnumNames<EndReason> {
-  static constexpr std::array<EnumName<EndReason>, 17> kTable{
+  static constexpr std::array<EnumName<EndReason>, 19> kTable{
       {{EndReason::kAnswered, "answered"},
        {EndReason::kNoCatalog, "no_catalog"},
        {EndReason::kNoRoute, "no_route"},
        {EndReason::kBadKey, "bad_key"},
        {EndReason::kNoEndpoint, "no_endpoint"},
+       {EndReason::kAllotment, "allotment"},
+       {EndReason::kAllotmentTooSmall, "allotment_too_small"},
        {EndReason::kLimited, "limited"},
        {EndReason::kTooLate, "too_late"},
        {EndReason::kRejected, "rejected"},
@@ -134,6 +139,7 @@
   std::shared_ptr<const CatalogIndex> m_catalog;
   const schema::CatalogRoute* m_route = nullptr;
   std::string m_workspace;
+  double m_allotment_cost = 0;  // Counted to the allotment of the workspace.
   std::string m_service;
   std::uint32_t m_urgency = 0;
   std::uint64_t m_fingerprint = 0;
@@ -217,6 +223,7 @@
 
   std::shared_ptr<const CatalogIndex> m_catalog;  // Null until received.
   BalanceState m_balance;
+  AllotmentState m_allotments;
   ResendState m_resends;
   std::map<std::string, EndpointInquiry> m_inquiries;  // By endpoint.
   std::unordered_map<std::uint64_t, std::unique_ptr<RelayCall>> m_calls;
--- a/tests/adapter_test.cpp
+++ b/tests/adapter_test.cpp
@@ -70,6 +70,53 @@
   CHECK_FALSE(records.DecodeCatalog(Record("config", "{}")).has_value());
 }
 
+// The configuration with one workspace that has these further fields.
+std::string CatalogWithLimit(const std::string& fields) {
+  return R"({"version":1,"routeTable":[],"tenants":[{"name":"w","apiKeys":)"
+         R"(["k"])" +
+         fields + "}]}";
+}
+
+TEST_CASE("the allotment of a workspace is decoded") {
+  const platform::JsonRecordDecoder records;
+  const auto decode = [&](const std::string& fields) {
+    const auto catalog =
+        records.DecodeCatalog(Record("config", CatalogWithLimit(fields)));
+    REQUIRE(catalog);
+    return catalog->workspaces(0);
+  };
+  const schema::CatalogWorkspace workspace =
+      decode(R"(,"unit":"token_accounting","uncachedTokens":200,)"
+             R"("ratePerS":3101267,"burst":3101268)");
+  REQUIRE(workspace.has_allotment());
+  CHECK(workspace.allotment().unit() == schema::ALLOTMENT_TOKENS);
+  CHECK(workspace.allotment().rate_per_s() == 3101267);
+  CHECK(workspace.allotment().burst() == 3101268);
+  CHECK(workspace.allotment().default_cost() == 200);
+  const auto requests = decode(R"(,"ratePerS":3)");
+  CHECK(requests.allotment().unit() == schema::ALLOTMENT_REQUESTS);
+  CHECK(requests.allotment().burst() == 0);
+}
+
+// Failure: an odd limit refuses all requests of a workspace, ends the process,
+// or costs the whole configuration.
+TEST_CASE("an allotment that cannot be read is no limit") {
+  const platform::JsonRecordDecoder records;
+  for (const char* fields :
+       {"", R"(,"ratePerS":0)", R"(,"ratePerS":-1)", R"(,"ratePerS":1e308)",
+        R"(,"ratePerS":"5")", R"(,"ratePerS":5,"burst":-1)",
+        R"(,"ratePerS":5,"burst":[])", R"(,"burst":5)",
+        R"(,"ratePerS":5,"unit":"bytes")", R"(,"ratePerS":5,"unit":7)",
+        R"(,"ratePerS":5,"uncachedTokens":-2)"}) {
+    CAPTURE(fields);
+    const auto catalog =
+        records.DecodeCatalog(Record("config", CatalogWithLimit(fields)));
+    REQUIRE(catalog);
+    CHECK_FALSE(catalog->workspaces(0).has_allotment());
+    CHECK(catalog->workspaces(0).keys(0) == "k");
+  }
+}
+
 HttpRequest MakeRequest() {
   HttpRequest request;
   request.m_headers = {{"Host", "h"},
--- a/tests/loadlink_test.cpp
+++ b/tests/loadlink_test.cpp
@@ -89,6 +89,50 @@
   CHECK(LoadSentToRelay(there) == 1);
 }
 
+// Load with the use of a workspace's allotment by one instance.
+schema::LoadList MakeAllotmentUse(float recent) {
+  schema::LoadList list;
+  list.mutable_workspace_uses()->set_instances(1);
+  schema::WorkspaceUse* use = list.mutable_workspace_uses()->add_uses();
+  use->set_workspace(5);
+  use->set_recent(recent);
+  use->set_demand(2);
+  return list;
+}
+
+// Failure: an instance does not learn what others use of an allotment, counts
+// its own use twice, or takes a silent instance for one that uses nothing.
+TEST_CASE("an instance gets the use of allotments by all others") {
+  Instance reader("a");
+  reader.m_state.m_upstream.m_self = "a";
+  schema::LoadShare share;
+  share.set_name("b");
+  *share.mutable_load() = MakeAllotmentUse(30);
+  schema::LoadShare zone;
+  zone.set_availability_zone("z2");
+  zone.set_of_zone(true);
+  *zone.mutable_load() = MakeAllotmentUse(100);
+  zone.mutable_load()->mutable_workspace_uses()->set_instances(4);
+  ExchangeLoad(reader.m_state, MakeAllotmentUse(7));
+  MergeLoadShare(reader.m_state, zone);
+  const auto to_member = MergeLoadShare(reader.m_state, share).workspace_uses();
+  CHECK(to_member.instances() == 5);
+  CHECK(to_member.uses(0).recent() == 107);
+  const auto to_zone = MergeLoadShare(reader.m_state, zone).workspace_uses();
+  CHECK(to_zone.instances() == 2);
+  CHECK(to_zone.uses(0).recent() == 37);
+  ExchangeLoad(reader.m_state, MakeAllotmentUse(7));
+  const auto others = [&] {
+    return reader.m_inbox.m_messages.back().others().workspace_uses();
+  };
+  CHECK(others().instances() == 5);
+  CHECK(others().uses(0).recent() == 130);
+  CHECK(others().uses(0).demand() == 4);
+  reader.m_now += milliseconds(1300);
+  ExchangeLoad(reader.m_state, MakeAllotmentUse(7));
+  CHECK(others().instances() == 0);
+}
+
 // Failure: a dead reader of another zone is queried forever, and its last load
 // is used forever.
 TEST_CASE("a reader that does not answer is replaced by the next of its zone") {
