--- a/src/relaymetrics.cpp
+++ b/src/relaymetrics.cpp
@@ -3,6 +3,7 @@
 #include <map>
 #include <string>
 
+#include "allotmentcheck.h"
 #include "eventlog.h"
 #include "metrics.h"
 
@@ -174,6 +175,7 @@
                  : static_cast<double>(state.m_catalog->Message().version()));
   AddRetryBudget(state, &text);
   AddEndpointMemory(state.m_balance, &text);
+  AddAllotments(state, &text);
   AddStoreFreshness(state, &text);
   text.Counter("relay_log_lines_lost_total", "log lines left out",
                DroppedLogLines());
