--- a/tests/oddresponses_test.cpp
+++ b/tests/oddresponses_test.cpp
@@ -267,7 +267,8 @@
       {"HTTP/1.1 204 x\r\nContent-Length: 2\r\n\r\nok", ""},
       {"HTTP/1.1 304 x\r\nContent-Length: 2\r\n\r\nok", ""}};
   ForEachClient([&](EventLoop& loop, HttpPort& port) {
-    for (const auto& [response, body] : responses) {
+    for (const auto& [text, body] : responses) {
+      const std::string& response = text;  // A lambda of CAPTURE refers to it.
       CAPTURE(response);
       Script script;
       script.m_response = response;
