--- a/src/control.cpp
+++ b/src/control.cpp
@@ -139,7 +139,11 @@
       .Add("decode_errors", static_cast<std::int64_t>(counters.m_unreadable))
       .Add("reports", static_cast<std::int64_t>(counters.m_reports))
       .Add("report_faults", static_cast<std::int64_t>(counters.m_report_faults))
-      .Add("peer_queries", static_cast<std::int64_t>(counters.m_peer_queries));
+      .Add("peer_queries", static_cast<std::int64_t>(counters.m_peer_queries))
+      .Add("stream_records",
+           static_cast<std::int64_t>(counters.m_stream_records))
+      .Add("stream_messages",
+           static_cast<std::int64_t>(counters.m_stream_messages));
   m_tick.reset();
   m_peers.reset();
   m_client.reset();
--- a/src/controlstate.h
+++ b/src/controlstate.h
@@ -148,6 +148,14 @@
 struct StreamRecords {
   StreamTable m_table;
   VersionHistory m_versions;
+  // Records to send with the next tick.
+  schema::StreamBeginList m_unsent;
+  // Versions that were listed before this instance started: whether they are
+  // known, and when others are asked next.
+  bool m_has_all_versions = false;
+  std::optional<Instant> m_started;
+  Instant m_versions_due{};
+  std::uint64_t m_versions_asked = 0;  // Rounds of questions.
 };
 
 struct ControlOptions {
@@ -168,6 +176,8 @@
   std::uint64_t m_peer_queries = 0;
   std::uint64_t m_peer_failures = 0;  // Queries without a valid answer.
   std::map<AnswerEffect, std::uint64_t> m_answers;
+  std::uint64_t m_stream_records = 0;   // Of begun streams, to other instances.
+  std::uint64_t m_stream_messages = 0;  // Calls with these records.
 };
 
 // State of the control-plane task. The ports are not owned.
--- a/src/controltick.cpp
+++ b/src/controltick.cpp
@@ -6,6 +6,7 @@
 #include "peersync.h"
 #include "statequery.h"
 #include "storereader.h"
+#include "streamsync.h"
 #include "usageflush.h"
 
 namespace comfreypaddle {
@@ -17,6 +18,7 @@
   SearchPeers(state);
   AnswerPendingQueries(state);
   SyncSuspects(state);
+  SyncStreams(state);
   FlushUsage(state);
   RunDuties(state);
   LogFreshness(state);
--- a/src/relaymetrics.cpp
+++ b/src/relaymetrics.cpp
@@ -89,7 +89,7 @@
                 counters.m_reports_asked);
 }
 
-// Adds what became of requests that take up a stream.
+// Adds records of begun streams, and what became of requests that take one up.
 void AddTakenUp(const RelayCounters& counters, MetricsText* text) {
   std::map<std::string, double> taken_up;
   for (const EnumName<TakeUpOutcome>& row : EnumNames<TakeUpOutcome>::kTable) {
@@ -98,6 +98,9 @@
         found == counters.m_taken_up.end() ? 0 : found->second;
     taken_up[std::string(row.m_name)] = static_cast<double>(count);
   }
+  text->Counter("relay_streams_recorded_total",
+                "begun streams whose version other instances were told",
+                counters.m_streams_recorded);
   text->Gauges("relay_streams_taken_up",
                "requests that take up a stream, by what became of them",
                "outcome", taken_up);
--- a/src/relaystate.h
+++ b/src/relaystate.h
@@ -189,6 +189,7 @@
   std::uint64_t m_reports_asked = 0;
   std::map<EndProof, std::uint64_t> m_continued;  // Requests, by proof.
   std::map<EndReason, std::uint64_t> m_ends;
+  std::uint64_t m_streams_recorded = 0;  // Told to other instances.
   std::map<TakeUpOutcome, std::uint64_t> m_taken_up;
   DurationStats m_first_answer;  // Until the first byte of the response.
   DurationStats m_total;
--- a/src/resumption.cpp
+++ b/src/resumption.cpp
@@ -90,7 +90,8 @@
 }
 
 // Records the call's stream with the version that it is bound to, and tells
-// other instances while the service is mixed.
+// other instances, also while there is one version: this instance may be killed
+// before it sees a second one.
 void Record(RelayState& state, const RelayCall& call, bool is_corrected) {
   if (call.m_metadata.m_attempt.empty()) return;
   const Instant now = state.m_clock();
@@ -103,9 +104,9 @@
   if (!AddStream(state.m_streams, attempt, stream, now)) {
     LogLine("stream_table_full").Add("request", call.m_metadata.m_attempt);
   }
-  if (!IsMixed(state.m_versions, call.m_service, now)) return;
   schema::StreamBeginList begun;
   *begun.add_streams() = ToMessage(attempt, stream, now);
+  ++state.m_counters.m_streams_recorded;
   Publish(state, begun);
 }
 
--- a/src/resumption.h
+++ b/src/resumption.h
@@ -24,8 +24,8 @@
 void BindToVersion(RelayState& state, RelayCall& call);
 
 // Applies the versions of the endpoints that are listed now. Records of streams
-// that began while there was only one version go to the other instances when a
-// second one is listed.
+// that began while there was only one version go to the other instances once
+// more when a second one is listed: these may be others than before.
 void UpdateEndpointVersions(RelayState& state);
 
 }  // namespace comfreypaddle
--- a/src/streamsync.cpp
+++ b/src/streamsync.cpp
@@ -19,6 +19,9 @@
 // The caller of a stream that is taken up waits for this.
 constexpr Duration kCallTimeout = std::chrono::milliseconds(300);
 
+// Time between questions for the versions that were listed lately.
+constexpr Duration kVersionsInterval = std::chrono::seconds(1);
+
 // Instances that may hold records, all that have not deregistered.
 struct HolderList {
   std::vector<UpstreamCandidate> m_instances;
@@ -45,9 +48,10 @@
 };
 
 Holders HoldersOf(const ControlState& state, const HolderList& list,
-                  std::uint64_t attempt) {
+                  std::uint64_t attempt, std::size_t count) {
   Holders holders;
-  for (const std::size_t index : ChooseHolders(list.m_candidates, attempt)) {
+  for (const std::size_t index :
+       ChooseHolders(list.m_candidates, attempt, count)) {
     const UpstreamCandidate& instance = list.m_instances[index];
     if (instance.m_name == state.m_options.m_name) {
       holders.m_is_own = true;
@@ -127,28 +131,108 @@
   all.set_instance(answer.instance());
 }
 
-}  // namespace
-
-void SendBegunStreams(ControlState& state,
-                      const schema::StreamBeginList& begun) {
+// Sends the records to their holders, one call for each of these.
+void SendRecords(ControlState& state, const schema::StreamBeginList& begun) {
+  if (begun.streams().empty()) return;
   const HolderList list = ListHolders(state);
   std::map<std::string, schema::StreamExchange> by_address;
   for (const schema::StreamBegin& begin : begun.streams()) {
-    const Holders holders = HoldersOf(state, list, begin.attempt());
+    const Holders holders =
+        HoldersOf(state, list, begin.attempt(), kRecordHolders);
     if (holders.m_is_own) Store(state, begin);
     for (const std::string& address : holders.m_others) {
       *by_address[address].mutable_begun()->add_streams() = begin;
+      ++state.m_counters.m_stream_records;
     }
   }
+  state.m_counters.m_stream_messages += by_address.size();
   for (const auto& [address, exchange] : by_address) {
     SendExchange(state, address, exchange,
                  [](const schema::StreamAnswer* /*answer*/) {});
   }
 }
 
+void AddVersions(const ControlState& state, schema::StreamAnswer& answer) {
+  const StreamRecords& records = state.m_streams;
+  const Instant now = state.m_clock();
+  for (const SeenVersion& seen : RecentVersions(records.m_versions, now)) {
+    schema::VersionSeen* version = answer.add_versions();
+    version->set_service(seen.m_service);
+    version->set_version(seen.m_version);
+    version->set_last_listed_ms(ToMs(now - seen.m_last_listed));
+  }
+  answer.set_has_all_versions(records.m_has_all_versions);
+}
+
+void TakeVersions(ControlState& state, const schema::StreamAnswer& answer) {
+  StreamRecords& records = state.m_streams;
+  const Instant now = state.m_clock();
+  for (const schema::VersionSeen& seen : answer.versions()) {
+    AddSeenVersion(records.m_versions, {seen.service(), seen.version(),
+                                        now - FromMs(seen.last_listed_ms())});
+  }
+  if (!answer.has_all_versions() || records.m_has_all_versions) return;
+  records.m_has_all_versions = true;
+  LogLine("listed_versions_learnt")
+      .Add("versions", answer.versions_size())
+      .Add("rounds", static_cast<std::int64_t>(records.m_versions_asked));
+}
+
+// Asks other instances for the versions that were listed before this one
+// started, until one answers that knows all or all of them are too old.
+void AskForVersions(ControlState& state) {
+  StreamRecords& records = state.m_streams;
+  const Instant now = state.m_clock();
+  if (records.m_has_all_versions || !state.m_instances_cursor.m_initialized) {
+    return;
+  }
+  if (!records.m_started) records.m_started = now;
+  if (now - *records.m_started >= kResumeWindow) {
+    records.m_has_all_versions = true;
+    return;
+  }
+  if (now < records.m_versions_due) return;
+  records.m_versions_due = now + kVersionsInterval;
+  const std::string& name = state.m_options.m_name;
+  // Other instances in each round, as the first ones may be gone.
+  const std::uint64_t round =
+      XXH64(name.data(), name.size(), ++records.m_versions_asked);
+  const Holders asked =
+      HoldersOf(state, ListHolders(state), round, kRecordHolders);
+  schema::StreamExchange exchange;
+  exchange.set_wants_versions(true);
+  for (const std::string& address : asked.m_others) {
+    SendExchange(state, address, exchange,
+                 [&state](const schema::StreamAnswer* answer) {
+                   if (answer != nullptr) TakeVersions(state, *answer);
+                 });
+  }
+}
+
+}  // namespace
+
+void SendBegunStreams(ControlState& state,
+                      const schema::StreamBeginList& begun) {
+  const Instant now = state.m_clock();
+  schema::StreamBeginList urgent;
+  for (const schema::StreamBegin& begin : begun.streams()) {
+    const bool is_mixed =
+        IsMixed(state.m_streams.m_versions, begin.service(), now);
+    schema::StreamBeginList& list =
+        is_mixed ? urgent : state.m_streams.m_unsent;
+    *list.add_streams() = begin;
+  }
+  SendRecords(state, urgent);
+}
+
+void SyncStreams(ControlState& state) {
+  SendRecords(state, std::exchange(state.m_streams.m_unsent, {}));
+  AskForVersions(state);
+}
+
 void AskForStream(ControlState& state, const schema::StreamQuestion& question) {
   const Holders holders =
-      HoldersOf(state, ListHolders(state), question.attempt());
+      HoldersOf(state, ListHolders(state), question.attempt(), kAskedInstances);
   const auto open = std::make_shared<OpenQuestion>();
   open->m_answer.set_request(question.request());
   schema::StreamAnswer own = LookUp(state, question);
@@ -178,8 +262,10 @@
   for (const schema::StreamBegin& begin : call.begun().streams()) {
     Store(state, begin);
   }
-  if (!call.has_question()) return {};
-  return LookUp(state, call.question());
+  schema::StreamAnswer answer;
+  if (call.has_question()) answer = LookUp(state, call.question());
+  if (call.wants_versions()) AddVersions(state, answer);
+  return answer;
 }
 
 void UpdateListedVersions(ControlState& state) {
--- a/src/streamsync.h
+++ b/src/streamsync.h
@@ -11,10 +11,16 @@
 // Request target of the calls between instances.
 inline constexpr std::string_view kStreamTarget = "/v1/streams";
 
-// Sends the records to the instances that hold them.
+// Sends the records to the instances that hold them: at once while a service is
+// mixed, otherwise with the next tick, together with others for the same
+// instance.
 void SendBegunStreams(ControlState& state,
                       const schema::StreamBeginList& begun);
 
+// Sends records that wait for a tick. An instance that has just started asks
+// others for the versions that were listed before. Call it with each tick.
+void SyncStreams(ControlState& state);
+
 // Asks the instances that may hold the record of a stream, all at once, and
 // tells the relay task the result.
 void AskForStream(ControlState& state, const schema::StreamQuestion& question);
--- a/src/streamversions.cpp
+++ b/src/streamversions.cpp
@@ -9,16 +9,16 @@
 
 namespace {
 
-// Instances that hold the record of a stream. The one that began it is often
-// killed, and others with it.
-constexpr std::size_t kRecordHolders = 3;
-
 // Maximum number of streams in a table. At 6,500 requests per second over 380
 // instances, with three records of each stream, 30 s bring 1,600.
 constexpr std::size_t kMaxStreams = 1U << 16U;
 
 constexpr Duration kSweepInterval = std::chrono::seconds(1);
 
+bool IsRecent(const VersionSpan& span, Instant now) {
+  return span.m_is_listed || now - span.m_last_listed < kResumeWindow;
+}
+
 }  // namespace
 
 std::vector<std::string> UpdateVersions(VersionHistory& history,
@@ -44,15 +44,31 @@
   return mixed;
 }
 
+std::vector<SeenVersion> RecentVersions(const VersionHistory& history,
+                                        Instant now) {
+  std::vector<SeenVersion> recent;
+  for (const auto& [service, versions] : history.m_services) {
+    for (const auto& [version, span] : versions) {
+      if (!IsRecent(span, now)) continue;
+      recent.push_back(
+          {service, version, span.m_is_listed ? now : span.m_last_listed});
+    }
+  }
+  return recent;
+}
+
+void AddSeenVersion(VersionHistory& history, const SeenVersion& seen) {
+  VersionSpan& span = history.m_services[seen.m_service][seen.m_version];
+  span.m_last_listed = std::max(span.m_last_listed, seen.m_last_listed);
+}
+
 bool IsMixed(const VersionHistory& history, const std::string& service,
              Instant now) {
   const auto found = history.m_services.find(service);
   if (found == history.m_services.end()) return false;
   const auto recent = std::count_if(
-      found->second.begin(), found->second.end(), [now](const auto& entry) {
-        const VersionSpan& span = entry.second;
-        return span.m_is_listed || now - span.m_last_listed < kResumeWindow;
-      });
+      found->second.begin(), found->second.end(),
+      [now](const auto& entry) { return IsRecent(entry.second, now); });
   return recent > 1;
 }
 
@@ -98,7 +114,8 @@
 }
 
 std::vector<std::size_t> ChooseHolders(
-    const std::vector<RecordHolder>& instances, std::uint64_t attempt) {
+    const std::vector<RecordHolder>& instances, std::uint64_t attempt,
+    std::size_t count) {
   std::vector<std::size_t> ranked(instances.size());
   for (std::size_t i = 0; i < ranked.size(); ++i) ranked[i] = i;
   std::sort(ranked.begin(), ranked.end(), [&](std::size_t a, std::size_t b) {
@@ -114,7 +131,7 @@
     (is_first ? chosen : others).push_back(i);
   }
   chosen.insert(chosen.end(), others.begin(), others.end());
-  chosen.resize(std::min(chosen.size(), kRecordHolders));
+  chosen.resize(std::min(chosen.size(), count));
   return chosen;
 }
 
--- a/src/streamversions.h
+++ b/src/streamversions.h
@@ -15,9 +15,10 @@
 
 // At which software version a stream began. A stream goes on only at endpoints
 // of that version, also when its caller takes it up at another instance because
-// the first one was killed. While a service has endpoints of several versions,
-// each begun stream is therefore recorded at a few instances that follow from
-// the id of the attempt, so that any instance knows whom to ask.
+// the first one was killed. Each begun stream is therefore recorded at a few
+// instances that follow from the id of the attempt, so that any instance knows
+// whom to ask: also while all endpoints have one version, as those of a second
+// one may be listed before the stream is taken up.
 
 // Longest time after its begin in which a caller takes a stream up.
 inline constexpr Duration kResumeWindow = std::chrono::seconds(30);
@@ -40,6 +41,20 @@
                                         const std::set<ServiceVersion>& listed,
                                         Instant now);
 
+// Version of endpoints that were listed lately, as known by another instance.
+struct SeenVersion {
+  std::string m_service;
+  std::string m_version;
+  Instant m_last_listed{};
+};
+
+// The versions that were listed within kResumeWindow.
+std::vector<SeenVersion> RecentVersions(const VersionHistory& history,
+                                        Instant now);
+
+// Adds a version that another instance has seen.
+void AddSeenVersion(VersionHistory& history, const SeenVersion& seen);
+
 // Whether endpoints of several versions have been listed within kResumeWindow.
 bool IsMixed(const VersionHistory& history, const std::string& service,
              Instant now);
@@ -76,10 +91,19 @@
   std::string m_zone;
 };
 
+// Instances that hold the record of a stream. The one that began it is often
+// killed, and others with it.
+inline constexpr std::size_t kRecordHolders = 3;
+
+// Instances that are asked for a record: more than hold it, because those that
+// have started since it was sent may have taken the place of its holders.
+inline constexpr std::size_t kAskedInstances = 2 * kRecordHolders;
+
 // Chooses the instances that hold the record of a stream, by rendezvous hashing
 // and in as many availability zones as possible. Returns their indices.
 std::vector<std::size_t> ChooseHolders(
-    const std::vector<RecordHolder>& instances, std::uint64_t attempt);
+    const std::vector<RecordHolder>& instances, std::uint64_t attempt,
+    std::size_t count = kRecordHolders);
 
 }  // namespace comfreypaddle
 
--- a/tests/streamversions_test.cpp
+++ b/tests/streamversions_test.cpp
@@ -34,6 +34,26 @@
   CHECK_FALSE(IsMixed(history, "other", end));
 }
 
+// Guards against a service that is taken for unmixed by an instance that has
+// started a moment ago (ORDER), and for mixed longer than it is.
+TEST_CASE("versions that another instance has seen count until they are old") {
+  VersionHistory old;
+  UpdateVersions(old, {{"s", "1"}, {"s", "2"}, {"t", "3"}}, kStart);
+  UpdateVersions(old, {{"s", "2"}}, kStart + seconds(5));
+  const Instant now = kStart + seconds(25);
+  VersionHistory started;
+  UpdateVersions(started, {{"s", "2"}}, now);
+  CHECK_FALSE(IsMixed(started, "s", now));
+  const auto recent = RecentVersions(old, now);
+  REQUIRE(recent.size() == 3);
+  for (const SeenVersion& seen : recent) AddSeenVersion(started, seen);
+  CHECK(IsMixed(started, "s", now));
+  CHECK(OnlyVersion(started, "s") == "2");
+  const Instant end = kStart + seconds(5) + kResumeWindow;
+  CHECK_FALSE(IsMixed(started, "s", end));
+  CHECK(RecentVersions(old, end).size() == 1);
+}
+
 // Guards against records that are lost too early, kept for good, or changed by
 // a later attempt.
 TEST_CASE("a stream is known until its caller no longer takes it up") {
