--- a/tests/support_process.cpp
+++ b/tests/support_process.cpp
@@ -5,6 +5,7 @@
 #include <fcntl.h>
 #include <signal.h>
 #include <spawn.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -111,6 +112,19 @@
   return 0;
 }
 
+void Process::LimitDescriptors(std::size_t limit) const {
+  const rlimit limits{limit, limit};
+  REQUIRE(prlimit(m_pid, RLIMIT_NOFILE, &limits, nullptr) == 0);
+}
+
+std::size_t Process::OpenDescriptors() const {
+  std::error_code error;
+  const std::filesystem::directory_iterator open(
+      "/proc/" + std::to_string(m_pid) + "/fd", error);
+  if (error) return 0;
+  return static_cast<std::size_t>(std::distance(begin(open), end(open)));
+}
+
 std::optional<int> Process::ExitCode() {
   if (m_exit_code) return m_exit_code;
   int status = 0;
--- a/tests/support_process.h
+++ b/tests/support_process.h
@@ -33,6 +33,12 @@
   // Largest resident memory so far, MB. Zero if it cannot be read.
   double PeakMemoryMb() const;
 
+  // Limits the descriptors that the process may open, which it cannot undo.
+  void LimitDescriptors(std::size_t limit) const;
+
+  // Number of open descriptors. Zero if it cannot be read.
+  std::size_t OpenDescriptors() const;
+
   // Returns the exit code, or 128 plus the signal number, once the process has
   // exited.
   std::optional<int> ExitCode();
