--- a/src/channel.cpp
+++ b/src/channel.cpp
@@ -4,15 +4,18 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
+#include <utility>
 
 namespace comfreypaddle {
 
 namespace {
 
-// Maximum number of bytes read from a socket per event.
-constexpr std::size_t kReadBufferBytes = 32U << 10U;
+// Size from which a segment of the output is not extended. A segment is freed
+// when all of it has been sent.
+constexpr std::size_t kSegmentBytes = 256U << 10U;
 
 bool WouldBlock() { return errno == EAGAIN || errno == EWOULDBLOCK; }
 
@@ -35,7 +38,24 @@
 }
 
 void Channel::Write(std::string_view bytes) {
-  m_output.append(bytes);
+  if (bytes.empty()) return;
+  if (m_output.empty() || m_output.back().m_shared ||
+      m_output.back().m_text.size() >= kSegmentBytes) {
+    m_output.emplace_back();
+  }
+  m_output.back().m_text.append(bytes);
+  m_pending += bytes.size();
+  Send();
+}
+
+void Channel::Write(std::shared_ptr<const std::string> bytes) {
+  if (bytes->empty()) return;
+  m_pending += bytes->size();
+  m_output.push_back({"", std::move(bytes)});
+  Send();
+}
+
+void Channel::Send() {
   if (m_state == State::kOpen) Flush();
   UpdateEvents();
 }
@@ -93,8 +113,9 @@
 }
 
 void Channel::HandleInput() {
-  std::array<char, kReadBufferBytes> buffer;
-  const ssize_t count = recv(m_descriptor, buffer.data(), buffer.size(), 0);
+  std::array<char, kMaxReadBytes> buffer;
+  const ssize_t count = recv(m_descriptor, buffer.data(),
+                             std::min(buffer.size(), m_read_limit), 0);
   if (count > 0) {
     m_owner.OnBytes(*this, {buffer.data(), static_cast<std::size_t>(count)});
   } else if (count == 0) {
@@ -110,8 +131,9 @@
 bool Channel::Flush() {
   if (Pending() == 0 || m_write_failed) return false;
   while (Pending() > 0) {
-    const ssize_t count = send(m_descriptor, m_output.data() + m_written,
-                               Pending(), MSG_NOSIGNAL);
+    const std::string_view bytes = m_output.front().View().substr(m_written);
+    const ssize_t count =
+        send(m_descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
     if (count < 0) {
       // The error event that follows reports the failure to the owner.
       m_write_failed = !WouldBlock() && errno != EINTR;
@@ -119,9 +141,11 @@
     }
     m_any_sent = true;
     m_written += static_cast<std::size_t>(count);
+    m_pending -= static_cast<std::size_t>(count);
+    if (static_cast<std::size_t>(count) < bytes.size()) continue;
+    m_output.pop_front();
+    m_written = 0;
   }
-  m_output.clear();
-  m_written = 0;
   if (m_shutdown_pending) shutdown(m_descriptor, SHUT_WR);
   return true;
 }
--- a/src/channel.h
+++ b/src/channel.h
@@ -2,6 +2,8 @@
 #define COMFREYPADDLE_CHANNEL_H_
 
 #include <cstdint>
+#include <deque>
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -17,6 +19,9 @@
   kRefused,
 };
 
+// Maximum number of bytes read from a socket per event.
+inline constexpr std::size_t kMaxReadBytes = 32U << 10U;
+
 class Channel;
 
 // Receives the events of a channel. Every callback may destroy the channel.
@@ -44,8 +49,11 @@
   // Sends or buffers the bytes. Failures are reported later by OnEnd.
   void Write(std::string_view bytes);
 
+  // Does the same without a copy: the bytes are shared until they are sent.
+  void Write(std::shared_ptr<const std::string> bytes);
+
   // Number of bytes that the kernel has not accepted yet.
-  std::size_t Pending() const { return m_output.size() - m_written; }
+  std::size_t Pending() const { return m_pending; }
 
   // Whether the kernel has accepted any byte since the channel was created.
   bool AnySent() const { return m_any_sent; }
@@ -61,10 +69,22 @@
   // Pauses and resumes reading, to apply back pressure to the peer.
   void SetReading(bool reading);
 
+  // Limits the bytes that are read at once, and thereby those of one OnBytes.
+  void SetReadLimit(std::size_t bytes) { m_read_limit = bytes; }
+
   // Whether the peer has sent bytes or closed since the last event.
   bool HasUnreadInput() const;
 
  private:
+  // Part of the output, either text of its own or shared.
+  struct Segment {
+    std::string m_text;
+    std::shared_ptr<const std::string> m_shared;
+
+    std::string_view View() const { return m_shared ? *m_shared : m_text; }
+  };
+
+  void Send();
   void OnEvents(std::uint32_t events);
   void HandleConnected();
   void HandleInput();
@@ -76,8 +96,10 @@
   int m_descriptor;
   std::uint64_t m_watch_id = 0;
   State m_state;
-  std::string m_output;
-  std::size_t m_written = 0;
+  std::deque<Segment> m_output;
+  std::size_t m_written = 0;  // Bytes of the first segment.
+  std::size_t m_pending = 0;  // Bytes of all segments that are not written.
+  std::size_t m_read_limit = kMaxReadBytes;
   std::uint32_t m_events = 0;
   bool m_reading = true;
   bool m_any_sent = false;
--- a/src/control.cpp
+++ b/src/control.cpp
@@ -21,6 +21,9 @@
 
 constexpr int kOk = 200;
 
+// Bounds of the listener for other instances.
+constexpr RequestMemoryLimits kPeerMemoryLimits{16U << 20U, 512};
+
 // Before claiming a free lease an instance waits kClaimDelayStep times a number
 // below kClaimDelaySteps that is derived from its name, so that instances do
 // not claim at the same time.
@@ -91,6 +94,7 @@
         .Add("error", ToName(error));
   };
   m_peers = std::make_unique<HttpServer>(*m_sockets, std::move(events));
+  m_peers->SetMemoryLimits(kPeerMemoryLimits);
   const auto address = ParseSocketAddress(m_settings.listen().peers());
   const auto error = m_peers->Listen(address->m_ip, address->m_port);
   CHECK(!error) << "cannot listen on listen.peers "
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -1,5 +1,6 @@
 #include "entry.h"
 
+#include <malloc.h>
 #include <signal.h>
 #include <unistd.h>
 
@@ -24,6 +25,10 @@
 // Time limit for handing over duties and usage.
 constexpr Duration kHandoverTimeout = std::chrono::milliseconds(1500);
 
+// Size from which memory is mapped and goes back to the system when it is
+// freed. The default grows with what was freed, and bodies would be kept.
+constexpr int kMapThresholdBytes = 256 << 10;
+
 // Unix time at the zero of the monotonic clock. It is read once, so that a step
 // of the wall clock does not shift usage windows.
 Duration UnixTimeAtBoot() {
@@ -155,6 +160,7 @@
 }  // namespace
 
 int RunEntry(const std::string& file, const schema::RelaySettings& settings) {
+  mallopt(M_MMAP_THRESHOLD, kMapThresholdBytes);
   SetLogLimit(settings.log().lines_per_s());
   EntryInstance instance(file, settings);
   instance.Run();
--- a/src/httpclient.cpp
+++ b/src/httpclient.cpp
@@ -39,6 +39,10 @@
 // that it has carried.
 constexpr std::uint32_t kMaxCallsPerConnection = 256;
 
+// Size up to which a body is copied behind the head, to send both with one
+// system call.
+constexpr std::size_t kMaxCopiedBodyBytes = 16U << 10U;
+
 // Splits "http://IP:PORT/TARGET" at the target.
 std::pair<std::string, std::string> SplitUrl(const std::string& url) {
   constexpr std::size_t kSchemeSize = 7;
@@ -99,7 +103,7 @@
                       *this);
   }
 
-  void DispatchCall(CallId id, const HttpCall& call, const std::string& target,
+  void DispatchCall(CallId id, HttpCall call, const std::string& target,
                     HttpEvents events) {
     m_id = id;
     m_events = std::make_shared<HttpEvents>(std::move(events));
@@ -121,6 +125,10 @@
     m_body_until_close = false;
     m_at_message_end = false;
     m_channel->Write(FormatRequest(call, target));
+    if (call.m_body.size() > kMaxCopiedBodyBytes) {
+      m_channel->Write(
+          std::make_shared<const std::string>(std::move(call.m_body)));
+    }
     // Sent() may return true only after the request has been written.
     m_request_written = true;
   }
@@ -286,6 +294,7 @@
     return m_max_body_bytes > 0 && m_body_bytes > m_max_body_bytes;
   }
 
+  // Returns the head, and the body unless that is written by itself.
   std::string FormatRequest(const HttpCall& call,
                             const std::string& target) const {
     std::string text = call.m_method + " " + target + " HTTP/1.1\r\n";
@@ -304,7 +313,7 @@
       text += "Content-Length: " + std::to_string(call.m_body.size()) + "\r\n";
     }
     text += "\r\n";
-    text += call.m_body;
+    if (call.m_body.size() <= kMaxCopiedBodyBytes) text += call.m_body;
     return text;
   }
 
@@ -371,7 +380,7 @@
     ++m_counters.m_opened;
     connection = std::make_unique<Connection>(*this, address, descriptor);
   }
-  connection->DispatchCall(id, call, target, std::move(events));
+  connection->DispatchCall(id, std::move(call), target, std::move(events));
   m_active[id] = std::move(connection);
   return id;
 }
--- a/src/httpserver.cpp
+++ b/src/httpserver.cpp
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <cerrno>
 #include <charconv>
 #include <utility>
 #include <vector>
@@ -16,6 +17,7 @@
 namespace {
 
 constexpr int kRequestTimeout = 408;
+constexpr int kUnavailable = 503;
 
 // Interval between the checks for idle and slow callers.
 constexpr Duration kExpiryCheckPeriod = std::chrono::milliseconds(250);
@@ -29,8 +31,22 @@
 // counts as idle.
 constexpr Duration kFirstRequestTime = std::chrono::milliseconds(250);
 
-// Maximum size of pipelined input buffered while a request is open.
-constexpr std::size_t kMaxPipelinedBytes = 256U << 10U;
+// Size of pipelined input from which no more is read while a request is open,
+// and maximum number of bytes read at once meanwhile.
+constexpr std::size_t kMaxPipelinedBytes = 4U << 10U;
+
+// Memory of a connection itself, bytes.
+constexpr std::size_t kConnectionBytes = 2U << 10U;
+
+// Copies of a head in memory: as received and as parsed.
+constexpr std::size_t kHeadCopies = 2;
+
+// Copies of a body while its request is open: in the request, and in the call
+// to an endpoint until that has read it.
+constexpr std::size_t kOpenBodyCopies = 2;
+
+// Pause that a caller is told whose request does not fit into the memory.
+constexpr const char* kRetryAfterSeconds = "1";
 
 // Maximum number of connections accepted per event.
 constexpr int kAcceptBatch = 32;
@@ -47,6 +63,12 @@
   return text;
 }
 
+// Whether a socket call failed because this machine has none left.
+bool IsOutOfResources(int error) {
+  return error == EMFILE || error == ENFILE || error == ENOBUFS ||
+         error == ENOMEM;
+}
+
 int ToStatus(ParseError error) {
   switch (error) {
     case ParseError::kHeadTooLarge:
@@ -68,10 +90,12 @@
         m_id(id),
         m_parser(HttpMessageKind::kRequest, Limits(), *this),
         m_last_activity(Now()),
+        m_waits_since(m_last_activity),
         m_channel(server.m_sockets, descriptor, Channel::State::kOpen, *this) {}
 
   ~Connection() override {
     if (m_request != 0) m_server.m_requests.erase(m_request);
+    UpdateHeld(m_server.m_memory, m_held_bytes, 0);
   }
 
   void OnConnected(Channel& /*channel*/) override {}
@@ -81,11 +105,12 @@
     if (m_lingering) return;
     m_last_activity = Now();
     m_input.append(bytes);
-    if (m_request != 0) {
-      if (m_input.size() > kMaxPipelinedBytes) m_channel.SetReading(false);
+    if (m_request == 0) {
+      ParseInput();
       return;
     }
-    ParseInput();
+    if (m_input.size() >= kMaxPipelinedBytes) m_channel.SetReading(false);
+    UpdateHeldBytes();
   }
 
   void OnEnd(Channel& /*channel*/, ChannelEnd /*end*/) override {
@@ -158,6 +183,7 @@
   // Returns whether the connection must be closed. Rejects a request that takes
   // too long to arrive.
   bool IsExpired(Instant now) {
+    UpdateHeldBytes();
     if (m_request != 0) return false;
     if (UnsentBytes() > 0) return IsWriteStalled(now);
     if (m_lingering) return now > m_linger_deadline;
@@ -167,10 +193,48 @@
         !m_head_done && now - m_request_start > m_server.m_limits.m_head_time;
     if (slow_head || now - m_last_activity > m_server.m_limits.m_idle_time) {
       Reject(kRequestTimeout, ParseError::kNone);
+    } else if (m_head_done &&
+               now - m_request_start >
+                   BodyTime(m_server.m_limits.m_body_time, m_body.size())) {
+      Reject(kRequestTimeout, ParseError::kNone);
+      m_server.CountTurnedAway(TurnedAway::kSlowBody);
     }
     return false;
   }
 
+  RequestHolder Holder(Instant now) const {
+    RequestHolder holder;
+    holder.m_connection = m_id;
+    holder.m_runs = m_request != 0;
+    holder.m_is_new = m_is_new;
+    holder.m_bytes = m_held_bytes;
+    holder.m_waits =
+        now - (m_parser.Started() ? m_request_start : m_waits_since);
+    return holder;
+  }
+
+  // Rejects the request that arrives, which is then not run. Returns false if
+  // none arrives; the connection is to be closed then.
+  bool RejectForMemory() {
+    if (m_lingering || !m_parser.Started()) return false;
+    SendRejection(kUnavailable, {{"Retry-After", kRetryAfterSeconds}});
+    return true;
+  }
+
+  // Adds what this connection holds to the sum of the server.
+  void UpdateHeldBytes() {
+    std::size_t bytes = kConnectionBytes + kHeadCopies * m_head_bytes +
+                        m_input.size() + m_running_bytes;
+    bytes += (m_parser.IsDone() ? kOpenBodyCopies : 1) * m_body.size();
+    // The responses to open requests are bounded by their owner.
+    if (m_request == 0) bytes += UnsentBytes();
+    UpdateHeld(m_server.m_memory, m_held_bytes, bytes);
+    m_held_bytes = bytes;
+  }
+
+  std::size_t HeldBytes() const { return m_held_bytes; }
+  bool IsLingering() const { return m_lingering; }
+
   // Whether closing the connection now loses no request that the caller has
   // sent, as far as this side can know.
   bool IsIdle(Instant now) const {
@@ -213,14 +277,18 @@
     if (!m_parser.Started()) m_request_start = m_last_activity;
     std::string input = std::move(m_input);
     m_input.clear();
+    const bool had_head = m_head_done;
+    const std::size_t body_before = m_body.size();
     const std::size_t used = m_parser.Feed(input);
+    if (!had_head) m_head_bytes += used - (m_body.size() - body_before);
     if (m_parser.Error() != ParseError::kNone) {
       Reject(ToStatus(m_parser.Error()), m_parser.Error());
       return;
     }
-    if (!m_parser.IsDone()) return;
-    m_input.assign(input, used);
-    DispatchRequest();
+    if (m_parser.IsDone()) m_input.assign(input, used);
+    UpdateHeldBytes();
+    m_server.FreeMemory(*this);
+    if (m_parser.IsDone() && !m_lingering) DispatchRequest();
   }
 
   void DispatchRequest() {
@@ -233,32 +301,53 @@
     request.m_method = m_head.m_method;
     request.m_target = m_head.m_target;
     request.m_headers = m_head.m_fields;
+    m_running_bytes = kOpenBodyCopies * m_body.size();
     request.m_body = std::move(m_body);
-    m_body.clear();
+    m_body = std::string();
+    m_channel.SetReadLimit(kMaxPipelinedBytes);
+    if (m_input.size() >= kMaxPipelinedBytes) m_channel.SetReading(false);
     m_server.m_events.m_on_request(std::move(request));
   }
 
   // Rejects a request that has not been passed to the owner.
   void Reject(int status, ParseError error) {
+    SendRejection(status, {});
+    m_server.m_events.m_on_rejected(status, error);
+  }
+
+  // Answers a request that has not been passed to the owner, frees what it
+  // holds, and discards what the caller still sends.
+  void SendRejection(int status, const HttpFields& fields) {
+    m_head = HttpHead();
     m_head.m_keep_alive = false;
-    std::string text = FormatHead(status, {});
+    m_head_bytes = 0;
+    m_body = std::string();
+    m_input = std::string();
+    std::string text = FormatHead(status, fields);
     text += "Content-Length: 0\r\nConnection: close\r\n\r\n";
     m_channel.Write(text);
     Linger();
-    m_server.m_events.m_on_rejected(status, error);
+    UpdateHeldBytes();
   }
 
   void EndRequest(bool persistent) {
     m_server.m_requests.erase(m_request);
     m_request = 0;
     m_last_activity = Now();
+    m_waits_since = m_last_activity;
+    m_head_bytes = 0;
+    m_running_bytes = 0;
     if (!persistent) {
+      m_input = std::string();
       Linger();
+      UpdateHeldBytes();
       return;
     }
     m_parser.Reset(Limits());
     m_head_done = false;
+    m_channel.SetReadLimit(kMaxReadBytes);
     m_channel.SetReading(true);
+    UpdateHeldBytes();
     if (m_input.empty()) return;
     // The next request is parsed in a later iteration of the event loop,
     // because its handler may respond immediately, which would recurse.
@@ -273,6 +362,7 @@
   void Linger() {
     m_lingering = true;
     m_linger_deadline = Now() + kLingerTimeout;
+    m_channel.SetReadLimit(kMaxReadBytes);
     m_channel.FinishWriting();
     m_channel.SetReading(true);
   }
@@ -288,6 +378,10 @@
   Instant m_last_activity;      // Time of the last input or response.
   Instant m_request_start{};    // Arrival of the request's first byte.
   Instant m_linger_deadline{};
+  Instant m_waits_since;            // Opened, or end of the last request.
+  std::size_t m_head_bytes = 0;     // Of the current request.
+  std::size_t m_running_bytes = 0;  // Bodies of the open request.
+  std::size_t m_held_bytes = 0;     // As added to the sum of the server.
   std::size_t m_unsent_before = 0;  // At the last check for expiry.
   bool m_chunked = false;
   bool m_persistent = false;
@@ -334,14 +428,66 @@
 bool HttpServer::AcceptOne() {
   const int descriptor =
       accept4(m_listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-  if (descriptor < 0) return false;
+  if (descriptor < 0) {
+    if (IsOutOfResources(errno)) PauseAccepting();
+    return false;
+  }
   const int on = 1;
   setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
   const std::uint64_t id = m_next_id++;
-  m_connections[id] = std::make_unique<Connection>(*this, id, descriptor);
+  const auto& connection = m_connections[id] =
+      std::make_unique<Connection>(*this, id, descriptor);
+  connection->UpdateHeldBytes();
+  LimitConnections(id);
   return true;
 }
 
+// Frees a descriptor if possible, and accepts nothing until the next check for
+// expiry. The waiting connection would otherwise wake the loop without pause.
+void HttpServer::PauseAccepting() {
+  const std::uint64_t chosen = ChooseForConnection(Holders(0));
+  if (chosen != 0) CloseConnection(chosen);
+  CountTurnedAway(TurnedAway::kDescriptors);
+  m_accepting_paused = true;
+  m_sockets.SetEvents(m_listener_watch_id, 0);
+}
+
+// Closes a connection if there are too many: another one than the newest unless
+// all others have open requests.
+void HttpServer::LimitConnections(std::uint64_t newest) {
+  if (m_connections.size() <= m_memory.m_limits.m_connections) return;
+  const std::uint64_t chosen = ChooseForConnection(Holders(newest));
+  CloseConnection(chosen != 0 ? chosen : newest);
+  CountTurnedAway(TurnedAway::kConnections);
+}
+
+// Turns callers away until the connection that has grown may go on.
+void HttpServer::FreeMemory(Connection& grown) {
+  while (!grown.IsLingering() &&
+         IsMemoryExceeded(m_memory, grown.HeldBytes())) {
+    const std::uint64_t chosen = ChooseForMemory(Holders(0));
+    if (chosen == 0) return;
+    CountTurnedAway(TurnedAway::kMemory);
+    Connection& connection = *m_connections.at(chosen);
+    if (!connection.RejectForMemory()) CloseConnection(chosen);
+  }
+}
+
+std::vector<RequestHolder> HttpServer::Holders(std::uint64_t without) const {
+  const Instant now = Now();
+  std::vector<RequestHolder> holders;
+  holders.reserve(m_connections.size());
+  for (const auto& [id, connection] : m_connections) {
+    if (id != without) holders.push_back(connection->Holder(now));
+  }
+  return holders;
+}
+
+void HttpServer::CountTurnedAway(TurnedAway reason) {
+  ++m_memory.m_turned_away[reason];
+  if (m_events.m_on_turned_away) m_events.m_on_turned_away(reason);
+}
+
 void HttpServer::AcceptBatch() {
   for (int i = 0; i < kAcceptBatch && AcceptOne(); ++i) {
   }
@@ -354,6 +500,9 @@
     if (connection->IsExpired(now)) expired.push_back(id);
   }
   for (const std::uint64_t id : expired) CloseConnection(id);
+  if (!m_accepting_paused || m_listener < 0) return;
+  m_accepting_paused = false;
+  m_sockets.SetEvents(m_listener_watch_id, EPOLLIN);
 }
 
 void HttpServer::CloseIdle() {
--- a/src/httpserver.h
+++ b/src/httpserver.h
@@ -6,9 +6,11 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 #include "channel.h"
 #include "httpparse.h"
+#include "requestmemory.h"
 
 namespace comfreypaddle {
 
@@ -18,6 +20,8 @@
   std::uint64_t m_body_bytes = 4U << 20U;
   Duration m_head_time = std::chrono::seconds(3);
   Duration m_idle_time = std::chrono::seconds(15);
+  // Time that any body may take to arrive; long ones may take longer.
+  Duration m_body_time = std::chrono::seconds(60);
 };
 
 // Callbacks of an HTTP server, in the thread of its task.
@@ -28,6 +32,8 @@
   std::function<void(std::uint64_t id)> m_on_disconnect;
   // The server rejected a malformed, oversized or slow request.
   std::function<void(int status, ParseError error)> m_on_rejected;
+  // The server turned a caller away that had no open request. May be unset.
+  std::function<void(TurnedAway reason)> m_on_turned_away;
 };
 
 // HTTP/1.1 server over the sockets of one task. It passes targets, header
@@ -45,6 +51,13 @@
 
   void SetLimits(const RequestLimits& limits) { m_limits = limits; }
 
+  void SetMemoryLimits(const RequestMemoryLimits& limits) {
+    m_memory.m_limits = limits;
+  }
+
+  // What the requests hold and whom the server has turned away.
+  const RequestMemory& Memory() const { return m_memory; }
+
   // Closes each connection after its next response (Connection: close), or
   // after the responses to the requests that the caller has sent behind it.
   void AnnounceClose() { m_announce_close = true; }
@@ -75,6 +88,11 @@
   class Connection;
 
   void CloseListener();
+  void PauseAccepting();
+  void LimitConnections(std::uint64_t newest);
+  void FreeMemory(Connection& grown);
+  void CountTurnedAway(TurnedAway reason);
+  std::vector<RequestHolder> Holders(std::uint64_t without) const;
   bool AcceptOne();
   void AcceptBatch();
   void CloseExpired();
@@ -84,6 +102,7 @@
   SocketSet& m_sockets;
   HttpServerEvents m_events;
   RequestLimits m_limits;
+  RequestMemory m_memory;
   int m_listener = -1;
   std::uint64_t m_listener_watch_id = 0;
   std::uint64_t m_next_id = 1;
@@ -91,6 +110,7 @@
   std::unordered_map<std::uint64_t, Connection*> m_requests;
   std::unique_ptr<PeriodicTimer> m_expiry_check;
   bool m_announce_close = false;
+  bool m_accepting_paused = false;
 };
 
 }  // namespace comfreypaddle
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -1,6 +1,7 @@
 #include "relay.h"
 
 #include <glog/logging.h>
+#include <sys/resource.h>
 #include <xxhash.h>
 
 #include <algorithm>
@@ -33,6 +34,9 @@
 // Period at which usage counts are sent to the control task.
 constexpr Duration kUsageHandoverPeriod = std::chrono::milliseconds(500);
 
+// Period of log lines about callers that are turned away.
+constexpr Duration kTurnedAwayLogPeriod = std::chrono::seconds(1);
+
 EngineStage StageOf(schema::EnginePhase phase) {
   switch (phase) {
     case schema::PHASE_PREFILL:
@@ -44,8 +48,15 @@
   }
 }
 
-RequestLimits LimitsOf(const schema::CatalogLimits& limits) {
+// Bounds of the listener for readiness checks and of that for metrics, which
+// only the platform and operators use.
+constexpr RequestLimits kInternalLimits{.m_body_bytes = 64U << 10U};
+constexpr RequestMemoryLimits kInternalMemoryLimits{4U << 20U, 32};
+
+RequestLimits LimitsOf(const schema::CatalogLimits& limits,
+                       const schema::RelayMemorySettings& memory) {
   RequestLimits result;
+  result.m_body_time = std::chrono::seconds(memory.body_time_s());
   if (limits.head_bytes() > 0) result.m_head_bytes = limits.head_bytes();
   if (limits.body_bytes() > 0) result.m_body_bytes = limits.body_bytes();
   const auto milliseconds = [](double value) {
@@ -56,6 +67,21 @@
   return result;
 }
 
+// Returns how many descriptors this process may open.
+std::size_t DescriptorLimit() {
+  rlimit limit{};
+  PCHECK(getrlimit(RLIMIT_NOFILE, &limit) == 0)
+      << "cannot read the descriptor limit";
+  return limit.rlim_cur;
+}
+
+RequestMemoryLimits MemoryLimitsOf(const schema::RelayMemorySettings& memory,
+                                   const RequestLimits& limits) {
+  return {RequestBytesOf(memory.machine_mb(), memory.request_mb(),
+                         limits.m_head_bytes + limits.m_body_bytes),
+          ConnectionsOf(memory.max_connections(), DescriptorLimit())};
+}
+
 HttpServerEvents RequestOnlyEvents(
     std::function<void(const HttpRequest&)> on_request) {
   HttpServerEvents events;
@@ -144,11 +170,17 @@
         .Add("status", status)
         .Add("error", ToName(error));
   };
+  events.m_on_turned_away = [this](TurnedAway reason) {
+    LogTurnedAway(reason);
+  };
   m_callers = std::make_unique<HttpServer>(*m_sockets, std::move(events));
+  SetCallerLimits(schema::CatalogLimits());
   ListenOrDie(*m_callers, m_settings.listen().callers());
   m_ready = std::make_unique<HttpServer>(
       *m_sockets,
       RequestOnlyEvents([this](const HttpRequest& r) { AnswerReady(r); }));
+  m_ready->SetLimits(kInternalLimits);
+  m_ready->SetMemoryLimits(kInternalMemoryLimits);
   ListenOrDie(*m_ready, m_settings.listen().ready());
   if (m_settings.listen().metrics().empty()) return;
   m_metrics = std::make_unique<HttpServer>(
@@ -157,9 +189,33 @@
                            {{"Content-Type", "text/plain; version=0.0.4"}},
                            RelayMetrics(m_state, *m_callers, *m_client));
       }));
+  m_metrics->SetLimits(kInternalLimits);
+  m_metrics->SetMemoryLimits(kInternalMemoryLimits);
   ListenOrDie(*m_metrics, m_settings.listen().metrics());
 }
 
+void Relay::SetCallerLimits(const schema::CatalogLimits& catalog) {
+  const RequestLimits limits = LimitsOf(catalog, m_settings.memory());
+  m_callers->SetLimits(limits);
+  m_callers->SetMemoryLimits(MemoryLimitsOf(m_settings.memory(), limits));
+}
+
+// A crowd is turned away often; the line gives the sums since the start.
+void Relay::LogTurnedAway(TurnedAway reason) {
+  const Instant now = Now();
+  if (now - m_turned_away_logged < kTurnedAwayLogPeriod) return;
+  m_turned_away_logged = now;
+  const RequestMemory& memory = m_callers->Memory();
+  LogLine("caller_turned_away")
+      .Add("reason", ToName(reason))
+      .Add("total", static_cast<std::int64_t>(memory.m_turned_away.at(reason)))
+      .Add("held_bytes", static_cast<std::int64_t>(memory.m_held_bytes))
+      .Add("limit_bytes", static_cast<std::int64_t>(memory.m_limits.m_bytes))
+      .Add("connections", static_cast<std::int64_t>(m_callers->Connections()))
+      .Add("connection_limit",
+           static_cast<std::int64_t>(memory.m_limits.m_connections));
+}
+
 void Relay::Receive(schema::RelayMessage message) {
   switch (message.kind_case()) {
     case schema::RelayMessage::kCatalog:
@@ -210,7 +266,7 @@
 
 void Relay::SetCatalog(const schema::Catalog& catalog) {
   m_state.m_catalog = std::make_shared<const CatalogIndex>(catalog);
-  m_callers->SetLimits(LimitsOf(catalog.limits()));
+  SetCallerLimits(catalog.limits());
   for (const schema::CatalogService& service : catalog.services()) {
     if (!service.has_engine()) continue;
     EngineSpeed& speed = m_state.m_balance.m_speeds[service.name()];
--- a/src/relay.h
+++ b/src/relay.h
@@ -32,6 +32,8 @@
   void Finish() override;
 
   void OpenListeners();
+  void SetCallerLimits(const schema::CatalogLimits& catalog);
+  void LogTurnedAway(TurnedAway reason);
   void SetCatalog(const schema::Catalog& catalog);
   void SetPeers(const schema::PeerCount& peers);
   void SetKnowledge(const schema::KnowledgeStatus& status);
@@ -61,6 +63,7 @@
   std::unique_ptr<PeriodicTimer> m_usage_tick;
   RelayState m_state;
   bool m_was_ready = false;
+  Instant m_turned_away_logged{};
 };
 
 }  // namespace comfreypaddle
--- a/src/relaymetrics.cpp
+++ b/src/relaymetrics.cpp
@@ -70,6 +70,32 @@
                "retries allowed in the current window", "service", allowed);
 }
 
+// Adds what the requests of callers hold, and who was turned away for it.
+void AddRequestMemory(const RequestMemory& memory, MetricsText* text) {
+  text->Gauge("relay_request_memory_bytes",
+              "bytes that requests of callers hold",
+              static_cast<double>(memory.m_held_bytes));
+  text->Gauge("relay_request_memory_peak_bytes",
+              "most bytes that requests of callers have held",
+              static_cast<double>(memory.m_peak_bytes));
+  text->Gauge("relay_request_memory_limit_bytes",
+              "bytes that requests of callers may hold",
+              static_cast<double>(memory.m_limits.m_bytes));
+  text->Gauge("relay_caller_connection_limit",
+              "connections that callers may open",
+              static_cast<double>(memory.m_limits.m_connections));
+  std::map<std::string, double> turned_away;
+  for (const EnumName<TurnedAway>& row : EnumNames<TurnedAway>::kTable) {
+    const auto found = memory.m_turned_away.find(row.m_value);
+    const std::uint64_t count =
+        found == memory.m_turned_away.end() ? 0 : found->second;
+    turned_away[std::string(row.m_name)] = static_cast<double>(count);
+  }
+  text->Gauges("relay_callers_turned_away",
+               "callers turned away to stay within the bounds of the machine",
+               "reason", turned_away);
+}
+
 // Adds why requests could go on at another endpoint.
 void AddContinuations(const RelayCounters& counters, MetricsText* text) {
   std::map<std::string, double> continued;
@@ -141,6 +167,7 @@
              static_cast<double>(state.m_calls.size()));
   text.Gauge("relay_caller_connections", "open connections of callers",
              static_cast<double>(callers.Connections()));
+  AddRequestMemory(callers.Memory(), &text);
   text.Counter("relay_endpoint_connections_total",
                "connections opened to endpoints",
                endpoints.Counters().m_opened);
