Hold new requests at entry while endpoints have enough work in flight

Endpoints' queues grow without bound from entry's side, and what waits there cannot be ordered among workspaces, sent elsewhere or refused. With [admission] window_ms a new request waits while its endpoint has that much prefill work, or as many requests as slots, from all instances together, at most for an eighth of its route's target; ordered = 1 serves what waits in the order of entryqueue, at each arrival, end of a run and tick. Old figures of the others fall back to twice the even share of the slots.

--- a/src/accept.cpp
+++ b/src/accept.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "continuation.h"
+#include "entryserve.h"
 #include "eventlog.h"
 #include "finish.h"
 #include "relayattempt.h"
@@ -150,7 +151,7 @@
   if (IsTakenUp(call)) {
     TakeUpStream(state, call);
   } else {
-    DispatchCall(state, call);
+    AdmitCall(state, call);
   }
 }
 
@@ -169,13 +170,14 @@
 
 void TickCalls(RelayState& state) {
   const Instant now = state.m_clock();
+  ServeWaiting(state);
   for (const std::uint64_t id : OpenCallIds(state)) {
     RelayCall* call = FindRelayCall(state, id);
     if (call == nullptr) continue;
     if (now >= call->m_deadline) {
       FinishFailed(state, *call, EndReason::kDeadline);
     } else if (call->m_stage == CallStage::kWaiting) {
-      DispatchCall(state, *call);
+      if (!IsWaiting(state.m_queue, id)) DispatchCall(state, *call);
     } else if (call->m_stage == CallStage::kProving) {
       CheckEndProof(state, *call);
     } else {
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -37,9 +37,6 @@
 // are only counted in part.
 constexpr double kExtrapolationFactor = 2.0;
 
-// Maximum age of the load reported by other instances.
-constexpr Duration kMaxRemoteLoadAge = std::chrono::milliseconds(400);
-
 // Delay, in milliseconds, that each running request adds at an endpoint, and
 // the penalty for a request that finds all slots taken.
 constexpr double kPerRequestDelayMs = 1.5;
--- a/src/endpointstate.h
+++ b/src/endpointstate.h
@@ -17,6 +17,9 @@
 // routed by affinity.
 inline constexpr double kMaxUnroutedPrefixTokens = 1500;
 
+// Maximum age of the load reported by other instances.
+inline constexpr Duration kMaxRemoteLoadAge = std::chrono::milliseconds(400);
+
 enum class EngineStage { kNone, kPrefill, kDecode };
 
 template <>
@@ -103,6 +106,9 @@
   std::string m_zone;  // Zone of this instance.
   std::string m_region;
   LimitPeers m_limit_peers;
+  // Prefill work, in milliseconds, that all instances together keep in flight
+  // at an endpoint before new requests wait; zero for no bound.
+  double m_window_ms = 0;
 };
 
 // Replaces the list of endpoints. An endpoint keeps the load and health that
--- a/src/finish.cpp
+++ b/src/finish.cpp
@@ -81,6 +81,7 @@
   if (call.m_events > 0) {
     line.AddMs("first_ms", call.m_first_event - call.m_arrived);
   }
+  RemoveWaiting(state.m_queue, call.m_id);
   state.m_calls.erase(call.m_id);
 }
 
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -91,6 +91,10 @@
   m_state.m_balance.m_region = settings.instance().region();
   m_state.m_balance.m_limit_peers.m_self =
       InstanceHash(settings.instance().name());
+  m_state.m_balance.m_window_ms = settings.admission().window_ms();
+  m_state.m_queue.m_settings = {
+      settings.admission().ordered() != 0,
+      std::chrono::milliseconds(settings.admission().age_step_ms())};
   ResendLimits& resends = m_state.m_resends.m_limits;
   resends.m_ratio = settings.retry().budget_ratio();
   resends.m_window = FromMs(settings.retry().window_s() * kMsPerSecond);
--- a/src/relayattempt.cpp
+++ b/src/relayattempt.cpp
@@ -7,6 +7,7 @@
 #include "attemptlog.h"
 #include "continuation.h"
 #include "crashwatch.h"
+#include "entryserve.h"
 #include "eventlog.h"
 #include "finish.h"
 #include "responsememory.h"
@@ -346,6 +347,14 @@
   }
 }
 
+// Handles the end of a run. The endpoint may have room for another request.
+void EndRunCall(RelayState& state, std::uint64_t key,
+                const HttpResult& result) {
+  RelayCall* call = FindRelayCall(state, key);
+  if (call != nullptr) OnRunEnd(state, *call, result);
+  ServeWaiting(state);
+}
+
 void SendRun(RelayState& state, RelayCall& call, const std::string& id,
              double work_ms, const std::string& fetch_address) {
   const BalanceEndpoint& endpoint = *FindEndpoint(state.m_balance, id);
@@ -371,8 +380,7 @@
     if (found != nullptr) OnRunBody(state, *found, bytes);
   };
   events.m_on_end = [&state, key](const HttpResult& result) {
-    RelayCall* found = FindRelayCall(state, key);
-    if (found != nullptr) OnRunEnd(state, *found, result);
+    EndRunCall(state, key, result);
   };
   call.m_attempt.m_call =
       state.m_endpoints->Start(std::move(http), std::move(events));
@@ -457,6 +465,14 @@
   OnAttemptEnded(state, call, PrefillEndOf(attempt, result));
 }
 
+// Handles the end of a prefill. The endpoint may have room for another one.
+void EndPrefillCall(RelayState& state, std::uint64_t key,
+                    const HttpResult& result, double work_tokens) {
+  RelayCall* call = FindRelayCall(state, key);
+  if (call != nullptr) OnPrefillEnd(state, *call, result, work_tokens);
+  ServeWaiting(state);
+}
+
 void SendPrefill(RelayState& state, RelayCall& call,
                  const BalanceChoice& choice) {
   const BalanceEndpoint& endpoint =
@@ -492,8 +508,7 @@
     if (found != nullptr) found->m_attempt.m_body.append(bytes);
   };
   events.m_on_end = [&state, key, tokens](const HttpResult& result) {
-    RelayCall* found = FindRelayCall(state, key);
-    if (found != nullptr) OnPrefillEnd(state, *found, result, tokens);
+    EndPrefillCall(state, key, result, tokens);
   };
   call.m_attempt.m_call =
       state.m_endpoints->Start(std::move(http), std::move(events));
@@ -555,6 +570,10 @@
     FinishFailed(state, call, EndReason::kTooLate);
     return;
   }
+  if (MustAwaitWindow(state, call, *choice, now)) {
+    call.m_stage = CallStage::kWaiting;
+    return;
+  }
   const bool is_split = !choice->m_prefill.empty();
   if (!PayForRetry(state, call,
                    is_split ? choice->m_prefill : choice->m_endpoint)) {
--- a/src/relaymetrics.cpp
+++ b/src/relaymetrics.cpp
@@ -103,6 +103,25 @@
                "outcome", taken_up);
 }
 
+// Adds which requests wait, for how long and why.
+void AddQueue(const RelayState& state, MetricsText* text) {
+  std::map<std::string, double> waiting;
+  for (const auto& [urgency, count] : WaitingByUrgency(state.m_queue)) {
+    waiting[std::to_string(urgency)] = static_cast<double>(count);
+  }
+  text->Gauges("relay_waiting", "queued requests by urgency", "urgency",
+               waiting);
+  text->Gauge(
+      "relay_longest_wait_seconds",
+      "time since the arrival of the oldest queued request",
+      std::chrono::duration<double>(LongestWait(state.m_queue, state.m_clock()))
+          .count());
+  for (const auto& [reason, count] : state.m_counters.m_held) {
+    text->Counter("relay_held_" + std::string(ToName(reason)) + "_total",
+                  "requests that were queued for this reason", count);
+  }
+}
+
 }  // namespace
 
 std::string RelayMetrics(const RelayState& state, const HttpServer& callers,
@@ -160,6 +179,7 @@
              state.m_catalog == nullptr
                  ? 0
                  : static_cast<double>(state.m_catalog->Message().version()));
+  AddQueue(state, &text);
   AddRetryBudget(state, &text);
   AddStoreFreshness(state, &text);
   text.Counter("relay_log_lines_lost_total", "log lines left out",
--- a/src/relaystate.h
+++ b/src/relaystate.h
@@ -14,6 +14,7 @@
 #include "catalog.h"
 #include "crashtable.h"
 #include "drain.h"
+#include "entryqueue.h"
 #include "metrics.h"
 #include "resend.h"
 #include "runend.h"
@@ -189,6 +190,7 @@
   std::uint64_t m_reports_asked = 0;
   std::map<EndProof, std::uint64_t> m_continued;  // Requests, by proof.
   std::map<EndReason, std::uint64_t> m_ends;
+  std::map<HoldReason, std::uint64_t> m_held;  // Requests that had to wait.
   std::map<TakeUpOutcome, std::uint64_t> m_taken_up;
   DurationStats m_first_answer;  // Until the first byte of the response.
   DurationStats m_total;
@@ -220,6 +222,7 @@
   ResendState m_resends;
   std::map<std::string, EndpointInquiry> m_inquiries;  // By endpoint.
   std::unordered_map<std::uint64_t, std::unique_ptr<RelayCall>> m_calls;
+  EntryQueue m_queue;  // New requests that wait, if it is in use.
   std::map<UsageWindowKey, std::uint64_t> m_usage;  // Not handed over yet.
   VersionHistory m_versions;
   StreamTable m_streams;  // Begun or taken up at this instance.
