--- a/tests/entryqueue_test.cpp
+++ b/tests/entryqueue_test.cpp
@@ -172,8 +172,9 @@
   }
   for (int i = 0; i < 60; ++i) service.Step();
   std::vector<Instant> returns;
-  for (std::uint32_t i = 0; i < 400; ++i) {
-    if (service.Arrive(i % kWorkspaces, 0, milliseconds(300))) continue;
+  for (std::uint64_t i = 0; i < 400; ++i) {
+    const auto workspace = static_cast<std::uint32_t>(i % kWorkspaces);
+    if (service.Arrive(workspace, 0, milliseconds(300))) continue;
     returns.push_back(service.m_now + ChooseRetryAfter(service.m_retry_after,
                                                        seconds(6), i * 37));
   }
