--- a/src/accept.cpp
+++ b/src/accept.cpp
@@ -8,6 +8,7 @@
 #include "continuation.h"
 #include "eventlog.h"
 #include "finish.h"
+#include "hedgedcall.h"
 #include "relayattempt.h"
 #include "resumption.h"
 
@@ -180,6 +181,7 @@
       CheckEndProof(state, *call);
     } else {
       NoteSilence(state, *call);
+      ConsiderHedge(state, *call);
     }
   }
 }
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -473,6 +473,20 @@
                        AddressOf(split.m_access.m_source)};
 }
 
+double ServiceLoad(const BalanceState& state, const std::string& service,
+                   Instant now) {
+  double running = 0;
+  double slots = 0;
+  for (const auto& [id, endpoint] : state.m_endpoints) {
+    if (endpoint.m_service != service || !AcceptsRequests(endpoint, now)) {
+      continue;
+    }
+    running += LoadOf(endpoint, now).m_running;
+    slots += endpoint.m_slots;
+  }
+  return slots > 0 ? running / slots : 1;
+}
+
 bool HasVersion(const BalanceQuery& query, const BalanceEndpoint& endpoint) {
   return !query.m_version || endpoint.m_version == *query.m_version;
 }
--- a/src/balance.h
+++ b/src/balance.h
@@ -61,6 +61,11 @@
                                             const BalanceQuery& query,
                                             Instant now);
 
+// Fraction of the slots in use, by all instances, of the service's endpoints
+// that accept requests. One if there are none.
+double ServiceLoad(const BalanceState& state, const std::string& service,
+                   Instant now);
+
 // Selects a decode endpoint for a prompt whose prefill ran on another endpoint.
 std::optional<std::string> ChooseDecode(const BalanceState& state,
                                         const BalanceQuery& query, Instant now);
--- a/src/continuation.cpp
+++ b/src/continuation.cpp
@@ -5,6 +5,7 @@
 #include "attemptlimits.h"
 #include "eventlog.h"
 #include "finish.h"
+#include "hedgedcall.h"
 #include "relayattempt.h"
 
 namespace comfreypaddle {
@@ -180,11 +181,13 @@
   call.m_attempt.m_end = end;
   call.m_attempt.m_ended_at = state.m_clock();
   // A response has released all retries to the endpoint before.
-  if (call.m_is_retry && call.m_attempt.m_status == 0) {
+  const bool is_retry = call.m_is_retry || call.m_attempt.m_is_hedge;
+  if (is_retry && call.m_attempt.m_status == 0) {
     OnResendEnded(state.m_resends, call.m_service, call.m_attempt.m_endpoint,
                   state.m_clock());
   }
   CountEnd(call, end);
+  if (GoOnWithOther(state, call)) return;
   if (!MayTryAgain(state, call) ||
       (call.m_is_retry_due && !HasRetryBudget(state, call))) {
     FinishFailed(state, call, ReasonOfNoRetry(call));
--- a/src/crashwatch.cpp
+++ b/src/crashwatch.cpp
@@ -106,6 +106,14 @@
   return true;
 }
 
+bool IsSuspect(const RelayState& state, const RelayCall& call) {
+  if (call.m_is_probe) return true;
+  const std::vector<SuspectKey> keys = SuspectsOf(call);
+  return std::any_of(keys.begin(), keys.end(), [&state](const SuspectKey& key) {
+    return CountCrashes(state.m_crashes, key) > 0;
+  });
+}
+
 Duration SuspectRetryAfter(const RelayState& state, const RelayCall& call) {
   const Instant now = state.m_clock();
   return NextProbe(state.m_crashes, SuspectsOf(call), now) - now;
--- a/src/crashwatch.h
+++ b/src/crashwatch.h
@@ -33,6 +33,10 @@
 // prefilled or runs. A request past the start of its response is not at fault.
 bool MayRun(RelayState& state, RelayCall& call);
 
+// Whether an endpoint has crashed under the request or a part of its prompt, or
+// the request tries such a part again.
+bool IsSuspect(const RelayState& state, const RelayCall& call);
+
 // Time after which a request that may not run is worth sending again.
 Duration SuspectRetryAfter(const RelayState& state, const RelayCall& call);
 
--- a/src/finish.cpp
+++ b/src/finish.cpp
@@ -7,6 +7,7 @@
 
 #include "attemptlog.h"
 #include "eventlog.h"
+#include "hedgedcall.h"
 #include "refusal.h"
 
 namespace comfreypaddle {
@@ -56,6 +57,7 @@
 void CloseCall(RelayState& state, RelayCall& call, EndReason reason,
                int status) {
   const Instant now = state.m_clock();
+  EndHedging(state, call, reason);
   ++state.m_counters.m_ends[reason];
   state.m_counters.m_total.Add(now - call.m_arrived);
   LogLine line("request_end");
@@ -125,15 +127,22 @@
   CloseCall(state, call, EndReason::kCallerLeft, 0);
 }
 
+void ReleaseLoad(RelayState& state, EndpointAttempt& attempt) {
+  attempt.m_call = 0;
+  OnPrefillDone(state.m_balance, attempt.m_endpoint, attempt.m_work_ms);
+  attempt.m_work_ms = 0;
+  OnRequestCompleted(state.m_balance, attempt.m_endpoint);
+}
+
+void CancelSend(RelayState& state, EndpointAttempt& attempt) {
+  if (attempt.m_call == 0) return;
+  state.m_endpoints->Cancel(attempt.m_call);
+  ReleaseLoad(state, attempt);
+}
+
 void CancelAttempt(RelayState& state, RelayCall& call) {
-  EndpointAttempt& attempt = call.m_attempt;
-  if (attempt.m_call != 0) {
-    state.m_endpoints->Cancel(attempt.m_call);
-    attempt.m_call = 0;
-    OnPrefillDone(state.m_balance, attempt.m_endpoint, attempt.m_work_ms);
-    attempt.m_work_ms = 0;
-    OnRequestCompleted(state.m_balance, attempt.m_endpoint);
-  }
+  CancelSend(state, call.m_attempt);
+  CancelOther(state, call);
   ReleaseKvCache(state, call);
 }
 
--- a/src/finish.h
+++ b/src/finish.h
@@ -22,7 +22,13 @@
 // Ends a request whose caller disconnected.
 void FinishDisconnected(RelayState& state, RelayCall& call);
 
-// Cancels the request's attempt and releases its prefilled KV cache.
+// Removes an attempt that has ended from the load of its endpoint.
+void ReleaseLoad(RelayState& state, EndpointAttempt& attempt);
+
+// Cancels an attempt if it is under way: its connection is closed.
+void CancelSend(RelayState& state, EndpointAttempt& attempt);
+
+// Cancels the request's attempts and releases its prefilled KV cache.
 void CancelAttempt(RelayState& state, RelayCall& call);
 
 // Responds to a request that was not accepted.
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -56,6 +56,15 @@
   return result;
 }
 
+HedgeLimits HedgeLimitsOf(const schema::RelayHedgeSettings& settings) {
+  return {settings.enabled(),
+          settings.quantile(),
+          std::chrono::milliseconds(settings.min_delay_ms()),
+          settings.ratio(),
+          settings.rate(),
+          settings.max_load()};
+}
+
 HttpServerEvents RequestOnlyEvents(
     std::function<void(const HttpRequest&)> on_request) {
   HttpServerEvents events;
@@ -95,6 +104,8 @@
   resends.m_ratio = settings.retry().budget_ratio();
   resends.m_window = FromMs(settings.retry().window_s() * kMsPerSecond);
   resends.m_slack = settings.retry().slack();
+  m_state.m_hedges.m_limits = HedgeLimitsOf(settings.hedge());
+  m_state.m_hedges.m_seed = InstanceHash(settings.instance().name());
 }
 
 Relay::~Relay() = default;
--- a/src/relayattempt.cpp
+++ b/src/relayattempt.cpp
@@ -9,6 +9,7 @@
 #include "crashwatch.h"
 #include "eventlog.h"
 #include "finish.h"
+#include "hedgedcall.h"
 #include "responsememory.h"
 #include "resumption.h"
 
@@ -32,22 +33,14 @@
 // Lowest HTTP status of a server error.
 constexpr int kMinServerErrorStatus = 500;
 
-// Removes the current attempt from the endpoint's load.
-void ReleaseLoad(RelayState& state, RelayCall& call) {
-  EndpointAttempt& attempt = call.m_attempt;
-  attempt.m_call = 0;
-  OnPrefillDone(state.m_balance, attempt.m_endpoint, attempt.m_work_ms);
-  attempt.m_work_ms = 0;
-  OnRequestCompleted(state.m_balance, attempt.m_endpoint);
-}
-
 // Records on which connection the call of the attempt ended.
 void RecordConnection(EndpointAttempt& attempt, const HttpResult& result) {
   attempt.m_connection = result.m_connection;
   attempt.m_connection_calls = result.m_connection_calls;
 }
 
-// Builds the HTTP call that sends the request to an endpoint.
+}  // namespace
+
 HttpCall MakeEndpointCall(const RelayState& state, const RelayCall& call,
                           const BalanceEndpoint& endpoint,
                           UpstreamMetadata terms) {
@@ -74,18 +67,21 @@
   return http;
 }
 
-void BeginAttempt(RelayState& state, RelayCall& call,
-                  const BalanceEndpoint& endpoint, double work_ms) {
-  call.m_attempt = EndpointAttempt{};
-  call.m_attempt.m_endpoint = endpoint.m_id;
-  call.m_attempt.m_address = endpoint.m_address;
-  call.m_attempt.m_born_ms = endpoint.m_born_ms;
-  call.m_attempt.m_version = endpoint.m_version;
-  call.m_attempt.m_sent = state.m_clock();
-  call.m_attempt.m_work_ms = work_ms;
+EndpointAttempt BeginAttempt(RelayState& state, const BalanceEndpoint& endpoint,
+                             double work_ms) {
+  EndpointAttempt attempt;
+  attempt.m_endpoint = endpoint.m_id;
+  attempt.m_address = endpoint.m_address;
+  attempt.m_born_ms = endpoint.m_born_ms;
+  attempt.m_version = endpoint.m_version;
+  attempt.m_sent = state.m_clock();
+  attempt.m_work_ms = work_ms;
   OnRequestDispatched(state.m_balance, endpoint.m_id, work_ms);
+  return attempt;
 }
 
+namespace {
+
 // Counts the attempt to the limit of its endpoint, unless this was done when
 // the prefill was sent.
 void CountAttemptToLimit(RelayState& state, RelayCall& call,
@@ -164,9 +160,11 @@
   return attempt.m_status == kOk && attempt.m_metadata.m_is_stream;
 }
 
-void OnRunHead(RelayState& state, RelayCall& call, int status,
-               const HttpFields& fields) {
-  EndpointAttempt& attempt = call.m_attempt;
+}  // namespace
+
+void RecordHead(RelayState& state, const RelayCall& call,
+                EndpointAttempt& attempt, int status,
+                const HttpFields& fields) {
   attempt.m_status = status;
   attempt.m_head_at = state.m_clock();
   attempt.m_fields = fields;
@@ -183,10 +181,20 @@
       .Add("status", status);
 }
 
+namespace {
+
+void OnRunHead(RelayState& state, RelayCall& call, int status,
+               const HttpFields& fields) {
+  RecordHead(state, call, call.m_attempt, status, fields);
+  // Its events reach the caller as they arrive.
+  if (IsEventStream(call.m_attempt)) CancelOther(state, call);
+}
+
 void OnRunEnd(RelayState& state, RelayCall& call, const HttpResult& result);
 
 // Ends an attempt whose endpoint exceeds a size limit.
 void AbortOversized(RelayState& state, RelayCall& call) {
+  CancelOther(state, call);
   state.m_endpoints->Cancel(call.m_attempt.m_call);
   OnRunEnd(state, call, {HttpError::kTooLarge, call.m_attempt.m_status, true});
 }
@@ -284,10 +292,11 @@
   const EndpointAttempt& attempt = call.m_attempt;
   OnEndpointAnswered(state.m_balance, attempt.m_endpoint, state.m_clock());
   OnAttemptSurvived(state, call);
-  CountUsage(state, call, attempt.m_sent);
+  CountRun(state, call);
   call.m_attempt.m_end = AttemptEnd::kAnswered;
-  if (attempt.m_status >= kMinServerErrorStatus && MayTryAgain(state, call) &&
-      HasRetryBudget(state, call)) {
+  if (attempt.m_status >= kMinServerErrorStatus &&
+      (IsHedged(call) ||
+       (MayTryAgain(state, call) && HasRetryBudget(state, call)))) {
     LogFailure(state, call, "server_error", result);
     OnAttemptEnded(state, call, AttemptEnd::kAnswered);
     return;
@@ -324,15 +333,13 @@
   if (lost && IsAtStart(call)) OnAttemptCrashed(state, call);
   // An attempt whose response is lost counts as usage, because most have begun
   // to run. Only those still in prefill at a crashed endpoint have not.
-  if (call.m_attempt.m_events == 0) {
-    CountUsage(state, call, call.m_attempt.m_sent);
-  }
+  if (call.m_attempt.m_events == 0) CountRun(state, call);
   ++state.m_counters.m_failures;
   OnAttemptEnded(state, call, end);
 }
 
 void OnRunEnd(RelayState& state, RelayCall& call, const HttpResult& result) {
-  ReleaseLoad(state, call);
+  ReleaseLoad(state, call.m_attempt);
   RecordConnection(call.m_attempt, result);
   const EndpointAttempt& attempt = call.m_attempt;
   if (result.m_error || attempt.m_splitter.HasPartial()) {
@@ -346,21 +353,9 @@
   }
 }
 
-void SendRun(RelayState& state, RelayCall& call, const std::string& id,
-             double work_ms, const std::string& fetch_address) {
-  const BalanceEndpoint& endpoint = *FindEndpoint(state.m_balance, id);
-  CountAttemptToLimit(state, call, id);
-  BeginAttempt(state, call, endpoint, work_ms);
-  call.m_stage = CallStage::kRun;
-  ++call.m_sends;
-  ++call.m_runs;
-  ++state.m_counters.m_sends;
-  UpstreamMetadata terms;
-  terms.m_source = call.m_source;
-  terms.m_fetch_address = fetch_address;
-  if (call.m_response_started) terms.m_resume_after = call.m_last_event;
-  HttpCall http = MakeEndpointCall(state, call, endpoint, std::move(terms));
-  const std::uint64_t key = call.m_id;
+}  // namespace
+
+HttpEvents RunEvents(RelayState& state, std::uint64_t key) {
   HttpEvents events;
   events.m_on_head = [&state, key](int status, const HttpFields& fields) {
     RelayCall* found = FindRelayCall(state, key);
@@ -374,8 +369,27 @@
     RelayCall* found = FindRelayCall(state, key);
     if (found != nullptr) OnRunEnd(state, *found, result);
   };
+  return events;
+}
+
+namespace {
+
+void SendRun(RelayState& state, RelayCall& call, const std::string& id,
+             double work_ms, const std::string& fetch_address) {
+  const BalanceEndpoint& endpoint = *FindEndpoint(state.m_balance, id);
+  CountAttemptToLimit(state, call, id);
+  call.m_attempt = BeginAttempt(state, endpoint, work_ms);
+  call.m_stage = CallStage::kRun;
+  ++call.m_sends;
+  ++call.m_runs;
+  ++state.m_counters.m_sends;
+  UpstreamMetadata terms;
+  terms.m_source = call.m_source;
+  terms.m_fetch_address = fetch_address;
+  if (call.m_response_started) terms.m_resume_after = call.m_last_event;
+  HttpCall http = MakeEndpointCall(state, call, endpoint, std::move(terms));
   call.m_attempt.m_call =
-      state.m_endpoints->Start(std::move(http), std::move(events));
+      state.m_endpoints->Start(std::move(http), RunEvents(state, call.m_id));
 }
 
 // Keeps a prefilled request until a decode endpoint has room: its prefill would
@@ -431,7 +445,7 @@
                   double work_tokens) {
   EndpointAttempt& attempt = call.m_attempt;
   const double work_ms = attempt.m_work_ms;
-  ReleaseLoad(state, call);
+  ReleaseLoad(state, call.m_attempt);
   RecordConnection(attempt, result);
   constexpr int kOk = 200;
   const auto read = !result.m_error && attempt.m_status == kOk
@@ -467,7 +481,7 @@
   CountToLimit(state.m_balance, choice.m_endpoint, state.m_clock());
   call.m_is_decode_counted =
       IsLimited(FindEndpoint(state.m_balance, choice.m_endpoint)->m_limit);
-  BeginAttempt(state, call, endpoint, choice.m_work_ms);
+  call.m_attempt = BeginAttempt(state, endpoint, choice.m_work_ms);
   call.m_stage = CallStage::kPrefill;
   call.m_attempt.m_is_prefill = true;
   call.m_planned_decode = choice.m_endpoint;
--- a/src/relayattempt.h
+++ b/src/relayattempt.h
@@ -12,6 +12,26 @@
 // deleted on return.
 void DispatchCall(RelayState& state, RelayCall& call);
 
+// The steps of an attempt that runs the request, from which the first and the
+// second one of a hedged request are built.
+
+// Builds the HTTP call that sends the request to the endpoint.
+HttpCall MakeEndpointCall(const RelayState& state, const RelayCall& call,
+                          const BalanceEndpoint& endpoint,
+                          UpstreamMetadata terms);
+
+// Adds an attempt with this prefill work to the load of the endpoint.
+EndpointAttempt BeginAttempt(RelayState& state, const BalanceEndpoint& endpoint,
+                             double work_ms);
+
+// Records the head of the response to an attempt, and what it tells of the
+// endpoint.
+void RecordHead(RelayState& state, const RelayCall& call,
+                EndpointAttempt& attempt, int status, const HttpFields& fields);
+
+// Callbacks of the current attempt of the request with this id.
+HttpEvents RunEvents(RelayState& state, std::uint64_t key);
+
 // Lets other requests avoid an endpoint that leaves the request unanswered for
 // long. The request itself goes on waiting: the response may still arrive, and
 // the endpoint may be at work on it.
--- a/src/relaymetrics.cpp
+++ b/src/relaymetrics.cpp
@@ -103,6 +103,33 @@
                "outcome", taken_up);
 }
 
+// Adds the second sends of slow requests, and when each route's are due.
+void AddHedges(const RelayState& state, MetricsText* text) {
+  const HedgeState& hedges = state.m_hedges;
+  text->Counter("relay_hedges_sent_total",
+                "slow requests sent to a second endpoint as well",
+                hedges.m_counters.m_sent);
+  text->Counter("relay_hedges_won_total",
+                "requests that the second endpoint answered",
+                hedges.m_counters.m_won);
+  std::map<std::string, double> denied;
+  for (const auto& [reason, count] : hedges.m_counters.m_denied) {
+    denied[std::string(ToName(reason))] = static_cast<double>(count);
+  }
+  text->Gauges("relay_hedges_denied",
+               "slow requests not sent to a second endpoint, by reason",
+               "reason", denied);
+  std::map<std::string, double> delays;
+  for (const auto& [route, hedging] : hedges.m_routes) {
+    if (!hedging.m_usual) continue;
+    delays[route.m_route + "/" + route.m_service] =
+        ToMs(*hedging.m_usual) / kMsPerSecond;
+  }
+  text->Gauges("relay_hedge_quantile_seconds",
+               "response time after which requests of a route count as slow",
+               "route", delays);
+}
+
 }  // namespace
 
 std::string RelayMetrics(const RelayState& state, const HttpServer& callers,
@@ -161,6 +188,7 @@
                  ? 0
                  : static_cast<double>(state.m_catalog->Message().version()));
   AddRetryBudget(state, &text);
+  AddHedges(state, &text);
   AddStoreFreshness(state, &text);
   text.Counter("relay_log_lines_lost_total", "log lines left out",
                DroppedLogLines());
--- a/src/relaystate.h
+++ b/src/relaystate.h
@@ -14,6 +14,7 @@
 #include "catalog.h"
 #include "crashtable.h"
 #include "drain.h"
+#include "hedge.h"
 #include "metrics.h"
 #include "resend.h"
 #include "runend.h"
@@ -108,6 +109,7 @@
   std::string m_version;        // Of the endpoint's software.
   Instant m_sent{};
   bool m_is_prefill = false;
+  bool m_is_hedge = false;   // Sent beside an attempt that was under way.
   bool m_is_silent = false;  // It has gone unanswered for long.
   AttemptEnd m_end = AttemptEnd::kOpen;
   Instant m_ended_at{};
@@ -125,6 +127,15 @@
   SseSplitter m_splitter;
 };
 
+// Hedging of a request.
+struct HedgeProgress {
+  // The attempt that runs beside the current one; either may be the hedge.
+  std::optional<EndpointAttempt> m_other;
+  bool m_is_sent = false;           // A request is hedged once at most.
+  bool m_is_denied = false;         // A denial has been counted.
+  bool m_is_usage_counted = false;  // By one of the two attempts.
+};
+
 // A request whose response is not complete.
 struct RelayCall {
   std::uint64_t m_id = 0;  // Of the request at ResponsePort.
@@ -145,6 +156,7 @@
   BalanceQuery m_query;
   CallStage m_stage = CallStage::kWaiting;
   EndpointAttempt m_attempt;
+  HedgeProgress m_hedge;
   // KV cache prefilled for the request that no endpoint has fetched yet.
   std::optional<CacheSource> m_source;
   std::string m_planned_decode;
@@ -218,6 +230,7 @@
   std::shared_ptr<const CatalogIndex> m_catalog;  // Null until received.
   BalanceState m_balance;
   ResendState m_resends;
+  HedgeState m_hedges;
   std::map<std::string, EndpointInquiry> m_inquiries;  // By endpoint.
   std::unordered_map<std::uint64_t, std::unique_ptr<RelayCall>> m_calls;
   std::map<UsageWindowKey, std::uint64_t> m_usage;  // Not handed over yet.
--- a/src/responsememory.cpp
+++ b/src/responsememory.cpp
@@ -19,8 +19,10 @@
 }  // namespace
 
 std::size_t HeldBytes(const RelayState& state, const RelayCall& call) {
+  const auto& other = call.m_hedge.m_other;
   return call.m_attempt.m_body.capacity() +
-         call.m_attempt.m_splitter.PartialBytes() + UnsentBytes(state, call);
+         call.m_attempt.m_splitter.PartialBytes() +
+         (other ? other->m_body.capacity() : 0) + UnsentBytes(state, call);
 }
 
 bool IsHeldForCaller(const RelayState& state, const RelayCall& call) {
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -238,8 +238,18 @@
   return std::nullopt;
 }
 
+// Parses "true" or "false"; reports other text.
+std::optional<bool> ReadBool(Loader& loader, const std::string& section,
+                             const FieldDescriptor& field,
+                             const std::string& text) {
+  if (text == "true" || text == "false") return text == "true";
+  loader.ReportKey(SettingsErrorKind::kWrongType, section, field.name(),
+                   "must be true or false");
+  return std::nullopt;
+}
+
 // Sets a field of a section from the text of its key. Sections have only fields
-// of these three types.
+// of these four types.
 void SetField(Loader& loader, const std::string& section,
               const FieldDescriptor& field, const std::string& text,
               Message* message) {
@@ -253,6 +263,9 @@
   } else if (field.cpp_type() == FieldDescriptor::CPPTYPE_DOUBLE) {
     const auto value = ReadNumber<double>(loader, section, field, text);
     if (value) reflection.SetDouble(message, &field, *value);
+  } else if (field.cpp_type() == FieldDescriptor::CPPTYPE_BOOL) {
+    const auto value = ReadBool(loader, section, field, text);
+    if (value) reflection.SetBool(message, &field, *value);
   }
 }
 
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -162,5 +162,48 @@
   CHECK(settings.stop().grace_s() == 8);
 }
 
+// Guards against limits on extra work that are odd and taken as they are.
+TEST_CASE("the limits of hedged requests are checked") {
+  using Kind = SettingsErrorKind;
+  const std::string path =
+      "/tmp/comfreypaddle_hedge_" + std::to_string(getpid()) + ".ini";
+  const auto load =
+      [&path](const std::string& hedge, schema::RelaySettings* settings) {
+        std::ofstream(path)
+            << "[instance]\nname = a\navailability_zone = z\nregion = r\n"
+               "[listen]\ncallers = 10.0.0.1:1\nready = 10.0.0.1:2\n"
+               "peers = 10.0.0.1:3\n"
+               "[platform]\nstore = 10.0.0.2:1\norders = 10.0.0.2:2\n"
+            << hedge;
+        const auto errors = LoadRelaySettings(path, settings);
+        std::remove(path.c_str());
+        return errors;
+      };
+  schema::RelaySettings settings;
+  CHECK(load("", &settings).empty());
+  CHECK_FALSE(settings.hedge().enabled());
+  CHECK(load("[hedge]\nenabled = true\nratio = 0\n", &settings).empty());
+  CHECK(settings.hedge().enabled());
+  CHECK(settings.hedge().ratio() == 0);
+  const std::pair<std::string, Kind> odd[] = {
+      {"enabled = yes", Kind::kWrongType},
+      {"quantile = 1", Kind::kOutOfRange},
+      {"quantile = nan", Kind::kOutOfRange},
+      {"min_delay_ms = 0", Kind::kOutOfRange},
+      {"ratio = 0.6", Kind::kOutOfRange},
+      {"ratio = -1", Kind::kOutOfRange},
+      {"rate = inf", Kind::kOutOfRange},
+      {"max_load = 2", Kind::kOutOfRange},
+      {"share = 1", Kind::kUnknownKey}};
+  for (const auto& [line, kind] : odd) {
+    CAPTURE(line);
+    const auto errors = load("[hedge]\n" + line + "\n", &settings);
+    REQUIRE(errors.size() == 1);
+    CHECK(errors[0].m_error_kind == kind);
+    CHECK(errors[0].m_section == "hedge");
+    CHECK(errors[0].m_line == 13);
+  }
+}
+
 }  // namespace
 }  // namespace comfreypaddle
