--- a/src/accept.cpp
+++ b/src/accept.cpp
@@ -10,6 +10,7 @@
 #include "entryserve.h"
 #include "eventlog.h"
 #include "finish.h"
+#include "hedgedcall.h"
 #include "relayattempt.h"
 #include "resumption.h"
 
@@ -190,6 +191,7 @@
       CheckEndProof(state, *call);
     } else {
       NoteSilence(state, *call);
+      ConsiderHedge(state, *call);
     }
   }
 }
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -83,6 +83,15 @@
           ConnectionsOf(memory.max_connections(), DescriptorLimit())};
 }
 
+HedgeLimits HedgeLimitsOf(const schema::RelayHedgeSettings& settings) {
+  return {settings.enabled(),
+          settings.quantile(),
+          std::chrono::milliseconds(settings.min_delay_ms()),
+          settings.ratio(),
+          settings.rate(),
+          settings.max_load()};
+}
+
 HttpServerEvents RequestOnlyEvents(
     std::function<void(const HttpRequest&)> on_request) {
   HttpServerEvents events;
@@ -129,6 +138,8 @@
   m_state.m_allotments.m_tolerance = {
       FromMs(settings.allotments().window_s() * kMsPerSecond),
       settings.allotments().overshoot(), settings.allotments().slack()};
+  m_state.m_hedges.m_limits = HedgeLimitsOf(settings.hedge());
+  m_state.m_hedges.m_seed = InstanceHash(settings.instance().name());
 }
 
 Relay::~Relay() = default;
