Learn the speed of each endpoint and share it between instances

Cause: the prefill speed was one figure a service, while endpoints differ by 0.6 to 1.6 and are slower by 2.5 for a moment; a plain service's endpoints were taken for equal.

Change: endpointspeed estimates a ratio to the service for each lifetime, from prefills, gaps of decode streams and runs of plain services, each compared with the typical sample of the instance. Instances exchange weighted means once a second in SharedLoad. Prefill work and waits are in time at the endpoint's own speed; decode and plain choices count the ratio. The new prompt's work counts at the service's speed in the choice.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -29,22 +29,19 @@
 constexpr double kKvTransferSetupMs = 12;
 
 // Nominal request time at a service that is not a model engine, in
-// milliseconds. It only weighs load against distance.
+// milliseconds, at the typical speed. It weighs load against distance.
 constexpr double kServiceRequestMs = 60;
 
-// Assumed total load at an endpoint per unit of this instance's own load when
-// the others have not reported. The own load is a noisy sample, so the others
-// are only counted in part.
-constexpr double kExtrapolationFactor = 2.0;
-
-// Maximum age of the load reported by other instances.
-constexpr Duration kMaxRemoteLoadAge = std::chrono::milliseconds(400);
-
 // Delay, in milliseconds, that each running request adds at an endpoint, and
 // the penalty for a request that finds all slots taken.
 constexpr double kPerRequestDelayMs = 1.5;
 constexpr double kNoSlotPenaltyMs = 40;
 
+// Part of the time by which a prefill is shorter or longer at an endpoint than
+// at the typical one that counts in the choice. With all of it, all instances
+// would choose the fastest idle endpoints before they hear of their load.
+constexpr double kOwnSpeedShare = 0;
+
 // Time constant with which a sample of the queueing delay decays.
 constexpr double kWaitDecayMs = 500;
 
@@ -100,26 +97,12 @@
   return kTieBreakMs * static_cast<double>(step) / kSteps;
 }
 
-struct Load {
-  double m_running = 0;
-  double m_prefill_ms = 0;
-};
-
-// Load from all instances. Without a recent report from the others it is
-// extrapolated from the load of this instance.
-Load LoadOf(const BalanceEndpoint& endpoint, Instant now) {
-  if (now - endpoint.m_remote_reported_at < kMaxRemoteLoadAge) {
-    return {static_cast<double>(endpoint.m_running + endpoint.m_remote_running),
-            endpoint.m_prefill_ms + endpoint.m_remote_prefill_ms};
-  }
-  return {kExtrapolationFactor * endpoint.m_running,
-          kExtrapolationFactor * endpoint.m_prefill_ms};
-}
-
 // Cost of adding a request to those that run at the endpoint.
-double ConcurrencyCostMs(const BalanceEndpoint& endpoint, const Load& load) {
+double ConcurrencyCostMs(const BalanceEndpoint& endpoint,
+                         const TotalLoad& load) {
   const double over = std::max(0.0, load.m_running + 1 - endpoint.m_slots);
-  return kPerRequestDelayMs * load.m_running + kNoSlotPenaltyMs * over;
+  return (kPerRequestDelayMs * load.m_running + kNoSlotPenaltyMs * over) /
+         endpoint.m_speed.m_ratio;
 }
 
 // Stage of the endpoints that run the request, rather than its prefill.
@@ -331,9 +314,19 @@
   const double tokens = query.m_suffix_tokens + access.m_compute_tokens;
   const double factor =
       endpoint.m_stage == EngineStage::kPrefill ? 1 : kDecodePrefillSpeedRatio;
-  return {
-      WaitMs(endpoint, now),
-      access.m_fetch_ms + tokens / (speed.m_prefill_tokens_per_ms * factor)};
+  return {WaitMs(endpoint, now),
+          access.m_fetch_ms + tokens / (speed.m_prefill_tokens_per_ms * factor *
+                                        endpoint.m_speed.m_ratio)};
+}
+
+// What the endpoint's own speed adds to the estimate of a prefill in the
+// choice.
+double OwnSpeedCostMs(const BalanceEndpoint& endpoint,
+                      const PrefillEstimate& estimate,
+                      const PrefixAccess& access) {
+  const double own_ms = estimate.m_work_ms - access.m_fetch_ms;
+  const double typical_ms = own_ms * endpoint.m_speed.m_ratio;
+  return (1 - kOwnSpeedShare) * (typical_ms - own_ms);
 }
 
 // Best candidate for the prefill.
@@ -357,9 +350,10 @@
         AccessPrefix(placement, *endpoint, query, speed);
     const PrefillEstimate estimate =
         EstimatePrefill(*endpoint, query, speed, access, now);
-    const double total = estimate.Total() + NetworkCostMs(state, *endpoint) +
-                         TieBreakMs(*endpoint, query) +
-                         ConcurrencyCostMs(*endpoint, LoadOf(*endpoint, now));
+    const double total =
+        estimate.Total() + OwnSpeedCostMs(*endpoint, estimate, access) +
+        NetworkCostMs(state, *endpoint) + TieBreakMs(*endpoint, query) +
+        ConcurrencyCostMs(*endpoint, LoadOf(*endpoint, now));
     if (total >= best.m_total_ms) continue;
     best = {endpoint, access, estimate, total};
   }
@@ -377,7 +371,7 @@
   const BalanceEndpoint* best = nullptr;
   *total_ms = std::numeric_limits<double>::max();
   for (const BalanceEndpoint* endpoint : candidates) {
-    const Load load = LoadOf(*endpoint, now);
+    const TotalLoad load = LoadOf(*endpoint, now);
     double total = NetworkCostMs(state, *endpoint) +
                    TieBreakMs(*endpoint, query) + load.m_prefill_ms +
                    ConcurrencyCostMs(*endpoint, load);
@@ -393,6 +387,21 @@
   return best;
 }
 
+// Time of a request at the endpoint beyond that at the typical endpoint of its
+// service, and the cost of its load.
+double ServiceCostMs(const BalanceState& state, const BalanceEndpoint& endpoint,
+                     Instant now) {
+  const double utilisation =
+      LoadOf(endpoint, now).m_running / std::max(endpoint.m_slots, 1.0);
+  const double ratio = endpoint.m_speed.m_ratio;
+  const auto typical = state.m_typical_speeds.find(endpoint.m_service);
+  const double run_ms =
+      typical == state.m_typical_speeds.end()
+          ? kServiceRequestMs
+          : TypicalRunMs(typical->second).value_or(kServiceRequestMs);
+  return kServiceRequestMs * utilisation / ratio + run_ms * (1 / ratio - 1);
+}
+
 std::optional<BalanceChoice> ChooseService(const BalanceState& state,
                                            const BalanceQuery& query,
                                            Instant now) {
@@ -402,10 +411,8 @@
   const BalanceEndpoint* best = nullptr;
   double best_ms = 0;
   for (const BalanceEndpoint* endpoint : candidates) {
-    const double utilisation =
-        LoadOf(*endpoint, now).m_running / std::max(endpoint->m_slots, 1.0);
     const double total = NetworkCostMs(state, *endpoint) +
-                         kServiceRequestMs * utilisation +
+                         ServiceCostMs(state, *endpoint, now) +
                          (endpoint->m_cold ? kServiceRequestMs : 0);
     if (best != nullptr && total >= best_ms) continue;
     best = endpoint;
--- a/src/endpointstate.cpp
+++ b/src/endpointstate.cpp
@@ -48,6 +48,18 @@
 // Weight of a new sample of the queueing delay.
 constexpr double kWaitSampleWeight = 0.5;
 
+// Assumed total load at an endpoint per unit of this instance's own load when
+// the others have not reported. The own load is a noisy sample, so the others
+// are only counted in part.
+constexpr double kExtrapolationFactor = 2.0;
+
+// Maximum age of the load reported by other instances.
+constexpr Duration kMaxRemoteLoadAge = std::chrono::milliseconds(400);
+
+// Prefill work from which on a sample of an endpoint's speed has full weight.
+// Shorter prefills are dominated by fixed costs.
+constexpr double kFullWeightWorkMs = 50;
+
 // Time to the first token in addition to prefill, in milliseconds.
 constexpr double kFirstTokenOverheadMs = 35;
 
@@ -80,6 +92,25 @@
   estimate = std::clamp(estimate, kMinSpeed, kMaxSpeed);
 }
 
+// Compares the time of a prefill with that of its work and of the work ahead of
+// it. The more of it is queueing, the less it says.
+void AddPrefillSample(BalanceState& state, BalanceEndpoint& endpoint,
+                      const PrefillTiming& timing, Instant now) {
+  if (timing.m_terms.m_born_ms != endpoint.m_born_ms) return;
+  const double ahead_ms = timing.m_terms.m_ahead.m_prefill_ms;
+  SpeedSample sample;
+  sample.m_kind = endpoint.m_stage == EngineStage::kPrefill
+                      ? SpeedSampleKind::kPrefill
+                      : SpeedSampleKind::kMixedPrefill;
+  sample.m_expected_ms = kFirstTokenOverheadMs + ahead_ms + timing.m_work_ms;
+  sample.m_assumed_ratio = timing.m_terms.m_ratio;
+  sample.m_elapsed_ms = timing.m_elapsed_ms;
+  sample.m_weight = timing.m_work_ms / (timing.m_work_ms + ahead_ms + 1) *
+                    std::min(1.0, timing.m_work_ms / kFullWeightWorkMs);
+  AddSample(state.m_typical_speeds[endpoint.m_service], endpoint.m_speed,
+            sample, now);
+}
+
 bool IsSameLifetime(const BalanceEndpoint& endpoint, std::uint64_t born_ms,
                     const std::string& address) {
   return endpoint.m_born_ms == born_ms && endpoint.m_address == address;
@@ -101,6 +132,7 @@
   entry.m_limit = known.m_limit;
   entry.m_failures = known.m_failures;
   entry.m_failure_rate = known.m_failure_rate;
+  entry.m_speed = known.m_speed;
 }
 
 // Restores what an endpoint that was missing from the list had said.
@@ -151,6 +183,7 @@
     } else if (IsSameLifetime(entry, known->m_born_ms, known->m_address)) {
       KeepLearntState(*known, entry);
     } else {
+      entry.m_speed = SpeedOfNewLifetime(now);
       obsolete_addresses.push_back(known->m_address);
     }
     const std::string id = entry.m_id;
@@ -176,6 +209,19 @@
   return found == state.m_endpoints.end() ? nullptr : &found->second;
 }
 
+TotalLoad LoadOf(const BalanceEndpoint& endpoint, Instant now) {
+  if (now - endpoint.m_remote_reported_at < kMaxRemoteLoadAge) {
+    return {static_cast<double>(endpoint.m_running + endpoint.m_remote_running),
+            endpoint.m_prefill_ms + endpoint.m_remote_prefill_ms};
+  }
+  return {kExtrapolationFactor * endpoint.m_running,
+          kExtrapolationFactor * endpoint.m_prefill_ms};
+}
+
+DispatchTerms TermsOf(const BalanceEndpoint& endpoint, Instant now) {
+  return {LoadOf(endpoint, now), endpoint.m_speed.m_ratio, endpoint.m_born_ms};
+}
+
 bool AcceptsRequests(const BalanceEndpoint& endpoint, Instant now) {
   return !endpoint.m_draining && !endpoint.m_leaving &&
          now >= endpoint.m_full_until;
@@ -304,11 +350,63 @@
       0.0, timing.m_elapsed_ms - timing.m_work_ms - kFirstTokenOverheadMs);
   found->m_wait_ms += kWaitSampleWeight * (wait - found->m_wait_ms);
   found->m_wait_sampled_at = now;
+  AddPrefillSample(state, *found, timing, now);
   // Short prompts are dominated by fixed costs and say little about the speed.
   constexpr double kMinTokens = 2000;
   if (timing.m_tokens < kMinTokens || timing.m_elapsed_ms <= 1) return;
-  AddSpeedSample(state.m_speeds[found->m_service],
-                 timing.m_tokens / timing.m_elapsed_ms);
+  AddSpeedSample(
+      state.m_speeds[found->m_service],
+      timing.m_tokens / (timing.m_elapsed_ms * timing.m_terms.m_ratio));
+}
+
+void UpdateSpeeds(BalanceState& state, Instant now) {
+  struct Common {
+    double m_sum = 0;
+    double m_endpoints = 0;
+  };
+  std::map<std::string, Common> common;
+  for (const auto& [id, endpoint] : state.m_endpoints) {
+    Common& part = common[endpoint.m_service];
+    part.m_sum += EstimatedLog(endpoint.m_speed, now);
+    ++part.m_endpoints;
+  }
+  for (const auto& [service, part] : common) {
+    state.m_typical_speeds[service].m_common_log =
+        part.m_sum / part.m_endpoints;
+  }
+  for (auto& [id, endpoint] : state.m_endpoints) {
+    UpdateRatio(state.m_typical_speeds[endpoint.m_service], endpoint.m_speed,
+                now);
+  }
+}
+
+void OnDecodeTimed(BalanceState& state, const std::string& endpoint,
+                   const DispatchTerms& terms, double gap_ms, Instant now) {
+  BalanceEndpoint* found = FindEndpoint(state, endpoint);
+  if (found == nullptr || terms.m_born_ms != found->m_born_ms) return;
+  SpeedSample sample;
+  sample.m_kind = SpeedSampleKind::kDecodeGap;
+  sample.m_running = LoadOf(*found, now).m_running;
+  sample.m_elapsed_ms = gap_ms;
+  AddSample(state.m_typical_speeds[found->m_service], found->m_speed, sample,
+            now);
+}
+
+void OnRunTimed(BalanceState& state, const std::string& endpoint,
+                const DispatchTerms& terms, double elapsed_ms, Instant now) {
+  BalanceEndpoint* found = FindEndpoint(state, endpoint);
+  const bool is_run = found != nullptr &&
+                      found->m_stage == EngineStage::kNone &&
+                      terms.m_born_ms == found->m_born_ms;
+  if (!is_run) return;
+  SpeedSample sample;
+  sample.m_kind = SpeedSampleKind::kRun;
+  sample.m_running = terms.m_ahead.m_running;
+  sample.m_elapsed_ms = elapsed_ms;
+  // The request has queued.
+  if (sample.m_running >= std::max(found->m_slots, 1.0)) return;
+  AddSample(state.m_typical_speeds[found->m_service], found->m_speed, sample,
+            now);
 }
 
 }  // namespace comfreypaddle
--- a/src/endpointstate.h
+++ b/src/endpointstate.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "endpointlimit.h"
+#include "endpointspeed.h"
 #include "prefixmap.h"
 #include "types.h"
 
@@ -66,6 +67,7 @@
   EndpointLimit m_limit;  // Named by the endpoint for all instances together.
   std::uint32_t m_failures = 0;  // Consecutive failures.
   double m_failure_rate = 0;     // Moving average over all responses.
+  EndpointSpeed m_speed;
 };
 
 // Measured speeds of a service's engines.
@@ -97,6 +99,8 @@
   std::map<std::string, BalanceEndpoint, std::less<>> m_endpoints;
   std::map<std::string, VanishedEndpoint, std::less<>> m_vanished;
   std::map<std::string, EngineSpeed, std::less<>> m_speeds;  // By service.
+  // Typical times of responses, by service.
+  std::map<std::string, ServiceSpeed, std::less<>> m_typical_speeds;
   PrefixMap m_prefixes;
   // Uses of prefixes that the other instances were not told yet.
   std::vector<CachedPrefix> m_new_prefixes;
@@ -180,18 +184,50 @@
 void OnEndpointReplaced(BalanceState& state, const std::string& endpoint,
                         Instant now);
 
+// Load of an endpoint from all instances.
+struct TotalLoad {
+  double m_running = 0;
+  double m_prefill_ms = 0;
+};
+
+// Returns the load of the endpoint. Without a recent report from the other
+// instances it is extrapolated from the load of this instance.
+TotalLoad LoadOf(const BalanceEndpoint& endpoint, Instant now);
+
+// What was known of an endpoint when a request was sent to it.
+struct DispatchTerms {
+  TotalLoad m_ahead;   // Without the request.
+  double m_ratio = 1;  // Estimated speed of the endpoint.
+  std::uint64_t m_born_ms = 0;
+};
+
+DispatchTerms TermsOf(const BalanceEndpoint& endpoint, Instant now);
+
 // Prefill work of a request and the time that it took.
 struct PrefillTiming {
   double m_tokens = 0;  // Prompt tokens processed; zero if not known.
   double m_work_ms = 0;
   double m_elapsed_ms = 0;
+  DispatchTerms m_terms;
 };
 
-// Updates the prefill speed of the service and the queueing delay of the
-// endpoint.
+// Updates the prefill speed of the service, and the speed and the queueing
+// delay of the endpoint.
 void OnPrefillTimed(BalanceState& state, const std::string& endpoint,
                     const PrefillTiming& timing, Instant now);
 
+// Updates the speeds of all endpoints for the age of their samples.
+void UpdateSpeeds(BalanceState& state, Instant now);
+
+// Records the mean time between the events of a stream that the endpoint
+// decoded.
+void OnDecodeTimed(BalanceState& state, const std::string& endpoint,
+                   const DispatchTerms& terms, double gap_ms, Instant now);
+
+// Records the time of a request to a service that is not a model engine.
+void OnRunTimed(BalanceState& state, const std::string& endpoint,
+                const DispatchTerms& terms, double elapsed_ms, Instant now);
+
 }  // namespace comfreypaddle
 
 #endif  // COMFREYPADDLE_ENDPOINTSTATE_H_
--- a/src/loadlink.cpp
+++ b/src/loadlink.cpp
@@ -1,5 +1,6 @@
 #include "loadlink.h"
 
+#include <cmath>
 #include <utility>
 
 #include "eventlog.h"
@@ -30,6 +31,9 @@
     EndpointLoad& entry = table[load.endpoint()];
     entry.m_running = load.running();
     entry.m_prefill_ms = load.prefill_ms();
+    if (load.speed_weight() > 0 && load.speed_ratio() > 0) {
+      entry.m_speed = {std::log(load.speed_ratio()), load.speed_weight()};
+    }
     if (!load.has_limit_rate()) continue;
     entry.m_limit = {load.limit_rate(), now - FromMs(load.limit_age_ms())};
   }
@@ -43,6 +47,11 @@
     entry->set_endpoint(endpoint);
     entry->set_running(load.m_running);
     entry->set_prefill_ms(static_cast<float>(load.m_prefill_ms));
+    if (load.m_speed) {
+      entry->set_speed_ratio(
+          static_cast<float>(std::exp(load.m_speed->m_log_ratio)));
+      entry->set_speed_weight(static_cast<float>(load.m_speed->m_weight));
+    }
     if (!load.m_limit) continue;
     entry->set_limit_rate(load.m_limit->m_rate);
     entry->set_limit_age_ms(
@@ -73,7 +82,9 @@
 // was not told yet.
 schema::LoadList ListForMember(ControlState& state, const std::string& name) {
   const Instant now = state.m_clock();
-  schema::LoadList list = ToList(SumOtherLoad(state.m_load, name, now), now);
+  LoadTable load = SumOtherLoad(state.m_load, name, now);
+  AddSpeedsForMember(state.m_load, name, now, &load);
+  schema::LoadList list = ToList(load, now);
   AddToList(TakeUsesForMember(state.m_load.m_uses, name), &list);
   return list;
 }
@@ -81,7 +92,9 @@
 // The load of this zone, and the uses that the other zone was not told yet.
 schema::LoadList ListForZone(ControlState& state, const std::string& zone) {
   const Instant now = state.m_clock();
-  schema::LoadList list = ToList(SumZoneLoad(state.m_load, now), now);
+  LoadTable load = SumZoneLoad(state.m_load, now);
+  AddSpeedsForZone(state.m_load, zone, now, &load);
+  schema::LoadList list = ToList(load, now);
   AddToList(TakeUsesForZone(state.m_load.m_uses, zone), &list);
   return list;
 }
--- a/src/loadshare.cpp
+++ b/src/loadshare.cpp
@@ -10,6 +10,10 @@
 // Age after which a load is outdated: most of its requests have been answered.
 constexpr Duration kMaxLoadAge = std::chrono::milliseconds(500);
 
+// Interval at which speeds are told, and the age after which they are outdated.
+constexpr Duration kSpeedInterval = std::chrono::milliseconds(1000);
+constexpr Duration kMaxSpeedAge = std::chrono::milliseconds(3500);
+
 // Number of uses that are kept for instances that have not been told yet.
 constexpr std::size_t kMaxKeptUses = 1024;
 
@@ -44,20 +48,55 @@
   }
 }
 
+// Records a load. Speeds stay until the next message that has some.
+void Receive(ReceivedLoad& received, LoadTable load, Instant now) {
+  SpeedTable speeds;
+  for (const auto& [endpoint, part] : load) {
+    if (part.m_speed) speeds[endpoint] = *part.m_speed;
+  }
+  if (!speeds.empty()) {
+    received.m_speeds = std::move(speeds);
+    received.m_speeds_at = now;
+  }
+  received.m_load = std::move(load);
+  received.m_at = now;
+}
+
+void AddSpeeds(const ReceivedLoad& received, Instant now, LoadTable* load) {
+  const Duration age = now - received.m_speeds_at;
+  if (age >= kMaxSpeedAge) return;
+  for (const auto& [endpoint, report] : received.m_speeds) {
+    std::optional<SpeedReport>& sum = (*load)[endpoint].m_speed;
+    if (!sum) sum.emplace();
+    Merge(Aged(report, age), &*sum);
+  }
+}
+
+// Whether it is time to tell the speeds again; takes the turn.
+bool TakeTurn(Instant& last, Instant now) {
+  if (now - last < kSpeedInterval) return false;
+  last = now;
+  return true;
+}
+
 }  // namespace
 
 void SetMemberLoad(LoadShareState& state, const std::string& name,
                    LoadTable load, Instant now) {
-  state.m_members[name] = {std::move(load), now};
+  Receive(state.m_members[name], std::move(load), now);
 }
 
 void SetZoneLoad(LoadShareState& state, const std::string& zone, LoadTable load,
                  Instant now) {
-  state.m_zones[zone] = {std::move(load), now};
+  Receive(state.m_zones[zone], std::move(load), now);
 }
 
 LoadTable SumZoneLoad(const LoadShareState& state, Instant now) {
-  return SumOtherLoad({state.m_members, {}}, "", now);
+  LoadTable sum;
+  for (const auto& [member, heard] : state.m_members) {
+    if (now - heard.m_at < kMaxLoadAge) Add(heard.m_load, &sum);
+  }
+  return sum;
 }
 
 LoadTable SumOtherLoad(const LoadShareState& state, const std::string& name,
@@ -73,6 +112,25 @@
   return sum;
 }
 
+void AddSpeedsForMember(LoadShareState& state, const std::string& name,
+                        Instant now, LoadTable* load) {
+  if (!TakeTurn(state.m_speed_turns.m_members[name], now)) return;
+  for (const auto& [member, received] : state.m_members) {
+    if (member != name) AddSpeeds(received, now, load);
+  }
+  for (const auto& [zone, received] : state.m_zones) {
+    AddSpeeds(received, now, load);
+  }
+}
+
+void AddSpeedsForZone(LoadShareState& state, const std::string& zone,
+                      Instant now, LoadTable* load) {
+  if (!TakeTurn(state.m_speed_turns.m_zones[zone], now)) return;
+  for (const auto& [member, received] : state.m_members) {
+    AddSpeeds(received, now, load);
+  }
+}
+
 void AddUses(UseLog& log, UseOrigin origin, const std::string& name,
              const std::vector<PrefixUse>& uses) {
   for (const PrefixUse& use : uses) {
--- a/src/loadshare.h
+++ b/src/loadshare.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "endpointlimit.h"
+#include "endpointspeed.h"
 #include "types.h"
 
 namespace comfreypaddle {
@@ -25,14 +26,29 @@
   double m_prefill_ms = 0;      // Prefill work of those without a first token.
   // Newest statement of the endpoint on its limit that is to be told.
   std::optional<LimitStatement> m_limit;
+  // Speed of the endpoint, if it is told with this load.
+  std::optional<SpeedReport> m_speed;
 };
 
 // Load by the lower half of the hash of the endpoint id.
 using LoadTable = std::map<std::uint32_t, EndpointLoad>;
 
+// Speeds of endpoints by the lower half of the hash of the endpoint id.
+using SpeedTable = std::map<std::uint32_t, SpeedReport>;
+
+// Loads come with each message and speeds with a few of them.
 struct ReceivedLoad {
   LoadTable m_load;
   Instant m_at{};
+  SpeedTable m_speeds;
+  Instant m_speeds_at{};
+};
+
+// When the speeds were last told to each instance of this zone and to each
+// other zone.
+struct SpeedTurns {
+  std::map<std::string, Instant, std::less<>> m_members;
+  std::map<std::string, Instant, std::less<>> m_zones;
 };
 
 // An endpoint has the KV cache of a shared prompt prefix.
@@ -70,6 +86,7 @@
   std::map<std::string, ReceivedLoad, std::less<>> m_members;  // Of this zone.
   std::map<std::string, ReceivedLoad, std::less<>> m_zones;    // Other zones.
   UseLog m_uses;
+  SpeedTurns m_speed_turns;
 };
 
 // Record the load of an instance of this zone, or the sum of another zone.
@@ -86,6 +103,13 @@
 LoadTable SumOtherLoad(const LoadShareState& state, const std::string& name,
                        Instant now);
 
+// Add the speeds of endpoints that are to be told with the load to an instance
+// of this zone or to another zone. Does nothing until they are due.
+void AddSpeedsForMember(LoadShareState& state, const std::string& name,
+                        Instant now, LoadTable* load);
+void AddSpeedsForZone(LoadShareState& state, const std::string& zone,
+                      Instant now, LoadTable* load);
+
 // Adds uses that an instance of this zone or the reader of another zone
 // reported.
 void AddUses(UseLog& log, UseOrigin origin, const std::string& name,
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -13,6 +13,7 @@
 #include "platform/adapter.h"
 #include "relayattempt.h"
 #include "relaymetrics.h"
+#include "relayspeed.h"
 #include "resumption.h"
 #include "settings.h"
 
@@ -27,8 +28,10 @@
 // Period at which deadlines are checked and waiting requests are dispatched.
 constexpr Duration kTickPeriod = std::chrono::milliseconds(20);
 
-// Period at which endpoint loads are shared with other instances.
+// Periods at which the loads and the speeds of endpoints are shared with other
+// instances.
 constexpr Duration kLoadSharePeriod = std::chrono::milliseconds(50);
+constexpr Duration kSpeedSharePeriod = std::chrono::milliseconds(1000);
 
 // Period at which usage counts are sent to the control task.
 constexpr Duration kUsageHandoverPeriod = std::chrono::milliseconds(500);
@@ -350,13 +353,21 @@
   schema::ControlMessage message;
   schema::LoadList* list = message.mutable_load();
   const Instant now = Now();
+  const bool tell_speeds = now >= m_speeds_due;
+  if (tell_speeds) {
+    m_speeds_due = now + kSpeedSharePeriod;
+    RefreshSpeeds(m_state);
+  }
   for (const auto& [id, endpoint] : m_state.m_balance.m_endpoints) {
     const auto limit = StatementToShare(endpoint.m_limit, now);
-    if (endpoint.m_running == 0 && !limit) continue;
+    const auto speed =
+        tell_speeds ? ReportToShare(endpoint.m_speed, now) : std::nullopt;
+    if (endpoint.m_running == 0 && !limit && !speed) continue;
     schema::SharedLoad* load = list->add_loads();
     load->set_endpoint(static_cast<std::uint32_t>(endpoint.m_hash));
     load->set_running(endpoint.m_running);
     load->set_prefill_ms(static_cast<float>(endpoint.m_prefill_ms));
+    if (speed) AddSpeed(*speed, load);
     if (!limit) continue;
     load->set_limit_rate(limit->m_rate);
     load->set_limit_age_ms(static_cast<float>(ToMs(now - limit->m_said_at)));
@@ -388,6 +399,7 @@
       LogEndpointLimit(endpoint, "instance");
     }
   }
+  ApplyPeerSpeeds(m_state, list);
   ApplyPeerPrefixes(list, now);
 }
 
--- a/src/relay.h
+++ b/src/relay.h
@@ -60,6 +60,7 @@
   std::unique_ptr<PeriodicTimer> m_load_tick;
   std::unique_ptr<PeriodicTimer> m_usage_tick;
   RelayState m_state;
+  Instant m_speeds_due{};  // When the speeds of endpoints are shared next.
   bool m_was_ready = false;
 };
 
--- a/src/relayattempt.cpp
+++ b/src/relayattempt.cpp
@@ -9,6 +9,7 @@
 #include "crashwatch.h"
 #include "eventlog.h"
 #include "finish.h"
+#include "relayspeed.h"
 #include "responsememory.h"
 #include "resumption.h"
 
@@ -83,6 +84,7 @@
   call.m_attempt.m_version = endpoint.m_version;
   call.m_attempt.m_sent = state.m_clock();
   call.m_attempt.m_work_ms = work_ms;
+  call.m_attempt.m_terms = TermsOf(endpoint, call.m_attempt.m_sent);
   OnRequestDispatched(state.m_balance, endpoint.m_id, work_ms);
 }
 
@@ -147,9 +149,11 @@
     const std::chrono::duration<double, std::milli> took =
         state.m_clock() - attempt.m_sent;
     OnPrefillTimed(state.m_balance, attempt.m_endpoint,
-                   {0, attempt.m_work_ms, took.count()}, state.m_clock());
+                   {0, attempt.m_work_ms, took.count(), attempt.m_terms},
+                   state.m_clock());
   }
   attempt.m_work_ms = 0;
+  attempt.m_first_event_at = state.m_clock();
   OnEndpointAnswered(state.m_balance, attempt.m_endpoint, state.m_clock());
   OnPrefixCached(state.m_balance, attempt.m_endpoint,
                  call.m_query.m_shared_prefix_hash,
@@ -222,6 +226,7 @@
     if (attempt.m_events == 0) OnFirstEvent(state, call);
     const bool was_at_start = IsAtStart(call);
     ++attempt.m_events;
+    attempt.m_last_event_at = state.m_clock();
     if (was_at_start && !IsAtStart(call)) OnAttemptSurvived(state, call);
     if (!ForwardEvent(state, call, event)) {
       FinishFailed(state, call, EndReason::kEndpointFailed);
@@ -269,6 +274,7 @@
 }
 
 void OnStreamComplete(RelayState& state, RelayCall& call) {
+  RecordStreamSpeed(state, call.m_attempt);
   OnAttemptSurvived(state, call);
   if (!call.m_response_started) {
     call.m_response_started = true;
@@ -283,6 +289,7 @@
                         const HttpResult& result) {
   const EndpointAttempt& attempt = call.m_attempt;
   OnEndpointAnswered(state.m_balance, attempt.m_endpoint, state.m_clock());
+  RecordRunSpeed(state, attempt);
   OnAttemptSurvived(state, call);
   CountUsage(state, call, attempt.m_sent);
   call.m_attempt.m_end = AttemptEnd::kAnswered;
@@ -446,7 +453,8 @@
     const std::chrono::duration<double, std::milli> took =
         state.m_clock() - attempt.m_sent;
     OnPrefillTimed(state.m_balance, attempt.m_endpoint,
-                   {work_tokens, work_ms, took.count()}, state.m_clock());
+                   {work_tokens, work_ms, took.count(), attempt.m_terms},
+                   state.m_clock());
     call.m_source =
         CacheSource{attempt.m_endpoint, attempt.m_address, read->m_handle};
     RunWithPrefilledCache(state, call);
--- a/src/relaymetrics.cpp
+++ b/src/relaymetrics.cpp
@@ -70,6 +70,17 @@
                "retries allowed in the current window", "service", allowed);
 }
 
+// Adds the estimated speed of each endpoint.
+void AddEndpointSpeeds(const BalanceState& balance, MetricsText* text) {
+  std::map<std::string, double> ratios;
+  for (const auto& [id, endpoint] : balance.m_endpoints) {
+    ratios[id] = endpoint.m_speed.m_ratio;
+  }
+  text->Gauges("relay_endpoint_speed",
+               "estimated speed, relative to the mean of the service",
+               "endpoint", ratios);
+}
+
 // Adds why requests could go on at another endpoint.
 void AddContinuations(const RelayCounters& counters, MetricsText* text) {
   std::map<std::string, double> continued;
@@ -160,6 +171,7 @@
              state.m_catalog == nullptr
                  ? 0
                  : static_cast<double>(state.m_catalog->Message().version()));
+  AddEndpointSpeeds(state.m_balance, &text);
   AddRetryBudget(state, &text);
   AddStoreFreshness(state, &text);
   text.Counter("relay_log_lines_lost_total", "log lines left out",
--- a/src/relaystate.h
+++ b/src/relaystate.h
@@ -113,7 +113,11 @@
   Instant m_ended_at{};
   bool m_is_gone = false;  // The process of the endpoint has ended.
   AbsenceRecord m_absence;
-  double m_work_ms = 0;            // Prefill work; zero after the first event.
+  double m_work_ms = 0;  // Prefill work; zero after the first event.
+  DispatchTerms m_terms;
+  // Events of a stream: when the first and the last one of them came.
+  Instant m_first_event_at{};
+  Instant m_last_event_at{};
   int m_status = 0;                // Zero until the response head arrives.
   Instant m_head_at{};             // When it arrived.
   std::uint64_t m_connection = 0;  // Number of its connection.
