Bound the figures of other instances' use of allotments

A huge number of instances in a message wrapped around to none, and huge uses left the range of a float in the next message's sum.

allotmentcheck_test passes.

--- a/src/allotmentcodec.cpp
+++ b/src/allotmentcodec.cpp
@@ -1,13 +1,20 @@
 #include "allotmentcodec.h"
 
+#include <algorithm>
 #include <cmath>
+#include <cstdint>
 
 namespace comfreypaddle {
 
 namespace {
 
+// Bounds of what is believed of other instances, so that sums stay in the range
+// of their types.
+constexpr double kMaxUse = 1e18;
+constexpr std::uint32_t kMaxInstances = 100'000;
+
 double Readable(double value) {
-  return std::isfinite(value) && value > 0 ? value : 0;
+  return std::isfinite(value) && value > 0 ? std::min(value, kMaxUse) : 0;
 }
 
 }  // namespace
@@ -26,7 +33,7 @@
 
 InstanceUses FromMessage(const schema::WorkspaceUseList& message) {
   InstanceUses uses;
-  uses.m_instances = message.instances();
+  uses.m_instances = std::min(message.instances(), kMaxInstances);
   for (const schema::WorkspaceUse& use : message.uses()) {
     uses.m_uses[use.workspace()] = {Readable(use.recent()),
                                     Readable(use.demand())};
--- a/tests/allotmentcheck_test.cpp
+++ b/tests/allotmentcheck_test.cpp
@@ -5,6 +5,7 @@
 
 #include <doctest/doctest.h>
 
+#include <cmath>
 #include <limits>
 #include <utility>
 
@@ -99,6 +100,16 @@
   CHECK(f.Recent() == doctest::Approx(with_one));
 }
 
+// Failure: the number of instances of a message wraps around to none.
+TEST_CASE("an absurd number of instances is bounded") {
+  schema::WorkspaceUseList message;
+  message.set_instances(std::numeric_limits<std::uint32_t>::max());
+  message.add_uses()->set_recent(std::numeric_limits<float>::max());
+  const InstanceUses uses = FromMessage(message);
+  CHECK(uses.m_instances + 1 > uses.m_instances);
+  CHECK(std::isfinite(static_cast<float>(uses.m_uses.at(0).m_recent * 1000)));
+}
+
 // Failure: a message of another instance with odd figures refuses everything.
 TEST_CASE("odd figures of other instances count as nothing") {
   schema::WorkspaceUseList message;
@@ -110,10 +121,12 @@
     use->set_recent(value);
     use->set_demand(value);
   }
-  for (const auto& [workspace, use] : FromMessage(message).m_uses) {
-    CAPTURE(workspace);
-    CHECK(use.m_recent == 0);
-    CHECK(use.m_demand == 0);
+  const InstanceUses uses = FromMessage(message);
+  CHECK(uses.m_uses.size() == 3);
+  for (const auto& entry : uses.m_uses) {
+    CAPTURE(entry.first);
+    CHECK(entry.second.m_recent == 0);
+    CHECK(entry.second.m_demand == 0);
   }
 }
 
