--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "accept.h"
+#include "allotmentcheck.h"
 #include "allotmentcodec.h"
 #include "crashwatch.h"
 #include "eventlog.h"
@@ -285,6 +286,7 @@
 
 void Relay::SetCatalog(const schema::Catalog& catalog) {
   m_state.m_catalog = std::make_shared<const CatalogIndex>(catalog);
+  ForgetAllotments(m_state);
   SetCallerLimits(catalog.limits());
   for (const schema::CatalogService& service : catalog.services()) {
     if (!service.has_engine()) continue;
