--- a/src/httpserver.cpp
+++ b/src/httpserver.cpp
@@ -48,6 +48,10 @@
 // Pause that a caller is told whose request does not fit into the memory.
 constexpr const char* kRetryAfterSeconds = "1";
 
+// Maximum number of connections that are checked for unread input before one is
+// closed; each check takes a system call.
+constexpr int kMaxChoices = 8;
+
 // Maximum number of connections accepted per event.
 constexpr int kAcceptBatch = 32;
 
@@ -206,10 +210,12 @@
     RequestHolder holder;
     holder.m_connection = m_id;
     holder.m_runs = m_request != 0;
-    holder.m_is_new = m_is_new;
+    holder.m_is_new = m_is_new && now - m_waits_since >= kFirstRequestTime;
     holder.m_bytes = m_held_bytes;
-    holder.m_waits =
-        now - (m_parser.Started() ? m_request_start : m_waits_since);
+    Instant since = m_parser.Started() ? m_request_start : m_waits_since;
+    // A caller that reads its response slowly is not cut off for that.
+    if (m_request == 0 && UnsentBytes() > 0) since = m_last_activity;
+    holder.m_waits = now - since;
     return holder;
   }
 
@@ -234,6 +240,7 @@
 
   std::size_t HeldBytes() const { return m_held_bytes; }
   bool IsLingering() const { return m_lingering; }
+  bool HasUnreadInput() const { return m_channel.HasUnreadInput(); }
 
   // Whether closing the connection now loses no request that the caller has
   // sent, as far as this side can know.
@@ -445,7 +452,7 @@
 // Frees a descriptor if possible, and accepts nothing until the next check for
 // expiry. The waiting connection would otherwise wake the loop without pause.
 void HttpServer::PauseAccepting() {
-  const std::uint64_t chosen = ChooseForConnection(Holders(0));
+  const std::uint64_t chosen = ChooseToClose(0);
   if (chosen != 0) CloseConnection(chosen);
   CountTurnedAway(TurnedAway::kDescriptors);
   m_accepting_paused = true;
@@ -456,11 +463,28 @@
 // all others have open requests.
 void HttpServer::LimitConnections(std::uint64_t newest) {
   if (m_connections.size() <= m_memory.m_limits.m_connections) return;
-  const std::uint64_t chosen = ChooseForConnection(Holders(newest));
+  const std::uint64_t chosen = ChooseToClose(newest);
   CloseConnection(chosen != 0 ? chosen : newest);
   CountTurnedAway(TurnedAway::kConnections);
 }
 
+// Returns a connection to close in favour of others, if possible one whose
+// caller has sent nothing that is still to be read.
+std::uint64_t HttpServer::ChooseToClose(std::uint64_t without) const {
+  std::vector<RequestHolder> holders = Holders(without);
+  std::uint64_t chosen = 0;
+  for (int i = 0; i < kMaxChoices; ++i) {
+    const std::uint64_t next = ChooseForConnection(holders);
+    if (next == 0) break;
+    chosen = next;
+    if (!m_connections.at(chosen)->HasUnreadInput()) break;
+    std::erase_if(holders, [chosen](const RequestHolder& holder) {
+      return holder.m_connection == chosen;
+    });
+  }
+  return chosen;
+}
+
 // Turns callers away until the connection that has grown may go on.
 void HttpServer::FreeMemory(Connection& grown) {
   while (!grown.IsLingering() &&
--- a/src/httpserver.h
+++ b/src/httpserver.h
@@ -90,6 +90,7 @@
   void CloseListener();
   void PauseAccepting();
   void LimitConnections(std::uint64_t newest);
+  std::uint64_t ChooseToClose(std::uint64_t without) const;
   void FreeMemory(Connection& grown);
   void CountTurnedAway(TurnedAway reason);
   std::vector<RequestHolder> Holders(std::uint64_t without) const;
--- a/src/requestmemory.h
+++ b/src/requestmemory.h
@@ -49,11 +49,13 @@
 // What a connection holds and has brought forward.
 struct RequestHolder {
   std::uint64_t m_connection = 0;
-  bool m_runs = false;    // Its request was passed on and is not answered.
-  bool m_is_new = false;  // None of its requests has arrived in full.
+  bool m_runs = false;  // Its request was passed on and is not answered.
+  // Had time to bring a request, and none has arrived in full.
+  bool m_is_new = false;
   std::size_t m_bytes = 0;
-  // Time since its request began to arrive; if none has, since it was opened or
-  // its last request ended.
+  // Time since its caller last read a part of its response; if that is sent,
+  // since its request began to arrive; if none has, since it was opened or its
+  // last request ended.
   Duration m_waits{0};
 };
 
--- a/tests/bodies_system_test.cpp
+++ b/tests/bodies_system_test.cpp
@@ -10,7 +10,6 @@
 namespace {
 
 using testing::CheckCrowd;
-using testing::CrowdKind;
 using testing::kBodyLimit;
 using testing::PostHead;
 
--- a/tests/httpwire_test.cpp
+++ b/tests/httpwire_test.cpp
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 
@@ -455,6 +456,36 @@
   }));
 }
 
+// Guards against new callers that are closed before their first request can
+// arrive, because many connect at once while the connections are used up.
+TEST_CASE("Idle connections are closed in favour of new callers") {
+  constexpr std::size_t kConnections = 4;
+  const std::string request = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+  Fixture fixture;
+  fixture.m_server->SetMemoryLimits({1U << 20U, kConnections});
+  fixture.m_handle = [&fixture](const HttpRequest& received) {
+    fixture.m_server->Respond(received.m_id, 200, {}, "answer");
+  };
+  std::vector<std::unique_ptr<RawCaller>> callers;
+  const auto call_at_once = [&] {
+    for (std::size_t i = 0; i < kConnections; ++i) {
+      callers.push_back(std::make_unique<RawCaller>(fixture.m_port));
+      callers.back()->Send(request);
+    }
+  };
+  call_at_once();
+  REQUIRE(RunUntil(fixture.m_loop, kTestTimeout,
+                   [&] { return fixture.m_requests.size() == kConnections; }));
+  call_at_once();
+  CHECK(RunUntil(fixture.m_loop, kTestTimeout, [&] {
+    return fixture.m_requests.size() == 2 * kConnections;
+  }));
+  CHECK(fixture.m_server->Connections() == kConnections);
+  for (std::size_t i = kConnections; i < callers.size(); ++i) {
+    CHECK(callers[i]->ReceiveAll().find("answer") != std::string::npos);
+  }
+}
+
 // Failure: connections that waited in the queue of a listener that was closed
 // were reset.
 TEST_CASE("Waiting connections are served after the listener was closed") {
