Do not hold streams that are taken up; end a vain wait at once

A queued request whose expected wait grew too long left the queue but went on waiting for the window until its queue deadline; it is now sent beyond the window, as one that is not queued at its arrival.

entryqueue_test, entrywindow_test and relaycall_test pass.

--- a/src/entryserve.cpp
+++ b/src/entryserve.cpp
@@ -6,6 +6,7 @@
 #include "entrywindow.h"
 #include "eventlog.h"
 #include "relayattempt.h"
+#include "resumption.h"
 
 namespace comfreypaddle {
 
@@ -33,10 +34,16 @@
   return query.m_suffix_tokens + (is_cached ? 0 : query.m_shared_prefix_tokens);
 }
 
-// Ends the wait of a request that an endpoint can take, beyond the window.
+// Ends the wait of a request: it is sent, beyond the window too. Without a
+// choice it is refused at its queue deadline and tried at each tick until then,
+// as the expected wait is too uncertain for a refusal while an endpoint may
+// still become free.
 void EndWait(RelayState& state, RelayCall& call, Instant now) {
-  call.m_queue_deadline = std::min(call.m_queue_deadline, now);
-  if (now < call.m_deadline) DispatchCall(state, call);
+  if (now >= call.m_deadline) return;
+  if (SelectEndpoint(state.m_balance, call.m_query, now)) {
+    call.m_queue_deadline = std::min(call.m_queue_deadline, now);
+  }
+  DispatchCall(state, call);
 }
 
 void QueueCall(RelayState& state, RelayCall& call, HoldReason reason,
@@ -61,11 +68,7 @@
       .AddMs("backlog_ms", call.m_backlog);
   if (decision.m_is_queued) return;
   call.m_backlog = std::max(call.m_backlog, decision.m_retry_after);
-  // The expected wait is too uncertain for a refusal while an endpoint may
-  // still become free: without a choice the request is tried at each tick.
-  const bool has_choice =
-      SelectEndpoint(state.m_balance, call.m_query, now).has_value();
-  if (has_choice) EndWait(state, call, now);
+  EndWait(state, call, now);
 }
 
 void ServeService(RelayState& state, const std::string& service, Instant now) {
@@ -111,7 +114,7 @@
   const Instant now = state.m_clock();
   for (const std::uint64_t id : TakeOverdue(state.m_queue, now)) {
     RelayCall* call = FindRelayCall(state, id);
-    if (call != nullptr && now < call->m_deadline) DispatchCall(state, *call);
+    if (call != nullptr) EndWait(state, *call, now);
   }
   for (const std::string& service : WaitingServices(state.m_queue)) {
     ServeService(state, service, now);
@@ -120,7 +123,7 @@
 
 bool MustAwaitWindow(const RelayState& state, const RelayCall& call,
                      const BalanceChoice& choice, Instant now) {
-  return IsNew(call) && now < call.m_queue_deadline &&
+  return IsNew(call) && !IsTakenUp(call) && now < call.m_queue_deadline &&
          !FitsWindow(state.m_balance, choice, now);
 }
 
--- a/tests/entrywindow_test.cpp
+++ b/tests/entrywindow_test.cpp
@@ -133,6 +133,20 @@
   CHECK(fixture.m_endpoints.m_calls.size() == 1);
 }
 
+// Guards against a break in a stream that its caller sees as a long pause.
+TEST_CASE("a stream that is taken up does not wait for the window") {
+  WindowFixture fixture;
+  ALLOW_CALL(fixture.m_callers,
+             StartStream(trompeloeil::_, 200, trompeloeil::_));
+  ALLOW_CALL(fixture.m_callers, Write(trompeloeil::_, trompeloeil::_));
+  fixture.Ask(1, "/again/x");
+  fixture.m_endpoints.m_events.at(0).m_on_head(200, {{"stream", "1"}});
+  fixture.m_endpoints.m_events.at(0).m_on_body("id: 1\ndata: a\n\n");
+  fixture.SetRemote(4);
+  fixture.TakeUp(2, "t1");
+  CHECK(fixture.m_endpoints.m_calls.size() == 2);
+}
+
 // Guards against a freed place that stays empty until the next tick, and
 // against arrivals that overtake those that wait.
 TEST_CASE("a freed place goes to the request that waits") {
