Let only the hedge give way to memory; bound its sends and delay

Where responses held too much memory, a hedged request ended as a whole if it held most, although its first attempt alone could answer it. A hedge was sent beyond the limit of sends of a request, which counts endpoints that rejected it; hedges and retries now share HasAttemptsLeft. On a route without a target time every request was due for a hedge after the minimum delay; it is now hedged after the quantile only.

--- a/src/attemptlimits.cpp
+++ b/src/attemptlimits.cpp
@@ -90,6 +90,10 @@
   return true;
 }
 
+bool HasAttemptsLeft(const RelayCall& call) {
+  return call.m_runs < call.m_route->max_attempts() && call.m_sends < kMaxSends;
+}
+
 bool MayTryAgain(const RelayState& state, const RelayCall& call) {
   // A prefill does not execute the request.
   if (call.m_attempt.m_is_prefill) return true;
@@ -106,8 +110,7 @@
     case AttemptEnd::kAborted:
       break;
   }
-  return IsRepeatable(call) && call.m_runs < call.m_route->max_attempts() &&
-         call.m_sends < kMaxSends;
+  return IsRepeatable(call) && HasAttemptsLeft(call);
 }
 
 bool IsSilent(RelayState& state, const RelayCall& call, Instant now) {
--- a/src/attemptlimits.h
+++ b/src/attemptlimits.h
@@ -23,6 +23,9 @@
 bool ChargeRetry(RelayState& state, const RelayCall& call,
                  const std::string& endpoint);
 
+// Whether a request that may be repeated has attempts of its route left.
+bool HasAttemptsLeft(const RelayCall& call);
+
 // Whether the request may be tried again after its last attempt, by its kind,
 // the number of attempts and the time left.
 bool MayTryAgain(const RelayState& state, const RelayCall& call);
--- a/src/hedge.cpp
+++ b/src/hedge.cpp
@@ -109,7 +109,9 @@
   const auto found = state.m_routes.find(route);
   const bool is_known =
       found != state.m_routes.end() && found->second.m_usual.has_value();
-  const Duration longest = FromMs(ToMs(target) * kMaxDelayRatio);
+  const bool has_target = target > Duration::zero();
+  const Duration longest =
+      has_target ? FromMs(ToMs(target) * kMaxDelayRatio) : Duration::max();
   const Duration delay =
       is_known ? std::min(*found->second.m_usual, longest) : longest;
   return std::max(delay, state.m_limits.m_min_delay);
--- a/src/hedge.h
+++ b/src/hedge.h
@@ -129,7 +129,8 @@
 // Time after which a request of the route may be hedged: the quantile of its
 // response times, but not so late that the second endpoint could not respond
 // within the route's target time. Where a slow endpoint gets more than the
-// quantile leaves over, the quantile is that endpoint's own time.
+// quantile leaves over, the quantile is that endpoint's own time. A route
+// without a target time (zero) has only the quantile.
 Duration HedgeDelay(const HedgeState& state, const HedgeRoute& route,
                     Duration target);
 
--- a/src/hedgedcall.cpp
+++ b/src/hedgedcall.cpp
@@ -49,7 +49,7 @@
   HedgeQuestion question;
   question.m_route = RouteOf(call);
   question.m_time_left = call.m_deadline - now;
-  question.m_has_attempts_left = call.m_runs < call.m_route->max_attempts();
+  question.m_has_attempts_left = HasAttemptsLeft(call);
   question.m_is_suspect = IsSuspect(state, call);
   question.m_is_service_queued = IsServiceQueued(state, call.m_service);
   question.m_load = ServiceLoad(state.m_balance, call.m_service, now);
--- a/src/relayattempt.cpp
+++ b/src/relayattempt.cpp
@@ -200,7 +200,7 @@
 }
 
 // Ends the request that holds the most response data if all together hold too
-// much.
+// much. A hedged request loses only its second attempt.
 void LimitHeldBytes(RelayState& state, const RelayCall& grown) {
   RelayCall* excess = FindExcessCall(state, grown);
   if (excess == nullptr) return;
@@ -208,6 +208,10 @@
       .Add("request", excess->m_metadata.m_attempt)
       .Add("endpoint", excess->m_attempt.m_endpoint)
       .Add("bytes", static_cast<std::int64_t>(HeldBytes(state, *excess)));
+  if (IsHedged(*excess)) {
+    CancelOther(state, *excess);
+    return;
+  }
   if (IsHeldForCaller(state, *excess)) {
     FinishFailed(state, *excess, EndReason::kSlowCaller);
   } else {
--- a/tests/hedge_test.cpp
+++ b/tests/hedge_test.cpp
@@ -44,6 +44,16 @@
   for (int i = 0; i < 100; ++i) CreditRequest(state, route, kStart);
 }
 
+// Failure: a route without a target time has all its requests hedged.
+TEST_CASE("without a target time the delay is the quantile only") {
+  HedgeState state = MakeState();
+  CHECK(HedgeDelay(state, route, Duration::zero()) == Duration::max());
+  for (int i = 0; i < 100; ++i) {
+    AddResponseTime(state, route, milliseconds(100));
+  }
+  CHECK(HedgeDelay(state, route, Duration::zero()) >= milliseconds(100));
+}
+
 TEST_CASE("the delay is a quantile of the response times of the route") {
   HedgeState state = MakeState();
   CHECK(HedgeDelay(state, route, kTarget) == milliseconds(75));
--- a/tests/hedgedcall_test.cpp
+++ b/tests/hedgedcall_test.cpp
@@ -108,6 +108,30 @@
   CHECK(f.Usage() == 1);
 }
 
+// Failure: a request that one endpoint alone could answer ends because its
+// hedge holds memory.
+TEST_CASE("the hedge gives way where memory is short") {
+  HedgeFixture f;
+  f.AskHedged();
+  const std::string large(7U << 20U, 'x');
+  for (std::uint64_t id = 2; id <= 4; ++id) {
+    f.Ask(id, "/safe/x");
+    f.m_endpoints.m_events.at(id).m_on_head(200, {});
+    f.m_endpoints.m_events.at(id).m_on_body(large);
+  }
+  const std::string part(5U << 20U, 'x');
+  f.m_endpoints.m_events.at(1).m_on_head(200, {});
+  f.m_endpoints.m_events.at(1).m_on_body(part);
+  f.m_endpoints.m_events.at(0).m_on_head(200, {});
+  f.m_endpoints.m_events.at(0).m_on_body(part);
+  CHECK(f.m_endpoints.m_cancelled.empty());
+  f.m_endpoints.m_events.at(0).m_on_body("rest");
+  CHECK(f.m_endpoints.m_cancelled == std::vector<HttpPort::CallId>{2});
+  REQUIRE(FindRelayCall(f.m_state, 1) != nullptr);
+  REQUIRE_CALL(f.m_callers, Respond(1U, 200, _, part + "rest"));
+  f.m_endpoints.m_events.at(0).m_on_end({HttpError::kOk, 200, true});
+}
+
 // How one of the two endpoints fails.
 enum class Fault { kReset, kUnreached, kPartial, kRefusal, kOther, kError };
 
@@ -237,6 +261,13 @@
   SUBCASE("if the retry budget is small") {
     f.m_state.m_resends.m_limits = {0, seconds(10), 2};
   }
+  SUBCASE("if it was sent to as many endpoints as a request may be") {
+    f.Ask(1, target);
+    FindRelayCall(f.m_state, 1)->m_sends = 4;
+    f.Wait(milliseconds(220));
+    CHECK(f.m_endpoints.m_calls.size() == 1);
+    return;
+  }
   SUBCASE("if its service is busy") {
     for (auto& [id, endpoint] : endpoints) endpoint.m_slots = 1;
     endpoints["e3"].m_running = 1;
