--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -195,7 +195,9 @@
       {"rate = inf", Kind::kOutOfRange},
       {"max_load = 2", Kind::kOutOfRange},
       {"share = 1", Kind::kUnknownKey}};
-  for (const auto& [line, kind] : odd) {
+  for (const auto& setting : odd) {
+    const std::string& line = setting.first;
+    const Kind kind = setting.second;
     CAPTURE(line);
     const auto errors = load("[hedge]\n" + line + "\n", &settings);
     REQUIRE(errors.size() == 1);
