Drop ages of versions that cannot be right

Cause: the age of a version in an answer of another instance was converted unchecked; one that is no number or negative would count as recent for good. Found by reading in the review of the records of begun streams.

--- a/src/streamsync.cpp
+++ b/src/streamsync.cpp
@@ -168,6 +168,11 @@
   StreamRecords& records = state.m_streams;
   const Instant now = state.m_clock();
   for (const schema::VersionSeen& seen : answer.versions()) {
+    // Also drops an age that is no number.
+    if (!(seen.last_listed_ms() >= 0 &&
+          seen.last_listed_ms() < ToMs(kResumeWindow))) {
+      continue;
+    }
     AddSeenVersion(records.m_versions, {seen.service(), seen.version(),
                                         now - FromMs(seen.last_listed_ms())});
   }
