Wait for the connection with poll in the test of odd responses

Cause: the scripted server of the test looked for a connection every 0.5 ms, without an end. It waits with poll now, for 5 s at most; the checks are the same.

No functional change

--- a/tests/oddresponses_test.cpp
+++ b/tests/oddresponses_test.cpp
@@ -101,11 +101,11 @@
 
  private:
   void Serve() {
-    m_descriptor = -1;
-    while (m_descriptor < 0) {
-      m_descriptor = accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
-      if (m_descriptor < 0) usleep(500);
-    }
+    pollfd connection{m_listener, POLLIN, 0};
+    constexpr int kConnectMs = 5000;
+    if (poll(&connection, 1, kConnectMs) <= 0) return;
+    m_descriptor = accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
+    if (m_descriptor < 0) return;
     const timeval limit{5, 0};
     setsockopt(m_descriptor, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
     Read(m_script.m_read_first);
