--- a/review/standins-2/stage.h
+++ b/review/standins-2/stage.h
@@ -835,7 +835,8 @@
 class Instance {
  public:
   Instance(std::string name, std::string zone, std::string region,
-           std::string zones, const std::string& ip, const Platform& platform)
+           std::string zones, const std::string& ip, const Platform& platform,
+           int memory_mb = 260)
       : m_name(std::move(name)), m_ip(ip) {
     m_callers = FreePort(ip);
     m_ready = FreePort(ip);
@@ -854,7 +855,8 @@
         << "\n\n[retry]\nbudget_ratio = 0.2\nwindow_s = 10\nslack = 52\n"
            "\n[duties]\nlease_ms = 3000\nusage_window_s = 5\nusage_delay_s = "
            "10\n"
-           "\n[stop]\ngrace_s = 8\n\n[memory]\nmachine_mb = 260\n";
+           "\n[stop]\ngrace_s = 8\n\n[memory]\nmachine_mb = "
+        << memory_mb << "\n";
   }
   ~Instance() { End(SIGKILL); }
 
@@ -928,6 +930,14 @@
   int Open() const { return Connect(m_ip, m_callers); }
   const std::string& Name() const { return m_name; }
   bool IsRunning() const { return m_pid > 0; }
+  // Resident memory of the process, MB; zero if it does not run.
+  double ResidentMb() const {
+    std::ifstream file("/proc/" + std::to_string(m_pid) + "/statm");
+    double size = 0;
+    double resident = 0;
+    file >> size >> resident;
+    return resident * static_cast<double>(sysconf(_SC_PAGESIZE)) / (1U << 20U);
+  }
 
  private:
   std::string m_name;
