Add a switch to case 8 for replicas that crash before their heads

Cause: parts of a prompt are blamed only after the head of an answer (OnAttemptCrashed in src/crashwatch.cpp).

Added: NO_HEAD=1, off by default.

--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -22,6 +22,10 @@
   return text == nullptr ? 36 : std::atoi(text);
 }
 
+// Whether the replica crashes before any byte of its answer has left. The page
+// says that it begins to write; this is no part of the case.
+bool CrashesBeforeHead() { return std::getenv("NO_HEAD") != nullptr; }
+
 struct Fleet {
   std::mutex m_mutex;
   std::vector<std::unique_ptr<Replica>> m_replicas;
@@ -56,7 +60,8 @@
       "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nAttempt-Id: " +
       attempt + "\r\nServer-Stamp: 1.1." + attempt +
       "\r\nTransfer-Encoding: chunked\r\n\r\n";
-  bool is_open = conn.Write(head);
+  const bool is_silent = is_poison && HasTrouble() && CrashesBeforeHead();
+  bool is_open = is_silent || conn.Write(head);
   if (is_poison && HasTrouble()) {
     Sleep(0.01);
     const std::lock_guard<std::mutex> lock(fleet.m_mutex);
