Record the listed versions of endpoints in the store

Cause: which versions were listed lately was known to processes only, and an instance that had just started answered questions for streams as if it had watched for long. So the version that was left was taken for the only one. A wrong record and an old list were ruled out by the log: the streams go on with source=only_version.

Change: the readers of the zones keep a record in the store for each version that is listed or was within 30 s, and read the records when they start. The answer of an instance counts only if it knows all versions of the last 30 s, from the store, from another one that does, or by watching. An instance that was frozen for 5 s learns them again. A return that does not name its first attempt is checked like the others. The history of versions no longer grows with each release.

A fixed wait after each start was not taken: it refuses streams where there was one version, and guesses after it.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -12,6 +12,7 @@
 #include "peersync.h"
 #include "settings.h"
 #include "statequery.h"
+#include "streamholders.h"
 #include "streamsync.h"
 #include "usageflush.h"
 
--- a/src/controlstate.h
+++ b/src/controlstate.h
@@ -156,6 +156,15 @@
   std::optional<Instant> m_started;
   Instant m_versions_due{};
   std::uint64_t m_versions_asked = 0;  // Rounds of questions.
+  Instant m_ticked{};                  // Last tick of the process.
+};
+
+// Records of listed versions in the store, which outlive all instances.
+struct VersionRecords {
+  std::set<ServiceVersion> m_stored;  // As last read, and written since.
+  bool m_is_read = false;
+  bool m_busy = false;  // A call to the store is in flight.
+  Instant m_due{};
 };
 
 struct ControlOptions {
@@ -227,6 +236,7 @@
   SearchState m_search;
   SuspectSync m_suspects;
   StreamRecords m_streams;
+  VersionRecords m_version_records;
   // Era of the store as last named by it or by another instance.
   std::optional<std::uint64_t> m_store_era;
   Instant m_store_answered{};  // Last answer of the store to any call.
--- a/src/controltick.cpp
+++ b/src/controltick.cpp
@@ -8,6 +8,7 @@
 #include "storereader.h"
 #include "streamsync.h"
 #include "usageflush.h"
+#include "versionsync.h"
 
 namespace comfreypaddle {
 
@@ -18,6 +19,7 @@
   SearchPeers(state);
   AnswerPendingQueries(state);
   SyncSuspects(state);
+  SyncVersions(state);
   SyncStreams(state);
   FlushUsage(state);
   RunDuties(state);
--- a/src/endpointlist.cpp
+++ b/src/endpointlist.cpp
@@ -6,7 +6,7 @@
 
 #include "eventlog.h"
 #include "statequery.h"
-#include "streamsync.h"
+#include "versionsync.h"
 
 namespace comfreypaddle {
 
--- a/src/resumption.cpp
+++ b/src/resumption.cpp
@@ -174,16 +174,11 @@
     return;
   }
   call.m_stage = CallStage::kResolving;
-  if (!state.m_ask_stream || call.m_metadata.m_resumed_attempt.empty()) {
-    // Nobody can know a stream whose first attempt is not named.
-    schema::StreamAnswer answer;
-    answer.set_request(call.m_id);
-    OnStreamAnswer(state, answer);
-    return;
-  }
   schema::StreamQuestion question;
   question.set_request(call.m_id);
-  question.set_attempt(attempt);
+  if (!call.m_metadata.m_resumed_attempt.empty()) {
+    question.set_attempt(attempt);
+  }
   question.set_service(call.m_service);
   state.m_ask_stream(question);
 }
@@ -199,7 +194,10 @@
   const auto only = OnlyVersion(state.m_versions, service);
   const bool is_mixed =
       answer.is_mixed() || IsMixed(state.m_versions, service, state.m_clock());
-  const bool is_known = answer.is_answered() || IsListCurrent(state);
+  // The version that is listed now is a guess, unless all that were listed
+  // while the stream may have begun are known.
+  const bool is_known = answer.is_answered() ||
+                        (answer.has_all_versions() && IsListCurrent(state));
   if (!is_known || is_mixed || !only) {
     RefuseUnknown(state, *call);
     return;
--- a/src/stream.h
+++ b/src/stream.h
@@ -20,16 +20,18 @@
   kInstances,      // Addresses of the entry instances; keyed.
   kDuties,         // Leases and finalized usage windows.
   kUsage,          // Usage counts of the instances.
+  kVersions,       // Software versions of the listed endpoints; keyed.
 };
 
 template <>
 struct EnumNames<Stream> {
-  static constexpr std::array<EnumName<Stream>, 5> kTable{
+  static constexpr std::array<EnumName<Stream>, 6> kTable{
       {{Stream::kConfiguration, "configuration"},
        {Stream::kEndpoints, "endpoints"},
        {Stream::kInstances, "instances"},
        {Stream::kDuties, "duties"},
-       {Stream::kUsage, "usage"}}};
+       {Stream::kUsage, "usage"},
+       {Stream::kVersions, "versions"}}};
 };
 
 // Error of a call to the store.
--- a/src/streamsync.cpp
+++ b/src/streamsync.cpp
@@ -1,67 +1,20 @@
 #include "streamsync.h"
 
-#include <xxhash.h>
-
+#include <algorithm>
 #include <map>
 #include <memory>
-#include <set>
 #include <utility>
 #include <vector>
 
 #include "eventlog.h"
-#include "instancecall.h"
 #include "peersync.h"
+#include "streamholders.h"
+#include "versionsync.h"
 
 namespace comfreypaddle {
 
 namespace {
 
-// The caller of a stream that is taken up waits for this.
-constexpr Duration kCallTimeout = std::chrono::milliseconds(300);
-
-// Time between questions for the versions that were listed lately.
-constexpr Duration kVersionsInterval = std::chrono::seconds(1);
-
-// Instances that may hold records, all that have not deregistered.
-struct HolderList {
-  std::vector<UpstreamCandidate> m_instances;
-  std::vector<RecordHolder> m_candidates;  // In the same order.
-};
-
-HolderList ListHolders(const ControlState& state) {
-  HolderList list;
-  list.m_instances = LiveInstances(state);
-  list.m_candidates.reserve(list.m_instances.size());
-  for (const UpstreamCandidate& instance : list.m_instances) {
-    list.m_candidates.push_back(
-        {XXH64(instance.m_name.data(), instance.m_name.size(), 0),
-         instance.m_zone});
-  }
-  return list;
-}
-
-// Addresses of the other instances that hold the record of a stream, and
-// whether this one does.
-struct Holders {
-  std::vector<std::string> m_others;
-  bool m_is_own = false;
-};
-
-Holders HoldersOf(const ControlState& state, const HolderList& list,
-                  std::uint64_t attempt, std::size_t count) {
-  Holders holders;
-  for (const std::size_t index :
-       ChooseHolders(list.m_candidates, attempt, count)) {
-    const UpstreamCandidate& instance = list.m_instances[index];
-    if (instance.m_name == state.m_options.m_name) {
-      holders.m_is_own = true;
-    } else {
-      holders.m_others.push_back(instance.m_address);
-    }
-  }
-  return holders;
-}
-
 void Store(ControlState& state, const schema::StreamBegin& begin) {
   const Instant now = state.m_clock();
   const Duration left = std::min(FromMs(begin.ends_in_ms()), kResumeWindow);
@@ -72,30 +25,12 @@
   }
 }
 
-void SendExchange(ControlState& state, const std::string& address,
-                  const schema::StreamExchange& exchange,
-                  std::function<void(const schema::StreamAnswer*)> done) {
-  InstanceCall call;
-  call.m_address = address;
-  call.m_target = kStreamTarget;
-  call.m_body = exchange.SerializeAsString();
-  call.m_connection_timeout = kCallTimeout;
-  call.m_call_timeout = kCallTimeout;
-  CallInstance(*state.m_peers, call, "stream_exchange_failed",
-               [done = std::move(done)](const std::string* body) {
-                 schema::StreamAnswer answer;
-                 const bool answered =
-                     body != nullptr && answer.ParseFromString(*body);
-                 done(answered ? &answer : nullptr);
-               });
-}
-
 // What this instance knows of the stream.
 schema::StreamAnswer LookUp(const ControlState& state,
                             const schema::StreamQuestion& question) {
   const Instant now = state.m_clock();
   schema::StreamAnswer answer;
-  answer.set_is_answered(true);
+  answer.set_is_answered(state.m_streams.m_has_all_versions);
   answer.set_is_mixed(
       IsMixed(state.m_streams.m_versions, question.service(), now));
   const BegunStream* known = FindStream(
@@ -147,71 +82,27 @@
   }
   state.m_counters.m_stream_messages += by_address.size();
   for (const auto& [address, exchange] : by_address) {
-    SendExchange(state, address, exchange,
-                 [](const schema::StreamAnswer* /*answer*/) {});
+    SendStreamExchange(state, address, exchange,
+                       [](const schema::StreamAnswer* /*answer*/) {});
   }
 }
 
-void AddVersions(const ControlState& state, schema::StreamAnswer& answer) {
-  const StreamRecords& records = state.m_streams;
-  const Instant now = state.m_clock();
-  for (const SeenVersion& seen : RecentVersions(records.m_versions, now)) {
-    schema::VersionSeen* version = answer.add_versions();
-    version->set_service(seen.m_service);
-    version->set_version(seen.m_version);
-    version->set_last_listed_ms(ToMs(now - seen.m_last_listed));
-  }
-  answer.set_has_all_versions(records.m_has_all_versions);
+// Instances that may hold the record; none if no attempt is named.
+Holders HoldersToAsk(const ControlState& state,
+                     const schema::StreamQuestion& question) {
+  if (!question.has_attempt()) return {};
+  return HoldersOf(state, ListHolders(state), question.attempt(),
+                   kAskedInstances);
 }
 
-void TakeVersions(ControlState& state, const schema::StreamAnswer& answer) {
-  StreamRecords& records = state.m_streams;
-  const Instant now = state.m_clock();
-  for (const schema::VersionSeen& seen : answer.versions()) {
-    // Also drops an age that is no number.
-    if (!(seen.last_listed_ms() >= 0 &&
-          seen.last_listed_ms() < ToMs(kResumeWindow))) {
-      continue;
-    }
-    AddSeenVersion(records.m_versions, {seen.service(), seen.version(),
-                                        now - FromMs(seen.last_listed_ms())});
-  }
-  if (!answer.has_all_versions() || records.m_has_all_versions) return;
-  records.m_has_all_versions = true;
-  LogLine("listed_versions_learnt")
-      .Add("versions", answer.versions_size())
-      .Add("rounds", static_cast<std::int64_t>(records.m_versions_asked));
-}
-
-// Asks other instances for the versions that were listed before this one
-// started, until one answers that knows all or all of them are too old.
-void AskForVersions(ControlState& state) {
-  StreamRecords& records = state.m_streams;
-  const Instant now = state.m_clock();
-  if (records.m_has_all_versions || !state.m_instances_cursor.m_initialized) {
-    return;
-  }
-  if (!records.m_started) records.m_started = now;
-  if (now - *records.m_started >= kResumeWindow) {
-    records.m_has_all_versions = true;
-    return;
-  }
-  if (now < records.m_versions_due) return;
-  records.m_versions_due = now + kVersionsInterval;
-  const std::string& name = state.m_options.m_name;
-  // Other instances in each round, as the first ones may be gone.
-  const std::uint64_t round =
-      XXH64(name.data(), name.size(), ++records.m_versions_asked);
-  const Holders asked =
-      HoldersOf(state, ListHolders(state), round, kRecordHolders);
-  schema::StreamExchange exchange;
-  exchange.set_wants_versions(true);
-  for (const std::string& address : asked.m_others) {
-    SendExchange(state, address, exchange,
-                 [&state](const schema::StreamAnswer* answer) {
-                   if (answer != nullptr) TakeVersions(state, *answer);
-                 });
-  }
+// Whether no other instance is listed.
+bool IsAlone(const ControlState& state) {
+  const std::vector<UpstreamCandidate> live = LiveInstances(state);
+  return state.m_instances_cursor.m_initialized &&
+         std::all_of(live.begin(), live.end(),
+                     [&state](const UpstreamCandidate& instance) {
+                       return instance.m_name == state.m_options.m_name;
+                     });
 }
 
 }  // namespace
@@ -232,19 +123,17 @@
 
 void SyncStreams(ControlState& state) {
   SendRecords(state, std::exchange(state.m_streams.m_unsent, {}));
-  AskForVersions(state);
 }
 
 void AskForStream(ControlState& state, const schema::StreamQuestion& question) {
-  const Holders holders =
-      HoldersOf(state, ListHolders(state), question.attempt(), kAskedInstances);
+  const Holders holders = HoldersToAsk(state, question);
   const auto open = std::make_shared<OpenQuestion>();
   open->m_answer.set_request(question.request());
+  open->m_answer.set_has_all_versions(state.m_streams.m_has_all_versions);
   schema::StreamAnswer own = LookUp(state, question);
   // An instance that is cut off gets no records: what it does not know shows
   // nothing, unless there are no others.
-  own.set_is_answered(holders.m_others.empty() &&
-                      state.m_instances_cursor.m_initialized);
+  own.set_is_answered(own.is_answered() && IsAlone(state));
   AddAnswer(*open, own);
   if (!open->m_answer.has_version()) open->m_open = holders.m_others.size();
   TellRelay(state, *open);
@@ -253,12 +142,12 @@
   exchange.mutable_question()->set_attempt(question.attempt());
   exchange.mutable_question()->set_service(question.service());
   for (const std::string& address : holders.m_others) {
-    SendExchange(state, address, exchange,
-                 [&state, open](const schema::StreamAnswer* answer) {
-                   --open->m_open;
-                   if (answer != nullptr) AddAnswer(*open, *answer);
-                   TellRelay(state, *open);
-                 });
+    SendStreamExchange(state, address, exchange,
+                       [&state, open](const schema::StreamAnswer* answer) {
+                         --open->m_open;
+                         if (answer != nullptr) AddAnswer(*open, *answer);
+                         TellRelay(state, *open);
+                       });
   }
 }
 
@@ -273,12 +162,4 @@
   return answer;
 }
 
-void UpdateListedVersions(ControlState& state) {
-  std::set<ServiceVersion> listed;
-  for (const auto& [id, known] : state.m_directory.m_endpoints) {
-    listed.emplace(known.m_entry.service(), known.m_entry.version());
-  }
-  UpdateVersions(state.m_streams.m_versions, listed, state.m_clock());
-}
-
 }  // namespace comfreypaddle
--- a/src/streamsync.h
+++ b/src/streamsync.h
@@ -8,17 +8,13 @@
 // Records of begun streams that instances keep for each other (see
 // streamversions.h): the control task's part.
 
-// Request target of the calls between instances.
-inline constexpr std::string_view kStreamTarget = "/v1/streams";
-
 // Sends the records to the instances that hold them: at once while a service is
 // mixed, otherwise with the next tick, together with others for the same
 // instance.
 void SendBegunStreams(ControlState& state,
                       const schema::StreamBeginList& begun);
 
-// Sends records that wait for a tick. An instance that has just started asks
-// others for the versions that were listed before. Call it with each tick.
+// Sends records that wait for a tick. Call it with each tick.
 void SyncStreams(ControlState& state);
 
 // Asks the instances that may hold the record of a stream, all at once, and
@@ -29,9 +25,6 @@
 schema::StreamAnswer AnswerStreamExchange(ControlState& state,
                                           const schema::StreamExchange& call);
 
-// Applies the versions of the endpoints that are listed now.
-void UpdateListedVersions(ControlState& state);
-
 }  // namespace comfreypaddle
 
 #endif  // COMFREYPADDLE_STREAMSYNC_H_
--- a/src/streamversions.cpp
+++ b/src/streamversions.cpp
@@ -19,6 +19,18 @@
   return span.m_is_listed || now - span.m_last_listed < kResumeWindow;
 }
 
+// Removes what no longer matters, so that the history does not grow with each
+// release.
+void ForgetOldVersions(VersionHistory& history, Instant now) {
+  for (auto& [service, versions] : history.m_services) {
+    std::erase_if(versions, [now](const auto& entry) {
+      return !IsRecent(entry.second, now);
+    });
+  }
+  std::erase_if(history.m_services,
+                [](const auto& entry) { return entry.second.empty(); });
+}
+
 }  // namespace
 
 std::vector<std::string> UpdateVersions(VersionHistory& history,
@@ -41,6 +53,7 @@
     const bool is_new = were_mixed.count(service) == 0;
     if (is_new && IsMixed(history, service, now)) mixed.push_back(service);
   }
+  ForgetOldVersions(history, now);
   return mixed;
 }
 
--- /dev/null
+++ b/src/versionsync.cpp
@@ -0,0 +1,268 @@
+#include "versionsync.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+
+#include "endpointlist.h"
+#include "eventlog.h"
+#include "storereader.h"
+#include "streamholders.h"
+
+namespace comfreypaddle {
+
+namespace {
+
+// Time between questions to other instances for the versions that were listed
+// lately. The first ones follow each other faster: until they are answered,
+// streams of unknown version are refused.
+constexpr Duration kFirstQuestionInterval = std::chrono::milliseconds(250);
+constexpr Duration kQuestionInterval = std::chrono::seconds(1);
+constexpr std::uint64_t kFirstQuestions = 8;
+
+// Delay after a call to the store that failed.
+constexpr Duration kStoreRetryDelay = std::chrono::milliseconds(500);
+
+// Reads of the list of instances after which this one may write records. Before
+// that, all instances of a starting deployment take themselves for the reader
+// of their zone.
+constexpr std::uint32_t kReadsBeforeWriting = 3;
+
+// Time between two ticks after which the process was frozen and may have missed
+// versions that came and went.
+constexpr Duration kFrozenTime = std::chrono::seconds(5);
+
+// The versions are not known any more. They are learnt again.
+void ForgetVersions(ControlState& state) {
+  state.m_streams.m_has_all_versions = false;
+  state.m_streams.m_started = state.m_clock();
+  state.m_streams.m_versions_due = {};
+  state.m_streams.m_versions_asked = 0;
+  state.m_version_records.m_is_read = false;
+}
+
+void NoteTick(ControlState& state) {
+  const Instant now = state.m_clock();
+  const Instant before = std::exchange(state.m_streams.m_ticked, now);
+  if (before == Instant{} || now - before < kFrozenTime) return;
+  LogLine("listed_versions_unknown").AddMs("frozen_ms", now - before);
+  ForgetVersions(state);
+}
+
+void LearnAllVersions(ControlState& state, std::string_view source,
+                      std::size_t versions) {
+  if (std::exchange(state.m_streams.m_has_all_versions, true)) return;
+  LogLine("listed_versions_learnt")
+      .Add("source", source)
+      .Add("versions", static_cast<std::int64_t>(versions))
+      .Add("rounds",
+           static_cast<std::int64_t>(state.m_streams.m_versions_asked));
+}
+
+void TakeVersions(ControlState& state, const std::string& source,
+                  const schema::StreamAnswer& answer) {
+  const Instant now = state.m_clock();
+  for (const schema::VersionSeen& seen : answer.versions()) {
+    // Also drops an age that is no number.
+    if (!(seen.last_listed_ms() >= 0 &&
+          seen.last_listed_ms() < ToMs(kResumeWindow))) {
+      continue;
+    }
+    AddSeenVersion(
+        state.m_streams.m_versions,
+        {seen.service(), seen.version(), now - FromMs(seen.last_listed_ms())});
+  }
+  if (!answer.has_all_versions()) return;
+  LearnAllVersions(state, source,
+                   static_cast<std::size_t>(answer.versions_size()));
+}
+
+// The upstream, which has most likely read the store, and others that differ in
+// each round, as the first ones may be gone.
+std::set<std::string> InstancesToAsk(ControlState& state) {
+  const std::string& name = state.m_options.m_name;
+  const std::uint64_t round =
+      XXH64(name.data(), name.size(), ++state.m_streams.m_versions_asked);
+  const Holders others =
+      HoldersOf(state, ListHolders(state), round, kRecordHolders);
+  std::set<std::string> asked(others.m_others.begin(), others.m_others.end());
+  if (HasUpstream(state.m_upstream)) {
+    asked.insert(state.m_upstream.m_selected.m_address);
+  }
+  return asked;
+}
+
+// Asks other instances for the versions that were listed before this one
+// started, until one answers that knows all or all of them are too old.
+void AskForVersions(ControlState& state) {
+  StreamRecords& records = state.m_streams;
+  const Instant now = state.m_clock();
+  if (records.m_has_all_versions || !state.m_instances_cursor.m_initialized) {
+    return;
+  }
+  if (!records.m_started) records.m_started = now;
+  if (now - *records.m_started >= kResumeWindow) {
+    LearnAllVersions(state, "time", 0);
+    return;
+  }
+  if (now < records.m_versions_due) return;
+  records.m_versions_due =
+      now + (records.m_versions_asked < kFirstQuestions ? kFirstQuestionInterval
+                                                        : kQuestionInterval);
+  schema::StreamExchange exchange;
+  exchange.set_wants_versions(true);
+  for (const std::string& address : InstancesToAsk(state)) {
+    SendStreamExchange(state, address, exchange,
+                       [&state, address](const schema::StreamAnswer* answer) {
+                         if (answer != nullptr) {
+                           TakeVersions(state, address, *answer);
+                         }
+                       });
+  }
+}
+
+// Keys of the store are short, names of services and versions need not be.
+std::string KeyOf(const ServiceVersion& listed) {
+  const auto& [service, version] = listed;
+  const std::uint64_t hash = XXH64(version.data(), version.size(),
+                                   XXH64(service.data(), service.size(), 0));
+  constexpr std::size_t kDigits = 16;
+  std::string key(kDigits + 1, '\0');
+  std::snprintf(key.data(), key.size(), "%016llx",
+                static_cast<unsigned long long>(hash));
+  key.resize(kDigits);
+  return key;
+}
+
+// Applies the records that the store has. When their endpoints left the list is
+// not known: that may have been a moment ago.
+void TakeRecords(ControlState& state, const ReadResult& result) {
+  VersionRecords& records = state.m_version_records;
+  const Instant now = state.m_clock();
+  records.m_is_read = true;
+  records.m_stored.clear();
+  for (const StreamRecord& record : result.m_records) {
+    schema::VersionRecord version;
+    if (record.m_removed || !version.ParseFromString(record.m_value)) continue;
+    records.m_stored.emplace(version.service(), version.version());
+    if (state.m_streams.m_has_all_versions) continue;
+    AddSeenVersion(state.m_streams.m_versions,
+                   {version.service(), version.version(), now});
+  }
+  LearnAllVersions(state, kStoreSource, records.m_stored.size());
+}
+
+void ReadRecords(ControlState& state) {
+  state.m_version_records.m_busy = true;
+  state.m_store->ReadNewest(
+      Stream::kVersions, [&state](const ReadResult& result) {
+        VersionRecords& records = state.m_version_records;
+        records.m_busy = false;
+        if (RecordStoreCall(state, result) == StoreFault::kNone) {
+          TakeRecords(state, result);
+        } else {
+          records.m_due = state.m_clock() + kStoreRetryDelay;
+        }
+      });
+}
+
+// Writes the record of a version, or drops it if is_listed is false.
+void WriteRecord(ControlState& state, const ServiceVersion& version,
+                 bool is_listed) {
+  schema::VersionRecord record;
+  record.set_service(version.first);
+  record.set_version(version.second);
+  StreamAppend append;
+  append.m_stream = Stream::kVersions;
+  append.m_key = KeyOf(version);
+  if (is_listed) append.m_value = record.SerializeAsString();
+  state.m_version_records.m_busy = true;
+  state.m_store->Append(
+      append, [&state, version, is_listed](const AppendResult& result) {
+        VersionRecords& records = state.m_version_records;
+        records.m_busy = false;
+        if (RecordStoreCall(state, result) != StoreFault::kNone) {
+          records.m_due = state.m_clock() + kStoreRetryDelay;
+          return;
+        }
+        if (is_listed) {
+          records.m_stored.insert(version);
+        } else {
+          records.m_stored.erase(version);
+        }
+        LogLine("version_recorded")
+            .Add("service", version.first)
+            .Add("version", version.second)
+            .Add("listed", is_listed ? 1 : 0);
+      });
+}
+
+// Writes the next record that differs from the versions of the last 30 s. Each
+// reader of a zone does so: the last thing that it writes of a version agrees
+// with its own list, so that a version which returns while another reader drops
+// its record is recorded again.
+void WriteNextRecord(ControlState& state) {
+  std::set<ServiceVersion> recent;
+  for (SeenVersion& seen :
+       RecentVersions(state.m_streams.m_versions, state.m_clock())) {
+    recent.emplace(std::move(seen.m_service), std::move(seen.m_version));
+  }
+  const std::set<ServiceVersion>& stored = state.m_version_records.m_stored;
+  const auto missing = std::find_if(
+      recent.begin(), recent.end(),
+      [&stored](const auto& version) { return stored.count(version) == 0; });
+  if (missing != recent.end()) {
+    WriteRecord(state, *missing, true);
+    return;
+  }
+  const auto outdated = std::find_if(
+      stored.begin(), stored.end(),
+      [&recent](const auto& version) { return recent.count(version) == 0; });
+  if (outdated != stored.end()) WriteRecord(state, *outdated, false);
+}
+
+// Reads the records, and keeps them as the list of endpoints is.
+void SyncRecords(ControlState& state) {
+  const VersionRecords& records = state.m_version_records;
+  if (HasUpstream(state.m_upstream) || !state.m_instances_cursor.m_initialized)
+    return;
+  if (records.m_busy || state.m_clock() < records.m_due) return;
+  if (!records.m_is_read) {
+    ReadRecords(state);
+  } else if (state.m_instance_reads >= kReadsBeforeWriting &&
+             state.m_endpoints_cursor.m_initialized) {
+    WriteNextRecord(state);
+  }
+}
+
+}  // namespace
+
+void UpdateListedVersions(ControlState& state) {
+  std::set<ServiceVersion> listed;
+  for (const auto& [id, known] : state.m_directory.m_endpoints) {
+    listed.emplace(known.m_entry.service(), known.m_entry.version());
+  }
+  UpdateVersions(state.m_streams.m_versions, listed, state.m_clock());
+}
+
+void SyncVersions(ControlState& state) {
+  NoteTick(state);
+  SyncRecords(state);
+  AskForVersions(state);
+}
+
+void AddVersions(const ControlState& state, schema::StreamAnswer& answer) {
+  const StreamRecords& records = state.m_streams;
+  const Instant now = state.m_clock();
+  for (const SeenVersion& seen : RecentVersions(records.m_versions, now)) {
+    schema::VersionSeen* version = answer.add_versions();
+    version->set_service(seen.m_service);
+    version->set_version(seen.m_version);
+    version->set_last_listed_ms(ToMs(now - seen.m_last_listed));
+  }
+  answer.set_has_all_versions(records.m_has_all_versions);
+}
+
+}  // namespace comfreypaddle
--- /dev/null
+++ b/src/versionsync.h
@@ -0,0 +1,26 @@
+#ifndef COMFREYPADDLE_VERSIONSYNC_H_
+#define COMFREYPADDLE_VERSIONSYNC_H_
+
+#include "controlstate.h"
+
+namespace comfreypaddle {
+
+// Which software versions of endpoints have been listed lately, also before
+// this instance started: the control task's part. Other instances know it, and
+// the store does, which also outlives a kill of all instances. Until one of
+// them has told, the version that is listed now is not taken for the only one.
+
+// Applies the versions of the endpoints that are listed now.
+void UpdateListedVersions(ControlState& state);
+
+// Learns the versions of before from the store and from other instances, and
+// records those of now in the store if this instance reads it for its zone.
+// Call it with each tick.
+void SyncVersions(ControlState& state);
+
+// Adds the versions that were listed lately to an answer to another instance.
+void AddVersions(const ControlState& state, schema::StreamAnswer& answer);
+
+}  // namespace comfreypaddle
+
+#endif  // COMFREYPADDLE_VERSIONSYNC_H_
--- a/tests/resumption_test.cpp
+++ b/tests/resumption_test.cpp
@@ -132,8 +132,23 @@
     REQUIRE_CALL(f.m_callers, Respond(1U, 503, _, _));
     SUBCASE("another instance has seen several") { take_up(f, true, true); }
     SUBCASE("no other instance has answered") { take_up(f, false, false); }
+    // The instance has just started: another version may have left the list.
+    SUBCASE("the versions of before are not known, and the list is current") {
+      f.m_state.m_knowledge_at = f.m_now;
+      take_up(f, false, false);
+    }
     CHECK(f.Ended(EndReason::kVersionUnknown) == 1);
   }
+  SUBCASE("the versions of before are known, and the list is current") {
+    VersionFixture f(false);
+    f.m_state.m_knowledge_at = f.m_now;
+    f.TakeUp(1, "begun-elsewhere");
+    schema::StreamAnswer answer;
+    answer.set_request(f.m_questions.at(0).request());
+    answer.set_has_all_versions(true);
+    OnStreamAnswer(f.m_state, answer);
+    CHECK(f.m_endpoints.m_calls.size() == 1);
+  }
   SUBCASE("refused: several versions are listed") {
     VersionFixture f;
     REQUIRE_CALL(f.m_callers, Respond(1U, 503, _, _));
--- a/tests/streamsync_test.cpp
+++ b/tests/streamsync_test.cpp
@@ -143,6 +143,104 @@
   CHECK(RecentVersions(state.m_streams.m_versions, state.m_clock()).empty());
 }
 
+// Kills all instances at once and starts them again beside endpoints of these
+// versions. Returns how many of some streams that nobody knows would go on at
+// the version that is listed.
+int CountGuessed(InstanceFleet& fleet,
+                 const std::set<ServiceVersion>& versions) {
+  const std::vector<std::string> names = fleet.Names();
+  for (const std::string& name : names) fleet.Restart(name);
+  int guessed = 0;
+  for (std::uint64_t attempt = 1; attempt <= kStreams; ++attempt) {
+    fleet.Run(milliseconds(200));
+    ListVersions(fleet, versions);
+    const auto answer =
+        fleet.AskForStream(names[attempt % names.size()], attempt);
+    REQUIRE(answer);
+    const bool is_known = answer->is_answered() || answer->has_all_versions();
+    guessed += is_known && !answer->is_mixed() ? 1 : 0;
+  }
+  return guessed;
+}
+
+// Instances that have listed version 1 for a while.
+struct KilledFleet {
+  explicit KilledFleet(const std::vector<SimulatedZone>& zones)
+      : m_fleet(zones, 1) {
+    m_fleet.Run(kStartupTime);
+    ListVersions(m_fleet, {{"s", "1"}});
+    m_fleet.Run(seconds(2));
+  }
+
+  // Version 2 replaces version 1.
+  void Release() {
+    ListVersions(m_fleet, {{"s", "1"}, {"s", "2"}});
+    m_fleet.Run(seconds(1));
+    ListVersions(m_fleet, {{"s", "2"}});
+  }
+
+  InstanceFleet m_fleet;
+};
+
+// Guards against streams that go on at the version that is left, because all
+// instances were killed just after the other one had left the list and none of
+// them knows of it (ORDER, review/7).
+TEST_CASE("a version that has left is known after all instances were killed") {
+  for (const auto& zones : {SmallDeployment(), GrownDeployment()}) {
+    KilledFleet killed(zones);
+    killed.Release();
+    killed.m_fleet.Run(milliseconds(800));
+    CHECK(CountGuessed(killed.m_fleet, {{"s", "2"}}) == 0);
+  }
+}
+
+// Guards against the same beside a store that has come back from a copy, which
+// lacks the record of the version that is listed now (ORDER).
+TEST_CASE("a version that has left is known after the store was restored") {
+  KilledFleet killed(SmallDeployment());
+  killed.Release();
+  killed.m_fleet.Store().Restore(milliseconds(1500), milliseconds(500));
+  killed.m_fleet.Run(seconds(4));
+  CHECK(CountGuessed(killed.m_fleet, {{"s", "2"}}) == 0);
+}
+
+// Guards against refusing all streams of unknown version after a kill of all
+// instances, also where there was one version only (LOST).
+TEST_CASE("a single version is known for one after all instances were killed") {
+  constexpr int kMost = static_cast<int>(kStreams) * 3 / 4;
+  for (const auto& zones : {SmallDeployment(), GrownDeployment()}) {
+    KilledFleet killed(zones);
+    CHECK(CountGuessed(killed.m_fleet, {{"s", "1"}}) >= kMost);
+    // The record of a version that left the list long ago is dropped.
+    killed.Release();
+    killed.m_fleet.Run(kResumeWindow + seconds(5));
+    CHECK(CountGuessed(killed.m_fleet, {{"s", "2"}}) >= kMost);
+  }
+}
+
+// Guards against an instance that was frozen while a version came and went, and
+// takes the one that is listed for the only one (ORDER).
+TEST_CASE("an instance that was frozen learns the versions of before again") {
+  InstanceFleet fleet(SmallDeployment(), 1);
+  fleet.Run(kStartupTime);
+  ListVersions(fleet, {{"s", "1"}});
+  const std::string frozen = fleet.Names().back();
+  fleet.Freeze(frozen);
+  for (const std::string& name : fleet.Names()) {
+    if (name == frozen) continue;
+    ControlState& state = fleet.State(name);
+    UpdateVersions(state.m_streams.m_versions, {{"s", "1"}, {"s", "2"}},
+                   state.m_clock());
+    UpdateVersions(state.m_streams.m_versions, {{"s", "1"}}, state.m_clock());
+  }
+  fleet.Run(seconds(8));
+  fleet.Thaw(frozen);
+  fleet.Run(seconds(2));
+  const ControlState& state = fleet.State(frozen);
+  CHECK(state.m_streams.m_has_all_versions);
+  CHECK(IsMixed(state.m_streams.m_versions, "s", state.m_clock()));
+}
+
 // Guards against questions whose cost grows with the number of instances.
 TEST_CASE("a record and a question take a few calls at any size") {
   InstanceFleet fleet(GrownDeployment(), 1);
--- a/tests/support_instances.cpp
+++ b/tests/support_instances.cpp
@@ -10,6 +10,7 @@
 #include "loadlink.h"
 #include "peersync.h"
 #include "statequery.h"
+#include "streamholders.h"
 #include "streamsync.h"
 #include "usageflush.h"
 
--- a/tests/versions_system_test.cpp
+++ b/tests/versions_system_test.cpp
@@ -63,6 +63,12 @@
     for (const int other : others) m_cluster.Entry(other).Signal(SIGKILL);
   }
 
+  // Kills all instances at once and starts them again.
+  void KillAll() {
+    for (const int entry : {1, 2}) m_cluster.Entry(entry).Signal(SIGKILL);
+    for (const int entry : {1, 2}) m_cluster.StartEntry(entry);
+  }
+
   void Begin() {
     for (int i = 0; i < kStreams; ++i) {
       const std::string target = "/again/" + std::to_string(i);
@@ -166,6 +172,31 @@
   CheckGoneOn(f, f.TakeUp(3));
 }
 
+// Guards against streams that go on at the version that is left, because all
+// instances were killed just after the other one had left the list (ORDER,
+// review/7).
+TEST_CASE("streams do not go on at another version after a kill of all") {
+  Versions f("killed", {"v1"});
+  f.Begin();
+  f.Add("v2");
+  f.Wait(seconds(2));
+  for (const char* id : {"i-0", "i-1"}) f.m_cluster.RemoveEndpoint(id);
+  f.Wait(milliseconds(800));
+  f.KillAll();
+  const int gone_on = f.TakeUp();
+  MESSAGE(kStreams, " streams, ", gone_on, " went on");
+  CHECK(f.CountMixed() == 0);
+}
+
+// Guards against refusing all streams after a kill of all instances, also where
+// there was one version (LOST).
+TEST_CASE("streams go on after a kill of all where there is one version") {
+  Versions f("killed-single", {"v1"});
+  f.Begin();
+  f.KillAll();
+  CHECK(f.TakeUp() == kStreams);
+}
+
 // Guards against streams that are refused because the instance that began them
 // started after the former version had left the list, and took the service for
 // unmixed while others did not (LOST, issue 54).
