Drop instances that are gone from the list

Before that, instances had been replaced without a planned stop.

Cause: nobody owned the question who lives. An instance that does not deregister stays in the store's list for good, gets the records of begun streams, and counts in shares of the retry budget, allotments, limits and probes.

Change: instancewatch decides by what calls between instances show. One that does not answer is left out of holders and exchanges for a while, and records that did not reach their holder go to the next one. One whose calls are refused for 5 s by a machine that answers is gone: the reader of its zone, or of another one if the zone is silent, drops its record, on condition that the list is as it was read. One that is only silent may be cut off and serve, and keeps its share for 10 min. One that was dropped wrongly registers again. Records of instances that left are dropped after a minute.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -9,6 +9,7 @@
 #include "entryduties.h"
 #include "eventlog.h"
 #include "loadlink.h"
+#include "memberwatch.h"
 #include "peersync.h"
 #include "settings.h"
 #include "statequery.h"
@@ -174,6 +175,7 @@
       : request.m_target == kStateQueryTarget ? HandleStateQuery(request)
       : request.m_target == kSuspectTarget    ? HandleSuspectExchange(request)
       : request.m_target == kStreamTarget     ? HandleStreamExchange(request)
+      : request.m_target == kProbeTarget      ? HandleProbe(request)
                                               : false;
   if (!readable) m_peers->Respond(request.m_id, kBadRequest, {}, "");
 }
@@ -212,6 +214,11 @@
   return true;
 }
 
+bool Control::HandleProbe(const HttpRequest& request) {
+  m_peers->Respond(request.m_id, kOk, {}, "");
+  return true;
+}
+
 bool Control::HandleStateQuery(const HttpRequest& request) {
   schema::InstanceQuery query;
   if (!query.ParseFromString(request.m_body)) return false;
--- a/src/control.h
+++ b/src/control.h
@@ -44,6 +44,7 @@
   bool HandleStateQuery(const HttpRequest& request);
   bool HandleSuspectExchange(const HttpRequest& request);
   bool HandleStreamExchange(const HttpRequest& request);
+  bool HandleProbe(const HttpRequest& request);
 
   schema::RelaySettings m_settings;
   std::uint64_t m_incarnation;
--- a/src/controlstate.h
+++ b/src/controlstate.h
@@ -14,6 +14,7 @@
 #include "fleetplan.h"
 #include "holder.h"
 #include "http.h"
+#include "instancewatch.h"
 #include "loadshare.h"
 #include "searchplan.h"
 #include "streamversions.h"
@@ -167,6 +168,13 @@
   Instant m_due{};
 };
 
+// Watch over the other instances.
+struct MemberWatch {
+  InstanceWatch m_watch;
+  Instant m_due{};
+  bool m_is_dropping = false;  // A record of the list is being dropped.
+};
+
 struct ControlOptions {
   std::string m_name;
   std::string m_zone;
@@ -217,6 +225,7 @@
   FleetPlan m_fleet;
   bool m_order_in_flight = false;
   std::map<std::string, schema::InstanceRecord, std::less<>> m_instances;
+  MemberWatch m_member_watch;
   bool m_registered = false;
   bool m_registering = false;
   Instant m_register_due{};
--- a/src/controltick.cpp
+++ b/src/controltick.cpp
@@ -3,6 +3,7 @@
 #include "crashsync.h"
 #include "entryduties.h"
 #include "freshness.h"
+#include "memberwatch.h"
 #include "peersync.h"
 #include "statequery.h"
 #include "storereader.h"
@@ -18,6 +19,7 @@
   PollStore(state);
   SearchPeers(state);
   AnswerPendingQueries(state);
+  WatchInstances(state);
   SyncSuspects(state);
   SyncVersions(state);
   SyncStreams(state);
--- a/src/crashsync.cpp
+++ b/src/crashsync.cpp
@@ -8,6 +8,7 @@
 #include "crashcodec.h"
 #include "eventlog.h"
 #include "instancecall.h"
+#include "memberwatch.h"
 #include "peersync.h"
 
 namespace comfreypaddle {
@@ -32,9 +33,9 @@
 using ExchangeCallback =
     std::function<void(const schema::SuspectExchange* answer)>;
 
-// Other live instances.
+// Other instances that are worth a call.
 std::vector<UpstreamCandidate> OtherInstances(const ControlState& state) {
-  std::vector<UpstreamCandidate> others = LiveInstances(state);
+  std::vector<UpstreamCandidate> others = ResponsiveInstances(state);
   std::erase_if(others, [&state](const UpstreamCandidate& candidate) {
     return candidate.m_name == state.m_options.m_name;
   });
@@ -82,7 +83,7 @@
   call.m_body = exchange.SerializeAsString();
   call.m_connection_timeout = kCallTimeout;
   call.m_call_timeout = kCallTimeout;
-  CallInstance(*state.m_peers, call, "suspect_exchange_failed",
+  CallInstance(state, call, "suspect_exchange_failed",
                [address, done = std::move(done)](const std::string* body) {
                  schema::SuspectExchange answer;
                  const bool answered =
@@ -161,6 +162,7 @@
 
 schema::SuspectExchange AnswerSuspects(ControlState& state,
                                        const schema::SuspectExchange& call) {
+  HeardFrom(state, call.name());
   MergeFromPeer(state, call.suspects());
   schema::SuspectExchange answer = MakeExchange(state);
   if (call.wants_table() && call.digest() != answer.digest()) {
--- a/src/instancecall.cpp
+++ b/src/instancecall.cpp
@@ -15,9 +15,15 @@
 // planned deployment take less than 1 MB.
 constexpr std::uint64_t kMaxBodyBytes = 4U << 20U;
 
+PeerSign SignOf(const HttpResult& result) {
+  if (!result.m_error) return PeerSign::kAnswered;
+  return result.m_error == HttpError::kConnectRefused ? PeerSign::kRefused
+                                                      : PeerSign::kSilent;
+}
+
 }  // namespace
 
-void CallInstance(HttpPort& port, const InstanceCall& call,
+void CallInstance(ControlState& state, const InstanceCall& call,
                   std::string_view failure_event,
                   std::function<void(const std::string* body)> done) {
   HttpCall http;
@@ -30,9 +36,11 @@
   auto body = std::make_shared<std::string>();
   HttpEvents events;
   events.m_on_body = [body](std::string_view bytes) { body->append(bytes); };
-  events.m_on_end = [body, address = call.m_address,
+  events.m_on_end = [&state, body, address = call.m_address,
                      event = std::string(failure_event),
                      done = std::move(done)](const HttpResult& result) {
+    NoteSign(state.m_member_watch.m_watch, address, SignOf(result),
+             state.m_clock());
     if (!result.m_error && result.m_status == kOk) {
       done(body.get());
       return;
@@ -43,7 +51,7 @@
         .Add("error", result.m_error ? result.m_error.message() : "none");
     done(nullptr);
   };
-  port.Start(std::move(http), std::move(events));
+  state.m_peers->Start(std::move(http), std::move(events));
 }
 
 }  // namespace comfreypaddle
--- a/src/instancecall.h
+++ b/src/instancecall.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <string_view>
 
-#include "http.h"
+#include "controlstate.h"
 
 namespace comfreypaddle {
 
@@ -18,9 +18,10 @@
   Duration m_call_timeout{0};  // Limit for the whole call, connecting included.
 };
 
-// Starts the call. done gets the body of the answer, or null after a failure,
-// which is logged under failure_event.
-void CallInstance(HttpPort& port, const InstanceCall& call,
+// Starts the call, and records what its end shows of the other instance. done
+// gets the body of the answer, or null after a failure, which is logged under
+// failure_event.
+void CallInstance(ControlState& state, const InstanceCall& call,
                   std::string_view failure_event,
                   std::function<void(const std::string* body)> done);
 
--- a/src/loadlink.cpp
+++ b/src/loadlink.cpp
@@ -5,6 +5,7 @@
 #include "allotmentcodec.h"
 #include "eventlog.h"
 #include "instancecall.h"
+#include "memberwatch.h"
 #include "peersync.h"
 
 namespace comfreypaddle {
@@ -108,7 +109,7 @@
   call.m_body = share.SerializeAsString();
   call.m_connection_timeout = kCallTimeout;
   call.m_call_timeout = kCallTimeout;
-  CallInstance(*state.m_peers, call, "load_share_failed",
+  CallInstance(state, call, "load_share_failed",
                [address = to.m_address,
                 done = std::move(done)](const std::string* body) {
                  schema::LoadList list;
@@ -234,6 +235,7 @@
 schema::LoadList MergeLoadShare(ControlState& state,
                                 const schema::LoadShare& share) {
   const Instant now = state.m_clock();
+  HeardFrom(state, share.name());
   if (share.of_zone()) {
     SetZoneLoad(state.m_load, share.availability_zone(),
                 ToTable(share.load(), now), now);
--- a/src/peersync.cpp
+++ b/src/peersync.cpp
@@ -97,7 +97,7 @@
   call.m_call_timeout =
       kQueryTimeout + std::chrono::milliseconds(query.wait_ms());
   ++state.m_counters.m_peer_queries;
-  CallInstance(*state.m_peers, call, "neighbour_failed",
+  CallInstance(state, call, "neighbour_failed",
                [&state, address, purpose, done,
                 sent_at = state.m_clock()](const std::string* body) {
                  schema::InstanceState other;
@@ -220,6 +220,16 @@
   return live;
 }
 
+std::vector<UpstreamCandidate> ResponsiveInstances(const ControlState& state) {
+  const Instant now = state.m_clock();
+  std::vector<UpstreamCandidate> instances = LiveInstances(state);
+  std::erase_if(instances, [&state, now](const UpstreamCandidate& instance) {
+    return instance.m_name != state.m_options.m_name &&
+           !IsResponsive(state.m_member_watch.m_watch, instance.m_address, now);
+  });
+  return instances;
+}
+
 void RegisterInstance(ControlState& state) {
   if (state.m_registered == !state.m_stopping || state.m_registering) return;
   if (state.m_clock() < state.m_register_due) return;
--- a/src/peersync.h
+++ b/src/peersync.h
@@ -13,9 +13,13 @@
 // retried. Call it every tick.
 void RegisterInstance(ControlState& state);
 
-// Instances that have not deregistered, including this one.
+// Instances that have not deregistered and are not known to be gone, including
+// this one.
 std::vector<UpstreamCandidate> LiveInstances(const ControlState& state);
 
+// Those of them that are worth a call, including this one.
+std::vector<UpstreamCandidate> ResponsiveInstances(const ControlState& state);
+
 // Keeps a long-poll query open at the upstream instance. Call it every tick.
 void PollUpstream(ControlState& state);
 
--- a/src/statemerge.cpp
+++ b/src/statemerge.cpp
@@ -1,6 +1,8 @@
 #include "statemerge.h"
 
 #include <algorithm>
+#include <set>
+#include <string>
 
 #include "endpointlist.h"
 #include "eventlog.h"
@@ -126,8 +128,14 @@
   if (InstancesPosition(other) <= ReadPosition(state.m_instances_cursor)) {
     return;
   }
+  std::set<std::string> names;
   for (const schema::InstanceRecord& record : other.instances()) {
     ApplyInstanceRecord(state, record);
+    names.insert(record.name());
+  }
+  // A copy of the store may lack records of instances that live.
+  if (other.instances_era() == state.m_instances_cursor.m_era) {
+    KeepInstances(state, names);
   }
   AdvanceCursor(state.m_instances_cursor, InstancesPosition(other));
   PublishInstances(state);
--- a/src/statequery.cpp
+++ b/src/statequery.cpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "memberwatch.h"
 #include "servedinstances.h"
 #include "storeera.h"
 #include "storereader.h"
@@ -109,6 +110,7 @@
 // Follows what a query tells of the requester's state. An instance that has
 // started after a restore of the store may know less than its followers.
 void LearnFromQuery(ControlState& state, const schema::InstanceQuery& query) {
+  HeardFrom(state, query.name());
   if (query.asker_served()) {
     RecordServed(state, query.name(), state.m_clock());
   }
--- a/src/storereader.cpp
+++ b/src/storereader.cpp
@@ -1,6 +1,7 @@
 #include "storereader.h"
 
 #include <algorithm>
+#include <vector>
 
 #include "endpointlimit.h"
 #include "endpointlist.h"
@@ -55,13 +56,20 @@
   }
 }
 
-void ApplyInstanceRecords(ControlState& state, const ReadResult& result) {
+void ApplyInstanceRecords(ControlState& state, const ReadResult& result,
+                          bool is_whole) {
   ++state.m_instance_reads;
+  std::set<std::string> names;
   for (const StreamRecord& record : result.m_records) {
     schema::InstanceRecord parsed;
-    if (record.m_removed || !parsed.ParseFromString(record.m_value)) continue;
-    ApplyInstanceRecord(state, parsed);
+    if (record.m_removed) {
+      RemoveInstance(state, record.m_key);
+    } else if (parsed.ParseFromString(record.m_value)) {
+      ApplyInstanceRecord(state, parsed);
+      names.insert(parsed.name());
+    }
   }
+  if (is_whole) KeepInstances(state, names);
   PublishInstances(state);
 }
 
@@ -100,8 +108,10 @@
   return result;
 }
 
+// Applies the records of a read. is_newest: they are the newest of each key;
+// is_same_era: those of the store that the known ones are from.
 void ApplyRecords(ControlState& state, Stream stream, const ReadResult& result,
-                  bool is_newest) {
+                  bool is_newest, bool is_same_era) {
   switch (stream) {
     case Stream::kConfiguration:
       ApplyCatalogRecords(state, result);
@@ -110,7 +120,8 @@
       ApplyEndpointRecords(state, result, is_newest);
       break;
     default:
-      ApplyInstanceRecords(state, result);
+      // A copy of the store may lack records of instances that live.
+      ApplyInstanceRecords(state, result, is_newest && is_same_era);
       break;
   }
 }
@@ -166,10 +177,11 @@
   }
   cursor.m_initialized = true;
   if (read.m_is_snapshot) cursor.m_needs_snapshot = false;
+  const bool is_same_era = cursor.m_era == end.m_era;
   cursor.m_era = end.m_era;
   cursor.m_next = end.m_offset;
   ApplyRecords(state, read.m_stream, RecordsFrom(result, covered),
-               read.m_is_snapshot);
+               read.m_is_snapshot, is_same_era);
 }
 
 // Handles the answer to a read of a keyed stream.
@@ -304,6 +316,20 @@
   if (has_left) known.set_left(true);
 }
 
+void RemoveInstance(ControlState& state, const std::string& name) {
+  if (state.m_instances.erase(name) == 0) return;
+  LogLine("instance_removed").Add("instance", name);
+  if (name == state.m_options.m_name) state.m_registered = false;
+}
+
+void KeepInstances(ControlState& state, const std::set<std::string>& names) {
+  std::vector<std::string> removed;
+  for (const auto& [name, known] : state.m_instances) {
+    if (names.count(name) == 0) removed.push_back(name);
+  }
+  for (const std::string& name : removed) RemoveInstance(state, name);
+}
+
 void PublishInstances(ControlState& state) {
   std::uint32_t live = 0;
   std::uint32_t before = 0;  // Those whose names precede this one's.
--- a/src/storereader.h
+++ b/src/storereader.h
@@ -1,6 +1,9 @@
 #ifndef COMFREYPADDLE_STOREREADER_H_
 #define COMFREYPADDLE_STOREREADER_H_
 
+#include <set>
+#include <string>
+
 #include "controlstate.h"
 
 namespace comfreypaddle {
@@ -39,6 +42,13 @@
 void ApplyInstanceRecord(ControlState& state,
                          const schema::InstanceRecord& record);
 
+// Removes an instance from the list. If it is this one, it was taken for gone,
+// and registers again.
+void RemoveInstance(ControlState& state, const std::string& name);
+
+// Removes all instances from the list but these.
+void KeepInstances(ControlState& state, const std::set<std::string>& names);
+
 // Sends the number of live instances to the relay task.
 void PublishInstances(ControlState& state);
 
--- a/src/streamholders.cpp
+++ b/src/streamholders.cpp
@@ -18,7 +18,7 @@
 
 HolderList ListHolders(const ControlState& state) {
   HolderList list;
-  list.m_instances = LiveInstances(state);
+  list.m_instances = ResponsiveInstances(state);
   list.m_candidates.reserve(list.m_instances.size());
   for (const UpstreamCandidate& instance : list.m_instances) {
     list.m_candidates.push_back(
@@ -53,7 +53,7 @@
   call.m_body = exchange.SerializeAsString();
   call.m_connection_timeout = kCallTimeout;
   call.m_call_timeout = kCallTimeout;
-  CallInstance(*state.m_peers, call, "stream_exchange_failed",
+  CallInstance(state, call, "stream_exchange_failed",
                [done = std::move(done)](const std::string* body) {
                  schema::StreamAnswer answer;
                  const bool answered =
--- a/src/streamholders.h
+++ b/src/streamholders.h
@@ -17,7 +17,7 @@
 // Request target of the calls between instances.
 inline constexpr std::string_view kStreamTarget = "/v1/streams";
 
-// Instances that may hold records, all that have not deregistered.
+// Instances that may hold records: those that are worth a call.
 struct HolderList {
   std::vector<UpstreamCandidate> m_instances;
   std::vector<RecordHolder> m_candidates;  // In the same order.
--- a/src/streamsync.cpp
+++ b/src/streamsync.cpp
@@ -66,8 +66,43 @@
   all.set_instance(answer.instance());
 }
 
+// Rounds in which records are sent to other holders because some of those that
+// were chosen did not answer.
+constexpr int kMaxRounds = 5;
+
+// One round of sending records to their holders.
+struct RecordRound {
+  int m_number = 1;
+  std::size_t m_open = 0;  // Calls without a result.
+  std::map<std::uint64_t, schema::StreamBegin> m_undelivered;  // By attempt.
+};
+
+void SendRecords(ControlState& state, const schema::StreamBeginList& begun,
+                 int round_number);
+
+// Sends what did not reach all of its holders once more: those that did not
+// answer are no holders any more, and others have taken their place.
+void EndRound(ControlState& state, const RecordRound& round) {
+  if (round.m_undelivered.empty() || round.m_number >= kMaxRounds) return;
+  schema::StreamBeginList again;
+  for (const auto& [attempt, begin] : round.m_undelivered) {
+    *again.add_streams() = begin;
+  }
+  SendRecords(state, again, round.m_number + 1);
+}
+
+void OnRecordsSent(ControlState& state, RecordRound& round,
+                   const schema::StreamBeginList& begun, bool answered) {
+  --round.m_open;
+  for (const schema::StreamBegin& begin : begun.streams()) {
+    if (!answered) round.m_undelivered[begin.attempt()] = begin;
+  }
+  if (round.m_open == 0) EndRound(state, round);
+}
+
 // Sends the records to their holders, one call for each of these.
-void SendRecords(ControlState& state, const schema::StreamBeginList& begun) {
+void SendRecords(ControlState& state, const schema::StreamBeginList& begun,
+                 int round_number) {
   if (begun.streams().empty()) return;
   const HolderList list = ListHolders(state);
   std::map<std::string, schema::StreamExchange> by_address;
@@ -81,9 +116,15 @@
     }
   }
   state.m_counters.m_stream_messages += by_address.size();
+  const auto round = std::make_shared<RecordRound>();
+  round->m_number = round_number;
+  round->m_open = by_address.size();
   for (const auto& [address, exchange] : by_address) {
     SendStreamExchange(state, address, exchange,
-                       [](const schema::StreamAnswer* /*answer*/) {});
+                       [&state, round, sent = exchange.begun()](
+                           const schema::StreamAnswer* answer) {
+                         OnRecordsSent(state, *round, sent, answer != nullptr);
+                       });
   }
 }
 
@@ -118,11 +159,11 @@
         is_mixed ? urgent : state.m_streams.m_unsent;
     *list.add_streams() = begin;
   }
-  SendRecords(state, urgent);
+  SendRecords(state, urgent, 1);
 }
 
 void SyncStreams(ControlState& state) {
-  SendRecords(state, std::exchange(state.m_streams.m_unsent, {}));
+  SendRecords(state, std::exchange(state.m_streams.m_unsent, {}), 1);
 }
 
 void AskForStream(ControlState& state, const schema::StreamQuestion& question) {
--- a/src/usageflush.cpp
+++ b/src/usageflush.cpp
@@ -202,7 +202,7 @@
   call.m_body = usage.SerializeAsString();
   call.m_connection_timeout = kConnectTimeout;
   call.m_call_timeout = kCallTimeout;
-  CallInstance(*state.m_peers, call, "usage_handover_failed",
+  CallInstance(state, call, "usage_handover_failed",
                [&state, receiver](const std::string* body) {
                  OnHandoverEnd(state, receiver, body);
                });
--- a/tests/support_instances.cpp
+++ b/tests/support_instances.cpp
@@ -8,6 +8,7 @@
 #include "crashwatch.h"
 #include "entryduties.h"
 #include "loadlink.h"
+#include "memberwatch.h"
 #include "peersync.h"
 #include "statequery.h"
 #include "streamholders.h"
@@ -137,6 +138,7 @@
   std::string m_name;
   SimulatedZone m_zone;
   bool m_dead = false;
+  bool m_is_refusing = false;  // The process has ended, its machine has not.
   bool m_cut_off = false;
   bool m_frozen = false;
   std::vector<std::function<void()>> m_deferred;  // Until the thaw.
@@ -207,9 +209,16 @@
         call.m_url.substr(kSchemeSize, slash - kSchemeSize));
     const std::string target = call.m_url.substr(slash);
     if (found == m_fleet.m_by_address.end() || found->second->m_dead) {
-      m_fleet.m_schedule.After(call.m_connect_timeout, [end] {
-        end({HttpError::kConnectFailed, 0, false}, "");
-      });
+      const bool refuses =
+          found != m_fleet.m_by_address.end() && found->second->m_is_refusing;
+      m_fleet.m_schedule.After(
+          refuses ? kInterRegionLatency : call.m_connect_timeout,
+          [end, refuses] {
+            end({refuses ? HttpError::kConnectRefused
+                         : HttpError::kConnectFailed,
+                 0, false},
+                "");
+          });
       return 0;
     }
     VirtualInstance& other = *found->second;
@@ -260,6 +269,10 @@
           end);
       return;
     }
+    if (target == kProbeTarget) {
+      SendAnswer(other, "", end);
+      return;
+    }
     if (target != kStateQueryTarget) return;
     schema::InstanceQuery query;
     query.ParseFromString(body);
@@ -497,6 +510,18 @@
   m_instances.at(name)->m_dead = true;
 }
 
+void InstanceFleet::EndProcess(const std::string& name) {
+  Kill(name);
+  m_instances.at(name)->m_is_refusing = true;
+}
+
+std::string InstanceFleet::AddBeside(const std::string& name) {
+  const SimulatedZone zone = m_instances.at(name)->m_zone;
+  const std::string added = zone.m_name + "-x" + std::to_string(++m_added);
+  Start(added, zone, static_cast<std::uint64_t>(m_added) + 1);
+  return added;
+}
+
 bool InstanceFleet::IsDead(const std::string& name) const {
   return m_instances.at(name)->m_dead;
 }
--- a/tests/support_instances.h
+++ b/tests/support_instances.h
@@ -67,6 +67,13 @@
   // Stops the instance: it runs no more ticks and answers no more calls.
   void Kill(const std::string& name);
 
+  // Ends the process: its machine refuses connections from now on.
+  void EndProcess(const std::string& name);
+
+  // Starts another instance in the zone of this one, with a name and an address
+  // of its own. Returns the name.
+  std::string AddBeside(const std::string& name);
+
   // Replaces the instance by a new process that knows nothing.
   void Restart(const std::string& name);
 
@@ -140,6 +147,7 @@
   std::vector<std::unique_ptr<VirtualInstance>> m_replaced;
   std::map<std::string, VirtualInstance*> m_by_address;
   std::uint64_t m_peer_calls = 0;
+  int m_added = 0;  // Instances that were added to those of the start.
   bool m_requests_run = false;
   std::map<std::uint64_t, std::uint64_t> m_counted;
   std::map<std::uint64_t, Report> m_reports;
