Keep the streams of mixed services in the store

What callers saw: with several software versions in a service, all streams were refused when their callers took them up after a kill of all instances (LOST), as nobody had their records any more.

Cause: records of begun streams were kept by instances only.

An instance that is asked for a stream which no other one knows reads what was written.

--- a/src/controlstate.h
+++ b/src/controlstate.h
@@ -168,6 +168,19 @@
   Instant m_due{};
 };
 
+// Begun streams on their way into the store and back.
+struct StreamStore {
+  schema::StreamBeginList m_waiting;  // To be written.
+  bool m_is_writing = false;
+  Instant m_write_due{};
+  bool m_is_reading = false;
+  Instant m_read_due{};
+  std::uint64_t m_next = 0;  // Offset of the next record to read.
+  std::uint64_t m_era = 0;   // Of the store that m_next belongs to.
+  // Questions that wait for the records up to now.
+  std::vector<std::function<void()>> m_waiters;
+};
+
 // Watch over the other instances.
 struct MemberWatch {
   InstanceWatch m_watch;
@@ -246,6 +259,7 @@
   SuspectSync m_suspects;
   StreamRecords m_streams;
   VersionRecords m_version_records;
+  StreamStore m_stream_store;
   // Era of the store as last named by it or by another instance.
   std::optional<std::uint64_t> m_store_era;
   Instant m_store_answered{};  // Last answer of the store to any call.
--- a/src/controltick.cpp
+++ b/src/controltick.cpp
@@ -7,6 +7,7 @@
 #include "peersync.h"
 #include "statequery.h"
 #include "storereader.h"
+#include "streamstore.h"
 #include "streamsync.h"
 #include "usageflush.h"
 #include "versionsync.h"
@@ -23,6 +24,7 @@
   SyncSuspects(state);
   SyncVersions(state);
   SyncStreams(state);
+  SyncStreamStore(state);
   FlushUsage(state);
   RunDuties(state);
   LogFreshness(state);
--- a/src/stream.h
+++ b/src/stream.h
@@ -21,17 +21,19 @@
   kDuties,         // Leases and finalized usage windows.
   kUsage,          // Usage counts of the instances.
   kVersions,       // Software versions of the listed endpoints; keyed.
+  kBegunStreams,   // Streams that began at endpoints of mixed services.
 };
 
 template <>
 struct EnumNames<Stream> {
-  static constexpr std::array<EnumName<Stream>, 6> kTable{
+  static constexpr std::array<EnumName<Stream>, 7> kTable{
       {{Stream::kConfiguration, "configuration"},
        {Stream::kEndpoints, "endpoints"},
        {Stream::kInstances, "instances"},
        {Stream::kDuties, "duties"},
        {Stream::kUsage, "usage"},
-       {Stream::kVersions, "versions"}}};
+       {Stream::kVersions, "versions"},
+       {Stream::kBegunStreams, "begun_streams"}}};
 };
 
 // Error of a call to the store.
--- a/src/streamsync.cpp
+++ b/src/streamsync.cpp
@@ -9,6 +9,7 @@
 #include "eventlog.h"
 #include "peersync.h"
 #include "streamholders.h"
+#include "streamstore.h"
 #include "versionsync.h"
 
 namespace comfreypaddle {
@@ -43,20 +44,26 @@
 
 // Question to several instances.
 struct OpenQuestion {
+  schema::StreamQuestion m_question;
   schema::StreamAnswer m_answer;  // Of all that have answered so far.
   std::size_t m_open = 0;         // Calls without a result.
   bool m_is_told = false;         // The relay task has the result.
+  bool m_reads_store = false;     // The store is asked, as nobody knows.
 };
 
 void TellRelay(ControlState& state, OpenQuestion& question) {
-  if (question.m_is_told) return;
-  if (question.m_open > 0 && !question.m_answer.has_version()) return;
   question.m_is_told = true;
   schema::RelayMessage message;
   *message.mutable_stream_version() = question.m_answer;
   state.m_relay->Post(std::move(message));
 }
 
+// Whether the version that is listed now may be another one than that of the
+// stream.
+bool IsDoubtful(const schema::StreamAnswer& answer) {
+  return answer.is_mixed() || !answer.is_answered();
+}
+
 void AddAnswer(OpenQuestion& question, const schema::StreamAnswer& answer) {
   schema::StreamAnswer& all = question.m_answer;
   all.set_is_answered(all.is_answered() || answer.is_answered());
@@ -66,6 +73,33 @@
   all.set_instance(answer.instance());
 }
 
+// Adds what the store has to a question that no instance could answer.
+void AskStore(ControlState& state, const std::shared_ptr<OpenQuestion>& open) {
+  open->m_reads_store = true;
+  ReadStoredStreams(state, [&state, open] {
+    schema::StreamAnswer stored = LookUp(state, open->m_question);
+    stored.set_is_answered(false);
+    AddAnswer(*open, stored);
+    TellRelay(state, *open);
+  });
+}
+
+// Ends the question if its answer is known, or cannot be found.
+void ContinueQuestion(ControlState& state,
+                      const std::shared_ptr<OpenQuestion>& open) {
+  if (open->m_is_told || open->m_reads_store) return;
+  const schema::StreamAnswer& answer = open->m_answer;
+  if (open->m_open > 0 && !answer.has_version()) return;
+  const bool asks_store = open->m_question.has_attempt() &&
+                          !answer.has_version() && IsDoubtful(answer) &&
+                          !state.m_store_lost;
+  if (asks_store) {
+    AskStore(state, open);
+  } else {
+    TellRelay(state, *open);
+  }
+}
+
 // Rounds in which records are sent to other holders because some of those that
 // were chosen did not answer.
 constexpr int kMaxRounds = 5;
@@ -160,6 +194,7 @@
     *list.add_streams() = begin;
   }
   SendRecords(state, urgent, 1);
+  StoreStreams(state, urgent);
 }
 
 void SyncStreams(ControlState& state) {
@@ -169,6 +204,7 @@
 void AskForStream(ControlState& state, const schema::StreamQuestion& question) {
   const Holders holders = HoldersToAsk(state, question);
   const auto open = std::make_shared<OpenQuestion>();
+  open->m_question = question;
   open->m_answer.set_request(question.request());
   open->m_answer.set_has_all_versions(state.m_streams.m_has_all_versions);
   schema::StreamAnswer own = LookUp(state, question);
@@ -177,17 +213,17 @@
   own.set_is_answered(own.is_answered() && IsAlone(state));
   AddAnswer(*open, own);
   if (!open->m_answer.has_version()) open->m_open = holders.m_others.size();
-  TellRelay(state, *open);
-  if (open->m_is_told) return;
+  ContinueQuestion(state, open);
+  if (open->m_open == 0) return;
   schema::StreamExchange exchange;
-  exchange.mutable_question()->set_attempt(question.attempt());
-  exchange.mutable_question()->set_service(question.service());
+  *exchange.mutable_question() = question;
+  exchange.mutable_question()->clear_request();
   for (const std::string& address : holders.m_others) {
     SendStreamExchange(state, address, exchange,
                        [&state, open](const schema::StreamAnswer* answer) {
                          --open->m_open;
                          if (answer != nullptr) AddAnswer(*open, *answer);
-                         TellRelay(state, *open);
+                         ContinueQuestion(state, open);
                        });
   }
 }
@@ -200,6 +236,7 @@
   schema::StreamAnswer answer;
   if (call.has_question()) answer = LookUp(state, call.question());
   if (call.wants_versions()) AddVersions(state, answer);
+  StoreStreams(state, call.to_store());
   return answer;
 }
 
--- a/tests/streamsync_test.cpp
+++ b/tests/streamsync_test.cpp
@@ -218,6 +218,39 @@
   }
 }
 
+// Guards against streams that are all refused because the instances that held
+// their records were killed together, while two versions serve (LOST).
+TEST_CASE("most streams of a mixed service are known after a kill of all") {
+  for (const auto& zones : {SmallDeployment(), GrownDeployment()}) {
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+      InstanceFleet fleet(zones, seed);
+      fleet.Run(kStartupTime);
+      const std::set<ServiceVersion> both{{"s", "1"}, {"s", "2"}};
+      ListVersions(fleet, both);
+      const std::vector<std::string> names = fleet.Names();
+      for (std::uint64_t i = 0; i < kStreams; ++i) {
+        fleet.BeginStream(names[i % names.size()], i + 1,
+                          i % 2 == 1 ? "2" : "1");
+        fleet.Run(milliseconds(60));
+      }
+      for (const std::string& name : names) fleet.Restart(name);
+      fleet.Run(seconds(2));
+      ListVersions(fleet, both);
+      int known = 0;
+      for (std::uint64_t i = 0; i < kStreams; ++i) {
+        const auto answer =
+            fleet.AskForStream(names[(i + 1) % names.size()], i + 1);
+        REQUIRE(answer);
+        if (!answer->has_version()) continue;
+        CHECK(answer->version() == (i % 2 == 1 ? "2" : "1"));
+        ++known;
+      }
+      MESSAGE(known, " of ", kStreams, " streams are known");
+      CHECK(known > static_cast<int>(kStreams) / 2);
+    }
+  }
+}
+
 // Guards against an instance that was frozen while a version came and went, and
 // takes the one that is listed for the only one (ORDER).
 TEST_CASE("an instance that was frozen learns the versions of before again") {
--- a/tests/support_store.cpp
+++ b/tests/support_store.cpp
@@ -189,8 +189,9 @@
 
 void VirtualStore::Restore(Duration age, Duration rewrite_delay) {
   const Instant since = m_schedule.Now() - age;
-  for (const Stream stream : {Stream::kInstances, Stream::kDuties,
-                              Stream::kUsage, Stream::kVersions}) {
+  for (const Stream stream :
+       {Stream::kInstances, Stream::kDuties, Stream::kUsage, Stream::kVersions,
+        Stream::kBegunStreams}) {
     TakeRecordsSince(stream, since);
   }
   for (const Stream stream : {Stream::kConfiguration, Stream::kEndpoints}) {
--- a/tests/versions_system_test.cpp
+++ b/tests/versions_system_test.cpp
@@ -188,6 +188,16 @@
   CHECK(f.CountMixed() == 0);
 }
 
+// Guards against streams that are refused because all instances were killed
+// while two versions serve (LOST).
+TEST_CASE("streams of two versions go on after a kill of all") {
+  Versions f("killed-mixed", {"v1", "v2"});
+  f.Begin();
+  f.Wait(seconds(1));
+  f.KillAll();
+  CheckGoneOn(f, f.TakeUp());
+}
+
 // Guards against refusing all streams after a kill of all instances, also where
 // there was one version (LOST).
 TEST_CASE("streams go on after a kill of all where there is one version") {
