Free the memory of requests that are turned away

Cause: assigning an empty string keeps its buffer. Each connection that lingered after a rejection kept a body of up to 4 MB that was not counted.

Change: ReleaseMemory swaps the buffer away, at all places that meant to free one.

--- a/src/httpserver.cpp
+++ b/src/httpserver.cpp
@@ -12,6 +12,8 @@
 #include <utility>
 #include <vector>
 
+#include "releasememory.h"
+
 namespace comfreypaddle {
 
 namespace {
@@ -310,7 +312,7 @@
     request.m_headers = m_head.m_fields;
     m_running_bytes = kOpenBodyCopies * m_body.size();
     request.m_body = std::move(m_body);
-    m_body = std::string();
+    ReleaseMemory(m_body);
     m_channel.SetReadLimit(kMaxPipelinedBytes);
     if (m_input.size() >= kMaxPipelinedBytes) m_channel.SetReading(false);
     m_server.m_events.m_on_request(std::move(request));
@@ -328,8 +330,8 @@
     m_head = HttpHead();
     m_head.m_keep_alive = false;
     m_head_bytes = 0;
-    m_body = std::string();
-    m_input = std::string();
+    ReleaseMemory(m_body);
+    ReleaseMemory(m_input);
     std::string text = FormatHead(status, fields);
     text += "Content-Length: 0\r\nConnection: close\r\n\r\n";
     m_channel.Write(text);
@@ -345,7 +347,7 @@
     m_head_bytes = 0;
     m_running_bytes = 0;
     if (!persistent) {
-      m_input = std::string();
+      ReleaseMemory(m_input);
       Linger();
       UpdateHeldBytes();
       return;
--- a/src/relayattempt.cpp
+++ b/src/relayattempt.cpp
@@ -11,6 +11,7 @@
 #include "eventlog.h"
 #include "finish.h"
 #include "hedgedcall.h"
+#include "releasememory.h"
 #include "responsememory.h"
 #include "resumption.h"
 
@@ -328,7 +329,7 @@
 }
 
 void OnRunFailed(RelayState& state, RelayCall& call, const HttpResult& result) {
-  call.m_attempt.m_body = std::string();  // Frees the memory.
+  ReleaseMemory(call.m_attempt.m_body);
   LogFailure(state, call, "broken", result);
   OnEndpointFailed(state.m_balance, call.m_attempt.m_endpoint, state.m_clock());
   const AttemptEnd end = EndOf(call.m_attempt, result);
--- a/tests/bodies_system_test.cpp
+++ b/tests/bodies_system_test.cpp
@@ -30,6 +30,17 @@
               .m_repeated_bytes = kWithoutEnd});
 }
 
+// Guards against requests that are turned away and keep their memory until
+// their connections are closed, while new ones are let in (review/10).
+TEST_CASE("bodies that are turned away again and again") {
+  CheckCrowd({.m_name = "turned away",
+              .m_connections = 180,
+              .m_prefix = PostHead("Transfer-Encoding: chunked\r\n"),
+              .m_repeated = "8000\r\n" + std::string(0x8000, 'x') + "\r\n",
+              .m_repeated_bytes = kWithoutEnd,
+              .m_bytes_at_once = 1U << 20U});
+}
+
 // Guards against a sum of bodies that has no bound, as each is within the limit
 // and waits for its last byte.
 TEST_CASE("bodies within the limit that never end") {
