Bind no stream that may have begun at either of two versions

Cause: an endpoint that restarts in place is listed with its former version for up to 1.8 s. Streams sent to it less than 2 s after its restart, which two clocks may differ by, stayed bound to the former version when the list showed the new one.

Change: an attempt that may have reached either lifetime, and its stream, get a version that no endpoint has. The stream ends with its endpoint and goes on nowhere else.

--- a/src/resumption.cpp
+++ b/src/resumption.cpp
@@ -110,42 +110,55 @@
   Publish(state, begun);
 }
 
-// Whether the attempt was sent to the listed lifetime of its endpoint, which it
-// takes for a former one because the list was old. A connection that is open
-// does not show this: it stays open if the machine lost power.
-bool WasSentToNewLifetime(const RelayState& state,
-                          const EndpointAttempt& attempt,
-                          const BalanceEndpoint& endpoint) {
-  if (endpoint.m_born_ms == attempt.m_born_ms) return false;
+// To which lifetime of its endpoint an attempt was sent.
+enum class SentTo {
+  kKnownLifetime,  // The one that was listed when it was sent.
+  kListedLifetime,
+  kEither,  // It was sent at about the begin of the listed lifetime.
+};
+
+// Finds out whether the attempt was sent to the listed lifetime of its
+// endpoint, which it takes for a former one because the list was old. A
+// connection that is open does not show this: it stays open if the machine lost
+// power.
+SentTo FindLifetime(const RelayState& state, const EndpointAttempt& attempt,
+                    const BalanceEndpoint& endpoint) {
+  if (endpoint.m_born_ms == attempt.m_born_ms) return SentTo::kKnownLifetime;
   const Duration born =
       std::chrono::milliseconds(static_cast<std::int64_t>(endpoint.m_born_ms));
   const Duration sent =
       attempt.m_sent.time_since_epoch() + state.m_unix_at_zero;
-  return born + kMaxClockDifference < sent;
+  if (sent < born - kMaxClockDifference) return SentTo::kKnownLifetime;
+  return sent > born + kMaxClockDifference ? SentTo::kListedLifetime
+                                           : SentTo::kEither;
 }
 
 // Corrects the version of attempts that were sent to a new lifetime of their
-// endpoint, and of the streams that they have begun.
+// endpoint, or may have been, and of the streams that they have begun.
 void CorrectVersions(RelayState& state) {
   for (const auto& [id, call] : state.m_calls) {
     EndpointAttempt& attempt = call->m_attempt;
     if (attempt.m_call == 0 || !IsResumable(*call)) continue;
     const BalanceEndpoint* endpoint =
         FindEndpoint(state.m_balance, attempt.m_endpoint);
-    if (endpoint == nullptr || endpoint->m_version == attempt.m_version ||
-        !WasSentToNewLifetime(state, attempt, *endpoint)) {
+    if (endpoint == nullptr || endpoint->m_version == attempt.m_version) {
       continue;
     }
+    const SentTo sent_to = FindLifetime(state, attempt, *endpoint);
+    if (sent_to == SentTo::kKnownLifetime) continue;
+    const std::string version = sent_to == SentTo::kEither
+                                    ? std::string(kEitherVersion)
+                                    : endpoint->m_version;
     LogLine("stream_version_corrected")
         .Add("request", call->m_metadata.m_attempt)
         .Add("endpoint", attempt.m_endpoint)
         .Add("from", attempt.m_version)
-        .Add("to", endpoint->m_version)
+        .Add("to", version)
         .Add("events", attempt.m_events);
     attempt.m_born_ms = endpoint->m_born_ms;
-    attempt.m_version = endpoint->m_version;
+    attempt.m_version = version;
     if (attempt.m_events == 0) continue;
-    call->m_query.m_version = endpoint->m_version;
+    call->m_query.m_version = version;
     Record(state, *call, true);
   }
 }
--- a/src/streamversions.h
+++ b/src/streamversions.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -23,6 +24,11 @@
 // Longest time after its begin in which a caller takes a stream up.
 inline constexpr Duration kResumeWindow = std::chrono::seconds(30);
 
+// Stands for the version of a stream that began at one of two lifetimes of an
+// endpoint with different versions. No endpoint has it, as names have no
+// spaces, so that the stream goes on nowhere.
+inline constexpr std::string_view kEitherVersion = "either version";
+
 // Versions of the endpoints of a service, and when they were listed last.
 struct VersionSpan {
   bool m_is_listed = false;
--- a/tests/resumption_test.cpp
+++ b/tests/resumption_test.cpp
@@ -178,6 +178,34 @@
   CHECK(f.m_endpoints.To(1) == "e3");
 }
 
+// Guards against a stream that goes on at the version of the former lifetime of
+// its endpoint, although it may have begun at the new one: it was sent at about
+// the time at which that began (ORDER, review/6).
+TEST_CASE("a stream that may have begun at either version goes on at neither") {
+  VersionFixture f;
+  ALLOW_CALL(f.m_callers, StartStream(1U, 200, _));
+  ALLOW_CALL(f.m_callers, Write(1U, _));
+  REQUIRE_CALL(f.m_callers, Abort(1U));
+  f.Begin(1, "e1");
+  constexpr std::uint64_t kSentMs = 1'000'000;  // The fixture's time.
+  BalanceEndpoint& restarted = f.m_state.m_balance.m_endpoints.at("e1");
+  restarted.m_version = "2";
+  SUBCASE("sent after it") { restarted.m_born_ms = kSentMs - 500; }
+  SUBCASE("sent before it, by another clock") {
+    restarted.m_born_ms = kSentMs + 500;
+  }
+  UpdateEndpointVersions(f.m_state);
+  f.m_state.m_balance.m_endpoints.at("e3").m_version = "1";
+  f.Crash(0);
+  CHECK(f.m_endpoints.m_calls.size() == 1);
+  // Nor if its caller takes it up.
+  REQUIRE_CALL(f.m_callers, Respond(2U, 503, _, _));
+  f.TakeUp(2, "t1");
+  CHECK(f.m_endpoints.m_calls.size() == 1);
+  REQUIRE(f.m_begun.streams_size() >= 2);
+  CHECK(f.m_begun.streams(f.m_begun.streams_size() - 1).is_corrected());
+}
+
 // Guards against streams that only the instance knows that may be killed:
 // those that begin beside a second version, and those before it, which it may
 // never see (LOST, issue 54).
