Keep what is refused for crashes in the store

Cause: as for the listed versions, knowledge that must outlive the instances was kept in the instances only.

Change: keyedmirror keeps records of a keyed stream as the readers of the zones know them; versionsync uses it, and suspectstore does for requests and prompt parts that are refused. A reader that starts merges them and tells the others.

crashsync_test "an instance that was cut off learns of crashes in time" cut the instance off from the others only. It learns from the store now, so the test cuts it off from the store as well; what it checks is the same.

--- a/src/controlstate.h
+++ b/src/controlstate.h
@@ -160,9 +160,11 @@
   Instant m_ticked{};                  // Last tick of the process.
 };
 
-// Records of listed versions in the store, which outlive all instances.
-struct VersionRecords {
-  std::set<ServiceVersion> m_stored;  // As last read, and written since.
+// Records of a keyed stream that the readers of the zones keep (see
+// keyedmirror.h).
+struct KeyedMirror {
+  Stream m_stream = Stream::kVersions;
+  std::map<std::string, std::string> m_stored;  // As read, and written since.
   bool m_is_read = false;
   bool m_busy = false;  // A call to the store is in flight.
   Instant m_due{};
@@ -258,7 +260,8 @@
   SearchState m_search;
   SuspectSync m_suspects;
   StreamRecords m_streams;
-  VersionRecords m_version_records;
+  KeyedMirror m_version_records{Stream::kVersions};
+  KeyedMirror m_suspect_records{Stream::kSuspects};
   StreamStore m_stream_store;
   // Era of the store as last named by it or by another instance.
   std::optional<std::uint64_t> m_store_era;
--- a/src/controltick.cpp
+++ b/src/controltick.cpp
@@ -9,6 +9,7 @@
 #include "storereader.h"
 #include "streamstore.h"
 #include "streamsync.h"
+#include "suspectstore.h"
 #include "usageflush.h"
 #include "versionsync.h"
 
@@ -22,6 +23,7 @@
   AnswerPendingQueries(state);
   WatchInstances(state);
   SyncSuspects(state);
+  SyncSuspectRecords(state);
   SyncVersions(state);
   SyncStreams(state);
   SyncStreamStore(state);
--- a/src/crashsync.cpp
+++ b/src/crashsync.cpp
@@ -147,6 +147,16 @@
 
 }  // namespace
 
+void LearnCrashes(ControlState& state,
+                  const std::vector<SuspectCrash>& crashes) {
+  const schema::SuspectList list = EncodeCrashes(crashes, state.m_clock());
+  AddSuspects(state, list);
+  if (crashes.empty()) return;
+  schema::RelayMessage message;
+  *message.mutable_suspects() = list;
+  state.m_relay->Post(std::move(message));
+}
+
 void AddSuspects(ControlState& state, const schema::SuspectList& changed) {
   std::vector<SuspectCrash>& unsent = state.m_suspects.m_unsent;
   for (const SuspectCrash& crash : Merge(state, changed)) {
--- a/src/crashsync.h
+++ b/src/crashsync.h
@@ -1,6 +1,8 @@
 #ifndef COMFREYPADDLE_CRASHSYNC_H_
 #define COMFREYPADDLE_CRASHSYNC_H_
 
+#include <vector>
+
 #include "controlstate.h"
 
 namespace comfreypaddle {
@@ -13,6 +15,11 @@
 // Request target of the exchange between instances.
 inline constexpr std::string_view kSuspectTarget = "/v1/suspects";
 
+// Adds crashes that neither this instance nor another one has told of, and
+// tells the relay task and the other instances.
+void LearnCrashes(ControlState& state,
+                  const std::vector<SuspectCrash>& crashes);
+
 // Adds changes made by the requests of this instance.
 void AddSuspects(ControlState& state, const schema::SuspectList& changed);
 
--- a/src/storeera.cpp
+++ b/src/storeera.cpp
@@ -30,6 +30,7 @@
     cursor->m_due = {};
   }
   state.m_version_records.m_is_read = false;
+  state.m_suspect_records.m_is_read = false;
   // The record of this instance may be lost, also the one that it has left.
   state.m_registered = state.m_stopping;
   state.m_register_due = {};
--- a/src/stream.h
+++ b/src/stream.h
@@ -22,18 +22,20 @@
   kUsage,          // Usage counts of the instances.
   kVersions,       // Software versions of the listed endpoints; keyed.
   kBegunStreams,   // Streams that began at endpoints of mixed services.
+  kSuspects,       // Requests that are refused for crashes; keyed.
 };
 
 template <>
 struct EnumNames<Stream> {
-  static constexpr std::array<EnumName<Stream>, 7> kTable{
+  static constexpr std::array<EnumName<Stream>, 8> kTable{
       {{Stream::kConfiguration, "configuration"},
        {Stream::kEndpoints, "endpoints"},
        {Stream::kInstances, "instances"},
        {Stream::kDuties, "duties"},
        {Stream::kUsage, "usage"},
        {Stream::kVersions, "versions"},
-       {Stream::kBegunStreams, "begun_streams"}}};
+       {Stream::kBegunStreams, "begun_streams"},
+       {Stream::kSuspects, "suspects"}}};
 };
 
 // Error of a call to the store.
--- a/src/versionsync.cpp
+++ b/src/versionsync.cpp
@@ -2,13 +2,12 @@
 
 #include <xxhash.h>
 
-#include <algorithm>
 #include <cstdio>
 #include <utility>
 
 #include "endpointlist.h"
 #include "eventlog.h"
-#include "storereader.h"
+#include "keyedmirror.h"
 #include "streamholders.h"
 
 namespace comfreypaddle {
@@ -22,14 +21,6 @@
 constexpr Duration kQuestionInterval = std::chrono::seconds(1);
 constexpr std::uint64_t kFirstQuestions = 8;
 
-// Delay after a call to the store that failed.
-constexpr Duration kStoreRetryDelay = std::chrono::milliseconds(500);
-
-// Reads of the list of instances after which this one may write records. Before
-// that, all instances of a starting deployment take themselves for the reader
-// of their zone.
-constexpr std::uint32_t kReadsBeforeWriting = 3;
-
 // Time between two ticks after which the process was frozen and may have missed
 // versions that came and went.
 constexpr Duration kFrozenTime = std::chrono::seconds(5);
@@ -138,103 +129,32 @@
 
 // Applies the records that the store has. When their endpoints left the list is
 // not known: that may have been a moment ago.
-void TakeRecords(ControlState& state, const ReadResult& result) {
-  VersionRecords& records = state.m_version_records;
+void TakeRecords(ControlState& state) {
+  const MirrorRecords& stored = state.m_version_records.m_stored;
   const Instant now = state.m_clock();
-  records.m_is_read = true;
-  records.m_stored.clear();
-  for (const StreamRecord& record : result.m_records) {
-    schema::VersionRecord version;
-    if (record.m_removed || !version.ParseFromString(record.m_value)) continue;
-    records.m_stored.emplace(version.service(), version.version());
-    if (state.m_streams.m_has_all_versions) continue;
+  for (const auto& [key, value] : stored) {
+    schema::VersionRecord record;
+    if (state.m_streams.m_has_all_versions || !record.ParseFromString(value)) {
+      continue;
+    }
     AddSeenVersion(state.m_streams.m_versions,
-                   {version.service(), version.version(), now});
+                   {record.service(), record.version(), now});
   }
-  LearnAllVersions(state, kStoreSource, records.m_stored.size());
-}
-
-void ReadRecords(ControlState& state) {
-  state.m_version_records.m_busy = true;
-  state.m_store->ReadNewest(
-      Stream::kVersions, [&state](const ReadResult& result) {
-        VersionRecords& records = state.m_version_records;
-        records.m_busy = false;
-        if (RecordStoreCall(state, result) == StoreFault::kNone) {
-          TakeRecords(state, result);
-        } else {
-          records.m_due = state.m_clock() + kStoreRetryDelay;
-        }
-      });
-}
-
-// Writes the record of a version, or drops it if is_listed is false.
-void WriteRecord(ControlState& state, const ServiceVersion& version,
-                 bool is_listed) {
-  schema::VersionRecord record;
-  record.set_service(version.first);
-  record.set_version(version.second);
-  StreamAppend append;
-  append.m_stream = Stream::kVersions;
-  append.m_key = KeyOf(version);
-  if (is_listed) append.m_value = record.SerializeAsString();
-  state.m_version_records.m_busy = true;
-  state.m_store->Append(
-      append, [&state, version, is_listed](const AppendResult& result) {
-        VersionRecords& records = state.m_version_records;
-        records.m_busy = false;
-        if (RecordStoreCall(state, result) != StoreFault::kNone) {
-          records.m_due = state.m_clock() + kStoreRetryDelay;
-          return;
-        }
-        if (is_listed) {
-          records.m_stored.insert(version);
-        } else {
-          records.m_stored.erase(version);
-        }
-        LogLine("version_recorded")
-            .Add("service", version.first)
-            .Add("version", version.second)
-            .Add("listed", is_listed ? 1 : 0);
-      });
+  LearnAllVersions(state, kStoreSource, stored.size());
 }
 
-// Writes the next record that differs from the versions of the last 30 s. Each
-// reader of a zone does so: the last thing that it writes of a version agrees
-// with its own list, so that a version which returns while another reader drops
-// its record is recorded again.
-void WriteNextRecord(ControlState& state) {
-  std::set<ServiceVersion> recent;
-  for (SeenVersion& seen :
+// Records of the versions that were listed lately.
+MirrorRecords RecordsOf(const ControlState& state) {
+  MirrorRecords records;
+  for (const SeenVersion& seen :
        RecentVersions(state.m_streams.m_versions, state.m_clock())) {
-    recent.emplace(std::move(seen.m_service), std::move(seen.m_version));
-  }
-  const std::set<ServiceVersion>& stored = state.m_version_records.m_stored;
-  const auto missing = std::find_if(
-      recent.begin(), recent.end(),
-      [&stored](const auto& version) { return stored.count(version) == 0; });
-  if (missing != recent.end()) {
-    WriteRecord(state, *missing, true);
-    return;
-  }
-  const auto outdated = std::find_if(
-      stored.begin(), stored.end(),
-      [&recent](const auto& version) { return recent.count(version) == 0; });
-  if (outdated != stored.end()) WriteRecord(state, *outdated, false);
-}
-
-// Reads the records, and keeps them as the list of endpoints is.
-void SyncRecords(ControlState& state) {
-  const VersionRecords& records = state.m_version_records;
-  if (HasUpstream(state.m_upstream) || !state.m_instances_cursor.m_initialized)
-    return;
-  if (records.m_busy || state.m_clock() < records.m_due) return;
-  if (!records.m_is_read) {
-    ReadRecords(state);
-  } else if (state.m_instance_reads >= kReadsBeforeWriting &&
-             state.m_endpoints_cursor.m_initialized) {
-    WriteNextRecord(state);
+    schema::VersionRecord record;
+    record.set_service(seen.m_service);
+    record.set_version(seen.m_version);
+    records[KeyOf({seen.m_service, seen.m_version})] =
+        record.SerializeAsString();
   }
+  return records;
 }
 
 }  // namespace
@@ -249,7 +169,9 @@
 
 void SyncVersions(ControlState& state) {
   NoteTick(state);
-  SyncRecords(state);
+  SyncMirror(
+      state, state.m_version_records, [&state] { TakeRecords(state); },
+      [&state] { return RecordsOf(state); });
   AskForVersions(state);
 }
 
--- a/tests/crashsync_test.cpp
+++ b/tests/crashsync_test.cpp
@@ -73,10 +73,13 @@
     fleet.Run(kStartupTime);
     const std::string cut = fleet.Names().back();
     fleet.Cut(cut);
+    // From the store too, which has a record of what is refused.
+    fleet.Store().Deny({cut}, StoreDenial::kSilent);
     CrashThree(fleet);
     fleet.Run(seconds(2));
     CHECK_FALSE(fleet.Refuses(cut, kRequest));
     fleet.Heal(cut);
+    fleet.Store().ServeAll();
     fleet.Run(kContactTime);
     CHECK(fleet.Refuses(cut, kRequest));
   }
@@ -122,6 +125,36 @@
   }
 }
 
+// Failure: after a kill of all instances nobody knew of the crashes, and the
+// request crashed three endpoints more (review/5).
+TEST_CASE("a request is refused after all instances were killed twice") {
+  for (const auto& zones : {SmallDeployment(), LargeDeployment()}) {
+    InstanceFleet fleet(zones, 1);
+    fleet.Run(kStartupTime);
+    CrashThree(fleet);
+    fleet.Run(seconds(1));
+    for (int i = 0; i < 2; ++i) {
+      for (const std::string& name : fleet.Names()) fleet.Restart(name);
+      fleet.Run(kContactTime);
+      CHECK(CountRefusing(fleet) == fleet.Names().size());
+    }
+  }
+}
+
+// Failure: a request that was answered since is refused after a kill of all
+// instances, because its record stayed in the store.
+TEST_CASE("a cleared request is sound after all instances were killed") {
+  InstanceFleet fleet(SmallDeployment(), 1);
+  fleet.Run(kStartupTime);
+  CrashThree(fleet);
+  fleet.Run(seconds(1));
+  fleet.Answer(fleet.Names().front(), kRequest);
+  fleet.Run(seconds(2));
+  for (const std::string& name : fleet.Names()) fleet.Restart(name);
+  fleet.Run(kContactTime);
+  CHECK(CountRefusing(fleet) == 0);
+}
+
 // Failure: an instance that starts later learns of some parts of long prompts
 // only, and lets the one that crashes endpoints do so again.
 TEST_CASE("an instance that starts later learns of a part among many") {
--- a/tests/support_store.cpp
+++ b/tests/support_store.cpp
@@ -191,7 +191,7 @@
   const Instant since = m_schedule.Now() - age;
   for (const Stream stream :
        {Stream::kInstances, Stream::kDuties, Stream::kUsage, Stream::kVersions,
-        Stream::kBegunStreams}) {
+        Stream::kBegunStreams, Stream::kSuspects}) {
     TakeRecordsSince(stream, since);
   }
   for (const Stream stream : {Stream::kConfiguration, Stream::kEndpoints}) {
