Give each type of the namespace a name of its own

Cause: SuspectCrash was defined in crashtable.h and in suspect.h, as two different types. The linker keeps one copy of std::vector<SuspectCrash>, so that the vectors of one were handled as those of the other. The same held, so far without a failure that is known, for EndpointOrder (duty.h, stream.h) and UsageFlush (record.h, controlstate.h), which are older.

Change: these of `entry` are CrashEntry, CountOrder and OwnUsage now; check_layers.sh fails if two headers define a type of one name, and names SuspectCrash, EndpointOrder and UsageFlush on the code before. ReleaseMemory of strings is FreeString, as endpointmemory has a function of the old name.

--- a/src/controlstate.h
+++ b/src/controlstate.h
@@ -43,7 +43,7 @@
 using UsageSlot = std::pair<std::uint64_t, std::string>;
 
 // Usage counts of this process, and their way into the store.
-struct UsageFlush {
+struct OwnUsage {
   // Requests so far, kept while their window may still be reported.
   std::map<UsageSlot, std::uint64_t> m_totals;
   // Slots whose total is not in a record that was sent.
@@ -138,7 +138,7 @@
 // Exchange of the table of suspects with the other instances.
 struct SuspectSync {
   CrashTable m_table;
-  std::vector<SuspectCrash> m_unsent;  // Changed since the last push.
+  std::vector<CrashEntry> m_unsent;  // Changed since the last push.
   Instant m_push_due{};
   Instant m_compare_due{};
   bool m_comparing = false;
@@ -232,7 +232,7 @@
   StreamCursor m_usage_cursor;
   HolderState m_holder;
   UsageAggregate m_usage_aggregate;
-  UsageFlush m_flush;
+  OwnUsage m_flush;
   UsageBatchQueue m_usage_batch;
   // Other instances that the store answered, with the time of the answer.
   std::map<std::string, Instant, std::less<>> m_served;
--- a/src/crashcodec.cpp
+++ b/src/crashcodec.cpp
@@ -22,7 +22,7 @@
 
 }  // namespace
 
-schema::SuspectList EncodeCrashes(const std::vector<SuspectCrash>& crashes,
+schema::SuspectList EncodeCrashes(const std::vector<CrashEntry>& crashes,
                                   Instant now) {
   std::map<CrashIdentity, SuspectGroups> by_crash;
   for (const auto& [key, crash] : crashes) {
@@ -39,9 +39,9 @@
   return list;
 }
 
-std::vector<SuspectCrash> DecodeCrashes(const schema::SuspectList& list,
-                                        Instant now) {
-  std::vector<SuspectCrash> crashes;
+std::vector<CrashEntry> DecodeCrashes(const schema::SuspectList& list,
+                                      Instant now) {
+  std::vector<CrashEntry> crashes;
   for (const schema::CrashReport& report : list.crashes()) {
     const bool valid =
         report.age_ms() >= 0 && report.age_ms() < ToMs(kCrashRetention);
--- a/src/crashcodec.h
+++ b/src/crashcodec.h
@@ -11,12 +11,12 @@
 // Conversion of crashes and their suspects from and to messages. Times are sent
 // as ages, because the clocks of instances differ.
 
-schema::SuspectList EncodeCrashes(const std::vector<SuspectCrash>& crashes,
+schema::SuspectList EncodeCrashes(const std::vector<CrashEntry>& crashes,
                                   Instant now);
 
 // Leaves out crashes that are too old or have no valid age.
-std::vector<SuspectCrash> DecodeCrashes(const schema::SuspectList& list,
-                                        Instant now);
+std::vector<CrashEntry> DecodeCrashes(const schema::SuspectList& list,
+                                      Instant now);
 
 }  // namespace comfreypaddle
 
--- a/src/crashsync.cpp
+++ b/src/crashsync.cpp
@@ -50,16 +50,16 @@
 }
 
 schema::SuspectList EncodeTable(const ControlState& state) {
-  std::vector<SuspectCrash> crashes = ListCrashes(state.m_suspects.m_table);
+  std::vector<CrashEntry> crashes = ListCrashes(state.m_suspects.m_table);
   if (crashes.size() > kMaxSentCrashes) crashes.resize(kMaxSentCrashes);
   return EncodeCrashes(crashes, state.m_clock());
 }
 
 // Merges the crashes. Returns those that changed.
-std::vector<SuspectCrash> Merge(ControlState& state,
-                                const schema::SuspectList& list) {
-  std::vector<SuspectCrash> changed;
-  for (const SuspectCrash& crash : DecodeCrashes(list, state.m_clock())) {
+std::vector<CrashEntry> Merge(ControlState& state,
+                              const schema::SuspectList& list) {
+  std::vector<CrashEntry> changed;
+  for (const CrashEntry& crash : DecodeCrashes(list, state.m_clock())) {
     if (MergeCrash(state.m_suspects.m_table, crash)) changed.push_back(crash);
   }
   return changed;
@@ -67,7 +67,7 @@
 
 // Merges what another instance sent, and tells the relay task.
 void MergeFromPeer(ControlState& state, const schema::SuspectList& list) {
-  const std::vector<SuspectCrash> changed = Merge(state, list);
+  const std::vector<CrashEntry> changed = Merge(state, list);
   if (changed.empty()) return;
   schema::RelayMessage message;
   *message.mutable_suspects() = EncodeCrashes(changed, state.m_clock());
@@ -147,8 +147,7 @@
 
 }  // namespace
 
-void LearnCrashes(ControlState& state,
-                  const std::vector<SuspectCrash>& crashes) {
+void LearnCrashes(ControlState& state, const std::vector<CrashEntry>& crashes) {
   const schema::SuspectList list = EncodeCrashes(crashes, state.m_clock());
   AddSuspects(state, list);
   if (crashes.empty()) return;
@@ -158,8 +157,8 @@
 }
 
 void AddSuspects(ControlState& state, const schema::SuspectList& changed) {
-  std::vector<SuspectCrash>& unsent = state.m_suspects.m_unsent;
-  for (const SuspectCrash& crash : Merge(state, changed)) {
+  std::vector<CrashEntry>& unsent = state.m_suspects.m_unsent;
+  for (const CrashEntry& crash : Merge(state, changed)) {
     if (unsent.size() < kMaxSentCrashes) unsent.push_back(crash);
   }
   PushChanges(state);
--- a/src/crashsync.h
+++ b/src/crashsync.h
@@ -17,8 +17,7 @@
 
 // Adds crashes that neither this instance nor another one has told of, and
 // tells the relay task and the other instances.
-void LearnCrashes(ControlState& state,
-                  const std::vector<SuspectCrash>& crashes);
+void LearnCrashes(ControlState& state, const std::vector<CrashEntry>& crashes);
 
 // Adds changes made by the requests of this instance.
 void AddSuspects(ControlState& state, const schema::SuspectList& changed);
--- a/src/crashtable.cpp
+++ b/src/crashtable.cpp
@@ -150,7 +150,7 @@
   return true;
 }
 
-bool MergeCrash(CrashTable& table, const SuspectCrash& other) {
+bool MergeCrash(CrashTable& table, const CrashEntry& other) {
   if (AddCrash(table, other.m_key, other.m_crash)) return true;
   if (!other.m_crash.m_cleared) return false;
   bool changed = false;
@@ -172,10 +172,10 @@
   return blamed;
 }
 
-std::vector<SuspectCrash> ListCrashes(const CrashTable& table) {
+std::vector<CrashEntry> ListCrashes(const CrashTable& table) {
   std::vector<RankedSuspect> ranked = RankSuspects(table);
   std::sort(ranked.rbegin(), ranked.rend());
-  std::vector<SuspectCrash> crashes;
+  std::vector<CrashEntry> crashes;
   for (const RankedSuspect& suspect : ranked) {
     for (const CrashRecord& crash : table.m_rows.at(suspect.m_key).m_crashes) {
       crashes.push_back({suspect.m_key, crash});
--- a/src/crashtable.h
+++ b/src/crashtable.h
@@ -46,7 +46,7 @@
 };
 
 // A crash, and a suspect that it is blamed on or that was cleared of it.
-struct SuspectCrash {
+struct CrashEntry {
   SuspectKey m_key;
   CrashRecord m_crash;
 };
@@ -87,7 +87,7 @@
 // Merges what another instance knows: a crash that is new, or that the suspect
 // was cleared of a known one. Instances that have merged the same crashes agree
 // whatever the order. Returns whether anything changed.
-bool MergeCrash(CrashTable& table, const SuspectCrash& other);
+bool MergeCrash(CrashTable& table, const CrashEntry& other);
 
 // Crashes blamed on the suspect.
 std::vector<CrashRecord> BlamedCrashes(const CrashTable& table,
@@ -95,7 +95,7 @@
 
 // All crashes of the table, those of the suspects with the most blamed ones
 // first, and of these the newest.
-std::vector<SuspectCrash> ListCrashes(const CrashTable& table);
+std::vector<CrashEntry> ListCrashes(const CrashTable& table);
 
 // Hash of the crashes and of whether they are cleared. Tables that agree have
 // the same digest.
--- a/src/crashwatch.cpp
+++ b/src/crashwatch.cpp
@@ -67,11 +67,10 @@
 
 // Logs crashes that were blamed or cleared, and tells the other instances.
 void Report(const RelayState& state, std::string_view event,
-            const std::vector<SuspectCrash>& changed,
-            std::string_view endpoint) {
+            const std::vector<CrashEntry>& changed, std::string_view endpoint) {
   if (changed.empty()) return;
   std::vector<SuspectKey> keys;
-  for (const SuspectCrash& crash : changed) {
+  for (const CrashEntry& crash : changed) {
     if (keys.empty() || keys.back() < crash.m_key ||
         crash.m_key < keys.back()) {
       keys.push_back(crash.m_key);
@@ -91,7 +90,7 @@
 
 void OnAttemptSurvived(RelayState& state, const RelayCall& call) {
   if (state.m_crashes.m_rows.empty()) return;
-  std::vector<SuspectCrash> cleared;
+  std::vector<CrashEntry> cleared;
   for (const SuspectKey& key : SuspectsOf(call)) {
     for (CrashRecord crash : BlamedCrashes(state.m_crashes, key)) {
       crash.m_cleared = true;
@@ -107,7 +106,7 @@
   const EndpointAttempt& attempt = call.m_attempt;
   const CrashRecord crash{CrashId(attempt.m_endpoint, attempt.m_born_ms),
                           state.m_clock()};
-  std::vector<SuspectCrash> blamed;
+  std::vector<CrashEntry> blamed;
   for (const SuspectKey& key : SuspectsOf(call)) {
     const bool is_part = key.m_kind == SuspectKind::kPromptPart;
     if (is_part && !HasBegunToAnswer(call)) continue;
@@ -118,7 +117,7 @@
 
 void MergeSuspects(RelayState& state, const schema::SuspectList& suspects) {
   const Instant now = state.m_clock();
-  for (const SuspectCrash& crash : DecodeCrashes(suspects, now)) {
+  for (const CrashEntry& crash : DecodeCrashes(suspects, now)) {
     const SuspectKey& key = crash.m_key;
     const bool was_refused = IsQuarantined(state.m_crashes, key, now);
     MergeCrash(state.m_crashes, crash);
--- a/src/fleetplan.cpp
+++ b/src/fleetplan.cpp
@@ -72,16 +72,16 @@
   return std::min(present, target + (missing_cheap + 1) / 2);
 }
 
-EndpointPool SlotOf(const EndpointOrder& order) {
+EndpointPool SlotOf(const CountOrder& order) {
   return {order.m_service, order.m_zone, order.m_cheap};
 }
 
 }  // namespace
 
-std::optional<EndpointOrder> NextOrder(FleetPlan& plan,
-                                       const schema::Catalog& catalog,
-                                       const schema::EndpointList& endpoints,
-                                       Instant now) {
+std::optional<CountOrder> NextOrder(FleetPlan& plan,
+                                    const schema::Catalog& catalog,
+                                    const schema::EndpointList& endpoints,
+                                    Instant now) {
   auto counts = CountEndpoints(endpoints);
   for (const schema::CatalogService& service : catalog.services()) {
     if (!service.has_scaling()) continue;
@@ -100,21 +100,21 @@
           target = KeepUntilReplaced(target, counts[slot], wanted - running);
         }
         if (!IsDue(plan, slot, target, counts[slot], boot, now)) continue;
-        return EndpointOrder{service.name(), zone, target, cheap};
+        return CountOrder{service.name(), zone, target, cheap};
       }
     }
   }
   return std::nullopt;
 }
 
-void OnOrderSent(FleetPlan& plan, const EndpointOrder& order, Instant now) {
+void OnOrderSent(FleetPlan& plan, const CountOrder& order, Instant now) {
   FleetOrder& state = plan.m_orders[SlotOf(order)];
   state.m_sent = now;
   state.m_accepted = false;
 }
 
-void OnOrderEnded(FleetPlan& plan, const EndpointOrder& order,
-                  DutyResult result, Instant now) {
+void OnOrderEnded(FleetPlan& plan, const CountOrder& order, DutyResult result,
+                  Instant now) {
   FleetOrder& state = plan.m_orders[SlotOf(order)];
   state.m_accepted = result == DutyResult::kAccepted;
   state.m_count = order.m_count;
--- a/src/fleetplan.h
+++ b/src/fleetplan.h
@@ -49,15 +49,15 @@
   std::map<EndpointPool, FleetOrder> m_orders;
 };
 
-std::optional<EndpointOrder> NextOrder(FleetPlan& plan,
-                                       const schema::Catalog& catalog,
-                                       const schema::EndpointList& endpoints,
-                                       Instant now);
+std::optional<CountOrder> NextOrder(FleetPlan& plan,
+                                    const schema::Catalog& catalog,
+                                    const schema::EndpointList& endpoints,
+                                    Instant now);
 
 // Record that the order was sent and how it ended.
-void OnOrderSent(FleetPlan& plan, const EndpointOrder& order, Instant now);
-void OnOrderEnded(FleetPlan& plan, const EndpointOrder& order,
-                  DutyResult result, Instant now);
+void OnOrderSent(FleetPlan& plan, const CountOrder& order, Instant now);
+void OnOrderEnded(FleetPlan& plan, const CountOrder& order, DutyResult result,
+                  Instant now);
 
 }  // namespace comfreypaddle
 
--- a/src/httpserver.cpp
+++ b/src/httpserver.cpp
@@ -12,7 +12,7 @@
 #include <utility>
 #include <vector>
 
-#include "releasememory.h"
+#include "freestring.h"
 
 namespace comfreypaddle {
 
@@ -312,7 +312,7 @@
     request.m_headers = m_head.m_fields;
     m_running_bytes = kOpenBodyCopies * m_body.size();
     request.m_body = std::move(m_body);
-    ReleaseMemory(m_body);
+    FreeString(m_body);
     m_channel.SetReadLimit(kMaxPipelinedBytes);
     if (m_input.size() >= kMaxPipelinedBytes) m_channel.SetReading(false);
     m_server.m_events.m_on_request(std::move(request));
@@ -330,8 +330,8 @@
     m_head = HttpHead();
     m_head.m_keep_alive = false;
     m_head_bytes = 0;
-    ReleaseMemory(m_body);
-    ReleaseMemory(m_input);
+    FreeString(m_body);
+    FreeString(m_input);
     std::string text = FormatHead(status, fields);
     text += "Content-Length: 0\r\nConnection: close\r\n\r\n";
     m_channel.Write(text);
@@ -347,7 +347,7 @@
     m_head_bytes = 0;
     m_running_bytes = 0;
     if (!persistent) {
-      ReleaseMemory(m_input);
+      FreeString(m_input);
       Linger();
       UpdateHeldBytes();
       return;
--- a/src/relayattempt.cpp
+++ b/src/relayattempt.cpp
@@ -10,8 +10,8 @@
 #include "entryserve.h"
 #include "eventlog.h"
 #include "finish.h"
+#include "freestring.h"
 #include "hedgedcall.h"
-#include "releasememory.h"
 #include "responsememory.h"
 #include "resumption.h"
 
@@ -329,7 +329,7 @@
 }
 
 void OnRunFailed(RelayState& state, RelayCall& call, const HttpResult& result) {
-  ReleaseMemory(call.m_attempt.m_body);
+  FreeString(call.m_attempt.m_body);
   LogFailure(state, call, "broken", result);
   OnEndpointFailed(state.m_balance, call.m_attempt.m_endpoint, state.m_clock());
   const AttemptEnd end = EndOf(call.m_attempt, result);
--- a/src/stream.h
+++ b/src/stream.h
@@ -177,7 +177,7 @@
   Duration m_time_left{0};
 };
 
-struct EndpointOrder {
+struct CountOrder {
   std::string m_service;
   std::string m_zone;
   std::uint32_t m_count = 0;
@@ -194,8 +194,8 @@
   virtual void ReportUsage(const DutyHolder& holder,
                            const schema::FixedWindow& window, Done done) = 0;
 
-  virtual void OrderEndpoints(const DutyHolder& holder,
-                              const EndpointOrder& order, Done done) = 0;
+  virtual void OrderEndpoints(const DutyHolder& holder, const CountOrder& order,
+                              Done done) = 0;
 };
 
 }  // namespace comfreypaddle
--- a/src/suspectstore.cpp
+++ b/src/suspectstore.cpp
@@ -26,7 +26,7 @@
 
 std::string Encode(const ControlState& state, const SuspectKey& key,
                    const SuspectRow& row) {
-  std::vector<SuspectCrash> crashes;
+  std::vector<CrashEntry> crashes;
   for (const CrashRecord& crash : row.m_crashes) {
     crashes.push_back({key, crash});
   }
@@ -38,14 +38,14 @@
 
 // Merges the records that the store has into the table.
 void TakeRecords(ControlState& state) {
-  std::vector<SuspectCrash> crashes;
+  std::vector<CrashEntry> crashes;
   for (const auto& [key, value] : state.m_suspect_records.m_stored) {
     schema::StoredSuspect record;
     if (!record.ParseFromString(value)) continue;
     const double age_ms = std::clamp(UnixMs(state) - record.written_unix_ms(),
                                      0.0, ToMs(kCrashRetention));
     const Instant written = state.m_clock() - FromMs(age_ms);
-    for (const SuspectCrash& crash : DecodeCrashes(record.crashes(), written)) {
+    for (const CrashEntry& crash : DecodeCrashes(record.crashes(), written)) {
       if (state.m_clock() - crash.m_crash.m_at < kCrashRetention) {
         crashes.push_back(crash);
       }
--- a/src/usageflush.cpp
+++ b/src/usageflush.cpp
@@ -67,7 +67,7 @@
 
 // Puts the totals that were not sent yet into a record, oldest windows first.
 schema::UsageRecord MakeUsageRecord(ControlState& state) {
-  UsageFlush& flush = state.m_flush;
+  OwnUsage& flush = state.m_flush;
   schema::UsageRecord record;
   record.set_instance(state.m_options.m_name);
   record.set_incarnation(state.m_options.m_incarnation);
@@ -89,7 +89,7 @@
 // Forgets the totals of windows that are too old to be reported, compared with
 // the newest one.
 void DropOldTotals(ControlState& state) {
-  UsageFlush& flush = state.m_flush;
+  OwnUsage& flush = state.m_flush;
   const UsageAggregateOptions& options = state.m_usage_aggregate.m_options;
   const auto kept = static_cast<std::uint64_t>(
       options.m_max_window_age / options.m_window + 2);
@@ -105,7 +105,7 @@
 
 // Ends the pending record if it is the one with this sequence number.
 void OnUsageStored(ControlState& state, std::uint64_t sequence) {
-  UsageFlush& flush = state.m_flush;
+  OwnUsage& flush = state.m_flush;
   // It may have been stored on another way before.
   if (sequence != flush.m_sequence) return;
   flush.m_pending.reset();
@@ -152,12 +152,12 @@
 
 // Appends the pending record with the batch of this instance.
 void AppendOwnRecord(ControlState& state) {
-  UsageFlush& flush = state.m_flush;
+  OwnUsage& flush = state.m_flush;
   flush.m_appending = true;
   state.m_usage_batch.m_due = {};
   state.m_usage_batch.m_waiting.push_back(
       {*flush.m_pending, [&state](const schema::HandoverResult& result) {
-         UsageFlush& done = state.m_flush;
+         OwnUsage& done = state.m_flush;
          done.m_appending = false;
          if (result.sequence() != 0) {
            OnUsageStored(state, result.sequence());
@@ -172,7 +172,7 @@
 // another way.
 void OnHandoverEnd(ControlState& state, const std::string& receiver,
                    const std::string* body) {
-  UsageFlush& flush = state.m_flush;
+  OwnUsage& flush = state.m_flush;
   flush.m_handing_over = false;
   schema::HandoverResult result;
   const bool answered = body != nullptr && result.ParseFromString(*body);
@@ -235,7 +235,7 @@
 
 // Sends the current counts, or the last record again if its fate is unknown.
 void FlushOwnCounts(ControlState& state) {
-  UsageFlush& flush = state.m_flush;
+  OwnUsage& flush = state.m_flush;
   const Instant now = state.m_clock();
   const bool flush_now = state.m_stopping && !flush.m_failed;
   if (now < flush.m_due && !flush_now) return;
@@ -266,7 +266,7 @@
 }
 
 void OnUsageRestored(ControlState& state) {
-  UsageFlush& flush = state.m_flush;
+  OwnUsage& flush = state.m_flush;
   LogLine("usage_sent_again")
       .Add("totals", static_cast<std::int64_t>(flush.m_totals.size()));
   for (const auto& [slot, requests] : flush.m_totals) {
--- a/tests/support_instances.cpp
+++ b/tests/support_instances.cpp
@@ -112,8 +112,8 @@
     m_fleet.m_schedule.After(kStoreServiceTime,
                              [done] { done(DutyResult::kAccepted); });
   }
-  void OrderEndpoints(const DutyHolder& /*holder*/,
-                      const EndpointOrder& /*order*/, Done done) override {
+  void OrderEndpoints(const DutyHolder& /*holder*/, const CountOrder& /*order*/,
+                      Done done) override {
     m_fleet.m_schedule.After(kStoreServiceTime,
                              [done] { done(DutyResult::kAccepted); });
   }
--- a/tools/check_layers.sh
+++ b/tools/check_layers.sh
@@ -2,7 +2,8 @@
 # Fails if a decision module (listed in tools/decision_modules.txt) includes a
 # header for HTTP, JSON, protobuf, ACE, sockets or threads, or a project header
 # that does not belong to a decision module. Also fails if a name from the
-# platform's wire protocol is used outside platform/.
+# platform's wire protocol is used outside platform/, or if two headers define a
+# type of the same name.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 status=0
@@ -25,4 +26,10 @@
 if grep -nE "$names" src/*.h src/*.cpp schema/*.proto; then
   echo "names of the platform's protocol are allowed in platform/ only"; status=1
 fi
+# Two types of one name in the namespace share the code of templates, so that
+# the containers of one may be built for the other.
+doubled=$(sed -nE 's/^(struct|class|enum class) ([A-Za-z]+) ?(final )?(: .*)?\{.*/\2/p' src/*.h | sort | uniq -d)
+if [ -n "$doubled" ]; then
+  echo "types that two headers define:" $doubled; status=1
+fi
 exit $status
