Log what decides at which version a stream goes on

Callers saw streams that began at v2 go on at v1.

stream_question gives the answers one by one with the age of each list, and endpoint_selected the start of the listed lifetime.

No functional change

--- a/src/relayattempt.cpp
+++ b/src/relayattempt.cpp
@@ -615,13 +615,15 @@
                    is_split ? choice->m_prefill : choice->m_endpoint)) {
     return;
   }
+  const BalanceEndpoint& endpoint =
+      *FindEndpoint(state.m_balance, choice->m_endpoint);
   LogLine("endpoint_selected")
       .Add("request", call.m_metadata.m_attempt)
       .Add("service", call.m_service)
       .Add("endpoint", choice->m_endpoint)
       .Add("prefill", choice->m_prefill)
-      .Add("version",
-           FindEndpoint(state.m_balance, choice->m_endpoint)->m_version)
+      .Add("version", endpoint.m_version)
+      .Add("born_ms", static_cast<std::int64_t>(endpoint.m_born_ms))
       .Add("reason", ToName(choice->m_reason))
       .Add("fetch", choice->m_fetch_address)
       .Add("prefix", std::to_string(call.m_query.m_shared_prefix_hash))
--- a/src/resumption.cpp
+++ b/src/resumption.cpp
@@ -189,6 +189,7 @@
   call.m_stage = CallStage::kResolving;
   schema::StreamQuestion question;
   question.set_request(call.m_id);
+  question.set_caller_attempt(call.m_metadata.m_attempt);
   if (!call.m_metadata.m_resumed_attempt.empty()) {
     question.set_attempt(attempt);
   }
--- a/src/streamsync.cpp
+++ b/src/streamsync.cpp
@@ -26,6 +26,11 @@
   }
 }
 
+// Time since the list of endpoints was last known to match the store.
+double ListAgeMs(const ControlState& state) {
+  return ToMs(state.m_clock() - state.m_endpoints_cursor.m_confirmed);
+}
+
 // What this instance knows of the stream.
 schema::StreamAnswer LookUp(const ControlState& state,
                             const schema::StreamQuestion& question) {
@@ -34,6 +39,7 @@
   answer.set_is_answered(state.m_streams.m_has_all_versions);
   answer.set_is_mixed(
       IsMixed(state.m_streams.m_versions, question.service(), now));
+  answer.set_list_age_ms(ListAgeMs(state));
   const BegunStream* known = FindStream(
       state.m_streams.m_table, question.attempt(), question.service(), now);
   if (known == nullptr) return answer;
@@ -49,10 +55,47 @@
   std::size_t m_open = 0;         // Calls without a result.
   bool m_is_told = false;         // The relay task has the result.
   bool m_reads_store = false;     // The store is asked, as nobody knows.
+  Instant m_asked_at{};
+  std::string m_answers;  // What each instance has answered, for the log.
 };
 
+// Adds what an instance has answered to the text for the log.
+void NoteAnswer(OpenQuestion& question, std::string_view source,
+                const schema::StreamAnswer* answer) {
+  std::string& text = question.m_answers;
+  if (!text.empty()) text += ',';
+  text += source;
+  if (answer == nullptr) {
+    text += "/failed";
+    return;
+  }
+  text += answer->has_version() ? "/" + answer->version() : "/none";
+  if (answer->is_mixed()) text += "/mixed";
+  if (!answer->is_answered()) text += "/versions_unknown";
+  text += "/list_age_ms=" +
+          std::to_string(static_cast<std::int64_t>(answer->list_age_ms()));
+}
+
+// Logs what decides whether and at which version the stream goes on.
+void LogQuestion(const ControlState& state, const OpenQuestion& question) {
+  const schema::StreamAnswer& answer = question.m_answer;
+  LogLine("stream_question")
+      .Add("request", question.m_question.caller_attempt())
+      .Add("service", question.m_question.service())
+      .Add("version", answer.version())
+      .Add("mixed", answer.is_mixed() ? 1 : 0)
+      .Add("answered", answer.is_answered() ? 1 : 0)
+      .Add("all_versions", answer.has_all_versions() ? 1 : 0)
+      .Add("answers", question.m_answers)
+      .AddMs("list_age_ms",
+             state.m_clock() - state.m_endpoints_cursor.m_confirmed)
+      .AddMs("store_silent_ms", state.m_clock() - state.m_store_answered)
+      .AddMs("after_ms", state.m_clock() - question.m_asked_at);
+}
+
 void TellRelay(ControlState& state, OpenQuestion& question) {
   question.m_is_told = true;
+  LogQuestion(state, question);
   schema::RelayMessage message;
   *message.mutable_stream_version() = question.m_answer;
   state.m_relay->Post(std::move(message));
@@ -79,6 +122,7 @@
   ReadStoredStreams(state, [&state, open] {
     schema::StreamAnswer stored = LookUp(state, open->m_question);
     stored.set_is_answered(false);
+    NoteAnswer(*open, "store", &stored);
     AddAnswer(*open, stored);
     TellRelay(state, *open);
   });
@@ -205,12 +249,14 @@
   const Holders holders = HoldersToAsk(state, question);
   const auto open = std::make_shared<OpenQuestion>();
   open->m_question = question;
+  open->m_asked_at = state.m_clock();
   open->m_answer.set_request(question.request());
   open->m_answer.set_has_all_versions(state.m_streams.m_has_all_versions);
   schema::StreamAnswer own = LookUp(state, question);
   // An instance that is cut off gets no records: what it does not know shows
   // nothing, unless there are no others.
   own.set_is_answered(own.is_answered() && IsAlone(state));
+  NoteAnswer(*open, "own", &own);
   AddAnswer(*open, own);
   if (!open->m_answer.has_version()) open->m_open = holders.m_others.size();
   ContinueQuestion(state, open);
@@ -218,13 +264,16 @@
   schema::StreamExchange exchange;
   *exchange.mutable_question() = question;
   exchange.mutable_question()->clear_request();
+  exchange.mutable_question()->clear_caller_attempt();
   for (const std::string& address : holders.m_others) {
-    SendStreamExchange(state, address, exchange,
-                       [&state, open](const schema::StreamAnswer* answer) {
-                         --open->m_open;
-                         if (answer != nullptr) AddAnswer(*open, *answer);
-                         ContinueQuestion(state, open);
-                       });
+    SendStreamExchange(
+        state, address, exchange,
+        [&state, open, address](const schema::StreamAnswer* answer) {
+          --open->m_open;
+          NoteAnswer(*open, address, answer);
+          if (answer != nullptr) AddAnswer(*open, *answer);
+          ContinueQuestion(state, open);
+        });
   }
 }
 
