Vouch for all listed versions with a current list only

What callers would see: a stream of v2 that goes on at v1. An instance that has just started, or was cut off, asks others for the versions of the last 30 s; one that was cut off with it, or has just woken, answered that it knows all of them, although its own list was seconds old. The version that is listed then counts for the only one (ORDER).

Cause: has_all_versions in the answer told only that the instance had learnt them once, whatever the age of its list.

Change: the claim needs a list confirmed within kFollowerStaleAfter (1.8 s), the age beyond which an instance looks for other sources. HasAllVersions tells the same to local code. listed_versions_learnt and listed_versions_unknown name the age of the list.

--- a/src/versionsync.cpp
+++ b/src/versionsync.cpp
@@ -8,6 +8,7 @@
 #include "endpointlist.h"
 #include "eventlog.h"
 #include "keyedmirror.h"
+#include "storereader.h"
 #include "streamholders.h"
 
 namespace comfreypaddle {
@@ -25,6 +26,14 @@
 // versions that came and went.
 constexpr Duration kFrozenTime = std::chrono::seconds(5);
 
+// Age of the list of endpoints up to which this instance vouches for its
+// versions: beyond it, the sources of the list do not work.
+constexpr Duration kMaxVouchedAge = kFollowerStaleAfter;
+
+Duration ListAge(const ControlState& state) {
+  return state.m_clock() - state.m_endpoints_cursor.m_confirmed;
+}
+
 // The versions are not known any more. They are learnt again.
 void ForgetVersions(ControlState& state) {
   state.m_streams.m_has_all_versions = false;
@@ -38,7 +47,9 @@
   const Instant now = state.m_clock();
   const Instant before = std::exchange(state.m_streams.m_ticked, now);
   if (before == Instant{} || now - before < kFrozenTime) return;
-  LogLine("listed_versions_unknown").AddMs("frozen_ms", now - before);
+  LogLine("listed_versions_unknown")
+      .AddMs("frozen_ms", now - before)
+      .AddMs("list_age_ms", ListAge(state));
   ForgetVersions(state);
 }
 
@@ -49,7 +60,8 @@
       .Add("source", source)
       .Add("versions", static_cast<std::int64_t>(versions))
       .Add("rounds",
-           static_cast<std::int64_t>(state.m_streams.m_versions_asked));
+           static_cast<std::int64_t>(state.m_streams.m_versions_asked))
+      .AddMs("list_age_ms", ListAge(state));
 }
 
 void TakeVersions(ControlState& state, const std::string& source,
@@ -175,6 +187,10 @@
   AskForVersions(state);
 }
 
+bool HasAllVersions(const ControlState& state) {
+  return state.m_streams.m_has_all_versions && ListAge(state) < kMaxVouchedAge;
+}
+
 void AddVersions(const ControlState& state, schema::StreamAnswer& answer) {
   const StreamRecords& records = state.m_streams;
   const Instant now = state.m_clock();
@@ -184,7 +200,7 @@
     version->set_version(seen.m_version);
     version->set_last_listed_ms(ToMs(now - seen.m_last_listed));
   }
-  answer.set_has_all_versions(records.m_has_all_versions);
+  answer.set_has_all_versions(HasAllVersions(state));
 }
 
 }  // namespace comfreypaddle
--- a/src/versionsync.h
+++ b/src/versionsync.h
@@ -18,6 +18,10 @@
 // Call it with each tick.
 void SyncVersions(ControlState& state);
 
+// Whether all versions that were listed within kResumeWindow are known, up to a
+// moment ago.
+bool HasAllVersions(const ControlState& state);
+
 // Adds the versions that were listed lately to an answer to another instance.
 void AddVersions(const ControlState& state, schema::StreamAnswer& answer);
 
--- /dev/null
+++ b/tests/versionsync_test.cpp
@@ -0,0 +1,120 @@
+// Knowledge of the versions that were listed lately, in virtual time. Only the
+// ports are simulated.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "versionsync.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "streamsync.h"
+#include "support_instances.h"
+
+namespace comfreypaddle::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Time for all instances to discover each other.
+constexpr Duration kStartupTime = seconds(12);
+
+// Time after the end of a disturbance within which all versions are known.
+constexpr Duration kRecoveryTime = seconds(2);
+
+// Instances of a deployment, and a store that lists an endpoint of version 1.
+struct ReleaseFleet {
+  explicit ReleaseFleet(const std::vector<SimulatedZone>& zones)
+      : m_fleet(zones, 1) {
+    List("e1", "1");
+    m_fleet.Run(kStartupTime);
+  }
+
+  void List(const std::string& id, const std::string& version) {
+    schema::EndpointEntry entry;
+    entry.set_id(id);
+    entry.set_service("s");
+    entry.set_address(id + ":1");
+    entry.set_born_ms(1);
+    entry.set_sequence(1);
+    entry.set_version(version);
+    m_fleet.Store().Write(Stream::kEndpoints, id, entry.SerializeAsString());
+  }
+
+  // Version 2 is listed beside version 1 for so long that all instances that
+  // reach the store have seen it and recorded it.
+  void ReleaseAndWithdraw() {
+    List("e2", "2");
+    m_fleet.Run(seconds(3));
+    m_fleet.RemoveEndpoint("e2");
+    m_fleet.Run(seconds(1));
+  }
+
+  // What the instance tells another one that has just started.
+  schema::StreamAnswer AnswerOf(const std::string& name) {
+    schema::StreamExchange exchange;
+    exchange.set_wants_versions(true);
+    return AnswerStreamExchange(m_fleet.State(name), exchange);
+  }
+
+  bool ClaimsAll(const std::string& name) {
+    return AnswerOf(name).has_all_versions();
+  }
+
+  int CountClaims() {
+    const std::vector<std::string> names = m_fleet.Names();
+    return static_cast<int>(std::count_if(
+        names.begin(), names.end(),
+        [this](const std::string& name) { return ClaimsAll(name); }));
+  }
+
+  bool IsMixedAt(const std::string& name) {
+    const ControlState& state = m_fleet.State(name);
+    return IsMixed(state.m_streams.m_versions, "s", state.m_clock());
+  }
+
+  // Cuts the instance off from the store and from the other instances.
+  void CutOff(const std::string& name) {
+    m_fleet.Cut(name);
+    m_fleet.Store().Deny({name}, StoreDenial::kSilent);
+  }
+  void Reconnect(const std::string& name) {
+    m_fleet.Heal(name);
+    m_fleet.Store().ServeAll();
+  }
+
+  InstanceFleet m_fleet;
+};
+
+// Guards against an instance that takes the word of one whose list is as old as
+// its own, because both were cut off together, for all versions (ORDER).
+TEST_CASE("an instance with an old list does not vouch for all versions") {
+  ReleaseFleet release(SmallDeployment());
+  const std::string name = release.m_fleet.Names().back();
+  CHECK(release.ClaimsAll(name));
+  release.CutOff(name);
+  release.m_fleet.Run(seconds(3));
+  CHECK_FALSE(release.ClaimsAll(name));
+  release.Reconnect(name);
+  release.m_fleet.Run(kRecoveryTime);
+  CHECK(release.ClaimsAll(name));
+}
+
+// Guards against the same by an instance that answers as soon as it runs again,
+// before it has read the list (ORDER).
+TEST_CASE("an instance that has just woken does not vouch for all versions") {
+  ReleaseFleet release(SmallDeployment());
+  const std::string name = release.m_fleet.Names().back();
+  release.m_fleet.Freeze(name);
+  release.m_fleet.Run(seconds(3));
+  release.m_fleet.Thaw(name);
+  CHECK_FALSE(release.ClaimsAll(name));
+  release.m_fleet.Run(kRecoveryTime);
+  CHECK(release.ClaimsAll(name));
+}
+
+}  // namespace
+}  // namespace comfreypaddle::testing
