Forget the listed versions after a gap in the confirmations of the list

What callers would see: a stream of v2 that goes on at v1 through an instance that was cut off for a while. A version had come and gone meanwhile; when the list was back, the instance went on saying that it knew all versions of the last 30 s, and took the listed one for the only one (ORDER).

Cause: only a freeze of the process was noticed, by the time between two ticks. Time without a confirmed list counted as time in which the instance had watched, also for the 30 s after which nothing older matters.

Change: an instance watches the list while it is confirmed with gaps below kMaxWatchGap (5 s, as for a freeze before). At a gap it forgets that it knows all versions, neither asks nor writes records during the gap, and learns them again by the ways that there were: the records of the store, other instances, or 30 s of watching. Answers to questions of before the gap do not count, as they may be read after a freeze. A freeze is such a gap, so that the time between ticks is not needed any more: listed_versions_unknown names gap_ms in place of frozen_ms.

--- a/src/controlstate.h
+++ b/src/controlstate.h
@@ -155,13 +155,14 @@
   VersionHistory m_versions;
   // Records to send with the next tick.
   schema::StreamBeginList m_unsent;
-  // Versions that were listed before this instance started: whether they are
-  // known, and when others are asked next.
+  // Versions that were listed before this instance watched the list of
+  // endpoints: whether they are known, and when others are asked next.
   bool m_has_all_versions = false;
-  std::optional<Instant> m_started;
   Instant m_versions_due{};
   std::uint64_t m_versions_asked = 0;  // Rounds of questions.
-  Instant m_ticked{};                  // Last tick of the process.
+  // Since when the list has been confirmed without a gap; nothing in a gap.
+  std::optional<Instant> m_watched_from;
+  Instant m_list_confirmed{};  // Its confirmation as of the last tick.
   // Questions that wait for a list of endpoints that is read after them.
   std::vector<std::shared_ptr<OpenQuestion>> m_awaiting_list;
 };
--- a/src/streamsync.cpp
+++ b/src/streamsync.cpp
@@ -37,7 +37,7 @@
                             const schema::StreamQuestion& question) {
   const Instant now = state.m_clock();
   schema::StreamAnswer answer;
-  answer.set_has_all_versions(state.m_streams.m_has_all_versions);
+  answer.set_has_all_versions(HasAllVersions(state));
   answer.set_is_mixed(
       IsMixed(state.m_streams.m_versions, question.service(), now));
   answer.set_list_age_ms(ListAgeMs(state));
--- a/src/versionsync.cpp
+++ b/src/versionsync.cpp
@@ -2,6 +2,7 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <utility>
 
@@ -22,35 +23,53 @@
 constexpr Duration kQuestionInterval = std::chrono::seconds(1);
 constexpr std::uint64_t kFirstQuestions = 8;
 
-// Time between two ticks after which the process was frozen and may have missed
-// versions that came and went.
-constexpr Duration kFrozenTime = std::chrono::seconds(5);
+// Time between two confirmations of the list of endpoints in which versions may
+// have come and gone: three status report intervals, after which the entry of
+// an endpoint that has crashed is removed, and the start before them.
+constexpr Duration kMaxWatchGap = std::chrono::seconds(5);
 
-// Age of the list of endpoints up to which this instance vouches for its
-// versions: beyond it, the sources of the list do not work.
+// Age of the list up to which this instance vouches for its versions: beyond
+// it, the sources of the list do not work.
 constexpr Duration kMaxVouchedAge = kFollowerStaleAfter;
 
 Duration ListAge(const ControlState& state) {
   return state.m_clock() - state.m_endpoints_cursor.m_confirmed;
 }
 
-// The versions are not known any more. They are learnt again.
-void ForgetVersions(ControlState& state) {
-  state.m_streams.m_has_all_versions = false;
-  state.m_streams.m_started = state.m_clock();
-  state.m_streams.m_versions_due = {};
-  state.m_streams.m_versions_asked = 0;
-  state.m_version_records.m_is_read = false;
+// The versions are not known any more. They are learnt again when the list is
+// confirmed.
+void ForgetVersions(StreamRecords& records, KeyedMirror& stored) {
+  records.m_has_all_versions = false;
+  records.m_watched_from.reset();
+  records.m_versions_due = {};
+  records.m_versions_asked = 0;
+  stored.m_is_read = false;
 }
 
-void NoteTick(ControlState& state) {
-  const Instant now = state.m_clock();
-  const Instant before = std::exchange(state.m_streams.m_ticked, now);
-  if (before == Instant{} || now - before < kFrozenTime) return;
-  LogLine("listed_versions_unknown")
-      .AddMs("frozen_ms", now - before)
-      .AddMs("list_age_ms", ListAge(state));
-  ForgetVersions(state);
+// Notices a gap in the confirmations of the list: this instance was frozen or
+// cut off, or the store was away.
+void NoteConfirmations(ControlState& state) {
+  StreamRecords& records = state.m_streams;
+  const Instant confirmed = state.m_endpoints_cursor.m_confirmed;
+  const Instant before = std::exchange(records.m_list_confirmed, confirmed);
+  const Duration age = ListAge(state);
+  const Duration gap = std::max(age, confirmed - before);
+  if (records.m_watched_from && gap >= kMaxWatchGap) {
+    LogLine("listed_versions_unknown")
+        .AddMs("gap_ms", gap)
+        .AddMs("list_age_ms", age);
+    ForgetVersions(records, state.m_version_records);
+  }
+  if (!records.m_watched_from && age < kMaxWatchGap) {
+    records.m_watched_from = confirmed;
+  }
+}
+
+// Whether what was asked for at this time covers all versions that were listed
+// before the list has been watched.
+bool IsAskedWithinWatch(const ControlState& state, Instant asked) {
+  const std::optional<Instant>& from = state.m_streams.m_watched_from;
+  return from && asked >= *from;
 }
 
 void LearnAllVersions(ControlState& state, std::string_view source,
@@ -64,8 +83,9 @@
       .AddMs("list_age_ms", ListAge(state));
 }
 
+// Applies the answer to a question that was sent at `asked`.
 void TakeVersions(ControlState& state, const std::string& source,
-                  const schema::StreamAnswer& answer) {
+                  const schema::StreamAnswer& answer, Instant asked) {
   const Instant now = state.m_clock();
   for (const schema::VersionSeen& seen : answer.versions()) {
     // Also drops an age that is no number.
@@ -77,7 +97,7 @@
         state.m_streams.m_versions,
         {seen.service(), seen.version(), now - FromMs(seen.last_listed_ms())});
   }
-  if (!answer.has_all_versions()) return;
+  if (!answer.has_all_versions() || !IsAskedWithinWatch(state, asked)) return;
   LearnAllVersions(state, source,
                    static_cast<std::size_t>(answer.versions_size()));
 }
@@ -98,15 +118,16 @@
 }
 
 // Asks other instances for the versions that were listed before this one
-// started, until one answers that knows all or all of them are too old.
+// watched the list, until one answers that knows all or all of them are too
+// old.
 void AskForVersions(ControlState& state) {
   StreamRecords& records = state.m_streams;
   const Instant now = state.m_clock();
-  if (records.m_has_all_versions || !state.m_instances_cursor.m_initialized) {
+  if (records.m_has_all_versions || !records.m_watched_from ||
+      !state.m_instances_cursor.m_initialized) {
     return;
   }
-  if (!records.m_started) records.m_started = now;
-  if (now - *records.m_started >= kResumeWindow) {
+  if (records.m_list_confirmed - *records.m_watched_from >= kResumeWindow) {
     LearnAllVersions(state, "time", 0);
     return;
   }
@@ -117,12 +138,11 @@
   schema::StreamExchange exchange;
   exchange.set_wants_versions(true);
   for (const std::string& address : InstancesToAsk(state)) {
-    SendStreamExchange(state, address, exchange,
-                       [&state, address](const schema::StreamAnswer* answer) {
-                         if (answer != nullptr) {
-                           TakeVersions(state, address, *answer);
-                         }
-                       });
+    SendStreamExchange(
+        state, address, exchange,
+        [&state, address, now](const schema::StreamAnswer* answer) {
+          if (answer != nullptr) TakeVersions(state, address, *answer, now);
+        });
   }
 }
 
@@ -139,9 +159,13 @@
   return key;
 }
 
-// Applies the records that the store has. When their endpoints left the list is
-// not known: that may have been a moment ago.
-void TakeRecords(ControlState& state) {
+// Applies the records that the store had at `asked`. When their endpoints left
+// the list is not known: that may have been a moment ago.
+void TakeRecords(ControlState& state, Instant asked) {
+  if (!IsAskedWithinWatch(state, asked)) {
+    state.m_version_records.m_is_read = false;
+    return;
+  }
   const MirrorRecords& stored = state.m_version_records.m_stored;
   const Instant now = state.m_clock();
   for (const auto& [key, value] : stored) {
@@ -180,9 +204,11 @@
 }
 
 void SyncVersions(ControlState& state) {
-  NoteTick(state);
+  NoteConfirmations(state);
+  if (!state.m_streams.m_watched_from) return;
   SyncMirror(
-      state, state.m_version_records, [&state] { TakeRecords(state); },
+      state, state.m_version_records,
+      [&state, asked = state.m_clock()] { TakeRecords(state, asked); },
       [&state] { return RecordsOf(state); });
   AskForVersions(state);
 }
--- a/src/versionsync.h
+++ b/src/versionsync.h
@@ -15,7 +15,8 @@
 
 // Learns the versions of before from the store and from other instances, and
 // records those of now in the store if this instance reads it for its zone.
-// Call it with each tick.
+// What is known is forgotten if the list of endpoints was not confirmed for
+// long: versions may have come and gone. Call it with each tick.
 void SyncVersions(ControlState& state);
 
 // Whether all versions that were listed within kResumeWindow are known, up to a
--- a/tests/versionsync_test.cpp
+++ b/tests/versionsync_test.cpp
@@ -46,10 +46,10 @@
 
   // Version 2 is listed beside version 1 for so long that all instances that
   // reach the store have seen it and recorded it.
-  void ReleaseAndWithdraw() {
-    List("e2", "2");
+  void ReleaseAndWithdraw(const std::string& id) {
+    List(id, "2");
     m_fleet.Run(seconds(3));
-    m_fleet.RemoveEndpoint("e2");
+    m_fleet.RemoveEndpoint(id);
     m_fleet.Run(seconds(1));
   }
 
@@ -116,5 +116,70 @@
   CHECK(release.ClaimsAll(name));
 }
 
+// Guards against an instance that was cut off while a version came and went,
+// and takes the one that is listed for the only one afterwards (ORDER).
+TEST_CASE("an instance that was cut off learns the versions of before again") {
+  for (const auto& zones : {SmallDeployment(), GrownDeployment()}) {
+    ReleaseFleet release(zones);
+    const std::vector<std::string> names = release.m_fleet.Names();
+    for (const std::string& name : {names.front(), names.back()}) {
+      CAPTURE(name);
+      release.m_fleet.Run(kResumeWindow + seconds(2));
+      release.CutOff(name);
+      release.m_fleet.Run(seconds(4));
+      release.ReleaseAndWithdraw("endpoint-of-" + name);
+      release.Reconnect(name);
+      const Instant end = release.m_fleet.Time().Now() + kRecoveryTime;
+      while (release.m_fleet.Time().Now() < end) {
+        release.m_fleet.Run(milliseconds(50));
+        if (release.ClaimsAll(name)) CHECK(release.IsMixedAt(name));
+      }
+      CHECK(release.ClaimsAll(name));
+      CHECK(release.IsMixedAt(name));
+    }
+  }
+}
+
+// Guards against counting time without a confirmed list as time in which no
+// other version was listed (ORDER).
+TEST_CASE("time in which the list is not confirmed does not count as watched") {
+  ReleaseFleet release(SmallDeployment());
+  const std::string name = release.m_fleet.Names().back();
+  release.CutOff(name);
+  release.m_fleet.Run(kResumeWindow + seconds(10));
+  CHECK_FALSE(release.m_fleet.State(name).m_streams.m_has_all_versions);
+  release.Reconnect(name);
+  release.m_fleet.Run(kRecoveryTime);
+  CHECK(release.ClaimsAll(name));
+}
+
+// Guards against streams of unknown version that are refused for 30 s after an
+// outage of the store, because no instance can tell the others (LOST).
+TEST_CASE("a single version is known for one again after a store outage") {
+  for (const auto& zones : {SmallDeployment(), GrownDeployment()}) {
+    ReleaseFleet release(zones);
+    const std::vector<std::string> names = release.m_fleet.Names();
+    release.m_fleet.Store().Deny({names.begin(), names.end()},
+                                 StoreDenial::kSilent);
+    release.m_fleet.Run(seconds(8));
+    CHECK(release.CountClaims() == 0);
+    for (const std::string& name : names) {
+      CHECK_FALSE(release.m_fleet.State(name).m_streams.m_has_all_versions);
+    }
+    release.m_fleet.Store().ServeAll();
+    int passed_ms = 0;
+    const int all = static_cast<int>(names.size());
+    while (release.CountClaims() < all && passed_ms < 10'000) {
+      release.m_fleet.Run(milliseconds(50));
+      passed_ms += 50;
+    }
+    MESSAGE(all, " instances know all versions after ", passed_ms, " ms");
+    CHECK(passed_ms <= 2'000);
+    for (const std::string& name : names) {
+      CHECK_FALSE(release.IsMixedAt(name));
+    }
+  }
+}
+
 }  // namespace
 }  // namespace comfreypaddle::testing
