Make the application of the endpoint list a function of its own

Relay::SetEndpoints could only be called by the relay task, which owns sockets. A test in virtual time needs the same code over a RelayState: the body moves to SetEndpointList in relayendpoints, and Relay closes the idle connections that it names.

No functional change

--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -2,7 +2,6 @@
 
 #include <glog/logging.h>
 #include <sys/resource.h>
-#include <xxhash.h>
 
 #include <algorithm>
 #include <unordered_map>
@@ -15,6 +14,7 @@
 #include "eventlog.h"
 #include "platform/adapter.h"
 #include "relayattempt.h"
+#include "relayendpoints.h"
 #include "relaymetrics.h"
 #include "resumption.h"
 #include "settings.h"
@@ -39,17 +39,6 @@
 // Period of log lines about callers that are turned away.
 constexpr Duration kTurnedAwayLogPeriod = std::chrono::seconds(1);
 
-EngineStage StageOf(schema::EnginePhase phase) {
-  switch (phase) {
-    case schema::PHASE_PREFILL:
-      return EngineStage::kPrefill;
-    case schema::PHASE_DECODE:
-      return EngineStage::kDecode;
-    default:
-      return EngineStage::kNone;
-  }
-}
-
 // Bounds of the listener for readiness checks and of that for metrics, which
 // only the platform and operators use.
 constexpr RequestLimits kInternalLimits{.m_body_bytes = 64U << 10U};
@@ -328,34 +317,9 @@
 }
 
 void Relay::SetEndpoints(const schema::EndpointList& list) {
-  std::vector<BalanceEndpoint> endpoints;
-  endpoints.reserve(list.endpoints_size());
-  for (const schema::EndpointEntry& entry : list.endpoints()) {
-    BalanceEndpoint endpoint;
-    endpoint.m_id = entry.id();
-    endpoint.m_service = entry.service();
-    endpoint.m_address = entry.address();
-    endpoint.m_zone = entry.zone();
-    endpoint.m_region = RegionOf(entry.zone());
-    endpoint.m_stage = StageOf(entry.phase());
-    endpoint.m_slots = std::max<std::uint32_t>(entry.slots(), 1);
-    endpoint.m_draining = entry.draining();
-    endpoint.m_cheap = entry.cheap();
-    endpoint.m_cold = entry.cold_ms() > 0;
-    endpoint.m_born_ms = entry.born_ms();
-    endpoint.m_version = entry.version();
-    endpoint.m_hash = XXH64(entry.id().data(), entry.id().size(), 0);
-    endpoints.push_back(std::move(endpoint));
-  }
-  const std::vector<std::string> obsolete =
-      UpdateEndpoints(m_state.m_balance, std::move(endpoints), Now());
-  UpdateEndpointVersions(m_state);
-  ForgetEndpoints(
-      m_state.m_resends,
-      [this](const std::string& id) {
-        return FindEndpoint(m_state.m_balance, id) != nullptr;
-      },
-      Now());
+  const std::vector<std::string> obsolete = SetEndpointList(
+      m_state, list,
+      [this](const std::string& zone) { return RegionOf(zone); });
   for (const std::string& address : obsolete) {
     m_client->CloseIdleConnections(address);
   }
