Let endpoints of the tests restart in place with another version

Added: an endpoint names `born` in its report and, where the cluster starts it, in its store entry. It can crash and listen again; nothing of its former lifetime goes on. Its events can carry its version, and a stream can have another number of events. The cluster writes status reports once a test asks for them: one each 1.2 s, the first one a period after a restart, none while the store is down; three silent periods remove the entry. A caller can reset its connection.

Without these calls, the tests see no change but `born`.

No functional change

--- a/standins/common_endpoint.cpp
+++ b/standins/common_endpoint.cpp
@@ -37,6 +37,12 @@
   return target.rfind("/stream/", 0) == 0 || target.rfind("/again/", 0) == 0;
 }
 
+std::uint64_t UnixMs() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
 bool RanAt(const EndpointRun& run, Instant time) {
   return run.m_began <= time && (!run.m_ended || *run.m_ended > time);
 }
@@ -45,12 +51,33 @@
 
 FakeEndpoint::FakeEndpoint(SocketSet& sockets, std::string id,
                            std::uint16_t port)
-    : m_sockets(sockets),
-      m_id(std::move(id)),
-      m_port(port),
-      m_server(sockets,
-               ServerEvents([this](const HttpRequest& r) { Handle(r); },
-                            [this](std::uint64_t id) { EndRun(id); })) {}
+    : m_sockets(sockets), m_id(std::move(id)), m_port(port) {}
+
+std::error_code FakeEndpoint::Listen() {
+  m_server = std::make_unique<HttpServer>(
+      m_sockets, ServerEvents([this](const HttpRequest& r) { Handle(r); },
+                              [this](std::uint64_t id) { EndRun(id); }));
+  m_born_ms = UnixMs();
+  m_began = Now();
+  return m_server->Listen("127.0.0.1", m_port);
+}
+
+void FakeEndpoint::Crash() {
+  m_server.reset();
+  ++m_lifetime;
+  m_copied.clear();
+  m_run_of_request.clear();
+  for (std::size_t run = 0; run < m_runs.size(); ++run) {
+    if (!m_runs[run].m_ended) NoteEnd(run);
+  }
+}
+
+void FakeEndpoint::RunAfter(Duration time, std::function<void()> callback) {
+  m_sockets.Loop().StartTimer(
+      time, [this, lifetime = m_lifetime, callback = std::move(callback)] {
+        if (lifetime == m_lifetime) callback();
+      });
+}
 
 std::size_t FakeEndpoint::BeginRun(const HttpRequest& request) {
   const std::size_t run = m_runs.size();
@@ -73,7 +100,7 @@
 }
 
 void FakeEndpoint::EndRunLater(std::size_t run) {
-  m_sockets.Loop().StartTimer(kRunOnTime, [this, run] { NoteEnd(run); });
+  RunAfter(kRunOnTime, [this, run] { NoteEnd(run); });
 }
 
 void FakeEndpoint::Act(const HttpRequest& request, EndpointAct act) {
@@ -84,19 +111,19 @@
     return;
   }
   if (act == EndpointAct::kCloseUnread) {
-    m_server.Abort(id);
+    m_server->Abort(id);
     return;
   }
   const std::size_t run = BeginRun(request);
   if (act == EndpointAct::kRunOn || act == EndpointAct::kStall) {
     EndRunLater(run);
     if (act == EndpointAct::kRunOn || !IsStreamTarget(request.m_target)) return;
-    m_server.StartStream(id, 200,
-                         {attempt,
-                          {"Server-Stamp", "stamp-" + m_id},
-                          {"Content-Type", "text/event-stream"}});
+    m_server->StartStream(id, 200,
+                          {attempt,
+                           {"Server-Stamp", "stamp-" + m_id},
+                           {"Content-Type", "text/event-stream"}});
     for (int event = 1; event <= kEventsBeforeFault; ++event) {
-      m_server.Write(id, "id: " + std::to_string(event) + "\ndata: x\n\n");
+      WriteEvent(id, event);
     }
     return;
   }
@@ -106,15 +133,15 @@
       return;
     case EndpointAct::kLoseAnswer:
       EndRun(id);
-      m_server.Abort(id);
+      m_server->Abort(id);
       return;
     case EndpointAct::kFail:
       EndRun(id);
-      m_server.Respond(id, 500, {attempt, {"Server-Stamp", "stamp-" + m_id}},
-                       "failed");
+      m_server->Respond(id, 500, {attempt, {"Server-Stamp", "stamp-" + m_id}},
+                        "failed");
       return;
     case EndpointAct::kAnswerLate:
-      m_sockets.Loop().StartTimer(std::chrono::seconds(1), [this, request, id] {
+      RunAfter(std::chrono::seconds(1), [this, request, id] {
         if (m_run_of_request.count(id) > 0) Answer(request);
       });
       return;
@@ -124,23 +151,24 @@
   }
 }
 
-// Lists the runs of some time ago.
+// Lists the runs of some time ago, which it knows of its lifetime only.
 void FakeEndpoint::AnswerReport(const HttpRequest& request) {
   ++m_reports;
   const Instant as_of = Now() - kReportLag;
   std::string runs;
   int active = 0;
   for (const EndpointRun& run : m_runs) {
-    if (!RanAt(run, as_of)) continue;
+    if (run.m_began < m_began || !RanAt(run, as_of)) continue;
     ++active;
     if (!runs.empty()) runs += ",";
     runs += R"([")" + run.m_attempt + R"(",0,)" + std::to_string(run.m_events) +
             ",5]";
   }
-  m_server.Respond(request.m_id, 200, {{"Content-Type", "application/json"}},
-                   R"({"phase":"decode","busy":false,"sequence":1,"queued":0,)"
-                   R"("active":)" +
-                       std::to_string(active) + R"(,"runs":[)" + runs + "]}");
+  m_server->Respond(request.m_id, 200, {{"Content-Type", "application/json"}},
+                    R"({"phase":"decode","busy":false,"sequence":1,"queued":0,)"
+                    R"("active":)" +
+                        std::to_string(active) + R"(,"runs":[)" + runs +
+                        R"(],"born":)" + std::to_string(m_born_ms) + "}");
 }
 
 void FakeEndpoint::Handle(const HttpRequest& request) {
@@ -149,7 +177,7 @@
     return;
   }
   if (request.m_method == "DELETE") {
-    m_server.Respond(request.m_id, kOk, {}, "");
+    m_server->Respond(request.m_id, kOk, {}, "");
     return;
   }
   m_arrivals.push_back(
@@ -193,7 +221,7 @@
   response.m_fields.push_back({"Keep-Alive", "timeout=5"});
   const Response sent = WithCopy(request, response);
   if (m_copies) m_copied[request.m_connection] = std::move(response);
-  m_server.Respond(request.m_id, sent.m_status, sent.m_fields, sent.m_body);
+  m_server->Respond(request.m_id, sent.m_status, sent.m_fields, sent.m_body);
 }
 
 FakeEndpoint::Response FakeEndpoint::WithCopy(const HttpRequest& request,
@@ -230,33 +258,36 @@
     EndRun(request.m_id);
     const Response sent =
         WithCopy(request, {200, response_fields, "ran " + request.m_target});
-    m_server.Respond(request.m_id, sent.m_status, sent.m_fields, sent.m_body);
+    m_server->Respond(request.m_id, sent.m_status, sent.m_fields, sent.m_body);
     return;
   }
   response_fields.push_back({"Content-Type", "text/event-stream"});
   const Response sent = WithCopy(request, {200, response_fields, ""});
-  m_server.StartStream(request.m_id, sent.m_status, sent.m_fields);
+  m_server->StartStream(request.m_id, sent.m_status, sent.m_fields);
   const std::string after = FieldOf(request, "Last-Event-Id");
   SendEvent(request.m_id, after.empty() ? 1 : std::stoi(after) + 1);
 }
 
+void FakeEndpoint::WriteEvent(std::uint64_t id, int event) {
+  m_server->Write(
+      id, "id: " + std::to_string(event) + "\ndata: " + m_event_data + "\n\n");
+}
+
 void FakeEndpoint::SendEvent(std::uint64_t id, int event) {
-  constexpr int kEvents = 5;
-  if (event > kEvents) {
+  if (event > m_event_count) {
     EndRun(id);
-    m_server.FinishStream(id);
+    m_server->FinishStream(id);
     return;
   }
   if (m_break_after > 0 && event > m_break_after) {
     EndRun(id);
-    m_server.Abort(id);
+    m_server->Abort(id);
     return;
   }
-  m_server.Write(id, "id: " + std::to_string(event) + "\ndata: x\n\n");
+  WriteEvent(id, event);
   const auto run = m_run_of_request.find(id);
   if (run != m_run_of_request.end()) ++m_runs.at(run->second).m_events;
-  m_sockets.Loop().StartTimer(m_event_gap,
-                              [this, id, event] { SendEvent(id, event + 1); });
+  RunAfter(m_event_gap, [this, id, event] { SendEvent(id, event + 1); });
 }
 
 }  // namespace comfreypaddle::standins
--- a/standins/common_endpoint.h
+++ b/standins/common_endpoint.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -66,13 +67,30 @@
 };
 
 // Stand-in of an endpoint of the users' platform. A stream has five events,
-// sent 20 ms apart unless SetEventGap sets another gap.
+// sent 20 ms apart unless other numbers are set. Its process can end and start
+// again in place, under its id and port.
 class FakeEndpoint {
  public:
   FakeEndpoint(SocketSet& sockets, std::string id, std::uint16_t port);
 
-  // Opens the listening socket. Returns HttpError::kListenFailed on failure.
-  std::error_code Listen() { return m_server.Listen("127.0.0.1", m_port); }
+  // Opens the listening socket, which begins a lifetime of the endpoint.
+  // Returns HttpError::kListenFailed on failure.
+  std::error_code Listen();
+
+  // Ends the process: its connections and runs break off and nothing listens
+  // until Listen is called again. Not to be called by an observer.
+  void Crash();
+
+  bool IsRunning() const { return m_server != nullptr; }
+
+  // Start of the last lifetime, Unix time, which reports name.
+  std::uint64_t BornMs() const { return m_born_ms; }
+
+  // Changes it to what has been written to the store for this lifetime.
+  void SetBornMs(std::uint64_t born_ms) { m_born_ms = born_ms; }
+
+  // Software version, which is the data of each event from now on.
+  void SetVersion(const std::string& version) { m_event_data = version; }
 
   std::uint16_t Port() const { return m_port; }
   const std::string& Id() const { return m_id; }
@@ -92,6 +110,9 @@
   // Sets the time between the events of a stream.
   void SetEventGap(Duration gap) { m_event_gap = gap; }
 
+  // Sets the number of events of a stream.
+  void SetEventCount(int events) { m_event_count = events; }
+
   // While set, requests are received and not answered.
   void SetHanging(bool hanging) { m_hanging = hanging; }
 
@@ -144,7 +165,10 @@
   Response WithCopy(const HttpRequest& request, Response response);
   void Prefill(const HttpRequest& request);
   void AnswerReport(const HttpRequest& request);
+  void WriteEvent(std::uint64_t id, int event);
   void SendEvent(std::uint64_t id, int event);
+  // Calls back after this time unless the process has ended by then.
+  void RunAfter(Duration time, std::function<void()> callback);
   std::size_t BeginRun(const HttpRequest& request);
   void EndRun(std::uint64_t id);
   void EndRunLater(std::size_t run);
@@ -159,10 +183,15 @@
   std::vector<EndpointArrival> m_arrivals;
   std::vector<EndpointRun> m_runs;
   std::map<std::uint64_t, std::size_t> m_run_of_request;
-  HttpServer m_server;
+  std::unique_ptr<HttpServer> m_server;  // Unset while the process is down.
+  std::uint64_t m_born_ms = 0;
+  Instant m_began{};   // Begin of the lifetime.
+  int m_lifetime = 0;  // Number of lifetimes that have ended.
   std::vector<HttpRequest> m_requests;
   int m_break_after = 0;
   Duration m_event_gap = std::chrono::milliseconds(20);
+  int m_event_count = 5;
+  std::string m_event_data = "x";
   bool m_overloaded = false;
   std::string m_retry_after;
   int m_rejections = 0;
--- a/standins/fake_endpoint.cpp
+++ b/standins/fake_endpoint.cpp
@@ -19,6 +19,8 @@
               "what it does with requests, separated by commas; each request "
               "gets one of them at random");
 
+DEFINE_uint64(born, 0,
+              "start of the endpoint that its reports name, Unix ms; 0: now");
 DEFINE_bool(copies, false,
             "sends a copy of each refusal in front of the next response on its "
             "connection");
@@ -69,6 +71,7 @@
                << error.message();
     return 1;
   }
+  if (FLAGS_born > 0) endpoint.SetBornMs(FLAGS_born);
   const TerminationWatch termination(loop, [&loop] { loop.Stop(); });
   loop.Run();
   return 0;
--- a/tests/support_platform.cpp
+++ b/tests/support_platform.cpp
@@ -13,6 +13,9 @@
 
 namespace {
 
+// Interval between the checks for status reports that are due.
+constexpr Duration kStatusCheckPeriod = std::chrono::milliseconds(20);
+
 // Returns the value of a query parameter, or nullopt if it is missing.
 std::optional<std::string> FindParameter(const std::string& target,
                                          const std::string& name) {
@@ -47,6 +50,12 @@
   return events;
 }
 
+std::uint64_t UnixMs() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
 std::string FieldOf(const HttpRequest& request, const char* name) {
   const std::string* value = FindFieldIgnoreCase(request.m_headers, name);
   return value == nullptr ? "" : *value;
@@ -231,8 +240,72 @@
   const std::string id = "i-" + std::to_string(m_endpoints.size());
   m_endpoints.push_back(
       std::make_unique<FakeEndpoint>(m_sockets, id, FreePort()));
-  REQUIRE_FALSE(m_endpoints.back()->Listen());
-  RegisterEndpoint(id, service, PublicPort(m_endpoints.back()->Port()));
+  FakeEndpoint& endpoint = *m_endpoints.back();
+  REQUIRE_FALSE(endpoint.Listen());
+  StatusReports reports;
+  reports.m_entry = {.m_id = id,
+                     .m_service = service,
+                     .m_port = PublicPort(endpoint.Port()),
+                     .m_version = m_version,
+                     .m_slots = m_slots,
+                     .m_born_ms = endpoint.BornMs()};
+  WriteEntry(reports.m_entry);
+  m_status_reports.push_back(std::move(reports));
+}
+
+void PlatformCluster::StartStatusReports() {
+  const Instant now = Now();
+  for (StatusReports& reports : m_status_reports) {
+    reports.m_silent_since = now;
+    reports.m_next = now + kStatusReportPeriod;
+  }
+  m_status_timer =
+      std::make_unique<PeriodicTimer>(m_loop, kStatusCheckPeriod, [this] {
+        for (std::size_t i = 0; i < m_endpoints.size(); ++i) {
+          WriteDueReport(*m_endpoints[i], m_status_reports[i]);
+        }
+      });
+}
+
+void PlatformCluster::WriteDueReport(const FakeEndpoint& endpoint,
+                                     StatusReports& reports) {
+  const Instant now = Now();
+  const bool is_due = endpoint.IsRunning() && now >= reports.m_next;
+  if (is_due) reports.m_next = now + kStatusReportPeriod;
+  if (m_store.IsDown()) {
+    reports.m_silent_since = now;
+    return;
+  }
+  if (is_due) {
+    reports.m_silent_since = now;
+    reports.m_has_reported = true;
+    reports.m_is_listed = true;
+    ++reports.m_entry.m_sequence;
+    WriteEntry(reports.m_entry);
+  }
+  const Duration silence = now - reports.m_silent_since;
+  if (reports.m_is_listed &&
+      silence > kMaxSilentPeriods * kStatusReportPeriod) {
+    reports.m_is_listed = false;
+    RemoveEndpoint(reports.m_entry.m_id);
+  }
+}
+
+void PlatformCluster::CrashEndpoint(std::size_t index) {
+  m_endpoints.at(index)->Crash();
+}
+
+void PlatformCluster::RestartEndpoint(std::size_t index,
+                                      const std::string& version) {
+  FakeEndpoint& endpoint = *m_endpoints.at(index);
+  REQUIRE_FALSE(endpoint.Listen());
+  endpoint.SetVersion(version);
+  StatusReports& reports = m_status_reports.at(index);
+  reports.m_entry.m_version = version;
+  reports.m_entry.m_born_ms = endpoint.BornMs();
+  reports.m_entry.m_sequence = 0;
+  reports.m_next = Now() + kStatusReportPeriod;
+  reports.m_has_reported = false;
 }
 
 void PlatformCluster::AddEndpointProcess(const std::string& service,
@@ -241,14 +314,21 @@
   const std::size_t index = m_endpoint_processes.size();
   const std::string id = "p-" + std::to_string(index);
   const std::uint16_t port = FreePort();
+  const std::uint64_t born_ms = UnixMs();
   m_endpoint_processes.push_back(std::make_unique<Process>(
       "fake_endpoint",
       std::vector<std::string>{"--port", std::to_string(port), "--id", id,
-                               "--seed", std::to_string(seed + index), "--acts",
-                               acts, m_copies ? "--copies" : "--nocopies"},
+                               "--born", std::to_string(born_ms), "--seed",
+                               std::to_string(seed + index), "--acts", acts,
+                               m_copies ? "--copies" : "--nocopies"},
       EndpointLogPath(index)));
   m_endpoint_process_ports.push_back(PublicPort(port));
-  RegisterEndpoint(id, service, m_endpoint_process_ports.back());
+  WriteEntry({.m_id = id,
+              .m_service = service,
+              .m_port = m_endpoint_process_ports.back(),
+              .m_version = m_version,
+              .m_slots = m_slots,
+              .m_born_ms = born_ms});
 }
 
 EndpointHistory PlatformCluster::HistoryOf(std::size_t index) const {
@@ -280,14 +360,27 @@
                                        const std::string& service,
                                        std::uint16_t port,
                                        const std::string& phase) {
-  const std::string phase_field =
-      phase.empty() ? "" : R"("phase":")" + phase + R"(",)";
-  m_store.Put("keyed.servers", id,
-              "{" + phase_field + R"("service":")" + service +
-                  R"(","address":"127.0.0.1:)" + std::to_string(port) +
-                  R"(","zone":"z1","version":")" + m_version + R"(","slots":)" +
-                  std::to_string(m_slots) +
-                  R"(,"state":"ready","coldRemainingMs":0,"sequence":1})");
+  WriteEntry({.m_id = id,
+              .m_service = service,
+              .m_port = port,
+              .m_phase = phase,
+              .m_version = m_version,
+              .m_slots = m_slots});
+}
+
+void PlatformCluster::WriteEntry(const EndpointEntry& entry) {
+  const std::string phase =
+      entry.m_phase.empty() ? "" : R"("phase":")" + entry.m_phase + R"(",)";
+  const std::string born =
+      entry.m_born_ms == 0 ? ""
+                           : R"(,"born":)" + std::to_string(entry.m_born_ms);
+  m_store.Put("keyed.servers", entry.m_id,
+              "{" + phase + R"("service":")" + entry.m_service +
+                  R"(","address":"127.0.0.1:)" + std::to_string(entry.m_port) +
+                  R"(","zone":"z1","version":")" + entry.m_version +
+                  R"(","slots":)" + std::to_string(entry.m_slots) +
+                  R"(,"state":"ready","coldRemainingMs":0,"sequence":)" +
+                  std::to_string(entry.m_sequence) + born + "}");
 }
 
 void PlatformCluster::Configure(int version, const std::string& keys_json) {
@@ -394,7 +487,7 @@
     reply->m_error = result.m_error;
     reply->m_ended = true;
   };
-  m_client.Start(std::move(call), std::move(events));
+  m_last_call = m_client.Start(std::move(call), std::move(events));
   return reply;
 }
 
--- a/tests/support_platform.h
+++ b/tests/support_platform.h
@@ -38,6 +38,7 @@
 
   // While down, every call is rejected with 503.
   void SetDown(bool down) { m_down = down; }
+  bool IsDown() const { return m_down; }
 
  private:
   struct Topic {
@@ -108,12 +109,29 @@
 using standins::EndpointRun;
 using standins::FakeEndpoint;
 
+// What an endpoint writes to the store about itself.
+struct EndpointEntry {
+  std::string m_id;
+  std::string m_service;
+  std::uint16_t m_port = 0;
+  std::string m_phase;  // Left out if empty.
+  std::string m_version;
+  int m_slots = 0;
+  std::uint64_t m_sequence = 1;
+  std::uint64_t m_born_ms = 0;  // Unix time; left out if zero.
+};
+
 // What an endpoint that is a process of its own has recorded.
 struct EndpointHistory {
   std::vector<EndpointArrival> m_arrivals;
   std::vector<EndpointRun> m_runs;
 };
 
+// Period of the status reports of an endpoint, and number of periods of silence
+// after which its entry is removed.
+constexpr Duration kStatusReportPeriod = std::chrono::milliseconds(1200);
+constexpr int kMaxSilentPeriods = 3;
+
 // Entry instances that run against stand-ins of the platform.
 class PlatformCluster {
  public:
@@ -167,6 +185,24 @@
   }
   SocketSet& Sockets() { return m_sockets; }
 
+  // From now on each endpoint that AddEndpoint has started writes a status
+  // report to the store every kStatusReportPeriod, unless the store is down,
+  // and its entry is removed after kMaxSilentPeriods without one in which the
+  // store was up.
+  void StartStatusReports();
+
+  // Ends the process of an endpoint that AddEndpoint has started.
+  void CrashEndpoint(std::size_t index);
+
+  // Starts it again in place with this software version. It writes its first
+  // status report one period later.
+  void RestartEndpoint(std::size_t index, const std::string& version);
+
+  // Whether the store has a status report of the endpoint's last lifetime.
+  bool HasReported(std::size_t index) const {
+    return m_status_reports.at(index).m_has_reported;
+  }
+
   // Writes a configuration with the routes /safe/, /once/, /stream/ and
   // /again/ of the service "plain" and one workspace "w" with these keys, and
   // the route /prompt/, whose requests may be prefilled and run once.
@@ -209,6 +245,11 @@
     return "a" + std::to_string(m_next_attempt - 1);
   }
 
+  // The call that was started last, and the reset of its connection. Its reply
+  // stays as it is then.
+  HttpPort::CallId LastCall() const { return m_last_call; }
+  void ResetConnection(HttpPort::CallId call) { m_client.Cancel(call); }
+
   // Sends a request and waits for the end of the response.
   Reply Call(int entry, const std::string& method, const std::string& target,
              const std::string& key = "k1");
@@ -227,6 +268,19 @@
   }
 
  private:
+  // Status reports of an endpoint that AddEndpoint has started.
+  struct StatusReports {
+    EndpointEntry m_entry;
+    Instant m_next{};  // When the next one is due.
+    // Last report, or last moment at which the store was down.
+    Instant m_silent_since{};
+    bool m_has_reported = true;
+    bool m_is_listed = true;
+  };
+
+  void WriteEntry(const EndpointEntry& entry);
+  void WriteDueReport(const FakeEndpoint& endpoint, StatusReports& reports);
+
   // Port under which callers reach an endpoint, through a proxy if one is used.
   std::uint16_t PublicPort(std::uint16_t port);
 
@@ -244,6 +298,8 @@
   FakeStore m_store;
   FakeDuties m_duties;
   std::vector<std::unique_ptr<FakeEndpoint>> m_endpoints;
+  std::vector<StatusReports> m_status_reports;  // Of each of m_endpoints.
+  std::unique_ptr<PeriodicTimer> m_status_timer;
   std::vector<std::unique_ptr<Process>> m_endpoint_processes;
   std::vector<std::uint16_t> m_endpoint_process_ports;
   bool m_copies = false;
@@ -258,6 +314,7 @@
   std::map<int, std::unique_ptr<Process>> m_entries;
   HttpFields m_request_fields;
   int m_next_attempt = 1;
+  HttpPort::CallId m_last_call = 0;
 };
 
 }  // namespace comfreypaddle::testing
