Cut simulated instances together, and hand on what their control tasks post

Instances that are cut off together answer each other, which the fleet could not simulate: each was cut off from all. A partition number replaces the flag; one that is cut off stays so when it is restarted. A test may take the messages that a control task posts to its relay task, and run actions in a process as the fleet does: later while it is frozen, never after its end.

No functional change

--- a/tests/support_instances.cpp
+++ b/tests/support_instances.cpp
@@ -74,13 +74,15 @@
 // the suspects of crashes.
 class InstanceFleet::Inbox : public Port<schema::RelayMessage> {
  public:
-  explicit Inbox(Schedule& schedule) : m_schedule(schedule) {
-    m_relay.m_clock = [&schedule] { return schedule.Now(); };
+  Inbox(InstanceFleet& fleet, const VirtualInstance& self)
+      : m_fleet(fleet), m_self(self) {
+    m_relay.m_clock = [&fleet] { return fleet.m_schedule.Now(); };
   }
   void Post(schema::RelayMessage message) override {
     if (message.has_catalog()) {
-      m_versions[message.catalog().version()] = m_schedule.Now();
+      m_versions[message.catalog().version()] = m_fleet.m_schedule.Now();
     }
+    Forward(message);
     if (message.has_suspects()) MergeSuspects(m_relay, message.suspects());
     if (message.has_stream_version()) m_answer = message.stream_version();
   }
@@ -90,7 +92,10 @@
   std::map<std::uint64_t, Instant> m_versions;
 
  private:
-  Schedule& m_schedule;
+  void Forward(const schema::RelayMessage& message) const;
+
+  InstanceFleet& m_fleet;
+  const VirtualInstance& m_self;
 };
 
 // Duty interface that accepts everything and records the usage reports.
@@ -139,7 +144,7 @@
   SimulatedZone m_zone;
   bool m_dead = false;
   bool m_is_refusing = false;  // The process has ended, its machine has not.
-  bool m_cut_off = false;
+  int m_partition = 0;         // It reaches the instances of the same one only.
   bool m_frozen = false;
   std::vector<std::function<void()>> m_deferred;  // Until the thaw.
   Instant m_link_free{};  // When the link has sent all queued answers.
@@ -150,6 +155,11 @@
   ControlState m_state;
 };
 
+void InstanceFleet::Inbox::Forward(const schema::RelayMessage& message) const {
+  if (m_self.m_dead || !m_fleet.m_on_relay_message) return;
+  m_fleet.m_on_relay_message(m_self.m_name, message);
+}
+
 // Store of one instance, whose answers wait while the instance is frozen.
 class InstanceFleet::StorePort : public StreamPort {
  public:
@@ -238,7 +248,7 @@
   using End = std::function<void(const HttpResult&, const std::string&)>;
 
   bool IsCut(const VirtualInstance& other) const {
-    return m_self.m_cut_off || other.m_cut_off;
+    return m_self.m_partition != other.m_partition;
   }
 
   void Answer(VirtualInstance& other, const std::string& target,
@@ -307,7 +317,7 @@
           *this, fleet.Store().Connect(name))),
       m_duties(fleet),
       m_peers(std::make_unique<InstanceFleet::PeerPort>(fleet, *this)),
-      m_inbox(fleet.Time()) {
+      m_inbox(fleet, *this) {
   m_state.m_options.m_name = name;
   m_state.m_options.m_zone = zone.m_name;
   m_state.m_options.m_peers = name + ":1";
@@ -355,9 +365,11 @@
   VirtualInstance& old = *m_instances.at(name);
   old.m_dead = true;
   const SimulatedZone zone = old.m_zone;
+  const int partition = old.m_partition;
   const std::uint64_t incarnation = old.m_state.m_options.m_incarnation + 1;
   m_replaced.push_back(std::move(m_instances.at(name)));
   Start(name, zone, incarnation);
+  m_instances.at(name)->m_partition = partition;
 }
 
 void InstanceFleet::Freeze(const std::string& name) {
@@ -370,12 +382,23 @@
   for (const auto& action : std::exchange(instance.m_deferred, {})) action();
 }
 
-void InstanceFleet::Cut(const std::string& name) {
-  m_instances.at(name)->m_cut_off = true;
+void InstanceFleet::CutTogether(const std::vector<std::string>& names) {
+  ++m_partitions;
+  for (const std::string& name : names) {
+    m_instances.at(name)->m_partition = m_partitions;
+  }
 }
 
 void InstanceFleet::Heal(const std::string& name) {
-  m_instances.at(name)->m_cut_off = false;
+  m_instances.at(name)->m_partition = 0;
+}
+
+InstanceFleet::ProcessRunner InstanceFleet::ProcessOf(const std::string& name) {
+  return [process = m_instances.at(name).get()](std::function<void()> action) {
+    process->Run([process, action = std::move(action)] {
+      if (!process->m_dead) action();
+    });
+  };
 }
 
 void InstanceFleet::CrashEndpoint(const std::string& name,
--- a/tests/support_instances.h
+++ b/tests/support_instances.h
@@ -8,6 +8,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "controlstate.h"
@@ -82,10 +83,25 @@
   void Freeze(const std::string& name);
   void Thaw(const std::string& name);
 
-  // Cuts the instance off from all others: calls get no answer.
-  void Cut(const std::string& name);
+  // Cuts the instance off from all others: calls get no answer. CutTogether
+  // leaves the calls among these instances. A restart heals nothing.
+  void Cut(const std::string& name) { CutTogether({name}); }
+  void CutTogether(const std::vector<std::string>& names);
   void Heal(const std::string& name);
 
+  // Calls the handler with each message that the control task of a live
+  // instance posts to its relay task.
+  using RelayMessageHandler = std::function<void(
+      const std::string& name, const schema::RelayMessage& message)>;
+  void OnRelayMessage(RelayMessageHandler handler) {
+    m_on_relay_message = std::move(handler);
+  }
+
+  // Runs actions in the present process of the instance: at the thaw while it
+  // is frozen, and not at all once it has ended.
+  using ProcessRunner = std::function<void(std::function<void()> action)>;
+  ProcessRunner ProcessOf(const std::string& name);
+
   // Ends a run of the request, by fingerprint, at the instance: its endpoint
   // crashes, or answers.
   void CrashEndpoint(const std::string& name, std::uint64_t fingerprint,
@@ -147,7 +163,9 @@
   std::vector<std::unique_ptr<VirtualInstance>> m_replaced;
   std::map<std::string, VirtualInstance*> m_by_address;
   std::uint64_t m_peer_calls = 0;
-  int m_added = 0;  // Instances that were added to those of the start.
+  RelayMessageHandler m_on_relay_message;
+  int m_partitions = 0;  // That were ever made.
+  int m_added = 0;       // Instances that were added to those of the start.
   bool m_requests_run = false;
   std::map<std::uint64_t, std::uint64_t> m_counted;
   std::map<std::uint64_t, Report> m_reports;
