--- a/src/accept.cpp
+++ b/src/accept.cpp
@@ -11,6 +11,7 @@
 #include "eventlog.h"
 #include "finish.h"
 #include "hedgedcall.h"
+#include "lifetimecheck.h"
 #include "relayattempt.h"
 #include "resumption.h"
 
@@ -178,6 +179,8 @@
 void TickCalls(RelayState& state) {
   const Instant now = state.m_clock();
   ServeWaiting(state);
+  TickLifetimeChecks(state);
+  ResolveTakenUp(state);
   for (const std::uint64_t id : OpenCallIds(state)) {
     RelayCall* call = FindRelayCall(state, id);
     if (call == nullptr) continue;
@@ -187,6 +190,8 @@
       if (!IsWaiting(state.m_queue, id)) DispatchCall(state, *call);
     } else if (call->m_stage == CallStage::kProving) {
       CheckEndProof(state, *call);
+    } else if (call->m_attempt.m_is_held) {
+      if (now >= call->m_attempt.m_held_until) AbandonHeldAttempt(state, *call);
     } else {
       NoteSilence(state, *call);
       ConsiderHedge(state, *call);
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -538,7 +538,8 @@
 }
 
 bool HasVersion(const BalanceQuery& query, const BalanceEndpoint& endpoint) {
-  return !query.m_version || endpoint.m_version == *query.m_version;
+  if (!query.m_version) return true;
+  return !endpoint.m_is_outdated && endpoint.m_version == *query.m_version;
 }
 
 bool IsVersionGone(const BalanceState& state, const BalanceQuery& query) {
--- a/src/continuation.cpp
+++ b/src/continuation.cpp
@@ -3,9 +3,11 @@
 #include <algorithm>
 
 #include "attemptlimits.h"
+#include "endpointreport.h"
 #include "eventlog.h"
 #include "finish.h"
 #include "hedgedcall.h"
+#include "lifetimecheck.h"
 #include "relayattempt.h"
 
 namespace comfreypaddle {
@@ -20,12 +22,6 @@
 // Time between two questions to one endpoint.
 constexpr Duration kInquiryPeriod = std::chrono::milliseconds(250);
 
-// Time limit of a question, the time to connect included.
-constexpr Duration kInquiryTimeout = std::chrono::seconds(1);
-
-// Maximum size of a report, which names each request that runs.
-constexpr std::uint64_t kMaxReportBytes = 256U << 10U;
-
 EndReason ReasonOfNoRetry(const RelayCall& call) {
   return call.m_runs > 0 ? EndReason::kEndpointFailed : EndReason::kRejected;
 }
@@ -41,11 +37,30 @@
   return evidence;
 }
 
+// Whether a stream that has begun may go on at the version that it is bound to.
+bool IsVersionUsable(const RelayCall& call) {
+  return !call.m_query.m_version || call.m_is_version_proven;
+}
+
+// Ends a stream that has begun at an unproven version if its endpoint is gone:
+// nothing shows the version any more. Returns whether it did.
+bool EndIfUnprovable(RelayState& state, RelayCall& call) {
+  if (!call.m_attempt.m_is_gone) return false;
+  LogLine("stream_version_unknown")
+      .Add("request", call.m_metadata.m_attempt)
+      .Add("endpoint", call.m_attempt.m_endpoint)
+      .Add("version", call.m_attempt.m_version)
+      .Add("events", call.m_attempt.m_events);
+  FinishFailed(state, call, EndReason::kVersionUnknown);
+  return true;
+}
+
 // Sends the request elsewhere if its attempt is known to be over. Returns
 // whether it is; the call may then be deleted.
 bool ContinueIfOver(RelayState& state, RelayCall& call) {
   const EndProof proof = FindEndProof(EvidenceOf(call));
   if (proof == EndProof::kNone) return false;
+  if (!IsVersionUsable(call)) return EndIfUnprovable(state, call);
   const EndpointAttempt& attempt = call.m_attempt;
   ++state.m_counters.m_continued[proof];
   if (call.m_response_started) ++state.m_counters.m_resumed;
@@ -68,18 +83,9 @@
   return attempt.m_head_at;
 }
 
-// What an endpoint said in answer to a question.
-struct InquiryResult {
-  // Nothing listens, or another endpoint. A connection that is reset or not
-  // made in time proves nothing: the endpoint may lack room for it and work on.
-  bool m_is_gone = false;
-  std::optional<WorkReport> m_report;
-  ReportTimes m_times;
-};
-
 // Applies the answer to a request that waits for it.
 void ApplyInquiry(RelayState& state, RelayCall& call,
-                  const InquiryResult& result) {
+                  const EndpointReport& result) {
   EndpointAttempt& attempt = call.m_attempt;
   attempt.m_is_gone = result.m_is_gone;
   if (result.m_report && result.m_times.m_asked >= attempt.m_ended_at) {
@@ -90,27 +96,9 @@
 }
 
 void OnInquiryEnd(RelayState& state, const std::string& endpoint,
-                  const HttpResult& http, const std::string& body) {
-  constexpr int kOk = 200;
-  EndpointInquiry& inquiry = state.m_inquiries[endpoint];
-  inquiry.m_call = 0;
-  InquiryResult result;
-  result.m_times = {inquiry.m_asked, state.m_clock()};
-  result.m_is_gone =
-      http.m_error == HttpError::kConnectRefused ||
-      (!http.m_error && state.m_format->ParseResponseMetadata(http.m_status, {})
-                            .m_wrong_endpoint);
-  if (!http.m_error && http.m_status == kOk) {
-    result.m_report = state.m_format->ParseWorkReport(body);
-  }
-  LogLine("endpoint_report")
-      .Add("endpoint", endpoint)
-      .Add("status", http.m_status)
-      .Add("error", http.m_error ? http.m_error.message() : "none")
-      .Add("names_runs", result.m_report && result.m_report->m_runs ? 1 : 0)
-      .Add("queued", result.m_report ? result.m_report->m_queued : 0)
-      .Add("active", result.m_report ? result.m_report->m_active : 0)
-      .AddMs("after_ms", state.m_clock() - inquiry.m_asked);
+                  const EndpointReport& report) {
+  state.m_inquiries[endpoint].m_call = 0;
+  LearnLifetime(state, endpoint, report);
   std::vector<std::uint64_t> waiting;
   for (const auto& [id, call] : state.m_calls) {
     if (call->m_stage == CallStage::kProving &&
@@ -121,7 +109,7 @@
   std::sort(waiting.begin(), waiting.end());
   for (const std::uint64_t id : waiting) {
     RelayCall* call = FindRelayCall(state, id);
-    if (call != nullptr) ApplyInquiry(state, *call, result);
+    if (call != nullptr) ApplyInquiry(state, *call, report);
   }
 }
 
@@ -144,22 +132,11 @@
   if (was_asked_since && now - inquiry.m_asked < kInquiryPeriod) return;
   inquiry.m_asked = now;
   ++state.m_counters.m_reports_asked;
-  ReportQuestion question = state.m_format->AskForReport(attempt.m_endpoint);
-  HttpCall http;
-  http.m_url = "http://" + attempt.m_address + question.m_target;
-  http.m_headers = std::move(question.m_fields);
-  http.m_connect_timeout = state.m_options.m_connect_timeout;
-  http.m_timeout = kInquiryTimeout;
-  http.m_max_body_bytes = kMaxReportBytes;
-  http.m_force_new_connection = true;
-  const auto body = std::make_shared<std::string>();
-  HttpEvents events;
-  events.m_on_body = [body](std::string_view bytes) { body->append(bytes); };
-  events.m_on_end = [&state, endpoint = attempt.m_endpoint,
-                     body](const HttpResult& result) {
-    OnInquiryEnd(state, endpoint, result, *body);
-  };
-  inquiry.m_call = state.m_endpoints->Start(std::move(http), std::move(events));
+  inquiry.m_call = AskForReport(
+      state, attempt.m_endpoint, attempt.m_address, true,
+      [&state, endpoint = attempt.m_endpoint](const EndpointReport& report) {
+        OnInquiryEnd(state, endpoint, report);
+      });
 }
 
 // Adjusts what is counted of the request's attempts to how the last one ended.
--- a/src/endpointstate.cpp
+++ b/src/endpointstate.cpp
@@ -88,6 +88,7 @@
 // Copies what this instance has learnt of an endpoint to its new entry.
 void KeepLearntState(const BalanceEndpoint& known, BalanceEndpoint& entry) {
   entry.m_leaving = known.m_leaving;
+  entry.m_is_outdated = known.m_is_outdated;
   entry.m_running = known.m_running;
   entry.m_prefill_ms = known.m_prefill_ms;
   entry.m_remote_running = known.m_remote_running;
--- a/src/endpointstate.h
+++ b/src/endpointstate.h
@@ -45,7 +45,10 @@
   bool m_cheap = false;
   bool m_cold = false;
   std::uint64_t m_born_ms = 0;
-  std::string m_version;     // Of its software; empty if unknown.
+  std::string m_version;  // Of its software; empty if unknown.
+  // It has named a later lifetime than the listed one, so that m_version does
+  // not count.
+  bool m_is_outdated = false;
   std::uint64_t m_hash = 0;  // Hash of m_id, for rendezvous hashing.
   // Requests of this instance that run at the endpoint, and the estimated
   // prefill work, in milliseconds, of those that have not produced a token yet.
--- a/src/http.h
+++ b/src/http.h
@@ -162,6 +162,19 @@
 
   virtual CallId Start(HttpCall call, HttpEvents events) = 0;
 
+  // When the connection that carries the call was established; nothing if it is
+  // not, or if this is not known.
+  virtual std::optional<Instant> ConnectedAt(CallId id) const {
+    (void)id;
+    return std::nullopt;
+  }
+
+  // Whether a connection to the address, IP:PORT, is open.
+  virtual bool HasConnection(const std::string& address) const {
+    (void)address;
+    return true;
+  }
+
   // Cancels a call without further callbacks and closes its connection if the
   // response is incomplete. Unknown ids are ignored.
   virtual void Cancel(CallId id) = 0;
--- a/src/httpclient.cpp
+++ b/src/httpclient.cpp
@@ -151,6 +151,7 @@
   void OnConnected(Channel& /*channel*/) override {
     m_connected = true;
     m_last_input_time = Now();
+    m_connected_at = m_last_input_time;
   }
 
   void OnDrained(Channel& /*channel*/) override {}
@@ -275,6 +276,8 @@
     return {error, m_status, sent, m_number, m_calls};
   }
 
+  std::optional<Instant> ConnectedAt() const { return m_connected_at; }
+
   bool Sent() const { return m_request_written && m_channel->AnySent(); }
   const std::string& Address() const { return m_address; }
 
@@ -353,6 +356,7 @@
   HttpParser m_parser;
   int m_status = 0;
   bool m_connected = false;
+  std::optional<Instant> m_connected_at;
   bool m_request_written = false;
   bool m_head_received = false;
   bool m_skipping = false;
@@ -421,6 +425,22 @@
   Retire(std::move(connection));
 }
 
+std::optional<Instant> HttpClient::ConnectedAt(CallId id) const {
+  const auto found = m_active.find(id);
+  if (found == m_active.end()) return std::nullopt;
+  return found->second->ConnectedAt();
+}
+
+bool HttpClient::HasConnection(const std::string& address) const {
+  const auto idle = m_idle.find(address);
+  if (idle != m_idle.end() && !idle->second.empty()) return true;
+  return std::any_of(
+      m_active.begin(), m_active.end(), [&address](const auto& entry) {
+        const Connection& connection = *entry.second;
+        return connection.ConnectedAt() && connection.Address() == address;
+      });
+}
+
 void HttpClient::CloseIdleConnections(const std::string& address) {
   m_idle.erase(address);
 }
--- a/src/httpclient.h
+++ b/src/httpclient.h
@@ -34,6 +34,8 @@
 
   CallId Start(HttpCall call, HttpEvents events) override;
   void Cancel(CallId id) override;
+  std::optional<Instant> ConnectedAt(CallId id) const override;
+  bool HasConnection(const std::string& address) const override;
 
   // Closes the idle connections to an address, IP:PORT.
   void CloseIdleConnections(const std::string& address);
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -18,6 +18,7 @@
 #include "relaymetrics.h"
 #include "resumption.h"
 #include "settings.h"
+#include "streambinding.h"
 
 namespace comfreypaddle {
 
--- a/src/relayattempt.cpp
+++ b/src/relayattempt.cpp
@@ -12,8 +12,10 @@
 #include "finish.h"
 #include "freestring.h"
 #include "hedgedcall.h"
+#include "lifetimecheck.h"
 #include "responsememory.h"
 #include "resumption.h"
+#include "streambinding.h"
 
 namespace comfreypaddle {
 
@@ -75,6 +77,7 @@
   attempt.m_endpoint = endpoint.m_id;
   attempt.m_address = endpoint.m_address;
   attempt.m_born_ms = endpoint.m_born_ms;
+  attempt.m_judged_born_ms = endpoint.m_born_ms;
   attempt.m_version = endpoint.m_version;
   attempt.m_sent = state.m_clock();
   attempt.m_work_ms = work_ms;
@@ -198,6 +201,10 @@
 
 // Ends an attempt whose endpoint exceeds a size limit.
 void AbortOversized(RelayState& state, RelayCall& call) {
+  if (call.m_attempt.m_is_held) {
+    AbandonHeldAttempt(state, call);
+    return;
+  }
   CancelOther(state, call);
   state.m_endpoints->Cancel(call.m_attempt.m_call);
   OnRunEnd(state, call, {HttpError::kTooLarge, call.m_attempt.m_status, true});
@@ -239,7 +246,9 @@
     const bool was_at_start = IsAtStart(call);
     ++attempt.m_events;
     if (was_at_start && !IsAtStart(call)) OnAttemptSurvived(state, call);
-    if (!ForwardEvent(state, call, event)) {
+    if (attempt.m_is_held) {
+      attempt.m_held_events.push_back(event);
+    } else if (!ForwardEvent(state, call, event)) {
       FinishFailed(state, call, EndReason::kEndpointFailed);
       return;
     }
@@ -346,9 +355,8 @@
   OnAttemptEnded(state, call, end);
 }
 
-void OnRunEnd(RelayState& state, RelayCall& call, const HttpResult& result) {
-  ReleaseLoad(state, call.m_attempt);
-  RecordConnection(call.m_attempt, result);
+// Handles the end of a run whose events have all been forwarded.
+void CloseRun(RelayState& state, RelayCall& call, const HttpResult& result) {
   const EndpointAttempt& attempt = call.m_attempt;
   if (result.m_error || attempt.m_splitter.HasPartial()) {
     OnRunFailed(state, call, result);
@@ -361,6 +369,16 @@
   }
 }
 
+void OnRunEnd(RelayState& state, RelayCall& call, const HttpResult& result) {
+  ReleaseLoad(state, call.m_attempt);
+  RecordConnection(call.m_attempt, result);
+  if (call.m_attempt.m_is_held) {
+    call.m_attempt.m_held_end = result;
+  } else {
+    CloseRun(state, call, result);
+  }
+}
+
 // Handles the end of a run. The endpoint may have room for another request.
 void EndRunCall(RelayState& state, std::uint64_t key,
                 const HttpResult& result) {
@@ -371,6 +389,41 @@
 
 }  // namespace
 
+void ReleaseHeldAttempt(RelayState& state, RelayCall& call) {
+  EndpointAttempt& attempt = call.m_attempt;
+  attempt.m_is_held = false;
+  for (const RawSseEvent& event : std::exchange(attempt.m_held_events, {})) {
+    if (!ForwardEvent(state, call, event)) {
+      FinishFailed(state, call, EndReason::kEndpointFailed);
+      return;
+    }
+  }
+  if (attempt.m_held_end) CloseRun(state, call, *attempt.m_held_end);
+}
+
+void AbandonHeldAttempt(RelayState& state, RelayCall& call) {
+  EndpointAttempt& attempt = call.m_attempt;
+  CancelSend(state, attempt);
+  attempt.m_is_held = false;
+  attempt.m_held_events.clear();
+  const std::optional<HttpResult> end =
+      std::exchange(attempt.m_held_end, std::nullopt);
+  LogLine("stream_not_continued")
+      .Add("request", call.m_metadata.m_attempt)
+      .Add("endpoint", attempt.m_endpoint)
+      .Add("bound_to", call.m_query.m_version.value_or("any"))
+      .Add("version", attempt.m_version)
+      .Add("proof", ToName(attempt.m_proof))
+      .Add("events", attempt.m_events)
+      .Add("ended", end ? 1 : 0);
+  if (end && end->m_error) {
+    OnRunFailed(state, call, *end);
+  } else {
+    OnAttemptEnded(state, call,
+                   end ? AttemptEnd::kAnswered : AttemptEnd::kAborted);
+  }
+}
+
 HttpEvents RunEvents(RelayState& state, std::uint64_t key) {
   HttpEvents events;
   events.m_on_head = [&state, key](int status, const HttpFields& fields) {
@@ -404,6 +457,8 @@
   terms.m_fetch_address = fetch_address;
   if (call.m_response_started) terms.m_resume_after = call.m_last_event;
   HttpCall http = MakeEndpointCall(state, call, endpoint, std::move(terms));
+  // Asked first, so that the connection of the answer is the older one.
+  if (IsResumable(call)) CheckNewContact(state, endpoint);
   call.m_attempt.m_call =
       state.m_endpoints->Start(std::move(http), RunEvents(state, call.m_id));
 }
--- a/src/relayattempt.h
+++ b/src/relayattempt.h
@@ -33,6 +33,14 @@
 // Callbacks of the current attempt of the request with this id.
 HttpEvents RunEvents(RelayState& state, std::uint64_t key);
 
+// Forwards the events of an attempt that was held, and handles its end if that
+// has come. The call may be deleted.
+void ReleaseHeldAttempt(RelayState& state, RelayCall& call);
+
+// Ends an attempt that was held: its endpoint is not shown to have the version
+// of the stream. The call may be deleted.
+void AbandonHeldAttempt(RelayState& state, RelayCall& call);
+
 // Lets other requests avoid an endpoint that leaves the request unanswered for
 // long. The request itself goes on waiting: the response may still arrive, and
 // the endpoint may be at work on it.
--- a/src/relayendpoints.cpp
+++ b/src/relayendpoints.cpp
@@ -5,7 +5,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "resumption.h"
+#include "streambinding.h"
 
 namespace comfreypaddle {
 
--- a/src/relaymetrics.cpp
+++ b/src/relaymetrics.cpp
@@ -137,6 +137,12 @@
         found == counters.m_taken_up.end() ? 0 : found->second;
     taken_up[std::string(row.m_name)] = static_cast<double>(count);
   }
+  text->Counter("relay_lifetimes_asked_total",
+                "questions to endpoints for their lifetimes",
+                counters.m_lifetimes_asked);
+  text->Counter("relay_streams_unproven_total",
+                "streams whose endpoint's lifetime was not proven at once",
+                counters.m_streams_unproven);
   text->Counter("relay_streams_recorded_total",
                 "begun streams whose version other instances were told",
                 counters.m_streams_recorded);
--- a/src/relaystate.h
+++ b/src/relaystate.h
@@ -17,6 +17,7 @@
 #include "drain.h"
 #include "entryqueue.h"
 #include "hedge.h"
+#include "lifetime.h"
 #include "metrics.h"
 #include "resend.h"
 #include "runend.h"
@@ -113,9 +114,23 @@
   HttpPort::CallId m_call = 0;  // Zero if no call is active.
   std::string m_endpoint;
   std::string m_address;
-  std::uint64_t m_born_ms = 0;  // Start of the endpoint's lifetime, Unix time.
-  std::string m_version;        // Of the endpoint's software.
+  // Start of the endpoint's lifetime, Unix time: of the one that was listed
+  // when it was sent, and of the one that is taken to serve it.
+  std::uint64_t m_born_ms = 0;
+  std::uint64_t m_judged_born_ms = 0;
+  std::string m_version;  // Of the endpoint's software.
   Instant m_sent{};
+  // When its connection was established, or later; set with the first event of
+  // a stream that may be resumed.
+  Instant m_connected{};
+  // Whether the lifetime is known to be the one that serves it.
+  LifetimeProof m_proof = LifetimeProof::kUnproven;
+  // The stream goes on at this endpoint, whose version is not proven yet. Its
+  // events, and its end, wait for that.
+  bool m_is_held = false;
+  Instant m_held_until{};  // When the attempt is given up.
+  std::vector<RawSseEvent> m_held_events;
+  std::optional<HttpResult> m_held_end;
   bool m_is_prefill = false;
   bool m_is_hedge = false;   // Sent beside an attempt that was under way.
   bool m_is_silent = false;  // It has gone unanswered for long.
@@ -145,6 +160,13 @@
   bool m_is_usage_counted = false;  // By one of the two attempts.
 };
 
+// Record of a stream that is taken up, while its version is not known.
+struct TakenUpRecord {
+  BegunStream m_stream;
+  std::string m_source;  // Who has it.
+  Instant m_ends{};      // When the request is refused.
+};
+
 // A request whose response is not complete.
 struct RelayCall {
   std::uint64_t m_id = 0;  // Of the request at ResponsePort.
@@ -179,6 +201,9 @@
   bool m_is_retry_due = false;      // The next send is charged as a retry.
   bool m_is_retry = false;          // The last send was.
   bool m_response_started = false;  // The stream's head was sent.
+  // The version in m_query is known to be the one that began the stream.
+  bool m_is_version_proven = false;
+  std::optional<TakenUpRecord> m_record;      // In stage kResolving.
   std::optional<std::uint64_t> m_last_event;  // At the caller.
   std::uint32_t m_events = 0;
   Instant m_first_event{};
@@ -190,6 +215,17 @@
   Instant m_asked{};
 };
 
+// Question to an endpoint for its lifetime.
+struct LifetimeInquiry {
+  std::string m_address;        // Of the endpoint.
+  HttpPort::CallId m_call = 0;  // Zero if none is open.
+  Instant m_asked{};            // Of the one that is open, or of the last one.
+  std::optional<Instant> m_due;
+  int m_failures = 0;  // In a row.
+  // The last one failed on a kept connection, which shows nothing.
+  bool m_needs_new_connection = false;
+};
+
 struct RelayOptions {
   std::string m_instance;
   Duration m_connect_timeout = std::chrono::milliseconds(400);
@@ -209,6 +245,8 @@
   std::uint64_t m_pauses = 0;   // Rejections that asked for a pause.
   std::uint64_t m_failures = 0;
   std::uint64_t m_reports_asked = 0;
+  std::uint64_t m_lifetimes_asked = 0;
+  std::uint64_t m_streams_unproven = 0;           // When they began.
   std::map<EndProof, std::uint64_t> m_continued;  // Requests, by proof.
   std::map<EndReason, std::uint64_t> m_ends;
   std::uint64_t m_streams_recorded = 0;        // Told to other instances.
@@ -245,6 +283,8 @@
   ResendState m_resends;
   HedgeState m_hedges;
   std::map<std::string, EndpointInquiry> m_inquiries;  // By endpoint.
+  LifetimeTable m_lifetimes;
+  std::map<std::string, LifetimeInquiry> m_lifetime_inquiries;  // By endpoint.
   std::unordered_map<std::uint64_t, std::unique_ptr<RelayCall>> m_calls;
   EntryQueue m_queue;  // New requests that wait, if it is in use.
   std::map<UsageWindowKey, std::uint64_t> m_usage;  // Not handed over yet.
--- a/src/responsememory.cpp
+++ b/src/responsememory.cpp
@@ -20,7 +20,11 @@
 
 std::size_t HeldBytes(const RelayState& state, const RelayCall& call) {
   const auto& other = call.m_hedge.m_other;
-  return call.m_attempt.m_body.capacity() +
+  std::size_t held_events = 0;
+  for (const RawSseEvent& event : call.m_attempt.m_held_events) {
+    held_events += event.m_bytes.size();
+  }
+  return held_events + call.m_attempt.m_body.capacity() +
          call.m_attempt.m_splitter.PartialBytes() +
          (other ? other->m_body.capacity() : 0) + UnsentBytes(state, call);
 }
--- a/src/resumption.cpp
+++ b/src/resumption.cpp
@@ -1,60 +1,30 @@
 #include "resumption.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
-#include <set>
+#include <utility>
+#include <vector>
 
-#include "attemptlimits.h"
 #include "eventlog.h"
 #include "finish.h"
+#include "lifetimecheck.h"
 #include "relayattempt.h"
+#include "streambinding.h"
+#include "streamcodec.h"
 
 namespace comfreypaddle {
 
 namespace {
 
-// Time beyond its deadline for which a caller may still take a stream up: the
-// deadlines of its attempts are rounded.
-constexpr Duration kResumeSlack = std::chrono::seconds(1);
-
-// Largest difference between the clocks of this machine and an endpoint's.
-constexpr Duration kMaxClockDifference = std::chrono::seconds(2);
-
-std::uint64_t HashOf(const std::string& attempt) {
-  return XXH64(attempt.data(), attempt.size(), 0);
-}
-
-// Hash of the attempt that began the call's stream.
-std::uint64_t StreamOf(const RelayCall& call) {
-  const std::string& resumed = call.m_metadata.m_resumed_attempt;
-  return HashOf(resumed.empty() ? call.m_metadata.m_attempt : resumed);
-}
-
-bool IsResumable(const RelayCall& call) {
-  return IsStream(call) && call.m_route->resumable();
-}
-
-schema::StreamBegin ToMessage(std::uint64_t attempt, const BegunStream& stream,
-                              Instant now) {
-  schema::StreamBegin begin;
-  begin.set_attempt(attempt);
-  begin.set_service(stream.m_service);
-  begin.set_version(stream.m_version);
-  begin.set_ends_in_ms(ToMs(stream.m_ends - now));
-  begin.set_is_corrected(stream.m_is_corrected);
-  return begin;
-}
-
-// Tells other instances of streams.
-void Publish(const RelayState& state, const schema::StreamBeginList& begun) {
-  if (state.m_on_streams && begun.streams_size() > 0) state.m_on_streams(begun);
-}
+// Time after its arrival for which a request waits until the version of its
+// stream is known: others that have a record are asked, the endpoint that began
+// it names its lifetime, and the list of endpoints the version of that. Its
+// caller leaves after two seconds.
+constexpr Duration kMaxResolveTime = std::chrono::milliseconds(1500);
 
 void LogTakeUp(const RelayState& state, const RelayCall& call,
                TakeUpOutcome outcome, std::string_view source) {
-  LogLine("stream_taken_up")
-      .Add("request", call.m_metadata.m_attempt)
+  LogLine line("stream_taken_up");
+  line.Add("request", call.m_metadata.m_attempt)
       .Add("resumes", call.m_metadata.m_resumed_attempt)
       .Add("after_event", call.m_last_event
                               ? static_cast<std::int64_t>(*call.m_last_event)
@@ -64,99 +34,101 @@
       .Add("source", source)
       .Add("outcome", ToName(outcome))
       .AddMs("after_ms", state.m_clock() - call.m_arrived);
+  if (!call.m_record) return;
+  const BegunStream& stream = call.m_record->m_stream;
+  const LifetimeVerdict verdict = JudgeStream(state, stream);
+  line.Add("recorded_version", stream.m_version)
+      .Add("recorded_endpoint", stream.m_origin.m_endpoint)
+      .Add("recorded_born_ms",
+           static_cast<std::int64_t>(stream.m_origin.m_born_ms))
+      .Add("was_proven", stream.m_is_proven ? 1 : 0)
+      .Add("proof", ToName(verdict.m_proof))
+      .Add("born_ms", static_cast<std::int64_t>(verdict.m_born_ms));
 }
 
 void GoOn(RelayState& state, RelayCall& call, const std::string& version,
           std::string_view source) {
   call.m_query.m_version = version;
+  call.m_is_version_proven = true;
   const TakeUpOutcome outcome = IsVersionGone(state.m_balance, call.m_query)
                                     ? TakeUpOutcome::kVersionGone
                                     : TakeUpOutcome::kGoesOn;
   ++state.m_counters.m_taken_up[outcome];
   LogTakeUp(state, call, outcome, source);
+  call.m_record.reset();
+  // It may wait for an endpoint like a new request.
+  call.m_queue_deadline =
+      std::min(call.m_queue_deadline + (state.m_clock() - call.m_arrived),
+               call.m_deadline);
   DispatchCall(state, call);
 }
 
 // Refuses to guess: a stream that goes on at another version is corrupt, and a
 // caller that is refused can ask for a new one.
-void RefuseUnknown(RelayState& state, RelayCall& call) {
+void RefuseUnknown(RelayState& state, RelayCall& call,
+                   std::string_view source) {
   ++state.m_counters.m_taken_up[TakeUpOutcome::kVersionUnknown];
-  LogTakeUp(state, call, TakeUpOutcome::kVersionUnknown, "none");
+  LogTakeUp(state, call, TakeUpOutcome::kVersionUnknown, source);
   FinishFailed(state, call, EndReason::kVersionUnknown);
 }
 
-// Records the call's stream with the version that it is bound to, and tells
-// other instances, also while there is one version: this instance may be killed
-// before it sees a second one.
-void Record(RelayState& state, const RelayCall& call, bool is_corrected) {
-  if (call.m_metadata.m_attempt.empty()) return;
-  const Instant now = state.m_clock();
-  const Duration left = call.m_metadata.m_time_left.value_or(kResumeWindow);
-  const BegunStream stream{
-      call.m_service, *call.m_query.m_version,
-      call.m_arrived + std::min(left + kResumeSlack, kResumeWindow),
-      is_corrected};
-  const std::uint64_t attempt = StreamOf(call);
-  if (!AddStream(state.m_streams, attempt, stream, now)) {
-    LogLine("stream_table_full").Add("request", call.m_metadata.m_attempt);
+// Goes on with a request whose stream has a record, if what is known by now
+// proves its version. Returns whether the request waits on.
+bool Resolve(RelayState& state, RelayCall& call) {
+  const BegunStream& stream = call.m_record->m_stream;
+  const LifetimeVerdict verdict = JudgeStream(state, stream);
+  const bool is_settled =
+      verdict.m_proof == LifetimeProof::kEither || IsVersionKnown(verdict);
+  if (is_settled) {
+    GoOn(state, call, verdict.m_version, std::string(call.m_record->m_source));
+    return false;
   }
-  schema::StreamBeginList begun;
-  *begun.add_streams() = ToMessage(attempt, stream, now);
-  ++state.m_counters.m_streams_recorded;
-  Publish(state, begun);
-}
-
-// To which lifetime of its endpoint an attempt was sent.
-enum class SentTo {
-  kKnownLifetime,  // The one that was listed when it was sent.
-  kListedLifetime,
-  kEither,  // It was sent at about the begin of the listed lifetime.
-};
-
-// Finds out whether the attempt was sent to the listed lifetime of its
-// endpoint, which it takes for a former one because the list was old. A
-// connection that is open does not show this: it stays open if the machine lost
-// power.
-SentTo FindLifetime(const RelayState& state, const EndpointAttempt& attempt,
-                    const BalanceEndpoint& endpoint) {
-  if (endpoint.m_born_ms == attempt.m_born_ms) return SentTo::kKnownLifetime;
-  const Duration born =
-      std::chrono::milliseconds(static_cast<std::int64_t>(endpoint.m_born_ms));
-  const Duration sent =
-      attempt.m_sent.time_since_epoch() + state.m_unix_at_zero;
-  if (sent < born - kMaxClockDifference) return SentTo::kKnownLifetime;
-  return sent > born + kMaxClockDifference ? SentTo::kListedLifetime
-                                           : SentTo::kEither;
-}
-
-// Corrects the version of attempts that were sent to a new lifetime of their
-// endpoint, or may have been, and of the streams that they have begun.
-void CorrectVersions(RelayState& state) {
+  const bool may_come =
+      FindEndpoint(state.m_balance, stream.m_origin.m_endpoint) != nullptr &&
+      state.m_clock() < call.m_record->m_ends;
+  if (may_come) return true;
+  RefuseUnknown(state, call, std::string(call.m_record->m_source));
+  return false;
+}
+
+// Goes on with a request at the version of a record. Records of earlier
+// releases name no endpoint and count as they are.
+void ResolveRecord(RelayState& state, RelayCall& call,
+                   const BegunStream& stream, const std::string& source) {
+  if (stream.m_origin.m_endpoint.empty()) {
+    GoOn(state, call, stream.m_version, source);
+    return;
+  }
+  call.m_stage = CallStage::kResolving;
+  call.m_record =
+      TakenUpRecord{stream, source, call.m_arrived + kMaxResolveTime};
+  if (!Resolve(state, call) || stream.m_is_proven) return;
+  const std::string& endpoint = stream.m_origin.m_endpoint;
+  CheckLifetime(state, endpoint,
+                FindEndpoint(state.m_balance, endpoint)->m_address,
+                CheckUrgency::kNow);
+}
+
+// Whether an endpoint of the service has begun a lifetime that the list does
+// not show yet.
+bool HasOutdatedEndpoint(const RelayState& state, const std::string& service) {
+  const auto& endpoints = state.m_balance.m_endpoints;
+  return std::any_of(
+      endpoints.begin(), endpoints.end(), [&service](const auto& entry) {
+        return entry.second.m_service == service && entry.second.m_is_outdated;
+      });
+}
+
+// Ids of the requests that wait for the version of their record.
+std::vector<std::uint64_t> ResolvingCalls(const RelayState& state) {
+  std::vector<std::uint64_t> ids;
   for (const auto& [id, call] : state.m_calls) {
-    EndpointAttempt& attempt = call->m_attempt;
-    if (attempt.m_call == 0 || !IsResumable(*call)) continue;
-    const BalanceEndpoint* endpoint =
-        FindEndpoint(state.m_balance, attempt.m_endpoint);
-    if (endpoint == nullptr || endpoint->m_version == attempt.m_version) {
-      continue;
+    if (call->m_stage == CallStage::kResolving && call->m_record) {
+      ids.push_back(id);
     }
-    const SentTo sent_to = FindLifetime(state, attempt, *endpoint);
-    if (sent_to == SentTo::kKnownLifetime) continue;
-    const std::string version = sent_to == SentTo::kEither
-                                    ? std::string(kEitherVersion)
-                                    : endpoint->m_version;
-    LogLine("stream_version_corrected")
-        .Add("request", call->m_metadata.m_attempt)
-        .Add("endpoint", attempt.m_endpoint)
-        .Add("from", attempt.m_version)
-        .Add("to", version)
-        .Add("events", attempt.m_events);
-    attempt.m_born_ms = endpoint->m_born_ms;
-    attempt.m_version = version;
-    if (attempt.m_events == 0) continue;
-    call->m_query.m_version = version;
-    Record(state, *call, true);
   }
+  std::sort(ids.begin(), ids.end());
+  return ids;
 }
 
 }  // namespace
@@ -172,7 +144,7 @@
   const BegunStream* known =
       FindStream(state.m_streams, attempt, call.m_service, now);
   if (known != nullptr) {
-    GoOn(state, call, std::string(known->m_version), "this_instance");
+    ResolveRecord(state, call, BegunStream(*known), "this_instance");
     return;
   }
   call.m_stage = CallStage::kResolving;
@@ -188,52 +160,47 @@
 
 void OnStreamAnswer(RelayState& state, const schema::StreamAnswer& answer) {
   RelayCall* call = FindRelayCall(state, answer.request());
-  if (call == nullptr || call->m_stage != CallStage::kResolving) return;
+  if (call == nullptr || call->m_stage != CallStage::kResolving ||
+      call->m_record) {
+    return;
+  }
   if (answer.has_version()) {
-    GoOn(state, *call, answer.version(), answer.instance());
+    BegunStream stream = FromMessage(answer.record(), state.m_clock());
+    stream.m_version = answer.version();
+    ResolveRecord(state, *call, stream, answer.instance());
     return;
   }
   const bool is_mixed =
       answer.is_mixed() ||
-      IsMixed(state.m_versions, call->m_service, state.m_clock());
+      IsMixed(state.m_versions, call->m_service, state.m_clock()) ||
+      HasOutdatedEndpoint(state, call->m_service);
   if (is_mixed || !answer.has_only_version()) {
-    RefuseUnknown(state, *call);
+    RefuseUnknown(state, *call, "none");
     return;
   }
   GoOn(state, *call, answer.only_version(), "only_version");
 }
 
-void BindToVersion(RelayState& state, RelayCall& call) {
-  if (!IsResumable(call)) return;
-  if (!call.m_query.m_version) {
-    call.m_query.m_version = call.m_attempt.m_version;
+void ResolveTakenUp(RelayState& state) {
+  for (const std::uint64_t id : ResolvingCalls(state)) {
+    RelayCall* call = FindRelayCall(state, id);
+    if (call != nullptr) Resolve(state, *call);
   }
-  Record(state, call, false);
 }
 
-void UpdateEndpointVersions(RelayState& state) {
-  CorrectVersions(state);
-  const Instant now = state.m_clock();
-  std::set<ServiceVersion> listed;
-  for (const auto& [id, endpoint] : state.m_balance.m_endpoints) {
-    listed.emplace(endpoint.m_service, endpoint.m_version);
-  }
-  const std::vector<std::string> mixed =
-      UpdateVersions(state.m_versions, listed, now);
-  if (mixed.empty()) return;
-  schema::StreamBeginList begun;
-  for (const auto& [attempt, stream] : state.m_streams.m_streams) {
-    const bool is_due =
-        stream.m_ends > now &&
-        std::find(mixed.begin(), mixed.end(), stream.m_service) != mixed.end();
-    if (is_due) *begun.add_streams() = ToMessage(attempt, stream, now);
-  }
-  for (const std::string& service : mixed) {
-    LogLine("versions_mixed")
-        .Add("service", service)
-        .Add("streams", begun.streams_size());
+void RefuseTakenUp(RelayState& state, const std::string& endpoint,
+                   Instant asked) {
+  for (const std::uint64_t id : ResolvingCalls(state)) {
+    RelayCall* call = FindRelayCall(state, id);
+    if (call == nullptr) continue;
+    const BegunStream& stream = call->m_record->m_stream;
+    const bool is_for_it = stream.m_origin.m_endpoint == endpoint &&
+                           stream.m_origin.m_since <= asked &&
+                           !stream.m_is_proven;
+    if (is_for_it) {
+      RefuseUnknown(state, *call, std::string(call->m_record->m_source));
+    }
   }
-  Publish(state, begun);
 }
 
 }  // namespace comfreypaddle
--- a/src/resumption.h
+++ b/src/resumption.h
@@ -1,13 +1,14 @@
 #ifndef COMFREYPADDLE_RESUMPTION_H_
 #define COMFREYPADDLE_RESUMPTION_H_
 
+#include <string>
+
 #include "relaystate.h"
 
 namespace comfreypaddle {
 
-// Streams that their callers take up: the relay task's part. It records the
-// version at which each resumable stream begins, and finds out the version that
-// began a stream before it goes on (see streamversions.h).
+// Streams that their callers take up: the relay task's part. It finds out the
+// version that began a stream before the stream goes on (see streamversions.h).
 
 // Whether the caller takes up a stream of an earlier attempt.
 bool IsTakenUp(const RelayCall& call);
@@ -19,14 +20,14 @@
 // Goes on with the request that waits for this answer, or refuses it.
 void OnStreamAnswer(RelayState& state, const schema::StreamAnswer& answer);
 
-// Binds the stream to the version of the endpoint that has sent its first
-// event, and records it. Call it before the event is forwarded.
-void BindToVersion(RelayState& state, RelayCall& call);
+// Goes on with the requests whose streams have become known, and refuses those
+// that have waited for long enough. Call it with each tick.
+void ResolveTakenUp(RelayState& state);
 
-// Applies the versions of the endpoints that are listed now. Records of streams
-// that began while there was only one version go to the other instances once
-// more when a second one is listed: these may be others than before.
-void UpdateEndpointVersions(RelayState& state);
+// Refuses the requests whose streams depend on the lifetime of the endpoint,
+// which was asked for at this time and is not known.
+void RefuseTakenUp(RelayState& state, const std::string& endpoint,
+                   Instant asked);
 
 }  // namespace comfreypaddle
 
--- a/src/runend.h
+++ b/src/runend.h
@@ -81,6 +81,8 @@
   std::uint32_t m_active = 0;  // Requests that run.
   // Attempt ids of those that run; unset if the endpoint does not name them.
   std::optional<std::vector<std::string>> m_runs;
+  // Start of the lifetime that answers, Unix time; unset if it does not say.
+  std::optional<std::uint64_t> m_born_ms;
 };
 
 // Reports of an endpoint in which a request was absent.
--- a/src/storereader.cpp
+++ b/src/storereader.cpp
@@ -365,7 +365,8 @@
 }
 
 void ReadEndpointsNow(ControlState& state) {
-  if (state.m_store_lost) return;
+  // After a fault the store is asked as often as otherwise.
+  if (state.m_store_lost || state.m_directory.m_first_fault) return;
   state.m_endpoints_cursor.m_due = {};
   ReadKeyedStream(state, Stream::kEndpoints, state.m_endpoints_cursor,
                   Duration(0), state.m_options.m_poll_interval);
--- a/src/streamstore.cpp
+++ b/src/streamstore.cpp
@@ -6,6 +6,7 @@
 #include "eventlog.h"
 #include "storeera.h"
 #include "storereader.h"
+#include "streamcodec.h"
 #include "streamholders.h"
 
 namespace comfreypaddle {
@@ -88,11 +89,8 @@
   if (age_ms >= ToMs(kMaxRecordAge)) return;
   const Instant now = state.m_clock();
   for (const schema::StreamBegin& begin : stored.begun().streams()) {
-    const Duration left = std::min(FromMs(begin.ends_in_ms()), kResumeWindow);
-    AddStream(
-        state.m_streams.m_table, begin.attempt(),
-        {begin.service(), begin.version(), now + left, begin.is_corrected()},
-        now);
+    AddStream(state.m_streams.m_table, begin.attempt(), FromMessage(begin, now),
+              now);
   }
 }
 
--- a/src/streamsync.cpp
+++ b/src/streamsync.cpp
@@ -9,6 +9,7 @@
 #include "eventlog.h"
 #include "peersync.h"
 #include "storereader.h"
+#include "streamcodec.h"
 #include "streamholders.h"
 #include "streamstore.h"
 #include "versionsync.h"
@@ -19,10 +20,8 @@
 
 void Store(ControlState& state, const schema::StreamBegin& begin) {
   const Instant now = state.m_clock();
-  const Duration left = std::min(FromMs(begin.ends_in_ms()), kResumeWindow);
-  const BegunStream stream{begin.service(), begin.version(), now + left,
-                           begin.is_corrected()};
-  if (!AddStream(state.m_streams.m_table, begin.attempt(), stream, now)) {
+  if (!AddStream(state.m_streams.m_table, begin.attempt(),
+                 FromMessage(begin, now), now)) {
     LogLine("stream_table_full").Add("service", begin.service());
   }
 }
@@ -46,6 +45,7 @@
   if (known == nullptr) return answer;
   answer.set_version(known->m_version);
   answer.set_instance(state.m_options.m_name);
+  *answer.mutable_record() = ToMessage(question.attempt(), *known, now);
   return answer;
 }
 
@@ -80,6 +80,9 @@
     return;
   }
   text += answer->has_version() ? "/" + answer->version() : "/none";
+  if (answer->has_version() && !answer->record().is_proven()) {
+    text += "/unproven";
+  }
   if (answer->is_mixed()) text += "/mixed";
   if (!answer->has_all_versions()) text += "/versions_unknown";
   text += "/list_age_ms=" +
@@ -111,12 +114,32 @@
   state.m_relay->Post(std::move(message));
 }
 
-void AddAnswer(OpenQuestion& question, const schema::StreamAnswer& answer) {
+// Whether the answer is to be preferred to the other one: what has become known
+// of a stream may not have reached all that hold its record.
+bool IsBetter(const ControlState& state, const schema::StreamAnswer& answer,
+              const schema::StreamAnswer& other) {
+  if (!answer.has_version() || !other.has_version()) {
+    return answer.has_version();
+  }
+  const Instant now = state.m_clock();
+  return Certainty(FromMessage(answer.record(), now)) >
+         Certainty(FromMessage(other.record(), now));
+}
+
+// Whether no other answer can be better.
+bool IsFinal(const schema::StreamAnswer& answer) {
+  return answer.has_version() && answer.record().is_proven() &&
+         answer.version() != kUnlistedVersion;
+}
+
+void AddAnswer(const ControlState& state, OpenQuestion& question,
+               const schema::StreamAnswer& answer) {
   schema::StreamAnswer& all = question.m_answer;
   all.set_is_mixed(all.is_mixed() || answer.is_mixed());
-  if (!answer.has_version()) return;
+  if (!IsBetter(state, answer, all)) return;
   all.set_version(answer.version());
   all.set_instance(answer.instance());
+  *all.mutable_record() = answer.record();
 }
 
 // Adds what the store has to a question that no instance could answer.
@@ -125,7 +148,7 @@
   ReadStoredStreams(state, [&state, open] {
     const schema::StreamAnswer stored = LookUp(state, open->m_question);
     NoteAnswer(*open, "store", &stored);
-    AddAnswer(*open, stored);
+    AddAnswer(state, *open, stored);
     TellRelay(state, *open);
   });
 }
@@ -158,7 +181,8 @@
                       const std::shared_ptr<OpenQuestion>& open) {
   if (open->m_is_told || open->m_reads_store) return;
   const schema::StreamAnswer& answer = open->m_answer;
-  if (open->m_open > 0 && !answer.has_version()) return;
+  // Another instance may know that the stream has another version.
+  if (open->m_open > 0 && !IsFinal(answer)) return;
   const Duration waited = state.m_clock() - open->m_asked_at;
   const bool is_settled = answer.has_version() || answer.is_mixed() ||
                           InferVersion(state, *open) || waited >= kMaxListWait;
@@ -294,8 +318,8 @@
   const schema::StreamAnswer own = LookUp(state, question);
   open->m_answer.set_has_all_versions(own.has_all_versions());
   NoteAnswer(*open, "own", &own);
-  AddAnswer(*open, own);
-  if (!open->m_answer.has_version()) open->m_open = holders.m_others.size();
+  AddAnswer(state, *open, own);
+  if (!IsFinal(own)) open->m_open = holders.m_others.size();
   ContinueQuestion(state, open);
   if (open->m_open == 0) return;
   schema::StreamExchange exchange;
@@ -308,7 +332,7 @@
         [&state, open, address](const schema::StreamAnswer* answer) {
           --open->m_open;
           NoteAnswer(*open, address, answer);
-          if (answer != nullptr) AddAnswer(*open, *answer);
+          if (answer != nullptr) AddAnswer(state, *open, *answer);
           ContinueQuestion(state, open);
         });
   }
--- a/src/streamsync.h
+++ b/src/streamsync.h
@@ -14,8 +14,8 @@
 void SendBegunStreams(ControlState& state,
                       const schema::StreamBeginList& begun);
 
-// Sends records that wait for a tick, and goes on with questions that wait for a
-// list of endpoints. Call it with each tick.
+// Sends records that wait for a tick, and goes on with questions that wait for
+// a list of endpoints. Call it with each tick.
 void SyncStreams(ControlState& state);
 
 // Asks the instances that may hold the record of a stream, all at once, and
--- a/src/streamversions.cpp
+++ b/src/streamversions.cpp
@@ -33,6 +33,13 @@
 
 }  // namespace
 
+int Certainty(const BegunStream& stream) {
+  if (stream.m_is_proven) {
+    return stream.m_version == kUnlistedVersion ? 2 : kMostCertain;
+  }
+  return stream.m_is_corrected ? 1 : 0;
+}
+
 std::vector<std::string> UpdateVersions(VersionHistory& history,
                                         const std::set<ServiceVersion>& listed,
                                         Instant now) {
@@ -109,8 +116,11 @@
   const auto found = table.m_streams.find(attempt);
   if (found != table.m_streams.end()) {
     BegunStream& known = found->second;
-    known.m_ends = std::max(known.m_ends, stream.m_ends);
-    if (stream.m_is_corrected) known.m_version = stream.m_version;
+    const Instant ends = std::max(known.m_ends, stream.m_ends);
+    if (Certainty(stream) > 0 && Certainty(stream) >= Certainty(known)) {
+      known = stream;
+    }
+    known.m_ends = ends;
     return true;
   }
   if (table.m_streams.size() >= kMaxStreams) return false;
--- a/src/streamversions.h
+++ b/src/streamversions.h
@@ -24,11 +24,15 @@
 // Longest time after its begin in which a caller takes a stream up.
 inline constexpr Duration kResumeWindow = std::chrono::seconds(30);
 
-// Stands for the version of a stream that began at one of two lifetimes of an
-// endpoint with different versions. No endpoint has it, as names have no
-// spaces, so that the stream goes on nowhere.
+// Stands for the version of a stream that began at one of several lifetimes of
+// an endpoint, of which not all are known to have the same version. No endpoint
+// has it, as names have no spaces, so that the stream goes on nowhere.
 inline constexpr std::string_view kEitherVersion = "either version";
 
+// Stands for the version of a lifetime that the list of endpoints has not shown
+// yet. No endpoint has it either.
+inline constexpr std::string_view kUnlistedVersion = "unlisted version";
+
 // Versions of the endpoints of a service, and when they were listed last.
 struct VersionSpan {
   bool m_is_listed = false;
@@ -70,20 +74,44 @@
 std::optional<std::string> OnlyVersion(const VersionHistory& history,
                                        const std::string& service);
 
+// Where a stream began: the endpoint to which its request was sent, and the
+// lifetime of the endpoint that was listed then.
+struct StreamOrigin {
+  std::string m_endpoint;       // Empty in records of earlier releases.
+  std::uint64_t m_born_ms = 0;  // Start of the lifetime, Unix time.
+  // When the connection of the request was established. Known to the instance
+  // that sent it only.
+  std::optional<Instant> m_connected;
+  // A lifetime that lives then is not one before that of the stream: when the
+  // connection was established, or later.
+  Instant m_since{};
+};
+
 struct BegunStream {
   std::string m_service;
   std::string m_version;
   Instant m_ends{};             // When its caller no longer takes it up.
   bool m_is_corrected = false;  // Replaces an earlier record of the version.
+  // The lifetime of the origin is known to have begun the stream, or it is
+  // known that none can be named. Otherwise the endpoint may have begun another
+  // one.
+  bool m_is_proven = false;
+  StreamOrigin m_origin;
 };
 
+// How much is known of the version of a stream. A record does not replace one
+// that is more certain.
+int Certainty(const BegunStream& stream);
+inline constexpr int kMostCertain = 3;
+
 // Begun streams by the hash of the id of the attempt that began them.
 struct StreamTable {
   std::unordered_map<std::uint64_t, BegunStream> m_streams;
   Instant m_swept{};  // When expired streams were removed last.
 };
 
-// Records a stream. Returns false if the table is full.
+// Records a stream, or what has become known of it. Records may arrive in any
+// order. Returns false if the table is full.
 bool AddStream(StreamTable& table, std::uint64_t attempt,
                const BegunStream& stream, Instant now);
 
--- a/tests/resumption_test.cpp
+++ b/tests/resumption_test.cpp
@@ -2,19 +2,31 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "resumption.h"
 
+#include "lifetimecheck.h"
+#include "streambinding.h"
 #include "support_relay.h"
 
 namespace comfreypaddle::testing {
 namespace {
 
+using std::chrono::seconds;
 using trompeloeil::_;
 
-// e1 has version 1, e2 and e3 have version 2 unless all have version 1.
+// Start of the endpoints, and of a later lifetime, Unix time.
+constexpr std::uint64_t kBornMs = 1000;
+constexpr std::uint64_t kRebornMs = 5000;
+
+// e1 has version 1, e2 and e3 have version 2 unless all have version 1. Their
+// lifetimes were seen after the connections to them were established.
 struct VersionFixture : RelayFixture {
   explicit VersionFixture(bool is_mixed = true) {
     for (auto& [id, endpoint] : m_state.m_balance.m_endpoints) {
       endpoint.m_version = is_mixed && id != "e1" ? "2" : "1";
+      endpoint.m_born_ms = kBornMs;
+      NoteLifetime(m_state.m_lifetimes, id,
+                   {kBornMs, m_now - seconds(2), m_now - seconds(2)});
     }
+    m_endpoints.m_connected_at = m_now - seconds(3);
     m_state.m_on_streams = [this](const schema::StreamBeginList& begun) {
       m_begun.MergeFrom(begun);
     };
@@ -24,6 +36,28 @@
     UpdateEndpointVersions(m_state);
   }
 
+  // Requests go over connections from now on after which no endpoint has named
+  // its lifetime.
+  void Reconnect() { m_endpoints.m_connected_at = m_now - seconds(1); }
+
+  // The endpoint starts again in place.
+  void Restart(const std::string& id, const std::string& version,
+               std::uint64_t born_ms = kRebornMs) {
+    BalanceEndpoint& endpoint = m_state.m_balance.m_endpoints.at(id);
+    endpoint.m_born_ms = born_ms;
+    endpoint.m_version = version;
+    endpoint.m_is_outdated = false;
+    UpdateEndpointVersions(m_state);
+  }
+
+  // Answers questions for lifetimes, over a connection that is older than those
+  // of the requests since Reconnect if `is_older`.
+  void NameLifetime(std::uint64_t born_ms, bool is_older = false) {
+    m_endpoints.m_inquiry_connected_at =
+        m_now - (is_older ? seconds(2) : seconds(0));
+    m_endpoints.AnswerInquiries("0 0 born=" + std::to_string(born_ms));
+  }
+
   // Begins a stream at this endpoint.
   void Begin(std::uint64_t id, const std::string& endpoint) {
     for (auto& [name, other] : m_state.m_balance.m_endpoints) {
@@ -157,12 +191,11 @@
   VersionFixture f;
   ALLOW_CALL(f.m_callers, StartStream(1U, 200, _));
   ALLOW_CALL(f.m_callers, Write(1U, _));
+  f.Reconnect();
   f.Begin(1, "e1");
   REQUIRE(f.m_begun.streams_size() == 1);
-  BalanceEndpoint& restarted = f.m_state.m_balance.m_endpoints.at("e1");
-  restarted.m_born_ms = 5;
-  restarted.m_version = "2";
-  UpdateEndpointVersions(f.m_state);
+  f.Restart("e1", "2");
+  f.NameLifetime(kRebornMs, true);
   REQUIRE(f.m_begun.streams_size() == 2);
   CHECK(f.m_begun.streams(1).version() == "2");
   CHECK(f.m_begun.streams(1).is_corrected());
@@ -180,15 +213,16 @@
   ALLOW_CALL(f.m_callers, StartStream(1U, 200, _));
   ALLOW_CALL(f.m_callers, Write(1U, _));
   REQUIRE_CALL(f.m_callers, Abort(1U));
+  f.Reconnect();
   f.Begin(1, "e1");
   constexpr std::uint64_t kSentMs = 1'000'000;  // The fixture's time.
-  BalanceEndpoint& restarted = f.m_state.m_balance.m_endpoints.at("e1");
-  restarted.m_version = "2";
-  SUBCASE("sent after it") { restarted.m_born_ms = kSentMs - 500; }
-  SUBCASE("sent before it, by another clock") {
-    restarted.m_born_ms = kSentMs + 500;
-  }
-  UpdateEndpointVersions(f.m_state);
+  std::uint64_t reborn_ms = 0;
+  SUBCASE("sent after it") { reborn_ms = kSentMs - 500; }
+  SUBCASE("sent before it, by another clock") { reborn_ms = kSentMs + 500; }
+  // A lifetime between the two may have begun it.
+  SUBCASE("sent long before it") { reborn_ms = kSentMs + 9000; }
+  f.Restart("e1", "2", reborn_ms);
+  f.NameLifetime(reborn_ms);
   f.m_state.m_balance.m_endpoints.at("e3").m_version = "1";
   f.Crash(0);
   CHECK(f.m_endpoints.m_calls.size() == 1);
@@ -271,10 +305,7 @@
   REQUIRE(f.m_endpoints.To(0) == "e1");  // The prefill.
   const std::string planned =
       f.m_state.m_calls.begin()->second->m_planned_decode;
-  BalanceEndpoint& restarted = endpoints.at(planned);
-  restarted.m_born_ms = 5;
-  restarted.m_version = "2";
-  UpdateEndpointVersions(f.m_state);
+  f.Restart(planned, "2");
   f.Answer(0, 200, {}, "handle");
   REQUIRE(f.m_endpoints.m_calls.size() == 2);
   CHECK(f.m_endpoints.To(1) != planned);
@@ -328,16 +359,18 @@
   ALLOW_CALL(f.m_callers, Write(1U, _));
   f.m_state.m_balance.m_endpoints.at("e2").m_draining = true;
   f.m_state.m_balance.m_endpoints.at("e3").m_draining = true;
+  f.Reconnect();
   f.Ask(1, "/again/x");
   REQUIRE(f.m_endpoints.To(0) == "e1");
-  BalanceEndpoint& restarted = f.m_state.m_balance.m_endpoints.at("e1");
-  restarted.m_born_ms = 5;
-  restarted.m_version = "2";
-  UpdateEndpointVersions(f.m_state);
+  f.Restart("e1", "2");
   f.m_endpoints.m_events.at(0).m_on_head(200, {{"stream", "1"}});
   f.m_endpoints.m_events.at(0).m_on_body("id: 1\ndata: a\n\n");
   REQUIRE(f.m_begun.streams_size() == 1);
-  CHECK(f.m_begun.streams(0).version() == "2");
+  CHECK_FALSE(f.m_begun.streams(0).is_proven());
+  f.NameLifetime(kRebornMs, true);
+  REQUIRE(f.m_begun.streams_size() == 2);
+  CHECK(f.m_begun.streams(1).version() == "2");
+  CHECK(f.m_begun.streams(1).is_proven());
 }
 
 // Guards against a stream whose events came from the former lifetime of an
@@ -351,11 +384,8 @@
   ALLOW_CALL(f.m_callers, Write(1U, _));
   ALLOW_CALL(f.m_callers, Abort(1U));
   f.Begin(1, "e1");
-  BalanceEndpoint& restarted = f.m_state.m_balance.m_endpoints.at("e1");
   // Long after the attempt and its events.
-  restarted.m_born_ms = 4'000'000'000'000;
-  restarted.m_version = "2";
-  UpdateEndpointVersions(f.m_state);
+  f.Restart("e1", "2", 4'000'000'000'000);
   for (const schema::StreamBegin& begin : f.m_begun.streams()) {
     CHECK(begin.version() == "1");
   }
@@ -365,5 +395,133 @@
   CHECK(f.m_endpoints.To(1) == "e2");
 }
 
+// Guards against a stream that goes on at the listed version although its
+// endpoint had restarted in place with another one, and has ended before the
+// list showed that (ORDER, review/12).
+TEST_CASE("a stream of an unproven lifetime goes on only once that is proven") {
+  VersionFixture f(false);
+  ALLOW_CALL(f.m_callers, StartStream(1U, 200, _));
+  ALLOW_CALL(f.m_callers, Write(1U, _));
+  f.Reconnect();
+  f.Begin(1, "e1");
+  CHECK_FALSE(f.m_begun.streams(0).is_proven());
+  SUBCASE("the endpoint is gone") {
+    REQUIRE_CALL(f.m_callers, Abort(1U));
+    f.Crash(0);
+    CHECK(f.m_endpoints.m_calls.size() == 1);
+    CHECK(f.Ended(EndReason::kVersionUnknown) == 1);
+  }
+  SUBCASE("it has named the listed lifetime before") {
+    f.NameLifetime(kBornMs);
+    CHECK(f.m_begun.streams(f.m_begun.streams_size() - 1).is_proven());
+    f.Crash(0);
+    CHECK(f.m_endpoints.m_calls.size() == 2);
+  }
+}
+
+// Guards against a stream that is taken up at the version of a list entry that
+// was older than the process that began the stream (ORDER, review/12).
+TEST_CASE("a record counts only for the lifetime that began the stream") {
+  VersionFixture f(false);
+  ALLOW_CALL(f.m_callers, StartStream(1U, 200, _));
+  ALLOW_CALL(f.m_callers, Write(1U, _));
+  f.Reconnect();
+  f.Begin(1, "e1");
+  OnCallerDisconnected(f.m_state, 1);
+  f.TakeUp(2, "t1");
+  CHECK(f.m_endpoints.m_calls.size() == 1);
+  const auto expire = [&f] {
+    f.m_now += seconds(2);
+    TickCalls(f.m_state);
+  };
+  SUBCASE("it is the listed one") {
+    f.NameLifetime(kBornMs);
+    CHECK(f.m_endpoints.m_calls.size() == 2);
+  }
+  SUBCASE("it is a later one, of the same version") {
+    f.NameLifetime(kRebornMs, true);
+    CHECK(f.m_endpoints.m_calls.size() == 1);
+    f.Restart("e1", "1");
+    CHECK(f.m_endpoints.m_calls.size() == 2);
+  }
+  SUBCASE("refused") {
+    REQUIRE_CALL(f.m_callers, Respond(2U, 503, _, _));
+    SUBCASE("it is a later one that is not listed") {
+      f.NameLifetime(kRebornMs, true);
+      expire();
+    }
+    SUBCASE("it is a later one, and the stream may be older") {
+      f.Restart("e1", "1");
+      f.NameLifetime(kRebornMs);
+    }
+    SUBCASE("the endpoint is gone") { f.m_endpoints.RefuseInquiries(); }
+    SUBCASE("the endpoint does not answer") {
+      f.m_endpoints.RefuseInquiries(HttpError::kTimeout);
+      expire();
+    }
+    CHECK(f.m_endpoints.m_calls.size() == 1);
+    CHECK(f.Ended(EndReason::kVersionUnknown) +
+              f.Ended(EndReason::kVersionGone) ==
+          1);
+  }
+}
+
+// Guards against records that keep the version of a former lifetime because the
+// request had ended here when the list showed the later one (ORDER): its caller
+// is the one that takes the stream up.
+TEST_CASE("the record of a request that has ended is corrected") {
+  VersionFixture f(false);
+  ALLOW_CALL(f.m_callers, StartStream(1U, 200, _));
+  ALLOW_CALL(f.m_callers, Write(1U, _));
+  f.Reconnect();
+  f.Begin(1, "e1");
+  OnCallerDisconnected(f.m_state, 1);
+  f.NameLifetime(kRebornMs, true);
+  f.Restart("e1", "2");
+  const auto& last = f.m_begun.streams(f.m_begun.streams_size() - 1);
+  CHECK(last.version() == "2");
+  CHECK(last.is_proven());
+}
+
+// Guards against a stream that goes on at an endpoint that has restarted in
+// place with another version than the listed one (ORDER).
+TEST_CASE("a stream that goes on waits for the lifetime of its endpoint") {
+  VersionFixture f(false);
+  f.Reconnect();
+  f.TakeUp(1, "begun-elsewhere");
+  schema::StreamAnswer answer = f.AnswerTo(0);
+  answer.set_version("1");
+  OnStreamAnswer(f.m_state, answer);
+  REQUIRE(f.m_endpoints.m_calls.size() == 1);
+  const std::string first = f.m_endpoints.To(0);
+  f.m_endpoints.m_events.at(0).m_on_head(200, {{"stream", "1"}});
+  f.m_endpoints.m_events.at(0).m_on_body("id: 4\ndata: a\n\n");
+  SUBCASE("it is the listed one") {
+    REQUIRE_CALL(f.m_callers, StartStream(1U, 200, _));
+    REQUIRE_CALL(f.m_callers, Write(1U, "id: 4\ndata: a\n\n"));
+    REQUIRE_CALL(f.m_callers, FinishStream(1U));
+    SUBCASE("the run goes on") {
+      f.NameLifetime(kBornMs);
+      f.m_endpoints.m_events.at(0).m_on_end({HttpError::kOk, 200, true});
+    }
+    SUBCASE("the run has ended") {
+      f.m_endpoints.m_events.at(0).m_on_end({HttpError::kOk, 200, true});
+      f.NameLifetime(kBornMs);
+    }
+  }
+  SUBCASE("it is a later one: the stream goes on elsewhere") {
+    f.NameLifetime(kRebornMs);
+    CHECK(f.m_endpoints.m_cancelled.size() == 1);
+    // The run is not among those that it reports.
+    for (int i = 0; i < 5; ++i) {
+      f.m_now += std::chrono::milliseconds(300);
+      TickCalls(f.m_state);
+      f.NameLifetime(kRebornMs);
+    }
+    REQUIRE(f.m_endpoints.m_calls.size() == 2);
+    CHECK(f.m_endpoints.To(1) != first);
+  }
+}
+
 }  // namespace
 }  // namespace comfreypaddle::testing
--- a/tests/streamsync_test.cpp
+++ b/tests/streamsync_test.cpp
@@ -243,9 +243,8 @@
 // the store turns away, although others tell it of their lists (LOST).
 TEST_CASE("the list of another instance shows the version") {
   InstanceFleet fleet(SmallDeployment(), 1);
+  fleet.WriteEndpoint("e1", 1, false);
   fleet.Run(kStartupTime);
-  ListVersions(fleet, {{"s", "1"}});
-  fleet.Run(seconds(2));
   const std::string name = fleet.Names().front();
   fleet.Store().Deny({name}, StoreDenial::kRefuses);
   fleet.Run(seconds(5));
--- a/tests/support_relay.h
+++ b/tests/support_relay.h
@@ -89,7 +89,8 @@
   ReportQuestion AskForReport(std::string_view endpoint) const override {
     return {"/report", {{"to", std::string(endpoint)}}};
   }
-  // QUEUED ACTIVE [ATTEMPT...], or "unnamed" in place of the attempts.
+  // QUEUED ACTIVE [ATTEMPT...], or "unnamed" in place of the attempts. One of
+  // them may be born=UNIX_MS.
   std::optional<WorkReport> ParseWorkReport(
       std::string_view body) const override {
     std::istringstream text{std::string(body)};
@@ -97,7 +98,12 @@
     if (!(text >> report.m_queued >> report.m_active)) return std::nullopt;
     report.m_runs.emplace();
     for (std::string attempt; text >> attempt;) {
-      report.m_runs->push_back(attempt);
+      constexpr std::string_view kBorn = "born=";
+      if (attempt.rfind(kBorn, 0) == 0) {
+        report.m_born_ms = std::stoull(attempt.substr(kBorn.size()));
+      } else {
+        report.m_runs->push_back(attempt);
+      }
     }
     if (body.find("unnamed") != std::string_view::npos) report.m_runs.reset();
     return report;
@@ -120,8 +126,9 @@
 // Endpoints whose responses the test triggers.
 class ScriptedEndpoints : public HttpPort {
  public:
+  static constexpr CallId kFirstInquiry = 1'000'000;
+
   CallId Start(HttpCall call, HttpEvents events) override {
-    constexpr CallId kFirstInquiry = 1'000'000;
     if (call.m_url.find("/report") != std::string::npos) {
       m_inquiries.push_back(std::move(events));
       return kFirstInquiry + m_inquiries.size();
@@ -131,10 +138,14 @@
     return m_calls.size();
   }
   void Cancel(CallId id) override { m_cancelled.push_back(id); }
+  std::optional<Instant> ConnectedAt(CallId id) const override {
+    return id > kFirstInquiry ? m_inquiry_connected_at : m_connected_at;
+  }
 
   // Answers the questions about work that are open.
   void AnswerInquiries(const std::string& report) {
     for (const HttpEvents& events : std::exchange(m_inquiries, {})) {
+      if (events.m_on_head) events.m_on_head(200, {});
       events.m_on_body(report);
       events.m_on_end({HttpError::kOk, 200, true});
     }
@@ -156,6 +167,9 @@
   std::vector<HttpEvents> m_events;
   std::vector<CallId> m_cancelled;
   std::vector<HttpEvents> m_inquiries;  // Open questions about work.
+  // Of all connections but those of questions about work.
+  std::optional<Instant> m_connected_at;
+  std::optional<Instant> m_inquiry_connected_at;  // Of those.
 };
 
 // Relay state of one instance with fake callers, endpoints and clock. Each
