Keep what a restarted endpoint says before the list shows its restart

What callers would see: nothing at once; an endpoint that has restarted under its id gets requests within the pause that it asked for (BUDGET), or a burst beyond the limit that it named (LIMIT).

Cause: until the list shows the new start time (a status report and a read later, or after an outage of the store), the responses of the new lifetime are credited to the listed one. When the list showed it, all that was learnt was dropped as of the former lifetime, the pause and the limit of the new one too.

Evidence: the new case of endpointstate_test failed without the change, with the entry changed in place and with one that vanished for a second (the endpoint was selected 4 s into a pause of 5 s, and was not limited).

Change: a pause or limit that was named after the new start time, less 2 s for the difference of the clocks, is kept if the address is the same. A statement that is wrongly kept ends with the pause, or with the next response without a limit. Not kept is "leaving": it would be wrong for the whole new lifetime after an upgrade in place.

Measured: endpointstate_test, endpointlimit_test, limitcall_test, leaving_test and balance_test pass.

--- a/src/endpointstate.cpp
+++ b/src/endpointstate.cpp
@@ -31,6 +31,9 @@
 // out for good.
 constexpr Duration kMaxRequestedPause = std::chrono::seconds(60);
 
+// Largest difference between the clocks of this machine and an endpoint's.
+constexpr Duration kMaxClockDifference = std::chrono::seconds(2);
+
 // How long the state of an endpoint that vanished from the list is kept.
 constexpr Duration kVanishedRetention = std::chrono::minutes(10);
 
@@ -98,6 +101,7 @@
   entry.m_wait_sampled_at = known.m_wait_sampled_at;
   entry.m_last_response_at = known.m_last_response_at;
   entry.m_full_until = known.m_full_until;
+  entry.m_full_at = known.m_full_at;
   entry.m_avoid_until = known.m_avoid_until;
   entry.m_limit = known.m_limit;
   entry.m_memory = known.m_memory;
@@ -105,17 +109,44 @@
   entry.m_failure_rate = known.m_failure_rate;
 }
 
+// Whether what was said at this time is of a former lifetime of the entry's
+// endpoint.
+bool IsOfFormerLifetime(const BalanceEndpoint& entry, Instant said) {
+  return said + kMaxClockDifference < entry.m_born_at;
+}
+
+// Copies the pause and the limit that a restarted endpoint named while the list
+// still showed its former lifetime.
+void KeepEarlyStatements(const BalanceEndpoint& former,
+                         BalanceEndpoint& entry) {
+  if (former.m_address != entry.m_address || entry.m_born_at == Instant{} ||
+      former.m_born_ms > entry.m_born_ms) {
+    return;
+  }
+  if (!IsOfFormerLifetime(entry, former.m_full_at)) {
+    entry.m_full_at = former.m_full_at;
+    entry.m_full_until = former.m_full_until;
+  }
+  const std::optional<LimitStatement>& limit = former.m_limit.m_statement;
+  if (limit && !IsOfFormerLifetime(entry, limit->m_said_at)) {
+    entry.m_limit = former.m_limit;
+  }
+}
+
 // Restores what an endpoint that was missing from the list had said.
 void RestoreVanished(BalanceState& state, BalanceEndpoint& entry, Instant now) {
   const auto found = state.m_vanished.find(entry.m_id);
   if (found == state.m_vanished.end()) return;
-  const VanishedEndpoint& vanished = found->second;
-  if (IsSameLifetime(entry, vanished.m_born_ms, vanished.m_address)) {
-    entry.m_leaving = vanished.m_leaving;
-    entry.m_full_until = vanished.m_full_until;
-    entry.m_limit = vanished.m_limit;
-    SelectHolders(entry.m_limit, entry.m_hash, state.m_limit_peers, now);
+  const BalanceEndpoint& last = found->second.m_last;
+  if (IsSameLifetime(entry, last.m_born_ms, last.m_address)) {
+    entry.m_leaving = last.m_leaving;
+    entry.m_full_until = last.m_full_until;
+    entry.m_full_at = last.m_full_at;
+    entry.m_limit = last.m_limit;
+  } else {
+    KeepEarlyStatements(last, entry);
   }
+  SelectHolders(entry.m_limit, entry.m_hash, state.m_limit_peers, now);
   state.m_vanished.erase(found);
 }
 
@@ -126,9 +157,7 @@
       !IsLimited(endpoint.m_limit)) {
     return;
   }
-  state.m_vanished[endpoint.m_id] = {endpoint.m_born_ms, endpoint.m_address,
-                                     endpoint.m_leaving, endpoint.m_full_until,
-                                     endpoint.m_limit,   now};
+  state.m_vanished[endpoint.m_id] = {endpoint, now};
 }
 
 void DiscardOldVanished(BalanceState& state, Instant now) {
@@ -153,6 +182,7 @@
     } else if (IsSameLifetime(entry, known->m_born_ms, known->m_address)) {
       KeepLearntState(*known, entry);
     } else {
+      KeepEarlyStatements(*known, entry);
       obsolete_addresses.push_back(known->m_address);
     }
     const std::string id = entry.m_id;
@@ -279,6 +309,7 @@
   if (found == nullptr) return;
   const Instant until = now + PauseOf(retry_after_s);
   found->m_full_until = std::max(found->m_full_until, until);
+  found->m_full_at = now;
 }
 
 bool OnEndpointLeaving(BalanceState& state, const std::string& endpoint) {
--- a/src/endpointstate.h
+++ b/src/endpointstate.h
@@ -45,6 +45,7 @@
   bool m_cheap = false;
   bool m_cold = false;
   std::uint64_t m_born_ms = 0;
+  Instant m_born_at{};    // The same by the local clock, if it is known.
   std::string m_version;  // Of its software; empty if unknown.
   // It has named a later lifetime than the listed one, so that m_version does
   // not count.
@@ -67,6 +68,7 @@
   // Set when it rejected a request as full; it gets no request before this
   // time.
   Instant m_full_until{};
+  Instant m_full_at{};  // Last rejection as full.
   // Set when it failed; it gets no request before this time unless no other
   // endpoint can take one.
   Instant m_avoid_until{};
@@ -85,14 +87,10 @@
   double m_kv_tokens = 0;  // Memory of an engine; zero if not known.
 };
 
-// What an endpoint that vanished from the list said about itself. An entry that
-// was removed during an outage of the store may return.
+// An endpoint that vanished from the list after it had said something about
+// itself. An entry that was removed during an outage of the store may return.
 struct VanishedEndpoint {
-  std::uint64_t m_born_ms = 0;
-  std::string m_address;
-  bool m_leaving = false;
-  Instant m_full_until{};
-  EndpointLimit m_limit;
+  BalanceEndpoint m_last;
   Instant m_vanished{};
 };
 
--- a/src/relayendpoints.cpp
+++ b/src/relayendpoints.cpp
@@ -22,6 +22,12 @@
   }
 }
 
+// Time of the local clock at this Unix time; none if that is not known.
+Instant LocalTime(const RelayState& state, std::uint64_t unix_ms) {
+  if (unix_ms == 0) return {};
+  return Instant(FromMs(static_cast<double>(unix_ms)) - state.m_unix_at_zero);
+}
+
 }  // namespace
 
 std::vector<std::string> SetEndpointList(
@@ -43,6 +49,7 @@
     endpoint.m_cheap = entry.cheap();
     endpoint.m_cold = entry.cold_ms() > 0;
     endpoint.m_born_ms = entry.born_ms();
+    endpoint.m_born_at = LocalTime(state, entry.born_ms());
     endpoint.m_version = entry.version();
     endpoint.m_hash = XXH64(entry.id().data(), entry.id().size(), 0);
     endpoints.push_back(std::move(endpoint));
--- a/tests/endpointstate_test.cpp
+++ b/tests/endpointstate_test.cpp
@@ -69,6 +69,42 @@
   CHECK(SelectEndpoint(state, ServiceQuery(), kStart + seconds(1)));
 }
 
+// Guards against requests within the pause, or beyond the limit, that an
+// endpoint named right after its restart, when the list still showed its former
+// lifetime (BUDGET, LIMIT).
+TEST_CASE("what a restarted endpoint said before it was listed is kept") {
+  for (const bool has_vanished : {false, true}) {
+    CAPTURE(has_vanished);
+    BalanceState state = StateOf({Entry("e1", 7)});
+    state.m_limit_peers = {{1}, 1};
+    const Instant born = kStart + seconds(20);
+    const Instant said = born + milliseconds(500);
+    OnEndpointFull(state, "e1", 5.0, said);
+    OnLimitStatement(state, "e1", {2, said}, said);
+    BalanceEndpoint restarted = Entry("e1", 20'007);
+    restarted.m_born_at = born;
+    if (has_vanished) UpdateEndpoints(state, {}, born + seconds(1));
+    UpdateEndpoints(state, {restarted}, born + seconds(2));
+    CHECK_FALSE(SelectEndpoint(state, ServiceQuery(), said + seconds(4)));
+    CHECK(SelectEndpoint(state, ServiceQuery(), said + seconds(6)));
+    CHECK(IsLimited(state.m_endpoints.at("e1").m_limit));
+  }
+}
+
+// Guards against an endpoint that gets nothing, or little, because of what its
+// former lifetime had said.
+TEST_CASE("a restart ends the pause and the limit of the former lifetime") {
+  BalanceState state = StateOf({Entry("e1", 7)});
+  state.m_limit_peers = {{1}, 1};
+  OnEndpointFull(state, "e1", 50.0, kStart);
+  OnLimitStatement(state, "e1", {2, kStart}, kStart);
+  BalanceEndpoint restarted = Entry("e1", 20'007);
+  restarted.m_born_at = kStart + seconds(20);
+  UpdateEndpoints(state, {restarted}, kStart + seconds(22));
+  CHECK(SelectEndpoint(state, ServiceQuery(), kStart + seconds(22)));
+  CHECK_FALSE(IsLimited(state.m_endpoints.at("e1").m_limit));
+}
+
 // Guards against requests within the pause that a full endpoint asked for,
 // also after a later rejection without one.
 TEST_CASE("a full endpoint gets nothing for the time that it asks for") {
