Take no limit of a former lifetime from another instance

What callers would see: an endpoint that has restarted gets few requests for a moment, so that theirs wait elsewhere.

Cause: instances tell each other of limits by the id of the endpoint. One whose list still shows the former lifetime told of its limit, and one that knew of the restart applied it to the new lifetime, which had named none.

Evidence: the new case of endpointstate_test failed without the change.

Change: a statement of before the start time, less 2 s for the difference of the clocks, is not applied.

A statement of the last 2 s before the start is still taken; the next response without a limit ends it.

--- a/src/endpointstate.cpp
+++ b/src/endpointstate.cpp
@@ -228,7 +228,7 @@
 bool OnLimitStatement(BalanceState& state, const std::string& endpoint,
                       const LimitStatement& statement, Instant now) {
   BalanceEndpoint* found = FindEndpoint(state, endpoint);
-  return found != nullptr &&
+  return found != nullptr && !IsOfFormerLifetime(*found, statement.m_said_at) &&
          ApplyStatement(found->m_limit, statement, found->m_hash,
                         state.m_limit_peers, now);
 }
--- a/src/endpointstate.h
+++ b/src/endpointstate.h
@@ -143,7 +143,8 @@
                   Instant now);
 
 // Records what a response to this or another instance said of the endpoint's
-// limit. Returns whether the limit changed.
+// limit, unless it was a former lifetime of the endpoint. Returns whether the
+// limit changed.
 bool OnLimitStatement(BalanceState& state, const std::string& endpoint,
                       const LimitStatement& statement, Instant now);
 
--- a/tests/endpointstate_test.cpp
+++ b/tests/endpointstate_test.cpp
@@ -105,6 +105,20 @@
   CHECK_FALSE(IsLimited(state.m_endpoints.at("e1").m_limit));
 }
 
+// Guards against a restarted endpoint that gets little because an instance
+// whose list is behind tells of the limit of its former lifetime.
+TEST_CASE("a limit of a former lifetime is not taken from another instance") {
+  BalanceEndpoint restarted = Entry("e1", 20'007);
+  restarted.m_born_at = kStart + seconds(20);
+  BalanceState state = StateOf({restarted});
+  state.m_limit_peers = {{1, 2}, 1};
+  const Instant now = kStart + seconds(22);
+  CHECK_FALSE(OnLimitStatement(state, "e1", {2, kStart + seconds(17)}, now));
+  CHECK_FALSE(IsLimited(state.m_endpoints.at("e1").m_limit));
+  CHECK(OnLimitStatement(state, "e1", {2, kStart + seconds(21)}, now));
+  CHECK(IsLimited(state.m_endpoints.at("e1").m_limit));
+}
+
 // Guards against requests within the pause that a full endpoint asked for,
 // also after a later rejection without one.
 TEST_CASE("a full endpoint gets nothing for the time that it asks for") {
