Take requests off the load of their own lifetime of an endpoint only

What callers would see: an endpoint that has restarted gets more than its part for some seconds.

Cause: requests of the former lifetime whose connections end late, as after a power failure, lowered the number of requests and the prefill work that are counted at the new one. The memory of requests was released by lifetime already.

Evidence: the new case of endpointstate_test failed without the check (0 requests and 0 ms counted in place of 1 and 100).

Change: OnRequestCompleted names the start time and takes the prefill work that is left along.

Measured: endpointstate_test, balance_test, continuation_test, resumption_test and limitcall_test pass.

--- a/src/endpointstate.cpp
+++ b/src/endpointstate.cpp
@@ -275,9 +275,12 @@
   found->m_prefill_ms = std::max(0.0, found->m_prefill_ms - work_ms);
 }
 
-void OnRequestCompleted(BalanceState& state, const std::string& endpoint) {
+void OnRequestCompleted(BalanceState& state, const std::string& endpoint,
+                        std::uint64_t born_ms, double work_ms) {
   BalanceEndpoint* found = FindEndpoint(state, endpoint);
-  if (found != nullptr && found->m_running > 0) --found->m_running;
+  if (found == nullptr || found->m_born_ms != born_ms) return;
+  if (found->m_running > 0) --found->m_running;
+  found->m_prefill_ms = std::max(0.0, found->m_prefill_ms - work_ms);
 }
 
 void HoldEndpointMemory(BalanceState& state, const std::string& endpoint,
--- a/src/endpointstate.h
+++ b/src/endpointstate.h
@@ -174,10 +174,14 @@
 void ReleaseEndpointMemory(BalanceState& state, const std::string& endpoint,
                            std::uint64_t born_ms, const MemoryNeed& need);
 
-// Account for the end of its prefill and of the whole request.
+// Accounts for the end of the prefill of a request.
 void OnPrefillDone(BalanceState& state, const std::string& endpoint,
                    double work_ms);
-void OnRequestCompleted(BalanceState& state, const std::string& endpoint);
+
+// Accounts for the end of a request that was sent to this lifetime of the
+// endpoint, with the prefill work that was left of it.
+void OnRequestCompleted(BalanceState& state, const std::string& endpoint,
+                        std::uint64_t born_ms, double work_ms);
 
 // Record that the endpoint sent data, rejected a request as full, or failed. A
 // full endpoint may ask for a pause in seconds; absurd values are corrected.
--- a/src/finish.cpp
+++ b/src/finish.cpp
@@ -159,9 +159,8 @@
 
 void ReleaseLoad(RelayState& state, EndpointAttempt& attempt) {
   attempt.m_call = 0;
-  OnPrefillDone(state.m_balance, attempt.m_endpoint, attempt.m_work_ms);
-  attempt.m_work_ms = 0;
-  OnRequestCompleted(state.m_balance, attempt.m_endpoint);
+  OnRequestCompleted(state.m_balance, attempt.m_endpoint, attempt.m_born_ms,
+                     std::exchange(attempt.m_work_ms, 0));
   ReleaseEndpointMemory(state.m_balance, attempt.m_endpoint, attempt.m_born_ms,
                         attempt.m_need);
 }
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -112,7 +112,7 @@
   const auto other = SelectEndpoint(state, query, kStart);
   CHECK(other->m_endpoint != preferred_id);
   OnPrefillDone(state, preferred_id, 5'000);
-  OnRequestCompleted(state, preferred_id);
+  OnRequestCompleted(state, preferred_id, 0, 0);
   CHECK(SelectEndpoint(state, query, kStart)->m_endpoint == preferred_id);
 }
 
--- a/tests/endpointstate_test.cpp
+++ b/tests/endpointstate_test.cpp
@@ -171,6 +171,22 @@
   CHECK(state.m_vanished.empty());
 }
 
+// Guards against an endpoint that gets more than its part, because requests of
+// its former lifetime that end late, as after a power failure, are taken off
+// its load.
+TEST_CASE("requests of a former lifetime do not lower the load") {
+  BalanceState state = StateOf({Entry("e1", 7)});
+  for (int i = 0; i < 2; ++i) OnRequestDispatched(state, "e1", 100);
+  UpdateEndpoints(state, {Entry("e1", 8)}, kStart + seconds(1));
+  OnRequestDispatched(state, "e1", 100);
+  for (int i = 0; i < 2; ++i) OnRequestCompleted(state, "e1", 7, 100);
+  CHECK(state.m_endpoints.at("e1").m_running == 1);
+  CHECK(state.m_endpoints.at("e1").m_prefill_ms == 100);
+  OnRequestCompleted(state, "e1", 8, 100);
+  CHECK(state.m_endpoints.at("e1").m_running == 0);
+  CHECK(state.m_endpoints.at("e1").m_prefill_ms == 0);
+}
+
 // Guards against estimates of slow engines that stay far too short for as many
 // requests as one instance of many sees in minutes.
 TEST_CASE("the prefill speed is known after a few prompts") {
