Apply an answer about work only where it was asked for

What callers would see: a stream that two endpoints work on (TWICE), or that goes on elsewhere without need.

Cause: questions about the work of an endpoint were kept by its id. A refused connection at the address of a former lifetime was applied to all requests whose attempt names the id, also to those that were sent to the new lifetime at another address.

Change: they are kept by id and address.

--- a/src/continuation.cpp
+++ b/src/continuation.cpp
@@ -95,14 +95,18 @@
   ContinueIfOver(state, call);
 }
 
-void OnInquiryEnd(RelayState& state, const std::string& endpoint,
+EndpointPlace PlaceOf(const EndpointAttempt& attempt) {
+  return {attempt.m_endpoint, attempt.m_address};
+}
+
+void OnInquiryEnd(RelayState& state, const EndpointPlace& place,
                   const EndpointReport& report) {
-  state.m_inquiries[endpoint].m_call = 0;
-  LearnLifetime(state, endpoint, report);
+  state.m_inquiries[place].m_call = 0;
+  LearnLifetime(state, place.first, report);
   std::vector<std::uint64_t> waiting;
   for (const auto& [id, call] : state.m_calls) {
     if (call->m_stage == CallStage::kProving &&
-        call->m_attempt.m_endpoint == endpoint) {
+        PlaceOf(call->m_attempt) == place) {
       waiting.push_back(id);
     }
   }
@@ -126,17 +130,18 @@
     return entry.second.m_call == 0 &&
            now - entry.second.m_asked > kInquiryPeriod;
   });
-  EndpointInquiry& inquiry = state.m_inquiries[attempt.m_endpoint];
+  const EndpointPlace place = PlaceOf(attempt);
+  EndpointInquiry& inquiry = state.m_inquiries[place];
   if (inquiry.m_call != 0) return;
   const bool was_asked_since = inquiry.m_asked >= attempt.m_ended_at;
   if (was_asked_since && now - inquiry.m_asked < kInquiryPeriod) return;
   inquiry.m_asked = now;
   ++state.m_counters.m_reports_asked;
-  inquiry.m_call = AskForReport(
-      state, attempt.m_endpoint, attempt.m_address, true,
-      [&state, endpoint = attempt.m_endpoint](const EndpointReport& report) {
-        OnInquiryEnd(state, endpoint, report);
-      });
+  inquiry.m_call =
+      AskForReport(state, attempt.m_endpoint, attempt.m_address, true,
+                   [&state, place](const EndpointReport& report) {
+                     OnInquiryEnd(state, place, report);
+                   });
 }
 
 // Adjusts what is counted of the request's attempts to how the last one ended.
--- a/src/relaystate.h
+++ b/src/relaystate.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "allotment.h"
@@ -209,6 +210,10 @@
   Instant m_first_event{};
 };
 
+// Id and address of an endpoint. One that starts again under its id at another
+// address says nothing of its former process.
+using EndpointPlace = std::pair<std::string, std::string>;
+
 // Question to an endpoint about its work.
 struct EndpointInquiry {
   HttpPort::CallId m_call = 0;  // Zero if none is open.
@@ -282,7 +287,7 @@
   AllotmentState m_allotments;
   ResendState m_resends;
   HedgeState m_hedges;
-  std::map<std::string, EndpointInquiry> m_inquiries;  // By endpoint.
+  std::map<EndpointPlace, EndpointInquiry> m_inquiries;
   LifetimeTable m_lifetimes;
   std::map<std::string, LifetimeInquiry> m_lifetime_inquiries;  // By endpoint.
   std::unordered_map<std::uint64_t, std::unique_ptr<RelayCall>> m_calls;
