Refuse only the question to the former address in inquiry_test

The test was written for one open question, and refused all that are open. With questions kept by address the one to the new address is open as well; refusing that as well says that the new process is gone. It failed before the fix with one question (4 calls, 3 wanted) and passes now.

No functional change

--- a/tests/inquiry_test.cpp
+++ b/tests/inquiry_test.cpp
@@ -41,7 +41,11 @@
   // The endpoint resets the connection, and works on.
   f.Break(1, true);
   List(f, kNewAddress, 2, false);
-  f.m_endpoints.RefuseInquiries();
+  // The question to the new address stays open.
+  std::vector<HttpEvents>& inquiries = f.m_endpoints.m_inquiries;
+  const HttpEvents former = std::move(inquiries.front());
+  inquiries.erase(inquiries.begin());
+  former.m_on_end({HttpError::kConnectRefused, 0, false});
   // Only the first request goes on.
   REQUIRE(f.m_endpoints.m_calls.size() == 3);
   CHECK(f.m_endpoints.m_calls[2].m_request_id == "t1");
