--- a/tests/lifetime_test.cpp
+++ b/tests/lifetime_test.cpp
@@ -127,7 +127,7 @@
   stream.m_is_proven = true;
   stream.m_origin.m_endpoint = "e";
   stream.m_origin.m_born_ms = 5;
-  const auto judge = [&stream](std::optional<ListedLifetime> listed) {
+  const auto judge = [&stream](const std::optional<ListedLifetime>& listed) {
     return JudgeLifetime({}, stream, listed);
   };
   CHECK(judge(ListedLifetime{4, "1"}).m_version == kUnlistedVersion);
