Test crowds of callers at the listeners of `serve`

Callers that the operators don't control may end a process of `serve`: its listeners bound each request but not their sum.

No functional change

--- a/tests/support_crowd.cpp
+++ b/tests/support_crowd.cpp
@@ -14,25 +14,19 @@
 
 namespace comfreypaddle::testing {
 
-namespace {
-
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// Time for which a crowd sends and connects again.
-constexpr Duration kPressTime = seconds(4);
-constexpr Duration kRoundTime = milliseconds(10);
-
 // Connection of a caller that the operators do not control.
-class CrowdMember {
+class Crowd::Member {
  public:
-  CrowdMember(const CrowdKind& kind, std::uint16_t port)
+  Member(const CrowdKind& kind, std::uint16_t port)
       : m_kind(kind), m_port(port) {
     Connect();
   }
-  ~CrowdMember() { Close(); }
-  CrowdMember(const CrowdMember&) = delete;
-  CrowdMember& operator=(const CrowdMember&) = delete;
+  ~Member() { Close(); }
+  Member(const Member&) = delete;
+  Member& operator=(const Member&) = delete;
 
   // Sends and reads what is possible now, and connects again if the instance
   // has closed the connection.
@@ -90,21 +84,24 @@
   std::size_t m_sent = 0;
 };
 
-// Endpoint that lets callers connect and reads nothing.
-class StoppedEndpoint {
- public:
-  StoppedEndpoint()
-      : m_port(FreePort()), m_listener(ListenTcp("127.0.0.1", m_port)) {}
-  ~StoppedEndpoint() { close(m_listener); }
-  StoppedEndpoint(const StoppedEndpoint&) = delete;
-  StoppedEndpoint& operator=(const StoppedEndpoint&) = delete;
+Crowd::Crowd(const CrowdKind& kind, std::uint16_t port) {
+  for (std::size_t i = 0; i < kind.m_connections; ++i) {
+    m_members.push_back(std::make_unique<Member>(kind, port));
+  }
+}
 
-  std::uint16_t Port() const { return m_port; }
+Crowd::~Crowd() = default;
 
- private:
-  std::uint16_t m_port;
-  int m_listener;
-};
+void Crowd::Press() {
+  for (const auto& member : m_members) member->Press();
+}
+
+StoppedEndpoint::StoppedEndpoint()
+    : m_port(FreePort()), m_listener(ListenTcp("127.0.0.1", m_port)) {}
+
+StoppedEndpoint::~StoppedEndpoint() { close(m_listener); }
+
+namespace {
 
 // Status of a request with a body of the largest size.
 int StatusOfLargestRequest(PlatformCluster& cluster) {
@@ -161,15 +158,12 @@
     cluster.Endpoint(0).SetOverloaded(true);
     cluster.Until([] { return false; }, seconds(2));
   }
-  std::vector<std::unique_ptr<CrowdMember>> crowd;
-  for (std::size_t i = 0; i < kind.m_connections; ++i) {
-    crowd.push_back(std::make_unique<CrowdMember>(kind, cluster.CallerPort(1)));
-  }
+  auto crowd = std::make_unique<Crowd>(kind, cluster.CallerPort(1));
   std::size_t descriptors = 0;
-  const Instant end = Now() + kPressTime;
+  const Instant end = Now() + kCrowdTime;
   while (Now() < end) {
-    for (const auto& member : crowd) member->Press();
-    cluster.Until([] { return false; }, kRoundTime);
+    crowd->Press();
+    cluster.Until([] { return false; }, kCrowdRoundTime);
     descriptors = std::max(descriptors, cluster.Entry(1).OpenDescriptors());
   }
   if (kind.m_stopped_endpoint) {
@@ -177,7 +171,7 @@
     cluster.Endpoint(0).SetOverloaded(false);
   }
   CHECK(Eventually(cluster, is_answered));
-  crowd.clear();
+  crowd.reset();
   CHECK(Eventually(cluster,
                    [&] { return StatusOfLargestRequest(cluster) == 200; }));
   CHECK_FALSE(cluster.Entry(1).ExitCode().has_value());
--- a/tests/support_crowd.h
+++ b/tests/support_crowd.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,10 @@
 inline constexpr std::size_t kDescriptorLimit = 256;
 inline constexpr std::size_t kMaxDescriptors = kDescriptorLimit - 32;
 
+// Time for which a crowd sends and connects again, and between two rounds.
+inline constexpr Duration kCrowdTime = std::chrono::seconds(4);
+inline constexpr Duration kCrowdRoundTime = std::chrono::milliseconds(10);
+
 // What each connection of a crowd sends.
 struct CrowdKind {
   std::string m_name;
@@ -32,6 +37,40 @@
   bool m_stopped_endpoint = false;  // The only endpoint reads nothing.
 };
 
+// Connections of callers that the operators do not control. The kind must
+// outlive the crowd.
+class Crowd {
+ public:
+  Crowd(const CrowdKind& kind, std::uint16_t port);
+  ~Crowd();
+  Crowd(const Crowd&) = delete;
+  Crowd& operator=(const Crowd&) = delete;
+
+  // Sends and reads what is possible now on each connection, and connects again
+  // where the instance has closed it.
+  void Press();
+
+ private:
+  class Member;
+
+  std::vector<std::unique_ptr<Member>> m_members;
+};
+
+// Endpoint that lets callers connect and reads nothing.
+class StoppedEndpoint {
+ public:
+  StoppedEndpoint();
+  ~StoppedEndpoint();
+  StoppedEndpoint(const StoppedEndpoint&) = delete;
+  StoppedEndpoint& operator=(const StoppedEndpoint&) = delete;
+
+  std::uint16_t Port() const { return m_port; }
+
+ private:
+  std::uint16_t m_port;
+  int m_listener;
+};
+
 // Returns a head of a POST request with these further field lines.
 std::string PostHead(const std::string& fields);
 
--- a/tests/support_process.h
+++ b/tests/support_process.h
@@ -182,6 +182,14 @@
   std::string OperatorUrl(int entry) const;
   std::string PlatformUrl() const;
 
+  // Ports of the listeners of an entry instance.
+  struct EntryPorts {
+    std::uint16_t m_callers = 0;
+    std::uint16_t m_operators = 0;
+    std::uint16_t m_peers = 0;
+  };
+  const EntryPorts& Ports(int entry) const { return m_ports.at(entry); }
+
   // Makes entries started later connect to the platform through this port.
   void SetPlatformPort(std::uint16_t port) { m_platform_proxy_port = port; }
 
@@ -191,12 +199,6 @@
   std::string LogPath(const std::string& process) const;
 
  private:
-  struct EntryPorts {
-    std::uint16_t m_callers = 0;
-    std::uint16_t m_operators = 0;
-    std::uint16_t m_peers = 0;
-  };
-
   std::string WriteSettings(int index, const ExtraSettings& extra) const;
   // Program and flags of an endpoint, for a restart.
   struct EndpointStart {
