Bound what callers of `serve` hold together

Cause: `Listener` bounded each request, not their sum. It stood on libmicrohttpd, whose buffers the task didn't see; a discarded body kept its memory; the limit of connections didn't follow the descriptors.

Ruled out: refusing by the announced length (chunked bodies and bodies that never end announce what is allowed); lower limits for each request.

Change: `Listener` uses `HttpServer`, the server of `entry`, which owns the sum (`requestmemory`). Copies of a body are a limit of each listener (callers of `serve` 3, other instances 1). Rejections carry problem documents (`slow_request` and `memory_full` are new codes). The bound of connections is computed by the server itself at each accept, so that it follows the descriptor limit at every listener, and connections above a lowered limit are closed. What callers leave unread of streams has a bound of the sum as well. New settings `callers.machine_mb` and `callers.request_mb`; log line and metrics as in OPERATIONS. libmicrohttpd is no longer needed.

A slow body is now bounded by its progress (`request_timeout_s` and a second for each KiB); before, the whole request had to arrive within `request_timeout_s`.

--- a/src/admin.cpp
+++ b/src/admin.cpp
@@ -12,6 +12,10 @@
 
 constexpr Duration kWatchHeartbeat = std::chrono::seconds(5);
 
+// Bounds of the operators' connections: dozens of watches, which read little.
+constexpr std::uint32_t kMaxConnections = 256;
+constexpr std::size_t kMaxUnreadBytes = 16U << 20U;
+
 }  // namespace
 
 Admin::Admin(const schema::Settings& settings, std::uint64_t incarnation)
@@ -39,6 +43,10 @@
   ListenerOptions options;
   options.m_address = m_settings.operators().address();
   options.m_port = static_cast<std::uint16_t>(m_settings.operators().port());
+  options.m_max_connections = kMaxConnections;
+  options.m_request_bytes =
+      RequestBytesOf(0, 0, options.m_max_head_bytes + options.m_max_body_bytes);
+  options.m_unread_bytes = kMaxUnreadBytes;
   m_listener.emplace(
       Loop(), options,
       [this](const HttpRequest& request) {
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -44,6 +44,10 @@
   return options;
 }
 
+// Copies of a body while its request is open: in the request, in the parsed
+// prompt and in the call to the endpoint.
+constexpr std::size_t kBodyCopies = 3;
+
 ListenerOptions MakeListenerOptions(const schema::CallersSettings& callers) {
   ListenerOptions options;
   options.m_address = callers.address();
@@ -52,10 +56,35 @@
   options.m_max_head_bytes = callers.max_head_bytes();
   options.m_max_body_bytes = callers.max_body_bytes();
   options.m_request_timeout = std::chrono::seconds(callers.request_timeout_s());
+  options.m_body_copies = kBodyCopies;
+  options.m_request_bytes = RequestBytesOf(
+      callers.machine_mb(), callers.request_mb(),
+      callers.max_head_bytes() + callers.max_body_bytes() * kBodyCopies / 2);
+  options.m_unread_bytes = options.m_request_bytes;
   return options;
 }
 
-std::string FormatMetrics(const CallState& state) {
+// Adds what the requests of callers hold, and who was turned away for it.
+void AddRequestMemory(const RequestMemory& memory, MetricsText* text) {
+  text->Gauge("comfreypaddle_request_memory_bytes",
+              "Bytes that requests of callers hold.",
+              static_cast<double>(memory.m_held_bytes));
+  text->Gauge("comfreypaddle_request_memory_limit_bytes",
+              "Bytes that requests of callers may hold.",
+              static_cast<double>(memory.m_limits.m_bytes));
+  std::map<std::string, double> turned_away;
+  for (const EnumName<TurnedAway>& row : EnumNames<TurnedAway>::kTable) {
+    turned_away[std::string(row.m_name)] = 0;
+  }
+  for (const auto& [reason, count] : memory.m_turned_away) {
+    turned_away[std::string(ToName(reason))] = static_cast<double>(count);
+  }
+  text->Gauges("comfreypaddle_callers_turned_away",
+               "Callers turned away to stay within the bounds of the machine.",
+               "reason", turned_away);
+}
+
+std::string FormatMetrics(const CallState& state, const RequestMemory& memory) {
   const CallCounters& counters = state.m_counters;
   MetricsText text;
   text.Counter("comfreypaddle_requests_total", "Requests received.",
@@ -88,6 +117,7 @@
   text.Summary("comfreypaddle_queue_seconds",
                "Time from a request to its first attempt.",
                state.m_timings.m_queue);
+  AddRequestMemory(memory, &text);
   return text.Text();
 }
 
@@ -307,7 +337,7 @@
     m_ports.m_duties->Post(std::move(message));
   }
   if (m_ports.m_admin != nullptr) {
-    status.set_metrics_text(FormatMetrics(m_state));
+    status.set_metrics_text(FormatMetrics(m_state, m_listener->Memory()));
     schema::AdminMessage message;
     *message.mutable_gateway_status() = std::move(status);
     m_ports.m_admin->Post(std::move(message));
--- a/src/http.cpp
+++ b/src/http.cpp
@@ -1,7 +1,9 @@
 #include "http.h"
 
+#include <algorithm>
 #include <array>
 #include <cctype>
+#include <charconv>
 
 namespace comfreypaddle {
 
@@ -47,6 +49,13 @@
          c == '.' || c == '_' || c == '~';
 }
 
+// Decodes a name or value of a query, in which a plus sign stands for a space.
+std::string DecodeParameter(std::string_view text) {
+  std::string spaced(text);
+  std::replace(spaced.begin(), spaced.end(), '+', ' ');
+  return PercentDecode(spaced);
+}
+
 }  // namespace
 
 std::string_view FindField(const HttpFields& fields, std::string_view name) {
@@ -73,6 +82,44 @@
   return encoded;
 }
 
+std::string PercentDecode(std::string_view text) {
+  std::string decoded;
+  decoded.reserve(text.size());
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    unsigned int byte = 0;
+    const std::string_view digits = text.substr(i + 1, 2);
+    const char* end = digits.data() + digits.size();
+    if (text[i] == '%' && digits.size() == 2 &&
+        std::from_chars(digits.data(), end, byte, 16).ptr == end) {
+      decoded += static_cast<char>(byte);
+      i += 2;
+    } else {
+      decoded += text[i];
+    }
+  }
+  return decoded;
+}
+
+void DecodeTarget(HttpRequest& request) {
+  const std::string_view target = request.m_target;
+  const std::size_t mark = target.find('?');
+  request.m_path = PercentDecode(target.substr(0, mark));
+  request.m_query.clear();
+  if (mark == std::string_view::npos) return;
+  std::string_view rest = target.substr(mark + 1);
+  while (!rest.empty()) {
+    const std::size_t end = std::min(rest.find('&'), rest.size());
+    const std::string_view parameter = rest.substr(0, end);
+    rest.remove_prefix(std::min(end + 1, rest.size()));
+    if (parameter.empty()) continue;
+    const std::size_t equals = std::min(parameter.find('='), parameter.size());
+    const std::string_view value =
+        parameter.substr(std::min(equals + 1, parameter.size()));
+    request.m_query.push_back(
+        {DecodeParameter(parameter.substr(0, equals)), DecodeParameter(value)});
+  }
+}
+
 const std::error_category& HttpCategory() {
   static const HttpErrorCategory category;
   return category;
--- a/src/http.h
+++ b/src/http.h
@@ -28,6 +28,10 @@
 // section 2.3.
 std::string PercentEncode(std::string_view text);
 
+// Decodes percent-encoded characters. Leaves a percent sign that no two
+// hexadecimal digits follow as it is.
+std::string PercentDecode(std::string_view text);
+
 // Errors of HTTP calls and servers.
 enum class HttpError {
   kOk = 0,
@@ -58,11 +62,13 @@
   HttpFields m_query;
   HttpFields m_headers;
   std::string m_body;
-  // Path and query, not decoded. Set by HttpServer only, which leaves m_path
-  // and m_query empty.
+  // Path and query, not decoded. HttpServer leaves m_path and m_query empty.
   std::string m_target;
 };
 
+// Sets the decoded path and query of a request from its target.
+void DecodeTarget(HttpRequest& request);
+
 // Sends responses to callers. Calls with the id of a request that has ended
 // have no effect.
 class ResponsePort {
--- a/src/httpserver.cpp
+++ b/src/httpserver.cpp
@@ -43,10 +43,6 @@
 // Copies of a head in memory: as received and as parsed.
 constexpr std::size_t kHeadCopies = 2;
 
-// Copies of a body while its request is open: in the request, and in the call
-// to an endpoint until that has read it.
-constexpr std::size_t kOpenBodyCopies = 2;
-
 // Pause that a caller is told whose request does not fit into the memory.
 constexpr const char* kRetryAfterSeconds = "1";
 
@@ -233,7 +229,7 @@
   void UpdateHeldBytes() {
     std::size_t bytes = kConnectionBytes + kHeadCopies * m_head_bytes +
                         m_input.size() + m_running_bytes;
-    bytes += (m_parser.IsDone() ? kOpenBodyCopies : 1) * m_body.size();
+    bytes += (m_parser.IsDone() ? BodyCopies() : 1) * m_body.size();
     // The responses to open requests are bounded by their owner.
     if (m_request == 0) bytes += UnsentBytes();
     UpdateHeld(m_server.m_memory, m_held_bytes, bytes);
@@ -252,10 +248,15 @@
     if (m_is_new && now - m_last_activity < kFirstRequestTime) return false;
     return !m_channel.HasUnreadInput();
   }
+  bool IsBusy() const { return m_request != 0 || UnsentBytes() > 0; }
   std::uint64_t Id() const { return m_id; }
   std::size_t UnsentBytes() const { return m_channel.Pending(); }
 
  private:
+  std::size_t BodyCopies() const {
+    return m_server.m_memory.m_limits.m_body_copies;
+  }
+
   ParseLimits Limits() const {
     return {m_server.m_limits.m_head_bytes, m_server.m_limits.m_body_bytes};
   }
@@ -310,7 +311,7 @@
     request.m_method = m_head.m_method;
     request.m_target = m_head.m_target;
     request.m_headers = m_head.m_fields;
-    m_running_bytes = kOpenBodyCopies * m_body.size();
+    m_running_bytes = BodyCopies() * m_body.size();
     request.m_body = std::move(m_body);
     FreeString(m_body);
     m_channel.SetReadLimit(kMaxPipelinedBytes);
@@ -332,8 +333,16 @@
     m_head_bytes = 0;
     FreeString(m_body);
     FreeString(m_input);
+    RejectionBody body;
+    if (m_server.m_events.m_describe_rejection) {
+      body = m_server.m_events.m_describe_rejection(status);
+    }
     std::string text = FormatHead(status, fields);
-    text += "Content-Length: 0\r\nConnection: close\r\n\r\n";
+    if (!body.m_text.empty()) {
+      text += "Content-Type: " + body.m_content_type + "\r\n";
+    }
+    text += "Content-Length: " + std::to_string(body.m_text.size()) +
+            "\r\nConnection: close\r\n\r\n" + body.m_text;
     m_channel.Write(text);
     Linger();
     UpdateHeldBytes();
@@ -418,6 +427,17 @@
   return HttpError::kOk;
 }
 
+void HttpServer::SetMemoryLimits(const RequestMemoryLimits& limits) {
+  m_memory.m_limits = limits;
+  UpdateConnectionLimit();
+}
+
+// The descriptor limit may be changed while the process runs.
+void HttpServer::UpdateConnectionLimit() {
+  m_memory.m_connection_limit =
+      ConnectionsOf(m_memory.m_limits.m_connections, DescriptorLimit());
+}
+
 void HttpServer::StopListening() {
   if (m_listener < 0) return;
   // Closing the socket would reset the connections in its queue.
@@ -464,12 +484,23 @@
 // Closes a connection if there are too many: another one than the newest unless
 // all others have open requests.
 void HttpServer::LimitConnections(std::uint64_t newest) {
-  if (m_connections.size() <= m_memory.m_limits.m_connections) return;
+  if (m_connections.size() <= m_memory.m_connection_limit) return;
   const std::uint64_t chosen = ChooseToClose(newest);
   CloseConnection(chosen != 0 ? chosen : newest);
   CountTurnedAway(TurnedAway::kConnections);
 }
 
+// Closes connections that a lowered limit no longer allows, but none with an
+// open request.
+void HttpServer::CloseExcess() {
+  while (m_connections.size() > m_memory.m_connection_limit) {
+    const std::uint64_t chosen = ChooseToClose(0);
+    if (chosen == 0) return;
+    CloseConnection(chosen);
+    CountTurnedAway(TurnedAway::kConnections);
+  }
+}
+
 // Returns a connection to close in favour of others, if possible one whose
 // caller has sent nothing that is still to be read.
 std::uint64_t HttpServer::ChooseToClose(std::uint64_t without) const {
@@ -515,6 +546,7 @@
 }
 
 void HttpServer::AcceptBatch() {
+  UpdateConnectionLimit();
   for (int i = 0; i < kAcceptBatch && AcceptOne(); ++i) {
   }
 }
@@ -526,6 +558,8 @@
     if (connection->IsExpired(now)) expired.push_back(id);
   }
   for (const std::uint64_t id : expired) CloseConnection(id);
+  UpdateConnectionLimit();
+  CloseExcess();
   if (!m_accepting_paused || m_listener < 0) return;
   m_accepting_paused = false;
   m_sockets.SetEvents(m_listener_watch_id, EPOLLIN);
@@ -540,6 +574,14 @@
   for (const std::uint64_t id : idle) CloseConnection(id);
 }
 
+std::size_t HttpServer::BusyConnections() const {
+  std::size_t busy = 0;
+  for (const auto& [id, connection] : m_connections) {
+    if (connection->IsBusy()) ++busy;
+  }
+  return busy;
+}
+
 void HttpServer::Respond(std::uint64_t id, int status, HttpFields headers,
                          std::string body) {
   Connection* connection = FindRequest(id);
--- a/src/httpserver.h
+++ b/src/httpserver.h
@@ -24,6 +24,12 @@
   Duration m_body_time = std::chrono::seconds(60);
 };
 
+// Body of the response to a request that the server rejects.
+struct RejectionBody {
+  std::string m_content_type;
+  std::string m_text;  // Empty: the response has no body.
+};
+
 // Callbacks of an HTTP server, in the thread of its task.
 struct HttpServerEvents {
   // A complete request was received.
@@ -34,6 +40,9 @@
   std::function<void(int status, ParseError error)> m_on_rejected;
   // The server turned a caller away that had no open request. May be unset.
   std::function<void(TurnedAway reason)> m_on_turned_away;
+  // Returns the body of a rejection with this status. May be unset: rejections
+  // have no body.
+  std::function<RejectionBody(int status)> m_describe_rejection;
 };
 
 // HTTP/1.1 server over the sockets of one task. It passes targets, header
@@ -51,9 +60,7 @@
 
   void SetLimits(const RequestLimits& limits) { m_limits = limits; }
 
-  void SetMemoryLimits(const RequestMemoryLimits& limits) {
-    m_memory.m_limits = limits;
-  }
+  void SetMemoryLimits(const RequestMemoryLimits& limits);
 
   // What the requests hold and whom the server has turned away.
   const RequestMemory& Memory() const { return m_memory; }
@@ -74,6 +81,10 @@
   std::size_t Connections() const { return m_connections.size(); }
   std::size_t OpenRequests() const { return m_requests.size(); }
 
+  // Number of connections with an open request or with response bytes that are
+  // not yet sent.
+  std::size_t BusyConnections() const;
+
   void Respond(std::uint64_t id, int status, HttpFields headers,
                std::string body) override;
   void StartStream(std::uint64_t id, int status, HttpFields headers) override;
@@ -89,6 +100,8 @@
 
   void CloseListener();
   void PauseAccepting();
+  void UpdateConnectionLimit();
+  void CloseExcess();
   void LimitConnections(std::uint64_t newest);
   std::uint64_t ChooseToClose(std::uint64_t without) const;
   void FreeMemory(Connection& grown);
--- a/src/listener.h
+++ b/src/listener.h
@@ -2,37 +2,45 @@
 #define COMFREYPADDLE_LISTENER_H_
 
 #include <functional>
-#include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <vector>
 
 #include "http.h"
+#include "httpserver.h"
 #include "loop.h"
 
-struct MHD_Connection;
-struct MHD_Daemon;
-struct MHD_Response;
-
 namespace comfreypaddle {
 
 struct ListenerOptions {
   std::string m_address = "127.0.0.1";
   std::uint16_t m_port = 0;
+  // Connections as set; at most what leaves a reserve of descriptors.
   std::uint32_t m_max_connections = 4096;
   std::uint32_t m_max_head_bytes = 16384;
   std::uint32_t m_max_body_bytes = 8U << 20U;
-  // Maximum time to receive a complete request.
+  // Bounds of what all requests hold together, and of what the callers of all
+  // streams have not read.
+  std::size_t m_request_bytes = 64U << 20U;
+  std::size_t m_unread_bytes = 64U << 20U;
+  // Copies of a body while its request is open.
+  std::size_t m_body_copies = 2;
+  // Maximum time to receive a request head, and a body besides a second for
+  // each KiB that has arrived.
   Duration m_request_timeout = std::chrono::seconds(10);
 };
 
-// HTTP server of one task, based on libmicrohttpd and the task's event loop.
+// HTTP server of one task of `serve`, with decoded targets, lower-case header
+// field names, problem documents for rejected requests, and bounds of what its
+// callers take together.
 class Listener : public ResponsePort {
  public:
   using OnRequest = std::function<void(HttpRequest request)>;
   using OnDisconnect = std::function<void(std::uint64_t id)>;
 
   // on_disconnect is called once if the caller disconnects before the response
-  // ends.
+  // ends, or is cut off because it reads too slowly.
   Listener(EventLoop& loop, ListenerOptions options, OnRequest on_request,
            OnDisconnect on_disconnect);
   ~Listener() override;
@@ -44,12 +52,16 @@
 
   // Adds Connection: close to every response, so that callers open a new
   // connection for their next request.
-  void AnnounceClose() { m_announce_close = true; }
+  void AnnounceClose() { m_server.AnnounceClose(); }
 
   // Stops accepting connections. Open connections are not affected.
-  void StopAccepting();
+  void StopAccepting() { m_server.StopListening(); }
+
+  // Requests whose response has not been sent in full.
+  std::size_t OpenRequests() const { return m_server.BusyConnections(); }
 
-  std::size_t OpenRequests() const { return m_exchanges.size(); }
+  // What the requests hold and whom the listener has turned away.
+  const RequestMemory& Memory() const { return m_server.Memory(); }
 
   void Respond(std::uint64_t id, int status, HttpFields headers,
                std::string body) override;
@@ -59,45 +71,22 @@
   void Abort(std::uint64_t id) override;
 
  private:
-  struct Exchange;
-  struct Connection;
-  struct Callbacks;
-  friend struct Callbacks;
-
-  Exchange* Find(std::uint64_t id);
-  int HandleUpload(Exchange& exchange, const char* data, std::size_t* size);
-  int Dispatch(Exchange& exchange);
-  int QueueResponse(Exchange& exchange);
-  std::int64_t Read(Exchange& exchange, char* buffer, std::size_t size);
-  void Reject(Exchange& exchange, int status, const char* code,
-              const char* detail);
-  void Suspend(Exchange& exchange);
-  void Resume(Exchange& exchange);
-  void Completed(Exchange& exchange, bool answered);
-  void WatchForHangup(const Exchange& exchange);
-  void UnwatchHangup(const Exchange& exchange);
-  void HandleHangups();
-  void CloseSlowConnections();
-  void RunDaemon();
-  void ScheduleRun(Duration delay);
+  HttpServerEvents MakeEvents();
+  void LimitUnread();
+  void CutOff(std::uint64_t id);
+  void ReportCutOff();
+  void LogTurnedAway(TurnedAway reason);
 
   EventLoop& m_loop;
+  SocketSet m_sockets;
   ListenerOptions m_options;
   OnRequest m_on_request;
   OnDisconnect m_on_disconnect;
-  MHD_Daemon* m_daemon = nullptr;
-  int m_daemon_descriptor = -1;
-  int m_hangup_descriptor = -1;
-  std::map<std::uint64_t, std::unique_ptr<Exchange>> m_exchanges;
-  std::map<MHD_Connection*, Connection> m_connections;
-  std::unique_ptr<PeriodicTimer> m_slow_check;
-  EventLoop::TimerId m_run_timer = 0;
-  Instant m_run_due;
-  std::uint64_t m_next_id = 1;
-  std::uint64_t m_next_connection = 1;
-  bool m_running_daemon = false;
-  bool m_announce_close = false;
-  bool m_is_closing = false;  // In the destructor.
+  HttpServer m_server;
+  std::set<std::uint64_t> m_streams;
+  std::vector<std::uint64_t> m_cut_off;  // To be reported to the owner.
+  EventLoop::TimerId m_report_timer = 0;
+  Instant m_turned_away_logged{};
 };
 
 }  // namespace comfreypaddle
--- a/src/peers.cpp
+++ b/src/peers.cpp
@@ -19,6 +19,10 @@
 constexpr Duration kRecordsTimeout = std::chrono::seconds(2);
 constexpr int kRecordsLimit = 500;
 constexpr std::uint32_t kMaxBodyBytes = 16U << 20U;
+// Bound of the requests of all other instances together: one of the largest
+// size, which stands once in memory, and room for ordinary ones beside it.
+constexpr std::size_t kMaxRequestBytes = 32U << 20U;
+constexpr std::uint32_t kMaxConnections = 512;
 // Service digests affect fairness over seconds, so they are sent less often
 // than heartbeats. In a large deployment, one digest per second would use up
 // the traffic budget of the control plane by itself.
@@ -85,9 +89,12 @@
   options.m_address = m_settings.peers().address();
   options.m_port = static_cast<std::uint16_t>(m_settings.peers().port());
   options.m_max_body_bytes = kMaxBodyBytes;
+  options.m_request_bytes = kMaxRequestBytes;
+  options.m_max_connections = kMaxConnections;
+  options.m_body_copies = 1;
   m_listener.emplace(
       Loop(), options,
-      [this](const HttpRequest& request) { HandleRequest(request); },
+      [this](HttpRequest request) { HandleRequest(std::move(request)); },
       [](std::uint64_t /*id*/) {});
   const std::error_code error = m_listener->Open();
   if (error) {
@@ -166,7 +173,7 @@
 
 // Executes the calls of a peer. A records call is answered when the journal has
 // found the records.
-void Peers::HandleRequest(const HttpRequest& request) {
+void Peers::HandleRequest(HttpRequest request) {
   if (request.m_path != kPath || request.m_method != "POST") {
     ProblemResponse answer = MakeProblem({.m_code = ProblemCode::kNotFound});
     m_listener->Respond(request.m_id, answer.m_status,
@@ -177,7 +184,7 @@
   if (m_ports.m_journal != nullptr &&
       DecodeRecordsCall(request.m_body, &call)) {
     const std::uint64_t ticket = m_next_ticket++;
-    m_pending_records_calls[ticket] = {request.m_id, request.m_body,
+    m_pending_records_calls[ticket] = {request.m_id, std::move(request.m_body),
                                        Now() + kRecordsTimeout};
     schema::JournalMessage message;
     message.mutable_records_wanted()->set_ticket(ticket);
--- a/src/peers.h
+++ b/src/peers.h
@@ -61,7 +61,7 @@
   bool Release(const std::string& instance, std::uint64_t incarnation,
                std::uint64_t sequence) override;
 
-  void HandleRequest(const HttpRequest& request);
+  void HandleRequest(HttpRequest request);
   void OnRecordsFound(const schema::RecordsFound& found);
   void OnLogStatus(const schema::LogStatus& status);
   void OnUsagePending(const schema::UsageFlush& flush);
--- a/src/problem.cpp
+++ b/src/problem.cpp
@@ -19,7 +19,7 @@
 // Reasons for the defaults of Retry-After: a full queue drains within a
 // deadline, a lease or a log outage lasts seconds, and a new instance or
 // endpoint is found at once or after a poll.
-constexpr std::array<ProblemRow, 25> kRows{{
+constexpr std::array<ProblemRow, 27> kRows{{
     {ProblemCode::kUnauthorized, 401, 0, "The key is missing or not valid"},
     {ProblemCode::kForbidden, 403, 0, "The workspace may not do this"},
     {ProblemCode::kNoRoute, 404, 0, "No route matches the request"},
@@ -50,6 +50,9 @@
     {ProblemCode::kTooLarge, 431, 0, "The request head is too large"},
     {ProblemCode::kMethodNotAllowed, 405, 0, "The method is not allowed"},
     {ProblemCode::kTimeout, 504, 0, "The answer did not arrive in time"},
+    {ProblemCode::kSlowRequest, 408, 0, "The request did not arrive in time"},
+    {ProblemCode::kMemoryFull, 503, 1,
+     "The requests of all callers hold too much memory"},
 }};
 
 const ProblemRow& RowOf(ProblemCode code) {
--- a/src/problem.h
+++ b/src/problem.h
@@ -37,13 +37,15 @@
   kLogUnavailable,
   kTooLarge,
   kMethodNotAllowed,
-  kTimeout
+  kTimeout,
+  kSlowRequest,
+  kMemoryFull
 };
 
 // Values of "code" in problem documents.
 template <>
 struct EnumNames<ProblemCode> {
-  static constexpr std::array<EnumName<ProblemCode>, 25> kTable{
+  static constexpr std::array<EnumName<ProblemCode>, 27> kTable{
       {{ProblemCode::kUnauthorized, "unauthorized"},
        {ProblemCode::kForbidden, "forbidden"},
        {ProblemCode::kNoRoute, "no_route"},
@@ -68,7 +70,9 @@
        {ProblemCode::kLogUnavailable, "log_unavailable"},
        {ProblemCode::kTooLarge, "too_large"},
        {ProblemCode::kMethodNotAllowed, "method_not_allowed"},
-       {ProblemCode::kTimeout, "timeout"}}};
+       {ProblemCode::kTimeout, "timeout"},
+       {ProblemCode::kSlowRequest, "slow_request"},
+       {ProblemCode::kMemoryFull, "memory_full"}}};
 };
 
 // Contents of a problem document for one occurrence.
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -1,7 +1,6 @@
 #include "relay.h"
 
 #include <glog/logging.h>
-#include <sys/resource.h>
 
 #include <algorithm>
 #include <unordered_map>
@@ -59,19 +58,11 @@
   return result;
 }
 
-// Returns how many descriptors this process may open.
-std::size_t DescriptorLimit() {
-  rlimit limit{};
-  PCHECK(getrlimit(RLIMIT_NOFILE, &limit) == 0)
-      << "cannot read the descriptor limit";
-  return limit.rlim_cur;
-}
-
 RequestMemoryLimits MemoryLimitsOf(const schema::RelayMemorySettings& memory,
                                    const RequestLimits& limits) {
   return {RequestBytesOf(memory.machine_mb(), memory.request_mb(),
                          limits.m_head_bytes + limits.m_body_bytes),
-          ConnectionsOf(memory.max_connections(), DescriptorLimit())};
+          memory.max_connections()};
 }
 
 HedgeLimits HedgeLimitsOf(const schema::RelayHedgeSettings& settings) {
@@ -223,7 +214,7 @@
       .Add("limit_bytes", static_cast<std::int64_t>(memory.m_limits.m_bytes))
       .Add("connections", static_cast<std::int64_t>(m_callers->Connections()))
       .Add("connection_limit",
-           static_cast<std::int64_t>(memory.m_limits.m_connections));
+           static_cast<std::int64_t>(memory.m_connection_limit));
 }
 
 void Relay::Receive(schema::RelayMessage message) {
--- a/src/relaymetrics.cpp
+++ b/src/relaymetrics.cpp
@@ -96,7 +96,7 @@
               static_cast<double>(memory.m_limits.m_bytes));
   text->Gauge("relay_caller_connection_limit",
               "connections that callers may open",
-              static_cast<double>(memory.m_limits.m_connections));
+              static_cast<double>(memory.m_connection_limit));
   std::map<std::string, double> turned_away;
   for (const EnumName<TurnedAway>& row : EnumNames<TurnedAway>::kTable) {
     const auto found = memory.m_turned_away.find(row.m_value);
--- a/src/requestmemory.h
+++ b/src/requestmemory.h
@@ -18,7 +18,11 @@
 // Bounds of one listener.
 struct RequestMemoryLimits {
   std::size_t m_bytes = 32U << 20U;
+  // Connections as set; at most what leaves a reserve of descriptors.
   std::size_t m_connections = 1024;
+  // Copies of a body while its request is open: in the request, and in the call
+  // to an endpoint until that has read it.
+  std::size_t m_body_copies = 2;
 };
 
 // Why a caller was turned away.
@@ -41,6 +45,8 @@
 // Memory that the requests of a listener take, and what was turned away.
 struct RequestMemory {
   RequestMemoryLimits m_limits;
+  // Connections that the descriptor limit allows now.
+  std::size_t m_connection_limit = 1024;
   std::size_t m_held_bytes = 0;
   std::size_t m_peak_bytes = 0;
   std::map<TurnedAway, std::uint64_t> m_turned_away;
--- a/src/sockets.cpp
+++ b/src/sockets.cpp
@@ -7,6 +7,7 @@
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
 #include <sys/ioctl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -102,6 +103,13 @@
   }
 }
 
+std::size_t DescriptorLimit() {
+  rlimit limit{};
+  PCHECK(getrlimit(RLIMIT_NOFILE, &limit) == 0)
+      << "cannot read the descriptor limit";
+  return limit.rlim_cur;
+}
+
 int ListenTcp(const std::string& ip, std::uint16_t port) {
   sockaddr_in address{};
   if (!ParseAddress(ip, port, &address)) return -1;
--- a/src/sockets.h
+++ b/src/sockets.h
@@ -47,6 +47,9 @@
   std::unordered_map<std::uint64_t, Entry> m_entries;
 };
 
+// Returns how many descriptors this process may open.
+std::size_t DescriptorLimit();
+
 // Opens a non-blocking listening TCP socket. Returns -1 and sets errno on
 // failure.
 int ListenTcp(const std::string& ip, std::uint16_t port);
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -227,9 +227,50 @@
   }
 }
 
-// Guards against an abort of the process: the HTTP library must not be stopped
-// while a connection waits for its response, also if the request arrives as the
-// listener is destroyed.
+// Guards against targets that routes, keys in the query or the endpoint would
+// see in another form.
+TEST_CASE("the path and the query of a target are decoded") {
+  HttpRequest request;
+  request.m_target = "/a%20b%zz+c?x=1%262&y+z=%2B&&empty&=v";
+  DecodeTarget(request);
+  CHECK(request.m_path == "/a b%zz+c");
+  std::string query;
+  for (const HttpField& field : request.m_query) {
+    query += field.m_name + ":" + field.m_value + ";";
+  }
+  CHECK(query == "x:1&2;y z:+;empty:;:v;");
+}
+
+// Guards against streams that are kept without bound for callers that do not
+// read: each is within its own limit, their sum is not.
+TEST_CASE("the slowest reader is cut off when all leave too much unread") {
+  ListenerOptions options;
+  options.m_unread_bytes = 8U << 20U;
+  Fixture fixture(options);
+  const std::string part(1U << 20U, 'x');
+  fixture.m_on_request = [&](const HttpRequest& request) {
+    fixture.m_listener->StartStream(request.m_id, 200, {});
+    const std::size_t parts = fixture.m_requests.size() == 1 ? 9 : 7;
+    for (std::size_t i = 0; i < parts; ++i) {
+      fixture.m_listener->Write(request.m_id, part);
+    }
+  };
+  const std::string request = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+  std::vector<int> callers;
+  for (std::size_t i = 1; i <= 2; ++i) {
+    callers.push_back(ConnectTo(fixture.m_port));
+    REQUIRE(send(callers.back(), request.data(), request.size(), 0) > 0);
+    REQUIRE(RunUntil(fixture.m_loop, kTestTimeout,
+                     [&] { return fixture.m_requests.size() == i; }));
+  }
+  CHECK(RunUntil(fixture.m_loop, kTestTimeout,
+                 [&] { return !fixture.m_disconnected.empty(); }));
+  REQUIRE(fixture.m_disconnected.size() == 1);
+  CHECK(fixture.m_disconnected.front() == fixture.m_requests.front().m_id);
+  for (const int caller : callers) close(caller);
+}
+
+// Guards against a request that is passed on to an owner that is ending.
 TEST_CASE(
     "a request that arrives as the listener is destroyed is not passed on") {
   Fixture f;
--- a/tests/servecrowd_system_test.cpp
+++ b/tests/servecrowd_system_test.cpp
@@ -23,7 +23,6 @@
 using testing::kDescriptorLimit;
 using testing::kMaxDescriptors;
 using testing::kMaxMemoryMb;
-using testing::Reply;
 using testing::StoppedEndpoint;
 
 constexpr std::size_t kWithoutEnd = 1U << 30U;
