Move the prefill of a request out of relayattempt

SendPrefill, RunWithPrefilledCache and what only they use are prefillcall now; the steps that both files need are declared in relayattempt.h.

No functional change

--- a/src/relayattempt.h
+++ b/src/relayattempt.h
@@ -30,6 +30,29 @@
 void RecordHead(RelayState& state, const RelayCall& call,
                 EndpointAttempt& attempt, int status, const HttpFields& fields);
 
+// Records the head of the response to the current attempt of the request. A
+// hedged request keeps only the attempt whose stream begins first.
+void OnRunHead(RelayState& state, RelayCall& call, int status,
+               const HttpFields& fields);
+
+// Records on which connection the call of the attempt ended.
+void RecordConnection(EndpointAttempt& attempt, const HttpResult& result);
+
+// Records at the endpoint why it did not accept the request.
+void RecordRejection(RelayState& state, const EndpointAttempt& attempt,
+                     const HttpResult& result);
+
+// How the connection of an attempt ended that brought no usable response.
+AttemptEnd EndOf(const EndpointAttempt& attempt, const HttpResult& result);
+
+// Sends the request to the endpoint `id`, which runs it with prefill work of
+// `work_ms` and fetches its KV cache from `fetch_address` unless that is empty.
+void SendRun(RelayState& state, RelayCall& call, const std::string& id,
+             double work_ms, const std::string& fetch_address);
+
+// Refuses a request that may crash endpoints. The call is deleted.
+void RefuseSuspect(RelayState& state, RelayCall& call);
+
 // Callbacks of the current attempt of the request with this id.
 HttpEvents RunEvents(RelayState& state, std::uint64_t key);
 
