Note versions that come and go within one read of the list

What callers could see: a stream that nobody knows goes on at the one listed version, although it began at another one that was listed for less than a read (ORDER; no case was seen).

Cause: versions were taken from the list as it is after a read. An instance whose read shows a version and its end, or that follows such an instance, never had it in its list, while an instance that read in between may have begun streams there.

Change: a version is noted with each record that is applied, and an answer with a list of endpoints carries the versions that have left that list within 30 s. A stream needs no lifetime for this: one that began at a lifetime between two listed ones is refused already (lifetime_test).

--- a/src/endpointlist.cpp
+++ b/src/endpointlist.cpp
@@ -81,6 +81,7 @@
 void Upsert(ControlState& state, const schema::EndpointEntry& entry,
             std::string_view source) {
   if (!UpsertEntry(state.m_directory, entry)) return;
+  NoteVersion(state, entry);
   LogEndpoint(state, EndpointChange::kChanged, entry.id(), source);
 }
 
@@ -225,6 +226,7 @@
   for (const schema::EndpointEntry& entry : other.endpoints().endpoints()) {
     if (IsNews(state, entry)) Upsert(state, entry, other.name());
   }
+  TakePassedVersions(state, other);
   ApplyPeerRemovals(state, other);
   for (const schema::RemovedEntry& removal : other.removals()) {
     LearnRemoval(state.m_directory, removal);
--- a/src/statequery.cpp
+++ b/src/statequery.cpp
@@ -6,6 +6,7 @@
 #include "servedinstances.h"
 #include "storeera.h"
 #include "storereader.h"
+#include "versionsync.h"
 
 namespace comfreypaddle {
 
@@ -84,6 +85,7 @@
   answer->set_list_whole(changes.m_is_complete);
   answer->set_list_base(since);
   *answer->mutable_endpoints() = changes.m_entries;
+  AddPassedVersions(state, *answer);
   for (const schema::RemovedEntry& removed : changes.m_removed) {
     *answer->add_removals() = removed;
     if (!changes.m_is_complete) answer->add_removed_endpoints(removed.id());
--- a/src/streamversions.cpp
+++ b/src/streamversions.cpp
@@ -77,6 +77,18 @@
   return recent;
 }
 
+std::vector<SeenVersion> PassedVersions(const VersionHistory& history,
+                                        Instant now) {
+  std::vector<SeenVersion> passed;
+  for (const auto& [service, versions] : history.m_services) {
+    for (const auto& [version, span] : versions) {
+      if (span.m_is_listed || !IsRecent(span, now)) continue;
+      passed.push_back({service, version, span.m_last_listed});
+    }
+  }
+  return passed;
+}
+
 void AddSeenVersion(VersionHistory& history, const SeenVersion& seen) {
   VersionSpan& span = history.m_services[seen.m_service][seen.m_version];
   span.m_last_listed = std::max(span.m_last_listed, seen.m_last_listed);
--- a/src/streamversions.h
+++ b/src/streamversions.h
@@ -62,7 +62,12 @@
 std::vector<SeenVersion> RecentVersions(const VersionHistory& history,
                                         Instant now);
 
-// Adds a version that another instance has seen.
+// Those of them that are not listed any more.
+std::vector<SeenVersion> PassedVersions(const VersionHistory& history,
+                                        Instant now);
+
+// Adds a version that was listed at some time, as seen by this or another
+// instance.
 void AddSeenVersion(VersionHistory& history, const SeenVersion& seen);
 
 // Whether endpoints of several versions have been listed within kResumeWindow.
--- a/src/versionsync.cpp
+++ b/src/versionsync.cpp
@@ -83,11 +83,12 @@
       .AddMs("list_age_ms", ListAge(state));
 }
 
-// Applies the answer to a question that was sent at `asked`.
-void TakeVersions(ControlState& state, const std::string& source,
-                  const schema::StreamAnswer& answer, Instant asked) {
+using VersionList = google::protobuf::RepeatedPtrField<schema::VersionSeen>;
+
+// Applies versions that another instance has seen.
+void AddSeenVersions(ControlState& state, const VersionList& versions) {
   const Instant now = state.m_clock();
-  for (const schema::VersionSeen& seen : answer.versions()) {
+  for (const schema::VersionSeen& seen : versions) {
     // Also drops an age that is no number.
     if (!(seen.last_listed_ms() >= 0 &&
           seen.last_listed_ms() < ToMs(kResumeWindow))) {
@@ -97,6 +98,20 @@
         state.m_streams.m_versions,
         {seen.service(), seen.version(), now - FromMs(seen.last_listed_ms())});
   }
+}
+
+schema::VersionSeen ToMessage(const SeenVersion& seen, Instant now) {
+  schema::VersionSeen version;
+  version.set_service(seen.m_service);
+  version.set_version(seen.m_version);
+  version.set_last_listed_ms(ToMs(now - seen.m_last_listed));
+  return version;
+}
+
+// Applies the answer to a question that was sent at `asked`.
+void TakeVersions(ControlState& state, const std::string& source,
+                  const schema::StreamAnswer& answer, Instant asked) {
+  AddSeenVersions(state, answer.versions());
   if (!answer.has_all_versions() || !IsAskedWithinWatch(state, asked)) return;
   LearnAllVersions(state, source,
                    static_cast<std::size_t>(answer.versions_size()));
@@ -195,6 +210,11 @@
 
 }  // namespace
 
+void NoteVersion(ControlState& state, const schema::EndpointEntry& entry) {
+  AddSeenVersion(state.m_streams.m_versions,
+                 {entry.service(), entry.version(), state.m_clock()});
+}
+
 void UpdateListedVersions(ControlState& state) {
   std::set<ServiceVersion> listed;
   for (const auto& [id, known] : state.m_directory.m_endpoints) {
@@ -203,6 +223,20 @@
   UpdateVersions(state.m_streams.m_versions, listed, state.m_clock());
 }
 
+void AddPassedVersions(const ControlState& state,
+                       schema::InstanceState& answer) {
+  const Instant now = state.m_clock();
+  for (const SeenVersion& seen :
+       PassedVersions(state.m_streams.m_versions, now)) {
+    *answer.add_passed_versions() = ToMessage(seen, now);
+  }
+}
+
+void TakePassedVersions(ControlState& state,
+                        const schema::InstanceState& other) {
+  AddSeenVersions(state, other.passed_versions());
+}
+
 void SyncVersions(ControlState& state) {
   NoteConfirmations(state);
   if (!state.m_streams.m_watched_from) return;
@@ -221,10 +255,7 @@
   const StreamRecords& records = state.m_streams;
   const Instant now = state.m_clock();
   for (const SeenVersion& seen : RecentVersions(records.m_versions, now)) {
-    schema::VersionSeen* version = answer.add_versions();
-    version->set_service(seen.m_service);
-    version->set_version(seen.m_version);
-    version->set_last_listed_ms(ToMs(now - seen.m_last_listed));
+    *answer.add_versions() = ToMessage(seen, now);
   }
   answer.set_has_all_versions(HasAllVersions(state));
 }
--- a/tests/versionsync_test.cpp
+++ b/tests/versionsync_test.cpp
@@ -153,6 +153,27 @@
   CHECK(release.ClaimsAll(name));
 }
 
+// Guards against an instance that takes the listed version for the only one,
+// although another instance has seen a second one in between (ORDER).
+TEST_CASE("a version that comes and goes within one read is known") {
+  for (const auto& zones : {SmallDeployment(), GrownDeployment()}) {
+    for (const bool is_replaced : {true, false}) {
+      CAPTURE(is_replaced);
+      ReleaseFleet release(zones);
+      const std::string id = is_replaced ? "e1" : "e2";
+      release.List(id, "2");
+      if (is_replaced) release.List(id, "1");
+      if (!is_replaced) release.m_fleet.RemoveEndpoint(id);
+      release.m_fleet.Run(kRecoveryTime);
+      for (const std::string& name : release.m_fleet.Names()) {
+        CAPTURE(name);
+        CHECK(release.ClaimsAll(name));
+        CHECK(release.IsMixedAt(name));
+      }
+    }
+  }
+}
+
 // Guards against streams of unknown version that are refused for 30 s after an
 // outage of the store, because no instance can tell the others (LOST).
 TEST_CASE("a single version is known for one again after a store outage") {
