Let all attempts at a request share its body

A large body stood twice while its request was open: in the request, and in the call of each attempt until the socket had sent it; in `serve` a prompt stood three times. On a machine with little memory, half of what requests may take was a copy.

Change: the body is moved out of the request into a shared string when the request is accepted. Calls send it from there (`HttpCall::m_shared_body`), by both clients. `serve` keeps a prompt as parsed only. The copies that a listener counts follow: one at `entry`, two for callers and operators of `serve`.

--- a/src/accept.cpp
+++ b/src/accept.cpp
@@ -147,6 +147,8 @@
     return;
   }
   call.m_fingerprint = FingerprintOf(call.m_request, call.m_metadata);
+  call.m_body = std::make_shared<const std::string>(
+      std::exchange(call.m_request.m_body, {}));
   call.m_shared_parts = SharedParts(call.m_metadata);
   SetDeadlines(call, now);
   call.m_service =
--- a/src/attempt.cpp
+++ b/src/attempt.cpp
@@ -384,7 +384,7 @@
   http.m_url =
       BaseUrl(state, call.m_choice.m_endpoint) + EndpointTarget(call.m_request);
   http.m_headers = EndpointHeaders(call.m_request, call.m_endpoint_id);
-  http.m_body = call.m_request.m_body;
+  http.m_shared_body = call.m_body;
   http.m_max_body_bytes = 0;  // Not limited: it is forwarded as it arrives.
   http.m_force_new_connection = !call.m_validated_request.m_repeatable;
   return http;
--- a/src/calls.h
+++ b/src/calls.h
@@ -47,7 +47,10 @@
 struct OpenCall {
   std::uint64_t m_id = 0;  // Of the request at ResponsePort.
   ValidatedRequest m_validated_request;
-  HttpRequest m_request;
+  HttpRequest m_request;  // Without its body.
+  // Body of a request to a plain service, which all its attempts send. A prompt
+  // is kept as parsed.
+  std::shared_ptr<const std::string> m_body;
   // Internal request id. It is generated here, because callers may choose the
   // same request id and would receive each other's streams.
   std::string m_stream_id;
--- a/src/curlclient.cpp
+++ b/src/curlclient.cpp
@@ -147,7 +147,7 @@
     curl_off_t written = 0;
     curl_easy_getinfo(m_easy, CURLINFO_SIZE_UPLOAD_T, &written);
     return !m_undelivered &&
-           written == static_cast<curl_off_t>(m_call.m_body.size());
+           written == static_cast<curl_off_t>(BodyOf(m_call).size());
   }
 
   bool Sent() const {
@@ -334,11 +334,11 @@
     curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
   }
   if (call.m_method == "HEAD") curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
-  if (!call.m_body.empty() || call.m_method == "POST" ||
-      call.m_method == "PUT") {
+  const std::string_view body = BodyOf(call);
+  if (!body.empty() || call.m_method == "POST" || call.m_method == "PUT") {
     curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
-                     static_cast<curl_off_t>(call.m_body.size()));
-    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.m_body.data());
+                     static_cast<curl_off_t>(body.size()));
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, body.data());
   }
   curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.m_method.c_str());
   // Otherwise libcurl waits for "100 Continue" before sending larger bodies.
--- a/src/dispatch.cpp
+++ b/src/dispatch.cpp
@@ -57,12 +57,16 @@
   call->m_deadline = now + intake.m_time_limit;
   call->m_validated_request = std::move(intake);
   call->m_request = std::move(request);
+  std::string body = std::exchange(call->m_request.m_body, {});
   Exchange& exchange = call->m_exchange;
   exchange.m_id = call->m_stream_id;
   exchange.m_workspace = call->m_validated_request.m_workspace;
   exchange.m_fleet = call->m_validated_request.m_fleet;
   const bool engine = call->m_validated_request.m_kind == FleetKind::kEngine;
   exchange.m_kind = engine ? ResponseKind::kTokens : ResponseKind::kBody;
+  if (!engine) {
+    call->m_body = std::make_shared<const std::string>(std::move(body));
+  }
   exchange.m_repeatable = call->m_validated_request.m_repeatable;
   exchange.m_streamed =
       !engine || call->m_validated_request.m_completion.m_stream;
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -44,9 +44,9 @@
   return options;
 }
 
-// Copies of a body while its request is open: in the request, in the parsed
-// prompt and in the call to the endpoint.
-constexpr std::size_t kBodyCopies = 3;
+// Copies of a prompt while its request is open: as parsed, and in the call to
+// the engine.
+constexpr std::size_t kBodyCopies = 2;
 
 ListenerOptions MakeListenerOptions(const schema::CallersSettings& callers) {
   ListenerOptions options;
@@ -57,9 +57,9 @@
   options.m_max_body_bytes = callers.max_body_bytes();
   options.m_request_timeout = std::chrono::seconds(callers.request_timeout_s());
   options.m_body_copies = kBodyCopies;
-  options.m_request_bytes = RequestBytesOf(
-      callers.machine_mb(), callers.request_mb(),
-      callers.max_head_bytes() + callers.max_body_bytes() * kBodyCopies / 2);
+  options.m_request_bytes =
+      RequestBytesOf(callers.machine_mb(), callers.request_mb(),
+                     callers.max_head_bytes() + callers.max_body_bytes());
   options.m_unread_bytes = options.m_request_bytes;
   return options;
 }
--- a/src/http.cpp
+++ b/src/http.cpp
@@ -65,6 +65,10 @@
   return {};
 }
 
+std::string_view BodyOf(const HttpCall& call) {
+  return call.m_shared_body != nullptr ? *call.m_shared_body : call.m_body;
+}
+
 std::string PercentEncode(std::string_view text) {
   constexpr std::string_view kDigits = "0123456789ABCDEF";
   std::string encoded;
--- a/src/http.h
+++ b/src/http.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -118,6 +119,8 @@
   std::string m_url;
   HttpFields m_headers;
   std::string m_body;
+  // Body that other calls may send too, instead of m_body. Null: m_body.
+  std::shared_ptr<const std::string> m_shared_body;
   Duration m_connect_timeout{500'000};
   Duration m_timeout{0};
   Duration m_inactivity_timeout{
@@ -140,6 +143,9 @@
   std::optional<std::string> m_request_id;
 };
 
+// Returns the body that a call sends.
+std::string_view BodyOf(const HttpCall& call);
+
 // How a call ended.
 struct HttpResult {
   std::error_code m_error;
--- a/src/httpclient.cpp
+++ b/src/httpclient.cpp
@@ -140,9 +140,11 @@
     m_body_until_close = false;
     m_at_message_end = false;
     m_channel->Write(FormatRequest(call, target));
-    if (call.m_body.size() > kMaxCopiedBodyBytes) {
+    if (BodyOf(call).size() > kMaxCopiedBodyBytes) {
       m_channel->Write(
-          std::make_shared<const std::string>(std::move(call.m_body)));
+          call.m_shared_body != nullptr
+              ? std::move(call.m_shared_body)
+              : std::make_shared<const std::string>(std::move(call.m_body)));
     }
     // Sent() may return true only after the request has been written.
     m_request_written = true;
@@ -337,11 +339,12 @@
     }
     const bool bodyless = call.m_method == "GET" || call.m_method == "HEAD" ||
                           call.m_method == "DELETE";
-    if (!call.m_body.empty() || !bodyless) {
-      text += "Content-Length: " + std::to_string(call.m_body.size()) + "\r\n";
+    const std::string_view body = BodyOf(call);
+    if (!body.empty() || !bodyless) {
+      text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
     }
     text += "\r\n";
-    if (call.m_body.size() <= kMaxCopiedBodyBytes) text += call.m_body;
+    if (body.size() <= kMaxCopiedBodyBytes) text += body;
     return text;
   }
 
--- a/src/relayattempt.cpp
+++ b/src/relayattempt.cpp
@@ -49,7 +49,7 @@
   http.m_method = call.m_request.m_method;
   http.m_url = "http://" + endpoint.m_address + call.m_request.m_target;
   http.m_headers = state.m_format->EndpointFields(call.m_request, terms);
-  http.m_body = call.m_request.m_body;
+  http.m_shared_body = call.m_body;
   http.m_connect_timeout = state.m_options.m_connect_timeout;
   http.m_max_body_bytes = IsStream(call) ? 0 : kMaxResponseBytes;
   http.m_request_id = call.m_metadata.m_attempt;
--- a/src/relaystate.h
+++ b/src/relaystate.h
@@ -171,7 +171,9 @@
 // A request whose response is not complete.
 struct RelayCall {
   std::uint64_t m_id = 0;  // Of the request at ResponsePort.
-  HttpRequest m_request;
+  HttpRequest m_request;   // Without its body.
+  // Body of the request, which all its attempts send.
+  std::shared_ptr<const std::string> m_body;
   RequestMetadata m_metadata;
   // Configuration in force at acceptance; it applies until the request ends.
   std::shared_ptr<const CatalogIndex> m_catalog;
--- a/src/requestmemory.cpp
+++ b/src/requestmemory.cpp
@@ -13,8 +13,8 @@
 // the responses need the rest.
 constexpr double kMachineShare = 0.25;
 
-// Requests of the largest size that fit in any case: an open one stands twice
-// in memory, and the reserve for smaller ones stays free.
+// Requests of the largest size that fit in any case: an open one may stand
+// twice in memory, and the reserve for smaller ones stays free.
 constexpr std::size_t kMinLargestRequests = 4;
 
 // A request stops growing where this many more of its size would not fit, so
--- a/src/requestmemory.h
+++ b/src/requestmemory.h
@@ -20,9 +20,9 @@
   std::size_t m_bytes = 32U << 20U;
   // Connections as set; at most what leaves a reserve of descriptors.
   std::size_t m_connections = 1024;
-  // Copies of a body while its request is open: in the request, and in the call
-  // to an endpoint until that has read it.
-  std::size_t m_body_copies = 2;
+  // Copies of a body while its request is open: one that all attempts share,
+  // more where the owner parses it.
+  std::size_t m_body_copies = 1;
 };
 
 // Why a caller was turned away.
