Blame a request for endpoints that go dark under it

Cause: only a lost connection was blamed on the request. An attempt that ended with the deadline, or because its caller left, was cancelled and left no trace, although the endpoint came back as another lifetime.

Ruled out: to count silence itself as a crash. A slow, paused or cut off endpoint is silent too, and sound requests would be refused for ten minutes.

Change: an attempt that ends without a byte of a response, after the endpoint's machine has acknowledged the request, is kept for 10 s (silentattempts, at most 4096). It counts as a crash under the request, not under parts of its prompt, once the endpoint is listed or reports itself as a later lifetime, or its address refuses a connection or answers 421. An endpoint that vanishes from the list is asked for its report. The attempt is forgotten if the same lifetime answers, if the endpoint drains or leaves, or if any endpoint answers the request. The number of crashes before a refusal is unchanged. An endpoint that vanished while it drained is remembered like one that had said that it leaves.

Evidence: crashes_test "a request that makes endpoints go dark is refused", with the call of RecordSilentAttempts removed: 6 sends and 0 refusals of 6 (3 and 3 wanted) for each of three ways to come back; with it 3 and 3.

--- a/src/attemptlimits.cpp
+++ b/src/attemptlimits.cpp
@@ -113,8 +113,9 @@
   return IsRepeatable(call) && HasAttemptsLeft(call);
 }
 
-bool IsSilent(RelayState& state, const RelayCall& call, Instant now) {
-  const Duration elapsed = now - call.m_attempt.m_sent;
+bool IsSilent(const RelayState& state, const RelayCall& call,
+              const EndpointAttempt& attempt, Instant now) {
+  const Duration elapsed = now - attempt.m_sent;
   if (!IsStream(call)) {
     constexpr double kMicrosPerMs = 1000;
     return elapsed > Duration(static_cast<std::int64_t>(
@@ -126,7 +127,7 @@
   if (elapsed > kStreamHeadTimeout + expected) return true;
   const Duration dead = kDeadEndpointTimeout + expected;
   const BalanceEndpoint* endpoint =
-      FindEndpoint(state.m_balance, call.m_attempt.m_endpoint);
+      FindEndpoint(state.m_balance, attempt.m_endpoint);
   if (endpoint == nullptr) return elapsed > dead;
   return elapsed > dead && now - endpoint->m_last_response_at > dead;
 }
--- a/src/attemptlimits.h
+++ b/src/attemptlimits.h
@@ -32,7 +32,8 @@
 
 // Whether the attempt has gone unanswered for so long that its endpoint should
 // get no other request meanwhile.
-bool IsSilent(RelayState& state, const RelayCall& call, Instant now);
+bool IsSilent(const RelayState& state, const RelayCall& call,
+              const EndpointAttempt& attempt, Instant now);
 
 // Whether the caller of a prompt that was not sent yet leaves before its first
 // event, at the endpoint that serves it first.
--- a/src/crashwatch.cpp
+++ b/src/crashwatch.cpp
@@ -89,6 +89,7 @@
 }
 
 void OnAttemptSurvived(RelayState& state, const RelayCall& call) {
+  ForgetRequest(state.m_silent_attempts, call.m_fingerprint);
   if (state.m_crashes.m_rows.empty()) return;
   std::vector<CrashEntry> cleared;
   for (const SuspectKey& key : SuspectsOf(call)) {
@@ -115,6 +116,14 @@
   Report(state, "endpoint_crashed", blamed, attempt.m_endpoint);
 }
 
+void BlameRequest(RelayState& state, std::uint64_t request,
+                  const std::string& endpoint, std::uint64_t born_ms) {
+  const CrashEntry crash{{SuspectKind::kRequest, request},
+                         {CrashId(endpoint, born_ms), state.m_clock()}};
+  if (!AddCrash(state.m_crashes, crash.m_key, crash.m_crash)) return;
+  Report(state, "endpoint_crashed", {crash}, endpoint);
+}
+
 void MergeSuspects(RelayState& state, const schema::SuspectList& suspects) {
   const Instant now = state.m_clock();
   for (const CrashEntry& crash : DecodeCrashes(suspects, now)) {
--- a/src/crashwatch.h
+++ b/src/crashwatch.h
@@ -24,6 +24,11 @@
 // shared parts of its prompt if the endpoint had begun to answer.
 void OnAttemptCrashed(RelayState& state, RelayCall& call);
 
+// Blames the request with this fingerprint, and nothing else, for the end of
+// this lifetime of the endpoint.
+void BlameRequest(RelayState& state, std::uint64_t request,
+                  const std::string& endpoint, std::uint64_t born_ms);
+
 // Merges the suspects of other instances.
 void MergeSuspects(RelayState& state, const schema::SuspectList& suspects);
 
--- a/src/endpointreport.cpp
+++ b/src/endpointreport.cpp
@@ -92,10 +92,11 @@
   events.m_on_body = [answer](std::string_view bytes) {
     answer->m_body.append(bytes);
   };
-  events.m_on_end = [&state, endpoint, asked, answer,
+  events.m_on_end = [&state, endpoint, address, asked, answer,
                      done = std::move(done)](const HttpResult& result) {
     EndpointReport report =
         ReadReport(state, result, answer->m_body, {asked, state.m_clock()});
+    report.m_address = address;
     report.m_connected = answer->m_connected.value_or(asked);
     LogReport(endpoint, result, report);
     NoteRejection(state, endpoint, answer->m_metadata);
--- a/src/endpointreport.h
+++ b/src/endpointreport.h
@@ -19,6 +19,7 @@
   bool m_is_gone = false;
   // A kept connection was closed before the response.
   bool m_is_connection_lost = false;
+  std::string m_address;  // At which it was asked.
   ReportTimes m_times;
   Instant m_connected{};  // When its connection was established, at the latest.
 };
--- a/src/endpointstate.cpp
+++ b/src/endpointstate.cpp
@@ -153,8 +153,8 @@
 // Keeps what an endpoint said that is no longer in the list.
 void RecordVanished(BalanceState& state, const BalanceEndpoint& endpoint,
                     Instant now) {
-  if (!endpoint.m_leaving && endpoint.m_full_until <= now &&
-      !IsLimited(endpoint.m_limit)) {
+  if (!endpoint.m_draining && !endpoint.m_leaving &&
+      endpoint.m_full_until <= now && !IsLimited(endpoint.m_limit)) {
     return;
   }
   state.m_vanished[endpoint.m_id] = {endpoint, now};
--- a/src/finish.cpp
+++ b/src/finish.cpp
@@ -9,6 +9,7 @@
 #include "eventlog.h"
 #include "hedgedcall.h"
 #include "refusal.h"
+#include "silencewatch.h"
 
 namespace comfreypaddle {
 
@@ -172,6 +173,7 @@
 }
 
 void CancelAttempt(RelayState& state, RelayCall& call) {
+  RecordSilentAttempts(state, call);
   CancelSend(state, call.m_attempt);
   CancelOther(state, call);
   ReleaseKvCache(state, call);
--- a/src/http.h
+++ b/src/http.h
@@ -169,6 +169,12 @@
     return std::nullopt;
   }
 
+  // Whether the peer has acknowledged the whole request of the call.
+  virtual bool IsDelivered(CallId id) const {
+    (void)id;
+    return true;
+  }
+
   // Whether a connection to the address, IP:PORT, is open.
   virtual bool HasConnection(const std::string& address) const {
     (void)address;
--- a/src/httpclient.cpp
+++ b/src/httpclient.cpp
@@ -278,6 +278,7 @@
 
   std::optional<Instant> ConnectedAt() const { return m_connected_at; }
 
+  bool IsDelivered() const { return m_connected && m_channel->IsDelivered(); }
   bool Sent() const { return m_request_written && m_channel->AnySent(); }
   const std::string& Address() const { return m_address; }
 
@@ -431,6 +432,11 @@
   return found->second->ConnectedAt();
 }
 
+bool HttpClient::IsDelivered(CallId id) const {
+  const auto found = m_active.find(id);
+  return found != m_active.end() && found->second->IsDelivered();
+}
+
 bool HttpClient::HasConnection(const std::string& address) const {
   const auto idle = m_idle.find(address);
   if (idle != m_idle.end() && !idle->second.empty()) return true;
--- a/src/httpclient.h
+++ b/src/httpclient.h
@@ -35,6 +35,7 @@
   CallId Start(HttpCall call, HttpEvents events) override;
   void Cancel(CallId id) override;
   std::optional<Instant> ConnectedAt(CallId id) const override;
+  bool IsDelivered(CallId id) const override;
   bool HasConnection(const std::string& address) const override;
 
   // Closes the idle connections to an address, IP:PORT.
--- a/src/lifetimecheck.cpp
+++ b/src/lifetimecheck.cpp
@@ -6,6 +6,7 @@
 
 #include "eventlog.h"
 #include "resumption.h"
+#include "silencewatch.h"
 #include "streambinding.h"
 
 namespace comfreypaddle {
@@ -103,6 +104,7 @@
 
 bool LearnLifetime(RelayState& state, const std::string& endpoint,
                    const EndpointReport& report) {
+  OnEndpointReport(state, endpoint, report);
   if (!report.m_report || !report.m_report->m_born_ms) return false;
   const std::uint64_t born_ms = *report.m_report->m_born_ms;
   NoteLifetime(state.m_lifetimes, endpoint,
--- a/src/relayattempt.cpp
+++ b/src/relayattempt.cpp
@@ -15,6 +15,7 @@
 #include "lifetimecheck.h"
 #include "responsememory.h"
 #include "resumption.h"
+#include "silencewatch.h"
 #include "streambinding.h"
 
 namespace comfreypaddle {
@@ -178,6 +179,7 @@
   attempt.m_metadata = state.m_format->ParseResponseMetadata(status, fields);
   OnResendsRead(state.m_resends, call.m_service, attempt.m_endpoint,
                 attempt.m_head_at);
+  OnAttemptHead(state, attempt);
   RecordLimit(state, attempt);
   if (!attempt.m_metadata.m_leaving) return;
   if (!OnEndpointLeaving(state.m_balance, attempt.m_endpoint)) return;
@@ -372,6 +374,10 @@
 void OnRunEnd(RelayState& state, RelayCall& call, const HttpResult& result) {
   ReleaseLoad(state, call.m_attempt);
   RecordConnection(call.m_attempt, result);
+  if (result.m_error == HttpError::kConnectRefused) {
+    OnEndpointUnreachable(state, call.m_attempt.m_endpoint,
+                          call.m_attempt.m_address);
+  }
   if (call.m_attempt.m_is_held) {
     call.m_attempt.m_held_end = result;
   } else {
@@ -704,7 +710,7 @@
   }
   const bool is_watched = attempt.m_is_prefill || IsRepeatable(call);
   const Instant now = state.m_clock();
-  if (!is_watched || !IsSilent(state, call, now)) return;
+  if (!is_watched || !IsSilent(state, call, attempt, now)) return;
   attempt.m_is_silent = true;
   LogFailure(state, call, "silent", {HttpError::kInactivityTimeout, 0, true});
   OnEndpointFailed(state.m_balance, attempt.m_endpoint, now);
--- a/src/relayendpoints.cpp
+++ b/src/relayendpoints.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "silencewatch.h"
 #include "streambinding.h"
 
 namespace comfreypaddle {
@@ -57,6 +58,7 @@
   std::vector<std::string> obsolete =
       UpdateEndpoints(state.m_balance, std::move(endpoints), now);
   UpdateEndpointVersions(state);
+  ReviewSilentAttempts(state);
   ForgetEndpoints(
       state.m_resends,
       [&state](const std::string& id) {
--- a/src/relaystate.h
+++ b/src/relaystate.h
@@ -22,6 +22,7 @@
 #include "metrics.h"
 #include "resend.h"
 #include "runend.h"
+#include "silentattempts.h"
 #include "ssesplit.h"
 #include "streamversions.h"
 #include "wireformat.h"
@@ -296,6 +297,7 @@
   VersionHistory m_versions;
   StreamTable m_streams;  // Begun or taken up at this instance.
   CrashTable m_crashes;
+  SilentAttempts m_silent_attempts;
   ProbeShare m_probes;
   RelayCounters m_counters;
   schema::KnowledgeStatus m_knowledge;  // As of m_knowledge_at.
--- a/tests/crashes_test.cpp
+++ b/tests/crashes_test.cpp
@@ -1,5 +1,6 @@
 // Requests that crash the endpoints that run them, at one instance.
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "relayendpoints.h"
 #include "support_relay.h"
 
 namespace comfreypaddle::testing {
@@ -121,5 +122,110 @@
   CHECK(answered == kRounds);
 }
 
+// Lists e1 to e3, all started at this time, without those that are named.
+void List(RelayFixture& f, std::uint64_t born_ms,
+          const std::string& missing = "", bool draining = false) {
+  schema::EndpointList list;
+  for (const std::string id : {"e1", "e2", "e3"}) {
+    if (missing.find(id) != std::string::npos) continue;
+    schema::EndpointEntry* entry = list.add_endpoints();
+    entry->set_id(id);
+    entry->set_service("s");
+    entry->set_address("127.0.0.1:1");
+    entry->set_slots(4);
+    entry->set_born_ms(born_ms);
+    entry->set_draining(draining);
+  }
+  SetEndpointList(f.m_state, list, [](const std::string&) { return ""; });
+}
+
+// Sends a request whose endpoint says nothing until the deadline. Returns the
+// endpoint, or nothing if the request is refused.
+std::string AskInVain(RelayFixture& f, std::uint64_t id,
+                      const std::string& target) {
+  const std::size_t calls = f.m_endpoints.m_calls.size();
+  f.Ask(id, target);
+  if (f.m_endpoints.m_calls.size() == calls) return "";
+  f.m_now += milliseconds(3001);
+  TickCalls(f.m_state);
+  return f.m_endpoints.To(calls);
+}
+
+// Failure: an attempt that was given up after a silence left no trace, so that
+// a request that makes endpoints go dark, with no reset, was never refused
+// (BUDGET).
+TEST_CASE("a request that makes endpoints go dark is refused") {
+  RelayFixture f;
+  ALLOW_CALL(f.m_callers, Respond(_, 504, _, _));
+  std::size_t refused = 0;
+  ALLOW_CALL(f.m_callers, Respond(_, 503, _, _)).LR_SIDE_EFFECT(++refused);
+  bool has_new_id = false;
+  std::string target = "/safe/x";
+  SUBCASE("back as another lifetime") {}
+  SUBCASE("back as another lifetime, streams") { target = "/stream/x"; }
+  SUBCASE("back under another id") { has_new_id = true; }
+  for (std::uint64_t round = 1; round <= 6; ++round) {
+    List(f, round);
+    const std::string dark = AskInVain(f, round, target);
+    f.m_now += seconds(1);
+    if (!has_new_id || dark.empty()) continue;
+    List(f, round, dark);
+    CHECK(ListCrashes(f.m_state.m_crashes).size() == round - 1);
+    f.m_endpoints.RefuseInquiries();
+    CHECK(ListCrashes(f.m_state.m_crashes).size() == round);
+  }
+  CHECK(f.m_endpoints.m_calls.size() == kCrashesToRefuse);
+  CHECK(refused == 6 - kCrashesToRefuse);
+}
+
+// Failure: a sound request is refused for silences of slow, leaving or cut off
+// endpoints that end later for other reasons.
+TEST_CASE("a silence without a crash is not blamed on the request") {
+  RelayFixture f;
+  ALLOW_CALL(f.m_callers, Respond(_, _, _, _));
+  f.m_endpoints.m_connected_at = f.m_now;
+  bool drains = false;
+  bool answers = false;
+  Duration wait = seconds(1);
+  std::string sound = "/safe/y";
+  SUBCASE("the endpoint answers another request") { answers = true; }
+  SUBCASE("another endpoint answers the request") {
+    answers = true;
+    f.m_endpoints.m_connected_at.reset();
+    sound = "/safe/x";
+  }
+  SUBCASE("the endpoint leaves as planned") { drains = true; }
+  SUBCASE("the lifetime ends much later") { wait = kSilenceRetention; }
+  SUBCASE("the request has not reached the endpoint") {
+    f.m_endpoints.m_is_delivered = false;
+  }
+  for (std::uint64_t round = 1; round <= 6; ++round) {
+    List(f, round);
+    const std::string silent = AskInVain(f, 10 * round, "/safe/x");
+    REQUIRE(!silent.empty());
+    if (drains) List(f, round, "", true);
+    for (std::uint64_t i = 1; answers && i <= 3; ++i) {
+      f.m_now += seconds(1);
+      f.Ask(10 * round + i, sound);
+      f.Answer(f.m_endpoints.m_calls.size() - 1, 200, {}, "body");
+    }
+    f.m_now += wait;
+  }
+  CHECK(f.m_state.m_crashes.m_rows.empty());
+}
+
+// Failure: a flood of silent attempts takes memory without end.
+TEST_CASE("silent attempts are bounded in number and age") {
+  SilentAttempts table;
+  for (std::uint64_t i = 0; i < 2 * kMaxSilentAttempts; ++i) {
+    AddSilentAttempt(table, "e" + std::to_string(i % 7), {i, 1, "", Instant{}});
+  }
+  CHECK(table.m_size == kMaxSilentAttempts);
+  const Instant later = Instant{} + kSilenceRetention;
+  CHECK(AddSilentAttempt(table, "e0", {0, 2, "", later}));
+  CHECK(table.m_size == 1);
+  CHECK(TakeEndedLifetimes(table, "e0", 3, later + kSilenceRetention).empty());
+}
+
 }  // namespace
 }  // namespace comfreypaddle::testing
--- a/tests/support_relay.h
+++ b/tests/support_relay.h
@@ -141,6 +141,7 @@
   std::optional<Instant> ConnectedAt(CallId id) const override {
     return id > kFirstInquiry ? m_inquiry_connected_at : m_connected_at;
   }
+  bool IsDelivered(CallId /*id*/) const override { return m_is_delivered; }
 
   // Answers the questions about work that are open.
   void AnswerInquiries(const std::string& report) {
@@ -166,6 +167,7 @@
   std::vector<HttpCall> m_calls;
   std::vector<HttpEvents> m_events;
   std::vector<CallId> m_cancelled;
+  bool m_is_delivered = true;           // Requests reach their endpoints.
   std::vector<HttpEvents> m_inquiries;  // Open questions about work.
   // Of all connections but those of questions about work.
   std::optional<Instant> m_connected_at;
