Count crashes that come together one by one if the endpoints ended

Cause: CountIncidents joins crashes within 200 ms, so that a link that fails does not quarantine the parts on its connections. It does so without looking at whether anything ended.

Ruled out: another window moves the fault. Other connections that an instance lost are no evidence, as a crash ends the streams of its endpoint too. A mark for every ended process would blame the parts that happen to be at endpoints of a rack or zone that fails.

The mark is in CrashReport, so that it is exchanged and stored with the crash. Crashes without it keep their meaning, those of earlier releases included. An endpoint is asked (crashcheck) only if the answer can matter.

"crashes at one moment do not quarantine a prompt part" holds unchanged.

What remains: while other connections break within the same 200 ms, crashes count as one as before; and so do those of a part at more than 16 crashes, and those whose instance ends before it confirms them.

--- a/src/accept.cpp
+++ b/src/accept.cpp
@@ -7,6 +7,7 @@
 
 #include "allotmentcheck.h"
 #include "continuation.h"
+#include "crashcheck.h"
 #include "entryserve.h"
 #include "eventlog.h"
 #include "finish.h"
@@ -180,6 +181,7 @@
   const Instant now = state.m_clock();
   ServeWaiting(state);
   TickLifetimeChecks(state);
+  TickCrashChecks(state);
   ResolveTakenUp(state);
   for (const std::uint64_t id : OpenCallIds(state)) {
     RelayCall* call = FindRelayCall(state, id);
--- a/src/crashcodec.cpp
+++ b/src/crashcodec.cpp
@@ -1,13 +1,15 @@
 #include "crashcodec.h"
 
 #include <map>
+#include <tuple>
 #include <utility>
 
 namespace comfreypaddle {
 
 namespace {
 
-using CrashIdentity = std::pair<std::uint64_t, Instant>;
+// Id, time, confirmed.
+using CrashIdentity = std::tuple<std::uint64_t, Instant, bool>;
 using GroupIdentity = std::pair<SuspectKind, bool>;  // Kind, cleared.
 using SuspectGroups = std::map<GroupIdentity, std::vector<std::uint64_t>>;
 
@@ -26,14 +28,17 @@
                                   Instant now) {
   std::map<CrashIdentity, SuspectGroups> by_crash;
   for (const auto& [key, crash] : crashes) {
-    by_crash[{crash.m_id, crash.m_at}][{key.m_kind, crash.m_cleared}].push_back(
-        key.m_hash);
+    by_crash[{crash.m_id, crash.m_at, crash.m_confirmed}]
+            [{key.m_kind, crash.m_cleared}]
+                .push_back(key.m_hash);
   }
   schema::SuspectList list;
   for (const auto& [identity, groups] : by_crash) {
     schema::CrashReport* report = list.add_crashes();
-    report->set_id(identity.first);
-    report->set_age_ms(ToMs(now - identity.second));
+    const auto& [id, at, is_confirmed] = identity;
+    report->set_id(id);
+    report->set_age_ms(ToMs(now - at));
+    report->set_is_confirmed(is_confirmed);
     AddGroups(groups, report);
   }
   return list;
@@ -50,7 +55,9 @@
     for (const schema::SuspectGroup& group : report.suspects()) {
       const auto kind = static_cast<SuspectKind>(group.kind());
       for (const std::uint64_t hash : group.hashes()) {
-        crashes.push_back({{kind, hash}, {report.id(), at, group.cleared()}});
+        crashes.push_back(
+            {{kind, hash},
+             {report.id(), at, group.cleared(), report.is_confirmed()}});
       }
     }
   }
--- a/src/crashtable.cpp
+++ b/src/crashtable.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <cstddef>
+#include <set>
 #include <utility>
 
 namespace comfreypaddle {
@@ -14,7 +15,8 @@
 // Crashes after which a suspect is quarantined.
 constexpr std::size_t kCrashesToQuarantine = 3;
 
-// Crashes of a prompt part within this time count as one.
+// Crashes of a prompt part within this time count as one unless they are
+// confirmed.
 constexpr Duration kIncidentLength = std::chrono::milliseconds(200);
 
 // Time from the crash that quarantined a prompt part to its first probe.
@@ -28,24 +30,51 @@
                        [](const CrashRecord& s) { return !s.m_cleared; });
 }
 
-// Number of incidents among the crashes blamed on the suspect: crashes that are
-// close together count as one.
+// Number of incidents among the crashes blamed on the suspect: of those that
+// are close together, each that is confirmed, or one if none is.
 std::size_t CountIncidents(const SuspectRow& row) {
-  std::vector<Instant> times;
+  std::vector<std::pair<Instant, bool>> crashes;  // Time, confirmed.
   for (const CrashRecord& crash : row.m_crashes) {
-    if (!crash.m_cleared) times.push_back(crash.m_at);
+    if (!crash.m_cleared) crashes.emplace_back(crash.m_at, crash.m_confirmed);
   }
-  std::sort(times.begin(), times.end());
+  std::sort(crashes.begin(), crashes.end());
   std::size_t incidents = 0;
+  std::size_t confirmed = 0;  // Of those that are close together.
   Instant end{};
-  for (const Instant at : times) {
-    if (incidents > 0 && at < end) continue;
-    ++incidents;
-    end = at + kIncidentLength;
+  for (const auto& [at, is_confirmed] : crashes) {
+    if (incidents == 0 || at >= end) {
+      ++incidents;
+      confirmed = 0;
+      end = at + kIncidentLength;
+    }
+    if (is_confirmed && confirmed++ > 0) ++incidents;
   }
   return incidents;
 }
 
+// The crash of the suspect with this id, or null.
+const CrashRecord* FindCrash(const SuspectRow& row, std::uint64_t id) {
+  const auto found =
+      std::find_if(row.m_crashes.begin(), row.m_crashes.end(),
+                   [id](const CrashRecord& crash) { return crash.m_id == id; });
+  return found == row.m_crashes.end() ? nullptr : &*found;
+}
+
+// Ids of all crashes about the time of this one, itself included, whatever they
+// are blamed on.
+std::set<std::uint64_t> FindCrashesAround(const CrashTable& table,
+                                          const CrashRecord& crash) {
+  std::set<std::uint64_t> ids{crash.m_id};
+  for (const auto& [key, row] : table.m_rows) {
+    for (const CrashRecord& other : row.m_crashes) {
+      const bool is_near =
+          std::chrono::abs(other.m_at - crash.m_at) < kIncidentLength;
+      if (is_near) ids.insert(other.m_id);
+    }
+  }
+  return ids;
+}
+
 // Time from the newest crash of a quarantined part to its next probe. It
 // doubles with each incident.
 Duration ProbeDelay(const SuspectRow& row) {
@@ -135,10 +164,7 @@
     found = table.m_rows.emplace(key, SuspectRow{}).first;
   }
   std::vector<CrashRecord>& crashes = found->second.m_crashes;
-  const bool listed = std::any_of(
-      crashes.begin(), crashes.end(),
-      [&crash](const CrashRecord& known) { return known.m_id == crash.m_id; });
-  if (listed) return false;
+  if (FindCrash(found->second, crash.m_id) != nullptr) return false;
   if (crashes.size() >= kMaxCrashesPerSuspect) {
     const auto cleared =
         std::find_if(crashes.begin(), crashes.end(),
@@ -152,11 +178,15 @@
 
 bool MergeCrash(CrashTable& table, const CrashEntry& other) {
   if (AddCrash(table, other.m_key, other.m_crash)) return true;
-  if (!other.m_crash.m_cleared) return false;
   bool changed = false;
   for (CrashRecord& known : table.m_rows.at(other.m_key).m_crashes) {
     if (known.m_id != other.m_crash.m_id) continue;
-    changed |= !std::exchange(known.m_cleared, true);
+    if (other.m_crash.m_cleared) {
+      changed |= !std::exchange(known.m_cleared, true);
+    }
+    if (other.m_crash.m_confirmed) {
+      changed |= !std::exchange(known.m_confirmed, true);
+    }
   }
   return changed;
 }
@@ -172,6 +202,37 @@
   return blamed;
 }
 
+std::vector<SuspectKey> FindConfirmable(const CrashTable& table,
+                                        const CrashRecord& crash,
+                                        const std::vector<SuspectKey>& parts) {
+  const std::set<std::uint64_t> around = FindCrashesAround(table, crash);
+  std::vector<SuspectKey> confirmable;
+  if (around.size() < 2) return confirmable;
+  for (const SuspectKey& part : parts) {
+    const auto found = table.m_rows.find(part);
+    if (found == table.m_rows.end()) continue;
+    const SuspectRow& row = found->second;
+    const CrashRecord* known = FindCrash(row, crash.m_id);
+    const bool is_open =
+        known != nullptr && !known->m_cleared && !known->m_confirmed;
+    const bool was_at_each = std::all_of(
+        around.begin(), around.end(),
+        [&row](std::uint64_t id) { return FindCrash(row, id) != nullptr; });
+    if (is_open && was_at_each) confirmable.push_back(part);
+  }
+  return confirmable;
+}
+
+bool ConfirmCrash(CrashTable& table, const SuspectKey& key, std::uint64_t id) {
+  const auto found = table.m_rows.find(key);
+  if (found == table.m_rows.end()) return false;
+  for (CrashRecord& crash : found->second.m_crashes) {
+    if (crash.m_id != id || crash.m_cleared) continue;
+    return !std::exchange(crash.m_confirmed, true);
+  }
+  return false;
+}
+
 std::vector<CrashEntry> ListCrashes(const CrashTable& table) {
   std::vector<RankedSuspect> ranked = RankSuspects(table);
   std::sort(ranked.rbegin(), ranked.rend());
@@ -185,12 +246,16 @@
 }
 
 std::uint64_t DigestOf(const CrashTable& table) {
+  // Beyond the other fields, so that tables without confirmed crashes have the
+  // same digest as in earlier releases.
+  constexpr std::uint64_t kConfirmedWeight = 16;
   std::uint64_t digest = 0;
   for (const auto& [key, row] : table.m_rows) {
     for (const CrashRecord& crash : row.m_crashes) {
       const std::array<std::uint64_t, 3> fields{
           key.m_hash, crash.m_id,
-          2 * static_cast<std::uint64_t>(key.m_kind) +
+          kConfirmedWeight * static_cast<std::uint64_t>(crash.m_confirmed) +
+              2 * static_cast<std::uint64_t>(key.m_kind) +
               static_cast<std::uint64_t>(crash.m_cleared)};
       // A sum, because the crashes of a row are in the order of arrival.
       digest += XXH64(fields.data(), sizeof(fields), 0);
--- a/src/crashtable.h
+++ b/src/crashtable.h
@@ -43,6 +43,9 @@
   // A request with the suspect got past the start of its response after this
   // crash was known: the suspect did not cause it.
   bool m_cleared = false;
+  // The process of the endpoint ended, and the suspect was at each crash of
+  // that moment. A confirmed crash counts by itself.
+  bool m_confirmed = false;
 };
 
 // A crash, and a suspect that it is blamed on or that was cleared of it.
@@ -85,8 +88,9 @@
               const CrashRecord& crash);
 
 // Merges what another instance knows: a crash that is new, or that the suspect
-// was cleared of a known one. Instances that have merged the same crashes agree
-// whatever the order. Returns whether anything changed.
+// was cleared of a known one, or that a known one is confirmed. Instances that
+// have merged the same crashes agree whatever the order. Returns whether
+// anything changed.
 bool MergeCrash(CrashTable& table, const CrashEntry& other);
 
 // Crashes blamed on the suspect.
@@ -97,8 +101,21 @@
 // first, and of these the newest.
 std::vector<CrashEntry> ListCrashes(const CrashTable& table);
 
-// Hash of the crashes and of whether they are cleared. Tables that agree have
-// the same digest.
+// Of the prompt parts, those for which it matters whether the endpoint's
+// process ended in this crash: the crash is blamed on the part and counts as
+// one with others, and the part was at each crash of that moment. If the part
+// was not at all of them, something else ended at least the others, and the
+// crash stays one with them.
+std::vector<SuspectKey> FindConfirmable(const CrashTable& table,
+                                        const CrashRecord& crash,
+                                        const std::vector<SuspectKey>& parts);
+
+// Marks the crash with this id, if it is blamed on the suspect, as confirmed.
+// Returns whether it was not before.
+bool ConfirmCrash(CrashTable& table, const SuspectKey& key, std::uint64_t id);
+
+// Hash of the crashes and of whether they are cleared or confirmed. Tables that
+// agree have the same digest.
 std::uint64_t DigestOf(const CrashTable& table);
 
 // Forgets crashes older than kCrashRetention.
@@ -112,9 +129,9 @@
 std::size_t CountCrashes(const CrashTable& table, const SuspectKey& key);
 
 // Whether the suspect is held to crash endpoints. A prompt part must have been
-// at several crashes some time apart: one incident that ends many connections
-// at once says nothing of the parts that happened to be on them, and sound
-// requests with the part get the time to clear it.
+// at several crashes that are confirmed or some time apart: one incident that
+// ends many connections at once, as when a link fails, says nothing of the
+// parts that happened to be on them.
 bool IsQuarantined(const CrashTable& table, const SuspectKey& key, Instant now);
 
 // A quarantined prompt part is tried again with one request at a time, ever
--- a/src/crashwatch.cpp
+++ b/src/crashwatch.cpp
@@ -82,6 +82,19 @@
   }
 }
 
+// Keeps the crash until it is known whether the process ended.
+void AddCheck(RelayState& state, const EndpointAttempt& attempt,
+              const CrashRecord& crash, const std::vector<SuspectKey>& parts) {
+  const auto [place, is_first] =
+      state.m_crash_checks.try_emplace(crash.m_id, CrashCheck{crash});
+  CrashCheck& check = place->second;
+  check.m_parts.insert(check.m_parts.end(), parts.begin(), parts.end());
+  if (!is_first) return;
+  check.m_endpoint = attempt.m_endpoint;
+  check.m_address = attempt.m_address;
+  check.m_born_ms = attempt.m_born_ms;
+}
+
 }  // namespace
 
 bool IsAtStart(const RelayCall& call) {
@@ -107,12 +120,28 @@
   const CrashRecord crash{CrashId(attempt.m_endpoint, attempt.m_born_ms),
                           state.m_clock()};
   std::vector<CrashEntry> blamed;
+  std::vector<SuspectKey> parts;
   for (const SuspectKey& key : SuspectsOf(call)) {
     const bool is_part = key.m_kind == SuspectKind::kPromptPart;
     if (is_part && !HasBegunToAnswer(call)) continue;
-    if (AddCrash(state.m_crashes, key, crash)) blamed.push_back({key, crash});
+    if (!AddCrash(state.m_crashes, key, crash)) continue;
+    blamed.push_back({key, crash});
+    if (is_part) parts.push_back(key);
   }
   Report(state, "endpoint_crashed", blamed, attempt.m_endpoint);
+  if (!parts.empty()) AddCheck(state, attempt, crash, parts);
+}
+
+void OnCrashConfirmed(RelayState& state, const CrashCheck& check) {
+  CrashRecord crash = check.m_crash;
+  crash.m_confirmed = true;
+  std::vector<CrashEntry> confirmed;
+  for (const SuspectKey& part :
+       FindConfirmable(state.m_crashes, crash, check.m_parts)) {
+    ConfirmCrash(state.m_crashes, part, crash.m_id);
+    confirmed.push_back({part, crash});
+  }
+  Report(state, "crash_confirmed", confirmed, check.m_endpoint);
 }
 
 void MergeSuspects(RelayState& state, const schema::SuspectList& suspects) {
--- a/src/crashwatch.h
+++ b/src/crashwatch.h
@@ -21,9 +21,14 @@
 void OnAttemptSurvived(RelayState& state, const RelayCall& call);
 
 // Blames the request for the crash of the endpoint of its attempt, and the
-// shared parts of its prompt if the endpoint had begun to answer.
+// shared parts of its prompt if the endpoint had begun to answer. Whether the
+// process ended is then to be found out (crashcheck.h).
 void OnAttemptCrashed(RelayState& state, RelayCall& call);
 
+// Counts a crash by itself for the prompt parts that it may be confirmed for:
+// the process of its endpoint has ended.
+void OnCrashConfirmed(RelayState& state, const CrashCheck& check);
+
 // Merges the suspects of other instances.
 void MergeSuspects(RelayState& state, const schema::SuspectList& suspects);
 
--- a/src/relaystate.h
+++ b/src/relaystate.h
@@ -231,6 +231,19 @@
   bool m_needs_new_connection = false;
 };
 
+// Crash that this instance has seen, while it is not known whether the process
+// of the endpoint ended.
+struct CrashCheck {
+  CrashRecord m_crash;
+  std::string m_endpoint;
+  std::string m_address;
+  std::uint64_t m_born_ms = 0;      // Start of the lifetime that crashed.
+  std::vector<SuspectKey> m_parts;  // Of prompts that it is blamed on.
+  HttpPort::CallId m_call = 0;      // Zero if no question is open.
+  Instant m_due{};                  // Of the next question.
+  bool m_has_ended = false;         // The process.
+};
+
 struct RelayOptions {
   std::string m_instance;
   Duration m_connect_timeout = std::chrono::milliseconds(400);
@@ -296,6 +309,7 @@
   VersionHistory m_versions;
   StreamTable m_streams;  // Begun or taken up at this instance.
   CrashTable m_crashes;
+  std::map<std::uint64_t, CrashCheck> m_crash_checks;  // By crash.
   ProbeShare m_probes;
   RelayCounters m_counters;
   schema::KnowledgeStatus m_knowledge;  // As of m_knowledge_at.
--- a/tests/crashparts_test.cpp
+++ b/tests/crashparts_test.cpp
@@ -1,7 +1,9 @@
 // Parts of prompts that crash each endpoint that begins to answer a request
 // with them, at one instance.
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <functional>
 #include <random>
+#include <set>
 
 #include "support_relay.h"
 
@@ -170,5 +172,84 @@
   }
 }
 
+// Time from crashes that come together to the refusal of their part. The others
+// must be told within kContactTime.
+constexpr Duration kConfirmTime = milliseconds(3000);
+
+// Lets the three endpoints begin to answer requests with a part, and breaks
+// their connections at one moment. Ends the questions of the time after that in
+// the given way.
+void BreakTogether(RelayFixture& f, const std::function<void()>& end_inquiries,
+                   bool breaks_another = false) {
+  for (const char* id : {"e1", "e2", "e3"}) {
+    f.m_state.m_balance.m_endpoints.at(id).m_born_ms = 7;
+  }
+  std::set<std::string> reached;
+  for (std::uint64_t id = 0; id < 3; ++id) {
+    f.AskPrompt(id, "/stream/x", "first,shared,own" + std::to_string(id));
+    f.m_endpoints.m_events.at(id).m_on_head(200, {{"stream", "1"}});
+    reached.insert(f.m_endpoints.To(id));
+  }
+  REQUIRE(reached.size() == 3);
+  for (std::size_t i = 0; i < 3; ++i) f.Break(i, true);
+  if (breaks_another) {
+    AddCrash(f.m_state.m_crashes, {SuspectKind::kRequest, 9},
+             {CrashId("e4", 7), f.m_now});
+  }
+  const Instant end = f.m_now + kConfirmTime;
+  for (; f.m_now < end; f.m_now += milliseconds(20)) {
+    TickCalls(f.m_state);
+    end_inquiries();
+  }
+}
+
+bool IsServed(RelayFixture& f) {
+  const std::size_t next = f.m_endpoints.m_calls.size();
+  f.AskPrompt(99, "/stream/x", "first,shared,last");
+  return f.m_endpoints.m_calls.size() > next;
+}
+
+// Failure: requests that came together crashed several endpoints at a time, and
+// such crashes counted as one, so that more came through (review/13).
+TEST_CASE("a prompt part at crashes that come together is refused") {
+  RelayFixture f;
+  ALLOW_CALL(f.m_callers, Respond(_, _, _, _));
+  SUBCASE("nothing listens any more") {
+    BreakTogether(f, [&f] { f.m_endpoints.RefuseInquiries(); });
+  }
+  SUBCASE("they have started again") {
+    BreakTogether(f, [&f] { f.m_endpoints.AnswerInquiries("0 0 born=8"); });
+  }
+  SUBCASE("they answer late") {
+    const Instant late = f.m_now + seconds(2);
+    BreakTogether(f, [&f, late] {
+      f.m_endpoints.RefuseInquiries(f.m_now < late
+                                        ? HttpError::kConnectTimeout
+                                        : HttpError::kConnectRefused);
+    });
+  }
+  CHECK_FALSE(IsServed(f));
+}
+
+// Failure: a part is refused because links failed, or because endpoints ended
+// for another reason, while they had begun to answer requests with it.
+TEST_CASE("a prompt part that happens to be at lost connections is served") {
+  RelayFixture f;
+  ALLOW_CALL(f.m_callers, Respond(_, _, _, _));
+  SUBCASE("the endpoints work on") {
+    BreakTogether(f, [&f] { f.m_endpoints.AnswerInquiries("0 0 born=7"); });
+  }
+  SUBCASE("the endpoints do not answer") {
+    BreakTogether(f, [] {});
+  }
+  SUBCASE("another endpoint ends without the part") {
+    BreakTogether(
+        f, [&f] { f.m_endpoints.RefuseInquiries(); }, true);
+    CHECK(f.m_state.m_counters.m_reports_asked == 0);
+    CHECK(f.m_state.m_crash_checks.empty());
+  }
+  CHECK(IsServed(f));
+}
+
 }  // namespace
 }  // namespace comfreypaddle::testing
--- a/tests/crashsync_test.cpp
+++ b/tests/crashsync_test.cpp
@@ -1,6 +1,8 @@
 // Suspects of crashes, shared by many instances in virtual time. Only the ports
 // are simulated.
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "crashsync.h"
+
 #include <doctest/doctest.h>
 
 #include <algorithm>
@@ -179,6 +181,44 @@
   }
 }
 
+// Failure: that crashes at one moment are confirmed is known only to the
+// instance that saw them, or is forgotten in a kill of all.
+TEST_CASE("a confirmation of crashes reaches all instances") {
+  constexpr std::uint64_t kPart = 5;
+  const SuspectKey part{SuspectKind::kPromptPart, kPart};
+  InstanceFleet fleet(SmallDeployment(), 1);
+  fleet.Run(kStartupTime);
+  const std::vector<std::string> names = fleet.Names();
+  const auto refusing = [&fleet, &names] {
+    return std::count_if(names.begin(), names.end(),
+                         [&fleet](const std::string& name) {
+                           return fleet.RefusesPart(name, kPart);
+                         });
+  };
+  for (std::size_t i = 0; i < 3; ++i) {
+    fleet.CrashEndpoint(names[i], std::vector<std::uint64_t>{kPart},
+                        "e" + std::to_string(i));
+  }
+  fleet.Run(seconds(1));
+  CHECK(refusing() == 0);
+  fleet.Cut(names.back());
+  ControlState& first = fleet.State(names.front());
+  std::vector<CrashEntry> confirmed;
+  for (CrashRecord crash : BlamedCrashes(first.m_suspects.m_table, part)) {
+    crash.m_confirmed = true;
+    confirmed.push_back({part, crash});
+  }
+  LearnCrashes(first, confirmed);
+  fleet.Run(seconds(1));
+  CHECK(refusing() == static_cast<std::ptrdiff_t>(names.size()) - 1);
+  fleet.Heal(names.back());
+  fleet.Run(kContactTime);
+  CHECK(refusing() == static_cast<std::ptrdiff_t>(names.size()));
+  for (const std::string& name : names) fleet.Restart(name);
+  fleet.Run(kContactTime);
+  CHECK(refusing() == static_cast<std::ptrdiff_t>(names.size()));
+}
+
 // Failure: a suspect stays refused at the instances that did not answer it
 // themselves, or is refused again when a late report arrives.
 TEST_CASE("an answer anywhere clears the request everywhere") {
--- a/tests/crashtable_test.cpp
+++ b/tests/crashtable_test.cpp
@@ -107,6 +107,45 @@
   CHECK(IsQuarantined(table, Part(2), kStart + seconds(1)));
 }
 
+// Failure: crashes of endpoints whose processes have ended count as one because
+// they come together (review/13), or count without a proof beside others.
+TEST_CASE("confirmed crashes at one moment count one by one") {
+  const Instant now = kStart + seconds(1);
+  for (const std::size_t confirmed : {2, 3}) {
+    CrashTable table;
+    for (std::uint64_t crash = 1; crash <= 8; ++crash) {
+      AddCrash(table, Part(1), {crash, kStart});
+    }
+    for (std::size_t crash = 1; crash <= confirmed; ++crash) {
+      CHECK(ConfirmCrash(table, Part(1), crash));
+      CHECK_FALSE(ConfirmCrash(table, Part(1), crash));
+    }
+    CHECK(IsQuarantined(table, Part(1), now) == (confirmed == 3));
+    // An answer counts for more.
+    ClearSuspect(table, Part(1));
+    CHECK_FALSE(IsQuarantined(table, Part(1), now));
+    CHECK_FALSE(ConfirmCrash(table, Part(1), 8));
+  }
+}
+
+// Failure: a part that a part of the endpoints had that ended at one moment, as
+// when a rack fails, is taken for the cause.
+TEST_CASE("a crash is confirmed only for parts at each crash of the moment") {
+  CrashTable table;
+  const std::vector<CrashRecord> crashes{
+      {1, kStart}, {2, kStart + milliseconds(90)}, {3, kStart + seconds(1)}};
+  for (const CrashRecord& crash : crashes) {
+    AddCrash(table, Part(1), crash);
+    AddCrash(table, Request(crash.m_id), crash);
+  }
+  AddCrash(table, Part(2), crashes[0]);
+  const std::vector<SuspectKey> parts{Part(1), Part(2)};
+  CHECK(FindConfirmable(table, crashes[0], parts).size() == 1);
+  CHECK(FindConfirmable(table, crashes[2], parts).empty());  // It is alone.
+  AddCrash(table, Request(9), {9, kStart});
+  CHECK(FindConfirmable(table, crashes[0], parts).empty());
+}
+
 // Failure: a part that was quarantined wrongly stays refused, because no
 // request with it runs any more that could clear it.
 TEST_CASE("a quarantined part is tried again by one instance at a time") {
