Name a crash by the lifetime that the endpoint has named

What callers saw: nothing that was reported; found by reading. A request or prompt part that crashes endpoints may crash one more than it should, and a crash that two instances saw may count twice.

Cause: a crash was named by the start time in the list of endpoints. A restart in place is listed seconds later, so that a second crash of such an endpoint had the id of the first one and was not added, and instances with lists of different age named one crash in two ways.

Ruled out: the newest lifetime that the endpoint has named, whenever it did so. What it names after the request was sent, or after the head of the response, may be its next lifetime, and the crash would be named for that one.

Change: a crash is named by the listed lifetime, or by a later one that the endpoint has named in a report before the head of the response, or before the request was sent if there was no head. Where the endpoint has named none, the list still decides.

Measured: crashes_test "a crash is named by the lifetime that the endpoint has named" fails without the change and passes with it.

--- a/src/crashwatch.cpp
+++ b/src/crashwatch.cpp
@@ -82,9 +82,26 @@
   }
 }
 
+// Start of the latest lifetime of the endpoint that is known to have begun
+// before the attempt ended: according to the list, or to the endpoint itself,
+// as a restart is listed seconds later. A lifetime that the endpoint has named
+// later may have begun after the crash.
+std::uint64_t LifetimeOf(const RelayState& state,
+                         const EndpointAttempt& attempt) {
+  const std::uint64_t listed = attempt.m_judged_born_ms;
+  const auto seen = state.m_lifetimes.m_sightings.find(attempt.m_endpoint);
+  if (seen == state.m_lifetimes.m_sightings.end()) return listed;
+  const Instant lived =
+      attempt.m_status != 0 ? attempt.m_head_at : attempt.m_sent;
+  return seen->second.m_first_seen <= lived
+             ? std::max(listed, seen->second.m_born_ms)
+             : listed;
+}
+
 // Keeps the crash until it is known whether the process ended.
 void AddCheck(RelayState& state, const EndpointAttempt& attempt,
-              const CrashRecord& crash, const std::vector<SuspectKey>& parts) {
+              const CrashRecord& crash, std::uint64_t born_ms,
+              const std::vector<SuspectKey>& parts) {
   const auto [place, is_first] =
       state.m_crash_checks.try_emplace(crash.m_id, CrashCheck{crash});
   CrashCheck& check = place->second;
@@ -92,7 +109,7 @@
   if (!is_first) return;
   check.m_endpoint = attempt.m_endpoint;
   check.m_address = attempt.m_address;
-  check.m_born_ms = attempt.m_born_ms;
+  check.m_born_ms = born_ms;
 }
 
 }  // namespace
@@ -117,7 +134,8 @@
 void OnAttemptCrashed(RelayState& state, RelayCall& call) {
   call.m_is_probe = false;
   const EndpointAttempt& attempt = call.m_attempt;
-  const CrashRecord crash{CrashId(attempt.m_endpoint, attempt.m_born_ms),
+  const std::uint64_t born_ms = LifetimeOf(state, attempt);
+  const CrashRecord crash{CrashId(attempt.m_endpoint, born_ms),
                           state.m_clock()};
   std::vector<CrashEntry> blamed;
   std::vector<SuspectKey> parts;
@@ -129,7 +147,7 @@
     if (is_part) parts.push_back(key);
   }
   Report(state, "endpoint_crashed", blamed, attempt.m_endpoint);
-  if (!parts.empty()) AddCheck(state, attempt, crash, parts);
+  if (!parts.empty()) AddCheck(state, attempt, crash, born_ms, parts);
 }
 
 void OnCrashConfirmed(RelayState& state, const CrashCheck& check) {
--- a/tests/crashes_test.cpp
+++ b/tests/crashes_test.cpp
@@ -86,6 +86,41 @@
   }
 }
 
+// Failure: a second crash of an endpoint whose restart was not listed yet was
+// taken for the first one, and an instance with an older list named a crash in
+// another way than the others.
+TEST_CASE("a crash is named by the lifetime that the endpoint has named") {
+  RelayFixture f;
+  ALLOW_CALL(f.m_callers, Respond(_, _, _, _));
+  std::vector<std::uint64_t> crashes;
+  f.m_state.m_on_suspects = [&crashes](const schema::SuspectList& changed) {
+    crashes.push_back(changed.crashes(0).id());
+  };
+  f.m_state.m_balance.m_endpoints.erase("e2");
+  f.m_state.m_balance.m_endpoints.erase("e3");
+  BalanceEndpoint& endpoint = f.m_state.m_balance.m_endpoints.at("e1");
+  endpoint.m_born_ms = 7;
+  const auto crash = [&f](std::uint64_t id, std::uint64_t named_meanwhile) {
+    f.Ask(id, "/stream/x");
+    f.m_now += seconds(1);
+    if (named_meanwhile > 0) {
+      NoteLifetime(f.m_state.m_lifetimes, "e1",
+                   {named_meanwhile, f.m_now, f.m_now});
+    }
+    f.Break(id, true);
+    f.m_now += seconds(1);
+  };
+  crash(0, 0);
+  NoteLifetime(f.m_state.m_lifetimes, "e1", {8, f.m_now, f.m_now});
+  crash(1, 0);
+  // The list may be newer, and the crash may be over before the endpoint names
+  // its next lifetime.
+  endpoint.m_born_ms = 9;
+  crash(2, 10);
+  CHECK(crashes == std::vector<std::uint64_t>{
+                       CrashId("e1", 7), CrashId("e1", 8), CrashId("e1", 9)});
+}
+
 // Failure: a sound request that is sent often was refused for ten minutes after
 // it had been running on three endpoints that crashed for other reasons.
 TEST_CASE("a request that was answered since is not blamed for a crash") {
