--- a/src/crashwatch.cpp
+++ b/src/crashwatch.cpp
@@ -82,6 +82,36 @@
   }
 }
 
+// Start of the latest lifetime of the endpoint that is known to have begun
+// before the attempt ended: according to the list, or to the endpoint itself,
+// as a restart is listed seconds later. A lifetime that the endpoint has named
+// later may have begun after the crash.
+std::uint64_t LifetimeOf(const RelayState& state,
+                         const EndpointAttempt& attempt) {
+  const std::uint64_t listed = attempt.m_judged_born_ms;
+  const auto seen = state.m_lifetimes.m_sightings.find(attempt.m_endpoint);
+  if (seen == state.m_lifetimes.m_sightings.end()) return listed;
+  const Instant lived =
+      attempt.m_status != 0 ? attempt.m_head_at : attempt.m_sent;
+  return seen->second.m_first_seen <= lived
+             ? std::max(listed, seen->second.m_born_ms)
+             : listed;
+}
+
+// Keeps the crash until it is known whether the process ended.
+void AddCheck(RelayState& state, const EndpointAttempt& attempt,
+              const CrashRecord& crash, std::uint64_t born_ms,
+              const std::vector<SuspectKey>& parts) {
+  const auto [place, is_first] =
+      state.m_crash_checks.try_emplace(crash.m_id, CrashCheck{crash});
+  CrashCheck& check = place->second;
+  check.m_parts.insert(check.m_parts.end(), parts.begin(), parts.end());
+  if (!is_first) return;
+  check.m_endpoint = attempt.m_endpoint;
+  check.m_address = attempt.m_address;
+  check.m_born_ms = born_ms;
+}
+
 }  // namespace
 
 bool IsAtStart(const RelayCall& call) {
@@ -105,15 +135,32 @@
 void OnAttemptCrashed(RelayState& state, RelayCall& call) {
   call.m_is_probe = false;
   const EndpointAttempt& attempt = call.m_attempt;
-  const CrashRecord crash{CrashId(attempt.m_endpoint, attempt.m_born_ms),
+  const std::uint64_t born_ms = LifetimeOf(state, attempt);
+  const CrashRecord crash{CrashId(attempt.m_endpoint, born_ms),
                           state.m_clock()};
   std::vector<CrashEntry> blamed;
+  std::vector<SuspectKey> parts;
   for (const SuspectKey& key : SuspectsOf(call)) {
     const bool is_part = key.m_kind == SuspectKind::kPromptPart;
     if (is_part && !HasBegunToAnswer(call)) continue;
-    if (AddCrash(state.m_crashes, key, crash)) blamed.push_back({key, crash});
+    if (!AddCrash(state.m_crashes, key, crash)) continue;
+    blamed.push_back({key, crash});
+    if (is_part) parts.push_back(key);
   }
   Report(state, "endpoint_crashed", blamed, attempt.m_endpoint);
+  if (!parts.empty()) AddCheck(state, attempt, crash, born_ms, parts);
+}
+
+void OnCrashConfirmed(RelayState& state, const CrashCheck& check) {
+  CrashRecord crash = check.m_crash;
+  crash.m_confirmed = true;
+  std::vector<CrashEntry> confirmed;
+  for (const SuspectKey& part :
+       FindConfirmable(state.m_crashes, crash, check.m_parts)) {
+    ConfirmCrash(state.m_crashes, part, crash.m_id);
+    confirmed.push_back({part, crash});
+  }
+  Report(state, "crash_confirmed", confirmed, check.m_endpoint);
 }
 
 void BlameRequest(RelayState& state, std::uint64_t request,
