Name what is known of a stream's version by an enum

Sentinel names of versions stood beside LifetimeProof, `m_is_proven`, `m_is_version_proven` and an integer certainty, which together said one thing. It is VersionCertainty now (unproven, unlisted, proven, either), held with the name in StreamVersion.

In log lines `proof=` says `unlisted` where it said `proven` of a version that the list has not shown.

Tests changed only in how they write a version.

No functional change

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -539,7 +539,8 @@
 
 bool HasVersion(const BalanceQuery& query, const BalanceEndpoint& endpoint) {
   if (!query.m_version) return true;
-  return !endpoint.m_is_outdated && endpoint.m_version == *query.m_version;
+  return HasName(*query.m_version) && !endpoint.m_is_outdated &&
+         endpoint.m_version == query.m_version->m_name;
 }
 
 bool IsVersionGone(const BalanceState& state, const BalanceQuery& query) {
--- a/src/balance.h
+++ b/src/balance.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "endpointstate.h"
+#include "streamversions.h"
 #include "types.h"
 
 namespace comfreypaddle {
@@ -27,7 +28,7 @@
   // Version of the endpoints that may run the request: of a stream, the one
   // that began it. Unset: any. A prefill may run at any version, because a KV
   // cache depends on the weights only.
-  std::optional<std::string> m_version;
+  std::optional<StreamVersion> m_version;
 };
 
 enum class BalanceReason {
--- a/src/continuation.cpp
+++ b/src/continuation.cpp
@@ -9,6 +9,7 @@
 #include "hedgedcall.h"
 #include "lifetimecheck.h"
 #include "relayattempt.h"
+#include "streambinding.h"
 
 namespace comfreypaddle {
 
@@ -39,7 +40,7 @@
 
 // Whether a stream that has begun may go on at the version that it is bound to.
 bool IsVersionUsable(const RelayCall& call) {
-  return !call.m_query.m_version || call.m_is_version_proven;
+  return !call.m_query.m_version || IsSettled(*call.m_query.m_version);
 }
 
 // Ends a stream that has begun at an unproven version if its endpoint is gone:
@@ -49,7 +50,7 @@
   LogLine("stream_version_unknown")
       .Add("request", call.m_metadata.m_attempt)
       .Add("endpoint", call.m_attempt.m_endpoint)
-      .Add("version", call.m_attempt.m_version)
+      .Add("version", TextOf(call.m_attempt.m_version))
       .Add("events", call.m_attempt.m_events);
   FinishFailed(state, call, EndReason::kVersionUnknown);
   return true;
@@ -71,8 +72,8 @@
       .Add("end", ToName(attempt.m_end))
       .Add("proof", ToName(proof))
       .Add("events", attempt.m_events)
-      .Add("version", attempt.m_version)
-      .Add("bound_to", call.m_query.m_version.value_or("any"))
+      .Add("version", TextOf(attempt.m_version))
+      .Add("bound_to", BoundVersionText(call))
       .AddMs("after_ms", state.m_clock() - attempt.m_ended_at);
   DispatchCall(state, call);
   return true;
--- a/src/lifetime.cpp
+++ b/src/lifetime.cpp
@@ -24,25 +24,40 @@
   return is_connected_to_it ? std::optional(seen.m_born_ms) : std::nullopt;
 }
 
-// Version of a lifetime that is not the one that was listed with the stream.
-std::string VersionOf(std::uint64_t born_ms,
-                      const std::optional<ListedLifetime>& listed) {
-  return listed && listed->m_born_ms == born_ms ? listed->m_version
-                                                : std::string(kUnlistedVersion);
+LifetimeVerdict ProvenVerdict(std::uint64_t born_ms,
+                              const std::string& version) {
+  return {born_ms, {version, VersionCertainty::kProven}};
 }
 
-// The lifetime is known, its version perhaps not.
-LifetimeVerdict JudgeProven(const BegunStream& stream,
+LifetimeVerdict EitherVerdict(std::uint64_t born_ms) {
+  return {born_ms, {"", VersionCertainty::kEither}};
+}
+
+// The lifetime is known, and is not the one that was listed with the stream.
+LifetimeVerdict JudgeByList(std::uint64_t born_ms,
                             const std::optional<ListedLifetime>& listed) {
-  const std::uint64_t born_ms = stream.m_origin.m_born_ms;
-  if (stream.m_version != kUnlistedVersion) {
-    return {LifetimeProof::kProven, born_ms, stream.m_version};
+  if (listed && listed->m_born_ms == born_ms) {
+    return ProvenVerdict(born_ms, listed->m_version);
   }
-  // It has ended before it was listed.
-  if (listed && listed->m_born_ms > born_ms) {
-    return {LifetimeProof::kEither, born_ms, std::string(kEitherVersion)};
+  return {born_ms, {"", VersionCertainty::kUnlisted}};
+}
+
+// Its lifetime was listed with the stream, or nothing else is known of it.
+LifetimeVerdict JudgeUnproven(const LifetimeTable& table,
+                              const BegunStream& stream,
+                              const std::optional<ListedLifetime>& listed) {
+  const StreamOrigin& origin = stream.m_origin;
+  const bool is_later_listed = listed && listed->m_born_ms > origin.m_born_ms;
+  if (origin.m_born_ms == 0 && !is_later_listed) {
+    return ProvenVerdict(0, stream.m_version.m_name);
   }
-  return {LifetimeProof::kProven, born_ms, VersionOf(born_ms, listed)};
+  const LifetimeSighting* seen = FindSighting(table, origin);
+  if (seen == nullptr) return {origin.m_born_ms, stream.m_version};
+  const auto lifetime = FindLifetime(origin, *seen);
+  if (!lifetime) return EitherVerdict(origin.m_born_ms);
+  return *lifetime == origin.m_born_ms
+             ? ProvenVerdict(*lifetime, stream.m_version.m_name)
+             : JudgeByList(*lifetime, listed);
 }
 
 }  // namespace
@@ -78,31 +93,20 @@
 }
 
 bool IsVersionKnown(const LifetimeVerdict& verdict) {
-  return verdict.m_proof == LifetimeProof::kProven &&
-         verdict.m_version != kUnlistedVersion;
+  return verdict.m_version.m_certainty == VersionCertainty::kProven;
 }
 
 LifetimeVerdict JudgeLifetime(const LifetimeTable& table,
                               const BegunStream& stream,
                               const std::optional<ListedLifetime>& listed) {
-  const StreamOrigin& origin = stream.m_origin;
-  const LifetimeVerdict either{LifetimeProof::kEither, origin.m_born_ms,
-                               std::string(kEitherVersion)};
-  if (stream.m_version == kEitherVersion) return either;
-  if (stream.m_is_proven) return JudgeProven(stream, listed);
-  const bool is_later_listed = listed && listed->m_born_ms > origin.m_born_ms;
-  if (origin.m_born_ms == 0 && !is_later_listed) {
-    return {LifetimeProof::kProven, 0, stream.m_version};
-  }
-  const LifetimeSighting* seen = FindSighting(table, origin);
-  if (seen == nullptr) {
-    return {LifetimeProof::kUnproven, origin.m_born_ms, stream.m_version};
+  const std::uint64_t born_ms = stream.m_origin.m_born_ms;
+  if (IsSettled(stream.m_version)) return {born_ms, stream.m_version};
+  if (stream.m_version.m_certainty == VersionCertainty::kUnproven) {
+    return JudgeUnproven(table, stream, listed);
   }
-  const auto lifetime = FindLifetime(origin, *seen);
-  if (!lifetime) return either;
-  const bool is_former = *lifetime == origin.m_born_ms;
-  return {LifetimeProof::kProven, *lifetime,
-          is_former ? stream.m_version : VersionOf(*lifetime, listed)};
+  // It may have ended before it was listed.
+  const bool is_past = listed && listed->m_born_ms > born_ms;
+  return is_past ? EitherVerdict(born_ms) : JudgeByList(born_ms, listed);
 }
 
 }  // namespace comfreypaddle
--- a/src/lifetime.h
+++ b/src/lifetime.h
@@ -55,25 +55,10 @@
   std::string m_version;
 };
 
-// What is known of the lifetime that began a stream.
-enum class LifetimeProof {
-  kUnproven,  // The endpoint may have begun another one than the listed one.
-  kProven,
-  kEither,  // It cannot be found out any more.
-};
-
-template <>
-struct EnumNames<LifetimeProof> {
-  static constexpr std::array<EnumName<LifetimeProof>, 3> kTable{
-      {{LifetimeProof::kUnproven, "unproven"},
-       {LifetimeProof::kProven, "proven"},
-       {LifetimeProof::kEither, "either"}}};
-};
-
+// The lifetime that began a stream.
 struct LifetimeVerdict {
-  LifetimeProof m_proof = LifetimeProof::kUnproven;
-  std::uint64_t m_born_ms = 0;  // The lifetime, or the best guess.
-  std::string m_version;        // Its version, or kUnlistedVersion.
+  std::uint64_t m_born_ms = 0;  // Its start, or the best guess.
+  StreamVersion m_version;
 };
 
 // Whether the version of the stream is known.
--- a/src/relayattempt.cpp
+++ b/src/relayattempt.cpp
@@ -71,7 +71,7 @@
   attempt.m_address = endpoint.m_address;
   attempt.m_born_ms = endpoint.m_born_ms;
   attempt.m_judged_born_ms = endpoint.m_born_ms;
-  attempt.m_version = endpoint.m_version;
+  attempt.m_version = {endpoint.m_version, VersionCertainty::kUnproven};
   attempt.m_sent = state.m_clock();
   attempt.m_work_ms = work_ms;
   attempt.m_need = need;
@@ -410,9 +410,9 @@
   LogLine("stream_not_continued")
       .Add("request", call.m_metadata.m_attempt)
       .Add("endpoint", attempt.m_endpoint)
-      .Add("bound_to", call.m_query.m_version.value_or("any"))
-      .Add("version", attempt.m_version)
-      .Add("proof", ToName(attempt.m_proof))
+      .Add("bound_to", BoundVersionText(call))
+      .Add("version", TextOf(attempt.m_version))
+      .Add("proof", ToName(attempt.m_version.m_certainty))
       .Add("events", attempt.m_events)
       .Add("ended", end ? 1 : 0);
   if (end && end->m_error) {
--- a/src/relaystate.h
+++ b/src/relaystate.h
@@ -119,13 +119,13 @@
   // when it was sent, and of the one that is taken to serve it.
   std::uint64_t m_born_ms = 0;
   std::uint64_t m_judged_born_ms = 0;
-  std::string m_version;  // Of the endpoint's software.
+  // Of the endpoint's software, and whether the lifetime is known to be the one
+  // that serves it.
+  StreamVersion m_version;
   Instant m_sent{};
   // When its connection was established, or later; set with the first event of
   // a stream that may be resumed.
   Instant m_connected{};
-  // Whether the lifetime is known to be the one that serves it.
-  LifetimeProof m_proof = LifetimeProof::kUnproven;
   // The stream goes on at this endpoint, whose version is not proven yet. Its
   // events, and its end, wait for that.
   bool m_is_held = false;
@@ -202,8 +202,6 @@
   bool m_is_retry_due = false;      // The next send is charged as a retry.
   bool m_is_retry = false;          // The last send was.
   bool m_response_started = false;  // The stream's head was sent.
-  // The version in m_query is known to be the one that began the stream.
-  bool m_is_version_proven = false;
   std::optional<TakenUpRecord> m_record;      // In stage kResolving.
   std::optional<std::uint64_t> m_last_event;  // At the caller.
   std::uint32_t m_events = 0;
--- a/src/resumption.cpp
+++ b/src/resumption.cpp
@@ -30,26 +30,28 @@
                               ? static_cast<std::int64_t>(*call.m_last_event)
                               : -1)
       .Add("service", call.m_service)
-      .Add("version", call.m_query.m_version.value_or(""))
+      .Add("version", call.m_query.m_version ? TextOf(*call.m_query.m_version)
+                                             : std::string())
       .Add("source", source)
       .Add("outcome", ToName(outcome))
       .AddMs("after_ms", state.m_clock() - call.m_arrived);
   if (!call.m_record) return;
   const BegunStream& stream = call.m_record->m_stream;
   const LifetimeVerdict verdict = JudgeStream(state, stream);
-  line.Add("recorded_version", stream.m_version)
+  const VersionCertainty recorded = stream.m_version.m_certainty;
+  line.Add("recorded_version", TextOf(stream.m_version))
       .Add("recorded_endpoint", stream.m_origin.m_endpoint)
       .Add("recorded_born_ms",
            static_cast<std::int64_t>(stream.m_origin.m_born_ms))
-      .Add("was_proven", stream.m_is_proven ? 1 : 0)
-      .Add("proof", ToName(verdict.m_proof))
+      .Add("was_proven", recorded != VersionCertainty::kUnproven ? 1 : 0)
+      .Add("proof", ToName(verdict.m_version.m_certainty))
       .Add("born_ms", static_cast<std::int64_t>(verdict.m_born_ms));
 }
 
-void GoOn(RelayState& state, RelayCall& call, const std::string& version,
+// Goes on with a request whose stream has a settled version.
+void GoOn(RelayState& state, RelayCall& call, const StreamVersion& version,
           std::string_view source) {
   call.m_query.m_version = version;
-  call.m_is_version_proven = true;
   const TakeUpOutcome outcome = IsVersionGone(state.m_balance, call.m_query)
                                     ? TakeUpOutcome::kVersionGone
                                     : TakeUpOutcome::kGoesOn;
@@ -77,9 +79,7 @@
 bool Resolve(RelayState& state, RelayCall& call) {
   const BegunStream& stream = call.m_record->m_stream;
   const LifetimeVerdict verdict = JudgeStream(state, stream);
-  const bool is_settled =
-      verdict.m_proof == LifetimeProof::kEither || IsVersionKnown(verdict);
-  if (is_settled) {
+  if (IsSettled(verdict.m_version)) {
     GoOn(state, call, verdict.m_version, std::string(call.m_record->m_source));
     return false;
   }
@@ -96,13 +96,17 @@
 void ResolveRecord(RelayState& state, RelayCall& call,
                    const BegunStream& stream, const std::string& source) {
   if (stream.m_origin.m_endpoint.empty()) {
-    GoOn(state, call, stream.m_version, source);
+    StreamVersion version = stream.m_version;
+    if (HasName(version)) version.m_certainty = VersionCertainty::kProven;
+    GoOn(state, call, version, source);
     return;
   }
   call.m_stage = CallStage::kResolving;
   call.m_record =
       TakenUpRecord{stream, source, call.m_arrived + kMaxResolveTime};
-  if (!Resolve(state, call) || stream.m_is_proven) return;
+  const bool is_unproven =
+      stream.m_version.m_certainty == VersionCertainty::kUnproven;
+  if (!Resolve(state, call) || !is_unproven) return;
   const std::string& endpoint = stream.m_origin.m_endpoint;
   CheckLifetime(state, endpoint,
                 FindEndpoint(state.m_balance, endpoint)->m_address,
@@ -164,10 +168,8 @@
       call->m_record) {
     return;
   }
-  if (answer.has_version()) {
-    BegunStream stream = FromMessage(answer.record(), state.m_clock());
-    stream.m_version = answer.version();
-    ResolveRecord(state, *call, stream, answer.instance());
+  if (const auto stream = RecordOf(answer, state.m_clock())) {
+    ResolveRecord(state, *call, *stream, answer.instance());
     return;
   }
   const bool is_mixed =
@@ -178,7 +180,8 @@
     RefuseUnknown(state, *call, "none");
     return;
   }
-  GoOn(state, *call, answer.only_version(), "only_version");
+  GoOn(state, *call, {answer.only_version(), VersionCertainty::kProven},
+       "only_version");
 }
 
 void ResolveTakenUp(RelayState& state) {
@@ -194,9 +197,10 @@
     RelayCall* call = FindRelayCall(state, id);
     if (call == nullptr) continue;
     const BegunStream& stream = call->m_record->m_stream;
-    const bool is_for_it = stream.m_origin.m_endpoint == endpoint &&
-                           stream.m_origin.m_since <= asked &&
-                           !stream.m_is_proven;
+    const bool is_for_it =
+        stream.m_origin.m_endpoint == endpoint &&
+        stream.m_origin.m_since <= asked &&
+        stream.m_version.m_certainty == VersionCertainty::kUnproven;
     if (is_for_it) {
       RefuseUnknown(state, *call, std::string(call->m_record->m_source));
     }
--- a/src/streambinding.cpp
+++ b/src/streambinding.cpp
@@ -41,7 +41,6 @@
   BegunStream stream;
   stream.m_service = call.m_service;
   stream.m_version = attempt.m_version;
-  stream.m_is_proven = attempt.m_proof == LifetimeProof::kProven;
   stream.m_origin = {attempt.m_endpoint, attempt.m_judged_born_ms,
                      attempt.m_connected, attempt.m_connected};
   return stream;
@@ -58,7 +57,6 @@
   stream.m_version = *call.m_query.m_version;
   stream.m_ends = call.m_arrived + std::min(left + kResumeSlack, kResumeWindow);
   stream.m_is_corrected = is_corrected;
-  stream.m_is_proven = stream.m_is_proven || call.m_is_version_proven;
   const std::uint64_t attempt = StreamOf(call);
   if (!AddStream(state.m_streams, attempt, stream, now)) {
     LogLine("stream_table_full").Add("request", call.m_metadata.m_attempt);
@@ -74,14 +72,12 @@
 }
 
 void SetVerdict(EndpointAttempt& attempt, const LifetimeVerdict& verdict) {
-  attempt.m_proof = verdict.m_proof;
   attempt.m_judged_born_ms = verdict.m_born_ms;
   attempt.m_version = verdict.m_version;
 }
 
 bool Differs(const EndpointAttempt& attempt, const LifetimeVerdict& verdict) {
-  return attempt.m_proof != verdict.m_proof ||
-         attempt.m_judged_born_ms != verdict.m_born_ms ||
+  return attempt.m_judged_born_ms != verdict.m_born_ms ||
          attempt.m_version != verdict.m_version;
 }
 
@@ -89,32 +85,34 @@
 void ApplyToBound(RelayState& state, RelayCall& call,
                   const LifetimeVerdict& verdict) {
   EndpointAttempt& attempt = call.m_attempt;
-  const bool is_other = attempt.m_version != verdict.m_version;
+  const bool is_other = !IsSameVersion(attempt.m_version, verdict.m_version);
   if (is_other) {
     LogLine("stream_version_corrected")
         .Add("request", call.m_metadata.m_attempt)
         .Add("endpoint", attempt.m_endpoint)
-        .Add("from", attempt.m_version)
-        .Add("to", verdict.m_version)
-        .Add("proof", ToName(verdict.m_proof))
+        .Add("from", TextOf(attempt.m_version))
+        .Add("to", TextOf(verdict.m_version))
+        .Add("proof", ToName(verdict.m_version.m_certainty))
         .Add("born_ms", static_cast<std::int64_t>(verdict.m_born_ms))
         .Add("events", attempt.m_events);
   }
   SetVerdict(attempt, verdict);
   call.m_query.m_version = verdict.m_version;
-  call.m_is_version_proven =
-      verdict.m_proof == LifetimeProof::kEither || IsVersionKnown(verdict);
   Record(state, call, is_other);
 }
 
+// Whether the verdict shows the version that the stream is bound to.
+bool IsBoundVersion(const RelayCall& call, const LifetimeVerdict& verdict) {
+  return IsVersionKnown(verdict) &&
+         IsSameVersion(verdict.m_version, *call.m_query.m_version);
+}
+
 // Lets the events of a held attempt pass, or ends it. The call may be deleted.
 void ApplyToHeld(RelayState& state, RelayCall& call,
                  const LifetimeVerdict& verdict) {
   EndpointAttempt& attempt = call.m_attempt;
   SetVerdict(attempt, verdict);
-  const bool is_bound_version =
-      IsVersionKnown(verdict) && verdict.m_version == *call.m_query.m_version;
-  if (is_bound_version) {
+  if (IsBoundVersion(call, verdict)) {
     ReleaseHeldAttempt(state, call);
   } else if (IsSeenSince(state.m_lifetimes, attempt.m_endpoint,
                          attempt.m_connected)) {
@@ -131,7 +129,7 @@
   const LifetimeVerdict verdict = JudgeAttempt(state, call);
   if (attempt.m_is_held) {
     ApplyToHeld(state, call, verdict);
-  } else if (!call.m_is_version_proven && Differs(attempt, verdict)) {
+  } else if (!IsSettled(*call.m_query.m_version) && Differs(attempt, verdict)) {
     ApplyToBound(state, call, verdict);
   }
 }
@@ -163,17 +161,14 @@
   const Instant now = state.m_clock();
   schema::StreamBeginList news;
   for (auto& [attempt, stream] : state.m_streams.m_streams) {
-    const bool is_open =
-        Certainty(stream) < kMostCertain && stream.m_ends > now;
+    const bool is_open = !IsSettled(stream.m_version) && stream.m_ends > now;
     if (!is_open || !IsConcerned(filter, stream.m_origin.m_endpoint)) continue;
     const LifetimeVerdict verdict = JudgeStream(state, stream);
-    const bool is_other = stream.m_version != verdict.m_version;
-    const bool is_proven = verdict.m_proof != LifetimeProof::kUnproven;
-    if (!is_other && is_proven == stream.m_is_proven) continue;
+    if (stream.m_version == verdict.m_version) continue;
+    const bool is_other = !IsSameVersion(stream.m_version, verdict.m_version);
     stream.m_version = verdict.m_version;
     stream.m_origin.m_born_ms = verdict.m_born_ms;
     stream.m_is_corrected = stream.m_is_corrected || is_other;
-    stream.m_is_proven = is_proven;
     *news.add_streams() = ToMessage(attempt, stream, now);
   }
   Publish(state, news);
@@ -204,6 +199,10 @@
   return IsStream(call) && call.m_route->resumable();
 }
 
+std::string BoundVersionText(const RelayCall& call) {
+  return call.m_query.m_version ? TextOf(*call.m_query.m_version) : "any";
+}
+
 std::uint64_t StreamOf(const RelayCall& call) {
   const std::string& resumed = call.m_metadata.m_resumed_attempt;
   return HashOf(resumed.empty() ? call.m_metadata.m_attempt : resumed);
@@ -227,19 +226,15 @@
   SetVerdict(attempt, verdict);
   if (!call.m_query.m_version) {
     call.m_query.m_version = verdict.m_version;
-    call.m_is_version_proven =
-        verdict.m_proof == LifetimeProof::kEither || IsVersionKnown(verdict);
     Record(state, call, false);
-    if (verdict.m_proof != LifetimeProof::kUnproven) return;
+    if (verdict.m_version.m_certainty != VersionCertainty::kUnproven) return;
     ++state.m_counters.m_streams_unproven;
     CheckLifetime(state, attempt.m_endpoint, attempt.m_address,
                   CheckUrgency::kSoon);
     return;
   }
   Record(state, call, false);
-  const bool is_bound_version =
-      IsVersionKnown(verdict) && verdict.m_version == *call.m_query.m_version;
-  if (is_bound_version) return;
+  if (IsBoundVersion(call, verdict)) return;
   attempt.m_is_held = true;
   attempt.m_held_until = state.m_clock() + kMaxHoldTime;
   CheckLifetime(state, attempt.m_endpoint, attempt.m_address,
--- a/src/streambinding.h
+++ b/src/streambinding.h
@@ -15,6 +15,9 @@
 // Whether the response to the request is a stream that may be resumed.
 bool IsResumable(const RelayCall& call);
 
+// The version that the call's stream is bound to, in log lines.
+std::string BoundVersionText(const RelayCall& call);
+
 // Hash of the attempt that began the call's stream.
 std::uint64_t StreamOf(const RelayCall& call);
 
--- a/src/streamsync.cpp
+++ b/src/streamsync.cpp
@@ -43,9 +43,8 @@
   const BegunStream* known = FindStream(
       state.m_streams.m_table, question.attempt(), question.service(), now);
   if (known == nullptr) return answer;
-  answer.set_version(known->m_version);
   answer.set_instance(state.m_options.m_name);
-  *answer.mutable_record() = ToMessage(question.attempt(), *known, now);
+  SetRecord(answer, question.attempt(), *known, now);
   return answer;
 }
 
@@ -71,7 +70,7 @@
 
 // Adds what an instance has answered to the text for the log.
 void NoteAnswer(OpenQuestion& question, std::string_view source,
-                const schema::StreamAnswer* answer) {
+                const schema::StreamAnswer* answer, Instant now) {
   std::string& text = question.m_answers;
   if (!text.empty()) text += ',';
   text += source;
@@ -79,8 +78,9 @@
     text += "/failed";
     return;
   }
-  text += answer->has_version() ? "/" + answer->version() : "/none";
-  if (answer->has_version() && !answer->record().is_proven()) {
+  const auto record = RecordOf(*answer, now);
+  text += record ? "/" + TextOf(record->m_version) : "/none";
+  if (record && record->m_version.m_certainty == VersionCertainty::kUnproven) {
     text += "/unproven";
   }
   if (answer->is_mixed()) text += "/mixed";
@@ -92,10 +92,11 @@
 // Logs what decides whether and at which version the stream goes on.
 void LogQuestion(const ControlState& state, const OpenQuestion& question) {
   const schema::StreamAnswer& answer = question.m_answer;
+  const auto record = RecordOf(answer, state.m_clock());
   LogLine("stream_question")
       .Add("request", question.m_question.caller_attempt())
       .Add("service", question.m_question.service())
-      .Add("version", answer.version())
+      .Add("version", record ? TextOf(record->m_version) : std::string())
       .Add("mixed", answer.is_mixed() ? 1 : 0)
       .Add("all_versions", answer.has_all_versions() ? 1 : 0)
       .Add("only_version", answer.only_version())
@@ -118,18 +119,15 @@
 // of a stream may not have reached all that hold its record.
 bool IsBetter(const ControlState& state, const schema::StreamAnswer& answer,
               const schema::StreamAnswer& other) {
-  if (!answer.has_version() || !other.has_version()) {
-    return answer.has_version();
-  }
-  const Instant now = state.m_clock();
-  return Certainty(FromMessage(answer.record(), now)) >
-         Certainty(FromMessage(other.record(), now));
+  const auto record = RecordOf(answer, state.m_clock());
+  const auto known = RecordOf(other, state.m_clock());
+  return record && (!known || IsMoreCertain(*record, *known));
 }
 
 // Whether no other answer can be better.
-bool IsFinal(const schema::StreamAnswer& answer) {
-  return answer.has_version() && answer.record().is_proven() &&
-         answer.version() != kUnlistedVersion;
+bool IsFinal(const ControlState& state, const schema::StreamAnswer& answer) {
+  const auto record = RecordOf(answer, state.m_clock());
+  return record && IsSettled(record->m_version);
 }
 
 void AddAnswer(const ControlState& state, OpenQuestion& question,
@@ -147,7 +145,7 @@
   open->m_reads_store = true;
   ReadStoredStreams(state, [&state, open] {
     const schema::StreamAnswer stored = LookUp(state, open->m_question);
-    NoteAnswer(*open, "store", &stored);
+    NoteAnswer(*open, "store", &stored, state.m_clock());
     AddAnswer(state, *open, stored);
     TellRelay(state, *open);
   });
@@ -182,7 +180,7 @@
   if (open->m_is_told || open->m_reads_store) return;
   const schema::StreamAnswer& answer = open->m_answer;
   // Another instance may know that the stream has another version.
-  if (open->m_open > 0 && !IsFinal(answer)) return;
+  if (open->m_open > 0 && !IsFinal(state, answer)) return;
   const Duration waited = state.m_clock() - open->m_asked_at;
   const bool is_settled = answer.has_version() || answer.is_mixed() ||
                           InferVersion(state, *open) || waited >= kMaxListWait;
@@ -317,9 +315,9 @@
   open->m_answer.set_request(question.request());
   const schema::StreamAnswer own = LookUp(state, question);
   open->m_answer.set_has_all_versions(own.has_all_versions());
-  NoteAnswer(*open, "own", &own);
+  NoteAnswer(*open, "own", &own, state.m_clock());
   AddAnswer(state, *open, own);
-  if (!IsFinal(own)) open->m_open = holders.m_others.size();
+  if (!IsFinal(state, own)) open->m_open = holders.m_others.size();
   ContinueQuestion(state, open);
   if (open->m_open == 0) return;
   schema::StreamExchange exchange;
@@ -331,7 +329,7 @@
         state, address, exchange,
         [&state, open, address](const schema::StreamAnswer* answer) {
           --open->m_open;
-          NoteAnswer(*open, address, answer);
+          NoteAnswer(*open, address, answer, state.m_clock());
           if (answer != nullptr) AddAnswer(state, *open, *answer);
           ContinueQuestion(state, open);
         });
--- a/src/streamversions.cpp
+++ b/src/streamversions.cpp
@@ -19,6 +19,12 @@
   return span.m_is_listed || now - span.m_last_listed < kResumeWindow;
 }
 
+// Whether a record says more than that a stream began as listed.
+bool IsNews(const BegunStream& stream) {
+  return stream.m_is_corrected ||
+         stream.m_version.m_certainty != VersionCertainty::kUnproven;
+}
+
 // Removes what no longer matters, so that the history does not grow with each
 // release.
 void ForgetOldVersions(VersionHistory& history, Instant now) {
@@ -33,11 +39,34 @@
 
 }  // namespace
 
-int Certainty(const BegunStream& stream) {
-  if (stream.m_is_proven) {
-    return stream.m_version == kUnlistedVersion ? 2 : kMostCertain;
-  }
-  return stream.m_is_corrected ? 1 : 0;
+bool HasName(const StreamVersion& version) {
+  return version.m_certainty == VersionCertainty::kUnproven ||
+         version.m_certainty == VersionCertainty::kProven;
+}
+
+bool IsSettled(const StreamVersion& version) {
+  return version.m_certainty == VersionCertainty::kProven ||
+         version.m_certainty == VersionCertainty::kEither;
+}
+
+bool IsSameVersion(const StreamVersion& a, const StreamVersion& b) {
+  if (HasName(a) && HasName(b)) return a.m_name == b.m_name;
+  return a.m_certainty == b.m_certainty;
+}
+
+std::string TextOf(const StreamVersion& version) {
+  if (HasName(version)) return version.m_name;
+  return std::string(ToName(version.m_certainty)) + " version";
+}
+
+bool IsMoreCertain(const BegunStream& stream, const BegunStream& other) {
+  if (IsSettled(other.m_version)) return false;
+  const VersionCertainty known = other.m_version.m_certainty;
+  const VersionCertainty news = stream.m_version.m_certainty;
+  if (news != known) return news > known;
+  // A correction of an earlier release comes without proof.
+  return news == VersionCertainty::kUnproven && stream.m_is_corrected &&
+         !other.m_is_corrected;
 }
 
 std::vector<std::string> UpdateVersions(VersionHistory& history,
@@ -129,9 +158,7 @@
   if (found != table.m_streams.end()) {
     BegunStream& known = found->second;
     const Instant ends = std::max(known.m_ends, stream.m_ends);
-    if (Certainty(stream) > 0 && Certainty(stream) >= Certainty(known)) {
-      known = stream;
-    }
+    if (IsNews(stream) && !IsMoreCertain(known, stream)) known = stream;
     known.m_ends = ends;
     return true;
   }
--- a/src/streamversions.h
+++ b/src/streamversions.h
@@ -6,7 +6,6 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -24,14 +23,44 @@
 // Longest time after its begin in which a caller takes a stream up.
 inline constexpr Duration kResumeWindow = std::chrono::seconds(30);
 
-// Stands for the version of a stream that began at one of several lifetimes of
-// an endpoint, of which not all are known to have the same version. No endpoint
-// has it, as names have no spaces, so that the stream goes on nowhere.
-inline constexpr std::string_view kEitherVersion = "either version";
+// What is known of the version at which a stream began. A later one of these
+// is more certain, but for the last two, after which nothing more can become
+// known.
+enum class VersionCertainty {
+  kUnproven,  // As listed; the endpoint may have begun another lifetime.
+  kUnlisted,  // Of a known lifetime that the list has not shown yet.
+  kProven,
+  kEither,  // Of one of several lifetimes, not all known to have the same.
+};
+
+template <>
+struct EnumNames<VersionCertainty> {
+  static constexpr std::array<EnumName<VersionCertainty>, 4> kTable{
+      {{VersionCertainty::kUnproven, "unproven"},
+       {VersionCertainty::kUnlisted, "unlisted"},
+       {VersionCertainty::kProven, "proven"},
+       {VersionCertainty::kEither, "either"}}};
+};
+
+// Version at which a stream began.
+struct StreamVersion {
+  std::string m_name;  // Empty if unlisted or either: no endpoint has it.
+  VersionCertainty m_certainty = VersionCertainty::kUnproven;
+
+  friend bool operator==(const StreamVersion&, const StreamVersion&) = default;
+};
+
+// Whether the version has a name, proven or not.
+bool HasName(const StreamVersion& version);
+
+// Whether nothing more can become known of the version.
+bool IsSettled(const StreamVersion& version);
 
-// Stands for the version of a lifetime that the list of endpoints has not shown
-// yet. No endpoint has it either.
-inline constexpr std::string_view kUnlistedVersion = "unlisted version";
+// Whether both stand for the same version, however certain that is.
+bool IsSameVersion(const StreamVersion& a, const StreamVersion& b);
+
+// The version in log lines.
+std::string TextOf(const StreamVersion& version);
 
 // Versions of the endpoints of a service, and when they were listed last.
 struct VersionSpan {
@@ -94,20 +123,15 @@
 
 struct BegunStream {
   std::string m_service;
-  std::string m_version;
+  StreamVersion m_version;
   Instant m_ends{};             // When its caller no longer takes it up.
   bool m_is_corrected = false;  // Replaces an earlier record of the version.
-  // The lifetime of the origin is known to have begun the stream, or it is
-  // known that none can be named. Otherwise the endpoint may have begun another
-  // one.
-  bool m_is_proven = false;
   StreamOrigin m_origin;
 };
 
-// How much is known of the version of a stream. A record does not replace one
-// that is more certain.
-int Certainty(const BegunStream& stream);
-inline constexpr int kMostCertain = 3;
+// Whether the version of one stream is more certain than that of the other. A
+// record does not replace one that is more certain.
+bool IsMoreCertain(const BegunStream& stream, const BegunStream& other);
 
 // Begun streams by the hash of the id of the attempt that began them.
 struct StreamTable {
--- a/tests/lifetime_test.cpp
+++ b/tests/lifetime_test.cpp
@@ -103,7 +103,7 @@
     }
     const ListedLifetime with = history.ListedBy(connected);
     BegunStream stream;
-    stream.m_version = with.m_version;
+    stream.m_version.m_name = with.m_version;
     stream.m_origin = {"e", with.m_born_ms, At(connected), At(connected)};
     if (history.Draw(0, 1) == 0) stream.m_origin.m_connected.reset();
     ListedLifetime now = history.ListedBy(kHorizonMs);
@@ -112,7 +112,7 @@
     ++judged;
     if (!IsVersionKnown(verdict)) continue;
     ++named;
-    REQUIRE(verdict.m_version == truth->m_version);
+    REQUIRE(verdict.m_version.m_name == truth->m_version);
     REQUIRE(verdict.m_born_ms == history.BornMs(*truth));
   }
   MESSAGE(named, " of ", judged, " streams have a version");
@@ -123,17 +123,19 @@
 // goes on at the version of a later one (ORDER).
 TEST_CASE("a lifetime that was never listed has no version") {
   BegunStream stream;
-  stream.m_version = std::string(kUnlistedVersion);
-  stream.m_is_proven = true;
+  stream.m_version.m_certainty = VersionCertainty::kUnlisted;
   stream.m_origin.m_endpoint = "e";
   stream.m_origin.m_born_ms = 5;
   const auto judge = [&stream](const std::optional<ListedLifetime>& listed) {
     return JudgeLifetime({}, stream, listed);
   };
-  CHECK(judge(ListedLifetime{4, "1"}).m_version == kUnlistedVersion);
+  const StreamVersion unlisted{"", VersionCertainty::kUnlisted};
+  CHECK(judge(ListedLifetime{4, "1"}).m_version == unlisted);
   CHECK_FALSE(IsVersionKnown(judge(std::nullopt)));
-  CHECK(judge(ListedLifetime{5, "2"}).m_version == "2");
-  CHECK(judge(ListedLifetime{6, "2"}).m_proof == LifetimeProof::kEither);
+  const StreamVersion second{"2", VersionCertainty::kProven};
+  CHECK(judge(ListedLifetime{5, "2"}).m_version == second);
+  const StreamVersion either{"", VersionCertainty::kEither};
+  CHECK(judge(ListedLifetime{6, "2"}).m_version == either);
 }
 
 }  // namespace
--- a/tests/streamversions_test.cpp
+++ b/tests/streamversions_test.cpp
@@ -58,14 +58,14 @@
 // a later attempt.
 TEST_CASE("a stream is known until its caller no longer takes it up") {
   StreamTable table;
-  CHECK(AddStream(table, 7, {"s", "1", kStart + seconds(5)}, kStart));
-  CHECK(AddStream(table, 7, {"s", "2", kStart + seconds(9)}, kStart));
+  CHECK(AddStream(table, 7, {"s", {"1"}, kStart + seconds(5)}, kStart));
+  CHECK(AddStream(table, 7, {"s", {"2"}, kStart + seconds(9)}, kStart));
   const BegunStream* stream = FindStream(table, 7, "s", kStart + seconds(8));
   REQUIRE(stream != nullptr);
-  CHECK(stream->m_version == "1");
+  CHECK(stream->m_version.m_name == "1");
   CHECK(FindStream(table, 7, "other", kStart) == nullptr);
   CHECK(FindStream(table, 7, "s", kStart + seconds(9)) == nullptr);
-  CHECK(AddStream(table, 8, {"s", "1", kStart + seconds(20)},
+  CHECK(AddStream(table, 8, {"s", {"1"}, kStart + seconds(20)},
                   kStart + seconds(10)));
   CHECK(table.m_streams.size() == 1);
 }
