Count a limit and a leaving for the lifetime that named it

What callers could see, where an endpoint restarts in place: requests to one that leaves before it is listed (DRAIN), more than its limit (LIMIT), or an endpoint that gets nothing for the rest of its life because its former lifetime left.

Shown first, inquiry_test, 3 of 6 cases failed: - a limit in a response to a request from before the new lifetime was listed was dropped also if the new lifetime had named it; - that an unlisted lifetime leaves was dropped when it was listed; - a leaving in a response from before the listing counted for the listed lifetime, also if the former one had said it. Held before, and now: a limit of the former lifetime is dropped, its leaving ends with it, and a limit that a lifetime named before it was listed is kept.

Cause: the listed start at the time of the request was taken for the lifetime that answered, or was not looked at.

Change: a limit in such a response counts if its connection was established in the listed lifetime, by the tolerance of clocks that the list uses already. Of a leaving the report tells, which names the start and says in its head whether this lifetime leaves: one question for each endpoint that leaves and instance. That is compared without clocks.

--- a/src/endpointreport.cpp
+++ b/src/endpointreport.cpp
@@ -47,15 +47,25 @@
       .AddMs("after_ms", answer.m_times.m_received - answer.m_times.m_asked);
 }
 
-// Records that the endpoint wants nothing for a while, or leaves.
+// Start of the lifetime that the list names; zero if it names none.
+std::uint64_t ListedBorn(const RelayState& state, const std::string& endpoint) {
+  const BalanceEndpoint* listed = FindEndpoint(state.m_balance, endpoint);
+  return listed == nullptr ? 0 : listed->m_born_ms;
+}
+
+// Records that the endpoint wants nothing for a while, or leaves. The lifetime
+// that was listed when it was asked may not be the present one's.
 void NoteRejection(RelayState& state, const std::string& endpoint,
+                   std::uint64_t asked_born_ms,
                    const ResponseMetadata& metadata) {
   if (metadata.m_wrong_endpoint) return;
   if (metadata.m_not_run) {
     OnEndpointFull(state.m_balance, endpoint, metadata.m_retry_after_s,
                    state.m_clock());
   }
-  if (metadata.m_leaving) OnEndpointLeaving(state.m_balance, endpoint);
+  if (metadata.m_leaving && ListedBorn(state, endpoint) == asked_born_ms) {
+    OnEndpointLeaving(state.m_balance, endpoint);
+  }
 }
 
 }  // namespace
@@ -65,6 +75,7 @@
     bool needs_new_connection,
     std::function<void(const EndpointReport& report)> done) {
   const Instant asked = state.m_clock();
+  const std::uint64_t asked_born_ms = ListedBorn(state, endpoint);
   ReportQuestion question = state.m_format->AskForReport(endpoint);
   HttpCall http;
   http.m_url = "http://" + address + question.m_target;
@@ -92,13 +103,14 @@
   events.m_on_body = [answer](std::string_view bytes) {
     answer->m_body.append(bytes);
   };
-  events.m_on_end = [&state, endpoint, asked, answer,
+  events.m_on_end = [&state, endpoint, asked, asked_born_ms, answer,
                      done = std::move(done)](const HttpResult& result) {
     EndpointReport report =
         ReadReport(state, result, answer->m_body, {asked, state.m_clock()});
     report.m_connected = answer->m_connected.value_or(asked);
+    report.m_is_leaving = answer->m_metadata.m_leaving;
     LogReport(endpoint, result, report);
-    NoteRejection(state, endpoint, answer->m_metadata);
+    NoteRejection(state, endpoint, asked_born_ms, answer->m_metadata);
     done(report);
   };
   answer->m_call = state.m_endpoints->Start(std::move(http), std::move(events));
--- a/src/endpointreport.h
+++ b/src/endpointreport.h
@@ -17,6 +17,7 @@
   // Nothing listens, or another endpoint. A connection that is reset or not
   // made in time proves nothing: the endpoint may lack room for it and work on.
   bool m_is_gone = false;
+  bool m_is_leaving = false;  // It said that it leaves.
   // A kept connection was closed before the response.
   bool m_is_connection_lost = false;
   ReportTimes m_times;
--- a/src/endpointstate.cpp
+++ b/src/endpointstate.cpp
@@ -91,6 +91,7 @@
 // Copies what this instance has learnt of an endpoint to its new entry.
 void KeepLearntState(const BalanceEndpoint& known, BalanceEndpoint& entry) {
   entry.m_leaving = known.m_leaving;
+  entry.m_leaving_born_ms = known.m_leaving_born_ms;
   entry.m_is_outdated = known.m_is_outdated;
   entry.m_running = known.m_running;
   entry.m_prefill_ms = known.m_prefill_ms;
@@ -109,16 +110,15 @@
   entry.m_failure_rate = known.m_failure_rate;
 }
 
-// Whether what was said at this time is of a former lifetime of the entry's
-// endpoint.
-bool IsOfFormerLifetime(const BalanceEndpoint& entry, Instant said) {
-  return said + kMaxClockDifference < entry.m_born_at;
-}
-
-// Copies the pause and the limit that a restarted endpoint named while the list
-// still showed its former lifetime.
+// Copies what a restarted endpoint said while the list still showed its former
+// lifetime: that it leaves, its pause and its limit.
 void KeepEarlyStatements(const BalanceEndpoint& former,
                          BalanceEndpoint& entry) {
+  if (former.m_leaving_born_ms == entry.m_born_ms) {
+    entry.m_leaving = former.m_leaving_born_ms != 0;
+  } else if (former.m_leaving_born_ms > entry.m_born_ms) {
+    entry.m_leaving_born_ms = former.m_leaving_born_ms;
+  }
   if (former.m_address != entry.m_address || entry.m_born_at == Instant{} ||
       former.m_born_ms > entry.m_born_ms) {
     return;
@@ -140,6 +140,7 @@
   const BalanceEndpoint& last = found->second.m_last;
   if (IsSameLifetime(entry, last.m_born_ms, last.m_address)) {
     entry.m_leaving = last.m_leaving;
+    entry.m_leaving_born_ms = last.m_leaving_born_ms;
     entry.m_full_until = last.m_full_until;
     entry.m_full_at = last.m_full_at;
     entry.m_limit = last.m_limit;
@@ -219,6 +220,10 @@
          MaySendWithin(endpoint.m_limit, state.m_limit_peers, now);
 }
 
+bool IsOfFormerLifetime(const BalanceEndpoint& endpoint, Instant said) {
+  return said + kMaxClockDifference < endpoint.m_born_at;
+}
+
 void CountToLimit(BalanceState& state, const std::string& endpoint,
                   Instant now) {
   BalanceEndpoint* found = FindEndpoint(state, endpoint);
@@ -322,6 +327,15 @@
   return true;
 }
 
+bool OnLifetimeLeaving(BalanceState& state, const std::string& endpoint,
+                       std::uint64_t born_ms) {
+  BalanceEndpoint* found = FindEndpoint(state, endpoint);
+  if (found == nullptr || born_ms < found->m_born_ms) return false;
+  if (born_ms == found->m_born_ms) return OnEndpointLeaving(state, endpoint);
+  found->m_leaving = true;
+  return std::exchange(found->m_leaving_born_ms, born_ms) != born_ms;
+}
+
 void OnEndpointFailed(BalanceState& state, const std::string& endpoint,
                       Instant now) {
   BalanceEndpoint* found = FindEndpoint(state, endpoint);
--- a/src/endpointstate.h
+++ b/src/endpointstate.h
@@ -42,6 +42,8 @@
   double m_slots = 1;
   bool m_draining = false;  // According to the list of endpoints.
   bool m_leaving = false;   // According to its own responses.
+  // A later lifetime than the listed one that leaves; zero if there is none.
+  std::uint64_t m_leaving_born_ms = 0;
   bool m_cheap = false;
   bool m_cold = false;
   std::uint64_t m_born_ms = 0;
@@ -137,6 +139,9 @@
 bool MaySend(const BalanceState& state, const BalanceEndpoint& endpoint,
              Instant now);
 
+// Whether what was said at this time is of a former lifetime of the endpoint.
+bool IsOfFormerLifetime(const BalanceEndpoint& endpoint, Instant said);
+
 // Counts a request that is about to be sent, or is bound to be, to the limit of
 // the endpoint.
 void CountToLimit(BalanceState& state, const std::string& endpoint,
@@ -197,6 +202,12 @@
 // false if that was known.
 bool OnEndpointLeaving(BalanceState& state, const std::string& endpoint);
 
+// Records the same of a lifetime of the endpoint, unless it is a former one.
+// One that is not listed yet will get no request when it is. Returns false if
+// it was known.
+bool OnLifetimeLeaving(BalanceState& state, const std::string& endpoint,
+                       std::uint64_t born_ms);
+
 // Records that the endpoint's address now belongs to another endpoint or to a
 // restarted one. It gets no request until the endpoint list is up to date.
 void OnEndpointReplaced(BalanceState& state, const std::string& endpoint,
--- a/src/lifetimecheck.cpp
+++ b/src/lifetimecheck.cpp
@@ -116,6 +116,12 @@
         .Add("listed_born_ms", static_cast<std::int64_t>(listed->m_born_ms))
         .Add("born_ms", static_cast<std::int64_t>(born_ms));
   }
+  if (report.m_is_leaving &&
+      OnLifetimeLeaving(state.m_balance, endpoint, born_ms)) {
+    LogLine("endpoint_leaving")
+        .Add("endpoint", endpoint)
+        .Add("born_ms", static_cast<std::int64_t>(born_ms));
+  }
   ApplyLifetime(state, endpoint);
   ResolveTakenUp(state);
   return true;
--- a/src/relayattempt.cpp
+++ b/src/relayattempt.cpp
@@ -91,12 +91,23 @@
   if (!counted) CountToLimit(state.m_balance, endpoint, state.m_clock());
 }
 
+// Whether the response is of the endpoint's listed lifetime, or of one that is
+// not listed yet. A connection belongs to one lifetime.
+bool IsOfListedLifetime(const RelayState& state, const EndpointAttempt& attempt,
+                        const BalanceEndpoint& endpoint) {
+  if (endpoint.m_born_ms == attempt.m_born_ms) return true;
+  const std::optional<Instant> connected =
+      state.m_endpoints->ConnectedAt(attempt.m_call);
+  return connected && endpoint.m_born_at != Instant{} &&
+         !IsOfFormerLifetime(endpoint, *connected);
+}
+
 // Records what a response says of the limit of its endpoint.
 void RecordLimit(RelayState& state, const EndpointAttempt& attempt) {
   const BalanceEndpoint* endpoint =
       FindEndpoint(state.m_balance, attempt.m_endpoint);
-  if (endpoint == nullptr || endpoint->m_born_ms != attempt.m_born_ms ||
-      attempt.m_metadata.m_wrong_endpoint) {
+  if (endpoint == nullptr || attempt.m_metadata.m_wrong_endpoint ||
+      !IsOfListedLifetime(state, attempt, *endpoint)) {
     return;
   }
   const std::optional<double> rate = attempt.m_metadata.m_limit_rate;
@@ -113,6 +124,26 @@
   }
 }
 
+// Records that the endpoint of the attempt said that it leaves. If it may have
+// started again since the list was written, its report tells which lifetime
+// leaves.
+void NoteLeaving(RelayState& state, const RelayCall& call,
+                 const EndpointAttempt& attempt) {
+  const BalanceEndpoint* endpoint =
+      FindEndpoint(state.m_balance, attempt.m_endpoint);
+  if (endpoint == nullptr || endpoint->m_leaving) return;
+  const bool is_listed = endpoint->m_born_ms == attempt.m_born_ms;
+  CheckLifetime(state, attempt.m_endpoint, endpoint->m_address,
+                CheckUrgency::kSoon);
+  if (!is_listed) return;
+  OnEndpointLeaving(state.m_balance, attempt.m_endpoint);
+  ++state.m_counters.m_leaving;
+  LogLine("endpoint_leaving")
+      .Add("request", call.m_metadata.m_attempt)
+      .Add("endpoint", attempt.m_endpoint)
+      .Add("status", attempt.m_status);
+}
+
 // Forwards an event to the caller. Returns false if events are missing.
 bool ForwardEvent(RelayState& state, RelayCall& call,
                   const RawSseEvent& event) {
@@ -172,13 +203,7 @@
   OnResendsRead(state.m_resends, call.m_service, attempt.m_endpoint,
                 attempt.m_head_at);
   RecordLimit(state, attempt);
-  if (!attempt.m_metadata.m_leaving) return;
-  if (!OnEndpointLeaving(state.m_balance, attempt.m_endpoint)) return;
-  ++state.m_counters.m_leaving;
-  LogLine("endpoint_leaving")
-      .Add("request", call.m_metadata.m_attempt)
-      .Add("endpoint", attempt.m_endpoint)
-      .Add("status", status);
+  if (attempt.m_metadata.m_leaving) NoteLeaving(state, call, attempt);
 }
 
 void OnRunHead(RelayState& state, RelayCall& call, int status,
