Name a silent attempt by the lifetime that the endpoint has named

What callers could see: a sound request refused for ten minutes, because silences at endpoints that had restarted before it came counted as crashes under it.

Cause: a silent attempt was kept under the listed start of its endpoint. A restart is listed seconds later, and the listing then looked like the end of the lifetime that had been silent.

Change: it is kept under the lifetime that is known to have begun before, by the list or by the endpoint itself, as a crash is.

crashes_test, "the endpoint had restarted before, which is listed later": fails without the change, passes with it. A restart that nobody has seen before the attempt still counts.

--- a/src/crashwatch.cpp
+++ b/src/crashwatch.cpp
@@ -82,22 +82,6 @@
   }
 }
 
-// Start of the latest lifetime of the endpoint that is known to have begun
-// before the attempt ended: according to the list, or to the endpoint itself,
-// as a restart is listed seconds later. A lifetime that the endpoint has named
-// later may have begun after the crash.
-std::uint64_t LifetimeOf(const RelayState& state,
-                         const EndpointAttempt& attempt) {
-  const std::uint64_t listed = attempt.m_judged_born_ms;
-  const auto seen = state.m_lifetimes.m_sightings.find(attempt.m_endpoint);
-  if (seen == state.m_lifetimes.m_sightings.end()) return listed;
-  const Instant lived =
-      attempt.m_status != 0 ? attempt.m_head_at : attempt.m_sent;
-  return seen->second.m_first_seen <= lived
-             ? std::max(listed, seen->second.m_born_ms)
-             : listed;
-}
-
 // Keeps the crash until it is known whether the process ended.
 void AddCheck(RelayState& state, const EndpointAttempt& attempt,
               const CrashRecord& crash, std::uint64_t born_ms,
@@ -114,6 +98,18 @@
 
 }  // namespace
 
+std::uint64_t LifetimeOf(const RelayState& state,
+                         const EndpointAttempt& attempt) {
+  const std::uint64_t listed = attempt.m_judged_born_ms;
+  const auto seen = state.m_lifetimes.m_sightings.find(attempt.m_endpoint);
+  if (seen == state.m_lifetimes.m_sightings.end()) return listed;
+  const Instant lived =
+      attempt.m_status != 0 ? attempt.m_head_at : attempt.m_sent;
+  return seen->second.m_first_seen <= lived
+             ? std::max(listed, seen->second.m_born_ms)
+             : listed;
+}
+
 bool IsAtStart(const RelayCall& call) {
   return call.m_attempt.m_events < kEventsPastStart;
 }
--- a/src/crashwatch.h
+++ b/src/crashwatch.h
@@ -25,6 +25,13 @@
 // process ended is then to be found out (crashcheck.h).
 void OnAttemptCrashed(RelayState& state, RelayCall& call);
 
+// Start of the latest lifetime of the endpoint that is known to have begun
+// before the attempt ended: according to the list, or to the endpoint itself,
+// as a restart is listed seconds later. A lifetime that the endpoint has named
+// later may have begun after the crash.
+std::uint64_t LifetimeOf(const RelayState& state,
+                         const EndpointAttempt& attempt);
+
 // Blames the request with this fingerprint, and nothing else, for the end of
 // this lifetime of the endpoint.
 void BlameRequest(RelayState& state, std::uint64_t request,
--- a/src/silencewatch.cpp
+++ b/src/silencewatch.cpp
@@ -75,13 +75,14 @@
                     const EndpointAttempt& attempt) {
   if (!IsSilentEnd(state, call, attempt)) return;
   const Instant now = state.m_clock();
-  const bool added = AddSilentAttempt(
-      state.m_silent_attempts, attempt.m_endpoint,
-      {call.m_fingerprint, attempt.m_born_ms, attempt.m_address, now});
+  const std::uint64_t born_ms = LifetimeOf(state, attempt);
+  const bool added =
+      AddSilentAttempt(state.m_silent_attempts, attempt.m_endpoint,
+                       {call.m_fingerprint, born_ms, attempt.m_address, now});
   LogLine("silent_attempt")
       .Add("request", call.m_metadata.m_attempt)
       .Add("endpoint", attempt.m_endpoint)
-      .Add("born_ms", static_cast<std::int64_t>(attempt.m_born_ms))
+      .Add("born_ms", static_cast<std::int64_t>(born_ms))
       .Add("suspect", std::to_string(call.m_fingerprint))
       .Add("recorded", added ? 1 : 0)
       .AddMs("after_ms", now - attempt.m_sent);
@@ -104,8 +105,8 @@
   // lifetime before the list shows that.
   const auto connected = state.m_endpoints->ConnectedAt(attempt.m_call);
   if (!connected) return;
-  ForgetAnswered(state.m_silent_attempts, attempt.m_endpoint, attempt.m_born_ms,
-                 *connected);
+  ForgetAnswered(state.m_silent_attempts, attempt.m_endpoint,
+                 LifetimeOf(state, attempt), *connected);
 }
 
 void OnEndpointUnreachable(RelayState& state, const std::string& endpoint,
--- a/tests/crashes_test.cpp
+++ b/tests/crashes_test.cpp
@@ -221,6 +221,7 @@
   f.m_endpoints.m_connected_at = f.m_now;
   bool drains = false;
   bool answers = false;
+  bool is_listed_late = false;
   Duration wait = seconds(1);
   std::string sound = "/safe/y";
   SUBCASE("the endpoint answers another request") { answers = true; }
@@ -234,8 +235,14 @@
   SUBCASE("the request has not reached the endpoint") {
     f.m_endpoints.m_is_delivered = false;
   }
+  SUBCASE("the endpoint had restarted before, which is listed later") {
+    is_listed_late = true;
+    for (const std::string id : {"e1", "e2", "e3"}) {
+      NoteLifetime(f.m_state.m_lifetimes, id, {2, f.m_now, f.m_now});
+    }
+  }
   for (std::uint64_t round = 1; round <= 6; ++round) {
-    List(f, round);
+    List(f, is_listed_late ? std::min<std::uint64_t>(round, 2) : round);
     const std::string silent = AskInVain(f, 10 * round, "/safe/x");
     REQUIRE(!silent.empty());
     if (drains) List(f, round, "", true);
