Mend what a review of the listeners of `serve` found

Change: `HttpServer` sends neither chunks nor their end where there is no body. `BusyConnections` counts requests that arrive. `Listener` compares the sum after each 64 KiB written, and cuts off the caller of a stream that reads nothing for 75 s. Segments of a response that waits for a slow reader are reserved whole, as growing ones left fragments. A paused endpoint is asked about a crash at the usual interval (`crashcheck`), not looked up at each tick.

--- a/src/channel.cpp
+++ b/src/channel.cpp
@@ -42,6 +42,11 @@
   if (m_output.empty() || m_output.back().m_shared ||
       m_output.back().m_text.size() >= kSegmentBytes) {
     m_output.emplace_back();
+    // A peer that reads slowly leaves many segments. One that grows would leave
+    // fragments behind that the allocator keeps.
+    if (m_pending >= kSegmentBytes) {
+      m_output.back().m_text.reserve(kSegmentBytes + bytes.size());
+    }
   }
   m_output.back().m_text.append(bytes);
   m_pending += bytes.size();
--- a/src/crashcheck.cpp
+++ b/src/crashcheck.cpp
@@ -76,7 +76,11 @@
   check.m_parts =
       FindConfirmable(state.m_crashes, check.m_crash, check.m_parts);
   if (check.m_parts.empty()) return true;
-  if (!IsPaused(state, check, now)) Ask(state, id, check);
+  if (IsPaused(state, check, now)) {
+    check.m_due = now + kAskInterval;
+  } else {
+    Ask(state, id, check);
+  }
   return false;
 }
 
--- a/src/forward.cpp
+++ b/src/forward.cpp
@@ -60,7 +60,7 @@
   return fields;
 }
 
-// Encodes the path again, because the HTTP library has decoded it.
+// Encodes the path again, because the listener has decoded it.
 std::string EndpointTarget(const HttpRequest& request) {
   const std::string key = BearerKey(request);
   std::string target = EncodePath(request.m_path);
--- a/src/httpserver.cpp
+++ b/src/httpserver.cpp
@@ -65,6 +65,9 @@
   return text;
 }
 
+// Responses with status 204 and 304 have no body (RFC 9110, section 6.4.1).
+bool HasBody(int status) { return status != 204 && status != 304; }
+
 // Whether a socket call failed because this machine has none left.
 bool IsOutOfResources(int error) {
   return error == EMFILE || error == ENFILE || error == ENOBUFS ||
@@ -137,8 +140,7 @@
   void Respond(int status, const HttpFields& headers, std::string_view body) {
     const bool persistent = ShouldKeepAlive();
     std::string text = FormatHead(status, headers);
-    // Responses with status 204 and 304 have no body (RFC 9110, section 6.4.1).
-    if (status != 204 && status != 304) {
+    if (HasBody(status)) {
       text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
     }
     if (!persistent) text += "Connection: close\r\n";
@@ -149,8 +151,9 @@
   }
 
   void StartStream(int status, const HttpFields& headers) {
-    m_chunked = m_head.m_version == 11;
-    m_persistent = m_chunked && ShouldKeepAlive();
+    m_bodyless = m_head.m_method == "HEAD" || !HasBody(status);
+    m_chunked = !m_bodyless && m_head.m_version == 11;
+    m_persistent = (m_chunked || m_bodyless) && ShouldKeepAlive();
     std::string text = FormatHead(status, headers);
     if (m_chunked) text += "Transfer-Encoding: chunked\r\n";
     if (!m_persistent) text += "Connection: close\r\n";
@@ -159,7 +162,7 @@
   }
 
   void WriteStream(std::string_view bytes) {
-    if (bytes.empty()) return;
+    if (bytes.empty() || m_bodyless) return;
     if (!m_chunked) {
       m_channel.Write(bytes);
       return;
@@ -248,7 +251,11 @@
     if (m_is_new && now - m_last_activity < kFirstRequestTime) return false;
     return !m_channel.HasUnreadInput();
   }
-  bool IsBusy() const { return m_request != 0 || UnsentBytes() > 0; }
+  // Whether a request is open or arrives, or a response is not sent in full.
+  bool IsBusy() const {
+    if (m_request != 0 || UnsentBytes() > 0) return true;
+    return !m_lingering && (m_parser.Started() || !m_input.empty());
+  }
   std::uint64_t Id() const { return m_id; }
   std::size_t UnsentBytes() const { return m_channel.Pending(); }
 
@@ -402,6 +409,7 @@
   std::size_t m_held_bytes = 0;     // As added to the sum of the server.
   std::size_t m_unsent_before = 0;  // At the last check for expiry.
   bool m_chunked = false;
+  bool m_bodyless = false;  // The streamed response has no body.
   bool m_persistent = false;
   bool m_lingering = false;
   bool m_is_new = true;  // No request has arrived.
--- a/src/httpserver.h
+++ b/src/httpserver.h
@@ -47,7 +47,8 @@
 
 // HTTP/1.1 server over the sockets of one task. It passes targets, header
 // fields and bodies on unmodified, and detects a caller that disconnects while
-// its request is open, which libmicrohttpd does not for suspended connections.
+// its request is open, which libmicrohttpd, used before, did not for suspended
+// connections.
 class HttpServer : public ResponsePort {
  public:
   HttpServer(SocketSet& sockets, HttpServerEvents events);
@@ -81,8 +82,8 @@
   std::size_t Connections() const { return m_connections.size(); }
   std::size_t OpenRequests() const { return m_requests.size(); }
 
-  // Number of connections with an open request or with response bytes that are
-  // not yet sent.
+  // Number of connections with a request that is open or arrives, or with
+  // response bytes that are not yet sent.
   std::size_t BusyConnections() const;
 
   void Respond(std::uint64_t id, int status, HttpFields headers,
--- a/src/listener.cpp
+++ b/src/listener.cpp
@@ -17,9 +17,11 @@
 
 constexpr Duration kTurnedAwayLogPeriod = std::chrono::seconds(1);
 
-// Unread bytes of a stream up to which its caller does not count as slow. They
-// fit into a few segments, and a stream in calm has less.
-constexpr std::size_t kSlowReaderBytes = 64U << 10U;
+// Bytes that may be written to all streams between two checks of what their
+// callers have not read. The check visits each stream.
+constexpr std::size_t kCheckBytes = 64U << 10U;
+
+constexpr Duration kStallCheckPeriod = std::chrono::seconds(1);
 
 // Maximum number of unread bytes of one stream.
 constexpr std::size_t kMaxUnreadBytes = 16U << 20U;
@@ -74,6 +76,8 @@
 }
 
 std::error_code Listener::Open() {
+  m_stall_check = std::make_unique<PeriodicTimer>(m_loop, kStallCheckPeriod,
+                                                  [this] { CutOffStalled(); });
   return m_server.Listen(m_options.m_address, m_options.m_port);
 }
 
@@ -108,14 +112,17 @@
 }
 
 void Listener::StartStream(std::uint64_t id, int status, HttpFields headers) {
-  m_streams.insert(id);
+  m_streams[id].m_last_read = Now();
   m_server.StartStream(id, status, std::move(headers));
 }
 
 void Listener::Write(std::uint64_t id, std::string_view bytes) {
-  if (m_streams.count(id) == 0) return;
+  const auto stream = m_streams.find(id);
+  if (stream == m_streams.end()) return;
   m_server.Write(id, bytes);
-  if (m_server.UnsentBytes(id) > kSlowReaderBytes) LimitUnread();
+  stream->second.m_written += bytes.size();
+  m_unchecked_bytes += bytes.size();
+  if (m_unchecked_bytes >= kCheckBytes) LimitUnread();
 }
 
 void Listener::FinishStream(std::uint64_t id) {
@@ -130,10 +137,11 @@
 // Endpoints may send faster than callers read. Cuts off the caller that has
 // left the most unread if it or all of them have left too much.
 void Listener::LimitUnread() {
+  m_unchecked_bytes = 0;
   std::uint64_t slowest = 0;
   std::size_t most = 0;
   std::size_t sum = 0;
-  for (const std::uint64_t id : m_streams) {
+  for (const auto& [id, stream] : m_streams) {
     const std::size_t unread = m_server.UnsentBytes(id);
     sum += unread;
     if (unread <= most) continue;
@@ -143,6 +151,25 @@
   if (most > kMaxUnreadBytes || sum > m_options.m_unread_bytes) CutOff(slowest);
 }
 
+// A caller that reads nothing would keep its stream, and its place among the
+// connections, for as long as the owner writes.
+void Listener::CutOffStalled() {
+  const Instant now = Now();
+  std::vector<std::uint64_t> stalled;
+  for (auto& [id, stream] : m_streams) {
+    const std::size_t unread = m_server.UnsentBytes(id);
+    const auto read = static_cast<std::int64_t>(stream.m_written) -
+                      static_cast<std::int64_t>(unread);
+    if (unread == 0 || read > stream.m_read) {
+      stream.m_read = read;
+      stream.m_last_read = now;
+    } else if (now - stream.m_last_read > m_options.m_unread_timeout) {
+      stalled.push_back(id);
+    }
+  }
+  for (const std::uint64_t id : stalled) CutOff(id);
+}
+
 // The owner may be writing to the stream, so it is told later.
 void Listener::CutOff(std::uint64_t id) {
   LOG(WARNING) << "closing a connection whose caller reads its response too "
--- a/src/listener.h
+++ b/src/listener.h
@@ -2,8 +2,8 @@
 #define COMFREYPADDLE_LISTENER_H_
 
 #include <functional>
+#include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -29,6 +29,8 @@
   // Maximum time to receive a request head, and a body besides a second for
   // each KiB that has arrived.
   Duration m_request_timeout = std::chrono::seconds(10);
+  // Time after which the caller of a stream that reads nothing is cut off.
+  Duration m_unread_timeout = std::chrono::seconds(75);
 };
 
 // HTTP server of one task of `serve`, with decoded targets, lower-case header
@@ -57,7 +59,7 @@
   // Stops accepting connections. Open connections are not affected.
   void StopAccepting() { m_server.StopListening(); }
 
-  // Requests whose response has not been sent in full.
+  // Requests that arrive, or whose response has not been sent in full.
   std::size_t OpenRequests() const { return m_server.BusyConnections(); }
 
   // What the requests hold and whom the listener has turned away.
@@ -71,8 +73,16 @@
   void Abort(std::uint64_t id) override;
 
  private:
+  // A streamed response.
+  struct Stream {
+    std::size_t m_written = 0;  // Bytes.
+    std::int64_t m_read = 0;    // Bytes that its caller has read of them.
+    Instant m_last_read{};
+  };
+
   HttpServerEvents MakeEvents();
   void LimitUnread();
+  void CutOffStalled();
   void CutOff(std::uint64_t id);
   void ReportCutOff();
   void LogTurnedAway(TurnedAway reason);
@@ -83,7 +93,9 @@
   OnRequest m_on_request;
   OnDisconnect m_on_disconnect;
   HttpServer m_server;
-  std::set<std::uint64_t> m_streams;
+  std::map<std::uint64_t, Stream> m_streams;
+  std::size_t m_unchecked_bytes = 0;  // Written since the last check.
+  std::unique_ptr<PeriodicTimer> m_stall_check;
   std::vector<std::uint64_t> m_cut_off;  // To be reported to the owner.
   EventLoop::TimerId m_report_timer = 0;
   Instant m_turned_away_logged{};
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -245,12 +245,12 @@
 // read: each is within its own limit, their sum is not.
 TEST_CASE("the slowest reader is cut off when all leave too much unread") {
   ListenerOptions options;
-  options.m_unread_bytes = 8U << 20U;
+  options.m_unread_bytes = 14U << 20U;
   Fixture fixture(options);
   const std::string part(1U << 20U, 'x');
   fixture.m_on_request = [&](const HttpRequest& request) {
     fixture.m_listener->StartStream(request.m_id, 200, {});
-    const std::size_t parts = fixture.m_requests.size() == 1 ? 9 : 7;
+    const std::size_t parts = fixture.m_requests.size() == 1 ? 13 : 12;
     for (std::size_t i = 0; i < parts; ++i) {
       fixture.m_listener->Write(request.m_id, part);
     }
@@ -270,6 +270,72 @@
   for (const int caller : callers) close(caller);
 }
 
+// Guards against a caller that stops reading and keeps its stream for good.
+TEST_CASE("a caller that reads nothing of its stream is cut off") {
+  ListenerOptions options;
+  options.m_unread_timeout = std::chrono::milliseconds(300);
+  Fixture fixture(options);
+  fixture.m_on_request = [&](const HttpRequest& request) {
+    fixture.m_listener->StartStream(request.m_id, 200, {});
+    fixture.m_listener->Write(request.m_id, std::string(12U << 20U, 'x'));
+  };
+  const int caller = ConnectTo(fixture.m_port);
+  const std::string request = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+  REQUIRE(send(caller, request.data(), request.size(), 0) > 0);
+  CHECK(RunUntil(fixture.m_loop, kTestTimeout,
+                 [&] { return fixture.m_disconnected.size() == 1; }));
+  close(caller);
+}
+
+// Guards against a body, or the end of a chunked one, behind responses that
+// have none: the caller would read it as the begin of the next response.
+TEST_CASE("a streamed response without a body is followed by the next one") {
+  Fixture fixture;
+  int status = 200;
+  std::string first = "HEAD /x HTTP/1.1\r\nHost: h\r\n\r\n";
+  SUBCASE("HEAD") {}
+  SUBCASE("no content") {
+    status = 204;
+    first.replace(0, 4, "GET");
+  }
+  fixture.m_on_request = [&](const HttpRequest& request) {
+    if (request.m_path == "/next") {
+      fixture.m_listener->Respond(request.m_id, 200, {}, "next");
+      return;
+    }
+    fixture.m_listener->StartStream(request.m_id, status, {});
+    fixture.m_listener->Write(request.m_id, "body");
+    fixture.m_listener->FinishStream(request.m_id);
+  };
+  const std::string both = first + "GET /next HTTP/1.1\r\nHost: h\r\n\r\n";
+  const int caller = ConnectTo(fixture.m_port);
+  REQUIRE(send(caller, both.data(), both.size(), 0) > 0);
+  std::string received;
+  CHECK(RunUntil(fixture.m_loop, kTestTimeout, [&] {
+    char bytes[512];
+    const ssize_t count = recv(caller, bytes, sizeof(bytes), MSG_DONTWAIT);
+    if (count > 0) received.append(bytes, static_cast<std::size_t>(count));
+    return received.find("next") != std::string::npos;
+  }));
+  const std::size_t end = received.find("\r\n\r\n") + 4;
+  CHECK(received.compare(end, 9, "HTTP/1.1 ") == 0);
+  close(caller);
+}
+
+// Guards against a drain that ends while a request is arriving.
+TEST_CASE("a request whose body arrives counts as open") {
+  Fixture fixture;
+  const int caller = ConnectTo(fixture.m_port);
+  const std::string part =
+      "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nhalf";
+  REQUIRE(send(caller, part.data(), part.size(), 0) > 0);
+  CHECK(RunUntil(fixture.m_loop, kTestTimeout, [&fixture] {
+    return fixture.m_listener->OpenRequests() == 1;
+  }));
+  CHECK(fixture.m_requests.empty());
+  close(caller);
+}
+
 // Guards against a request that is passed on to an owner that is ending.
 TEST_CASE(
     "a request that arrives as the listener is destroyed is not passed on") {
--- a/tests/servecrowd_system_test.cpp
+++ b/tests/servecrowd_system_test.cpp
@@ -94,8 +94,9 @@
   const auto engine = cluster.StartEngine();
   const auto service = cluster.StartService();
   const StoppedEndpoint stopped;
-  cluster.StartEntries(
-      1, {{"callers.max_body_bytes", std::to_string(kBodyLimit)}});
+  cluster.StartEntries(1,
+                       {{"callers.max_body_bytes", std::to_string(kBodyLimit)},
+                        {"callers.machine_mb", "128"}});
   cluster.Entry(1).LimitDescriptors(kDescriptorLimit);
   const bool stops = kind.m_stopped_endpoint;
   cluster.ApplyDefaultResources({stops ? stopped.Port() : engine}, {service});
@@ -172,6 +173,57 @@
                   ListenerRole::kCallers);
 }
 
+// Guards against what `serve` may do otherwise than `entry` with the same
+// server: heads, interim responses, and responses that nobody reads.
+TEST_CASE("other requests of callers without end") {
+  const std::string get = Head("GET /desk/x", "") + Head("GET /readyz", "");
+  CrowdKind kind;
+  SUBCASE("announced far over the limit") {
+    kind = {.m_name = "callers, announced over",
+            .m_prefix = Head("POST /desk/x", LengthField(400'000'000)),
+            .m_repeated = "x",
+            .m_repeated_bytes = kWithoutEnd};
+  }
+  SUBCASE("one byte at a time") {
+    kind = {.m_name = "callers, one byte at a time",
+            .m_prefix = Head("POST /desk/x", LengthField(kBodyLimit)),
+            .m_repeated = "x",
+            .m_repeated_bytes = kBodyLimit,
+            .m_bytes_at_once = 1};
+  }
+  SUBCASE("after an interim response") {
+    kind = {.m_name = "callers, expect",
+            .m_prefix = Head("POST /desk/x", LengthField(kBodyLimit) +
+                                                 "Expect: 100-continue\r\n"),
+            .m_repeated = "x",
+            .m_repeated_bytes = kBodyLimit - 1};
+  }
+  SUBCASE("heads") {
+    kind = {.m_name = "callers, heads",
+            .m_prefix = "GET /desk/x HTTP/1.1\r\n",
+            .m_repeated = "A: b\r\n",
+            .m_repeated_bytes = kWithoutEnd};
+  }
+  SUBCASE("pipelined, with responses that nobody reads") {
+    kind = {.m_name = "callers, pipelined, no reading",
+            .m_repeated = get,
+            .m_repeated_bytes = kWithoutEnd,
+            .m_reads = false};
+  }
+  CheckServeCrowd(kind, ListenerRole::kCallers);
+}
+
+// Guards against lists of resources that are kept for operators who do not read
+// them.
+TEST_CASE("responses to operators that nobody reads") {
+  CheckServeCrowd({.m_name = "operators, no reading",
+                   .m_repeated = Head("GET /api/v1/endpoint", "") +
+                                 Head("GET /metrics", ""),
+                   .m_repeated_bytes = kWithoutEnd,
+                   .m_reads = false},
+                  ListenerRole::kOperators);
+}
+
 // Guards against writes of resources whose sum has no bound.
 TEST_CASE("bodies of operators that never end") {
   CheckServeCrowd(
