--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -13,6 +13,6 @@
     -isystem /usr/include/jsoncpp "$source" -o "target/review-3/case-$number" \
     target/libtest_support.a target/libstandin_common.a target/libcore.a \
     target/libschema.a target/librpc.a -lprotobuf -ljsonrpccpp-server \
-    -ljsonrpccpp-client -ljsonrpccpp-common -ljsoncpp -lACE \
+    -ljsonrpccpp-client -ljsonrpccpp-common -ljsoncpp -lACE -lmicrohttpd \
     -lcurl -lgflags -lglog -linih -lxxhash -lcrypto -lpthread
 done
